--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with bounds, and the demo."""
--- /dev/null
+++ b/ibisrack/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution system for a service mesh."""
--- /dev/null
+++ b/ibisrack/bin/__init__.py
@@ -0,0 +1,1 @@
+"""Command line entry points."""
--- /dev/null
+++ b/ibisrack/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls: matching, instance choice, forwarding, admission and outcomes."""
--- /dev/null
+++ b/ibisrack/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""Control messages between nodes: codec, gRPC carrier and peer tasks."""
--- /dev/null
+++ b/ibisrack/exchange/codec_test.py
@@ -0,0 +1,62 @@
+"""Tests of the frame codec against malformed input."""
+
+import zlib
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ibisrack.errors import MessageError
+from ibisrack.exchange.codec import MAX_FRAME_BYTES, decode_frame, encode_frame
+from ibisrack.exchange.messages import Hello
+from ibisrack.membership.messages import MembersDigest, MembersUpdate
+from ibisrack.testing.fixtures import member
+from ibisrack.testing.functions import function_tests
+from ibisrack.timeline.clock import Timestamp
+from ibisrack.versions.chunks import VersionId
+from ibisrack.versions.messages import VersionState
+
+MESSAGES = [
+    Hello(member("a"), Timestamp(1, 2)),
+    VersionState(VersionId(3, b"x" * 16), None),
+    MembersDigest((1, 2, 3)),
+    MembersUpdate(tuple(member(f"n{i}") for i in range(20))),
+]
+
+
+def _refused(frame: bytes) -> bool:
+    try:
+        decode_frame(frame)
+    except MessageError:
+        return True
+    return False
+
+
+def test_messages_survive_a_round_trip():
+    assert decode_frame(encode_frame(MESSAGES)) == MESSAGES
+
+
+def test_unknown_messages_and_wrong_types_are_refused():
+    assert _refused(b"\x00" + msgspec.msgpack.encode([("Nonsense", {})]))
+    assert _refused(b"\x00" + msgspec.msgpack.encode([("VersionState", {"in_force": 7})]))
+    assert _refused(b"\x00" + msgspec.msgpack.encode({"a": 1}))
+    assert _refused(b"")
+
+
+def test_decompression_is_bounded():
+    """Guards against a small frame that expands without limit."""
+    assert _refused(b"\x01" + zlib.compress(b"\x00" * (MAX_FRAME_BYTES + 10)))
+
+
+@settings(max_examples=300, derandomize=True, deadline=None, database=None)
+@given(st.integers(0, 10_000), st.integers(0, 255), st.integers(0, 10_000))
+def test_altered_and_truncated_frames_raise_message_errors_only(position, value, length):
+    frame = bytearray(encode_frame(MESSAGES[:3]))
+    frame[position % len(frame)] = value
+    try:
+        decode_frame(bytes(frame[: length % (len(frame) + 1)]))
+    except MessageError:
+        pass
+
+
+load_tests = function_tests(__name__)
--- /dev/null
+++ b/ibisrack/exchange/dispatch.py
@@ -0,0 +1,58 @@
+"""Routes control messages to the slices.
+
+An exchange is symmetric: both sides pass every received message to ``handle`` and send what it
+returns.  Each slice registers a handler for each of its message classes.
+"""
+
+from collections.abc import Iterable
+from functools import singledispatch
+from typing import Any
+
+from ibisrack.clocks import Instant
+from ibisrack.exchange.messages import Hello
+from ibisrack.node.state import NodeState
+
+
+@singledispatch
+def handle(message: Any, node: NodeState, peer: Hello, now: Instant) -> tuple[Any, ...]:
+    """Processes a message and returns the messages to send back.
+
+    Args:
+      message: The received message.
+      node: The state of this node.
+      peer: Identity of the sender.
+      now: The current instant.
+
+    Raises:
+      MessageError: The message is not valid now; nothing has changed.
+    """
+    raise TypeError(f"no handler for {type(message).__name__}")
+
+
+@handle.register
+def _(message: Hello, node: NodeState, peer: Hello, now: Instant) -> tuple[Any, ...]:
+    node.log.clock.observe(message.stamp, now.wall_ms)
+    node.learn(message.sender, now)
+    return ()
+
+
+def greeting(node: NodeState, now: Instant) -> tuple[Any, ...]:
+    """Returns the messages that open every frame of this node."""
+    stamp = node.log.clock.tick(now.wall_ms)
+    return (Hello(node.members.own(), stamp), node.versions.state())
+
+
+def process(messages: Iterable[Any], node: NodeState, now: Instant) -> tuple[Any, ...]:
+    """Handles the messages of a frame.
+
+    Returns:
+      The messages to send back, without the greeting.
+
+    Raises:
+      MessageError: The frame does not start with Hello, or a message is not valid now.
+    """
+    peer, *rest = messages
+    replies = list(handle(peer, node, peer, now))
+    for message in rest:
+        replies += handle(message, node, peer, now)
+    return tuple(replies)
--- /dev/null
+++ b/ibisrack/membership/records.py
@@ -0,0 +1,60 @@
+"""Member records and the order in which one replaces another."""
+
+from enum import IntEnum
+
+import attrs
+
+
+class Liveness(IntEnum):
+    """State of a member; a later one wins within an incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+
+
+@attrs.frozen
+class MemberRecord:
+    """What the fleet knows of one node.
+
+    Attributes:
+      node_id: Unique name of the host.
+      service: Service of the upstream beside the node.
+      zone: Availability zone.
+      region: Region of the zone.
+      host: IP number.
+      call_port: HTTP port for calls.
+      peer_port: gRPC port for control exchanges.
+      admin_port: HTTP port for operators.
+      generation: Lifetime of the host as the platform counts it.
+      leaving: Whether the host is leaving; sticky within a generation.
+      incarnation: Raised by the node itself to refute news about it.
+      liveness: Whether the node is believed alive.
+    """
+
+    node_id: str
+    service: str
+    zone: str
+    region: str
+    host: str
+    call_port: int
+    peer_port: int
+    admin_port: int
+    generation: int = 1
+    leaving: bool = False
+    incarnation: int = 0
+    liveness: Liveness = Liveness.ALIVE
+
+    @property
+    def precedence(self) -> tuple[int, bool, int, int]:
+        """Order among records of the same node; the highest is kept.
+
+        Leaving stands before the incarnation: late news of the same generation never revives a
+        leaving upstream.
+        """
+        return (self.generation, self.leaving, self.incarnation, int(self.liveness))
+
+    @property
+    def peer_address(self) -> str:
+        """Address for control exchanges, IP:PORT."""
+        return f"{self.host}:{self.peer_port}"
--- /dev/null
+++ b/ibisrack/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node process: composition of the slices and its lifecycle."""
--- /dev/null
+++ b/ibisrack/platform/client.py
@@ -0,0 +1,64 @@
+"""Reads and watches values of the platform's configuration service over HTTP.
+
+``GET /v1/config/NAME?after_revision=R&wait_s=S`` answers 200 with the value and its revision in
+``X-Revision``, or 304 when nothing above R appeared within S seconds.
+"""
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from ibisrack.errors import PlatformError
+from ibisrack.platform.messages import HostList, ListedHost, PlatformValue
+from ibisrack.rules.ruleset import MAX_CONTENT_BYTES
+from ibisrack.settings.node import PlatformSettings
+
+RULES = "rules"
+HOSTS = "hosts"
+
+
+async def watch(
+    session: ClientSession, settings: PlatformSettings, name: str, after_revision: int
+) -> PlatformValue | None:
+    """Waits for a value with another revision than the one known.
+
+    Returns:
+      The value, or None when the watch ended without news.
+
+    Raises:
+      PlatformError: The service did not give a usable answer.
+    """
+    url = f"{settings.base_url}/v1/config/{name}"
+    params = {"after_revision": str(after_revision), "wait_s": str(settings.watch_s)}
+    timeout = ClientTimeout(total=settings.watch_s + settings.timeout_s)
+    try:
+        async with session.get(url, params=params, timeout=timeout) as answer:
+            if answer.status == 304:
+                return None
+            if answer.status != 200:
+                raise PlatformError(f"{name}: status {answer.status}")
+            content = await answer.content.read(MAX_CONTENT_BYTES + 1)
+            while not answer.content.at_eof() and len(content) <= MAX_CONTENT_BYTES:
+                content += await answer.content.read(MAX_CONTENT_BYTES + 1 - len(content))
+            if len(content) > MAX_CONTENT_BYTES:
+                raise PlatformError(f"{name}: the value is larger than {MAX_CONTENT_BYTES} bytes")
+            return PlatformValue(name, _revision(answer.headers.get("X-Revision", "")), content)
+    except (TimeoutError, ClientError, OSError) as error:
+        raise PlatformError(f"{name}: {type(error).__name__} {error}") from error
+
+
+def _revision(text: str) -> int:
+    if not text.isascii() or not text.isdigit() or len(text) > 18:
+        raise PlatformError(f"X-Revision is not a revision: '{text[:40]}'")
+    return int(text)
+
+
+def parse_hosts(content: bytes) -> HostList:
+    """Decodes the list of hosts.
+
+    Raises:
+      PlatformError: The content is not a list of hosts.
+    """
+    try:
+        return HostList(msgspec.json.decode(content, type=tuple[ListedHost, ...]))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise PlatformError(f"hosts: {error}") from error
--- /dev/null
+++ b/ibisrack/room/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet status: reports, zone summaries and the screens."""
--- /dev/null
+++ b/ibisrack/rules/__init__.py
@@ -0,0 +1,1 @@
+"""The rules file: grammar, rule classes, the checked rule set."""
--- /dev/null
+++ b/ibisrack/settings/checks.py
@@ -0,0 +1,49 @@
+"""Validators for settings fields, in the form that attrs expects."""
+
+import ipaddress
+from typing import Any
+from urllib.parse import urlsplit
+
+import attrs
+
+
+def in_range(low: float, high: float) -> Any:
+    """Returns a validator for a number from low to high, both included."""
+
+    def check(_: Any, __: attrs.Attribute, value: float) -> None:
+        if not low <= value <= high:
+            raise ValueError(f"must be from {low} to {high}, is {value}")
+
+    return check
+
+
+def not_empty(_: Any, __: attrs.Attribute, value: str) -> None:
+    """Requires a text that is not empty and holds no spaces."""
+    if not value or value.split() != [value]:
+        raise ValueError("must be one word")
+
+
+def ip_address(_: Any, __: attrs.Attribute, value: str) -> None:
+    """Requires an IP number."""
+    ipaddress.ip_address(value)
+
+
+def _check_ip_port(value: str) -> None:
+    host, _, port = value.rpartition(":")
+    ipaddress.ip_address(host.strip("[]"))
+    if not (port.isdigit() and 0 < int(port) < 65536):
+        raise ValueError(f"'{value}' does not end with a port number")
+
+
+def ip_ports(_: Any, __: attrs.Attribute, value: tuple[str, ...]) -> None:
+    """Requires texts of the form IP:PORT."""
+    for item in value:
+        _check_ip_port(item)
+
+
+def ip_url(_: Any, __: attrs.Attribute, value: str) -> None:
+    """Requires an http URL with an IP number and a port."""
+    parts = urlsplit(value)
+    if parts.scheme != "http" or parts.path not in ("", "/"):
+        raise ValueError(f"'{value}' is not of the form http://IP:PORT")
+    _check_ip_port(parts.netloc)
--- /dev/null
+++ b/ibisrack/settings/loader.py
@@ -0,0 +1,100 @@
+"""Loads a JSON settings file into an attrs class and reports every fault at once.
+
+cattrs gathers wrong types, missing and unknown fields with their JSON path.  Value checks are the
+attrs validators of the classes; they run after structuring, field by field, so that one bad value
+does not hide the next.
+"""
+
+import json
+from pathlib import Path
+from typing import Any, TypeVar
+
+import attrs
+from cattrs import Converter, transform_error
+
+from ibisrack.errors import Fault, SettingsError
+
+T = TypeVar("T")
+
+
+def _strict(expected: type) -> Any:
+    def structure(value: Any, _: type) -> Any:
+        if expected is float and type(value) is int:
+            return float(value)
+        if type(value) is not expected:
+            raise ValueError(f"expected {expected.__name__}, got {type(value).__name__}")
+        return value
+
+    return structure
+
+
+def _converter() -> Converter:
+    converter = Converter(forbid_extra_keys=True, detailed_validation=True)
+    for primitive in (int, float, str, bool):
+        converter.register_structure_hook(primitive, _strict(primitive))
+    return converter
+
+
+def _value_faults(value: Any, path: str, file: str) -> list[Fault]:
+    if not attrs.has(type(value)):
+        return []
+    faults = []
+    for field in attrs.fields(type(value)):
+        item = getattr(value, field.name)
+        item_path = f"{path}.{field.name}"
+        if field.validator is not None:
+            try:
+                field.validator(value, field, item)
+            except (ValueError, TypeError) as error:
+                faults.append(Fault(file, 0, str(error.args[0]), item_path))
+        faults += _value_faults(item, item_path, file)
+    return faults
+
+
+def parse_settings(data: Any, cls: type[T], file: str) -> T:
+    """Builds a settings object from decoded JSON.
+
+    Args:
+      data: The decoded JSON document.
+      cls: The attrs class to build.
+      file: Name of the file for fault messages.
+
+    Raises:
+      SettingsError: The document has faults; all of them are in the error.
+    """
+    with attrs.validators.disabled():
+        try:
+            settings = _converter().structure(data, cls)
+        except Exception as error:  # cattrs raises groups of many exception types.
+            faults = (_split_fault(file, text) for text in transform_error(error))
+            raise SettingsError(tuple(faults)) from error
+    faults = _value_faults(settings, "$", file)
+    if faults:
+        raise SettingsError(tuple(faults))
+    return settings
+
+
+def _split_fault(file: str, text: str) -> Fault:
+    message, separator, path = text.rpartition(" @ ")
+    return Fault(file, 0, message, path) if separator else Fault(file, 0, text)
+
+
+def load_settings(path: str, cls: type[T]) -> T:
+    """Reads a settings file.
+
+    Args:
+      path: The file's path.
+      cls: The attrs class to build.
+
+    Raises:
+      SettingsError: The file can't be read, is not JSON, or has faults.
+    """
+    try:
+        data = json.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError((Fault(path, 0, error.strerror or str(error)),)) from error
+    except UnicodeDecodeError as error:
+        raise SettingsError((Fault(path, 0, "the file is not UTF-8 text"),)) from error
+    except json.JSONDecodeError as error:
+        raise SettingsError((Fault(path, error.lineno, f"not JSON: {error.msg}"),)) from error
+    return parse_settings(data, cls, path)
--- /dev/null
+++ b/ibisrack/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for development and tests only."""
--- /dev/null
+++ b/ibisrack/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Time line of typed events ordered across processes."""
--- /dev/null
+++ b/ibisrack/timeline/log.py
@@ -0,0 +1,68 @@
+"""Bounded memory of recent events of one process.
+
+Calls are far more frequent than other events, so each has a ring of its own: a busy node would
+otherwise lose its version history within seconds.
+"""
+
+from collections import deque
+from functools import singledispatchmethod
+
+import attrs
+
+from ibisrack.timeline.clock import HybridClock, Timestamp
+from ibisrack.timeline.events import CallFinished, Event
+
+
+@attrs.frozen
+class Entry:
+    """An event with its place in the time line."""
+
+    stamp: Timestamp
+    node_id: str
+    kind: str
+    event: Event
+
+
+@attrs.define
+class EventLog:
+    """Keeps the newest events.
+
+    Attributes:
+      node_id: The process that the events belong to.
+      capacity_events: Events kept in each ring.
+      clock: The clock that stamps the events.
+    """
+
+    node_id: str
+    capacity_events: int
+    clock: HybridClock = attrs.field(factory=HybridClock)
+    _control: deque[Entry] = attrs.field(init=False)
+    _calls: deque[Entry] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Creates the rings."""
+        self._control = deque(maxlen=self.capacity_events)
+        self._calls = deque(maxlen=self.capacity_events)
+
+    def record(self, event: Event, wall_ms: int) -> Entry:
+        """Adds an event.
+
+        Args:
+          event: What happened.
+          wall_ms: The wall clock in milliseconds since the epoch.
+        """
+        entry = Entry(self.clock.tick(wall_ms), self.node_id, type(event).__name__, event)
+        self._ring(event).append(entry)
+        return entry
+
+    @singledispatchmethod
+    def _ring(self, event: Event) -> deque[Entry]:
+        return self._control
+
+    @_ring.register
+    def _(self, event: CallFinished) -> deque[Entry]:
+        return self._calls
+
+    def entries(self) -> list[Entry]:
+        """Returns the kept events in order."""
+        return sorted((*self._control, *self._calls), key=lambda entry: entry.stamp)
--- /dev/null
+++ b/ibisrack/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""The upstream instance beside this node."""
--- /dev/null
+++ b/ibisrack/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration versions: chunks, staging, confirmation and activation."""
--- /dev/null
+++ b/ibisrack/versions/store_test.py
@@ -0,0 +1,132 @@
+"""Tests of staging, confirmation and the swap."""
+
+import random
+
+from ibisrack.errors import MessageError
+from ibisrack.rules.ruleset import check
+from ibisrack.testing.fixtures import PILBARA_RULES, many_services_rules
+from ibisrack.testing.functions import function_tests
+from ibisrack.versions.chunks import chunked, pack, split, unpack
+from ibisrack.versions.messages import VersionState
+from ibisrack.versions.store import Candidate, Interest, Refusal, VersionStore
+
+
+def _stage(store: VersionStore, revision: int, content: bytes, now_s: float = 0.0):
+    version = chunked(revision, content)
+    return store.stage(version.manifest, version.chunks, now_s)
+
+
+def _store_at(revision: int) -> VersionStore:
+    store = VersionStore()
+    _stage(store, revision, PILBARA_RULES)
+    store.activate()
+    return store
+
+
+def test_lower_revision_never_comes_in_force():
+    """Guards against a stale platform that takes a node back."""
+    store = _store_at(5)
+    assert _stage(store, 4, CHANGED) is None
+    assert store.activate() is None
+    assert store.in_force.version_id.revision == 5
+
+
+def test_late_lower_stage_does_not_replace_a_higher_one():
+    """Guards against updates that cross in flight."""
+    store = _store_at(5)
+    _stage(store, 8, CHANGED)
+    assert _stage(store, 7, PILBARA_RULES) is None
+    assert store.activate().version_id.revision == 8
+
+
+def test_bad_version_leaves_the_former_in_force_and_names_the_line():
+    store = _store_at(5)
+    refusal = _stage(store, 6, PILBARA_RULES + b"route GET x/ to=none rank=a  # Ana: broken\n")
+    assert isinstance(refusal, Refusal)
+    assert refusal.faults[0].line == PILBARA_RULES.count(b"\n") + 1
+    assert store.activate() is None
+    assert store.in_force.version_id.revision == 5
+    assert isinstance(_stage(store, 7, CHANGED), Candidate)
+
+
+def test_verdict_does_not_depend_on_history():
+    """Guards against nodes that disagree because one reused parsed chunks."""
+    cached = _store_at(5)
+    staged = _stage(cached, 6, CHANGED)
+    assert staged.rules == check(CHANGED)
+
+
+def test_same_revision_with_other_content_keeps_the_first():
+    store = _store_at(5)
+    other = chunked(5, CHANGED).manifest.version_id
+    assert store.interest(other) is Interest.CONFLICT
+    assert _stage(store, 5, CHANGED) is None
+
+
+def test_content_that_does_not_match_its_digest_changes_nothing():
+    """Guards against truncated or altered chunks."""
+    store = _store_at(5)
+    version = chunked(6, CHANGED)
+    truncated = {digest: chunk[:-1] for digest, chunk in version.chunks.items()}
+    try:
+        store.stage(version.manifest, truncated, 0.0)
+    except MessageError:
+        assert store.staged is None
+    else:
+        raise AssertionError("accepted altered chunks")
+
+
+def test_activation_waits_for_two_holders_or_the_timeout():
+    """Guards against a revision known to one node only, which a crash would take back."""
+    store = _store_at(5)
+    _stage(store, 6, CHANGED, now_s=10.0)
+    peer_state = VersionState(staged=store.staged.version_id)
+    assert not store.may_activate(10.1, reachable_links=4)
+    store.confirm("a", peer_state)
+    store.confirm("a", peer_state)
+    assert not store.may_activate(10.2, reachable_links=4)
+    assert store.may_activate(11.0, reachable_links=4)
+    store.confirm("b", peer_state)
+    assert store.may_activate(10.2, reachable_links=4)
+
+
+def test_isolated_node_activates_alone():
+    store = _store_at(5)
+    _stage(store, 6, CHANGED, now_s=10.0)
+    assert store.may_activate(10.0, reachable_links=0)
+
+
+def test_one_inserted_line_changes_few_chunks():
+    base = many_services_rules(250)
+    lines = base.splitlines(keepends=True)
+    rng = random.Random(1)
+    for _ in range(20):
+        at = rng.randrange(len(lines))
+        changed = b"".join([*lines[:at], b"# note\n", *lines[at:]])
+        new = set(split(changed)) - set(split(base))
+        assert len(new) <= 2
+        assert b"".join(split(changed)) == changed
+
+
+def test_only_one_source_transfers_a_version():
+    store = _store_at(5)
+    manifest = chunked(6, CHANGED).manifest
+    assert store.offer(manifest, 0.0) is not None
+    assert store.offer(manifest, 0.1) is None
+    assert store.offer(manifest, 5.0) is not None
+
+
+def test_malformed_packed_chunks_are_message_errors():
+    good = pack([b"line\n", b"other\n"])
+    assert list(unpack(good).values()) == [b"line\n", b"other\n"]
+    for data in (b"", b"junk", good[:-3], pack([b"x" * 3_000_000])):
+        try:
+            unpack(data)
+        except MessageError:
+            continue
+        raise AssertionError(f"accepted {data[:20]!r}")
+
+
+CHANGED = PILBARA_RULES.replace(b"share_percent=40", b"share_percent=35")
+
+load_tests = function_tests(__name__)
