--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,43 @@
+"""Measures with bounds, as `make bench` prints them.
+
+A module named ``*_bench.py`` in this folder defines ``MEASURES``, the names it yields, and
+``run()``, which returns them.  Bounds come from the users' stated targets.
+"""
+
+import attrs
+
+
+@attrs.frozen
+class Measure:
+    """One measured value.
+
+    Attributes:
+      name: Name of the measure.
+      value: The measured value.
+      unit: Unit of the value and the bound.
+      at_most: Upper bound, None for no bound.
+      at_least: Lower bound, None for no bound.
+    """
+
+    name: str
+    value: float
+    unit: str
+    at_most: float | None = None
+    at_least: float | None = None
+
+    @property
+    def within(self) -> bool:
+        """Whether the value keeps its bounds."""
+        above = self.at_most is not None and self.value > self.at_most
+        below = self.at_least is not None and self.value < self.at_least
+        return not above and not below
+
+    def line(self) -> str:
+        """Formats the measure as ``name value unit bound ok|OVER``."""
+        bound = "-"
+        if self.at_most is not None:
+            bound = f"<={self.at_most:g}"
+        elif self.at_least is not None:
+            bound = f">={self.at_least:g}"
+        verdict = "ok" if self.within else "OVER"
+        return f"{self.name} {self.value:.6g} {self.unit} {bound} {verdict}"
--- /dev/null
+++ b/ibisrack/bin/ibis_node.py
@@ -0,0 +1,27 @@
+"""The node beside an upstream."""
+
+import asyncio
+
+from absl import app, flags
+
+from ibisrack.bin.common import log_as_json, settings_or_exit
+from ibisrack.node.run import run_node
+from ibisrack.settings.node import NodeSettings
+
+_SETTINGS = flags.DEFINE_string("settings", None, "Path of the JSON settings file.", required=True)
+
+
+def main(argv: list[str]) -> None:
+    """Runs the node."""
+    settings = settings_or_exit(_SETTINGS.value, NodeSettings)
+    log_as_json()
+    asyncio.run(run_node(settings))
+
+
+def run() -> None:
+    """Entry point of the ibis-node command."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/ibisrack/calls/headers.py
@@ -0,0 +1,103 @@
+"""Headers that carry the context of a call between caller, nodes and upstream."""
+
+import re
+import uuid
+from collections.abc import Mapping
+
+import attrs
+
+from ibisrack.errors import RequestError
+
+CALL_ID = "Ibis-Call-Id"
+DEADLINE_MS = "Ibis-Deadline-Ms"
+DEPTH = "Ibis-Depth"
+HOP = "Ibis-Hop"
+LOAD = "Ibis-Load"
+OUTCOME = "Ibis-Outcome"
+RANK = "Ibis-Rank"
+REASON = "Ibis-Reason"
+RETRY_RIGHT = "Ibis-Retry-Right"
+REVISION = "Ibis-Revision"
+SERVED_BY = "Ibis-Served-By"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+
+MAX_DEPTH = 16
+MAX_DEADLINE_MS = 3_600_000
+
+# Headers that hold for one connection only (RFC 9110, section 7.6.1) or that the client
+# library sets itself.
+NOT_FORWARDED = frozenset(
+    name.lower()
+    for name in (
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "TE",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Content-Length",
+        "Host",
+        "Expect",
+    )
+)
+
+_CALL_ID = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
+
+
+@attrs.frozen
+class CallContext:
+    """Context that a request carries.
+
+    Attributes:
+      call_id: Identity of the call; the same through all its hops.
+      deadline_ms: Time that is left, or None when the caller set no deadline.
+      depth: Number of services above this call.
+      retry_right: Whether this layer may try a failed call again.
+      forwarded: Whether another node chose this node's upstream.
+      rank: Rank decided by the node that forwarded the call.
+      idempotency_key: The caller's own key, or empty.
+    """
+
+    call_id: str
+    deadline_ms: int | None = None
+    depth: int = 0
+    retry_right: bool = True
+    forwarded: bool = False
+    rank: str = ""
+    idempotency_key: str = ""
+
+
+def _number(headers: Mapping[str, str], name: str, limit: int) -> int | None:
+    text = headers.get(name)
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit() or len(text) > 10 or int(text) > limit:
+        raise RequestError(f"{name} must be a whole number up to {limit}")
+    return int(text)
+
+
+def read_context(headers: Mapping[str, str]) -> CallContext:
+    """Reads the context of a request.
+
+    Raises:
+      RequestError: A header is malformed.
+    """
+    call_id = headers.get(CALL_ID) or uuid.uuid4().hex
+    if not _CALL_ID.match(call_id):
+        raise RequestError(f"{CALL_ID} must be 1 to 64 letters, digits, dots, dashes")
+    return CallContext(
+        call_id=call_id,
+        deadline_ms=_number(headers, DEADLINE_MS, MAX_DEADLINE_MS),
+        depth=_number(headers, DEPTH, MAX_DEPTH) or 0,
+        retry_right=headers.get(RETRY_RIGHT, "yes") != "held",
+        forwarded=headers.get(HOP) == "1",
+        rank=headers.get(RANK, ""),
+        idempotency_key=headers.get(IDEMPOTENCY_KEY, ""),
+    )
+
+
+def forwardable(headers: Mapping[str, str]) -> dict[str, str]:
+    """Returns the headers that may be passed on."""
+    return {name: value for name, value in headers.items() if name.lower() not in NOT_FORWARDED}
--- /dev/null
+++ b/ibisrack/calls/outcomes.py
@@ -0,0 +1,31 @@
+"""Outcomes that callers are told, and the reasons for refusals."""
+
+from enum import StrEnum
+
+
+class Outcome(StrEnum):
+    """What is known of a call's execution."""
+
+    DONE = "done"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(StrEnum):
+    """Why a call was refused or its outcome is not known."""
+
+    BAD_REQUEST = "bad-request"
+    TOO_LARGE = "body-too-large"
+    NO_ROUTE = "no-route"
+    NO_VERSION = "no-version"
+    NO_INSTANCE = "no-instance"
+    NOT_SERVING = "not-serving"
+    DRAINING = "draining"
+    QUEUE_FULL = "queue-full"
+    DEADLINE = "deadline"
+    SHED = "shed-by-upstream"
+    UPSTREAM_UNREACHABLE = "upstream-unreachable"
+    CONNECTION_LOST = "connection-lost"
+    KEY_TOO_OLD = "key-too-old"
+    KEY_HOME_UNREACHABLE = "key-home-unreachable"
+    WRONG_ANSWER = "answer-of-another-call"
--- /dev/null
+++ b/ibisrack/calls/owner.py
@@ -0,0 +1,90 @@
+"""Runs calls on the local upstream; the single authority on what has run there."""
+
+import attrs
+from aiohttp import ClientSession
+
+from ibisrack.calls.gate import Gate
+from ibisrack.calls.headers import CALL_ID, DEADLINE_MS, DEPTH, RANK, RETRY_RIGHT
+from ibisrack.calls.messages import Answer, Call
+from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.transport import send
+from ibisrack.clocks import read_clocks
+from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.node.lifecycle import DRAINING, SERVING
+from ibisrack.node.state import NodeState
+
+
+@attrs.define
+class Owner:
+    """Admits calls and sends them to the upstream beside this node.
+
+    Attributes:
+      node: The node's state.
+      gate: Admission to the slots.
+      session: HTTP client session with a connection limit.
+      in_flight: Calls admitted or queued here.
+    """
+
+    node: NodeState
+    gate: Gate
+    session: ClientSession
+    in_flight: int = 0
+
+    def reconfigure(self) -> None:
+        """Takes the slots and ranks of the version in force."""
+        candidate = self.node.versions.in_force
+        service = candidate and candidate.rules.services.get(self.node.members.own().service)
+        if service:
+            self.gate.scheduler.configure(service.rule.slots, service.ranks)
+
+    async def run(self, call: Call) -> Answer:
+        """Runs a call on the upstream.
+
+        Raises:
+          NotRunError: The call was refused and did not run.
+          UnknownOutcomeError: The call may have run.
+        """
+        self._check_serving()
+        self.in_flight += 1
+        try:
+            async with self.gate.slot(call):
+                return await self._run_in_slot(call)
+        finally:
+            self.in_flight -= 1
+
+    async def _run_in_slot(self, call: Call) -> Answer:
+        budget_s = call.deadline_at_s - read_clocks().monotonic_s
+        if budget_s <= 0:
+            raise NotRunError(Reason.DEADLINE)
+        headers = {
+            **call.headers,
+            "Host": call.route.host,
+            CALL_ID: call.call_id,
+            DEADLINE_MS: str(max(1, int(budget_s * 1000))),
+            DEPTH: str(call.depth + 1),
+            RANK: call.route.rank,
+        }
+        if not call.retry_right:
+            headers[RETRY_RIGHT] = "held"
+        base_url = self.node.settings.upstream.base_url
+        answer = await send(self.session, base_url, call, headers, budget_s)
+        return _verified(answer, call)
+
+    def _check_serving(self) -> None:
+        state = self.node.lifecycle.state
+        if state == DRAINING or self.node.members.own().leaving:
+            raise NotRunError(Reason.DRAINING)
+        if state != SERVING:
+            raise NotRunError(Reason.NOT_SERVING)
+
+
+def _verified(answer: Answer, call: Call) -> Answer:
+    """Checks that an upstream's answer belongs to the call.
+
+    Raises:
+      UnknownOutcomeError: The upstream named another call.
+    """
+    named = answer.headers.get(CALL_ID, call.call_id)
+    if named != call.call_id:
+        raise UnknownOutcomeError(Reason.WRONG_ANSWER)
+    return answer
--- /dev/null
+++ b/ibisrack/calls/server.py
@@ -0,0 +1,196 @@
+"""The HTTP server for calls: one task for each connection, each request written straight down."""
+
+from urllib.parse import urlsplit
+
+import attrs
+from aiohttp import web
+from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
+
+from ibisrack.calls.headers import (
+    CALL_ID,
+    LOAD,
+    OUTCOME,
+    REASON,
+    REVISION,
+    SERVED_BY,
+    CallContext,
+    forwardable,
+    read_context,
+)
+from ibisrack.calls.ingress import Ingress
+from ibisrack.calls.match import match
+from ibisrack.calls.messages import Answer, Call
+from ibisrack.calls.outcomes import Outcome, Reason
+from ibisrack.calls.owner import Owner
+from ibisrack.clocks import Instant, read_clocks
+from ibisrack.errors import NotRunError, RequestError, UnknownOutcomeError
+from ibisrack.node.lifecycle import DRAINING, SERVING
+from ibisrack.node.state import NodeState
+from ibisrack.timeline.events import CallFinished
+
+MAX_BODY_BYTES = 1024 * 1024
+_TEXT = "text/plain; charset=utf-8"
+_OWN_HEADERS = frozenset(
+    name.lower() for name in (CALL_ID, LOAD, OUTCOME, REASON, REVISION, SERVED_BY)
+)
+
+
+@attrs.define
+class CallServer:
+    """Serves calls of callers and of other nodes.
+
+    Attributes:
+      node: The node's state.
+      owner: The local upstream.
+      ingress: Forwarding to other instances.
+    """
+
+    node: NodeState
+    owner: Owner
+    ingress: Ingress
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serves one request."""
+        start = read_clocks()
+        try:
+            context = read_context(request.headers)
+            body = await _read_body(request)
+        except RequestError as error:
+            return self._refusal("", error.status, Outcome.NOT_RUN, Reason.BAD_REQUEST, str(error))
+        call: Call | None = None
+        try:
+            call = self._match(request, context, body, start)
+            answer, served_by = await self._run(call, context)
+            self._note(context, call, answer.outcome, "", served_by, start)
+            return await self._respond(request, call, answer, served_by)
+        except RequestError as error:
+            return self._refusal(
+                context.call_id, error.status, Outcome.NOT_RUN, Reason.NO_ROUTE, str(error)
+            )
+        except NotRunError as error:
+            self._note(context, call, Outcome.NOT_RUN, error.reason, "", start)
+            status = 504 if error.reason == Reason.DEADLINE else 503
+            return self._refusal(context.call_id, status, Outcome.NOT_RUN, error.reason)
+        except UnknownOutcomeError as error:
+            self._note(context, call, Outcome.UNKNOWN, error.reason, "", start)
+            status = 504 if error.reason == Reason.DEADLINE else 502
+            return self._refusal(context.call_id, status, Outcome.UNKNOWN, error.reason)
+
+    def _match(
+        self, request: web.BaseRequest, context: CallContext, body: bytes, start: Instant
+    ) -> Call:
+        state = self.node.lifecycle.state
+        if state != SERVING:
+            raise NotRunError(Reason.DRAINING if state == DRAINING else Reason.NOT_SERVING)
+        candidate = self.node.versions.in_force
+        if candidate is None:
+            raise NotRunError(Reason.NO_VERSION)
+        path = urlsplit(request.path_qs).path
+        host = request.headers.get("Host", "").partition(":")[0]
+        route = match(candidate.rules, request.method, host, path)
+        if route is None:
+            raise RequestError(f"no route for {request.method} {host}{path}", 404)
+        deadline_ms = min(context.deadline_ms or route.deadline_ms, route.deadline_ms)
+        return Call(
+            call_id=context.call_id,
+            method=request.method,
+            path=request.path_qs,
+            headers=forwardable(request.headers),
+            body=body,
+            route=route,
+            revision=candidate.version_id.revision,
+            deadline_at_s=start.monotonic_s + deadline_ms / 1000,
+            depth=context.depth,
+            retry_right=context.retry_right,
+            idempotency_key=context.idempotency_key,
+        )
+
+    async def _run(self, call: Call, context: CallContext) -> tuple[Answer, str]:
+        if context.forwarded:
+            return await self.owner.run(call), self.node.members.own_id
+        return await self.ingress.run(call)
+
+    async def _respond(
+        self, request: web.BaseRequest, call: Call, answer: Answer, served_by: str
+    ) -> web.StreamResponse:
+        headers = {
+            name: value
+            for name, value in forwardable(answer.headers).items()
+            if name.lower() not in _OWN_HEADERS
+        }
+        headers |= self._own_headers(call.call_id, answer.outcome, served_by)
+        if answer.rest is None:
+            return web.Response(status=answer.status, headers=headers, body=answer.body)
+        response = web.StreamResponse(status=answer.status, headers=headers)
+        await response.prepare(request)
+        await response.write(answer.body)
+        try:
+            async for part in answer.rest:
+                await response.write(part)
+        except UnknownOutcomeError:
+            # The status is already sent; only a broken connection tells the caller that the
+            # answer is not whole.
+            if request.transport is not None:
+                request.transport.abort()
+            return response
+        await response.write_eof()
+        return response
+
+    def _own_headers(self, call_id: str, outcome: Outcome, served_by: str) -> dict[str, str]:
+        candidate = self.node.versions.in_force
+        return {
+            CALL_ID: call_id,
+            OUTCOME: outcome.value,
+            SERVED_BY: served_by,
+            LOAD: str(self.owner.gate.load()),
+            REVISION: str(candidate.version_id.revision if candidate else 0),
+        }
+
+    def _refusal(
+        self, call_id: str, status: int, outcome: Outcome, reason: str, detail: str = ""
+    ) -> web.Response:
+        headers = self._own_headers(call_id, outcome, self.node.members.own_id)
+        headers[REASON] = str(reason)
+        if status == 503:
+            headers["Retry-After"] = "1"
+        text = f"{outcome.value}: {detail or reason}\n"
+        return web.Response(
+            status=status, headers={**headers, "Content-Type": _TEXT}, body=text.encode()
+        )
+
+    def _note(
+        self,
+        context: CallContext,
+        call: Call | None,
+        outcome: Outcome,
+        reason: str,
+        served_by: str,
+        start: Instant,
+    ) -> None:
+        """Records the end of a call in the time line."""
+        now = read_clocks()
+        event = CallFinished(
+            call_id=context.call_id,
+            role="owner" if context.forwarded else "ingress",
+            service=call.route.to if call else "",
+            rank=call.route.rank if call else "",
+            rule_line=call.route.line if call else 0,
+            requester=call.route.requester if call else "",
+            outcome=outcome.value,
+            reason=str(reason),
+            peer=served_by,
+            revision=call.revision if call else 0,
+            duration_ms=round((now.monotonic_s - start.monotonic_s) * 1000, 3),
+        )
+        self.node.record(event, now)
+
+
+async def _read_body(request: web.BaseRequest) -> bytes:
+    if not request.can_read_body:
+        return b""
+    if (request.content_length or 0) > MAX_BODY_BYTES:
+        raise RequestError(f"the body is larger than {MAX_BODY_BYTES} bytes", 413)
+    try:
+        return await request.read()
+    except HTTPRequestEntityTooLarge as error:
+        raise RequestError(f"the body is larger than {MAX_BODY_BYTES} bytes", 413) from error
--- /dev/null
+++ b/ibisrack/node/admin.py
@@ -0,0 +1,109 @@
+"""The HTTP server for operators: status, time line, metrics, drain."""
+
+from collections.abc import Awaitable, Callable
+
+import attrs
+import msgspec
+from aiohttp import web
+from aioprometheus import REGISTRY, render
+
+from ibisrack.calls.messages import LoadReport
+from ibisrack.calls.owner import Owner
+from ibisrack.node.state import NodeState
+from ibisrack.versions.messages import VersionState
+
+
+@attrs.frozen
+class NodeStatus:
+    """What a node tells of itself.
+
+    Attributes:
+      node_id: Name of the host.
+      zone: Availability zone.
+      state: Lifecycle state.
+      revision: Revision in force, 0 for none.
+      digest: Digest in force, hexadecimal.
+      refused_revision: Highest refused revision, 0 for none.
+      refused_faults: Faults of the refused version.
+      members: Number of known nodes.
+      load: Load of the local upstream.
+    """
+
+    node_id: str
+    zone: str
+    state: str
+    revision: int
+    digest: str
+    refused_revision: int
+    refused_faults: tuple[str, ...]
+    members: int
+    load: LoadReport
+
+
+def status_of(node: NodeState, owner: Owner) -> NodeStatus:
+    """Returns the status of a node."""
+    versions: VersionState = node.versions.state()
+    refused = node.versions.refused
+    own = node.members.own()
+    return NodeStatus(
+        node_id=own.node_id,
+        zone=own.zone,
+        state=node.lifecycle.state,
+        revision=versions.in_force.revision if versions.in_force else 0,
+        digest=versions.in_force.digest.hex() if versions.in_force else "",
+        refused_revision=refused.version_id.revision if refused else 0,
+        refused_faults=tuple(str(fault) for fault in refused.faults) if refused else (),
+        members=len(node.members.live()),
+        load=owner.gate.load(),
+    )
+
+
+def _json(value: object) -> web.Response:
+    return web.Response(body=msgspec.json.encode(value), content_type="application/json")
+
+
+@attrs.define
+class AdminServer:
+    """Serves operators.
+
+    Attributes:
+      node: The node's state.
+      owner: The local upstream.
+      drain: Starts a graceful stop.
+    """
+
+    node: NodeState
+    owner: Owner
+    drain: Callable[[], Awaitable[None]]
+
+    def application(self) -> web.Application:
+        """Returns the routes of the server."""
+        app = web.Application()
+        app.router.add_get("/status", self.status)
+        app.router.add_get("/members", self.members)
+        app.router.add_get("/timeline", self.timeline)
+        app.router.add_get("/metrics", self.metrics)
+        app.router.add_post("/drain", self.start_drain)
+        return app
+
+    async def status(self, request: web.Request) -> web.Response:
+        """Answers with the node's status."""
+        return _json(status_of(self.node, self.owner))
+
+    async def members(self, request: web.Request) -> web.Response:
+        """Answers with the member table."""
+        return _json(tuple(self.node.members.all()))
+
+    async def timeline(self, request: web.Request) -> web.Response:
+        """Answers with the recent events."""
+        return _json(self.node.log.entries())
+
+    async def metrics(self, request: web.Request) -> web.Response:
+        """Answers with the metrics in the Prometheus text format."""
+        content, headers = render(REGISTRY, request.headers.getall("Accept", []))
+        return web.Response(body=content, headers=headers)
+
+    async def start_drain(self, request: web.Request) -> web.Response:
+        """Starts a graceful stop."""
+        await self.drain()
+        return _json(status_of(self.node, self.owner))
--- /dev/null
+++ b/ibisrack/node/run.py
@@ -0,0 +1,178 @@
+"""Runs a node: starts the servers and tasks of the slices and joins the fleet."""
+
+import asyncio
+import signal
+from random import Random
+
+import attrs
+from aiohttp import ClientSession, DummyCookieJar, TCPConnector, web
+
+from ibisrack.calls.admission import Scheduler
+from ibisrack.calls.gate import Gate
+from ibisrack.calls.ingress import Ingress
+from ibisrack.calls.owner import Owner
+from ibisrack.calls.server import CallServer
+from ibisrack.clocks import read_clocks
+from ibisrack.errors import PlatformError
+from ibisrack.exchange.carrier import start_server
+from ibisrack.exchange.conversation import Exchanger
+from ibisrack.exchange.links import News, contact_seeds, reconnect_lost_peers, supervise_links
+from ibisrack.node.admin import AdminServer
+from ibisrack.node.lifecycle import JOINING
+from ibisrack.node.state import NodeState, create_node
+from ibisrack.platform.budget import ReadBudget
+from ibisrack.platform.client import RULES
+from ibisrack.platform.reader import PlatformReader, is_elected
+from ibisrack.settings.node import NodeSettings
+
+TICK_S = 0.25
+UPSTREAM_CONNECTIONS = 100
+DRAIN_POLL_S = 0.05
+DRAIN_NOTICE_S = 0.5  # Time for peers to learn of the leaving before the servers close.
+
+
+@attrs.define
+class NodeProcess:
+    """The tasks and servers of one node."""
+
+    node: NodeState
+    owner: Owner
+    exchanger: Exchanger
+    news: News
+    reader: PlatformReader
+    stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def changed(self) -> None:
+        """Takes over what an exchange or a read has changed."""
+        self.node.activate_if_ready(read_clocks())
+        self.owner.reconfigure()
+        self.news.announce()
+
+    async def tick(self) -> None:
+        """Runs time-driven decisions until cancelled."""
+        while True:
+            now = read_clocks()
+            if self.node.tick(now):
+                self.owner.gate.expire()
+                self.news.announce()
+            if self.node.activate_if_ready(now):
+                self.changed()
+            self._serve_if_ready()
+            await asyncio.sleep(TICK_S)
+
+    async def join(self) -> None:
+        """Learns from peers; while none has a version, the elected ones read the platform."""
+        node = self.node
+        node.move("join", read_clocks())
+        answers = await contact_seeds(self.exchanger)
+        self.changed()
+        while node.versions.highest() is None:
+            await asyncio.sleep(self.reader.budget.lone_start_s())
+            if node.versions.highest() is None and (not answers or is_elected(node)):
+                await self._read_alone()
+                self.changed()
+            answers = await contact_seeds(self.exchanger)
+
+    async def _read_alone(self) -> None:
+        try:
+            await self.reader.read_once(RULES, 0)
+        except PlatformError:
+            await asyncio.sleep(self.reader.budget.failed())
+
+    def _serve_if_ready(self) -> None:
+        node = self.node
+        if node.versions.in_force is None:
+            return
+        if node.lifecycle.state == JOINING or node.links.answered:
+            node.move("serve", read_clocks())
+
+    async def drain(self) -> None:
+        """Refuses new work, finishes what is in flight, then stops."""
+        node = self.node
+        own = node.members.own()
+        node.move("drain", read_clocks())
+        node.learn(attrs.evolve(own, leaving=True), read_clocks())
+        self.news.announce()
+        asyncio.get_running_loop().create_task(self._finish())
+
+    async def _finish(self) -> None:
+        await asyncio.sleep(DRAIN_NOTICE_S)
+        while self.owner.in_flight:
+            await asyncio.sleep(DRAIN_POLL_S)
+        self.stopped.set()
+
+
+def _session(limit: int) -> ClientSession:
+    connector = TCPConnector(limit=limit, limit_per_host=0, ttl_dns_cache=None)
+    return ClientSession(
+        connector=connector,
+        cookie_jar=DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+    )
+
+
+async def _serve_http(runner: web.BaseRunner, host: str, port: int) -> None:
+    await runner.setup()
+    await web.TCPSite(runner, host, port, backlog=1024).start()
+
+
+def _assemble(settings: NodeSettings, session: ClientSession, upstream: ClientSession):
+    node = create_node(settings, Random(settings.identity.node_id))
+    owner = Owner(node, Gate(Scheduler(slots=1)), upstream)
+    news = News()
+    process = NodeProcess(
+        node,
+        owner,
+        exchanger=None,
+        news=news,
+        reader=PlatformReader(node, session, ReadBudget(node.rng), lambda: process.changed()),
+    )
+    process.exchanger = Exchanger(node, process.changed)
+    return process
+
+
+async def run_node(settings: NodeSettings) -> None:
+    """Runs a node until it is told to stop by SIGTERM, SIGINT or an operator's drain.
+
+    Args:
+      settings: The checked settings.
+    """
+    async with _session(0) as session, _session(UPSTREAM_CONNECTIONS) as upstream:
+        process = _assemble(settings, session, upstream)
+        ingress = Ingress(process.node, process.owner, session)
+        call_server = web.Server(
+            CallServer(process.node, process.owner, ingress).handle,
+            access_log=None,
+            handler_cancellation=True,
+        )
+        admin = AdminServer(process.node, process.owner, process.drain).application()
+        runners = [web.ServerRunner(call_server), web.AppRunner(admin, access_log=None)]
+        await _run_tasks(settings, process, runners)
+
+
+async def _run_tasks(settings, process: NodeProcess, runners: list[web.BaseRunner]) -> None:
+    listen = settings.listen
+    grpc_server = await start_server(f"{listen.host}:{listen.peer_port}", process.exchanger.serve)
+    for runner, port in zip(runners, (listen.call_port, listen.admin_port), strict=True):
+        await _serve_http(runner, listen.host, port)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, lambda: loop.create_task(process.drain()))
+    tasks = [
+        loop.create_task(coroutine)
+        for coroutine in (
+            process.tick(),
+            process.join(),
+            supervise_links(process.exchanger, process.news),
+            reconnect_lost_peers(process.exchanger),
+            process.reader.run_all(),
+        )
+    ]
+    await process.stopped.wait()
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    for runner in runners:
+        await runner.cleanup()
+    await grpc_server.stop(0.2)
--- /dev/null
+++ b/ibisrack/standins/caller.py
@@ -0,0 +1,147 @@
+"""Stand-in for callers: an open-loop load of several kinds of work with a report for each."""
+
+import asyncio
+import itertools
+import time
+from random import Random
+
+import attrs
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+from hdrh.histogram import HdrHistogram
+
+from ibisrack.settings.standins import CallerSettings, TrafficSettings
+
+MAX_LATENCY_US = 120_000_000
+CALL_TIMEOUT_S = 60.0
+
+
+@attrs.frozen
+class ToldOutcome:
+    """What a caller was told of one call."""
+
+    call_id: str
+    rank: str
+    status: int
+    outcome: str
+    reason: str
+    served_by: str
+    latency_ms: float
+
+
+@attrs.define
+class RankReport:
+    """Counts and latencies of one kind of work."""
+
+    offered: int = 0
+    done: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    wrong_answers: int = 0
+    histogram: HdrHistogram = attrs.field(factory=lambda: HdrHistogram(1, MAX_LATENCY_US, 3))
+
+    def percentile_ms(self, percent: float) -> float:
+        """Returns a percentile of the latencies of calls that were done."""
+        return self.histogram.get_value_at_percentile(percent) / 1000
+
+
+@attrs.define
+class Caller:
+    """Sends calls and keeps what was told."""
+
+    settings: CallerSettings
+    session: ClientSession
+    reports: dict[str, RankReport] = attrs.field(factory=dict)
+    told: list[ToldOutcome] = attrs.field(factory=list)
+    _numbers: itertools.count = attrs.field(factory=itertools.count)
+
+    async def run(self) -> None:
+        """Sends all traffic and waits for the last answer."""
+        async with asyncio.TaskGroup() as group:
+            for index, traffic in enumerate(self.settings.traffic):
+                self.reports[traffic.rank] = RankReport()
+                group.create_task(self._send_all(traffic, Random(self.settings.seed + index)))
+
+    async def _send_all(self, traffic: TrafficSettings, rng: Random) -> None:
+        start_s = time.monotonic()
+        due_s = start_s
+        async with asyncio.TaskGroup() as group:
+            while True:
+                due_s += rng.expovariate(traffic.calls_per_s)
+                if due_s - start_s > self.settings.duration_s:
+                    break
+                await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+                group.create_task(self.call(traffic))
+
+    async def call(self, traffic: TrafficSettings) -> ToldOutcome:
+        """Sends one call and notes what was told."""
+        number = next(self._numbers)
+        call_id = f"{traffic.rank}-{self.settings.seed}-{number}"
+        target = self.settings.targets[number % len(self.settings.targets)]
+        headers = {
+            "Host": traffic.host,
+            "Ibis-Call-Id": call_id,
+            "X-Work-Ms": str(traffic.work_ms),
+            "X-Answer-Bytes": str(traffic.answer_bytes),
+        }
+        start_s = time.monotonic()
+        told = await self._exchange(traffic, f"http://{target}{traffic.path}", headers, start_s)
+        self._note(traffic, told)
+        return told
+
+    async def _exchange(
+        self, traffic: TrafficSettings, url: str, headers: dict[str, str], start_s: float
+    ) -> ToldOutcome:
+        call_id = headers["Ibis-Call-Id"]
+        status, outcome, reason, served_by = 0, "unknown", "connection-lost", ""
+        try:
+            async with self.session.request(traffic.method, url, headers=headers) as answer:
+                body = await answer.read()
+                status = answer.status
+                outcome = answer.headers.get("Ibis-Outcome", "unknown")
+                reason = answer.headers.get("Ibis-Reason", "")
+                served_by = answer.headers.get("Ibis-Served-By", "")
+                if status == 200 and call_id.encode() not in body:
+                    outcome = "wrong"
+        except (ClientError, OSError, TimeoutError):
+            pass
+        latency_ms = (time.monotonic() - start_s) * 1000
+        return ToldOutcome(call_id, traffic.rank, status, outcome, reason, served_by, latency_ms)
+
+    def _note(self, traffic: TrafficSettings, told: ToldOutcome) -> None:
+        self.told.append(told)
+        report = self.reports.setdefault(traffic.rank, RankReport())
+        report.offered += 1
+        if told.outcome == "done":
+            report.done += 1
+            report.histogram.record_value(max(1, int(told.latency_ms * 1000)))
+        elif told.outcome == "not-run":
+            report.not_run += 1
+        elif told.outcome == "wrong":
+            report.wrong_answers += 1
+        else:
+            report.unknown += 1
+
+
+async def run_caller(settings: CallerSettings) -> Caller:
+    """Sends the traffic of the settings and returns the caller with its reports."""
+    timeout = ClientTimeout(total=CALL_TIMEOUT_S)
+    async with ClientSession(connector=TCPConnector(limit=0), timeout=timeout) as session:
+        caller = Caller(settings, session)
+        await caller.run()
+    return caller
+
+
+def summary(caller: Caller) -> dict[str, dict[str, float]]:
+    """Returns the report of each kind of work as plain values."""
+    return {
+        rank: {
+            "offered": report.offered,
+            "done": report.done,
+            "not_run": report.not_run,
+            "unknown": report.unknown,
+            "wrong_answers": report.wrong_answers,
+            "p50_ms": report.percentile_ms(50),
+            "p99_ms": report.percentile_ms(99),
+        }
+        for rank, report in caller.reports.items()
+    }
