--- a/ibisrack/exchange/codec.py
+++ b/ibisrack/exchange/codec.py
@@ -12,6 +12,7 @@
 from ibisrack.errors import MessageError
 from ibisrack.exchange.messages import Hello
 from ibisrack.membership.messages import MembersDigest, MembersUpdate
+from ibisrack.room.messages import StatusReport, WantSummaries, ZoneSummaries
 from ibisrack.versions.messages import (
     OfferChunks,
     OfferManifest,
@@ -35,6 +36,9 @@
         OfferChunks,
         MembersDigest,
         MembersUpdate,
+        StatusReport,
+        WantSummaries,
+        ZoneSummaries,
     )
 }
 
--- a/ibisrack/exchange/conversation.py
+++ b/ibisrack/exchange/conversation.py
@@ -8,6 +8,7 @@
 
 # The handlers register themselves when their modules are imported.
 import ibisrack.membership.handlers
+import ibisrack.room.handlers
 import ibisrack.versions.handlers  # noqa: F401
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import MessageError, PeerError
@@ -47,9 +48,16 @@
         replies = self._process(decode_frame(frame))
         return encode_frame((*greeting(self.node, read_clocks()), *replies))
 
-    async def converse(self, channel: Channel, timeout_s: float) -> Hello:
+    async def converse(
+        self, channel: Channel, timeout_s: float, opening: tuple[Any, ...] = ()
+    ) -> Hello:
         """Exchanges with a peer until neither side has anything to add.
 
+        Args:
+          channel: Connection to the peer.
+          timeout_s: Time for each answer.
+          opening: Messages of the first frame; the digest of the member table when empty.
+
         Returns:
           The peer's greeting.
 
@@ -57,7 +65,7 @@
           PeerError: The peer did not answer.
           MessageError: The peer's answer is not valid.
         """
-        to_send: tuple[Any, ...] = (self.node.members.digest(),)
+        to_send: tuple[Any, ...] = opening or (self.node.members.digest(),)
         for _ in range(MAX_ROUNDS):
             frame = encode_frame((*greeting(self.node, read_clocks()), *to_send))
             messages = decode_frame(await send_frame(channel, frame, timeout_s))
@@ -80,9 +88,11 @@
         return replies
 
 
-async def try_converse(exchanger: Exchanger, channel: Channel, timeout_s: float) -> Hello | None:
+async def try_converse(
+    exchanger: Exchanger, channel: Channel, timeout_s: float, opening: tuple[Any, ...] = ()
+) -> Hello | None:
     """Converses with a peer; returns None when it failed."""
     try:
-        return await exchanger.converse(channel, timeout_s)
+        return await exchanger.converse(channel, timeout_s, opening)
     except (PeerError, MessageError):
         return None
--- a/ibisrack/node/admin.py
+++ b/ibisrack/node/admin.py
@@ -10,6 +10,7 @@
 from ibisrack.calls.messages import LoadReport
 from ibisrack.calls.owner import Owner
 from ibisrack.node.state import NodeState
+from ibisrack.room.source import FleetSource
 from ibisrack.versions.messages import VersionState
 
 
@@ -69,17 +70,20 @@
     Attributes:
       node: The node's state.
       owner: The local upstream.
+      fleet_source: The view of the fleet.
       drain: Starts a graceful stop.
     """
 
     node: NodeState
     owner: Owner
+    fleet_source: FleetSource
     drain: Callable[[], Awaitable[None]]
 
     def application(self) -> web.Application:
         """Returns the routes of the server."""
         app = web.Application()
         app.router.add_get("/status", self.status)
+        app.router.add_get("/fleet", self.fleet)
         app.router.add_get("/members", self.members)
         app.router.add_get("/timeline", self.timeline)
         app.router.add_get("/metrics", self.metrics)
@@ -90,6 +94,10 @@
         """Answers with the node's status."""
         return _json(status_of(self.node, self.owner))
 
+    async def fleet(self, request: web.Request) -> web.Response:
+        """Answers with the fleet view of the zone's reader."""
+        return _json(await self.fleet_source.view())
+
     async def members(self, request: web.Request) -> web.Response:
         """Answers with the member table."""
         return _json(tuple(self.node.members.all()))
--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -23,6 +23,9 @@
 from ibisrack.platform.budget import ReadBudget
 from ibisrack.platform.client import RULES
 from ibisrack.platform.reader import PlatformReader, is_elected
+from ibisrack.room.reporter import Reporter
+from ibisrack.room.source import FleetSource
+from ibisrack.room.status import ReportSchedule
 from ibisrack.settings.node import NodeSettings
 
 TICK_S = 0.25
@@ -40,6 +43,7 @@
     exchanger: Exchanger
     news: News
     reader: PlatformReader
+    reporter: Reporter
     stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def changed(self) -> None:
@@ -126,9 +130,11 @@
         owner,
         exchanger=None,
         news=news,
+        reporter=None,
         reader=PlatformReader(node, session, ReadBudget(node.rng), lambda: process.changed()),
     )
     process.exchanger = Exchanger(node, process.changed)
+    process.reporter = Reporter(process.exchanger, ReportSchedule(node.rng))
     return process
 
 
@@ -146,7 +152,8 @@
             access_log=None,
             handler_cancellation=True,
         )
-        admin = AdminServer(process.node, process.owner, process.drain).application()
+        source = FleetSource(process.exchanger)
+        admin = AdminServer(process.node, process.owner, source, process.drain).application()
         runners = [web.ServerRunner(call_server), web.AppRunner(admin, access_log=None)]
         await _run_tasks(settings, process, runners)
 
@@ -167,6 +174,7 @@
             supervise_links(process.exchanger, process.news),
             reconnect_lost_peers(process.exchanger),
             process.reader.run_all(),
+            process.reporter.run(),
         )
     ]
     await process.stopped.wait()
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -8,6 +8,8 @@
 from ibisrack.membership.records import MemberRecord
 from ibisrack.membership.table import MemberTable
 from ibisrack.node.lifecycle import Lifecycle
+from ibisrack.room.counters import CallCounters
+from ibisrack.room.reports import RoomState
 from ibisrack.settings.node import NodeSettings
 from ibisrack.timeline.events import (
     Event,
@@ -56,6 +58,8 @@
       members: The member table.
       versions: The versions held.
       log: Recent events.
+      room: Reports and summaries for the screens.
+      counters: Calls of the last minute.
       lifecycle: The node's own state machine.
       links: Health of the links.
       last_tick_s: Monotonic time of the last tick, for pause detection.
@@ -66,6 +70,8 @@
     members: MemberTable
     versions: VersionStore
     log: EventLog
+    room: RoomState
+    counters: CallCounters = attrs.field(factory=CallCounters)
     lifecycle: Lifecycle = attrs.field(factory=Lifecycle)
     links: LinkHealth = attrs.field(factory=LinkHealth)
     last_tick_s: float | None = None
@@ -139,4 +145,4 @@
         )
     )
     log = EventLog(identity.node_id, settings.timeline.capacity_events)
-    return NodeState(settings, rng, members, VersionStore(), log)
+    return NodeState(settings, rng, members, VersionStore(), log, RoomState(identity.zone))
--- /dev/null
+++ b/ibisrack/room/fleet.py
@@ -0,0 +1,118 @@
+"""The fleet view that screens read, put together from the zones' summaries."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+import attrs
+
+from ibisrack.membership.records import MemberRecord
+from ibisrack.room.messages import RankCounts, RuleCounts, Straggler, ZoneSummary
+from ibisrack.room.reports import RoomState
+from ibisrack.room.sums import add_ranks, add_rules
+from ibisrack.versions.chunks import VersionId
+
+
+@attrs.frozen
+class VersionView:
+    """A version as screens show it."""
+
+    revision: int
+    digest: str
+
+
+@attrs.frozen
+class VersionNodes:
+    """Number of nodes with a revision in force; revision 0 for nodes without a version."""
+
+    revision: int
+    digest: str
+    nodes: int
+
+
+@attrs.frozen
+class ZoneView:
+    """One zone; ages are None when no summary of the zone has arrived."""
+
+    zone: str
+    region: str
+    reader: str
+    members: int
+    age_s: float | None
+    newest_report_age_s: float | None
+    by_version: tuple[VersionNodes, ...]
+    by_state: dict[str, int]
+    straggler_count: int
+    stragglers: tuple[Straggler, ...]
+
+
+@attrs.frozen
+class FleetView:
+    """Answer of ``GET /fleet``."""
+
+    node_id: str
+    accepted: VersionView | None
+    members: int
+    straggler_count: int
+    zones: tuple[ZoneView, ...]
+    ranks: tuple[RankCounts, ...]
+    rules: tuple[RuleCounts, ...]
+
+
+def _version_nodes(version_id: VersionId | None, nodes: int) -> VersionNodes:
+    if version_id is None:
+        return VersionNodes(0, "", nodes)
+    return VersionNodes(version_id.revision, version_id.digest.hex(), nodes)
+
+
+def _rounded(age_s: float | None) -> float | None:
+    return None if age_s is None else round(age_s, 1)
+
+
+def _zone_view(summary: ZoneSummary) -> ZoneView:
+    return ZoneView(
+        zone=summary.zone,
+        region=summary.region,
+        reader=summary.reader,
+        members=summary.members,
+        age_s=_rounded(summary.age_s),
+        newest_report_age_s=_rounded(summary.newest_report_age_s),
+        by_version=tuple(_version_nodes(c.version_id, c.nodes) for c in summary.by_version),
+        by_state=summary.by_state,
+        straggler_count=summary.straggler_count,
+        stragglers=summary.stragglers,
+    )
+
+
+def _silent_zones(members: Iterable[MemberRecord], known: set[str]) -> list[ZoneView]:
+    """Returns views of the zones that have members and no summary."""
+    counts = Counter((m.zone, m.region) for m in members if m.zone not in known)
+    return [
+        ZoneView(zone, region, "", count, None, None, (), {}, 0, ())
+        for (zone, region), count in counts.items()
+    ]
+
+
+def fleet_view(
+    own_id: str, room: RoomState, members: Iterable[MemberRecord], now_s: float
+) -> FleetView:
+    """Returns the view of the fleet that this node holds.
+
+    Args:
+      own_id: Node that answers.
+      room: Its reports and summaries.
+      members: Its member table, for zones that no summary has arrived from.
+      now_s: Monotonic time.
+    """
+    summaries = room.summaries(now_s)
+    zones = [_zone_view(summary) for summary in summaries]
+    zones += _silent_zones(members, {summary.zone for summary in summaries})
+    accepted = room.accepted()
+    return FleetView(
+        node_id=own_id,
+        accepted=VersionView(accepted.revision, accepted.digest.hex()) if accepted else None,
+        members=sum(zone.members for zone in zones),
+        straggler_count=sum(zone.straggler_count for zone in zones),
+        zones=tuple(sorted(zones, key=lambda zone: zone.zone)),
+        ranks=add_ranks(row for summary in summaries for row in summary.ranks),
+        rules=add_rules(row for summary in summaries for row in summary.rules),
+    )
--- /dev/null
+++ b/ibisrack/room/reporter.py
@@ -0,0 +1,82 @@
+"""The task that reports the node's status and, on a reader, exchanges summaries."""
+
+import asyncio
+
+import attrs
+
+from ibisrack.clocks import read_clocks
+from ibisrack.exchange.channels import ChannelCache
+from ibisrack.exchange.conversation import Exchanger, try_converse
+from ibisrack.membership.readers import elect
+from ibisrack.membership.records import MemberRecord
+from ibisrack.room.partners import own_readers, partners
+from ibisrack.room.status import ReportSchedule, status_report
+
+CHECK_INTERVAL_S = 0.5
+SUMMARY_STEPS = 4  # A reader exchanges summaries at every fourth check.
+FRESHER_BY_S = 4.0  # Bounds how often the summary of a zone is sent to the same reader.
+
+
+@attrs.define
+class Reporter:
+    """Reports for one node.
+
+    Attributes:
+      exchanger: Carries the exchanges.
+      schedule: Decides when a report is due.
+    """
+
+    exchanger: Exchanger
+    schedule: ReportSchedule
+    _report_channels: ChannelCache = attrs.field(factory=ChannelCache)
+    _partner_channels: ChannelCache = attrs.field(factory=ChannelCache)
+
+    async def run(self) -> None:
+        """Reports until cancelled."""
+        node = self.exchanger.node
+        step = 0
+        while True:
+            await asyncio.sleep(node.rng.uniform(0.8, 1.2) * CHECK_INTERVAL_S)
+            step += 1
+            await self._report()
+            if self._is_reader():
+                self._summarize()
+                if step % SUMMARY_STEPS == 0:
+                    await self._exchange_summaries()
+
+    def _is_reader(self) -> bool:
+        members = self.exchanger.node.members
+        own = members.own()
+        return own in elect(own.zone, members.all())
+
+    async def _report(self) -> None:
+        node = self.exchanger.node
+        readers = {m.peer_address: m for m in own_readers(node.members.own(), node.members.all())}
+        await self._report_channels.keep(readers)
+        due = self.schedule.due(node, tuple(readers), read_clocks().monotonic_s)
+        if due:
+            results = await asyncio.gather(*(self._send(address) for address in due))
+            if not all(results):
+                self.schedule.failed(read_clocks().monotonic_s)
+
+    async def _send(self, address: str) -> bool:
+        node = self.exchanger.node
+        channel = self._report_channels.get(address)
+        timeout_s = node.settings.exchange.timeout_s
+        opening = (status_report(node, read_clocks()),)
+        return await try_converse(self.exchanger, channel, timeout_s, opening) is not None
+
+    def _summarize(self) -> None:
+        node, now = self.exchanger.node, read_clocks()
+        node.room.take(status_report(node, now), now.monotonic_s)
+        node.room.summarize(node.members.own(), node.members.all(), now.monotonic_s)
+
+    async def _exchange_summaries(self) -> None:
+        node = self.exchanger.node
+        chosen: tuple[MemberRecord, ...] = partners(node.members.own(), node.members.all())
+        await self._partner_channels.keep({m.peer_address for m in chosen})
+        if not chosen:
+            return
+        channel = self._partner_channels.get(node.rng.choice(chosen).peer_address)
+        opening = (node.room.wanted(read_clocks().monotonic_s, FRESHER_BY_S),)
+        await try_converse(self.exchanger, channel, node.settings.exchange.timeout_s, opening)
--- a/ibisrack/testing/fixtures.py
+++ b/ibisrack/testing/fixtures.py
@@ -2,7 +2,17 @@
 
 # ruff: noqa: E501 (rules are one line each, however long)
 
+from random import Random
+
 from ibisrack.membership.records import MemberRecord
+from ibisrack.node.state import NodeState, create_node
+from ibisrack.settings.node import (
+    IdentitySettings,
+    ListenSettings,
+    NodeSettings,
+    PlatformSettings,
+    UpstreamSettings,
+)
 
 PILBARA_RULES = b"""\
 # Rules of Pilbara Heavy Haul Permits Group.
@@ -77,3 +87,14 @@
     place = {"service": "notice-desk", "zone": "z", "region": "r", "host": "127.0.0.1"}
     ports = {"call_port": 1, "peer_port": 2, "admin_port": 3}
     return MemberRecord(node_id=node_id, **{**place, **ports, **fields})
+
+
+def bare_node(node_id: str, zone: str = "z", region: str = "r", seed: int = 1) -> NodeState:
+    """Returns the state of a node that has just started, without tasks or servers."""
+    settings = NodeSettings(
+        IdentitySettings(node_id, "notice-desk", zone, region),
+        ListenSettings("127.0.0.1", 1, 2, 3),
+        UpstreamSettings("http://127.0.0.1:4"),
+        PlatformSettings("http://127.0.0.1:5"),
+    )
+    return create_node(settings, Random(seed))
