Spread member changes as news and decide suspicion, death and forgetting in plain objects

Cause: member changes travelled only with the one-second repair, suspects were never declared dead and dead members stayed for ever. Links wake on news, coalesce bursts for at most 0.1 s and exchange only when they have something to tell; reconnecting contacts lost peers only.

--- a/ibisrack/exchange/conversation.py
+++ b/ibisrack/exchange/conversation.py
@@ -16,6 +16,7 @@
 from ibisrack.exchange.codec import decode_frame, encode_frame
 from ibisrack.exchange.dispatch import greeting, process
 from ibisrack.exchange.messages import Hello
+from ibisrack.membership.upkeep import news_for, told
 from ibisrack.node.state import NodeState
 
 MAX_ROUNDS = 8  # An offer takes four; more means that the peers talk past each other.
@@ -45,8 +46,12 @@
         Raises:
           MessageError: The frame is not valid.
         """
-        replies = self._process(decode_frame(frame))
-        return encode_frame((*greeting(self.node, read_clocks()), *replies))
+        messages = decode_frame(frame)
+        replies = self._process(messages)
+        peer_id = _sender(messages).sender.node_id
+        news = news_for(self.node, peer_id)
+        told(self.node, peer_id, news)
+        return encode_frame((*greeting(self.node, read_clocks()), *replies, *news))
 
     async def converse(
         self, channel: Channel, timeout_s: float, opening: tuple[Any, ...] = ()
--- a/ibisrack/exchange/dispatch.py
+++ b/ibisrack/exchange/dispatch.py
@@ -29,13 +29,6 @@
     raise TypeError(f"no handler for {type(message).__name__}")
 
 
-@handle.register
-def _(message: Hello, node: NodeState, peer: Hello, now: Instant) -> tuple[Any, ...]:
-    node.log.clock.observe(message.stamp, now.wall_ms)
-    node.learn(message.sender, now)
-    return ()
-
-
 def greeting(node: NodeState, now: Instant) -> tuple[Any, ...]:
     """Returns the messages that open every frame of this node."""
     stamp = node.log.clock.tick(now.wall_ms)
--- a/ibisrack/exchange/links.py
+++ b/ibisrack/exchange/links.py
@@ -3,15 +3,22 @@
 import asyncio
 
 import attrs
+from grpc.aio import Channel
 
 from ibisrack.clocks import read_clocks
 from ibisrack.exchange.carrier import open_channel
 from ibisrack.exchange.conversation import Exchanger, try_converse
 from ibisrack.membership.links import choose_links
-from ibisrack.membership.records import Liveness, MemberRecord
+from ibisrack.membership.reconnect import lost_addresses
+from ibisrack.membership.records import MemberRecord
+from ibisrack.membership.upkeep import news_for, suspect, told
+from ibisrack.node.lifecycle import RESUMING
 from ibisrack.node.state import NodeState
+from ibisrack.versions.messages import VersionState
 
 SUSPECT_AFTER_FAILURES = 2
+RETRY_INTERVAL_S = 0.5  # A failed exchange is repeated sooner than the next regular one.
+COALESCE_S = 0.1  # Longest wait after a wake-up, so that a burst of changes goes in one frame.
 RECONNECT_INTERVAL_S = 5.0
 SUPERVISE_INTERVAL_S = 0.5
 
@@ -38,41 +45,98 @@
             event.set()
 
 
-async def _wait_for(event: asyncio.Event, timeout_s: float) -> None:
+async def _wait_for(event: asyncio.Event, timeout_s: float) -> bool:
+    """Waits for an event and clears it; returns whether it was set in time."""
     try:
         await asyncio.wait_for(event.wait(), timeout_s)
     except TimeoutError:
-        pass
-    event.clear()
-
-
-def _note_failure(node: NodeState, link: MemberRecord) -> bool:
-    """Counts a failed exchange and suspects the peer after several; returns the change."""
-    if node.links.failure(link.node_id) < SUSPECT_AFTER_FAILURES:
         return False
-    known = node.members.get(link.node_id)
-    if known is None or known.liveness is not Liveness.ALIVE:
-        return False
-    return node.learn(attrs.evolve(known, liveness=Liveness.SUSPECT), read_clocks())
+    event.clear()
+    return True
 
 
-async def run_link(exchanger: Exchanger, news: News, link: MemberRecord) -> None:
-    """Exchanges with one link until cancelled."""
-    node = exchanger.node
-    settings = node.settings.exchange
-    wake = news.subscribe()
-    try:
-        async with open_channel(link.peer_address) as channel:
-            while True:
-                if await try_converse(exchanger, channel, settings.timeout_s):
-                    node.links.succeeded(link.node_id)
-                elif _note_failure(node, link):
-                    news.announce()
-                mean_s = settings.interval_s * max(1, len(node.links.answered))
-                await _wait_for(wake, node.rng.uniform(0.5, 1.5) * mean_s)
-    finally:
-        news.unsubscribe(wake)
-        node.links.answered.discard(link.node_id)
+@attrs.define
+class Link:
+    """The state of one link task.
+
+    Attributes:
+      exchanger: Carries the exchanges.
+      news: Wakes the task.
+      peer: The peer's record.
+      told_state: Version state that the peer was told last.
+    """
+
+    exchanger: Exchanger
+    news: News
+    peer: MemberRecord
+    told_state: VersionState | None = None
+
+    @property
+    def node(self) -> NodeState:
+        """The state of this node."""
+        return self.exchanger.node
+
+    async def run(self) -> None:
+        """Exchanges with the peer until cancelled."""
+        wake = self.news.subscribe()
+        regular = True
+        try:
+            async with open_channel(self.peer.peer_address) as channel:
+                while True:
+                    answered = await self._exchange(channel, regular)
+                    regular = await self._wait(wake, answered)
+        finally:
+            self.news.unsubscribe(wake)
+            self.node.links.drop(self.peer.node_id)
+
+    async def _exchange(self, channel: Channel, regular: bool) -> bool:
+        """Exchanges once; a regular exchange also compares the member tables."""
+        node, peer_id = self.node, self.peer.node_id
+        updates = news_for(node, peer_id)
+        state = node.versions.state()
+        digest = (node.members.digest(),) if regular or not updates else ()
+        timeout_s = node.settings.exchange.timeout_s
+        if await try_converse(self.exchanger, channel, timeout_s, (*updates, *digest)) is None:
+            self._note_failure()
+            return False
+        told(node, peer_id, updates)
+        node.links.succeeded(peer_id)
+        self.told_state = state
+        return True
+
+    def _note_failure(self) -> None:
+        """Counts a failed exchange and suspects the peer after several."""
+        failures = self.node.links.failure(self.peer.node_id)
+        if failures >= SUSPECT_AFTER_FAILURES:
+            if suspect(self.node, self.peer.node_id, read_clocks()):
+                self.news.announce()
+
+    async def _wait(self, wake: asyncio.Event, answered: bool) -> bool:
+        """Waits until an exchange is due; returns whether it is a regular one."""
+        until_s = read_clocks().monotonic_s + self._pause_s(answered)
+        while True:
+            woken = await _wait_for(wake, max(0.0, until_s - read_clocks().monotonic_s))
+            if not woken:
+                return True
+            await asyncio.sleep(self.node.rng.uniform(0.0, COALESCE_S))
+            wake.clear()
+            if answered and self._has_something_to_tell():
+                return False
+
+    def _pause_s(self, answered: bool) -> float:
+        jitter = self.node.rng.uniform(0.5, 1.5)
+        if not answered:
+            return jitter * RETRY_INTERVAL_S
+        links = max(1, len(self.node.links.answered))
+        return jitter * self.node.settings.exchange.interval_s * links
+
+    def _has_something_to_tell(self) -> bool:
+        node = self.node
+        if node.lifecycle.state == RESUMING:
+            return True
+        if node.versions.state() != self.told_state:
+            return True
+        return bool(node.news.for_peer(self.peer.node_id))
 
 
 async def contact(exchanger: Exchanger, address: str) -> bool:
@@ -94,29 +158,42 @@
     """Keeps one task running for each chosen link."""
     node = exchanger.node
     tasks: dict[tuple[str, str], asyncio.Task] = {}
+    compared = None
     async with asyncio.TaskGroup() as group:
         while True:
-            chosen = {
-                _address_key(m): m for m in choose_links(node.members.own(), node.members.all())
-            }
-            for key in [key for key in tasks if key not in chosen]:
-                tasks.pop(key).cancel()
-            for key, link in chosen.items():
-                if key not in tasks:
-                    tasks[key] = group.create_task(run_link(exchanger, news, link))
+            if compared != node.members.digest():
+                compared = node.members.digest()
+                _replace_links(exchanger, news, tasks, group)
             await asyncio.sleep(SUPERVISE_INTERVAL_S)
 
 
+def _replace_links(
+    exchanger: Exchanger,
+    news: News,
+    tasks: dict[tuple[str, str], asyncio.Task],
+    group: asyncio.TaskGroup,
+) -> None:
+    """Ends the tasks of links that are no longer chosen and starts those of new ones."""
+    members = exchanger.node.members
+    chosen = {_address_key(m): m for m in choose_links(members.own(), members.all())}
+    for key in [key for key in tasks if key not in chosen]:
+        tasks.pop(key).cancel()
+    for key, peer in chosen.items():
+        if key not in tasks:
+            tasks[key] = group.create_task(Link(exchanger, news, peer).run())
+
+
 def _address_key(link: MemberRecord) -> tuple[str, str]:
     return (link.node_id, link.peer_address)
 
 
 async def reconnect_lost_peers(exchanger: Exchanger) -> None:
-    """Now and then contacts a seed or a dead member, so that a healed partition joins again."""
+    """Now and then contacts a lost peer, so that a healed partition joins again."""
     node = exchanger.node
+    own = node.members.own().peer_address
     while True:
         await asyncio.sleep(node.rng.uniform(0.5, 1.5) * RECONNECT_INTERVAL_S)
-        dead = [m.peer_address for m in node.members.all() if m.liveness is Liveness.DEAD]
-        candidates = [*node.settings.exchange.seeds, *dead]
-        if candidates:
-            await contact(exchanger, node.rng.choice(candidates))
+        seeds = [seed for seed in node.settings.exchange.seeds if seed != own]
+        lost = lost_addresses(node.members.all(), seeds)
+        if lost:
+            await contact(exchanger, node.rng.choice(lost))
--- a/ibisrack/membership/links.py
+++ b/ibisrack/membership/links.py
@@ -6,6 +6,7 @@
 
 import hashlib
 from collections.abc import Iterable
+from functools import lru_cache
 
 from ibisrack.membership.records import Liveness, MemberRecord
 
@@ -14,6 +15,7 @@
 FAR_LINKS = 1
 
 
+@lru_cache(maxsize=8192)
 def weight(first: str, second: str) -> int:
     """Returns the rendezvous weight of a pair of names."""
     text = f"{first}|{second}".encode()
--- a/ibisrack/membership/table.py
+++ b/ibisrack/membership/table.py
@@ -7,6 +7,7 @@
 import hashlib
 import zlib
 from collections.abc import Iterable
+from functools import lru_cache
 
 import attrs
 
@@ -14,6 +15,7 @@
 from ibisrack.membership.records import Liveness, MemberRecord
 
 BUCKET_COUNT = 16
+MAX_FORGOTTEN = 1024  # About two days of replaced hosts.
 
 
 def bucket_of(node_id: str) -> int:
@@ -21,7 +23,15 @@
     return zlib.crc32(node_id.encode()) % BUCKET_COUNT
 
 
+@lru_cache(maxsize=4096)
 def _record_digest(record: MemberRecord) -> int:
+    """Returns a record's part in the digest of its bucket.
+
+    Members that are dead and leaving count nothing: they are forgotten, and not all nodes forget
+    them at the same time.
+    """
+    if record.leaving and record.liveness is Liveness.DEAD:
+        return 0
     text = f"{record.node_id}|{record.precedence}".encode()
     return int.from_bytes(hashlib.blake2b(text, digest_size=4).digest(), "big")
 
@@ -38,6 +48,7 @@
     _records: dict[str, MemberRecord] = attrs.field(factory=dict)
     _buckets: list[int] = attrs.field(factory=lambda: [0] * BUCKET_COUNT)
     _by_service: dict[str, tuple[MemberRecord, ...]] = attrs.field(factory=dict)
+    _forgotten: dict[str, MemberRecord] = attrs.field(factory=dict)
 
     def apply(self, record: MemberRecord) -> bool:
         """Keeps a record if it has a higher precedence than the known one.
@@ -48,14 +59,35 @@
         Returns:
           Whether the table changed.
         """
-        known = self._records.get(record.node_id)
+        known = self.find(record.node_id)
         if known is not None and record.precedence <= known.precedence:
             return False
         if record.node_id == self.own_id and known is not None:
             record = _refutation(known, record)
-        self._replace(known, record)
+        self._replace(self._records.get(record.node_id), record)
+        self._forgotten.pop(record.node_id, None)
         return True
 
+    def find(self, node_id: str) -> MemberRecord | None:
+        """Returns the record of a node, also of a forgotten one."""
+        return self._records.get(node_id) or self._forgotten.get(node_id)
+
+    def forget(self, node_id: str) -> None:
+        """Takes a dead and leaving member out of the table.
+
+        Its record is kept aside for a while, so that late news does not bring the member back.
+        """
+        record = self._records.pop(node_id)
+        self._buckets[bucket_of(node_id)] ^= _record_digest(record)
+        self._by_service.pop(record.service, None)
+        self._forgotten[node_id] = record
+        while len(self._forgotten) > MAX_FORGOTTEN:
+            self._forgotten.pop(next(iter(self._forgotten)))
+
+    def count(self) -> int:
+        """Returns the number of records."""
+        return len(self._records)
+
     def own(self) -> MemberRecord:
         """Returns this node's record."""
         return self._records[self.own_id]
--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -17,6 +17,7 @@
 from ibisrack.exchange.carrier import start_server
 from ibisrack.exchange.conversation import Exchanger
 from ibisrack.exchange.links import News, contact_seeds, reconnect_lost_peers, supervise_links
+from ibisrack.membership.upkeep import pass_time
 from ibisrack.node.admin import AdminServer
 from ibisrack.node.lifecycle import JOINING
 from ibisrack.node.state import NodeState, create_node
@@ -59,7 +60,8 @@
             if self.node.tick(now):
                 self.owner.gate.expire()
                 self.news.announce()
-            if self.node.activate_if_ready(now):
+            members_changed = pass_time(self.node, now)
+            if self.node.activate_if_ready(now) or members_changed:
                 self.changed()
             self._serve_if_ready()
             await asyncio.sleep(TICK_S)
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -5,7 +5,10 @@
 import attrs
 
 from ibisrack.clocks import Instant
+from ibisrack.membership.departures import Departures
+from ibisrack.membership.news import NewsQueue
 from ibisrack.membership.records import MemberRecord
+from ibisrack.membership.suspicion import Suspicions
 from ibisrack.membership.table import MemberTable
 from ibisrack.node.lifecycle import Lifecycle
 from ibisrack.room.counters import CallCounters
@@ -41,6 +44,11 @@
         self.answered.add(node_id)
         self.failed.pop(node_id, None)
 
+    def drop(self, node_id: str) -> None:
+        """Drops what was seen of a link that is no longer used."""
+        self.answered.discard(node_id)
+        self.failed.pop(node_id, None)
+
     def failure(self, node_id: str) -> int:
         """Notes a failed exchange and returns the failures in a row."""
         self.answered.discard(node_id)
@@ -62,6 +70,9 @@
       counters: Calls of the last minute.
       lifecycle: The node's own state machine.
       links: Health of the links.
+      news: Member changes to tell to peers.
+      suspicions: Members that are suspected.
+      departures: Members that are dead.
       last_tick_s: Monotonic time of the last tick, for pause detection.
     """
 
@@ -74,6 +85,9 @@
     counters: CallCounters = attrs.field(factory=CallCounters)
     lifecycle: Lifecycle = attrs.field(factory=Lifecycle)
     links: LinkHealth = attrs.field(factory=LinkHealth)
+    news: NewsQueue = attrs.field(factory=NewsQueue)
+    suspicions: Suspicions = attrs.field(factory=Suspicions)
+    departures: Departures = attrs.field(factory=Departures)
     last_tick_s: float | None = None
 
     def record(self, event: Event, now: Instant) -> None:
@@ -87,17 +101,38 @@
         if self.lifecycle.state != old:
             self.record(NodeStateChanged(old, self.lifecycle.state), now)
 
-    def learn(self, record: MemberRecord, now: Instant) -> bool:
-        """Applies a member record and records a change."""
+    def learn(self, record: MemberRecord, now: Instant, source: str = "") -> bool:
+        """Applies a member record, queues it as news and records a change.
+
+        Args:
+          record: What was heard or decided.
+          now: The current instant.
+          source: Peer that sent the record, empty for a decision of this node.
+        """
         if not self.members.apply(record):
+            self._note_known(record, source)
             return False
         kept = self.members.get(record.node_id)
+        self.news.add(kept.node_id, source if kept == record else "")
+        self.suspicions.note(kept, now.monotonic_s)
+        self.departures.note(kept, now.monotonic_s)
         event = MemberChanged(
             kept.node_id, kept.liveness.name, kept.leaving, kept.generation, kept.incarnation
         )
         self.record(event, now)
         return True
 
+    def forget(self, node_id: str) -> None:
+        """Forgets a member that has left."""
+        self.members.forget(node_id)
+        self.suspicions.forget(node_id)
+        self.departures.drop(node_id)
+
+    def _note_known(self, record: MemberRecord, source: str) -> None:
+        known = self.members.get(record.node_id)
+        if source and known and known.precedence == record.precedence:
+            self.news.heard(record.node_id, source)
+
     def activate_if_ready(self, now: Instant) -> bool:
         """Puts the staged version in force once enough peers hold it."""
         if not self.versions.may_activate(now.monotonic_s, len(self.links.answered)):
@@ -123,6 +158,8 @@
             return False
         self.record(PauseDetected(gap_s), now)
         self.links.answered.clear()
+        self.links.failed.clear()
+        self.suspicions.restart(now.monotonic_s)
         self.move("resume", now)
         return True
 
