Carry frames between nodes with aiohttp in place of grpcio

Cause: a node with grpc.aio took 63.9 MB RSS (64.9 MB at 36 nodes) and 14 threads before it served any call; the bound for control is 64 MB. Change: exchange/carrier.py sends each frame as one HTTP POST over one connection for each peer; the codec, the handlers and the link tasks are unchanged. The control bench is new. Ruled out: malloc arena and trim settings (62.9 to 63.3 MB).

--- /dev/null
+++ b/bench/control_bench.py
@@ -0,0 +1,187 @@
+"""Cost and speed of configuration distribution with real processes on loopback.
+
+Nodes without upstreams: what they spend is control alone.  Figures for the target rate of 780
+changes a day are the idle cost plus the measured cost of one change times that rate.
+"""
+
+import asyncio
+import signal
+import statistics
+import subprocess
+import sys
+import time
+
+import attrs
+import psutil
+
+from bench.deployments import wide
+from bench.fleet import Fleet, Node, started_fleet
+from bench.measures import Measure
+from bench.sockets import SocketCounter
+from ibisrack.testing.fixtures import many_services_rules
+
+SERVICES = 250
+CHANGES_PER_S = 780 / 86_400
+CHANGES = 6
+IDLE_S = 12.0
+POLL_S = 0.25
+CONVERGENCE_BOUND_S = 12.0
+BYTES_BOUND_S = 3000.0
+CPU_BOUND_PERCENT = 3.5
+MEMORY_BOUND_MB = 64.0
+
+SIZES = ((12, 1), (12, 3))
+
+_TOTALS = (
+    "convergence_time_s",
+    "convergence_median_s",
+    "convergence_time_one_in_ten_killed_s",
+    "control_bytes_per_node_s",
+    "control_cpu_percent",
+    "control_memory_mb",
+)
+MEASURES = (
+    *(f"{name}_{zones * nodes}_nodes" for name in _TOTALS for zones, nodes in SIZES),
+    *_TOTALS,
+    "control_memory_bare_libraries_mb",
+)
+
+
+@attrs.frozen
+class Spent:
+    """What the busiest node spent in a window.
+
+    Attributes:
+      bytes: Bytes over its sockets.
+      cpu_s: Processor time.
+    """
+
+    bytes: float
+    cpu_s: float
+
+
+def _cpu_s(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+async def _spent(fleet: Fleet, work) -> Spent:
+    """Runs work and returns the largest use among the nodes."""
+    processes = [psutil.Process(node.handle.pid) for node in fleet.nodes]
+    counter = SocketCounter(frozenset(process.pid for process in processes))
+    await asyncio.to_thread(counter.poll)
+    bytes_before = counter.totals()
+    cpu_before = {process.pid: _cpu_s(process) for process in processes}
+    task = asyncio.ensure_future(work)
+    while not task.done():
+        await asyncio.wait([task], timeout=POLL_S)
+        await asyncio.to_thread(counter.poll)
+    task.result()
+    totals = counter.totals()
+    return Spent(
+        max(totals[pid] - bytes_before[pid] for pid in totals),
+        max(_cpu_s(process) - cpu_before[process.pid] for process in processes),
+    )
+
+
+async def _activation_times(fleet: Fleet, revision: int, nodes: list[Node]) -> list[float]:
+    """Returns the wall time in seconds at which each node put a revision in force."""
+    await fleet.wait_for_revision(revision, nodes)
+    times = []
+    for node in nodes:
+        events = [e for e in await fleet.events(node) if e["kind"] == "VersionActivated"]
+        event = next(e for e in events if e["event"]["revision"] >= revision)
+        times.append(event["stamp"]["wall_ms"] / 1000)
+    return times
+
+
+async def _publish(fleet: Fleet, note: str, nodes: list[Node] | None = None) -> list[float]:
+    """Publishes a change; returns the times until it was in force, one for each node."""
+    start_s = time.time()
+    revision = await fleet.publish("rules", many_services_rules(SERVICES, note))
+    times = await _activation_times(fleet, revision, nodes or fleet.nodes)
+    return [max(0.0, at_s - start_s) for at_s in times]
+
+
+async def _publish_many(fleet: Fleet, results: list[list[float]]) -> None:
+    for number in range(CHANGES):
+        results.append(await _publish(fleet, f"change {number}"))
+
+
+async def _publish_while_killing(fleet: Fleet) -> list[float]:
+    """Kills one node in ten while a change spreads."""
+    killed = fleet.nodes[::10]
+    alive = [node for node in fleet.nodes if node not in killed]
+    task = asyncio.ensure_future(_publish(fleet, "while nodes die", alive))
+    for node in killed:
+        node.signal(signal.SIGKILL)
+    return await task
+
+
+def _bare_libraries_mb() -> float:
+    code = (
+        "import aiohttp.web, attrs, cattrs, msgspec, transitions, aioprometheus\n"
+        "import absl.app, pythonjsonlogger.json, psutil\n"
+        "print(psutil.Process().memory_info().rss)"
+    )
+    output = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
+    return int(output.stdout) / 1e6
+
+
+async def _measure(zones: int, nodes_per_zone: int) -> dict[str, float]:
+    rules = many_services_rules(SERVICES, "start")
+    async with started_fleet(wide(zones, nodes_per_zone, rules), upstreams=False) as fleet:
+        await asyncio.sleep(3.0)
+        idle = await _spent(fleet, asyncio.sleep(IDLE_S))
+        results: list[list[float]] = []
+        changes = await _spent(fleet, _timed(_publish_many(fleet, results), CHANGES * 1.0))
+        memory = max(psutil.Process(n.handle.pid).memory_info().rss for n in fleet.nodes)
+        slowest_s = max(max(times) for times in results)
+        median_s = statistics.median(t for times in results for t in times)
+        killed = await _publish_while_killing(fleet)
+    per_change = Spent(
+        max(0.0, changes.bytes - idle.bytes * CHANGES / IDLE_S) / CHANGES,
+        max(0.0, changes.cpu_s - idle.cpu_s * CHANGES / IDLE_S) / CHANGES,
+    )
+    return {
+        "convergence_time_s": slowest_s,
+        "convergence_median_s": median_s,
+        "convergence_time_one_in_ten_killed_s": max(killed),
+        "control_bytes_per_node_s": idle.bytes / IDLE_S + per_change.bytes * CHANGES_PER_S,
+        "control_cpu_percent": 100 * (idle.cpu_s / IDLE_S + per_change.cpu_s * CHANGES_PER_S),
+        "control_memory_mb": memory / 1e6,
+    }
+
+
+async def _timed(work, least_s: float) -> None:
+    """Runs work and waits until a least time has passed."""
+    await asyncio.gather(work, asyncio.sleep(least_s))
+
+
+_BOUNDS = {
+    "convergence_time_s": ("s", CONVERGENCE_BOUND_S),
+    "convergence_median_s": ("s", None),
+    "convergence_time_one_in_ten_killed_s": ("s", CONVERGENCE_BOUND_S),
+    "control_bytes_per_node_s": ("B/s", BYTES_BOUND_S),
+    "control_cpu_percent": ("%", CPU_BOUND_PERCENT),
+    "control_memory_mb": ("MB", MEMORY_BOUND_MB),
+}
+
+
+def run() -> list[Measure]:
+    """Measures each size; the measures without a size are the worst of all sizes."""
+    measures = []
+    worst: dict[str, float] = {}
+    for zones, nodes_per_zone in SIZES:
+        values = asyncio.run(_measure(zones, nodes_per_zone))
+        for name, value in values.items():
+            unit, bound = _BOUNDS[name]
+            worst[name] = max(worst.get(name, 0.0), value)
+            sized = f"{name}_{zones * nodes_per_zone}_nodes"
+            measures.append(Measure(sized, value, unit, at_most=bound))
+    for name, value in worst.items():
+        unit, bound = _BOUNDS[name]
+        measures.append(Measure(name, value, unit, at_most=bound))
+    bare = _bare_libraries_mb()
+    measures.append(Measure("control_memory_bare_libraries_mb", bare, "MB"))
+    return measures
--- /dev/null
+++ b/bench/sockets.py
@@ -0,0 +1,59 @@
+"""Counts the bytes of TCP connections by process with ``ss`` of iproute2.
+
+The kernel's counters include everything that a process sent and received over a socket, whatever
+protocol it speaks.  A connection that opens and closes between two polls is not seen.
+"""
+
+import re
+import shutil
+import subprocess
+from collections.abc import Iterable
+
+import attrs
+
+_PROCESS = re.compile(r"pid=(\d+),fd=(\d+)")
+_BYTES = re.compile(r"\b(bytes_sent|bytes_received):(\d+)")
+
+
+@attrs.define
+class SocketCounter:
+    """Bytes of the connections of some processes.
+
+    Attributes:
+      pids: The processes to count.
+    """
+
+    pids: frozenset[int]
+    _last: dict[tuple[str, ...], int] = attrs.field(factory=dict)
+    _totals: dict[int, int] = attrs.field(factory=dict)
+
+    def poll(self) -> None:
+        """Adds what went over the connections since the last poll."""
+        seen: dict[tuple[str, ...], int] = {}
+        for pid, key, count in _connections(_ss_lines()):
+            if pid in self.pids:
+                seen[key] = count
+                self._totals[pid] = self._totals.get(pid, 0) + count - self._last.get(key, 0)
+        self._last = seen
+
+    def totals(self) -> dict[int, int]:
+        """Returns the bytes sent and received by each process."""
+        return {pid: self._totals.get(pid, 0) for pid in self.pids}
+
+
+def _ss_lines() -> list[str]:
+    command = shutil.which("ss")
+    if command is None:
+        raise RuntimeError("ss of iproute2 is needed to count bytes at the sockets")
+    output = subprocess.run([command, "-tinpHO"], capture_output=True, text=True, check=True)
+    return output.stdout.splitlines()
+
+
+def _connections(lines: Iterable[str]) -> Iterable[tuple[int, tuple[str, ...], int]]:
+    for line in lines:
+        process = _PROCESS.search(line)
+        if process is None:
+            continue
+        fields = line.split()
+        count = sum(int(number) for _, number in _BYTES.findall(line))
+        yield int(process.group(1)), (process.group(1), fields[3], fields[4]), count
--- a/ibisrack/exchange/__init__.py
+++ b/ibisrack/exchange/__init__.py
@@ -1,1 +1,1 @@
-"""Control messages between nodes: codec, gRPC carrier and peer tasks."""
+"""Control messages between nodes: codec, HTTP carrier and peer tasks."""
--- a/ibisrack/exchange/carrier.py
+++ b/ibisrack/exchange/carrier.py
@@ -1,64 +1,107 @@
-"""Carries frames between nodes over gRPC: one generic unary method, bytes in and bytes out."""
+"""Carries frames between nodes: one HTTP POST for each frame, over one connection for each peer.
 
-from collections.abc import Callable
+HTTP through aiohttp serves here in place of grpcio, whose library alone takes a node to its limit
+of 64 MB (docs/design.md, section 5.3).
+"""
 
-import grpc
-from grpc.aio import AioRpcError, Channel, Server, insecure_channel
-from grpc.aio import server as create_server
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import attrs
+from aiohttp import ClientError, ClientSession, ClientTimeout, DummyCookieJar, TCPConnector, web
+from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
 
 from ibisrack.errors import MessageError, PeerError
 from ibisrack.exchange.codec import MAX_FRAME_BYTES
 
-METHOD = "/ibisrack.Exchange/Exchange"
+PATH = "/exchange"
+KEEPALIVE_S = 60.0  # Longer than the gap between two exchanges of a link.
+MAX_ERROR_BYTES = 200
+
+_SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
 
-_OPTIONS = (
-    ("grpc.max_receive_message_length", MAX_FRAME_BYTES + 1024),
-    ("grpc.max_send_message_length", MAX_FRAME_BYTES + 1024),
-    ("grpc.enable_http_proxy", 0),
-    ("grpc.so_reuseport", 0),
-    ("grpc.initial_reconnect_backoff_ms", 200),
-    ("grpc.min_reconnect_backoff_ms", 200),
-    ("grpc.max_reconnect_backoff_ms", 2000),
-    ("grpc.use_local_subchannel_pool", 1),
-)
+@attrs.frozen
+class Channel:
+    """A connection to a peer, made with the first frame.
+
+    Attributes:
+      url: Where the peer takes frames.
+      session: Client session of this channel alone.
+    """
 
+    url: str
+    session: ClientSession
 
-class _FrameHandler(grpc.GenericRpcHandler):
-    """Serves METHOD with a function from frame to frame."""
 
-    def __init__(self, serve: Callable[[bytes], bytes]) -> None:
-        self._serve = serve
+@attrs.frozen
+class FrameServer:
+    """Serves frames with a function from frame to frame."""
 
-    def service(self, handler_call_details):  # noqa: ANN001, ANN201
-        """Returns the handler of a method, None for unknown ones."""
-        if handler_call_details.method != METHOD:
-            return None
-        return grpc.unary_unary_rpc_method_handler(self._exchange)
+    serve: Callable[[bytes], bytes]
 
-    async def _exchange(self, frame: bytes, context: grpc.aio.ServicerContext) -> bytes:
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Answers one frame."""
+        if request.method != "POST" or request.path != PATH:
+            return web.Response(status=404)
         try:
-            return self._serve(frame)
+            frame = await request.read()
+            return web.Response(body=self.serve(frame))
+        except HTTPRequestEntityTooLarge:
+            return web.Response(status=413)
         except MessageError as error:
-            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+            return web.Response(status=400, text=str(error)[:MAX_ERROR_BYTES])
 
 
-async def start_server(address: str, serve: Callable[[bytes], bytes]) -> Server:
+def _request_factory(message, payload, protocol, writer, task) -> web.BaseRequest:  # noqa: ANN001
+    """Creates requests whose body may be as large as a frame."""
+    return web.BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        asyncio.get_running_loop(),
+        client_max_size=MAX_FRAME_BYTES,
+    )
+
+
+async def start_server(host: str, port: int, serve: Callable[[bytes], bytes]) -> web.ServerRunner:
     """Starts the server for peers.
 
     Args:
-      address: IP:PORT to listen on.
+      host: IP number to listen on.
+      port: TCP port.
       serve: Turns a request frame into an answer frame; may raise MessageError.
     """
-    server = create_server(options=_OPTIONS)
-    server.add_generic_rpc_handlers((_FrameHandler(serve),))
-    server.add_insecure_port(address)
-    await server.start()
-    return server
-
+    server = web.Server(
+        FrameServer(serve).handle,
+        request_factory=_request_factory,
+        access_log=None,
+        keepalive_timeout=2 * KEEPALIVE_S,
+    )
+    runner = web.ServerRunner(server)
+    await runner.setup()
+    await web.TCPSite(runner, host, port, backlog=1024).start()
+    return runner
+
+
+@asynccontextmanager
+async def open_channel(address: str) -> AsyncIterator[Channel]:
+    """Opens a channel to a peer.
 
-def open_channel(address: str) -> Channel:
-    """Opens a channel to a peer; the connection is made with the first exchange."""
-    return insecure_channel(address, options=_OPTIONS)
+    Args:
+      address: IP:PORT of the peer.
+    """
+    connector = TCPConnector(limit=1, keepalive_timeout=KEEPALIVE_S, ttl_dns_cache=None)
+    async with ClientSession(
+        connector=connector,
+        cookie_jar=DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=_SKIPPED_HEADERS,
+    ) as session:
+        yield Channel(f"http://{address}{PATH}", session)
 
 
 async def send_frame(channel: Channel, frame: bytes, timeout_s: float) -> bytes:
@@ -67,7 +110,14 @@
     Raises:
       PeerError: The peer did not answer in time or refused the frame.
     """
+    timeout = ClientTimeout(total=timeout_s)
     try:
-        return await channel.unary_unary(METHOD)(frame, timeout=timeout_s)
-    except AioRpcError as error:
-        raise PeerError(f"{error.code().name}: {error.details()}") from error
+        async with channel.session.post(channel.url, data=frame, timeout=timeout) as answer:
+            body = await answer.content.read(MAX_FRAME_BYTES)
+            while not answer.content.at_eof() and len(body) < MAX_FRAME_BYTES:
+                body += await answer.content.read(MAX_FRAME_BYTES - len(body))
+            if answer.status != 200:
+                raise PeerError(f"status {answer.status}: {body[:MAX_ERROR_BYTES]!r}")
+            return body
+    except (ClientError, OSError, TimeoutError) as error:
+        raise PeerError(f"{type(error).__name__}: {error}") from error
--- a/ibisrack/exchange/conversation.py
+++ b/ibisrack/exchange/conversation.py
@@ -4,14 +4,13 @@
 from typing import Any
 
 import attrs
-from grpc.aio import Channel
 
 # The handlers register themselves when their modules are imported.
 import ibisrack.membership.handlers
 import ibisrack.versions.handlers  # noqa: F401
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import MessageError, PeerError
-from ibisrack.exchange.carrier import send_frame
+from ibisrack.exchange.carrier import Channel, send_frame
 from ibisrack.exchange.codec import decode_frame, encode_frame
 from ibisrack.exchange.dispatch import greeting, process
 from ibisrack.exchange.messages import Hello
--- a/ibisrack/membership/records.py
+++ b/ibisrack/membership/records.py
@@ -24,7 +24,7 @@
       region: Region of the zone.
       host: IP number.
       call_port: HTTP port for calls.
-      peer_port: gRPC port for control exchanges.
+      peer_port: HTTP port for control exchanges.
       admin_port: HTTP port for operators.
       generation: Lifetime of the host as the platform counts it.
       leaving: Whether the host is leaving; sticky within a generation.
--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -153,7 +153,7 @@
 
 async def _run_tasks(settings, process: NodeProcess, runners: list[web.BaseRunner]) -> None:
     listen = settings.listen
-    grpc_server = await start_server(f"{listen.host}:{listen.peer_port}", process.exchanger.serve)
+    peer_runner = await start_server(listen.host, listen.peer_port, process.exchanger.serve)
     for runner, port in zip(runners, (listen.call_port, listen.admin_port), strict=True):
         await _serve_http(runner, listen.host, port)
     loop = asyncio.get_running_loop()
@@ -173,6 +173,5 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    for runner in runners:
+    for runner in (*runners, peer_runner):
         await runner.cleanup()
-    await grpc_server.stop(0.2)
--- a/ibisrack/settings/node.py
+++ b/ibisrack/settings/node.py
@@ -33,7 +33,7 @@
     Attributes:
       host: IP number.
       call_port: HTTP port for callers and for calls from other nodes.
-      peer_port: gRPC port for control exchanges.
+      peer_port: HTTP port for control exchanges.
       admin_port: HTTP port for operators and metrics.
     """
 
