--- a/ibisrack/exchange/links.py
+++ b/ibisrack/exchange/links.py
@@ -3,10 +3,9 @@
 import asyncio
 
 import attrs
-from grpc.aio import Channel
 
 from ibisrack.clocks import read_clocks
-from ibisrack.exchange.carrier import open_channel
+from ibisrack.exchange.carrier import Channel, open_channel
 from ibisrack.exchange.conversation import Exchanger, try_converse
 from ibisrack.membership.links import choose_links
 from ibisrack.membership.reconnect import lost_addresses
