Mark leaving hosts from the list with care, pace the first reads, and step many nodes in one process

Cause: a stale host list was taken, absent hosts were never let go, a slow platform failed every watch, and a fleet that starts without peers would have read 260 times a second.

--- a/ibisrack/errors.py
+++ b/ibisrack/errors.py
@@ -57,6 +57,10 @@
     """The platform's service did not give a usable answer."""
 
 
+class PlatformTimeoutError(PlatformError):
+    """The platform's service did not answer in time."""
+
+
 class PeerError(IbisError):
     """A peer node did not answer a control exchange."""
 
--- a/ibisrack/exchange/links.py
+++ b/ibisrack/exchange/links.py
@@ -10,14 +10,14 @@
 from ibisrack.membership.links import choose_links
 from ibisrack.membership.reconnect import lost_addresses
 from ibisrack.membership.records import MemberRecord
-from ibisrack.membership.upkeep import news_for, suspect, told
+from ibisrack.membership.upkeep import news_for, note_failure, told
 from ibisrack.node.lifecycle import RESUMING
 from ibisrack.node.state import NodeState
 from ibisrack.versions.messages import VersionState
 
-SUSPECT_AFTER_FAILURES = 2
 RETRY_INTERVAL_S = 0.5  # A failed exchange is repeated sooner than the next regular one.
 COALESCE_S = 0.1  # Longest wait after a wake-up, so that a burst of changes goes in one frame.
+SEED_CONTACTS = 6  # A fleet that restarts together would overload seeds that all nodes contact.
 RECONNECT_INTERVAL_S = 5.0
 SUPERVISE_INTERVAL_S = 0.5
 
@@ -96,20 +96,14 @@
         digest = (node.members.digest(),) if regular or not updates else ()
         timeout_s = node.settings.exchange.timeout_s
         if await try_converse(self.exchanger, channel, timeout_s, (*updates, *digest)) is None:
-            self._note_failure()
+            if note_failure(node, peer_id, read_clocks()):
+                self.news.announce()
             return False
         told(node, peer_id, updates)
         node.links.succeeded(peer_id)
         self.told_state = state
         return True
 
-    def _note_failure(self) -> None:
-        """Counts a failed exchange and suspects the peer after several."""
-        failures = self.node.links.failure(self.peer.node_id)
-        if failures >= SUSPECT_AFTER_FAILURES:
-            if suspect(self.node, self.peer.node_id, read_clocks()):
-                self.news.announce()
-
     async def _wait(self, wake: asyncio.Event, answered: bool) -> bool:
         """Waits until an exchange is due; returns whether it is a regular one."""
         until_s = read_clocks().monotonic_s + self._pause_s(answered)
@@ -146,10 +140,12 @@
 
 
 async def contact_seeds(exchanger: Exchanger) -> int:
-    """Exchanges once with every seed; returns the number of answers."""
-    seeds = exchanger.node.settings.exchange.seeds
-    own = exchanger.node.members.own().peer_address
-    answers = await asyncio.gather(*(contact(exchanger, s) for s in seeds if s != own))
+    """Exchanges once with some of the seeds; returns the number of answers."""
+    node = exchanger.node
+    own = node.members.own().peer_address
+    seeds = [seed for seed in node.settings.exchange.seeds if seed != own]
+    chosen = node.rng.sample(seeds, min(SEED_CONTACTS, len(seeds)))
+    answers = await asyncio.gather(*(contact(exchanger, seed) for seed in chosen))
     return sum(answers)
 
 
--- a/ibisrack/membership/news.py
+++ b/ibisrack/membership/news.py
@@ -23,6 +23,11 @@
 
     _knowing: dict[str, set[str]] = attrs.field(factory=dict)
 
+    @property
+    def pending(self) -> bool:
+        """Whether any change is still to be told."""
+        return bool(self._knowing)
+
     def add(self, node_id: str, source: str = "") -> None:
         """Queues a change of a record; replaces an earlier change of the same record.
 
--- a/ibisrack/membership/table.py
+++ b/ibisrack/membership/table.py
@@ -84,6 +84,10 @@
         while len(self._forgotten) > MAX_FORGOTTEN:
             self._forgotten.pop(next(iter(self._forgotten)))
 
+    def copy_for(self, own_id: str) -> "MemberTable":
+        """Returns a table with the same records for another of their nodes."""
+        return MemberTable(own_id, dict(self._records), list(self._buckets))
+
     def count(self) -> int:
         """Returns the number of records."""
         return len(self._records)
--- a/ibisrack/membership/upkeep.py
+++ b/ibisrack/membership/upkeep.py
@@ -9,6 +9,8 @@
 from ibisrack.membership.records import Liveness
 from ibisrack.node.state import NodeState
 
+SUSPECT_AFTER_FAILURES = 2
+
 
 def pass_time(node: NodeState, now: Instant) -> bool:
     """Declares suspects dead whose time has run out and forgets members that left.
@@ -27,6 +29,17 @@
     return changed
 
 
+def note_failure(node: NodeState, peer_id: str, now: Instant) -> bool:
+    """Counts a failed exchange and suspects the peer after several.
+
+    Returns:
+      Whether the member table changed.
+    """
+    if node.links.failure(peer_id) < SUSPECT_AFTER_FAILURES:
+        return False
+    return suspect(node, peer_id, now)
+
+
 def suspect(node: NodeState, node_id: str, now: Instant) -> bool:
     """Suspects a member that does not answer; returns whether the table changed."""
     known = node.members.get(node_id)
--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -73,7 +73,7 @@
         answers = await contact_seeds(self.exchanger)
         self.changed()
         while node.versions.highest() is None:
-            await asyncio.sleep(self.reader.budget.lone_start_s())
+            await asyncio.sleep(self.reader.budget.first_read_s(answers > 0))
             if node.versions.highest() is None and (not answers or is_elected(node)):
                 await self._read_alone()
                 self.changed()
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -11,6 +11,7 @@
 from ibisrack.membership.suspicion import Suspicions
 from ibisrack.membership.table import MemberTable
 from ibisrack.node.lifecycle import Lifecycle
+from ibisrack.platform.hosts import HostsView
 from ibisrack.room.counters import CallCounters
 from ibisrack.room.reports import RoomState
 from ibisrack.settings.node import NodeSettings
@@ -73,6 +74,7 @@
       news: Member changes to tell to peers.
       suspicions: Members that are suspected.
       departures: Members that are dead.
+      hosts: The platform's host list.
       last_tick_s: Monotonic time of the last tick, for pause detection.
     """
 
@@ -88,6 +90,7 @@
     news: NewsQueue = attrs.field(factory=NewsQueue)
     suspicions: Suspicions = attrs.field(factory=Suspicions)
     departures: Departures = attrs.field(factory=Departures)
+    hosts: HostsView = attrs.field(factory=HostsView)
     last_tick_s: float | None = None
 
     def record(self, event: Event, now: Instant) -> None:
--- a/ibisrack/platform/client.py
+++ b/ibisrack/platform/client.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from ibisrack.errors import PlatformError
+from ibisrack.errors import PlatformError, PlatformTimeoutError
 from ibisrack.platform.messages import HostList, ListedHost, PlatformValue
 from ibisrack.rules.ruleset import MAX_CONTENT_BYTES
 from ibisrack.settings.node import PlatformSettings
@@ -17,19 +17,31 @@
 
 
 async def watch(
-    session: ClientSession, settings: PlatformSettings, name: str, after_revision: int
+    session: ClientSession,
+    settings: PlatformSettings,
+    name: str,
+    after_revision: int,
+    watch_s: float,
 ) -> PlatformValue | None:
     """Waits for a value with another revision than the one known.
 
+    Args:
+      session: HTTP client session.
+      settings: Where the platform is.
+      name: Name of the value.
+      after_revision: Revision that is known already, 0 for none.
+      watch_s: Longest time that the watch waits at the service.
+
     Returns:
       The value, or None when the watch ended without news.
 
     Raises:
+      PlatformTimeoutError: The service did not answer in time.
       PlatformError: The service did not give a usable answer.
     """
     url = f"{settings.base_url}/v1/config/{name}"
-    params = {"after_revision": str(after_revision), "wait_s": str(settings.watch_s)}
-    timeout = ClientTimeout(total=settings.watch_s + settings.timeout_s)
+    params = {"after_revision": str(after_revision), "wait_s": f"{watch_s:.3f}"}
+    timeout = ClientTimeout(total=watch_s + settings.timeout_s)
     try:
         async with session.get(url, params=params, timeout=timeout) as answer:
             if answer.status == 304:
@@ -42,7 +54,9 @@
             if len(content) > MAX_CONTENT_BYTES:
                 raise PlatformError(f"{name}: the value is larger than {MAX_CONTENT_BYTES} bytes")
             return PlatformValue(name, _revision(answer.headers.get("X-Revision", "")), content)
-    except (TimeoutError, ClientError, OSError) as error:
+    except TimeoutError as error:
+        raise PlatformTimeoutError(f"{name}: no answer within {timeout.total:.1f} s") from error
+    except (ClientError, OSError) as error:
         raise PlatformError(f"{name}: {type(error).__name__} {error}") from error
 
 
@@ -52,13 +66,13 @@
     return int(text)
 
 
-def parse_hosts(content: bytes) -> HostList:
+def parse_hosts(content: bytes, revision: int) -> HostList:
     """Decodes the list of hosts.
 
     Raises:
       PlatformError: The content is not a list of hosts.
     """
     try:
-        return HostList(msgspec.json.decode(content, type=tuple[ListedHost, ...]))
+        return HostList(msgspec.json.decode(content, type=tuple[ListedHost, ...]), revision)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise PlatformError(f"hosts: {error}") from error
--- /dev/null
+++ b/ibisrack/platform/hosts.py
@@ -0,0 +1,78 @@
+"""What follows from the platform's host list for the member records.
+
+The list lags, may be stale and may lose entries, and a leaving mark cannot be taken back within a
+generation.  A mark in the list is therefore taken at once, but the absence of a host counts only
+for members that have been dead for a while, and only in a list that knows most of the live ones.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from ibisrack.membership.departures import Departures
+from ibisrack.membership.records import Liveness, MemberRecord
+from ibisrack.platform.messages import HostList, ListedHost
+
+ABSENT_DEAD_S = 60.0  # Longer than the list lags behind a host that has just been started.
+TRUSTED_SHARE = 0.5  # A list that lacks more than this share of the live members is not complete.
+
+
+def _marked(member: MemberRecord, host: ListedHost) -> MemberRecord | None:
+    """Returns the leaving record of a member that its entry marks, None for no change.
+
+    An entry of a later generation means that the member's own lifetime is over.
+    """
+    if host.generation > member.generation:
+        return attrs.evolve(member, leaving=True)
+    if host.leaving and host.generation == member.generation:
+        return attrs.evolve(member, leaving=True)
+    return None
+
+
+def _is_complete(listed: dict[str, ListedHost], members: Iterable[MemberRecord]) -> bool:
+    live = [m for m in members if m.liveness is Liveness.ALIVE and not m.leaving]
+    known = sum(1 for m in live if m.node_id in listed)
+    return known >= TRUSTED_SHARE * len(live)
+
+
+@attrs.define
+class HostsView:
+    """The newest host list that this node has read.
+
+    Attributes:
+      latest: The list, None before the first read.
+    """
+
+    latest: HostList | None = None
+
+    def accept(self, hosts: HostList) -> bool:
+        """Keeps a list unless it is older than the one known; returns whether it was kept."""
+        if self.latest is not None and hosts.revision < self.latest.revision:
+            return False
+        self.latest = hosts
+        return True
+
+    def leaving(
+        self, members: Iterable[MemberRecord], departures: Departures, now_s: float
+    ) -> tuple[MemberRecord, ...]:
+        """Returns the records of members that have to be marked as leaving.
+
+        Args:
+          members: The member table.
+          departures: How long members have been dead.
+          now_s: Monotonic time.
+        """
+        if self.latest is None:
+            return ()
+        listed = {host.node_id: host for host in self.latest.hosts}
+        staying = [m for m in members if not m.leaving]
+        marked = [_marked(m, listed[m.node_id]) for m in staying if m.node_id in listed]
+        found = [record for record in marked if record is not None]
+        if _is_complete(listed, staying):
+            absent = (m for m in staying if m.node_id not in listed)
+            found += [
+                attrs.evolve(m, leaving=True)
+                for m in absent
+                if departures.dead_for_s(m.node_id, now_s) >= ABSENT_DEAD_S
+            ]
+        return tuple(found)
--- a/ibisrack/platform/messages.py
+++ b/ibisrack/platform/messages.py
@@ -35,6 +35,12 @@
 
 @attrs.frozen
 class HostList:
-    """The platform's lagging list of hosts."""
+    """The platform's lagging list of hosts.
+
+    Attributes:
+      hosts: The hosts.
+      revision: The service's revision of the list.
+    """
 
     hosts: tuple[ListedHost, ...]
+    revision: int = 0
--- a/ibisrack/platform/reader.py
+++ b/ibisrack/platform/reader.py
@@ -8,7 +8,7 @@
 from aiohttp import ClientSession
 
 from ibisrack.clocks import Instant, read_clocks
-from ibisrack.errors import PlatformError
+from ibisrack.errors import PlatformError, PlatformTimeoutError
 from ibisrack.membership.readers import elect
 from ibisrack.node.lifecycle import JOINING, STARTING
 from ibisrack.node.state import NodeState
@@ -57,10 +57,18 @@
 
 def accept_hosts(node: NodeState, hosts: HostList, now: Instant) -> None:
     """Takes the platform's list of hosts: marks members as leaving, never back."""
-    for host in hosts.hosts:
-        known = node.members.get(host.node_id)
-        if known and host.leaving and host.generation >= known.generation:
-            node.learn(attrs.evolve(known, leaving=True, generation=host.generation), now)
+    if node.hosts.accept(hosts):
+        review_hosts(node, now)
+    else:
+        known = node.hosts.latest.revision
+        node.record(LowerRevisionIgnored(hosts.revision, known, "platform hosts"), now)
+
+
+def review_hosts(node: NodeState, now: Instant) -> None:
+    """Marks the members as leaving that the newest host list lets go."""
+    members = list(node.members.all())
+    for record in node.hosts.leaving(members, node.departures, now.monotonic_s):
+        node.learn(record, now)
 
 
 @singledispatch
@@ -79,6 +87,14 @@
     accept_hosts(node, value, now)
 
 
+def _held_revision(node: NodeState, name: str) -> int:
+    """Returns the revision that a node holds already, so that it is not read again."""
+    if name == HOSTS:
+        return node.hosts.latest.revision if node.hosts.latest else 0
+    held = node.versions.highest()
+    return held.version_id.revision if held else 0
+
+
 @attrs.define
 class PlatformReader:
     """Watches the values of the platform for one node.
@@ -97,17 +113,20 @@
 
     async def run(self, name: str) -> None:
         """Watches one value while this node is elected; runs until cancelled."""
-        revision = 0
         while True:
-            if not is_reader(self.node):
-                await asyncio.sleep(self.node.rng.uniform(0.5, 1.5) * ELECTION_CHECK_S)
-                continue
+            if is_reader(self.node):
+                await self._watch_while_elected(name)
+            await asyncio.sleep(self.node.rng.uniform(0.5, 1.5) * ELECTION_CHECK_S)
+
+    async def _watch_while_elected(self, name: str) -> None:
+        revision = _held_revision(self.node, name)
+        while is_reader(self.node):
             await asyncio.sleep(self.budget.wait_s(read_clocks().monotonic_s))
             try:
                 revision = await self.read_once(name, revision)
             except PlatformError as error:
                 self.node.record(PlatformUnavailable(name, str(error)), read_clocks())
-                await asyncio.sleep(self.budget.failed())
+                await asyncio.sleep(self.budget.failed(isinstance(error, PlatformTimeoutError)))
 
     async def read_once(self, name: str, known_revision: int) -> int:
         """Watches a value once and takes what it returns.
@@ -120,13 +139,27 @@
         """
         self.budget.spend(read_clocks().monotonic_s)
         settings = self.node.settings.platform
-        value = await watch(self.session, settings, name, known_revision)
+        watch_s = self.budget.watch_s(settings.watch_s)
+        value = await watch(self.session, settings, name, known_revision, watch_s)
         self.budget.succeeded()
-        if value is None:
-            return known_revision
-        accept(parse_hosts(value.content) if name == HOSTS else value, self.node, read_clocks())
+        if value is not None:
+            self._take(value)
+            known_revision = value.revision
+        if name == HOSTS:
+            review_hosts(self.node, read_clocks())
+            self.on_change()
+        return known_revision
+
+    def _take(self, value: PlatformValue) -> None:
+        """Takes a value; one that is malformed is recorded and not read again."""
+        now = read_clocks()
+        try:
+            parsed = parse_hosts(value.content, value.revision) if value.name == HOSTS else value
+        except PlatformError as error:
+            self.node.record(PlatformUnavailable(value.name, str(error)), now)
+            return
+        accept(parsed, self.node, now)
         self.on_change()
-        return value.revision
 
     async def run_all(self) -> None:
         """Watches every value until cancelled."""
--- a/ibisrack/testing/fixtures.py
+++ b/ibisrack/testing/fixtures.py
@@ -89,11 +89,13 @@
     return MemberRecord(node_id=node_id, **{**place, **ports, **fields})
 
 
-def bare_node(node_id: str, zone: str = "z", region: str = "r", seed: int = 1) -> NodeState:
+def bare_node(
+    node_id: str, zone: str = "z", region: str = "r", seed: int = 1, peer_port: int = 2
+) -> NodeState:
     """Returns the state of a node that has just started, without tasks or servers."""
     settings = NodeSettings(
         IdentitySettings(node_id, "notice-desk", zone, region),
-        ListenSettings("127.0.0.1", 1, 2, 3),
+        ListenSettings("127.0.0.1", 1, peer_port, 3),
         UpstreamSettings("http://127.0.0.1:4"),
         PlatformSettings("http://127.0.0.1:5"),
     )
--- /dev/null
+++ b/ibisrack/testing/stepping.py
@@ -0,0 +1,173 @@
+"""Steps the decisions of many nodes in one process, without sockets, encoding or clocks.
+
+Exchanges call the same handlers as the carrier does.  Time passes in fixed steps and every choice
+comes from one seeded source, so a run repeats exactly.
+"""
+
+from collections.abc import Collection
+from random import Random
+
+import attrs
+
+# The handlers register themselves when their modules are imported.
+import ibisrack.membership.handlers
+import ibisrack.room.handlers
+import ibisrack.versions.handlers  # noqa: F401
+from ibisrack.clocks import Instant
+from ibisrack.exchange.dispatch import greeting, process
+from ibisrack.membership.links import choose_links
+from ibisrack.membership.reconnect import lost_addresses
+from ibisrack.membership.records import MemberRecord
+from ibisrack.membership.table import MemberTable
+from ibisrack.membership.upkeep import news_for, note_failure, pass_time, told
+from ibisrack.node.state import NodeState
+from ibisrack.testing.fixtures import bare_node
+
+STEP_S = 0.25
+RECONNECT_SHARE = STEP_S / 5.0
+MAX_ROUNDS = 8
+
+
+@attrs.define
+class SteppedFleet:
+    """A fleet of node states.
+
+    Attributes:
+      nodes: Node states by node id.
+      rng: Source of every choice.
+      loss: Share of the exchanges that get no answer.
+      now_s: Present time.
+      down: Nodes that do not run: killed or paused.
+      cut: Nodes that reach only each other.
+    """
+
+    nodes: dict[str, NodeState]
+    rng: Random
+    loss: float = 0.0
+    now_s: float = 100.0
+    down: set[str] = attrs.field(factory=set)
+    cut: set[str] = attrs.field(factory=set)
+    _links: dict[str, tuple[object, tuple[MemberRecord, ...]]] = attrs.field(factory=dict)
+
+    @property
+    def now(self) -> Instant:
+        """The present instant."""
+        return Instant(self.now_s, int(self.now_s * 1000))
+
+    def running(self) -> list[NodeState]:
+        """Returns the nodes that run."""
+        return [node for node_id, node in self.nodes.items() if node_id not in self.down]
+
+    def links(self, node: NodeState) -> tuple[MemberRecord, ...]:
+        """Returns the links of a node; they change with its member table only."""
+        digest = node.members.digest()
+        known = self._links.get(node.members.own_id)
+        if known is None or known[0] != digest:
+            known = (digest, choose_links(node.members.own(), node.members.all()))
+            self._links[node.members.own_id] = known
+        return known[1]
+
+    def exchange(self, node: NodeState, peer_id: str, regular: bool) -> bool:
+        """Exchanges once as a link task does; returns whether the peer answered."""
+        if not self._reaches(node.members.own_id, peer_id):
+            return False
+        peer = self.nodes[peer_id]
+        updates = news_for(node, peer_id)
+        digest = (node.members.digest(),) if regular or not updates else ()
+        to_send = (*updates, *digest)
+        for _ in range(MAX_ROUNDS):
+            answer = self._serve(peer, (*greeting(node, self.now), *to_send))
+            to_send = process(answer, node, self.now)
+            if not to_send:
+                break
+        told(node, peer_id, updates)
+        node.links.succeeded(peer_id)
+        return True
+
+    def step(self) -> None:
+        """Lets STEP_S pass: time-driven decisions, then the exchanges that are due."""
+        self.now_s += STEP_S
+        for node in self.running():
+            node.tick(self.now)
+            pass_time(node, self.now)
+        for node in self.running():
+            self._step_links(node)
+            self._reconnect(node)
+
+    def run(self, duration_s: float) -> None:
+        """Steps through a time."""
+        for _ in range(round(duration_s / STEP_S)):
+            self.step()
+
+    def tell_news(self) -> None:
+        """Lets every node that has news tell its links; one round of spreading."""
+        with_news = [(n, link) for n in self.running() for link in self.links(n) if n.news.pending]
+        for node, link in with_news:
+            if node.news.for_peer(link.node_id):
+                self.exchange(node, link.node_id, regular=False)
+
+    def _serve(self, peer: NodeState, messages: tuple) -> tuple:
+        sender_id = messages[0].sender.node_id
+        replies = process(messages, peer, self.now)
+        news = news_for(peer, sender_id)
+        told(peer, sender_id, news)
+        return (*greeting(peer, self.now), *replies, *news)
+
+    def _step_links(self, node: NodeState) -> None:
+        links = self.links(node)
+        for link in links:
+            regular = self.rng.random() < STEP_S / max(1, len(links))
+            failing = link.node_id in node.links.failed and self.rng.random() < 0.5
+            if regular or failing or node.news.for_peer(link.node_id):
+                if not self.exchange(node, link.node_id, regular):
+                    note_failure(node, link.node_id, self.now)
+
+    def _reconnect(self, node: NodeState) -> None:
+        if self.rng.random() >= RECONNECT_SHARE:
+            return
+        lost = lost_addresses(node.members.all(), ())
+        if lost:
+            address = self.rng.choice(lost)
+            record = next(m for m in node.members.all() if m.peer_address == address)
+            self.exchange(node, record.node_id, regular=True)
+
+    def _reaches(self, node_id: str, peer_id: str) -> bool:
+        if peer_id in self.down or peer_id not in self.nodes:
+            return False
+        same_side = (node_id in self.cut) == (peer_id in self.cut)
+        return same_side and self.rng.random() >= self.loss
+
+
+def place(index: int, zones: int) -> tuple[str, str]:
+    """Returns the zone and the region of the node with an index; there are three regions."""
+    return f"zone-{index % zones:02d}", f"region-{index % zones % 3}"
+
+
+def start_node(index: int, zones: int, seed: int) -> NodeState:
+    """Returns a node that knows itself alone."""
+    zone, region = place(index, zones)
+    return bare_node(f"node-{index:04d}", zone, region, seed + index, peer_port=1 + index)
+
+
+def stepped_fleet(count: int, zones: int, seed: int, loss: float = 0.0) -> SteppedFleet:
+    """Returns a fleet in which every node knows all others.
+
+    Args:
+      count: Number of nodes.
+      zones: Number of zones.
+      seed: Seed of every choice.
+      loss: Share of the exchanges that get no answer.
+    """
+    nodes = {n.members.own_id: n for n in (start_node(i, zones, seed) for i in range(count))}
+    records = {node_id: node.members.own() for node_id, node in nodes.items()}
+    full = MemberTable(next(iter(nodes)))
+    for record in records.values():
+        full.apply(record)
+    for node_id, node in nodes.items():
+        node.members = full.copy_for(node_id)
+    return SteppedFleet(nodes, Random(seed), loss)
+
+
+def members_of_zone(fleet: SteppedFleet, zone: str) -> Collection[str]:
+    """Returns the node ids of a zone."""
+    return {node_id for node_id, n in fleet.nodes.items() if n.members.own().zone == zone}
