--- a/ibisrack/testing/stepping.py
+++ b/ibisrack/testing/stepping.py
@@ -88,7 +88,8 @@
         """Lets STEP_S pass: time-driven decisions, then the exchanges that are due."""
         self.now_s += STEP_S
         for node in self.running():
-            node.tick(self.now)
+            if node.tick(self.now):
+                node.move("serve", self.now)
             pass_time(node, self.now)
         for node in self.running():
             self._step_links(node)
@@ -146,7 +147,10 @@
 def start_node(index: int, zones: int, seed: int) -> NodeState:
     """Returns a node that knows itself alone."""
     zone, region = place(index, zones)
-    return bare_node(f"node-{index:04d}", zone, region, seed + index, peer_port=1 + index)
+    node = bare_node(f"node-{index:04d}", zone, region, seed + index, peer_port=1 + index)
+    for trigger in ("join", "serve"):
+        node.move(trigger, Instant(0.0, 0))
+    return node
 
 
 def stepped_fleet(count: int, zones: int, seed: int, loss: float = 0.0) -> SteppedFleet:
@@ -168,6 +172,21 @@
     return SteppedFleet(nodes, Random(seed), loss)
 
 
+def fresh_fleet(count: int, zones: int, seed: int) -> SteppedFleet:
+    """Returns a fleet that has just started: each node knows itself and six of the seeds.
+
+    Two nodes of each zone are seeds, as in the settings of a real fleet.
+    """
+    rng = Random(seed)
+    nodes = {n.members.own_id: n for n in (start_node(i, zones, seed) for i in range(count))}
+    fleet = SteppedFleet(nodes, rng)
+    seeds = list(nodes)[: 2 * zones]
+    for node_id, node in nodes.items():
+        for peer_id in rng.sample([s for s in seeds if s != node_id], 6):
+            fleet.exchange(node, peer_id, regular=True)
+    return fleet
+
+
 def members_of_zone(fleet: SteppedFleet, zone: str) -> Collection[str]:
     """Returns the node ids of a zone."""
     return {node_id for node_id, n in fleet.nodes.items() if n.members.own().zone == zone}
