Decide the join and the resume apart from I/O and repair confirmation and transfers

Cause: a node served as soon as any version was in force, whatever its links held; a staged version came in force at once while no link had answered yet (start, pause); a peer that died, restarted, holds another content or is no link still counted as a holder; chunks of an overtaken transfer raised an error; a failed transfer left the other links silent until their next regular exchange, up to 9 s later.

Change: node/joining.py decides from what the links told, the versions held and the time. Before it serves, a node has an answer or a failure from every link and holds what they hold. Only live links count as holders, and a holder that tells less is dropped. The reservation names its source, is released when that source fails, and the links are asked to offer again. Refused revisions are judged by content. Calls are refused between the end of a pause and the tick that notices it. Placed rules are cached for each chunk (versions/pieces.py).

--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -80,7 +80,7 @@
         self, request: web.BaseRequest, context: CallContext, body: bytes, start: Instant
     ) -> Call:
         state = self.node.lifecycle.state
-        if state != SERVING:
+        if state != SERVING or self.node.paused(start):
             raise NotRunError(Reason.DRAINING if state == DRAINING else Reason.NOT_SERVING)
         candidate = self.node.versions.in_force
         if candidate is None:
--- a/ibisrack/exchange/links.py
+++ b/ibisrack/exchange/links.py
@@ -7,7 +7,6 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.exchange.carrier import open_channel
 from ibisrack.exchange.conversation import Exchanger, try_converse
-from ibisrack.membership.links import choose_links
 from ibisrack.membership.records import Liveness, MemberRecord
 from ibisrack.node.state import NodeState
 
@@ -48,6 +47,7 @@
 
 def _note_failure(node: NodeState, link: MemberRecord) -> bool:
     """Counts a failed exchange and suspects the peer after several; returns the change."""
+    node.versions.source_failed(link.node_id)
     if node.links.failure(link.node_id) < SUSPECT_AFTER_FAILURES:
         return False
     known = node.members.get(link.node_id)
@@ -72,7 +72,7 @@
                 await _wait_for(wake, node.rng.uniform(0.5, 1.5) * mean_s)
     finally:
         news.unsubscribe(wake)
-        node.links.answered.discard(link.node_id)
+        node.links.dropped(link.node_id)
 
 
 async def contact(exchanger: Exchanger, address: str) -> bool:
@@ -96,9 +96,7 @@
     tasks: dict[tuple[str, str], asyncio.Task] = {}
     async with asyncio.TaskGroup() as group:
         while True:
-            chosen = {
-                _address_key(m): m for m in choose_links(node.members.own(), node.members.all())
-            }
+            chosen = {_address_key(link): link for link in node.refresh_links()}
             for key in [key for key in tasks if key not in chosen]:
                 tasks.pop(key).cancel()
             for key, link in chosen.items():
--- /dev/null
+++ b/ibisrack/node/joining_test.py
@@ -0,0 +1,103 @@
+"""Tests of the decisions to serve after the start and after a pause."""
+
+from random import Random
+
+from ibisrack.clocks import Instant
+from ibisrack.node.joining import Joining, LinksView, Resuming, Step
+from ibisrack.node.lifecycle import JOINING, RESUMING, SERVING
+from ibisrack.node.state import PAUSE_GAP_S, create_node
+from ibisrack.testing.fixtures import PILBARA_RULES, member, node_settings
+from ibisrack.testing.functions import function_tests
+from ibisrack.versions.chunks import VersionId, chunked
+from ibisrack.versions.store import VersionStore
+
+JOIN = Joining(started_at_s=100.0, join_timeout_s=3.0, lone_start_s=2.0)
+REVISION_4 = VersionId(4, b"x" * 16)
+REVISION_6 = VersionId(6, b"x" * 16)
+
+
+def _store(revision: int = 0) -> VersionStore:
+    store = VersionStore()
+    if revision:
+        version = chunked(revision, PILBARA_RULES)
+        store.stage(version.manifest, version.chunks, 0.0)
+        store.activate()
+    return store
+
+
+def _instant(now_s: float) -> Instant:
+    return Instant(now_s, int(now_s * 1000))
+
+
+def test_join_waits_for_every_link():
+    """Guards against a restart that serves before the link that holds the higher revision spoke."""
+    view = LinksView(told={"a": REVISION_4}, unheard=frozenset("b"))
+    assert JOIN.step(view, _store(4), 110.0) is Step.ASK
+
+
+def test_join_pulls_the_highest_revision_that_a_link_holds():
+    view = LinksView(told={"a": REVISION_4, "b": REVISION_6, "c": None})
+    assert JOIN.step(view, _store(4), 100.1) is Step.PULL
+    assert JOIN.step(view, _store(6), 100.1) is Step.SERVE
+
+
+def test_join_without_answers_takes_the_platform_after_the_timeout():
+    view = LinksView(told={}, unheard=frozenset("ab"))
+    assert JOIN.step(view, _store(), 102.9) is Step.ASK
+    assert JOIN.step(view, _store(4), 102.9) is Step.ASK
+    assert JOIN.step(view, _store(), 103.0) is Step.READ_PLATFORM
+    assert JOIN.step(view, _store(4), 103.0) is Step.SERVE
+
+
+def test_fleet_without_versions_reads_through_its_elected_nodes_only():
+    """Guards against a fleet that restarts together and reads the platform all at once."""
+    for elected, step in ((True, Step.READ_PLATFORM), (False, Step.ASK)):
+        view = LinksView(told={"a": None}, elected=elected)
+        assert JOIN.step(view, _store(), 101.9) is Step.ASK
+        assert JOIN.step(view, _store(), 102.0) is step
+
+
+def test_resume_compares_with_one_link_or_waits_a_second():
+    resuming = Resuming(resumed_at_s=50.0)
+    silent = LinksView(told={}, unheard=frozenset("ab"))
+    assert not resuming.may_serve(silent, _store(4), 50.9)
+    assert resuming.may_serve(silent, _store(4), 51.0)
+    equal = LinksView(told={"a": REVISION_4}, unheard=frozenset("b"))
+    assert resuming.may_serve(equal, _store(4), 50.1)
+    higher = LinksView(told={"a": REVISION_6})
+    assert not resuming.may_serve(higher, _store(4), 51.5)
+    assert resuming.may_serve(higher, _store(4), 55.0)
+
+
+def test_pause_is_seen_before_the_first_tick_and_ends_with_a_comparison():
+    """Guards against calls that are served with the view from before the pause."""
+    node = create_node(node_settings("own"), Random(1))
+    node.learn(member("a"), _instant(0.0))
+    node.versions = _store(4)
+    node.begin_join(_instant(0.0), lone_start_s=1.0)
+    node.tick(_instant(0.0))
+    node.links.told["a"] = REVISION_4
+    assert node.serve_if_ready(_instant(0.1))
+    woken = _instant(PAUSE_GAP_S + 1.0)
+    assert node.paused(woken)
+    assert node.tick(woken)
+    assert node.lifecycle.state == RESUMING
+    assert not node.serve_if_ready(woken)
+    node.links.told["a"] = REVISION_4
+    assert node.serve_if_ready(woken)
+    assert node.lifecycle.state == SERVING
+
+
+def test_pause_during_the_join_starts_it_again():
+    """Guards against a join timeout that passed while nobody could be asked."""
+    node = create_node(node_settings("own"), Random(1))
+    node.learn(member("a"), _instant(0.0))
+    node.versions = _store(4)
+    node.begin_join(_instant(0.0), lone_start_s=1.0)
+    node.tick(_instant(0.0))
+    node.tick(_instant(60.0))
+    assert not node.serve_if_ready(_instant(60.0))
+    assert node.lifecycle.state == JOINING
+
+
+load_tests = function_tests(__name__)
--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -18,11 +18,12 @@
 from ibisrack.exchange.conversation import Exchanger
 from ibisrack.exchange.links import News, contact_seeds, reconnect_lost_peers, supervise_links
 from ibisrack.node.admin import AdminServer
+from ibisrack.node.joining import Step
 from ibisrack.node.lifecycle import JOINING
 from ibisrack.node.state import NodeState, create_node
 from ibisrack.platform.budget import ReadBudget
 from ibisrack.platform.client import RULES
-from ibisrack.platform.reader import PlatformReader, is_elected
+from ibisrack.platform.reader import PlatformReader
 from ibisrack.settings.node import NodeSettings
 
 TICK_S = 0.25
@@ -50,28 +51,30 @@
 
     async def tick(self) -> None:
         """Runs time-driven decisions until cancelled."""
+        node = self.node
         while True:
             now = read_clocks()
-            if self.node.tick(now):
+            if node.tick(now):
                 self.owner.gate.expire()
                 self.news.announce()
-            if self.node.activate_if_ready(now):
+            if node.activate_if_ready(now):
                 self.changed()
-            self._serve_if_ready()
+            if node.serve_if_ready(now) or node.versions.needs_source(now.monotonic_s):
+                self.news.announce()
             await asyncio.sleep(TICK_S)
 
     async def join(self) -> None:
-        """Learns from peers; while none has a version, the elected ones read the platform."""
+        """Drives the join until this node takes calls; the link tasks ask the links."""
         node = self.node
-        node.move("join", read_clocks())
-        answers = await contact_seeds(self.exchanger)
-        self.changed()
-        while node.versions.highest() is None:
-            await asyncio.sleep(self.reader.budget.lone_start_s())
-            if node.versions.highest() is None and (not answers or is_elected(node)):
+        node.begin_join(read_clocks(), self.reader.budget.lone_start_s())
+        while node.lifecycle.state == JOINING:
+            if not node.links.told:
+                await contact_seeds(self.exchanger)
+                self.changed()
+            if node.join_step(read_clocks()) is Step.READ_PLATFORM:
                 await self._read_alone()
                 self.changed()
-            answers = await contact_seeds(self.exchanger)
+            await asyncio.sleep(TICK_S)
 
     async def _read_alone(self) -> None:
         try:
@@ -79,13 +82,6 @@
         except PlatformError:
             await asyncio.sleep(self.reader.budget.failed())
 
-    def _serve_if_ready(self) -> None:
-        node = self.node
-        if node.versions.in_force is None:
-            return
-        if node.lifecycle.state == JOINING or node.links.answered:
-            node.move("serve", read_clocks())
-
     async def drain(self) -> None:
         """Refuses new work, finishes what is in flight, then stops."""
         node = self.node
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -5,9 +5,12 @@
 import attrs
 
 from ibisrack.clocks import Instant
+from ibisrack.membership.links import choose_links
+from ibisrack.membership.readers import elect
 from ibisrack.membership.records import MemberRecord
 from ibisrack.membership.table import MemberTable
-from ibisrack.node.lifecycle import Lifecycle
+from ibisrack.node.joining import Joining, LinksView, Resuming, Step
+from ibisrack.node.lifecycle import JOINING, RESUMING, Lifecycle
 from ibisrack.settings.node import NodeSettings
 from ibisrack.timeline.events import (
     Event,
@@ -17,6 +20,7 @@
     VersionActivated,
 )
 from ibisrack.timeline.log import EventLog
+from ibisrack.versions.chunks import VersionId
 from ibisrack.versions.store import VersionStore
 
 PAUSE_GAP_S = 2.0
@@ -29,10 +33,14 @@
     Attributes:
       answered: Links whose last exchange was answered.
       failed: Links whose last exchange failed, with the count of failures in a row.
+      chosen: Node ids of the links that choose_links gave last.
+      told: The highest version that each peer told since the last forget().
     """
 
     answered: set[str] = attrs.field(factory=set)
     failed: dict[str, int] = attrs.field(factory=dict)
+    chosen: frozenset[str] = frozenset()
+    told: dict[str, VersionId | None] = attrs.field(factory=dict)
 
     def succeeded(self, node_id: str) -> None:
         """Notes an answered exchange."""
@@ -43,8 +51,21 @@
         """Notes a failed exchange and returns the failures in a row."""
         self.answered.discard(node_id)
         self.failed[node_id] = self.failed.get(node_id, 0) + 1
+        self.told.pop(node_id, None)
         return self.failed[node_id]
 
+    def dropped(self, node_id: str) -> None:
+        """Forgets a peer that is no link any more."""
+        self.answered.discard(node_id)
+        self.failed.pop(node_id, None)
+        self.told.pop(node_id, None)
+
+    def forget(self) -> None:
+        """Drops what was seen before a pause."""
+        self.answered.clear()
+        self.failed.clear()
+        self.told.clear()
+
 
 @attrs.define
 class NodeState:
@@ -58,6 +79,8 @@
       log: Recent events.
       lifecycle: The node's own state machine.
       links: Health of the links.
+      joining: The decision to serve after the start, None before it.
+      resuming: The decision to serve after the last pause.
       last_tick_s: Monotonic time of the last tick, for pause detection.
     """
 
@@ -68,6 +91,8 @@
     log: EventLog
     lifecycle: Lifecycle = attrs.field(factory=Lifecycle)
     links: LinkHealth = attrs.field(factory=LinkHealth)
+    joining: Joining | None = None
+    resuming: Resuming | None = None
     last_tick_s: float | None = None
 
     def record(self, event: Event, now: Instant) -> None:
@@ -94,7 +119,9 @@
 
     def activate_if_ready(self, now: Instant) -> bool:
         """Puts the staged version in force once enough peers hold it."""
-        if not self.versions.may_activate(now.monotonic_s, len(self.links.answered)):
+        if not self.links.chosen:
+            self.refresh_links()
+        if not self.versions.may_activate(now.monotonic_s, self.links.chosen):
             return False
         activation = self.versions.activate()
         if activation is None:
@@ -111,15 +138,68 @@
         Returns:
           Whether the process was paused since the last tick.
         """
-        last_s, self.last_tick_s = self.last_tick_s, now.monotonic_s
-        gap_s = now.monotonic_s - last_s if last_s is not None else 0.0
-        if gap_s < PAUSE_GAP_S:
+        paused, last_s = self.paused(now), self.last_tick_s
+        self.last_tick_s = now.monotonic_s
+        if not paused:
             return False
-        self.record(PauseDetected(gap_s), now)
-        self.links.answered.clear()
+        self.record(PauseDetected(now.monotonic_s - last_s), now)
+        self.links.forget()
+        self.resuming = Resuming(now.monotonic_s)
+        if self.joining is not None:
+            self.joining = attrs.evolve(self.joining, started_at_s=now.monotonic_s)
         self.move("resume", now)
         return True
 
+    def paused(self, now: Instant) -> bool:
+        """Tells whether the process was paused and has not noticed it in a tick yet."""
+        return self.last_tick_s is not None and now.monotonic_s - self.last_tick_s >= PAUSE_GAP_S
+
+    def refresh_links(self) -> tuple[MemberRecord, ...]:
+        """Chooses the links from the member table as it is now and returns them."""
+        links = choose_links(self.members.own(), self.members.all())
+        self.links.chosen = frozenset(link.node_id for link in links)
+        return links
+
+    def view(self) -> LinksView:
+        """Returns what the decisions on joining and resuming depend on."""
+        self.refresh_links()
+        links = self.links
+        own = self.members.own()
+        readers = elect(own.zone, self.members.all())
+        return LinksView(
+            told={peer: links.told[peer] for peer in links.chosen if peer in links.told},
+            unheard=links.chosen - links.told.keys() - links.failed.keys(),
+            elected=any(reader.node_id == own.node_id for reader in readers),
+        )
+
+    def begin_join(self, now: Instant, lone_start_s: float) -> None:
+        """Starts the join; lone_start_s is the jittered time before a first platform read."""
+        timeout_s = self.settings.exchange.join_timeout_s
+        self.joining = Joining(now.monotonic_s, timeout_s, lone_start_s)
+        self.move("join", now)
+
+    def join_step(self, now: Instant) -> Step:
+        """Returns the next step of the join."""
+        return self.joining.step(self.view(), self.versions, now.monotonic_s)
+
+    def serve_if_ready(self, now: Instant) -> bool:
+        """Takes calls once the node has joined, or has compared revisions after a pause.
+
+        Returns:
+          Whether the node takes calls from now on.
+        """
+        if not self._may_serve(now):
+            return False
+        self.move("serve", now)
+        return True
+
+    def _may_serve(self, now: Instant) -> bool:
+        if self.lifecycle.state == JOINING:
+            return self.join_step(now) is Step.SERVE
+        if self.lifecycle.state == RESUMING:
+            return self.resuming.may_serve(self.view(), self.versions, now.monotonic_s)
+        return False
+
 
 def create_node(settings: NodeSettings, rng: Random) -> NodeState:
     """Creates the state of a node that has just started."""
--- a/ibisrack/testing/fixtures.py
+++ b/ibisrack/testing/fixtures.py
@@ -3,6 +3,14 @@
 # ruff: noqa: E501 (rules are one line each, however long)
 
 from ibisrack.membership.records import MemberRecord
+from ibisrack.settings.node import (
+    IdentitySettings,
+    ListenSettings,
+    NodeSettings,
+    PlatformSettings,
+    TimelineSettings,
+    UpstreamSettings,
+)
 
 PILBARA_RULES = b"""\
 # Rules of Pilbara Heavy Haul Permits Group.
@@ -77,3 +85,14 @@
     place = {"service": "notice-desk", "zone": "z", "region": "r", "host": "127.0.0.1"}
     ports = {"call_port": 1, "peer_port": 2, "admin_port": 3}
     return MemberRecord(node_id=node_id, **{**place, **ports, **fields})
+
+
+def node_settings(node_id: str, zone: str = "z", region: str = "r") -> NodeSettings:
+    """Returns the settings of a node that never opens a socket."""
+    return NodeSettings(
+        identity=IdentitySettings(node_id, "notice-desk", zone, region),
+        listen=ListenSettings("127.0.0.1", 1, 2, 3),
+        upstream=UpstreamSettings("http://127.0.0.1:4"),
+        platform=PlatformSettings("http://127.0.0.1:5"),
+        timeline=TimelineSettings(capacity_events=64),
+    )
--- a/ibisrack/versions/handlers.py
+++ b/ibisrack/versions/handlers.py
@@ -19,7 +19,9 @@
 def record_conflict(node: NodeState, version_id: VersionId, now: Instant) -> None:
     """Records that a revision was seen with another content than the one held."""
     for held in (node.versions.staged, node.versions.in_force, node.versions.refused):
-        if held and held.version_id.revision == version_id.revision:
+        if not held or held.version_id == version_id:
+            continue
+        if held.version_id.revision == version_id.revision:
             digests = (held.version_id.digest.hex(), version_id.digest.hex())
             node.record(VersionConflict(version_id.revision, *digests), now)
 
@@ -30,8 +32,9 @@
     Raises:
       MessageError: The content does not match the manifest.
     """
-    result = node.versions.stage(version.manifest, version.chunks, now.monotonic_s)
     version_id = version.manifest.version_id
+    record_conflict(node, version_id, now)
+    result = node.versions.stage(version.manifest, version.chunks, now.monotonic_s)
     digest = version_id.digest.hex()
     if isinstance(result, Refusal):
         faults = tuple(str(fault) for fault in result.faults)
@@ -44,6 +47,7 @@
 @handle.register
 def _(message: VersionState, node: NodeState, peer: Hello, now: Instant) -> tuple[Any, ...]:
     node.versions.confirm(peer.sender.node_id, message)
+    node.links.told[peer.sender.node_id] = message.highest
     theirs, mine = message.highest, node.versions.highest()
     if theirs and node.versions.interest(theirs) is Interest.CONFLICT:
         record_conflict(node, theirs, now)
@@ -54,7 +58,7 @@
 
 @handle.register
 def _(message: OfferManifest, node: NodeState, peer: Hello, now: Instant) -> tuple[Any, ...]:
-    missing = node.versions.offer(message.manifest, now.monotonic_s)
+    missing = node.versions.offer(message.manifest, peer.sender.node_id, now.monotonic_s)
     if missing is None:
         return ()
     return (WantChunks(message.manifest.version_id, missing),)
@@ -62,6 +66,10 @@
 
 @handle.register
 def _(message: WantChunks, node: NodeState, peer: Hello, now: Instant) -> tuple[Any, ...]:
+    mine = node.versions.highest()
+    if mine and not node.versions.holds(message.version_id):
+        # The version was replaced after it was offered, and its chunks may be gone.
+        return (OfferManifest(mine.manifest),)
     chunks = node.versions.chunks(message.digests)
     return (OfferChunks(message.version_id, pack(chunks)),)
 
@@ -69,10 +77,14 @@
 @handle.register
 def _(message: OfferChunks, node: NodeState, peer: Hello, now: Instant) -> tuple[Any, ...]:
     manifest = node.versions.offered(message.version_id)
+    if manifest is None:
+        return ()
     try:
         stage_version(node, Chunked(manifest, unpack(message.packed)), now)
     except MessageError:
-        node.versions.end_transfer()
+        node.versions.source_failed(peer.sender.node_id)
         raise
-    node.versions.end_transfer()
+    node.versions.end_transfer(message.version_id)
+    # The source holds what it delivered; its own state came before the version was staged here.
+    node.versions.confirm(peer.sender.node_id, VersionState(staged=message.version_id))
     return (node.versions.state(),)
--- a/ibisrack/versions/store.py
+++ b/ibisrack/versions/store.py
@@ -4,17 +4,16 @@
 in part, and judges a version by its content alone.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from enum import Enum
 
 import attrs
 
 from ibisrack.errors import Fault, MessageError, RulesError
-from ibisrack.rules.grammar import ParsedLines, parse_lines
-from ibisrack.rules.model import Rule
-from ibisrack.rules.ruleset import RuleSet, build
+from ibisrack.rules.ruleset import RuleSet
 from ibisrack.versions.chunks import Manifest, VersionId, assemble
 from ibisrack.versions.messages import VersionState
+from ibisrack.versions.pieces import PieceCache
 
 CONFIRMATIONS = 2  # Peers that must hold a version before this node puts it in force.
 CONFIRM_TIMEOUT_S = 1.0
@@ -70,11 +69,23 @@
 
 @attrs.define
 class _Transfer:
-    """A version that another source is delivering."""
+    """A version that a source is delivering.
 
-    version_id: VersionId
+    Attributes:
+      manifest: The offered version.
+      source_id: The node that delivers it.
+      until_s: Monotonic time at which the reservation lapses.
+    """
+
+    manifest: Manifest
+    source_id: str
     until_s: float
 
+    @property
+    def version_id(self) -> VersionId:
+        """Identity of the version."""
+        return self.manifest.version_id
+
 
 @attrs.define
 class VersionStore:
@@ -90,10 +101,10 @@
     staged: Candidate | None = None
     refused: Refusal | None = None
     _chunks: dict[bytes, bytes] = attrs.field(factory=dict)
-    _parsed: dict[bytes, ParsedLines] = attrs.field(factory=dict)
+    _pieces: PieceCache = attrs.field(factory=PieceCache)
     _confirmation: _Confirmation | None = None
     _transfer: _Transfer | None = None
-    _offered: Manifest | None = None
+    _source_wanted: bool = False
 
     def state(self) -> VersionState:
         """Returns what the node tells its peers."""
@@ -106,61 +117,91 @@
         """Returns the highest good version."""
         return self.staged or self.in_force
 
+    def holds(self, version_id: VersionId) -> bool:
+        """Tells whether a version is in force or staged."""
+        return any(
+            c is not None and c.version_id == version_id for c in (self.staged, self.in_force)
+        )
+
     def interest(self, version_id: VersionId) -> Interest:
-        """Judges an announced version without its content."""
-        for known in (self.staged, self.in_force, self.refused):
+        """Judges an announced version without its content.
+
+        A refused version is judged by its identity alone: another content with the same revision
+        may be good, and every node has to reach the same verdict on it.
+        """
+        if self.refused and version_id == self.refused.version_id:
+            return Interest.REFUSED
+        for known in (self.staged, self.in_force):
             if known is None:
                 continue
             if version_id == known.version_id:
-                return Interest.REFUSED if known is self.refused else Interest.HELD
+                return Interest.HELD
             if version_id.revision == known.version_id.revision:
                 return Interest.CONFLICT
-            if version_id.revision < known.version_id.revision and known is not self.refused:
+            if version_id.revision < known.version_id.revision:
                 return Interest.LOWER
         return Interest.WANTED
 
-    def begin_transfer(self, version_id: VersionId, now_s: float) -> bool:
-        """Reserves the transfer of a version to one source at a time.
+    def offer(self, manifest: Manifest, source_id: str, now_s: float) -> tuple[bytes, ...] | None:
+        """Takes an offer of a version from a peer and reserves the transfer to it.
 
-        Without the reservation each of the links would deliver the same chunks.
+        Without the reservation each of the links would deliver the same chunks.  A higher revision
+        takes over the reservation of a lower one.
 
         Returns:
-          Whether the caller may transfer the version now.
+          The digests of the chunks that are missing, or None when the version is not wanted now.
         """
+        version_id = manifest.version_id
+        if self.interest(version_id) is not Interest.WANTED:
+            return None
         current = self._transfer
         if current and current.version_id.revision >= version_id.revision:
-            if now_s < current.until_s:
-                return False
-        self._transfer = _Transfer(version_id, now_s + TRANSFER_TIMEOUT_S)
-        return True
-
-    def end_transfer(self) -> None:
-        """Releases the reservation after a transfer ended or failed."""
-        self._transfer = None
-        self._offered = None
+            if now_s < current.until_s and current.source_id != source_id:
+                self._source_wanted = True
+                return None
+        self._transfer = _Transfer(manifest, source_id, now_s + TRANSFER_TIMEOUT_S)
+        return self.missing(manifest)
 
-    def offer(self, manifest: Manifest, now_s: float) -> tuple[bytes, ...] | None:
-        """Takes an offer of a version from a peer.
+    def offered(self, version_id: VersionId) -> Manifest | None:
+        """Returns the manifest of the offer that chunks now arrive for.
 
         Returns:
-          The digests of the chunks that are missing, or None when the version is not wanted now.
+          The manifest, or None when a higher revision was offered or staged in the meantime.
+
+        Raises:
+          MessageError: No such offer was made.
         """
-        if self.interest(manifest.version_id) is not Interest.WANTED:
-            return None
-        if not self.begin_transfer(manifest.version_id, now_s):
+        if self._transfer and self._transfer.version_id == version_id:
+            return self._transfer.manifest
+        highest = self.highest()
+        known = [holder.version_id.revision for holder in (self._transfer, highest) if holder]
+        if any(revision >= version_id.revision for revision in known):
             return None
-        self._offered = manifest
-        return self.missing(manifest)
+        raise MessageError(f"chunks for version {version_id}, which was not offered")
 
-    def offered(self, version_id: VersionId) -> Manifest:
-        """Returns the manifest of the offer that chunks now arrive for.
+    def end_transfer(self, version_id: VersionId) -> None:
+        """Releases the reservation after the transfer of a version ended or failed."""
+        if self._transfer and self._transfer.version_id == version_id:
+            self._transfer = None
 
-        Raises:
-          MessageError: No such offer is open.
+    def source_failed(self, source_id: str) -> None:
+        """Releases the reservation of a source that does not answer any more."""
+        if self._transfer and self._transfer.source_id == source_id:
+            self._transfer = None
+            self._source_wanted = True
+
+    def needs_source(self, now_s: float) -> bool:
+        """Tells once that a transfer failed or lapsed and that the links should offer again.
+
+        Links whose offers were declined during the transfer do not repeat them by themselves.
         """
-        if self._offered is None or self._offered.version_id != version_id:
-            raise MessageError(f"chunks for version {version_id}, which was not offered")
-        return self._offered
+        if self._transfer and now_s < self._transfer.until_s:
+            return False
+        lapsed = self._transfer is not None
+        wanted = lapsed or self._source_wanted
+        self._transfer = None
+        self._source_wanted = False
+        return wanted
 
     def missing(self, manifest: Manifest) -> tuple[bytes, ...]:
         """Returns the digests of the chunks that the node lacks."""
@@ -190,36 +231,44 @@
             return None
         known = {**self._chunks, **chunks}
         assemble(manifest, known)
-        parsed = {digest: self._parse(digest, known) for digest in manifest.chunk_digests}
+        file = f"revision-{manifest.version_id.revision}"
         try:
-            rules = _build(manifest, parsed)
+            rules = self._pieces.build(manifest.chunk_digests, known, file)
         except RulesError as error:
-            self.refused = Refusal(manifest.version_id, error.faults)
-            return self.refused
+            return self._refuse(Refusal(manifest.version_id, error.faults))
         self.staged = Candidate(manifest, rules)
         self._confirmation = _Confirmation(now_s)
-        self._keep(known, parsed)
+        self._keep(known)
         return self.staged
 
     def confirm(self, peer_id: str, state: VersionState) -> None:
-        """Notes that a peer holds the staged version or a higher one."""
-        if self.staged is None or self._confirmation is None or state.highest is None:
+        """Notes whether a peer holds the staged version or a higher one.
+
+        A peer that restarted without memory tells a lower version and does not count any more.
+        """
+        if self.staged is None or self._confirmation is None:
             return
-        if state.highest.revision >= self.staged.version_id.revision:
+        own, theirs = self.staged.version_id, state.highest
+        if theirs is not None and (theirs == own or theirs.revision > own.revision):
             self._confirmation.holders.add(peer_id)
+        else:
+            self._confirmation.holders.discard(peer_id)
 
-    def may_activate(self, now_s: float, reachable_links: int) -> bool:
+    def may_activate(self, now_s: float, links: Collection[str]) -> bool:
         """Tells whether the staged version may be put in force.
 
+        Only links count: they are the peers that this node asks after a restart.
+
         Args:
           now_s: Monotonic time.
-          reachable_links: Links that answered their last exchange.
+          links: Links that are not known to be dead.
         """
         if self.staged is None or self._confirmation is None:
             return False
-        needed = min(CONFIRMATIONS, reachable_links)
+        holders = self._confirmation.holders.intersection(links)
+        needed = min(CONFIRMATIONS, len(links))
         waited_s = now_s - self._confirmation.staged_at_s
-        return len(self._confirmation.holders) >= needed or waited_s >= CONFIRM_TIMEOUT_S
+        return len(holders) >= needed or waited_s >= CONFIRM_TIMEOUT_S
 
     def activate(self) -> Activation | None:
         """Puts the staged version in force by one assignment.
@@ -236,30 +285,20 @@
         if previous and candidate.version_id.revision <= previous.revision:
             return None
         self.in_force = candidate
-        self._keep(self._chunks, self._parsed)
+        self._keep(self._chunks)
         return Activation(candidate.version_id, previous)
 
-    def _parse(self, digest: bytes, chunks: Mapping[bytes, bytes]) -> ParsedLines:
-        return self._parsed.get(digest) or parse_lines(chunks[digest])
+    def _refuse(self, refusal: Refusal) -> Refusal:
+        """Keeps the refusal with the highest revision."""
+        known = self.refused
+        if known is None or refusal.version_id.revision >= known.version_id.revision:
+            self.refused = refusal
+        self._keep(self._chunks)
+        return refusal
 
-    def _keep(self, chunks: Mapping[bytes, bytes], parsed: Mapping[bytes, ParsedLines]) -> None:
+    def _keep(self, chunks: Mapping[bytes, bytes]) -> None:
         """Keeps the chunks of the versions held and drops all others."""
         held = [c.manifest.chunk_digests for c in (self.in_force, self.staged) if c]
         digests = {digest for digest_list in held for digest in digest_list}
-        merged = {**self._parsed, **parsed}
         self._chunks = {digest: chunks[digest] for digest in digests}
-        self._parsed = {digest: merged[digest] for digest in digests}
-
-
-def _build(manifest: Manifest, parsed: Mapping[bytes, ParsedLines]) -> RuleSet:
-    """Builds the rule set from parsed chunks, moving line numbers to those of the file."""
-    file = f"revision-{manifest.version_id.revision}"
-    rules: list[Rule] = []
-    faults: list[Fault] = []
-    first_line = 0
-    for digest in manifest.chunk_digests:
-        piece = parsed[digest]
-        rules += [attrs.evolve(rule, line=rule.line + first_line) for rule in piece.rules]
-        faults += [Fault(file, f.line + first_line, f.message) for f in piece.faults]
-        first_line += piece.line_count
-    return build(rules, faults, file)
+        self._pieces.keep(digests)
--- a/ibisrack/versions/store_test.py
+++ b/ibisrack/versions/store_test.py
@@ -6,7 +6,7 @@
 from ibisrack.rules.ruleset import check
 from ibisrack.testing.fixtures import PILBARA_RULES, many_services_rules
 from ibisrack.testing.functions import function_tests
-from ibisrack.versions.chunks import chunked, pack, split, unpack
+from ibisrack.versions.chunks import VersionId, chunked, pack, split, unpack
 from ibisrack.versions.messages import VersionState
 from ibisrack.versions.store import Candidate, Interest, Refusal, VersionStore
 
@@ -81,19 +81,42 @@
     store = _store_at(5)
     _stage(store, 6, CHANGED, now_s=10.0)
     peer_state = VersionState(staged=store.staged.version_id)
-    assert not store.may_activate(10.1, reachable_links=4)
+    assert not store.may_activate(10.1, LINKS)
     store.confirm("a", peer_state)
     store.confirm("a", peer_state)
-    assert not store.may_activate(10.2, reachable_links=4)
-    assert store.may_activate(11.0, reachable_links=4)
+    assert not store.may_activate(10.2, LINKS)
+    assert store.may_activate(11.0, LINKS)
     store.confirm("b", peer_state)
-    assert store.may_activate(10.2, reachable_links=4)
+    assert store.may_activate(10.2, LINKS)
+
+
+def test_holder_that_died_or_lost_its_memory_does_not_confirm():
+    """Guards against an activation whose only witnesses are gone."""
+    store = _store_at(5)
+    _stage(store, 6, CHANGED, now_s=10.0)
+    holds = VersionState(staged=store.staged.version_id)
+    for peer_id in ("a", "b"):
+        store.confirm(peer_id, holds)
+    assert store.may_activate(10.1, LINKS)
+    assert not store.may_activate(10.1, LINKS - {"b"})
+    store.confirm("b", VersionState())
+    assert not store.may_activate(10.1, LINKS)
+
+
+def test_peer_with_other_content_or_outside_the_links_does_not_confirm():
+    """Guards against witnesses that a restarted node would not ask."""
+    store = _store_at(5)
+    _stage(store, 6, CHANGED, now_s=10.0)
+    store.confirm("a", VersionState(staged=VersionId(6, b"x" * 16)))
+    store.confirm("b", VersionState(staged=store.staged.version_id))
+    store.confirm("stranger", VersionState(staged=store.staged.version_id))
+    assert not store.may_activate(10.1, LINKS)
 
 
 def test_isolated_node_activates_alone():
     store = _store_at(5)
     _stage(store, 6, CHANGED, now_s=10.0)
-    assert store.may_activate(10.0, reachable_links=0)
+    assert store.may_activate(10.0, frozenset())
 
 
 def test_one_inserted_line_changes_few_chunks():
@@ -111,9 +134,54 @@
 def test_only_one_source_transfers_a_version():
     store = _store_at(5)
     manifest = chunked(6, CHANGED).manifest
-    assert store.offer(manifest, 0.0) is not None
-    assert store.offer(manifest, 0.1) is None
-    assert store.offer(manifest, 5.0) is not None
+    assert store.offer(manifest, "a", 0.0) is not None
+    assert store.offer(manifest, "b", 0.1) is None
+    assert store.offer(manifest, "b", 5.0) is not None
+
+
+def test_failed_or_lapsed_transfer_asks_for_another_source_once():
+    """Guards against a dead source that blocks a version until the next regular exchange."""
+    store = _store_at(5)
+    manifest = chunked(6, CHANGED).manifest
+    store.offer(manifest, "a", 0.0)
+    store.offer(manifest, "b", 0.1)
+    assert not store.needs_source(0.2)
+    store.source_failed("b")
+    assert not store.needs_source(0.2)
+    store.source_failed("a")
+    assert store.needs_source(0.3)
+    assert not store.needs_source(0.4)
+    assert store.offer(manifest, "b", 0.5) is not None
+    assert store.needs_source(2.6)
+    assert not store.needs_source(2.7)
+
+
+def test_higher_revision_takes_over_a_transfer():
+    """Guards against a node that finishes an old transfer first, or fails on its late chunks."""
+    store = _store_at(5)
+    older, newer = chunked(6, CHANGED).manifest, chunked(7, CHANGED + b"# note\n").manifest
+    store.offer(older, "a", 0.0)
+    assert store.offer(newer, "b", 0.1) is not None
+    assert store.offer(older, "c", 0.2) is None
+    assert store.offered(older.version_id) is None
+    assert store.offered(newer.version_id) == newer
+    store.end_transfer(older.version_id)
+    assert store.offered(newer.version_id) == newer
+
+
+def test_refused_revision_with_other_content_is_judged_by_that_content():
+    """Guards against nodes that disagree because one of them saw a bad version first."""
+    store = _store_at(5)
+    _stage(store, 6, PILBARA_RULES + b"junk\n")
+    assert isinstance(_stage(store, 6, CHANGED), Candidate)
+
+
+def test_one_line_change_parses_one_chunk_and_keeps_line_numbers():
+    """Guards against rules that keep the line numbers of an earlier version."""
+    store = _store_at(5)
+    for revision, content in enumerate((b"# note\n" + CHANGED, CHANGED, PILBARA_RULES), start=6):
+        assert _stage(store, revision, content).rules == check(content)
+        store.activate()
 
 
 def test_malformed_packed_chunks_are_message_errors():
@@ -127,6 +195,7 @@
         raise AssertionError(f"accepted {data[:20]!r}")
 
 
+LINKS = frozenset("abcd")
 CHANGED = PILBARA_RULES.replace(b"share_percent=40", b"share_percent=35")
 
 load_tests = function_tests(__name__)
