--- a/ibisrack/node/joining_test.py
+++ b/ibisrack/node/joining_test.py
@@ -1,12 +1,10 @@
 """Tests of the decisions to serve after the start and after a pause."""
 
-from random import Random
-
 from ibisrack.clocks import Instant
 from ibisrack.node.joining import Joining, LinksView, Resuming, Step
 from ibisrack.node.lifecycle import JOINING, RESUMING, SERVING
-from ibisrack.node.state import PAUSE_GAP_S, create_node
-from ibisrack.testing.fixtures import PILBARA_RULES, member, node_settings
+from ibisrack.node.state import PAUSE_GAP_S
+from ibisrack.testing.fixtures import PILBARA_RULES, bare_node, member
 from ibisrack.testing.functions import function_tests
 from ibisrack.versions.chunks import VersionId, chunked
 from ibisrack.versions.store import VersionStore
@@ -71,7 +69,7 @@
 
 def test_pause_is_seen_before_the_first_tick_and_ends_with_a_comparison():
     """Guards against calls that are served with the view from before the pause."""
-    node = create_node(node_settings("own"), Random(1))
+    node = bare_node("own")
     node.learn(member("a"), _instant(0.0))
     node.versions = _store(4)
     node.begin_join(_instant(0.0), lone_start_s=1.0)
@@ -90,7 +88,7 @@
 
 def test_pause_during_the_join_starts_it_again():
     """Guards against a join timeout that passed while nobody could be asked."""
-    node = create_node(node_settings("own"), Random(1))
+    node = bare_node("own")
     node.learn(member("a"), _instant(0.0))
     node.versions = _store(4)
     node.begin_join(_instant(0.0), lone_start_s=1.0)
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -11,6 +11,8 @@
 from ibisrack.membership.table import MemberTable
 from ibisrack.node.joining import Joining, LinksView, Resuming, Step
 from ibisrack.node.lifecycle import JOINING, RESUMING, Lifecycle
+from ibisrack.room.counters import CallCounters
+from ibisrack.room.reports import RoomState
 from ibisrack.settings.node import NodeSettings
 from ibisrack.timeline.events import (
     Event,
@@ -77,6 +79,8 @@
       members: The member table.
       versions: The versions held.
       log: Recent events.
+      room: Reports and summaries for the screens.
+      counters: Calls of the last minute.
       lifecycle: The node's own state machine.
       links: Health of the links.
       joining: The decision to serve after the start, None before it.
@@ -89,6 +93,8 @@
     members: MemberTable
     versions: VersionStore
     log: EventLog
+    room: RoomState
+    counters: CallCounters = attrs.field(factory=CallCounters)
     lifecycle: Lifecycle = attrs.field(factory=Lifecycle)
     links: LinkHealth = attrs.field(factory=LinkHealth)
     joining: Joining | None = None
@@ -219,4 +225,4 @@
         )
     )
     log = EventLog(identity.node_id, settings.timeline.capacity_events)
-    return NodeState(settings, rng, members, VersionStore(), log)
+    return NodeState(settings, rng, members, VersionStore(), log, RoomState(identity.zone))
--- a/ibisrack/testing/fixtures.py
+++ b/ibisrack/testing/fixtures.py
@@ -2,13 +2,15 @@
 
 # ruff: noqa: E501 (rules are one line each, however long)
 
+from random import Random
+
 from ibisrack.membership.records import MemberRecord
+from ibisrack.node.state import NodeState, create_node
 from ibisrack.settings.node import (
     IdentitySettings,
     ListenSettings,
     NodeSettings,
     PlatformSettings,
-    TimelineSettings,
     UpstreamSettings,
 )
 
@@ -87,12 +89,12 @@
     return MemberRecord(node_id=node_id, **{**place, **ports, **fields})
 
 
-def node_settings(node_id: str, zone: str = "z", region: str = "r") -> NodeSettings:
-    """Returns the settings of a node that never opens a socket."""
-    return NodeSettings(
-        identity=IdentitySettings(node_id, "notice-desk", zone, region),
-        listen=ListenSettings("127.0.0.1", 1, 2, 3),
-        upstream=UpstreamSettings("http://127.0.0.1:4"),
-        platform=PlatformSettings("http://127.0.0.1:5"),
-        timeline=TimelineSettings(capacity_events=64),
+def bare_node(node_id: str, zone: str = "z", region: str = "r", seed: int = 1) -> NodeState:
+    """Returns the state of a node that has just started, without tasks or servers."""
+    settings = NodeSettings(
+        IdentitySettings(node_id, "notice-desk", zone, region),
+        ListenSettings("127.0.0.1", 1, 2, 3),
+        UpstreamSettings("http://127.0.0.1:4"),
+        PlatformSettings("http://127.0.0.1:5"),
     )
+    return create_node(settings, Random(seed))
