Keep the reads of a joining node within its read budget

Cause: the join read the platform again at once when the version that it got was refused. Change: it waits for the budget and watches for another revision than the one it knows. Conclusion: make test and the demo pass; the read rate in that case was not measured.

--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -71,20 +71,25 @@
         """Drives the join until this node takes calls; the link tasks ask the links."""
         node = self.node
         node.begin_join(read_clocks(), self.reader.budget.lone_start_s())
+        revision = 0
         while node.lifecycle.state == JOINING:
             if not node.links.told:
                 await contact_seeds(self.exchanger)
                 self.changed()
             if node.join_step(read_clocks()) is Step.READ_PLATFORM:
-                await self._read_alone()
+                revision = await self._read_alone(revision)
                 self.changed()
             await asyncio.sleep(TICK_S)
 
-    async def _read_alone(self) -> None:
+    async def _read_alone(self, known_revision: int) -> int:
+        """Reads the platform within the read budget; returns the revision that it has."""
+        budget = self.reader.budget
+        await asyncio.sleep(budget.wait_s(read_clocks().monotonic_s))
         try:
-            await self.reader.read_once(RULES, 0)
+            return await self.reader.read_once(RULES, known_revision)
         except PlatformError:
-            await asyncio.sleep(self.reader.budget.failed())
+            await asyncio.sleep(budget.failed())
+            return known_revision
 
     async def drain(self) -> None:
         """Refuses new work, finishes what is in flight, then stops."""
