--- a/ibisrack/exchange/links.py
+++ b/ibisrack/exchange/links.py
@@ -7,7 +7,6 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.exchange.carrier import Channel, open_channel
 from ibisrack.exchange.conversation import Exchanger, try_converse
-from ibisrack.membership.links import choose_links
 from ibisrack.membership.reconnect import lost_addresses
 from ibisrack.membership.records import MemberRecord
 from ibisrack.membership.upkeep import news_for, note_failure, told
@@ -24,8 +23,13 @@
 
 @attrs.define
 class News:
-    """Wakes every link task when the node has something new to tell."""
+    """Wakes every link task when the node has something new to tell.
 
+    Attributes:
+      repeats: Times that the links were asked to exchange even without a change.
+    """
+
+    repeats: int = 0
     _events: set[asyncio.Event] = attrs.field(factory=set)
 
     def subscribe(self) -> asyncio.Event:
@@ -43,6 +47,11 @@
         for event in self._events:
             event.set()
 
+    def repeat(self) -> None:
+        """Wakes the subscribers and has them exchange even without a change."""
+        self.repeats += 1
+        self.announce()
+
 
 async def _wait_for(event: asyncio.Event, timeout_s: float) -> bool:
     """Waits for an event and clears it; returns whether it was set in time."""
@@ -63,12 +72,14 @@
       news: Wakes the task.
       peer: The peer's record.
       told_state: Version state that the peer was told last.
+      repeats: Value of the news' repeats at the last exchange.
     """
 
     exchanger: Exchanger
     news: News
     peer: MemberRecord
     told_state: VersionState | None = None
+    repeats: int = 0
 
     @property
     def node(self) -> NodeState:
@@ -86,13 +97,14 @@
                     regular = await self._wait(wake, answered)
         finally:
             self.news.unsubscribe(wake)
-            self.node.links.drop(self.peer.node_id)
+            self.node.links.dropped(self.peer.node_id)
 
     async def _exchange(self, channel: Channel, regular: bool) -> bool:
         """Exchanges once; a regular exchange also compares the member tables."""
         node, peer_id = self.node, self.peer.node_id
         updates = news_for(node, peer_id)
         state = node.versions.state()
+        self.repeats = self.news.repeats
         digest = (node.members.digest(),) if regular or not updates else ()
         timeout_s = node.settings.exchange.timeout_s
         if await try_converse(self.exchanger, channel, timeout_s, (*updates, *digest)) is None:
@@ -125,7 +137,7 @@
 
     def _has_something_to_tell(self) -> bool:
         node = self.node
-        if node.lifecycle.state == RESUMING:
+        if node.lifecycle.state == RESUMING or self.repeats != self.news.repeats:
             return True
         if node.versions.state() != self.told_state:
             return True
@@ -169,8 +181,7 @@
     group: asyncio.TaskGroup,
 ) -> None:
     """Ends the tasks of links that are no longer chosen and starts those of new ones."""
-    members = exchanger.node.members
-    chosen = {_address_key(m): m for m in choose_links(members.own(), members.all())}
+    chosen = {_address_key(link): link for link in exchanger.node.refresh_links()}
     for key in [key for key in tasks if key not in chosen]:
         tasks.pop(key).cancel()
     for key, peer in chosen.items():
--- a/ibisrack/membership/upkeep.py
+++ b/ibisrack/membership/upkeep.py
@@ -35,6 +35,7 @@
     Returns:
       Whether the member table changed.
     """
+    node.versions.source_failed(peer_id)
     if node.links.failure(peer_id) < SUSPECT_AFTER_FAILURES:
         return False
     return suspect(node, peer_id, now)
