--- /dev/null
+++ b/bench/capacity_bench.py
@@ -0,0 +1,161 @@
+"""Slopes of what a node keeps and spends, by stepping its decision objects alone.
+
+docs/CAPACITY.md multiplies these by the sizes of the target.
+"""
+
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import ibisrack.exchange.registry  # noqa: F401
+from bench.measures import Measure
+from ibisrack.clocks import Instant
+from ibisrack.exchange.codec import decode_frame, encode_frame
+from ibisrack.exchange.dispatch import greeting, process
+from ibisrack.membership.messages import MembersUpdate
+from ibisrack.membership.readers import elect
+from ibisrack.node.state import NodeState
+from ibisrack.testing.fixtures import bare_node, many_services_rules, member
+from ibisrack.timeline.events import CallFinished
+from ibisrack.timeline.log import EventLog
+from ibisrack.versions.chunks import chunked
+from ibisrack.versions.handlers import stage_version
+
+MEASURES = (
+    "memory_per_member_bytes",
+    "memory_per_rule_bytes",
+    "memory_per_call_event_bytes",
+    "member_table_frame_bytes_1300",
+    "idle_exchange_cpu_us_325",
+    "idle_exchange_cpu_us_650",
+    "idle_exchange_cpu_us_1300",
+    "member_update_cpu_us_per_record",
+    "link_choice_cpu_ms_1300",
+    "reader_election_cpu_ms_1300",
+    "stage_change_cpu_ms_250_services",
+    "stage_first_cpu_ms_250_services",
+)
+ZONES = 12
+FLEET = 1300
+NOW = Instant(100.0, 1_796_000_000_000)
+
+
+def _member(index: int):
+    zone = index % ZONES
+    return member(
+        f"service-{index % 250:04d}-{index:04d}",
+        service=f"service-{index % 250:04d}",
+        zone=f"zone-{zone:02d}",
+        region=f"region-{zone % 3}",
+        peer_port=10_000 + index,
+    )
+
+
+def _node(members: int, name: str = "own") -> NodeState:
+    node = bare_node(name)
+    for index in range(members):
+        node.learn(_member(index), NOW)
+    for node_id in [m.node_id for m in node.members.all()]:
+        node.news.delivered("a", [node_id], 1)
+    return node
+
+
+def _memory_of(build: Callable[[], object]) -> int:
+    """Returns the bytes that an object keeps allocated."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = build()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return after - before
+
+
+def _cpu_s(work: Callable[[], object], times: int) -> float:
+    """Returns the processor time of one run of some work."""
+    start_s = time.process_time()
+    for _ in range(times):
+        work()
+    return (time.process_time() - start_s) / times
+
+
+def _idle_exchange_us(members: int) -> float:
+    """Returns the time that both sides of an exchange without news take."""
+    node, peer = _node(members), _node(members)
+
+    def exchange() -> None:
+        request = encode_frame((*greeting(node, NOW), node.members.digest()))
+        replies = process(decode_frame(request), peer, NOW)
+        answer = encode_frame((*greeting(peer, NOW), *replies))
+        process(decode_frame(answer), node, NOW)
+
+    return _cpu_s(exchange, 200) * 1e6
+
+
+def _update_us() -> float:
+    records = tuple(_member(index) for index in range(FLEET))
+    frame = encode_frame((*greeting(bare_node("peer"), NOW), MembersUpdate(records)))
+    return _cpu_s(lambda: process(decode_frame(frame), bare_node("own"), NOW), 3) * 1e6 / FLEET
+
+
+def _events() -> EventLog:
+    log = EventLog("n", FLEET)
+    for index in range(FLEET):
+        event = CallFinished(
+            f"call-{index}", "owner", "service-0001", "urgent", 7, "Mei Tan", "done", "",
+            f"node-{index % 50}", 12, 4.2 + index,
+        )  # fmt: skip
+        log.record(event, 1_796_000_000_000 + index)
+    return log
+
+
+def _staged(node: NodeState, revision: int, note: str) -> NodeState:
+    stage_version(node, chunked(revision, many_services_rules(250, note)), NOW)
+    node.versions.activate()
+    return node
+
+
+def _change_ms() -> float:
+    node = _staged(bare_node("own"), 1, "first")
+    versions = [chunked(r, many_services_rules(250, f"change {r}")) for r in range(2, 8)]
+    pending = iter(versions)
+
+    def change() -> None:
+        stage_version(node, next(pending), NOW)
+        node.versions.activate()
+
+    return _cpu_s(change, len(versions)) * 1e3
+
+
+def run() -> list[Measure]:
+    """Measures every slope."""
+    node = _node(FLEET)
+    records = tuple(node.members.all())
+    rules = many_services_rules(250).count(b"\n") - 1
+    return [
+        Measure("memory_per_member_bytes", _memory_of(lambda: _node(FLEET)) / FLEET, "B"),
+        Measure(
+            "memory_per_rule_bytes",
+            _memory_of(lambda: _staged(bare_node("own"), 1, "first")) / rules,
+            "B",
+        ),
+        Measure("memory_per_call_event_bytes", _memory_of(_events) / FLEET, "B"),
+        Measure("member_table_frame_bytes_1300", len(encode_frame([MembersUpdate(records)])), "B"),
+        *(
+            Measure(f"idle_exchange_cpu_us_{size}", _idle_exchange_us(size), "us")
+            for size in (325, 650, 1300)
+        ),
+        Measure("member_update_cpu_us_per_record", _update_us(), "us"),
+        Measure("link_choice_cpu_ms_1300", _cpu_s(node.refresh_links, 5) * 1e3, "ms"),
+        Measure(
+            "reader_election_cpu_ms_1300",
+            _cpu_s(lambda: elect("zone-01", node.members.all()), 20) * 1e3,
+            "ms",
+        ),
+        Measure("stage_change_cpu_ms_250_services", _change_ms(), "ms"),
+        Measure(
+            "stage_first_cpu_ms_250_services",
+            _cpu_s(lambda: _staged(bare_node("own"), 1, "first"), 5) * 1e3,
+            "ms",
+        ),
+    ]
--- a/ibisrack/exchange/conversation.py
+++ b/ibisrack/exchange/conversation.py
@@ -5,10 +5,7 @@
 
 import attrs
 
-# The handlers register themselves when their modules are imported.
-import ibisrack.membership.handlers
-import ibisrack.room.handlers
-import ibisrack.versions.handlers  # noqa: F401
+import ibisrack.exchange.registry  # noqa: F401
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import MessageError, PeerError
 from ibisrack.exchange.carrier import Channel, send_frame
