Admit calls by strict order above a guaranteed share of slot time

Cause: strict order alone starves the other ranks while the most urgent rank floods, and calls were queued that could not meet their deadlines.

Change: each rank has an account of credit (slot seconds), earned only while it waits and capped; an estimate is charged at a start and corrected at the end. Calls are refused early when the expected wait and the work-weighted tail of the service time exceed the time left. Slots can be limited for cold upstreams. Expiry uses a heap instead of a scan; a waiting call ends at its deadline even when no other call finishes.

--- a/ibisrack/calls/admission.py
+++ b/ibisrack/calls/admission.py
@@ -1,34 +1,19 @@
-"""Admission of calls to the slots of one upstream: strict order of ranks.
+"""Admission of calls to the slots of one upstream.
 
 The scheduler is a decision object.  Time comes in as an argument; what is to happen goes out as
-typed decisions.
+typed decisions.  Every ticket is settled exactly once: it is admitted or refused, unless its
+caller cancels it first.
 """
 
-from collections import deque
+import heapq
 
 import attrs
 
 from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.ranks import OldestFirst, RankQueue, SharedPriority, Ticket, pick
 from ibisrack.rules.model import RankRule
 
 
-@attrs.frozen
-class Ticket:
-    """A call's place at the scheduler.
-
-    Attributes:
-      call_id: Identity of the call.
-      number: Tells apart several arrivals of one call.
-      rank: Name of the rank.
-      deadline_at_s: Monotonic time at which the caller gives up.
-    """
-
-    call_id: str
-    number: int
-    rank: str
-    deadline_at_s: float
-
-
 @attrs.frozen
 class Admitted:
     """The call may run now."""
@@ -54,13 +39,13 @@
 Decision = Admitted | Queued | Refused
 
 
-@attrs.define
-class _Queue:
-    """Waiting and running calls of one rank."""
+@attrs.frozen
+class _Run:
+    """A running call: its queue, when it started and what it was charged."""
 
-    rule: RankRule
-    waiting: deque[Ticket] = attrs.field(factory=deque)
-    running: int = 0
+    queue: RankQueue
+    started_s: float
+    charged_s: float
 
 
 @attrs.define
@@ -68,24 +53,57 @@
     """Owner of the slots and queues of one upstream.
 
     Attributes:
-      slots: Calls that may run at the same time.
+      slots: Calls that may run at the same time by the rules.
+      policy: Choice of the rank that is served next.
+      order: Order of the calls within a rank.
     """
 
     slots: int
-    _queues: dict[str, _Queue] = attrs.field(factory=dict)
-    _running: set[Ticket] = attrs.field(factory=set)
-
-    def configure(self, slots: int, ranks: tuple[RankRule, ...]) -> None:
+    policy: object = SharedPriority()
+    order: object = OldestFirst()
+    _limit: int | None = None
+    _queues: dict[str, RankQueue] = attrs.field(factory=dict)
+    _ranks: tuple[RankRule, ...] = ()
+    _running: dict[int, _Run] = attrs.field(factory=dict)
+    _deadlines: list[tuple[float, int, Ticket]] = attrs.field(factory=list)
+
+    def configure(self, slots: int, ranks: tuple[RankRule, ...], now_s: float) -> list[Decision]:
         """Takes the slots and ranks of a version; ranks come ordered by precedence.
 
-        Queues of ranks that the version lacks keep their calls and are served last.
+        Calls of ranks that the version lacks are kept and served last.
         """
-        self.slots = slots
-        queues = {rule.rank: self._queue(rule) for rule in ranks}
+        if slots == self.slots and ranks == self._ranks:
+            return []
+        self.slots, self._ranks = slots, ranks
+        queues = {rule.rank: self._configured(rule) for rule in ranks}
         for name, queue in self._queues.items():
             if name not in queues and (queue.waiting or queue.running):
+                queue.is_configured = False
                 queues[name] = queue
         self._queues = queues
+        self._share_slots(now_s)
+        return self._dispatch(now_s)
+
+    def limit_slots(self, limit: int, now_s: float) -> list[Decision]:
+        """Limits the slots below the rules, for an upstream that starts cold or sheds load.
+
+        Calls that run stay; no call starts until fewer run than the limit.
+
+        Args:
+          limit: Calls that may run at the same time, at least 1.
+          now_s: Present time.
+
+        Returns:
+          What follows for waiting calls when the limit rises.
+        """
+        self._limit = max(1, limit)
+        self._share_slots(now_s)
+        return self._dispatch(now_s)
+
+    @property
+    def usable_slots(self) -> int:
+        """Calls that may run at the same time, the limit of a cold start included."""
+        return self.slots if self._limit is None else min(self.slots, self._limit)
 
     @property
     def busy(self) -> int:
@@ -100,58 +118,88 @@
     def submit(self, ticket: Ticket, now_s: float) -> Decision:
         """Admits, queues or refuses a call."""
         queue = self._queues.get(ticket.rank)
-        if queue is None:
+        if queue is None or not queue.is_configured:
             return Refused(ticket, Reason.NO_ROUTE)
         if ticket.deadline_at_s <= now_s:
             return Refused(ticket, Reason.DEADLINE)
-        if not queue.waiting and self._may_run(queue):
-            return self._start(queue, ticket)
+        # A free slot means that every waiting rank is at its own limit, so no call is overtaken.
+        if not queue.waiting and queue.has_room and len(self._running) < self.usable_slots:
+            return self._submit_to_slot(queue, ticket, now_s)
         if len(queue.waiting) >= queue.rule.max_queue:
             return Refused(ticket, Reason.QUEUE_FULL)
-        queue.waiting.append(ticket)
+        needed_s = queue.expected_wait_s() + queue.margin_s(ticket)
+        if queue.waiting and needed_s > ticket.deadline_at_s - now_s:
+            return Refused(ticket, Reason.TOO_BUSY)
+        queue.add(ticket, now_s)
+        heapq.heappush(self._deadlines, (ticket.deadline_at_s, ticket.number, ticket))
         return Queued(ticket)
 
     def finish(self, ticket: Ticket, now_s: float) -> list[Decision]:
         """Frees the slot of a call and returns what follows for waiting calls."""
-        self._running.discard(ticket)
-        self._queues[ticket.rank].running -= 1
+        run = self._running.pop(ticket.number, None)
+        if run is None:
+            return []
+        run.queue.finish(now_s - run.started_s, run.charged_s, now_s)
         return self._dispatch(now_s)
 
-    def cancel(self, ticket: Ticket) -> None:
+    def cancel(self, ticket: Ticket, now_s: float) -> None:
         """Removes a waiting call."""
         queue = self._queues.get(ticket.rank)
-        if queue and ticket in queue.waiting:
-            queue.waiting.remove(ticket)
+        if queue is not None:
+            queue.remove(ticket, now_s)
 
     def expire(self, now_s: float) -> list[Decision]:
         """Refuses waiting calls whose deadline has passed."""
         refused: list[Decision] = []
-        for queue in self._queues.values():
-            late = [ticket for ticket in queue.waiting if ticket.deadline_at_s <= now_s]
-            for ticket in late:
-                queue.waiting.remove(ticket)
+        while self._deadlines and self._deadlines[0][0] <= now_s:
+            ticket = heapq.heappop(self._deadlines)[2]
+            queue = self._queues.get(ticket.rank)
+            if queue is not None and queue.remove(ticket, now_s):
                 refused.append(Refused(ticket, Reason.DEADLINE))
         return refused
 
-    def _queue(self, rule: RankRule) -> _Queue:
-        queue = self._queues.get(rule.rank)
-        if queue is None:
-            return _Queue(rule)
+    def _configured(self, rule: RankRule) -> RankQueue:
+        queue = self._queues.get(rule.rank) or RankQueue(rule)
         queue.rule = rule
+        queue.is_configured = True
         return queue
 
-    def _may_run(self, queue: _Queue) -> bool:
-        limit = queue.rule.max_slots or self.slots
-        return len(self._running) < self.slots and queue.running < limit
+    def _share_slots(self, now_s: float) -> None:
+        for queue in self._queues.values():
+            queue.advance(now_s)
+            percent = queue.rule.share_percent if queue.is_configured else 0
+            queue.account.rate = percent / 100 * self.usable_slots
+            queue.slots = self.usable_slots
 
-    def _start(self, queue: _Queue, ticket: Ticket) -> Admitted:
-        queue.running += 1
-        self._running.add(ticket)
+    def _submit_to_slot(self, queue: RankQueue, ticket: Ticket, now_s: float) -> Decision:
+        """Starts a call unless it is expected to miss its deadline.
+
+        A call that runs alone is always admitted: the estimate could otherwise never fall again.
+        """
+        if queue.running and queue.estimate.mean_s > ticket.deadline_at_s - now_s:
+            return Refused(ticket, Reason.TOO_BUSY)
+        return self._start(queue, ticket, now_s)
+
+    def _start(self, queue: RankQueue, ticket: Ticket, now_s: float) -> Admitted:
+        charged_s = queue.start(now_s)
+        self._running[ticket.number] = _Run(queue, now_s, charged_s)
         return Admitted(ticket)
 
     def _dispatch(self, now_s: float) -> list[Decision]:
+        """Fills the free slots from the queues."""
         decisions = self.expire(now_s)
-        for queue in self._queues.values():
-            while queue.waiting and self._may_run(queue):
-                decisions.append(self._start(queue, queue.waiting.popleft()))
+        while len(self._running) < self.usable_slots:
+            ready = [queue for queue in self._queues.values() if queue.waiting and queue.has_room]
+            if not ready:
+                break
+            queue = pick(self.policy, ready, now_s)
+            decisions.append(self._serve(queue, now_s))
         return decisions
+
+    def _serve(self, queue: RankQueue, now_s: float) -> Decision:
+        """Starts the next call of a rank, or refuses it when too little time is left for it."""
+        ticket = queue.take(self.order, now_s)
+        if ticket.deadline_at_s - now_s < queue.margin_s(ticket):
+            return Refused(ticket, Reason.DEADLINE)
+        queue.started_from_queue(now_s)
+        return self._start(queue, ticket, now_s)
--- a/ibisrack/calls/gate.py
+++ b/ibisrack/calls/gate.py
@@ -8,10 +8,13 @@
 
 import attrs
 
-from ibisrack.calls.admission import Admitted, Decision, Queued, Refused, Scheduler, Ticket
+from ibisrack.calls.admission import Admitted, Decision, Queued, Refused, Scheduler
 from ibisrack.calls.messages import Call, LoadReport
+from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.ranks import Ticket
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError
+from ibisrack.rules.ruleset import Service
 
 
 @attrs.define
@@ -23,12 +26,22 @@
     """
 
     scheduler: Scheduler
-    _waiting: dict[Ticket, asyncio.Future] = attrs.field(factory=dict)
+    _waiting: dict[int, asyncio.Future] = attrs.field(factory=dict)
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
     def load(self) -> LoadReport:
         """Returns the present load."""
-        return LoadReport(self.scheduler.busy, self.scheduler.queued, self.scheduler.slots)
+        scheduler = self.scheduler
+        return LoadReport(scheduler.busy, scheduler.queued, scheduler.usable_slots)
+
+    def configure(self, service: Service) -> None:
+        """Takes the slots and ranks of a version."""
+        now_s = read_clocks().monotonic_s
+        self.apply(self.scheduler.configure(service.rule.slots, service.ranks, now_s))
+
+    def limit_slots(self, limit: int) -> None:
+        """Limits the slots of a cold or shedding upstream."""
+        self.apply(self.scheduler.limit_slots(limit, read_clocks().monotonic_s))
 
     @asynccontextmanager
     async def slot(self, call: Call) -> AsyncIterator[None]:
@@ -37,9 +50,10 @@
         Raises:
           NotRunError: The call was refused.
         """
-        rank = call.route.rank
-        ticket = Ticket(call.call_id, next(self._numbers), rank, call.deadline_at_s)
-        await self._enter(ticket)
+        now_s = read_clocks().monotonic_s
+        number = next(self._numbers)
+        ticket = Ticket(call.call_id, number, call.route.rank, now_s, call.deadline_at_s)
+        await self._enter(ticket, now_s)
         try:
             yield
         finally:
@@ -52,28 +66,38 @@
     def apply(self, decisions: Iterable[Decision]) -> None:
         """Carries out decisions about waiting calls."""
         for decision in decisions:
-            future = self._waiting.pop(decision.ticket, None)
+            future = self._waiting.pop(decision.ticket.number, None)
             if future is not None and not future.done():
                 self._settle(decision, future)
 
-    async def _enter(self, ticket: Ticket) -> None:
-        decision = self.scheduler.submit(ticket, read_clocks().monotonic_s)
+    async def _enter(self, ticket: Ticket, now_s: float) -> None:
+        decision = self.scheduler.submit(ticket, now_s)
         future = asyncio.get_running_loop().create_future()
         self._settle(decision, future)
-        if not future.done():
-            self._waiting[ticket] = future
+        if future.done():
+            return future.result()
+        self._waiting[ticket.number] = future
+        await self._wait(ticket, future, ticket.deadline_at_s - now_s)
+
+    async def _wait(self, ticket: Ticket, future: asyncio.Future, remaining_s: float) -> None:
+        """Waits for the decision; the deadline ends the wait even when no call finishes."""
         try:
-            await future
+            async with asyncio.timeout(remaining_s):
+                await future
+        except TimeoutError:
+            self._leave(ticket, future)
+            raise NotRunError(Reason.DEADLINE) from None
         except asyncio.CancelledError:
             self._leave(ticket, future)
             raise
 
     def _leave(self, ticket: Ticket, future: asyncio.Future) -> None:
         """Gives up a place; a slot that was granted in the same moment is freed."""
-        if self._waiting.pop(ticket, None) is not None:
-            self.scheduler.cancel(ticket)
+        now_s = read_clocks().monotonic_s
+        if self._waiting.pop(ticket.number, None) is not None:
+            self.scheduler.cancel(ticket, now_s)
         elif future.done() and not future.cancelled() and future.exception() is None:
-            self.apply(self.scheduler.finish(ticket, read_clocks().monotonic_s))
+            self.apply(self.scheduler.finish(ticket, now_s))
 
     @singledispatchmethod
     def _settle(self, decision: Decision, future: asyncio.Future) -> None:
--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -22,6 +22,7 @@
     NOT_SERVING = "not-serving"
     DRAINING = "draining"
     QUEUE_FULL = "queue-full"
+    TOO_BUSY = "too-busy"
     DEADLINE = "deadline"
     SHED = "shed-by-upstream"
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
--- a/ibisrack/calls/owner.py
+++ b/ibisrack/calls/owner.py
@@ -35,7 +35,7 @@
         candidate = self.node.versions.in_force
         service = candidate and candidate.rules.services.get(self.node.members.own().service)
         if service:
-            self.gate.scheduler.configure(service.rule.slots, service.ranks)
+            self.gate.configure(service)
 
     async def run(self, call: Call) -> Answer:
         """Runs a call on the upstream.
--- /dev/null
+++ b/ibisrack/calls/ranks.py
@@ -0,0 +1,166 @@
+"""Waiting and running calls of one rank, and the choice of the rank that is served next."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from functools import singledispatch
+
+import attrs
+
+from ibisrack.calls.estimates import ServiceEstimate
+from ibisrack.calls.shares import ShareAccount
+from ibisrack.rules.model import RankRule
+
+GAP_WEIGHT = 0.1  # Weight of the newest interval between two starts.
+
+
+@attrs.frozen
+class Ticket:
+    """A call's place at the scheduler.
+
+    Attributes:
+      call_id: Identity of the call.
+      number: Tells apart several arrivals of one call; unique at a scheduler.
+      rank: Name of the rank.
+      arrived_at_s: Monotonic time of the arrival.
+      deadline_at_s: Monotonic time at which the caller gives up.
+    """
+
+    call_id: str
+    number: int
+    rank: str
+    arrived_at_s: float
+    deadline_at_s: float
+
+
+@attrs.frozen
+class OldestFirst:
+    """Serves the calls of a rank in the order of their arrival."""
+
+
+@singledispatch
+def take(order: object, waiting: OrderedDict[int, Ticket]) -> Ticket:
+    """Removes and returns the call of a rank that is served next."""
+    raise TypeError(f"unknown order {type(order).__name__}")
+
+
+@take.register
+def _(order: OldestFirst, waiting: OrderedDict[int, Ticket]) -> Ticket:
+    return waiting.popitem(last=False)[1]
+
+
+@attrs.define(eq=False)
+class RankQueue:
+    """Calls of one rank.
+
+    Attributes:
+      rule: The rank's rule.
+      is_configured: Whether the version in force has the rank.
+      waiting: Calls that wait, by ticket number.
+      running: Number of calls that run.
+      slots: Slots that the instance has for all ranks.
+      account: Credit of the guaranteed share.
+      estimate: Service times.
+    """
+
+    rule: RankRule
+    is_configured: bool = True
+    waiting: OrderedDict[int, Ticket] = attrs.field(factory=OrderedDict)
+    running: int = 0
+    slots: int = 1
+    account: ShareAccount = attrs.field(factory=ShareAccount)
+    estimate: ServiceEstimate = attrs.field(factory=ServiceEstimate)
+    _gap_s: float = 0.0
+    _last_start_s: float = 0.0
+
+    @property
+    def has_room(self) -> bool:
+        """Whether the rank's own limit lets one more call run."""
+        return not self.rule.max_slots or self.running < self.rule.max_slots
+
+    def advance(self, now_s: float) -> None:
+        """Brings the account up to date; precedes every change of the calls."""
+        waiting = bool(self.waiting) and self.has_room
+        self.account.advance(waiting, self.estimate.mean_s, now_s)
+
+    def add(self, ticket: Ticket, now_s: float) -> None:
+        """Lets a call wait."""
+        self.advance(now_s)
+        if not self.waiting:
+            self._last_start_s = now_s
+        self.waiting[ticket.number] = ticket
+
+    def take(self, order: object, now_s: float) -> Ticket:
+        """Removes the call that is served next."""
+        self.advance(now_s)
+        return take(order, self.waiting)
+
+    def remove(self, ticket: Ticket, now_s: float) -> bool:
+        """Removes a waiting call; returns whether it waited."""
+        self.advance(now_s)
+        return self.waiting.pop(ticket.number, None) is not None
+
+    def started_from_queue(self, now_s: float) -> None:
+        """Notes the interval since the last start, from which waits are expected."""
+        self._gap_s += (now_s - self._last_start_s - self._gap_s) * GAP_WEIGHT
+        self._last_start_s = now_s
+
+    def start(self, now_s: float) -> float:
+        """Counts a call as running and returns the estimated cost that was charged."""
+        self.advance(now_s)
+        self.running += 1
+        charged_s = self.estimate.mean_s
+        self.account.charge(charged_s, charged_s)
+        return charged_s
+
+    def finish(self, service_s: float, charged_s: float, now_s: float) -> None:
+        """Counts a call as finished and corrects what was charged for it."""
+        self.advance(now_s)
+        self.running -= 1
+        self.estimate.add(service_s)
+        self.account.charge(service_s - charged_s, self.estimate.mean_s)
+
+    def expected_wait_s(self) -> float:
+        """Returns how long a call that joins the queue now is expected to wait.
+
+        The interval between starts is measured.  It cannot be shorter than all slots together
+        allow, nor longer than the guaranteed share does.
+        """
+        mean_s = self.estimate.mean_s
+        gap_s = max(self._gap_s, mean_s / min(self.slots, self.rule.max_slots or self.slots))
+        if self.account.rate > 0:
+            gap_s = min(gap_s, mean_s / self.account.rate)
+        return (len(self.waiting) + 1) * gap_s
+
+    def margin_s(self, ticket: Ticket) -> float:
+        """Returns the time that a call should have left when it starts.
+
+        At most half of the call's whole time is kept back, so that work whose service times
+        vary widely is still accepted while little waits.
+        """
+        return min(self.estimate.tail_s, (ticket.deadline_at_s - ticket.arrived_at_s) / 2)
+
+
+@attrs.frozen
+class SharedPriority:
+    """Strict order of ranks above a guaranteed share of slot time for each."""
+
+
+@singledispatch
+def pick(policy: object, ready: Sequence[RankQueue], now_s: float) -> RankQueue:
+    """Returns the rank that is served next.
+
+    Args:
+      policy: The rule of choice.
+      ready: Ranks with waiting calls and room, by precedence; at least one.
+      now_s: Present time.
+    """
+    raise TypeError(f"unknown policy {type(policy).__name__}")
+
+
+@pick.register
+def _(policy: SharedPriority, ready: Sequence[RankQueue], now_s: float) -> RankQueue:
+    for queue in ready:
+        queue.advance(now_s)
+        if queue.account.is_owed(queue.estimate.mean_s):
+            return queue
+    return ready[0]
--- a/ibisrack/testing/fixtures.py
+++ b/ibisrack/testing/fixtures.py
@@ -3,6 +3,7 @@
 # ruff: noqa: E501 (rules are one line each, however long)
 
 from ibisrack.membership.records import MemberRecord
+from ibisrack.rules.model import RankRule, RouteRule
 
 PILBARA_RULES = b"""\
 # Rules of Pilbara Heavy Haul Permits Group.
@@ -77,3 +78,17 @@
     place = {"service": "notice-desk", "zone": "z", "region": "r", "host": "127.0.0.1"}
     ports = {"call_port": 1, "peer_port": 2, "admin_port": 3}
     return MemberRecord(node_id=node_id, **{**place, **ports, **fields})
+
+
+def rank_rule(rank: str, **fields) -> RankRule:
+    """Returns a rank rule with defaults for a test."""
+    origin = {"line": 1, "requester": "Mei Tan", "reason": "test", "service": "notice-desk"}
+    return RankRule(rank=rank, **{**origin, "order": 1, "share_percent": 0, **fields})
+
+
+def route_rule(**fields) -> RouteRule:
+    """Returns a route rule with defaults for a test."""
+    origin = {"line": 1, "requester": "Mei Tan", "reason": "test"}
+    target = {"method": "POST", "match": "notice-desk/notices", "to": "notice-desk"}
+    traits = {"rank": "lodgement", "deadline_ms": 2000, "idempotent": False}
+    return RouteRule(**{**origin, **target, **traits, **fields})
