--- a/ibisrack/calls/headers.py
+++ b/ibisrack/calls/headers.py
@@ -12,6 +12,7 @@
 DEADLINE_MS = "Ibis-Deadline-Ms"
 DEPTH = "Ibis-Depth"
 HOP = "Ibis-Hop"
+KEY_PERIOD = "Ibis-Key-Period"
 LOAD = "Ibis-Load"
 OUTCOME = "Ibis-Outcome"
 RANK = "Ibis-Rank"
@@ -58,6 +59,7 @@
       forwarded: Whether another node chose this node's upstream.
       rank: Rank decided by the node that forwarded the call.
       idempotency_key: The caller's own key, or empty.
+      key_period: List of instances under which the caller made the key, or empty.
     """
 
     call_id: str
@@ -67,6 +69,7 @@
     forwarded: bool = False
     rank: str = ""
     idempotency_key: str = ""
+    key_period: str = ""
 
 
 def _number(headers: Mapping[str, str], name: str, limit: int) -> int | None:
@@ -95,6 +98,7 @@
         forwarded=headers.get(HOP) == "1",
         rank=headers.get(RANK, ""),
         idempotency_key=headers.get(IDEMPOTENCY_KEY, ""),
+        key_period=headers.get(KEY_PERIOD, ""),
     )
 
 
--- a/ibisrack/calls/messages.py
+++ b/ibisrack/calls/messages.py
@@ -24,6 +24,7 @@
       depth: Number of services above this call.
       retry_right: Whether this layer may try a failed call again.
       idempotency_key: The caller's own key, or empty.
+      key_period: List of instances under which the caller made the key, or empty.
     """
 
     call_id: str
@@ -37,6 +38,7 @@
     depth: int = 0
     retry_right: bool = True
     idempotency_key: str = ""
+    key_period: str = ""
 
 
 @attrs.frozen
--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -29,4 +29,8 @@
     CONNECTION_LOST = "connection-lost"
     KEY_TOO_OLD = "key-too-old"
     KEY_HOME_UNREACHABLE = "key-home-unreachable"
+    KEY_HOME_CHANGED = "key-home-changed"
+    KEY_AHEAD = "key-ahead-of-clock"
+    KEY_REUSED = "key-used-for-another-request"
+    ANSWER_NOT_KEPT = "answer-not-kept"
     WRONG_ANSWER = "answer-of-another-call"
--- a/ibisrack/calls/owner.py
+++ b/ibisrack/calls/owner.py
@@ -5,8 +5,11 @@
 
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.headers import CALL_ID, DEADLINE_MS, DEPTH, RANK, RETRY_RIGHT
+from ibisrack.calls.keyed import KeyedRuns
+from ibisrack.calls.keys import is_keyed
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.retry import passes_right
 from ibisrack.calls.transport import send
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError, UnknownOutcomeError
@@ -22,16 +25,19 @@
       node: The node's state.
       gate: Admission to the slots.
       session: HTTP client session with a connection limit.
+      keyed: At-most-once runs of keyed calls.
       in_flight: Calls admitted or queued here.
     """
 
     node: NodeState
     gate: Gate
     session: ClientSession
+    keyed: KeyedRuns
     in_flight: int = 0
 
     def reconfigure(self) -> None:
-        """Takes the slots and ranks of the version in force."""
+        """Takes the slots and ranks of the version in force, and the list of instances."""
+        self.keyed.observe(self.node.members, read_clocks().wall_ms)
         candidate = self.node.versions.in_force
         service = candidate and candidate.rules.services.get(self.node.members.own().service)
         if service:
@@ -43,7 +49,14 @@
         Raises:
           NotRunError: The call was refused and did not run.
           UnknownOutcomeError: The call may have run.
+          RequestError: The key of the call is malformed.
         """
+        if not is_keyed(call):
+            return await self._run_once(call)
+        self.keyed.observe(self.node.members, read_clocks().wall_ms)
+        return await self.keyed.run(call, self._run_once)
+
+    async def _run_once(self, call: Call) -> Answer:
         self._check_serving()
         self.in_flight += 1
         try:
@@ -63,9 +76,8 @@
             DEADLINE_MS: str(max(1, int(budget_s * 1000))),
             DEPTH: str(call.depth + 1),
             RANK: call.route.rank,
+            RETRY_RIGHT: "yes" if passes_right(call) else "held",
         }
-        if not call.retry_right:
-            headers[RETRY_RIGHT] = "held"
         base_url = self.node.settings.upstream.base_url
         answer = await send(self.session, base_url, call, headers, budget_s)
         return _verified(answer, call)
--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -8,6 +8,7 @@
 
 from ibisrack.calls.headers import (
     CALL_ID,
+    KEY_PERIOD,
     LOAD,
     OUTCOME,
     REASON,
@@ -18,6 +19,7 @@
     read_context,
 )
 from ibisrack.calls.ingress import Ingress
+from ibisrack.calls.keys import asks_home, unmatched_outcome
 from ibisrack.calls.match import match
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Outcome, Reason
@@ -31,7 +33,7 @@
 MAX_BODY_BYTES = 1024 * 1024
 _TEXT = "text/plain; charset=utf-8"
 _OWN_HEADERS = frozenset(
-    name.lower() for name in (CALL_ID, LOAD, OUTCOME, REASON, REVISION, SERVED_BY)
+    name.lower() for name in (CALL_ID, KEY_PERIOD, LOAD, OUTCOME, REASON, REVISION, SERVED_BY)
 )
 
 
@@ -64,13 +66,14 @@
             self._note(context, call, answer.outcome, "", served_by, start)
             return await self._respond(request, call, answer, served_by)
         except RequestError as error:
-            return self._refusal(
-                context.call_id, error.status, Outcome.NOT_RUN, Reason.NO_ROUTE, str(error)
-            )
+            outcome = unmatched_outcome(error, context)
+            reason = Reason.NO_ROUTE if call is None else Reason.BAD_REQUEST
+            return self._refusal(context.call_id, error.status, outcome, reason, str(error))
         except NotRunError as error:
-            self._note(context, call, Outcome.NOT_RUN, error.reason, "", start)
+            outcome = Outcome.NOT_RUN if call else unmatched_outcome(error, context)
+            self._note(context, call, outcome, error.reason, "", start)
             status = 504 if error.reason == Reason.DEADLINE else 503
-            return self._refusal(context.call_id, status, Outcome.NOT_RUN, error.reason)
+            return self._refusal(context.call_id, status, outcome, error.reason)
         except UnknownOutcomeError as error:
             self._note(context, call, Outcome.UNKNOWN, error.reason, "", start)
             status = 504 if error.reason == Reason.DEADLINE else 502
@@ -80,7 +83,7 @@
         self, request: web.BaseRequest, context: CallContext, body: bytes, start: Instant
     ) -> Call:
         state = self.node.lifecycle.state
-        if state != SERVING:
+        if state != SERVING and not asks_home(context):
             raise NotRunError(Reason.DRAINING if state == DRAINING else Reason.NOT_SERVING)
         candidate = self.node.versions.in_force
         if candidate is None:
@@ -103,6 +106,7 @@
             depth=context.depth,
             retry_right=context.retry_right,
             idempotency_key=context.idempotency_key,
+            key_period=context.key_period,
         )
 
     async def _run(self, call: Call, context: CallContext) -> tuple[Answer, str]:
@@ -119,6 +123,7 @@
             if name.lower() not in _OWN_HEADERS
         }
         headers |= self._own_headers(call.call_id, answer.outcome, served_by)
+        headers[KEY_PERIOD] = self.ingress.period(call.route.to)
         if answer.rest is None:
             return web.Response(status=answer.status, headers=headers, body=answer.body)
         response = web.StreamResponse(status=answer.status, headers=headers)
--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -10,6 +10,7 @@
 from ibisrack.calls.admission import Scheduler
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.ingress import Ingress
+from ibisrack.calls.keyed import create_keyed_runs
 from ibisrack.calls.owner import Owner
 from ibisrack.calls.server import CallServer
 from ibisrack.clocks import read_clocks
@@ -119,7 +120,8 @@
 
 def _assemble(settings: NodeSettings, session: ClientSession, upstream: ClientSession):
     node = create_node(settings, Random(settings.identity.node_id))
-    owner = Owner(node, Gate(Scheduler(slots=1)), upstream)
+    keyed = create_keyed_runs(settings.identity.node_id, read_clocks().wall_ms)
+    owner = Owner(node, Gate(Scheduler(slots=1)), upstream, keyed)
     news = News()
     process = NodeProcess(
         node,
--- a/ibisrack/testing/fixtures.py
+++ b/ibisrack/testing/fixtures.py
@@ -2,6 +2,7 @@
 
 # ruff: noqa: E501 (rules are one line each, however long)
 
+from ibisrack.calls.messages import Call
 from ibisrack.membership.records import MemberRecord
 from ibisrack.rules.model import RankRule, RouteRule
 
@@ -92,3 +93,9 @@
     target = {"method": "POST", "match": "notice-desk/notices", "to": "notice-desk"}
     traits = {"rank": "lodgement", "deadline_ms": 2000, "idempotent": False}
     return RouteRule(**{**origin, **target, **traits, **fields})
+
+
+def call_to(retry_right: bool = True, key: str = "", body: bytes = b"", **fields) -> Call:
+    """Returns a call with defaults for a test; the fields are those of its route."""
+    route = route_rule(**fields)
+    return Call("call-1", "POST", "/notices", {}, body, route, 1, 1e9, 0, retry_right, key)
