--- a/ibisrack/calls/owner.py
+++ b/ibisrack/calls/owner.py
@@ -86,7 +86,7 @@
         state = self.node.lifecycle.state
         if state == DRAINING or self.node.members.own().leaving:
             raise NotRunError(Reason.DRAINING)
-        if state != SERVING:
+        if state != SERVING or self.node.paused(read_clocks()):
             raise NotRunError(Reason.NOT_SERVING)
 
 
--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -83,7 +83,8 @@
         self, request: web.BaseRequest, context: CallContext, body: bytes, start: Instant
     ) -> Call:
         state = self.node.lifecycle.state
-        if state != SERVING and not asks_home(context):
+        is_ready = state == SERVING and not self.node.paused(start)
+        if not is_ready and not asks_home(context):
             raise NotRunError(Reason.DRAINING if state == DRAINING else Reason.NOT_SERVING)
         candidate = self.node.versions.in_force
         if candidate is None:
--- a/ibisrack/exchange/conversation.py
+++ b/ibisrack/exchange/conversation.py
@@ -4,17 +4,15 @@
 from typing import Any
 
 import attrs
-from grpc.aio import Channel
 
-# The handlers register themselves when their modules are imported.
-import ibisrack.membership.handlers
-import ibisrack.versions.handlers  # noqa: F401
+import ibisrack.exchange.registry  # noqa: F401
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import MessageError, PeerError
-from ibisrack.exchange.carrier import send_frame
+from ibisrack.exchange.carrier import Channel, send_frame
 from ibisrack.exchange.codec import decode_frame, encode_frame
 from ibisrack.exchange.dispatch import greeting, process
 from ibisrack.exchange.messages import Hello
+from ibisrack.membership.upkeep import news_for, told
 from ibisrack.node.state import NodeState
 
 MAX_ROUNDS = 8  # An offer takes four; more means that the peers talk past each other.
@@ -44,12 +42,23 @@
         Raises:
           MessageError: The frame is not valid.
         """
-        replies = self._process(decode_frame(frame))
-        return encode_frame((*greeting(self.node, read_clocks()), *replies))
-
-    async def converse(self, channel: Channel, timeout_s: float) -> Hello:
+        messages = decode_frame(frame)
+        replies = self._process(messages)
+        peer_id = _sender(messages).sender.node_id
+        news = news_for(self.node, peer_id)
+        told(self.node, peer_id, news)
+        return encode_frame((*greeting(self.node, read_clocks()), *replies, *news))
+
+    async def converse(
+        self, channel: Channel, timeout_s: float, opening: tuple[Any, ...] = ()
+    ) -> Hello:
         """Exchanges with a peer until neither side has anything to add.
 
+        Args:
+          channel: Connection to the peer.
+          timeout_s: Time for each answer.
+          opening: Messages of the first frame; the digest of the member table when empty.
+
         Returns:
           The peer's greeting.
 
@@ -57,7 +66,7 @@
           PeerError: The peer did not answer.
           MessageError: The peer's answer is not valid.
         """
-        to_send: tuple[Any, ...] = (self.node.members.digest(),)
+        to_send: tuple[Any, ...] = opening or (self.node.members.digest(),)
         for _ in range(MAX_ROUNDS):
             frame = encode_frame((*greeting(self.node, read_clocks()), *to_send))
             messages = decode_frame(await send_frame(channel, frame, timeout_s))
@@ -80,9 +89,11 @@
         return replies
 
 
-async def try_converse(exchanger: Exchanger, channel: Channel, timeout_s: float) -> Hello | None:
+async def try_converse(
+    exchanger: Exchanger, channel: Channel, timeout_s: float, opening: tuple[Any, ...] = ()
+) -> Hello | None:
     """Converses with a peer; returns None when it failed."""
     try:
-        return await exchanger.converse(channel, timeout_s)
+        return await exchanger.converse(channel, timeout_s, opening)
     except (PeerError, MessageError):
         return None
--- a/ibisrack/testing/fixtures.py
+++ b/ibisrack/testing/fixtures.py
@@ -2,9 +2,19 @@
 
 # ruff: noqa: E501 (rules are one line each, however long)
 
+from random import Random
+
 from ibisrack.calls.messages import Call
 from ibisrack.membership.records import MemberRecord
+from ibisrack.node.state import NodeState, create_node
 from ibisrack.rules.model import RankRule, RouteRule
+from ibisrack.settings.node import (
+    IdentitySettings,
+    ListenSettings,
+    NodeSettings,
+    PlatformSettings,
+    UpstreamSettings,
+)
 
 PILBARA_RULES = b"""\
 # Rules of Pilbara Heavy Haul Permits Group.
@@ -99,3 +109,16 @@
     """Returns a call with defaults for a test; the fields are those of its route."""
     route = route_rule(**fields)
     return Call("call-1", "POST", "/notices", {}, body, route, 1, 1e9, 0, retry_right, key)
+
+
+def bare_node(
+    node_id: str, zone: str = "z", region: str = "r", seed: int = 1, peer_port: int = 2
+) -> NodeState:
+    """Returns the state of a node that has just started, without tasks or servers."""
+    settings = NodeSettings(
+        IdentitySettings(node_id, "notice-desk", zone, region),
+        ListenSettings("127.0.0.1", 1, peer_port, 3),
+        UpstreamSettings("http://127.0.0.1:4"),
+        PlatformSettings("http://127.0.0.1:5"),
+    )
+    return create_node(settings, Random(seed))
