--- /dev/null
+++ b/ibisrack/calls/gate_test.py
@@ -0,0 +1,71 @@
+"""Tests of the asynchronous shell around the scheduler."""
+
+import asyncio
+import time
+
+import attrs
+
+from ibisrack.calls.admission import Scheduler
+from ibisrack.calls.gate import Gate
+from ibisrack.calls.outcomes import Reason
+from ibisrack.errors import NotRunError
+from ibisrack.testing.fixtures import call_to, rank_rule
+from ibisrack.testing.functions import function_tests
+
+
+def one_slot_gate() -> Gate:
+    scheduler = Scheduler(1)
+    scheduler.configure(1, (rank_rule("lodgement"),), 0.0)
+    return Gate(scheduler)
+
+
+async def hold(gate: Gate, release: asyncio.Event) -> None:
+    async with gate.slot(call_to()):
+        await release.wait()
+
+
+async def test_a_waiting_call_ends_at_its_deadline():
+    """Guards against callers that wait for ever behind a stuck call."""
+    gate, release = one_slot_gate(), asyncio.Event()
+    holder = asyncio.create_task(hold(gate, release))
+    await asyncio.sleep(0)
+    try:
+        async with gate.slot(attrs.evolve(call_to(), deadline_at_s=time.monotonic() + 0.01)):
+            raise AssertionError("the call must not start")
+    except NotRunError as error:
+        assert error.reason == Reason.DEADLINE
+    assert gate.load().queued == 0
+    release.set()
+    await holder
+
+
+async def test_after_a_pause_late_calls_are_refused_as_not_run():
+    """Guards against queued calls that start after their deadline when a process wakes."""
+    gate, release = one_slot_gate(), asyncio.Event()
+    holder = asyncio.create_task(hold(gate, release))
+    await asyncio.sleep(0)
+    late = attrs.evolve(call_to(), deadline_at_s=time.monotonic() + 0.02)
+    waiting = asyncio.create_task(gate.slot(late).__aenter__())
+    await asyncio.sleep(0)
+    time.sleep(0.03)  # The event loop stands still, as in a pause.
+    gate.expire()
+    result = (await asyncio.gather(waiting, return_exceptions=True))[0]
+    assert isinstance(result, NotRunError)
+    release.set()
+    await holder
+
+
+async def test_a_cancelled_wait_frees_its_place():
+    """Guards against slots that leak when callers go away."""
+    gate, release = one_slot_gate(), asyncio.Event()
+    holder = asyncio.create_task(hold(gate, release))
+    await asyncio.sleep(0)
+    waiting = [asyncio.create_task(hold(gate, release)) for _ in range(3)]
+    await asyncio.sleep(0)
+    waiting[0].cancel()
+    release.set()
+    await asyncio.gather(holder, *waiting, return_exceptions=True)
+    assert (gate.load().busy, gate.load().queued) == (0, 0)
+
+
+load_tests = function_tests(__name__)
