--- /dev/null
+++ b/ibisrack/admin/messages.py
@@ -0,0 +1,150 @@
+"""Answers of the admin port, one class for each endpoint, and their decoding.
+
+Unknown fields are ignored, so that tools keep working while nodes of a newer build are rolled out;
+missing fields and wrong types are errors.
+"""
+
+from typing import TypeVar
+
+import attrs
+import msgspec
+
+from ibisrack.errors import MessageError
+
+T = TypeVar("T")
+
+ALIVE, SUSPECT, DEAD = 0, 1, 2  # Values of membership.records.Liveness as JSON numbers.
+
+
+@attrs.frozen
+class Load:
+    """Load of the upstream beside a node."""
+
+    busy: int
+    queued: int
+    slots: int
+
+
+@attrs.frozen
+class Status:
+    """Answer of GET /status, as far as the tools need it.
+
+    Attributes:
+      node_id: Name of the host.
+      zone: Availability zone.
+      state: Lifecycle state.
+      revision: Revision in force, 0 for none.
+      digest: Digest in force, hexadecimal.
+      refused_revision: Highest refused revision, 0 for none.
+      refused_faults: Faults of the refused version, with line and requester.
+      load: Load of the upstream.
+    """
+
+    node_id: str
+    zone: str
+    state: str
+    revision: int
+    digest: str
+    refused_revision: int
+    refused_faults: tuple[str, ...]
+    load: Load
+
+
+@attrs.frozen
+class Member:
+    """One record of the answer of GET /members, as far as the tools need it."""
+
+    node_id: str
+    service: str
+    zone: str
+    region: str
+    host: str
+    admin_port: int
+    leaving: bool = False
+    liveness: int = ALIVE
+
+    @property
+    def admin_address(self) -> str:
+        """Address of the admin port, IP:PORT."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.admin_port}"
+
+
+@attrs.frozen
+class RuleWork:
+    """What one rule did at one node in the last minute.
+
+    Attributes:
+      revision: Revision that the line number belongs to.
+      line: Line of the route.
+      service: Service of the route.
+      rank: Rank of the calls.
+      demand: Calls that ended here as ingress.
+      served: Calls with outcome done.
+      refused: Calls with outcome not-run.
+      unknown: Calls whose outcome is not known.
+    """
+
+    revision: int
+    line: int
+    service: str
+    rank: str
+    demand: int
+    served: int
+    refused: int
+    unknown: int
+
+
+@attrs.frozen
+class Work:
+    """Answer of GET /work.
+
+    Attributes:
+      node_id: Name of the host.
+      window_s: Time that the figures cover; less than a minute after a start.
+      rules: Figures by rule.
+    """
+
+    node_id: str
+    window_s: float
+    rules: tuple[RuleWork, ...]
+
+
+@attrs.frozen
+class Report:
+    """Answer of GET /report: status and work in one read."""
+
+    status: Status
+    work: Work
+
+
+@attrs.frozen
+class RulesText:
+    """Answer of GET /rules: the rules file in force.
+
+    Attributes:
+      revision: Revision in force, 0 for none.
+      digest: Digest in force, hexadecimal.
+      content: The whole rules file.
+    """
+
+    revision: int
+    digest: str
+    content: str
+
+
+def decode(body: bytes, cls: type[T]) -> T:
+    """Decodes an answer of the admin port.
+
+    Args:
+      body: JSON text.
+      cls: Class of the answer.
+
+    Raises:
+      MessageError: The answer is malformed, or a field is missing or of a wrong type.
+    """
+    try:
+        return msgspec.json.decode(body, type=cls)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        name = getattr(cls, "__name__", str(cls))
+        raise MessageError(f"not a valid {name} answer: {error}") from error
