--- a/ibisrack/admin/messages.py
+++ b/ibisrack/admin/messages.py
@@ -70,54 +70,6 @@
         return f"{host}:{self.admin_port}"
 
 
-@attrs.frozen
-class RuleWork:
-    """What one rule did at one node in the last minute.
-
-    Attributes:
-      revision: Revision that the line number belongs to.
-      line: Line of the route.
-      service: Service of the route.
-      rank: Rank of the calls.
-      demand: Calls that ended here as ingress.
-      served: Calls with outcome done.
-      refused: Calls with outcome not-run.
-      unknown: Calls whose outcome is not known.
-    """
-
-    revision: int
-    line: int
-    service: str
-    rank: str
-    demand: int
-    served: int
-    refused: int
-    unknown: int
-
-
-@attrs.frozen
-class Work:
-    """Answer of GET /work.
-
-    Attributes:
-      node_id: Name of the host.
-      window_s: Time that the figures cover; less than a minute after a start.
-      rules: Figures by rule.
-    """
-
-    node_id: str
-    window_s: float
-    rules: tuple[RuleWork, ...]
-
-
-@attrs.frozen
-class Report:
-    """Answer of GET /report: status and work in one read."""
-
-    status: Status
-    work: Work
-
-
 @attrs.frozen
 class RulesText:
     """Answer of GET /rules: the rules file in force.
--- a/ibisrack/ctl/commands.py
+++ b/ibisrack/ctl/commands.py
@@ -120,8 +120,9 @@
 class Fleet(Command):
     """Shows the accepted version, the nodes of each zone on it, and the stragglers with the cause.
 
-    Asks the first of the --node addresses that answers for its member table, then every member.
-    Exits with 1 when a node is behind.
+    Asks the first of the --node addresses that answers for its view of the fleet, and silent nodes
+    directly.  Exits with 1 when a node is not known to be on the accepted version, and with 3 when
+    no node answers or a zone is out of date.  --watch repeats it as a terminal screen.
     """
 
     NAME: ClassVar[str] = "fleet"
--- a/ibisrack/ctl/nodes.py
+++ b/ibisrack/ctl/nodes.py
@@ -13,7 +13,7 @@
 from ibisrack.ctl.run import admin_client, run_command
 from ibisrack.room.poller import Poller
 from ibisrack.room.terminal import fleet_lines, work_lines
-from ibisrack.room.view import FleetView
+from ibisrack.room.view import ScreenView
 from ibisrack.timeline.merge import CallTrace, Record, merge, select, trace
 
 
@@ -23,13 +23,12 @@
         poller = Poller(client, options.nodes)
         await poller.read_round()
         view = poller.view()
-    if poller.readings.source_error is not None:
-        raise poller.readings.source_error
-    return Result(tuple(fleet_lines(view) + ["", *work_lines(view)]), view, _fleet_exit(view))
+    lines = (*fleet_lines(view), "", *work_lines(view))
+    return Result(lines, view, _fleet_exit(view))
 
 
-def _fleet_exit(view: FleetView) -> int:
-    if any(zone.silent for zone in view.zones):
+def _fleet_exit(view: ScreenView) -> int:
+    if not view.source or any(zone.stale for zone in view.zones):
         return EXIT_UNREACHABLE
     return EXIT_OK if view.on_accepted == view.total else EXIT_FAULTS
 
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -4,11 +4,14 @@
 
 import attrs
 
-from ibisrack.calls.tally import CallTally
+from ibisrack.calls.tally import Tally
 from ibisrack.clocks import Instant
 from ibisrack.membership.records import MemberRecord
 from ibisrack.membership.table import MemberTable
 from ibisrack.node.lifecycle import Lifecycle
+from ibisrack.node.observe import observe
+from ibisrack.room.counters import CallCounters
+from ibisrack.room.reports import RoomState
 from ibisrack.settings.node import NodeSettings
 from ibisrack.timeline.events import (
     Event,
@@ -58,10 +61,12 @@
       members: The member table.
       versions: The versions held.
       log: Recent events.
+      room: Reports and summaries for the screens.
+      counters: Calls of the last minute.
       lifecycle: The node's own state machine.
       links: Health of the links.
       last_tick_s: Monotonic time of the last tick, for pause detection.
-      tally: Counts of events and calls.
+      tally: Counts of events and calls since the start.
     """
 
     settings: NodeSettings
@@ -69,14 +74,16 @@
     members: MemberTable
     versions: VersionStore
     log: EventLog
+    room: RoomState
+    counters: CallCounters = attrs.field(factory=CallCounters)
     lifecycle: Lifecycle = attrs.field(factory=Lifecycle)
     links: LinkHealth = attrs.field(factory=LinkHealth)
     last_tick_s: float | None = None
-    tally: CallTally = attrs.field(factory=CallTally)
+    tally: Tally = attrs.field(factory=Tally)
 
     def record(self, event: Event, now: Instant) -> None:
         """Adds an event to the time line, the counts and, for control events, the log."""
-        self.tally.count(event, now.monotonic_s)
+        observe(event, self.tally, self.counters, now.monotonic_s)
         write_entry(self.log.record(event, now.wall_ms))
 
     def move(self, trigger: str, now: Instant) -> None:
@@ -144,4 +151,4 @@
         )
     )
     log = EventLog(identity.node_id, settings.timeline.capacity_events)
-    return NodeState(settings, rng, members, VersionStore(), log)
+    return NodeState(settings, rng, members, VersionStore(), log, RoomState(identity.zone))
--- a/ibisrack/room/page/room.js
+++ b/ibisrack/room/page/room.js
@@ -26,6 +26,14 @@
   document.getElementById(id).textContent = text;
 }
 
+function fill(id, children) {
+  document.getElementById(id).replaceChildren(...children);
+}
+
+function setText(id, text) {
+  document.getElementById(id).textContent = text;
+}
+
 function seconds(age) {
   return age === null ? "never" : `${Math.round(age)} s ago`;
 }
@@ -43,16 +51,15 @@
     return;
   }
   const counts = `${view.on_accepted} of ${view.total} nodes on it`;
-  const leaving = view.leaving ? `, ${view.leaving} leaving as planned` : "";
   const complete = view.on_accepted === view.total;
   const state = `VERSION ${view.accepted_revision} ${complete ? "ON ALL NODES" : "NOT ON ALL"}`;
-  showBanner(complete ? "good" : "bad", complete ? "\u2713" : "\u2717", state, counts + leaving);
+  showBanner(complete ? "good" : "bad", complete ? "\u2713" : "\u2717", state, counts);
 }
 
 function notes(view) {
   const found = view.problems.map((text) => element("div", "note", `\u25b2 ${text}`));
   if (view.refused) {
-    const head = `\u2717 VERSION ${view.refused.revision} REFUSED by ${view.refused.node_count} nodes, the accepted version stays in force`;
+    const head = `\u2717 NEWER VERSION REFUSED by at least ${view.refused.node_count} nodes, version ${view.accepted_revision} stays in force`;
     const box = element("div", "note refusal", head);
     for (const fault of view.refused.faults.slice(0, MAX_FAULTS)) box.append(element("div", "", fault));
     const more = view.refused.faults.length - MAX_FAULTS;
@@ -63,28 +70,30 @@
 }
 
 function zone(item) {
-  const complete = item.on_accepted === item.total;
+  const complete = item.on_accepted === item.total && !item.stale;
   const box = element("div", complete ? "zone" : "zone short");
   box.append(element("div", "name", `${complete ? "\u2713" : "\u2717"} ${item.zone}`));
   box.append(element("div", "big", `${item.on_accepted} of ${item.total}`));
-  const rest = complete ? "all on it" : `${item.behind} behind, ${item.silent} silent`;
-  box.append(element("div", "rest", rest));
+  const age = item.age_s === null ? "nothing known" : `${Math.ceil(item.age_s)} s old`;
+  box.append(element("div", "rest", item.stale ? `OUT OF DATE, ${age}` : age));
   return box;
 }
 
 function straggler(item) {
   const box = element("div", "straggler");
   const who = element("div", "who");
-  who.append(element("span", "cause", item.cause), `${item.node_id}, ${item.zone}`);
-  const last = item.revision ? `last known on ${item.revision}, ` : "";
-  box.append(who, element("div", "detail", `${last}heard ${seconds(item.age_s)}; ${item.detail}`));
+  who.append(element("span", "cause", item.cause), item.node_id);
+  const last = item.revision ? `, last known on ${item.revision}` : "";
+  box.append(who, element("div", "detail", `${item.zone}${last}; ${item.detail}`));
   return box;
 }
 
-function stragglers(items) {
-  if (!items.length) return [element("div", "none", "\u2713 none")];
-  const shown = items.slice(0, MAX_STRAGGLERS).map(straggler);
-  if (items.length > MAX_STRAGGLERS) shown.push(element("div", "none", `and ${items.length - MAX_STRAGGLERS} more`));
+function stragglers(view) {
+  if (!view.accepted_revision) return [element("div", "none", "? not known")];
+  if (!view.straggler_count) return [element("div", "none", "\u2713 none")];
+  const shown = view.stragglers.slice(0, MAX_STRAGGLERS).map(straggler);
+  const rest = view.straggler_count - shown.length;
+  if (rest > 0) shown.push(element("div", "none", `and ${rest} more`));
   return shown;
 }
 
@@ -125,7 +134,7 @@
 function ruleRow(item) {
   const cells = [
     [item.line, "number"], [item.route, "strong"], [item.demand, "number"], [item.served, "number"],
-    [item.refused, "number"], [`${item.requester}: ${item.reason}`, "why"],
+    [item.refused, "number"], [item.unknown, "number"], [`${item.requester}: ${item.reason}`, "why"],
   ];
   return row("td", cells);
 }
@@ -133,9 +142,9 @@
 function rules(items) {
   const head = [
     ["line", "number"], ["route", ""], ["demand", "number"], ["served", "number"],
-    ["refused", "number"], ["asked by, and why", ""],
+    ["refused", "number"], ["unknown", "number"], ["asked by, and why", ""],
   ];
-  return [row("th", head), ...items.slice(0, MAX_RULES).map(ruleRow), ...more(items.length, MAX_RULES, 6)];
+  return [row("th", head), ...items.slice(0, MAX_RULES).map(ruleRow), ...more(items.length, MAX_RULES, 7)];
 }
 
 function show(title, view) {
@@ -145,9 +154,8 @@
   banner(view);
   fill("notes", notes(view));
   fill("zones", view.zones.map(zone));
-  setText("straggler-count", view.stragglers.length ? `(${view.stragglers.length})` : "");
-  fill("stragglers", stragglers(view.stragglers));
-  setText("work-nodes", `(from ${view.work_nodes} of ${view.total} nodes)`);
+  setText("straggler-count", view.straggler_count ? `(${view.straggler_count})` : "");
+  fill("stragglers", stragglers(view));
   fill("ranks", ranks(view.ranks));
   fill("rules", rules(view.rules));
 }
--- a/ibisrack/room/poller.py
+++ b/ibisrack/room/poller.py
@@ -1,55 +1,55 @@
 """Reads the fleet for all screens together.
 
-One poller asks every listed node in turn, at most max_reads_per_s nodes a second, and keeps the
-answers in memory.  The cost for the fleet depends on that bound, not on the number of screens.
+One poller asks one node for GET /fleet in each round, falls over to the next one, and keeps the
+answer in memory.  Silent nodes are asked directly, at most MAX_PROBES in a round.  The cost for the
+fleet depends on these bounds, not on the number of nodes or screens.
 """
 
 import asyncio
-from collections.abc import Iterator
 
 import attrs
 
-from ibisrack.admin.client import AdminClient, AdminError
-from ibisrack.admin.messages import DEAD, Member, Report, RulesText
+from ibisrack.admin.client import AdminClient, AdminError, Silence
+from ibisrack.admin.messages import DEAD, Member, RulesText, Status
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import RulesError
-from ibisrack.room.assemble import assemble
-from ibisrack.room.readings import Readings
-from ibisrack.room.view import FleetView
+from ibisrack.room.assemble import Known, assemble
+from ibisrack.room.fleet import FleetView
+from ibisrack.room.stragglers import ASLEEP, CUT_OFF
+from ibisrack.room.view import ScreenView
 from ibisrack.rules.ruleset import check
 
-PACE_S = 1.0
+MAX_PROBES = 10
+MEMBERS_INTERVAL_S = 30.0  # The member table of 1,300 nodes has about 300 KB of JSON.
 MAX_FALLBACK_ADDRESSES = 5
 
 
 @attrs.define
 class Poller:
-    """Keeps readings fresh.
+    """Keeps what screens show fresh.
 
     Attributes:
       client: Asks the nodes.
-      addresses: Admin addresses to ask for the list of nodes; other members follow as a fallback.
-      max_reads_per_s: Bound on the reads of nodes.
-      interval_s: Least time between two reads of a node.
-      stale_s: Least age from which a node's answer is no longer counted as current.
-      readings: What was read.
+      addresses: Admin addresses to ask; other members follow when none of them answers.
+      interval_s: Time between two rounds.
+      stale_s: Age from which a zone is shown as out of date.
+      known: What was read.
     """
 
     client: AdminClient
     addresses: tuple[str, ...]
-    max_reads_per_s: int = 100
     interval_s: float = 2.0
-    stale_s: float = 10.0
-    readings: Readings = attrs.field(factory=Readings)
-
-    def view(self) -> FleetView:
-        """Returns the view of the present readings."""
-        return assemble(self.readings, read_clocks().monotonic_s, self.stale_after_s())
-
-    def stale_after_s(self) -> float:
-        """Returns the age of stale answers; a round over a large fleet takes longer."""
-        rounds_s = len(self.readings.members) / self.max_reads_per_s + self.interval_s
-        return max(self.stale_s, 2 * rounds_s)
+    stale_s: float = 15.0
+    known: Known = Known()
+    _fleet_at_s: float = 0.0
+    _members: tuple[Member, ...] = ()
+    _members_at_s: float | None = None
+    _source: str = ""
+
+    def view(self) -> ScreenView:
+        """Returns the view with its ages as of now."""
+        age_s = read_clocks().monotonic_s - self._fleet_at_s
+        return assemble(attrs.evolve(self.known, fleet_age_s=age_s), self.stale_s)
 
     async def run(self) -> None:
         """Reads round after round until cancelled."""
@@ -59,54 +59,67 @@
             await asyncio.sleep(max(0.0, ends_s - read_clocks().monotonic_s))
 
     async def read_round(self) -> None:
-        """Reads the list of nodes, then every node once, then new rules."""
-        await self._read_members()
-        for batch in _batches(self.readings.members, self.max_reads_per_s):
-            ends_s = read_clocks().monotonic_s + PACE_S
-            await asyncio.gather(*(self._read_node(member) for member in batch))
-            if len(batch) == self.max_reads_per_s:
-                await asyncio.sleep(max(0.0, ends_s - read_clocks().monotonic_s))
-        await self._read_rules()
-
-    async def _read_members(self) -> None:
-        alive = [m.admin_address for m in self.readings.members if m.liveness != DEAD]
-        addresses = dict.fromkeys((*self.addresses, *alive[:MAX_FALLBACK_ADDRESSES]))
-        try:
-            members, source = await self.client.members(addresses)
-        except AdminError as error:
-            self.readings.source_error = error
+        """Reads the fleet view, the rules when they changed, the members, and probes nodes."""
+        if not await self._read_fleet():
             return
-        self.readings.take_members(members, source, read_clocks().monotonic_s)
-
-    async def _read_node(self, member: Member) -> None:
-        answer: Report | AdminError
-        try:
-            answer = await self.client.get(member.admin_address, "/report", Report)
-        except AdminError as error:
-            answer = error
-        self.readings.take_report(member.node_id, answer, read_clocks().monotonic_s)
+        await self._read_rules()
+        await self._read_members()
+        await self._probe()
+
+    def _candidates(self) -> list[str]:
+        """Returns the addresses to ask, the one that answered last first."""
+        alive = [m.admin_address for m in self._members if m.liveness != DEAD]
+        known = [self._source] if self._source else []
+        return list(dict.fromkeys((*known, *self.addresses, *alive[:MAX_FALLBACK_ADDRESSES])))
+
+    async def _read_fleet(self) -> bool:
+        error: AdminError | None = None
+        for address in self._candidates():
+            try:
+                fleet = await self.client.get(address, "/fleet", FleetView)
+            except AdminError as caught:
+                error = caught
+                continue
+            self._source = address
+            self._fleet_at_s = read_clocks().monotonic_s
+            self.known = attrs.evolve(self.known, fleet=fleet, error="")
+            return True
+        self.known = attrs.evolve(self.known, error=str(error))
+        return False
 
     async def _read_rules(self) -> None:
-        accepted, _ = self.readings.accepted()
-        if accepted == self.readings.rules_revision:
-            return
-        address = next(self._holders(accepted), None)
-        if address is None:
+        accepted = self.known.fleet.accepted
+        if accepted is None or accepted.revision == self.known.rules_revision:
             return
         try:
-            text = await self.client.get(address, "/rules", RulesText)
-            self.readings.take_rules(check(text.content.encode(), "rules"), text.revision)
+            text = await self.client.get(self._source, "/rules", RulesText)
+            rules = check(text.content.encode(), "rules")
         except (AdminError, RulesError):
-            return  # The view tells which rules it shows; the next round asks again.
-
-    def _holders(self, revision: int) -> Iterator[str]:
-        for member in self.readings.members:
-            reading = self.readings.nodes.get(member.node_id)
-            if reading and reading.error is None and reading.report:
-                if reading.report.status.revision == revision:
-                    yield member.admin_address
-
+            return  # The view names the revision of the rules that it shows.
+        self.known = attrs.evolve(self.known, rules=rules, rules_revision=text.revision)
 
-def _batches(members: tuple[Member, ...], size: int) -> Iterator[tuple[Member, ...]]:
-    for start in range(0, len(members), size):
-        yield members[start : start + size]
+    async def _read_members(self) -> None:
+        now_s = read_clocks().monotonic_s
+        if self._members_at_s is not None and now_s - self._members_at_s < MEMBERS_INTERVAL_S:
+            return
+        try:
+            self._members = await self.client.get(self._source, "/members", tuple[Member, ...])
+        except AdminError:
+            return  # Only fallback addresses and probes depend on it.
+        self._members_at_s = now_s
+
+    async def _probe(self) -> None:
+        """Asks silent nodes directly, as this process may see more of the cause."""
+        listed = [node for zone in self.known.fleet.zones for node in zone.stragglers]
+        silent = {node.node_id for node in listed if node.cause in (ASLEEP, CUT_OFF)}
+        found = [m for m in self._members if m.node_id in silent][:MAX_PROBES]
+        results = await asyncio.gather(*(self._probe_one(member) for member in found))
+        probes = {member.node_id: r for member, r in zip(found, results, strict=True)}
+        self.known = attrs.evolve(self.known, probes=probes)
+
+    async def _probe_one(self, member: Member) -> Silence | None:
+        try:
+            await self.client.get(member.admin_address, "/status", Status)
+        except AdminError as error:
+            return error.silence
+        return None
--- a/ibisrack/room/server.py
+++ b/ibisrack/room/server.py
@@ -17,6 +17,7 @@
 from ibisrack.settings.room import RoomSettings
 
 VIEW_KEPT_S = 0.5
+MAX_CONNECTIONS = 16
 _CONTENT_TYPES = {"index.html": "text/html", "room.css": "text/css", "room.js": "text/javascript"}
 _HEADERS = {
     "Cache-Control": "no-store",
@@ -72,12 +73,11 @@
 async def run_room(settings: RoomSettings) -> None:
     """Reads the fleet and serves screens until cancelled."""
     poll = settings.poll
-    connector = TCPConnector(limit=poll.max_reads_per_s)
+    connector = TCPConnector(limit=MAX_CONNECTIONS)
     async with ClientSession(connector=connector, cookie_jar=DummyCookieJar()) as session:
         poller = Poller(
-            AdminClient(session, poll.timeout_s, concurrency=poll.max_reads_per_s),
+            AdminClient(session, poll.timeout_s, MAX_CONNECTIONS),
             poll.admin_addresses,
-            poll.max_reads_per_s,
             poll.interval_s,
             poll.stale_s,
         )
--- a/ibisrack/room/terminal.py
+++ b/ibisrack/room/terminal.py
@@ -3,18 +3,13 @@
 from collections.abc import Iterable
 
 from ibisrack.ctl.output import printable, table
-from ibisrack.room.view import FleetView, RankView, RuleView, Straggler, ZoneView
+from ibisrack.room.view import RankView, RuleView, ScreenView, StragglerView, ZoneView
 
 MAX_STRAGGLERS = 20
 MAX_RULES = 20
 
 
-def seconds(age_s: float | None) -> str:
-    """Formats an age."""
-    return "never" if age_s is None else f"{age_s:.0f} s ago"
-
-
-def headline(view: FleetView) -> str:
+def headline(view: ScreenView) -> str:
     """Returns the state of the fleet in one line."""
     if not view.accepted_revision:
         return "UNKNOWN: no node has told a version"
@@ -24,15 +19,15 @@
 
 
 def _zone_row(zone: ZoneView) -> tuple[str, ...]:
-    mark = "ok" if zone.on_accepted == zone.total else "!!"
+    mark = "ok" if zone.on_accepted == zone.total and not zone.stale else "!!"
+    age = "nothing known" if zone.age_s is None else f"{zone.age_s:.0f} s old"
     counts = f"{zone.on_accepted} of {zone.total}"
-    return (mark, zone.zone, zone.region, counts, f"{zone.behind} behind", f"{zone.silent} silent")
+    return (mark, zone.zone, zone.region, counts, f"OUT OF DATE, {age}" if zone.stale else age)
 
 
-def _straggler_row(node: Straggler) -> tuple[str, ...]:
-    revision = f"revision {node.revision}" if node.revision else "no revision"
-    heard = f"heard {seconds(node.age_s)}"
-    return (node.cause.upper(), node.node_id, node.zone, revision, heard, printable(node.detail))
+def _straggler_row(node: StragglerView) -> tuple[str, ...]:
+    revision = f"last on {node.revision}" if node.revision else "no revision"
+    return (node.cause.upper(), node.node_id, node.zone, revision, printable(node.detail))
 
 
 def _rank_row(rank: RankView) -> tuple[str, ...]:
@@ -52,32 +47,27 @@
     return lines + ([f"and {len(rows) - limit} more {what}"] if len(rows) > limit else [])
 
 
-def fleet_lines(view: FleetView) -> list[str]:
+def fleet_lines(view: ScreenView) -> list[str]:
     """Returns the part of the view about versions and nodes."""
-    age = "no data" if view.age_s is None else f"oldest answer {view.age_s:.0f} s old"
-    lines = [headline(view), f"{age}; list of nodes from {view.source or 'nobody'}"]
-    if view.leaving:
-        lines.append(f"{view.leaving} nodes are leaving as planned and are not counted")
+    age = "no data" if view.age_s is None else f"data up to {view.age_s:.0f} s old"
+    lines = [headline(view), f"{age}, from {view.source or 'nobody'}"]
     lines += [f"NOTE {printable(problem)}" for problem in view.problems]
     if view.refused:
-        lines += [
-            "",
-            f"REFUSED revision {view.refused.revision} by {view.refused.node_count} nodes",
-        ]
+        lines += ["", f"REFUSED: a newer version, by at least {view.refused.node_count} nodes"]
         lines += [f"  {printable(fault)}" for fault in view.refused.faults[:MAX_STRAGGLERS]]
     lines += ["", *table(map(_zone_row, view.zones))]
-    if view.stragglers:
-        rows = map(_straggler_row, view.stragglers)
-        lines += ["", *_cut(rows, MAX_STRAGGLERS, "stragglers")]
+    if view.straggler_count:
+        rows = list(map(_straggler_row, view.stragglers[:MAX_STRAGGLERS]))
+        lines += ["", f"{view.straggler_count} stragglers", *table(rows)]
     return lines
 
 
-def work_lines(view: FleetView) -> list[str]:
+def work_lines(view: ScreenView) -> list[str]:
     """Returns the part of the view about calls of the last minute."""
     head = ("service", "rank", "share", "demand", "served", "refused", "unknown", "kept")
     rules = ("line", "route", "demand", "served", "refused", "unknown", "asked by", "why")
     return [
-        f"calls of the last minute, from {view.work_nodes} of {view.total} nodes",
+        "calls of the last minute",
         *table([head, *map(_rank_row, view.ranks)]),
         "",
         *_cut([rules, *map(_rule_row, view.rules)], MAX_RULES + 1, "routes"),
--- a/ibisrack/room/view.py
+++ b/ibisrack/room/view.py
@@ -10,21 +10,23 @@
 
 
 class Cause(StrEnum):
-    """Why a node is not on the accepted version, as far as it is known."""
+    """Why a node is not known to be on the accepted version.
+
+    The first five are those of GET /fleet.  NOT_RUNNING and the refined ASLEEP come from the
+    process that serves the screen, which asks silent nodes itself.
+    """
 
     REFUSED = "refused"
     STARTING = "starting"
-    WAKING = "waking up"
-    BEHIND = "catching up"
+    BEHIND = "behind"
     ASLEEP = "asleep"
     CUT_OFF = "cut off"
     NOT_RUNNING = "not running"
-    BAD_ANSWER = "bad answer"
-    NOT_READ = "not read yet"
+    OTHER = "other"
 
 
 @attrs.frozen
-class Straggler:
+class StragglerView:
     """A node that is not known to be on the accepted version.
 
     Attributes:
@@ -33,7 +35,6 @@
       cause: Why.
       detail: What was seen; for a refusal the line, the reason and who asked.
       revision: Last revision that the node told, 0 when none is known.
-      age_s: Age of the node's last answer, None when it never answered.
     """
 
     node_id: str
@@ -41,7 +42,6 @@
     cause: Cause
     detail: str
     revision: int
-    age_s: float | None
 
 
 @attrs.frozen
@@ -51,18 +51,18 @@
     Attributes:
       zone: Availability zone.
       region: Region of the zone.
-      total: Listed nodes that are not leaving.
-      on_accepted: Nodes that answered with the accepted version in force.
-      behind: Nodes that answered and are not on it.
-      silent: Nodes of which nothing current is known.
+      total: Nodes of the zone.
+      on_accepted: Nodes known to have the accepted version in force.
+      age_s: Age of what is shown, None when nothing has arrived.
+      stale: Whether that is too old to be relied on.
     """
 
     zone: str
     region: str
     total: int
     on_accepted: int
-    behind: int
-    silent: int
+    age_s: float | None
+    stale: bool
 
 
 @attrs.frozen
@@ -120,39 +120,35 @@
 
 
 @attrs.frozen
-class RefusedVersion:
-    """The newest version that nodes refused.
+class RefusalView:
+    """A version that nodes refused although they are on the accepted one.
 
     Attributes:
-      revision: Its revision.
-      node_count: Nodes that told of the refusal.
-      faults: Line, reason and requester of each fault.
+      node_count: Nodes that are listed with the refusal; there may be more.
+      faults: File, line, reason and requester, without repetitions.
     """
 
-    revision: int
     node_count: int
     faults: tuple[str, ...]
 
 
 @attrs.frozen
-class FleetView:
+class ScreenView:
     """Everything that a screen shows.
 
     Attributes:
-      accepted_revision: Highest revision in force at a node that answered, 0 when none is known.
+      accepted_revision: Highest revision in force at a node heard of, 0 when none is known.
       accepted_digest: Its digest, hexadecimal.
-      total: Listed nodes that are not leaving.
-      on_accepted: Nodes that answered with the accepted version in force.
-      leaving: Nodes that leave as planned; they are not part of the total.
-      refused: The newest refused version above the accepted one.
+      total: Nodes in all zones.
+      on_accepted: Nodes known to have the accepted version in force.
+      refused: A refused version above the accepted one.
       zones: Nodes by availability zone.
-      stragglers: Nodes not known to be on the accepted version, the most certain causes first.
+      stragglers: Nodes not known to be on the accepted version, as far as they are listed.
+      straggler_count: Number of all of them.
       ranks: Calls by rank, the least kept first.
       rules: Calls by route, the most refused first.
-      work_nodes: Nodes whose figures are in ranks and rules.
-      age_s: Age of the oldest answer that is counted as current, None when there is none.
-      source: Admin address that gave the list of nodes.
-      source_age_s: Age of that list, None when there is none.
+      age_s: Age of the oldest zone shown, None when there is none.
+      source: Node that gave the figures.
       problems: Sentences about what is not known or is out of date.
     """
 
@@ -160,14 +156,12 @@
     accepted_digest: str
     total: int
     on_accepted: int
-    leaving: int
-    refused: RefusedVersion | None
+    refused: RefusalView | None
     zones: tuple[ZoneView, ...]
-    stragglers: tuple[Straggler, ...]
+    stragglers: tuple[StragglerView, ...]
+    straggler_count: int
     ranks: tuple[RankView, ...]
     rules: tuple[RuleView, ...]
-    work_nodes: int
     age_s: float | None
     source: str
-    source_age_s: float | None
     problems: tuple[str, ...]
--- a/ibisrack/settings/room.py
+++ b/ibisrack/settings/room.py
@@ -29,20 +29,17 @@
     """How the fleet is read.
 
     Attributes:
-      admin_addresses: Admin addresses, IP:PORT, of a few nodes; the first that answers gives the
-        list of all nodes, and other members are asked when none of them answers.
-      interval_s: Least time between two reads of one node.
+      admin_addresses: Admin addresses, IP:PORT, of a few nodes; the first that answers is asked,
+        and other members when none of them answers.
+      interval_s: Time between two reads of the fleet, however many screens are open.
       timeout_s: Time for one answer.
-      max_reads_per_s: Nodes read in one second, however many screens are open.
-      stale_s: Age from which a node's answer is shown as out of date; a fleet whose nodes take
-        longer to read in turn uses twice the time of a round.
+      stale_s: Age from which a zone is shown as out of date; nodes report at least every 10 s.
     """
 
     admin_addresses: tuple[str, ...] = attrs.field(validator=_some_addresses)
     interval_s: float = attrs.field(default=2.0, validator=in_range(0.5, 60))
     timeout_s: float = attrs.field(default=2.0, validator=in_range(0.1, 30))
-    max_reads_per_s: int = attrs.field(default=100, validator=in_range(1, 1000))
-    stale_s: float = attrs.field(default=10.0, validator=in_range(1, 600))
+    stale_s: float = attrs.field(default=15.0, validator=in_range(1, 600))
 
 
 @attrs.frozen
