Collect metrics of nodes at scrape time

Cause: GET /metrics rendered an empty registry. Change: slices keep plain integers (calls/tally.py, exchange/traffic.py); node/metrics.py makes the metrics library's objects from them once a scrape, with a histogram that takes finished counts.

--- a/ibisrack/calls/tally.py
+++ b/ibisrack/calls/tally.py
@@ -40,11 +40,15 @@
       calls: Calls by role, service, rank and outcome.
       durations: Durations by rank of calls that this node took from callers.
       events: Events other than calls, by kind.
+      platform_reads: Reads of the platform that were started.
+      platform_failures: Reads of the platform that failed.
     """
 
     calls: dict[tuple[str, str, str, str], int] = attrs.field(factory=dict)
     durations: dict[str, Histogram] = attrs.field(factory=dict)
     events: dict[str, int] = attrs.field(factory=dict)
+    platform_reads: int = 0
+    platform_failures: int = 0
 
     @singledispatchmethod
     def count(self, event: Event) -> None:
--- a/ibisrack/ctl/nodes.py
+++ b/ibisrack/ctl/nodes.py
@@ -1,5 +1,6 @@
 """Commands that ask nodes: fleet, timeline, drain and version."""
 
+from datetime import UTC, datetime
 from importlib.metadata import PackageNotFoundError, version
 
 import attrs
@@ -59,11 +60,19 @@
 
 
 def _event_line(record: Record) -> str:
-    stamp = f"{record.stamp.wall_ms / 1000:.3f}+{record.stamp.counter}"
+    stamp = f"{_utc(record.stamp.wall_ms)}+{record.stamp.counter}"
     fields = " ".join(f"{name}={_field(value)}" for name, value in record.event.items())
     return f"{stamp} {printable(record.node_id)} {printable(record.kind)} {fields}"
 
 
+def _utc(wall_ms: int) -> str:
+    """Formats a wall clock; one that no calendar holds stays a number."""
+    try:
+        return datetime.fromtimestamp(wall_ms / 1000, UTC).isoformat(timespec="milliseconds")[:-6]
+    except (ValueError, OverflowError, OSError):
+        return str(wall_ms)
+
+
 def _field(value: object) -> str:
     return printable(value if isinstance(value, str) else msgspec.json.encode(value).decode())
 
--- a/ibisrack/exchange/conversation.py
+++ b/ibisrack/exchange/conversation.py
@@ -45,12 +45,13 @@
         Raises:
           MessageError: The frame is not valid.
         """
-        messages = decode_frame(frame)
+        traffic = self.node.traffic
+        messages = decode_frame(traffic.received(frame))
         replies = self._process(messages)
         peer_id = _sender(messages).sender.node_id
         news = news_for(self.node, peer_id)
         told(self.node, peer_id, news)
-        return encode_frame((*greeting(self.node, read_clocks()), *replies, *news))
+        return traffic.sent(encode_frame((*greeting(self.node, read_clocks()), *replies, *news)))
 
     async def converse(
         self, channel: Channel, timeout_s: float, opening: tuple[Any, ...] = ()
@@ -69,10 +70,12 @@
           PeerError: The peer did not answer.
           MessageError: The peer's answer is not valid.
         """
+        traffic = self.node.traffic
         to_send: tuple[Any, ...] = opening or (self.node.members.digest(),)
         for _ in range(MAX_ROUNDS):
             frame = encode_frame((*greeting(self.node, read_clocks()), *to_send))
-            messages = decode_frame(await send_frame(channel, frame, timeout_s))
+            answer = await send_frame(channel, traffic.sent(frame), timeout_s)
+            messages = decode_frame(traffic.received(answer))
             hello = _sender(messages)
             to_send = self._process(messages)
             if not to_send:
--- /dev/null
+++ b/ibisrack/exchange/traffic.py
@@ -0,0 +1,32 @@
+"""Counts the frames that a node exchanges with its peers, for metrics."""
+
+import attrs
+
+
+@attrs.define
+class ExchangeTraffic:
+    """Frames and bytes since the start, bodies only.
+
+    Attributes:
+      sent_frames: Frames sent, as requests or answers.
+      sent_bytes: Their bytes after compression.
+      received_frames: Frames received, also those that turned out to be malformed.
+      received_bytes: Their bytes before decompression.
+    """
+
+    sent_frames: int = 0
+    sent_bytes: int = 0
+    received_frames: int = 0
+    received_bytes: int = 0
+
+    def sent(self, frame: bytes) -> bytes:
+        """Counts a frame that is sent and returns it."""
+        self.sent_frames += 1
+        self.sent_bytes += len(frame)
+        return frame
+
+    def received(self, frame: bytes) -> bytes:
+        """Counts a frame that arrived and returns it."""
+        self.received_frames += 1
+        self.received_bytes += len(frame)
+        return frame
--- a/ibisrack/node/admin.py
+++ b/ibisrack/node/admin.py
@@ -5,10 +5,11 @@
 import attrs
 import msgspec
 from aiohttp import web
-from aioprometheus import REGISTRY, render
+from aioprometheus import render
 
 from ibisrack.calls.messages import LoadReport
 from ibisrack.calls.owner import Owner
+from ibisrack.node.metrics import collect
 from ibisrack.node.state import NodeState
 from ibisrack.node.views import add_views
 from ibisrack.room.source import FleetSource
@@ -110,7 +111,9 @@
 
     async def metrics(self, request: web.Request) -> web.Response:
         """Answers with the metrics in the Prometheus text format."""
-        content, headers = render(REGISTRY, request.headers.getall("Accept", []))
+        content, headers = render(
+            collect(self.node, self.owner.gate), request.headers.getall("Accept", [])
+        )
         return web.Response(body=content, headers=headers)
 
     async def start_drain(self, request: web.Request) -> web.Response:
--- /dev/null
+++ b/ibisrack/node/metrics.py
@@ -0,0 +1,160 @@
+"""Metrics of a node, collected when they are scraped.
+
+Requests touch plain integers only; the objects of the metrics library are made here, once for each
+scrape, from the state that the slices keep anyway.  docs/metrics.md lists every metric.
+"""
+
+from collections import Counter as Count
+from collections.abc import Iterator, Mapping
+
+import attrs
+from aioprometheus import Counter, Gauge, Registry
+from aioprometheus import Histogram as HistogramCollector
+from aioprometheus.collectors import POS_INF
+
+from ibisrack.calls.gate import Gate
+from ibisrack.calls.tally import DURATION_BOUNDS_MS, Histogram
+from ibisrack.membership.records import Liveness
+from ibisrack.node.state import NodeState
+
+Labels = Mapping[str, str]
+Sample = tuple[Labels, float]
+
+
+@attrs.frozen
+class Metric:
+    """A metric with its samples.
+
+    Attributes:
+      name: Name with its unit as a suffix.
+      help: One line for people.
+      is_counter: Whether the value only grows while the process lives.
+      samples: Values with their labels.
+    """
+
+    name: str
+    help: str
+    is_counter: bool
+    samples: tuple[Sample, ...]
+
+
+def _single(value: float) -> tuple[Sample, ...]:
+    return (({}, value),)
+
+
+def call_metrics(node: NodeState) -> Iterator[Metric]:
+    """Calls that ended here, by role, service, rank and outcome."""
+    names = ("role", "service", "rank", "outcome")
+    samples = [
+        (dict(zip(names, key, strict=True)), count) for key, count in node.tally.calls.items()
+    ]
+    yield Metric("ibis_calls_total", "Calls that ended at this node.", True, tuple(samples))
+
+
+def load_metrics(gate: Gate) -> Iterator[Metric]:
+    """Load of the upstream beside the node."""
+    load = gate.load()
+    yield Metric("ibis_busy_slots", "Slots of the upstream in use.", False, _single(load.busy))
+    yield Metric("ibis_slots", "Slots of the upstream.", False, _single(load.slots))
+    yield Metric("ibis_queued_calls", "Calls that wait for a slot.", False, _single(load.queued))
+
+
+def version_metrics(node: NodeState) -> Iterator[Metric]:
+    """Versions in force, staged and refused."""
+    state = node.versions.state()
+    revision = state.in_force.revision if state.in_force else 0
+    refused = node.versions.refused.version_id.revision if node.versions.refused else 0
+    yield Metric("ibis_revision_in_force", "Revision in force, 0: none.", False, _single(revision))
+    yield Metric("ibis_refused_revision", "Highest one refused, 0: none.", False, _single(refused))
+
+
+def event_metrics(node: NodeState) -> Iterator[Metric]:
+    """Control events by kind: versions staged, activated and refused, pauses, member changes."""
+    samples = tuple(({"kind": kind}, count) for kind, count in node.tally.events.items())
+    yield Metric("ibis_events_total", "Control events of the time line.", True, samples)
+
+
+def exchange_metrics(node: NodeState) -> Iterator[Metric]:
+    """Frames exchanged with peers."""
+    traffic = node.traffic
+    frames = (
+        ({"direction": "sent"}, traffic.sent_frames),
+        ({"direction": "received"}, traffic.received_frames),
+    )
+    sizes = (
+        ({"direction": "sent"}, traffic.sent_bytes),
+        ({"direction": "received"}, traffic.received_bytes),
+    )
+    yield Metric("ibis_exchange_frames_total", "Frames exchanged with peers.", True, frames)
+    yield Metric("ibis_exchange_bytes_total", "Bytes of these frames.", True, sizes)
+
+
+def platform_metrics(node: NodeState) -> Iterator[Metric]:
+    """Reads of the platform."""
+    tally = node.tally
+    reads, failures = _single(tally.platform_reads), _single(tally.platform_failures)
+    yield Metric("ibis_platform_reads_total", "Reads of the platform started.", True, reads)
+    yield Metric("ibis_platform_failures_total", "Reads that failed.", True, failures)
+
+
+def member_metrics(node: NodeState) -> Iterator[Metric]:
+    """Members by state."""
+    counts = Count(record.liveness for record in node.members.all())
+    samples = tuple(({"state": state.name.lower()}, counts[state]) for state in Liveness)
+    yield Metric("ibis_members", "Known nodes, this one included.", False, samples)
+    leaving = sum(record.leaving for record in node.members.all())
+    yield Metric("ibis_members_leaving", "Known nodes that are leaving.", False, _single(leaving))
+
+
+def all_metrics(node: NodeState, gate: Gate) -> Iterator[Metric]:
+    """Returns every metric but the histograms."""
+    yield from call_metrics(node)
+    yield from load_metrics(gate)
+    yield from version_metrics(node)
+    yield from event_metrics(node)
+    yield from exchange_metrics(node)
+    yield from platform_metrics(node)
+    yield from member_metrics(node)
+
+
+class DurationCollector(HistogramCollector):
+    """Hands over counts that were made without the library."""
+
+    def __init__(self, durations: Mapping[str, Histogram], registry: Registry) -> None:
+        super().__init__(
+            "ibis_call_duration_seconds",
+            "Time of calls that callers sent to this node, by rank.",
+            registry=registry,
+        )
+        self._durations = durations
+
+    def get_all(self) -> list[tuple[Labels, dict]]:
+        """Returns the cumulative counts in the form that the library formats."""
+        return [({"rank": rank}, _cumulative(h)) for rank, h in self._durations.items()]
+
+
+def _cumulative(histogram: Histogram) -> dict:
+    values: dict = {}
+    total = 0
+    bounds_s = (*(bound / 1000 for bound in DURATION_BOUNDS_MS), POS_INF)
+    for bound_s, count in zip(bounds_s, histogram.counts, strict=True):
+        total += count
+        values[float(bound_s)] = total
+    return {**values, "count": total, "sum": histogram.sum_ms / 1000}
+
+
+def collect(node: NodeState, gate: Gate) -> Registry:
+    """Returns a registry with the present values.
+
+    Args:
+      node: The node's state.
+      gate: Admission to the upstream beside the node.
+    """
+    registry = Registry()
+    for metric in all_metrics(node, gate):
+        cls = Counter if metric.is_counter else Gauge
+        collector = cls(metric.name, metric.help, registry=registry)
+        for labels, value in metric.samples:
+            collector.set(dict(labels), value)
+    DurationCollector(node.tally.durations, registry)
+    return registry
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -6,6 +6,7 @@
 
 from ibisrack.calls.tally import Tally
 from ibisrack.clocks import Instant
+from ibisrack.exchange.traffic import ExchangeTraffic
 from ibisrack.membership.departures import Departures
 from ibisrack.membership.links import choose_links
 from ibisrack.membership.news import NewsQueue
@@ -98,6 +99,7 @@
       resuming: The decision to serve after the last pause.
       last_tick_s: Monotonic time of the last tick, for pause detection.
       tally: Counts of events and calls since the start.
+      traffic: Counts of the frames exchanged with peers.
     """
 
     settings: NodeSettings
@@ -117,6 +119,7 @@
     resuming: Resuming | None = None
     last_tick_s: float | None = None
     tally: Tally = attrs.field(factory=Tally)
+    traffic: ExchangeTraffic = attrs.field(factory=ExchangeTraffic)
 
     def record(self, event: Event, now: Instant) -> None:
         """Adds an event to the time line, the counts and, for control events, the log."""
--- a/ibisrack/platform/reader.py
+++ b/ibisrack/platform/reader.py
@@ -140,7 +140,12 @@
         self.budget.spend(read_clocks().monotonic_s)
         settings = self.node.settings.platform
         watch_s = self.budget.watch_s(settings.watch_s)
-        value = await watch(self.session, settings, name, known_revision, watch_s)
+        self.node.tally.platform_reads += 1
+        try:
+            value = await watch(self.session, settings, name, known_revision, watch_s)
+        except PlatformError:
+            self.node.tally.platform_failures += 1
+            raise
         self.budget.succeeded()
         if value is not None:
             self._take(value)
