--- /dev/null
+++ b/ibisrack/ctl/commands_test.py
@@ -0,0 +1,106 @@
+"""Tests of the command line of ibisctl."""
+
+import contextlib
+import io
+import json
+import tempfile
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibisrack.ctl.commands import COMMANDS, Command, UsageError, define_flags, parse_command_line
+from ibisrack.ctl.main import run_command_line
+from ibisrack.testing.fixtures import PILBARA_RULES
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.fuzz import fuzz
+
+
+def _usage_error(*words: str) -> str:
+    try:
+        parse_command_line(list(words))
+    except UsageError as error:
+        return str(error)
+    raise AssertionError(f"accepted {words}")
+
+
+def _run(*words: str) -> tuple[int, str, str]:
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        code = run_command_line(list(words))
+    return code, out.getvalue(), err.getvalue()
+
+
+@contextlib.contextmanager
+def _files(*contents: bytes):
+    with tempfile.TemporaryDirectory() as folder:
+        paths = [Path(folder) / f"rules-{number}.txt" for number in range(len(contents))]
+        for path, content in zip(paths, contents, strict=True):
+            path.write_bytes(content)
+        yield [str(path) for path in paths]
+
+
+def test_errors_name_the_problem():
+    assert "no command" in _usage_error()
+    assert "unknown command 'chek'" in _usage_error("chek")
+    assert "usage: ibisctl diff OLD_FILE NEW_FILE" in _usage_error("diff", "a")
+    assert "METHOD" in _usage_error("explain", "get", "h/p", "f")
+    assert "REQUEST" in _usage_error("explain", "GET", "h h", "f")
+    assert "IP:PORT" in _usage_error("drain", "host:1")
+    assert "needs at least one --node" in _usage_error("fleet")
+    assert "takes no --watch" in _usage_error("check", "f", "--watch")
+    assert "--timeout_s" in _usage_error("version", "--timeout_s=0")
+
+
+def test_help_of_every_command():
+    for name, cls in COMMANDS.items():
+        text = parse_command_line([name, "--help"])
+        assert text.startswith(f"ibisctl {name}") and "Exit codes" in text
+        assert all(f"--{option}" in text for option in cls.OPTIONS)
+
+
+def test_check_and_diff_exit_codes():
+    with _files(PILBARA_RULES, PILBARA_RULES.replace(b"=40", b"=35"), b"nonsense\n") as paths:
+        good, changed, bad = paths
+        assert _run("check", good)[0] == 0
+        code, out, _ = _run("check", bad, "--json")
+        assert code == 1 and json.loads(out)["faults"][0]["line"] == 1
+        assert _run("diff", good, good)[0] == 0
+        code, out, _ = _run("diff", good, changed)
+        assert code == 1 and "share_percent 40 -> 35" in out and "asked by Mei Tan" in out
+        assert _run("diff", good, bad)[0] == 1
+        assert _run("explain", "GET", "notice-desk/approvals", good)[0] == 0
+        assert _run("explain", "GET", "notice-desk/nothing", good)[0] == 1
+        assert _run("check", good + "-missing")[0] == 2
+
+
+def test_node_that_does_not_answer_gives_exit_code_3():
+    """Guards against a script that takes an unreachable node for a healthy one."""
+    for words in (("version",), ("fleet",), ("timeline",)):
+        code, _, err = _run(*words, "--node=127.0.0.1:1", "--timeout_s=0.5")
+        assert code == 3, words
+        assert words[0] == "fleet" or "127.0.0.1:1: refused the connection" in err
+    assert _run("drain", "127.0.0.1:1")[0] == 3
+
+
+_FLAGS = st.sampled_from([f"--{name}" for name in define_flags()])
+_WORDS = st.one_of(
+    st.sampled_from([*COMMANDS, "GET", "h/p", "127.0.0.1:1", "--", "-", "--no", "=", "\x00"]),
+    _FLAGS,
+    st.tuples(_FLAGS, st.text(max_size=8)).map("=".join),
+    st.text(max_size=8),
+)
+
+
+@fuzz(1000)
+@given(st.lists(_WORDS, max_size=6))
+def test_any_command_line_parses_or_is_refused(words):
+    try:
+        parsed = parse_command_line(words)
+    except UsageError as error:
+        assert str(error)
+        return
+    assert isinstance(parsed, str) or isinstance(parsed[0], Command)
+
+
+load_tests = function_tests(__name__)
--- /dev/null
+++ b/ibisrack/room/assemble_test.py
@@ -0,0 +1,161 @@
+"""Tests of the screen's view and of its poller."""
+
+import msgspec
+from aiohttp import ClientSession
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibisrack.admin.client import AdminClient, AdminError, Silence
+from ibisrack.admin.messages import Member, RulesText, Status, decode
+from ibisrack.errors import MessageError
+from ibisrack.room.assemble import Known, assemble
+from ibisrack.room.fleet import FleetView, VersionNodes, VersionView, ZoneView
+from ibisrack.room.messages import RankCounts, RuleCounts, Straggler
+from ibisrack.room.poller import Poller
+from ibisrack.room.server import RoomServer
+from ibisrack.room.terminal import fleet_lines, work_lines
+from ibisrack.room.view import Cause
+from ibisrack.rules.ruleset import check
+from ibisrack.testing.admin import fake_admin
+from ibisrack.testing.fixtures import PILBARA_RULES
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.fuzz import fuzz
+
+RULES = check(PILBARA_RULES)
+FAULT = "revision-6:9: service x is not declared (asked by J. Okafor)"
+
+
+def _zone(*stragglers: Straggler, count: int | None = None, age_s: float | None = 1.0) -> ZoneView:
+    total = len(stragglers) if count is None else count
+    nodes = (VersionNodes(5, "d", 3),)
+    return ZoneView("newman", "wa", "n1", 3, age_s, 1.0, nodes, {}, total, stragglers)
+
+
+def _fleet(zone: ZoneView, ranks=(), rules=()) -> FleetView:
+    accepted = VersionView(5, "d")
+    return FleetView("n1", accepted, 3, zone.straggler_count, (zone,), ranks, rules)
+
+
+def _known(zone: ZoneView, **fields) -> Known:
+    return Known(fleet=_fleet(zone), rules=RULES, rules_revision=5, **fields)
+
+
+def test_silent_nodes_are_not_counted_as_being_on_the_version():
+    """Guards against a screen that trusts the last report of a dead node."""
+    view = assemble(_known(_zone(Straggler("n2", "cut off", 5, "silent"))), 15)
+    assert (view.on_accepted, view.total, view.straggler_count) == (2, 3, 1)
+
+
+def test_unlisted_stragglers_are_not_counted():
+    assert assemble(_known(_zone(count=2)), 15).on_accepted == 1
+
+
+def test_nodes_that_refuse_a_newer_version_are_on_the_accepted_one():
+    view = assemble(_known(_zone(Straggler("n2", "refused", 5, FAULT))), 15)
+    assert view.on_accepted == 3 and not view.stragglers
+    assert view.refused.faults == (FAULT,)
+    assert "asked by J. Okafor" in "\n".join(fleet_lines(view))
+
+
+def test_probe_tells_a_sleeping_node_from_one_that_does_not_run():
+    zone = _zone(Straggler("n2", "cut off", 5, "x"), Straggler("n3", "cut off", 5, "x"))
+    probes = {"n2": Silence.NO_ANSWER, "n3": Silence.REFUSED}
+    causes = {s.node_id: s.cause for s in assemble(_known(zone, probes=probes), 15).stragglers}
+    assert causes == {"n2": Cause.ASLEEP, "n3": Cause.NOT_RUNNING}
+
+
+def test_old_and_missing_zones_are_told():
+    view = assemble(_known(_zone(), fleet_age_s=20.0), 15)
+    assert view.zones[0].stale and "out of date" in view.problems[0]
+    assert "nothing is known" in assemble(_known(_zone(age_s=None)), 15).problems[0]
+    assert assemble(Known(error="down"), 15).problems == ("no node that was asked answers: down",)
+
+
+def test_ranks_and_rules_join_the_rules_file():
+    ranks = (RankCounts("notice-desk", "bulk", 10, 4, 6, 0),)
+    fleet = _fleet(_zone(), ranks, (RuleCounts(8, 10, 4, 6, 0),))
+    view = assemble(Known(fleet, rules=RULES, rules_revision=5), 15)
+    assert (view.ranks[0].rank, view.ranks[0].kept_percent) == ("bulk", 40.0)
+    assert view.ranks[-1].kept_percent is None
+    assert (view.rules[0].requester, view.rules[0].refused) == ("J. Okafor", 6)
+    assert "40.0%" in "\n".join(work_lines(view))
+
+
+def _answers(fleet: FleetView, members: tuple[Member, ...] = ()) -> dict[str, bytes]:
+    values = {"/fleet": fleet, "/members": members}
+    values["/rules"] = RulesText(5, "d", PILBARA_RULES.decode())
+    return {path: msgspec.json.encode(value) for path, value in values.items()}
+
+
+async def test_poller_falls_over_and_reads_once_for_all_screens():
+    """Guards against a cost that grows with the number of screens."""
+    async with fake_admin(_answers(_fleet(_zone()))) as admin, ClientSession() as session:
+        poller = Poller(AdminClient(session, 0.5), ("127.0.0.1:1", admin.address))
+        await poller.read_round()
+        server = RoomServer("t", poller)
+        assert b'"on_accepted":3' in server.encoded_view(0.0)
+        bodies = {server.encoded_view(0.1) for _ in range(50)}
+        await poller.read_round()
+    assert len(bodies) == 1
+    assert admin.requests == ["/fleet", "/rules", "/members", "/fleet"]
+
+
+async def test_poller_keeps_the_last_view_when_nobody_answers():
+    async with fake_admin(_answers(_fleet(_zone()))) as admin, ClientSession() as session:
+        poller = Poller(AdminClient(session, 0.5), (admin.address,))
+        await poller.read_round()
+        admin.answers = {"/fleet": b"[]"}
+        await poller.read_round()
+    view = poller.view()
+    assert view.accepted_revision == 5
+    assert "not valid" in view.problems[0]
+
+
+async def test_client_tells_how_a_node_failed():
+    async with fake_admin({"/status": b"{", "/big": b" " * 17_000_000}) as admin:
+        async with ClientSession() as session:
+            client = AdminClient(session, 2.0)
+            found = []
+            for path in ("/status", "/big", "/none"):
+                try:
+                    await client.get(admin.address, path, Status)
+                except AdminError as error:
+                    found.append(error.silence)
+    assert found == [Silence.BAD_ANSWER] * 3
+
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=6),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=6), inner),
+    max_leaves=6,
+)
+_FIELDS = [field.name for field in FleetView.__attrs_attrs__]
+_GOOD = msgspec.to_builtins(_fleet(_zone(Straggler("n2", "asleep", 5, "x"))))
+_ALTERED = st.dictionaries(st.sampled_from(_FIELDS), _JSON, max_size=2).map(
+    lambda changes: msgspec.json.encode({**_GOOD, **changes})
+)
+
+
+@fuzz(500)
+@given(st.binary(max_size=50) | _JSON.map(msgspec.json.encode) | _ALTERED)
+def test_any_answer_is_shown_or_refused(body):
+    """Guards against an answer of a broken node that stops the screen."""
+    try:
+        fleet = decode(body, FleetView)
+    except MessageError:
+        return
+    view = assemble(Known(fleet, rules=RULES, rules_revision=5), 15)
+    assert view.on_accepted >= 0
+    fleet_lines(view)
+
+
+@fuzz(300)
+@given(st.sampled_from([Status, RulesText, tuple[Member, ...]]), _JSON.map(msgspec.json.encode))
+def test_other_answers_are_typed_or_refused(cls, body):
+    try:
+        decode(body, cls)
+    except MessageError as error:
+        assert "answer" in str(error)
+
+
+load_tests = function_tests(__name__)
--- a/ibisrack/settings/checks.py
+++ b/ibisrack/settings/checks.py
@@ -14,6 +14,7 @@
         if not low <= value <= high:
             raise ValueError(f"must be from {low} to {high}, is {value}")
 
+    check.__doc__ = f"Requires a number from {low} to {high}."
     return check
 
 
--- a/ibisrack/settings/room.py
+++ b/ibisrack/settings/room.py
@@ -6,6 +6,7 @@
 
 
 def _some_addresses(instance: object, field: attrs.Attribute, value: tuple[str, ...]) -> None:
+    """Requires at least one text of the form IP:PORT."""
     if not value:
         raise ValueError("must name at least one address")
     ip_ports(instance, field, value)
--- /dev/null
+++ b/ibisrack/timeline/merge_test.py
@@ -0,0 +1,101 @@
+"""Tests of merging, filtering and following calls."""
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibisrack.errors import MessageError
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.fuzz import fuzz
+from ibisrack.timeline.clock import Timestamp
+from ibisrack.timeline.events import CallFinished, VersionActivated
+from ibisrack.timeline.log import EventLog
+from ibisrack.timeline.merge import EventFilter, Record, decode_records, merge, select, trace
+
+
+def _call(role: str, peer: str, outcome: str = "done", reason: str = "") -> CallFinished:
+    return CallFinished("c1", role, "s", "r", 7, "Mei Tan", outcome, reason, peer, 3, 4.5)
+
+
+def _records(node_id: str, *events: tuple[int, object]) -> list[Record]:
+    log = EventLog(node_id, 100)
+    for wall_ms, event in events:
+        log.record(event, wall_ms)
+    return decode_records(msgspec.json.encode(log.entries()))
+
+
+def test_merge_follows_the_clocks():
+    a = _records("a", (10, VersionActivated(1, "x", 0)), (30, VersionActivated(3, "x", 1)))
+    b = _records("b", (20, VersionActivated(1, "x", 0)))
+    assert [record.node_id for record in merge([a, b])] == ["a", "b", "a"]
+
+
+def test_filters():
+    records = _records("a", (1, VersionActivated(2, "x", 1)), (2, _call("ingress", "b")))
+    assert len(select(records, EventFilter(revision=2))) == 1
+    assert len(select(records, EventFilter(call_id="c1"))) == 1
+    assert len(select(records, EventFilter(kind="versionactivated"))) == 1
+    assert len(select(records, EventFilter(node_id="a"))) == 2
+    assert not select(records, EventFilter(node_id="z"))
+
+
+def test_trace_finds_both_nodes_and_the_requester():
+    merged = merge(
+        [_records("a", (20, _call("ingress", "b"))), _records("b", (10, _call("owner", "b")))]
+    )
+    (found,) = trace(merged, "c1")
+    assert (found.ingress_node, found.owner_node) == ("a", "b")
+    assert (found.rule_line, found.requester, found.revision) == (7, "Mei Tan", 3)
+
+
+def test_trace_of_a_refused_call_names_the_last_owner():
+    """Guards against a refusal whose upstream node can't be seen, as its ingress names no peer."""
+    merged = merge(
+        [
+            _records("a", (30, _call("ingress", "", "not-run", "queue-full"))),
+            _records("b", (10, _call("owner", "", "not-run", "queue-full"))),
+            _records("c", (20, _call("owner", "", "not-run", "queue-full"))),
+        ]
+    )
+    found = trace(merged, "c1")
+    assert (found[0].ingress_node, found[0].owner_node, found[0].reason) == ("a", "c", "queue-full")
+    assert (found[1].ingress_node, found[1].owner_node) == ("", "b")
+
+
+def test_trace_without_the_owner_claims_no_node():
+    (found,) = trace(_records("a", (1, _call("ingress", "", "unknown", "connection-lost"))), "c1")
+    assert found.owner_node == ""
+
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=8,
+)
+_EVENTS = st.dictionaries(
+    st.sampled_from(["call_id", "role", "peer", "revision", "rule_line", "duration_ms"]),
+    st.sampled_from(["c1", "ingress", "owner", 3]) | _JSON,
+)
+
+
+@fuzz(300)
+@given(st.lists(st.tuples(st.integers(), st.integers(), st.text(max_size=3), _EVENTS), max_size=6))
+def test_hostile_events_are_followed_without_errors(rows):
+    """Guards against a time line of an unknown build that breaks the tool."""
+    records = [Record(Timestamp(w, c), n, "CallFinished", e) for w, c, n, e in rows]
+    merged = merge([records[:3], records[3:]])
+    assert len(merged) == len(records)
+    trace(merged, "c1")
+
+
+@fuzz(300)
+@given(st.binary(max_size=60) | _JSON.map(msgspec.json.encode))
+def test_malformed_time_lines_are_refused(body):
+    try:
+        records = decode_records(body)
+    except MessageError:
+        return
+    assert all(isinstance(record, Record) for record in records)
+
+
+load_tests = function_tests(__name__)
