Fuzz rules, settings, admin requests and call headers; list the metrics

Cause: bad input on every surface must give a clear error and change nothing. Change: generated tests with fixed seeds; the settings loader names the type that was found; docs/metrics.md with a test that compares it with the code.

--- /dev/null
+++ b/ibisrack/node/admin_test.py
@@ -0,0 +1,170 @@
+"""Tests of the admin port: metrics, the rules in force and hostile requests."""
+
+import asyncio
+import re
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import attrs
+from aiohttp import ClientSession, web
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibisrack.admin.client import AdminClient
+from ibisrack.admin.messages import RulesText, Status
+from ibisrack.calls.admission import Scheduler
+from ibisrack.calls.gate import Gate
+from ibisrack.calls.headers import read_context
+from ibisrack.clocks import Instant
+from ibisrack.errors import RequestError
+from ibisrack.node.admin import AdminServer
+from ibisrack.node.metrics import all_metrics
+from ibisrack.node.state import NodeState
+from ibisrack.testing.fixtures import PILBARA_RULES, bare_node
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.fuzz import fuzz
+from ibisrack.timeline.events import CallFinished, PauseDetected
+from ibisrack.versions.chunks import chunked
+from ibisrack.versions.handlers import stage_version
+
+NOW = Instant(1.0, 1)
+
+
+@attrs.define
+class _Owner:
+    """The part of the owner that the admin server uses."""
+
+    gate: Gate = attrs.field(factory=lambda: Gate(Scheduler(slots=6)))
+
+
+def _node_with_rules() -> NodeState:
+    node = bare_node("n1")
+    stage_version(node, chunked(3, PILBARA_RULES), NOW)
+    node.versions.activate()
+    call = CallFinished("c", "ingress", "notice-desk", "bulk", 8, "J", "done", "", "n1", 3, 7.0)
+    node.record(call, NOW)
+    node.record(attrs.evolve(call, role="owner"), NOW)
+    node.record(PauseDetected(3.0), NOW)
+    return node
+
+
+@asynccontextmanager
+async def _admin(node: NodeState) -> AsyncIterator[str]:
+    async def drain() -> None:
+        node.move("drain", NOW)
+
+    app = AdminServer(node, _Owner(), None, drain).application()
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    try:
+        yield f"127.0.0.1:{runner.addresses[0][1]}"
+    finally:
+        await runner.cleanup()
+
+
+async def test_rules_status_and_metrics_are_served():
+    async with _admin(_node_with_rules()) as address, ClientSession() as session:
+        client = AdminClient(session)
+        text = await client.get(address, "/rules", RulesText)
+        status = await client.get(address, "/status", Status)
+        metrics = (await client.body(address, "/metrics")).decode()
+    assert (text.revision, text.content.encode()) == (3, PILBARA_RULES)
+    assert (status.revision, status.load.slots) == (3, 6)
+    assert 'ibis_calls_total{outcome="done",rank="bulk",role="ingress"' in metrics
+    assert 'ibis_call_duration_seconds_bucket{le="0.01",rank="bulk"} 1.0' in metrics
+    assert 'ibis_events_total{kind="PauseDetected"} 1' in metrics
+
+
+def test_forwarded_calls_count_once_for_screens():
+    """Guards against demand that doubles because a call ends at two nodes."""
+    (row,) = _node_with_rules().counters.ranks(NOW.monotonic_s)
+    assert (row.service, row.rank, row.offered, row.served) == ("notice-desk", "bulk", 1, 1)
+
+
+def test_every_metric_is_on_the_page():
+    page = Path("docs/metrics.md").read_text()
+    node = _node_with_rules()
+    names = {metric.name for metric in all_metrics(node, _Owner().gate)}
+    names.add("ibis_call_duration_seconds")
+    assert set(re.findall(r"`(ibis_\w+)`", page)) == names
+
+
+_PATHS = st.sampled_from(
+    [
+        b"/status",
+        b"/metrics",
+        b"/rules",
+        b"/timeline",
+        b"/members",
+        b"/none",
+        b"/%00",
+        b"/../status",
+    ]
+)
+_METHODS = st.sampled_from([b"GET", b"POST", b"PUT", b"BREW", b"get"])
+_HEADER_BYTES = st.binary(max_size=20).map(lambda b: b.replace(b"\n", b""))
+_HEADERS = st.lists(
+    st.tuples(st.sampled_from([b"Accept", b"Content-Length", b"Host", b"X"]), _HEADER_BYTES),
+    max_size=3,
+)
+
+
+def _request(method: bytes, path: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> bytes:
+    lines = [b"%s %s HTTP/1.1" % (method, path), *(b"%s: %s" % pair for pair in headers)]
+    return b"\r\n".join([*lines, b"Connection: close", b"", body])
+
+
+async def _exchange(address: str, request: bytes) -> bytes:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(request)
+    writer.write_eof()
+    try:
+        async with asyncio.timeout(5):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+def test_hostile_requests_do_not_stop_the_admin_port():
+    """Guards against a request that breaks the server for those after it."""
+    requests: list[bytes] = []
+
+    @fuzz(300)
+    @given(_METHODS, _PATHS, _HEADERS, st.binary(max_size=20))
+    def gather(method, path, headers, body):
+        requests.append(_request(method, path, headers, body))
+
+    async def send_all() -> None:
+        async with _admin(_node_with_rules()) as address, ClientSession() as session:
+            for request in [*requests, b"GET /" + b"a" * 70_000, b"\x00" * 100]:
+                answer = await _exchange(address, request)
+                assert not answer or answer.startswith(b"HTTP/1.")
+                assert not answer.startswith(b"HTTP/1.1 500"), request
+            assert (await AdminClient(session).get(address, "/status", Status)).node_id == "n1"
+
+    gather()
+    assert len(requests) >= 300
+    asyncio.run(send_all())
+
+
+_CALL_HEADERS = st.dictionaries(
+    st.sampled_from(["Ibis-Call-Id", "Ibis-Deadline-Ms", "Ibis-Depth", "Ibis-Hop", "Ibis-Rank"]),
+    st.text(max_size=12) | st.integers().map(str),
+)
+
+
+@fuzz(1000)
+@given(_CALL_HEADERS)
+def test_call_headers_are_read_or_refused(headers):
+    try:
+        context = read_context(headers)
+    except RequestError as error:
+        assert error.status == 400 and "Ibis-" in str(error)
+        return
+    assert re.fullmatch(r"[A-Za-z0-9._-]{1,64}", context.call_id)
+
+
+load_tests = function_tests(__name__)
--- a/ibisrack/settings/loader.py
+++ b/ibisrack/settings/loader.py
@@ -11,18 +11,28 @@
 
 import attrs
 from cattrs import Converter, transform_error
+from cattrs.v import format_exception
 
 from ibisrack.errors import Fault, SettingsError
 
 T = TypeVar("T")
 
 
+class _WrongTypeError(ValueError):
+    """A value whose type is not that of its field."""
+
+
+def _describe(error: BaseException, kind: type | None) -> str:
+    """Returns the message of an error; cattrs would hide which type was found."""
+    return str(error) if isinstance(error, _WrongTypeError) else format_exception(error, kind)
+
+
 def _strict(expected: type) -> Any:
     def structure(value: Any, _: type) -> Any:
         if expected is float and type(value) is int:
             return float(value)
         if type(value) is not expected:
-            raise ValueError(f"expected {expected.__name__}, got {type(value).__name__}")
+            raise _WrongTypeError(f"expected {expected.__name__}, got {type(value).__name__}")
         return value
 
     return structure
@@ -66,7 +76,10 @@
         try:
             settings = _converter().structure(data, cls)
         except Exception as error:  # cattrs raises groups of many exception types.
-            faults = (_split_fault(file, text) for text in transform_error(error))
+            faults = (
+                _split_fault(file, text)
+                for text in transform_error(error, format_exception=_describe)
+            )
             raise SettingsError(tuple(faults)) from error
     faults = _value_faults(settings, "$", file)
     if faults:
--- /dev/null
+++ b/ibisrack/settings/loader_test.py
@@ -0,0 +1,86 @@
+"""Tests of the settings loader against bad files."""
+
+import json
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibisrack.errors import SettingsError
+from ibisrack.settings.document import PROCESSES
+from ibisrack.settings.loader import load_settings, parse_settings
+from ibisrack.settings.node import NodeSettings
+from ibisrack.settings.room import RoomSettings
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.fuzz import fuzz
+
+GOOD = json.loads(Path("examples/pilbara/node-newman.json").read_text())
+
+
+def _faults(data: object, cls: type = NodeSettings) -> list[tuple[str, str]]:
+    try:
+        parse_settings(data, cls, "f.json")
+    except SettingsError as error:
+        return [(fault.path, fault.message) for fault in error.faults]
+    return []
+
+
+def test_all_faults_are_reported_with_their_path():
+    """Guards against a loader that stops at the first fault."""
+    listen = {**GOOD["listen"], "host": "localhost", "call_port": 0}
+    faults = _faults({**GOOD, "listen": listen, "upstream": {"base_url": "https://a"}})
+    assert {path for path, _ in faults} == {
+        "$.listen.host",
+        "$.listen.call_port",
+        "$.upstream.base_url",
+    }
+
+
+def test_wrong_types_missing_and_unknown_keys():
+    found = _faults({"identity": {**GOOD["identity"], "generation": "1"}, "more": 1})
+    text = str(found)
+    assert "expected int, got str" in text and "listen" in text and "more" in text
+
+
+def test_room_needs_an_address():
+    screen = {"host": "10.0.0.1", "port": 8090}
+    data = {"title": "t", "screen": screen, "poll": {"admin_addresses": []}}
+    assert _faults(data, RoomSettings) == [
+        ("$.poll.admin_addresses", "must name at least one address")
+    ]
+
+
+def test_unreadable_files():
+    for path, text in (("/nonexistent", "No such file"), ("Makefile", "not JSON")):
+        try:
+            load_settings(path, NodeSettings)
+        except SettingsError as error:
+            assert text in str(error)
+        else:
+            raise AssertionError(path)
+
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=6),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=6), inner),
+    max_leaves=6,
+)
+_PLACES = st.sampled_from([(s, k) for s, v in GOOD.items() for k in v])
+
+
+@fuzz(1000)
+@given(_PLACES, _JSON)
+def test_any_value_in_any_place_is_taken_or_refused(place, value):
+    section, key = place
+    data = {**GOOD, section: {**GOOD[section], key: value}}
+    for path, message in _faults(data):
+        assert message and path.startswith("$")
+
+
+@fuzz(500)
+@given(st.sampled_from(sorted(PROCESSES)), _JSON)
+def test_any_document_is_refused(process, value):
+    assert _faults(value, PROCESSES[process])
+
+
+load_tests = function_tests(__name__)
