--- a/ibisrack/ctl/commands_test.py
+++ b/ibisrack/ctl/commands_test.py
@@ -9,8 +9,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ibisrack.ctl.commands import COMMANDS, Command, UsageError, define_flags, parse_command_line
+from ibisrack.ctl.commands import COMMANDS, Command
 from ibisrack.ctl.main import run_command_line
+from ibisrack.ctl.options import define_flags
+from ibisrack.ctl.parse import UsageError, parse_command_line
 from ibisrack.testing.fixtures import PILBARA_RULES
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.fuzz import fuzz
--- a/ibisrack/ctl/files.py
+++ b/ibisrack/ctl/files.py
@@ -8,7 +8,7 @@
 from ibisrack.admin.messages import RulesText
 from ibisrack.bin.common import EXIT_FAULTS, EXIT_OK
 from ibisrack.ctl.commands import Check, Diff, Explain, Options
-from ibisrack.ctl.output import Result, table
+from ibisrack.ctl.output import Result
 from ibisrack.ctl.run import admin_client, run_command
 from ibisrack.errors import RulesError
 from ibisrack.rules.diff import Change, diff
@@ -16,6 +16,7 @@
 from ibisrack.rules.model import RankRule, RouteRule, Rule, ServiceRule
 from ibisrack.rules.ruleset import RuleSet, check
 from ibisrack.settings.checks import ip_ports
+from ibisrack.text import table
 
 
 @run_command.register
--- a/ibisrack/ctl/main.py
+++ b/ibisrack/ctl/main.py
@@ -5,12 +5,15 @@
 
 # The commands register themselves when their modules are imported.
 import ibisrack.ctl.files
-import ibisrack.ctl.nodes  # noqa: F401
+import ibisrack.ctl.fleet
+import ibisrack.ctl.nodes
+import ibisrack.ctl.timeline  # noqa: F401
 from ibisrack.admin.client import AdminError
 from ibisrack.bin.common import EXIT_FAULTS, EXIT_OK, EXIT_UNREACHABLE, EXIT_USAGE
-from ibisrack.ctl.commands import Command, Options, UsageError, parse_command_line
+from ibisrack.ctl.commands import Command, Options
 from ibisrack.ctl.output import Result
-from ibisrack.ctl.run import run_command
+from ibisrack.ctl.parse import UsageError, parse_command_line
+from ibisrack.ctl.run import run_command, watch_command
 from ibisrack.errors import FaultsError, MessageError
 
 CLEAR_SCREEN = "\x1b[H\x1b[2J"
@@ -43,12 +46,10 @@
 
 
 async def _watch(command: Command, options: Options) -> None:
-    while True:
-        result = await run_once(command, options)
+    async for result in watch_command(command, options):
         if not options.json:
             print(CLEAR_SCREEN, end="")
         _show(result, options)
-        await asyncio.sleep(options.interval_s)
 
 
 def run_command_line(arguments: list[str]) -> int:
--- a/ibisrack/ctl/run.py
+++ b/ibisrack/ctl/run.py
@@ -27,6 +27,13 @@
     raise TypeError(f"no run_command for {type(command).__name__}")
 
 
+@singledispatch
+async def watch_command(command: Command, options: Options) -> AsyncIterator[Result]:
+    """Runs a command again and again until the caller stops asking for results."""
+    raise TypeError(f"no watch_command for {type(command).__name__}")
+    yield
+
+
 @asynccontextmanager
 async def admin_client(options: Options) -> AsyncIterator[AdminClient]:
     """Opens a client with the options' bounds."""
--- a/ibisrack/node/admin.py
+++ b/ibisrack/node/admin.py
@@ -9,10 +9,12 @@
 
 from ibisrack.calls.messages import LoadReport
 from ibisrack.calls.owner import Owner
+from ibisrack.errors import RequestError
 from ibisrack.node.metrics import collect
 from ibisrack.node.state import NodeState
 from ibisrack.node.views import add_views
 from ibisrack.room.source import FleetSource
+from ibisrack.timeline.query import from_query, select
 from ibisrack.versions.messages import VersionState
 
 
@@ -106,8 +108,12 @@
         return _json(tuple(self.node.members.all()))
 
     async def timeline(self, request: web.Request) -> web.Response:
-        """Answers with the recent events."""
-        return _json(self.node.log.entries())
+        """Answers with the recent events that pass the filter of the query."""
+        try:
+            event_filter = from_query(request.query)
+        except RequestError as error:
+            raise web.HTTPBadRequest(text=f"{error}\n") from error
+        return _json(select(self.node.log.entries(), event_filter))
 
     async def metrics(self, request: web.Request) -> web.Response:
         """Answers with the metrics in the Prometheus text format."""
--- a/ibisrack/room/assemble.py
+++ b/ibisrack/room/assemble.py
@@ -14,6 +14,7 @@
 from ibisrack.room.stragglers import REFUSED
 from ibisrack.room.sums import OTHER
 from ibisrack.room.view import (
+    MAX_ROWS,
     Cause,
     RankView,
     RefusalView,
@@ -69,6 +70,7 @@
     holding = [node for _, node in listed if _only_refuses(node, revision)]
     behind = [straggler_view(zone, node, known.probes) for zone, node in listed]
     behind = [view for view, (_, node) in zip(behind, listed, strict=True) if node not in holding]
+    ranks, rules = rank_views(known.rules, fleet.ranks), rule_views(known.rules, fleet.rules)
     ages_s = [zone.age_s for zone in zones if zone.age_s is not None]
     return ScreenView(
         accepted_revision=revision,
@@ -79,8 +81,10 @@
         zones=zones,
         stragglers=tuple(sorted(behind, key=_straggler_order)),
         straggler_count=fleet.straggler_count - len(holding),
-        ranks=rank_views(known.rules, fleet.ranks),
-        rules=rule_views(known.rules, fleet.rules),
+        ranks=ranks[:MAX_ROWS],
+        rank_count=len(ranks),
+        rules=rules[:MAX_ROWS],
+        rule_count=len(rules),
         age_s=max(ages_s, default=None),
         source=fleet.node_id,
         problems=tuple(_problems(known, revision, zones)),
--- a/ibisrack/room/page/room.js
+++ b/ibisrack/room/page/room.js
@@ -123,12 +123,12 @@
   return row("td", cells, low ? "low" : "");
 }
 
-function ranks(items) {
+function ranks(items, count) {
   const head = [
     ["service", ""], ["rank", ""], ["share set", "number"], ["demand", "number"],
     ["served", "number"], ["refused", "number"], ["unknown", "number"], ["kept", "number"],
   ];
-  return [row("th", head), ...items.slice(0, MAX_RANKS).map(rankRow), ...more(items.length, MAX_RANKS, 8)];
+  return [row("th", head), ...items.slice(0, MAX_RANKS).map(rankRow), ...more(count, MAX_RANKS, 8)];
 }
 
 function ruleRow(item) {
@@ -139,12 +139,12 @@
   return row("td", cells);
 }
 
-function rules(items) {
+function rules(items, count) {
   const head = [
     ["line", "number"], ["route", ""], ["demand", "number"], ["served", "number"],
     ["refused", "number"], ["unknown", "number"], ["asked by, and why", ""],
   ];
-  return [row("th", head), ...items.slice(0, MAX_RULES).map(ruleRow), ...more(items.length, MAX_RULES, 7)];
+  return [row("th", head), ...items.slice(0, MAX_RULES).map(ruleRow), ...more(count, MAX_RULES, 7)];
 }
 
 function show(title, view) {
@@ -156,8 +156,8 @@
   fill("zones", view.zones.map(zone));
   setText("straggler-count", view.straggler_count ? `(${view.straggler_count})` : "");
   fill("stragglers", stragglers(view));
-  fill("ranks", ranks(view.ranks));
-  fill("rules", rules(view.rules));
+  fill("ranks", ranks(view.ranks, view.rank_count));
+  fill("rules", rules(view.rules, view.rule_count));
 }
 
 function showLost() {
--- a/ibisrack/room/terminal.py
+++ b/ibisrack/room/terminal.py
@@ -1,9 +1,7 @@
 """Shows the view as text, for terminals and for screens without a browser."""
 
-from collections.abc import Iterable
-
-from ibisrack.ctl.output import printable, table
 from ibisrack.room.view import RankView, RuleView, ScreenView, StragglerView, ZoneView
+from ibisrack.text import printable, table
 
 MAX_STRAGGLERS = 20
 MAX_RULES = 20
@@ -41,10 +39,8 @@
     return (str(rule.line), rule.route, *counts, rule.requester, rule.reason)
 
 
-def _cut(rows: Iterable, limit: int, what: str) -> list[str]:
-    rows = list(rows)
-    lines = table(rows[:limit])
-    return lines + ([f"and {len(rows) - limit} more {what}"] if len(rows) > limit else [])
+def _rest(count: int, shown: int, what: str) -> list[str]:
+    return [f"and {count - shown} more {what}"] if count > shown else []
 
 
 def fleet_lines(view: ScreenView) -> list[str]:
@@ -69,6 +65,8 @@
     return [
         "calls of the last minute",
         *table([head, *map(_rank_row, view.ranks)]),
+        *_rest(view.rank_count, len(view.ranks), "ranks"),
         "",
-        *_cut([rules, *map(_rule_row, view.rules)], MAX_RULES + 1, "routes"),
+        *table([rules, *map(_rule_row, view.rules[:MAX_RULES])]),
+        *_rest(view.rule_count, len(view.rules[:MAX_RULES]), "routes"),
     ]
--- a/ibisrack/room/view.py
+++ b/ibisrack/room/view.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+MAX_ROWS = 40  # A screen has room for fewer; the view stays below 20 KB.
+
 
 class Cause(StrEnum):
     """Why a node is not known to be on the accepted version.
@@ -145,8 +147,10 @@
       zones: Nodes by availability zone.
       stragglers: Nodes not known to be on the accepted version, as far as they are listed.
       straggler_count: Number of all of them.
-      ranks: Calls by rank, the least kept first.
-      rules: Calls by route, the most refused first.
+      ranks: Calls by rank, the least kept first, at most MAX_ROWS.
+      rank_count: Number of all ranks.
+      rules: Calls by route, the most refused first, at most MAX_ROWS.
+      rule_count: Number of all routes.
       age_s: Age of the oldest zone shown, None when there is none.
       source: Node that gave the figures.
       problems: Sentences about what is not known or is out of date.
@@ -161,7 +165,9 @@
     stragglers: tuple[StragglerView, ...]
     straggler_count: int
     ranks: tuple[RankView, ...]
+    rank_count: int
     rules: tuple[RuleView, ...]
+    rule_count: int
     age_s: float | None
     source: str
     problems: tuple[str, ...]
--- a/ibisrack/timeline/merge.py
+++ b/ibisrack/timeline/merge.py
@@ -1,4 +1,4 @@
-"""Merges the time lines of several processes, filters them and follows one call.
+"""Merges the time lines of several processes and follows one call.
 
 The functions are pure: fetching the time lines and printing the result are duties of other modules.
 """
@@ -34,33 +34,6 @@
     event: dict[str, Any]
 
 
-@attrs.frozen
-class EventFilter:
-    """Which events to keep; an empty field keeps all.
-
-    Attributes:
-      revision: Revision that the event mentions.
-      call_id: Identity of a call.
-      node_id: Process that recorded the event, or that the event is about.
-      kind: Name of the event class, in any case.
-    """
-
-    revision: int | None = None
-    call_id: str = ""
-    node_id: str = ""
-    kind: str = ""
-
-    def keeps(self, record: Record) -> bool:
-        """Tells whether a record passes the filter."""
-        event = record.event
-        return (
-            (self.revision is None or self.revision in _revisions(event))
-            and (not self.call_id or event.get("call_id") == self.call_id)
-            and (not self.node_id or self.node_id in (record.node_id, event.get("node_id")))
-            and (not self.kind or record.kind.lower() == self.kind.lower())
-        )
-
-
 @attrs.frozen
 class CallTrace:
     """What the time lines tell of one call; empty texts are not known.
@@ -104,10 +77,6 @@
         raise MessageError(f"not a time line: {error}") from error
 
 
-def _revisions(event: dict[str, Any]) -> tuple[Any, ...]:
-    return (event.get("revision"), event.get("previous_revision"), event.get("in_force_revision"))
-
-
 def _order(record: Record) -> tuple[Timestamp, str]:
     return (record.stamp, record.node_id)
 
@@ -117,11 +86,6 @@
     return list(merge_sorted(*(sorted(t, key=_order) for t in timelines), key=_order))
 
 
-def select(records: Iterable[Record], event_filter: EventFilter) -> list[Record]:
-    """Returns the records that pass the filter."""
-    return [record for record in records if event_filter.keeps(record)]
-
-
 def trace(records: Iterable[Record], call_id: str) -> tuple[CallTrace, ...]:
     """Follows one call; each ingress event of the call id gives one trace.
 
--- a/ibisrack/timeline/merge_test.py
+++ b/ibisrack/timeline/merge_test.py
@@ -4,13 +4,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ibisrack.errors import MessageError
+from ibisrack.errors import MessageError, RequestError
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.fuzz import fuzz
 from ibisrack.timeline.clock import Timestamp
 from ibisrack.timeline.events import CallFinished, VersionActivated
 from ibisrack.timeline.log import EventLog
-from ibisrack.timeline.merge import EventFilter, Record, decode_records, merge, select, trace
+from ibisrack.timeline.merge import Record, decode_records, merge, trace
+from ibisrack.timeline.query import EventFilter, from_query, select, to_query
 
 
 def _call(role: str, peer: str, outcome: str = "done", reason: str = "") -> CallFinished:
@@ -37,6 +38,33 @@
     assert len(select(records, EventFilter(kind="versionactivated"))) == 1
     assert len(select(records, EventFilter(node_id="a"))) == 2
     assert not select(records, EventFilter(node_id="z"))
+    assert [r.stamp.wall_ms for r in select(records, EventFilter(limit=1))] == [2]
+
+
+def test_node_and_tool_filter_alike():
+    """Guards against events that a node leaves out although the tool would keep them."""
+    log = EventLog("a", 100)
+    log.record(VersionActivated(2, "x", 1), 1)
+    log.record(_call("ingress", "b"), 2)
+    records = decode_records(msgspec.json.encode(log.entries()))
+    for event_filter in (EventFilter(revision=1), EventFilter(call_id="c1"), EventFilter(limit=1)):
+        assert from_query(to_query(event_filter)) == event_filter
+        kept = select(log.entries(), event_filter)
+        assert [e.kind for e in kept] == [r.kind for r in select(records, event_filter)]
+
+
+_QUERIES = st.dictionaries(st.sampled_from(["revision", "limit", "kind", "x"]), st.text(max_size=6))
+
+
+@fuzz(300)
+@given(_QUERIES)
+def test_any_query_is_read_or_refused(query):
+    try:
+        event_filter = from_query(query)
+    except RequestError as error:
+        assert error.status == 400
+        return
+    assert event_filter.limit >= 0
 
 
 def test_trace_finds_both_nodes_and_the_requester():
