Use the channels of the room slice as the carrier gives them

Change: the three awaits are gone; room/source_test.py reports to a reader and asks it for the view over real channels.

--- a/ibisrack/room/reporter.py
+++ b/ibisrack/room/reporter.py
@@ -61,7 +61,7 @@
 
     async def _send(self, address: str) -> bool:
         node = self.exchanger.node
-        channel = await self._report_channels.get(address)
+        channel = self._report_channels.get(address)
         timeout_s = node.settings.exchange.timeout_s
         opening = (status_report(node, read_clocks()),)
         return await try_converse(self.exchanger, channel, timeout_s, opening) is not None
@@ -77,6 +77,6 @@
         await self._partner_channels.keep({m.peer_address for m in chosen})
         if not chosen:
             return
-        channel = await self._partner_channels.get(node.rng.choice(chosen).peer_address)
+        channel = self._partner_channels.get(node.rng.choice(chosen).peer_address)
         opening = (node.room.wanted(read_clocks().monotonic_s, FRESHER_BY_S),)
         await try_converse(self.exchanger, channel, node.settings.exchange.timeout_s, opening)
--- a/ibisrack/room/source.py
+++ b/ibisrack/room/source.py
@@ -47,7 +47,7 @@
         await self._channels.keep(readers)
         opening = (node.room.wanted(read_clocks().monotonic_s, FRESHER_BY_S),)
         for address in readers:
-            channel = await self._channels.get(address)
+            channel = self._channels.get(address)
             timeout_s = node.settings.exchange.timeout_s
             if await try_converse(self.exchanger, channel, timeout_s, opening):
                 return
--- /dev/null
+++ b/ibisrack/room/source_test.py
@@ -0,0 +1,58 @@
+"""Tests of the fleet view of a node that is no reader, over real channels."""
+
+from ibisrack.clocks import read_clocks
+from ibisrack.exchange.carrier import start_server
+from ibisrack.exchange.conversation import Exchanger
+from ibisrack.membership.readers import elect
+from ibisrack.membership.table import MemberTable
+from ibisrack.node.state import NodeState
+from ibisrack.room.partners import own_readers
+from ibisrack.room.reporter import Reporter
+from ibisrack.room.source import FleetSource
+from ibisrack.room.status import ReportSchedule, status_report
+from ibisrack.testing.fixtures import bare_node
+from ibisrack.testing.functions import function_tests
+
+
+def _zone(ports: tuple[int, ...]) -> list[NodeState]:
+    """Returns the nodes of one zone that know each other, the readers first."""
+    nodes = [bare_node(f"n{i}", peer_port=port) for i, port in enumerate(ports)]
+    records = [node.members.own() for node in nodes]
+    tables: list[MemberTable] = [node.members for node in nodes]
+    for table in tables:
+        for record in records:
+            table.apply(record)
+    readers = [m.node_id for m in elect("z", records)]
+    return sorted(nodes, key=lambda node: node.members.own_id not in readers)
+
+
+async def test_node_reports_to_its_reader_and_shows_the_summary():
+    """Guards against channels of the room slice that do not fit the carrier."""
+    servers = {}
+    ports = []
+    for number in range(3):
+        server = await start_server("127.0.0.1", 0, lambda f, n=number: servers[n].serve(f))
+        ports.append((server, server.addresses[0][1]))
+    nodes = _zone(tuple(port for _, port in ports))
+    for node in nodes:
+        servers[int(node.members.own_id[1:])] = Exchanger(node, lambda: None)
+    outsider = nodes[-1]
+    exchanger = servers[int(outsider.members.own_id[1:])]
+    reporter = Reporter(exchanger, ReportSchedule(outsider.rng))
+    try:
+        for reader in own_readers(outsider.members.own(), outsider.members.all()):
+            assert await reporter._send(reader.peer_address)
+        for node in nodes[:2]:
+            now = read_clocks()
+            node.room.take(status_report(node, now), now.monotonic_s)
+            node.room.summarize(node.members.own(), node.members.all(), now.monotonic_s)
+        view = await FleetSource(exchanger).view()
+    finally:
+        for server, _ in ports:
+            await server.cleanup()
+    (zone,) = view.zones
+    assert zone.reader in (node.members.own_id for node in nodes[:2])
+    assert zone.by_state == {"starting": 2}, "the reader's own report and that of the outsider"
+
+
+load_tests = function_tests(__name__)
