Count nodes that refuse a newer version as being on the accepted one at any size

Cause: a zone lists 20 stragglers; with a bad version in a zone of 108 nodes a screen could not know that the others refuse it too, and showed 240 of 1,296 nodes on the accepted version. Change: zones list refusals by nodes on the highest version last, so a listed one tells that all left out are of the same kind; the view counts them. Conclusion: a bad version does not show a healthy fleet as behind.

--- a/ibisrack/room/assemble.py
+++ b/ibisrack/room/assemble.py
@@ -68,6 +68,7 @@
     zones = tuple(zone_screen(zone, revision, known.fleet_age_s, stale_s) for zone in fleet.zones)
     listed = [(zone.zone, node) for zone in fleet.zones for node in zone.stragglers]
     holding = [node for _, node in listed if _only_refuses(node, revision)]
+    refusing = len(holding) + sum(_unlisted_refusals(zone, revision) for zone in fleet.zones)
     behind = [straggler_view(zone, node, known.probes) for zone, node in listed]
     behind = [view for view, (_, node) in zip(behind, listed, strict=True) if node not in holding]
     ranks, rules = rank_views(known.rules, fleet.ranks), rule_views(known.rules, fleet.rules)
@@ -77,10 +78,10 @@
         accepted_digest=fleet.accepted.digest if fleet.accepted else "",
         total=fleet.members,
         on_accepted=sum(zone.on_accepted for zone in zones),
-        refused=_refusal(holding),
+        refused=_refusal(holding, refusing),
         zones=zones,
         stragglers=tuple(sorted(behind, key=_straggler_order)),
-        straggler_count=fleet.straggler_count - len(holding),
+        straggler_count=fleet.straggler_count - refusing,
         ranks=ranks[:MAX_ROWS],
         rank_count=len(ranks),
         rules=rules[:MAX_ROWS],
@@ -96,22 +97,33 @@
     return node.cause == REFUSED and node.revision == accepted and accepted > 0
 
 
-def _refusal(holding: list[Straggler]) -> RefusalView | None:
+def _unlisted_refusals(zone: ZoneView, accepted: int) -> int:
+    """Counts the refusals that a zone leaves out of its list.
+
+    Zones list refusals by nodes on the highest version last, so when one is listed, all that are
+    left out are of the same kind.
+    """
+    if not zone.stragglers or not _only_refuses(zone.stragglers[-1], accepted):
+        return 0
+    return zone.straggler_count - len(zone.stragglers)
+
+
+def _refusal(holding: list[Straggler], count: int) -> RefusalView | None:
     faults = tuple(dict.fromkeys(node.detail for node in holding))
-    return RefusalView(len(holding), faults) if holding else None
+    return RefusalView(count, faults) if holding else None
 
 
 def zone_screen(zone: ZoneView, accepted: int, fleet_age_s: float, stale_s: float) -> ZoneScreen:
     """Counts the nodes of a zone that are known to be on the accepted version.
 
     The count of versions holds last reports, also those of nodes that have gone silent since; these
-    are taken off.  So are stragglers beyond the listed ones, as nothing is known of them.
+    are taken off.  So are stragglers beyond the listed ones, unless they are known to be refusals.
     """
     age_s = None if zone.age_s is None else round(zone.age_s + fleet_age_s, 1)
     reported = sum(count.nodes for count in zone.by_version if count.revision == accepted > 0)
     on_it = [node for node in zone.stragglers if node.revision == accepted]
     silent = sum(not _only_refuses(node, accepted) for node in on_it)
-    unlisted = zone.straggler_count - len(zone.stragglers)
+    unlisted = zone.straggler_count - len(zone.stragglers) - _unlisted_refusals(zone, accepted)
     return ZoneScreen(
         zone=zone.zone,
         region=zone.region,
--- a/ibisrack/room/assemble_test.py
+++ b/ibisrack/room/assemble_test.py
@@ -50,6 +50,15 @@
     assert assemble(_known(_zone(count=2)), 15).on_accepted == 1
 
 
+def test_unlisted_refusals_are_on_the_accepted_version():
+    """Guards against a large fleet that is shown as behind when it refuses a bad version."""
+    listed = Straggler("n1", "refused", 5, FAULT)
+    view = assemble(_known(_zone(listed, count=3)), 15)
+    assert (view.on_accepted, view.straggler_count, view.refused.node_count) == (3, 0, 3)
+    behind = assemble(_known(_zone(listed, Straggler("n2", "cut off", 5, "x"), count=3)), 15)
+    assert behind.on_accepted == 1
+
+
 def test_nodes_that_refuse_a_newer_version_are_on_the_accepted_one():
     view = assemble(_known(_zone(Straggler("n2", "refused", 5, FAULT))), 15)
     assert view.on_accepted == 3 and not view.stragglers
--- a/ibisrack/room/reports.py
+++ b/ibisrack/room/reports.py
@@ -14,7 +14,7 @@
     ZoneSummaries,
     ZoneSummary,
 )
-from ibisrack.room.stragglers import straggler
+from ibisrack.room.stragglers import REFUSED, straggler
 from ibisrack.room.sums import add_ranks, add_rules
 from ibisrack.versions.chunks import VersionId
 
@@ -149,7 +149,9 @@
             report = received.report if received else None
             age_s = now_s - received.at_s if received else 0.0
             found.append(straggler(member, report, age_s, revision))
-        return sorted((s for s in found if s), key=lambda s: (s.revision, s.node_id))
+        # Refusals last: when one of them is listed, all that are left out are refusals too.
+        listed = (s for s in found if s)
+        return sorted(listed, key=lambda s: (s.revision, s.cause == REFUSED, s.node_id))
 
 
 def _by_version(reports: Iterable[StatusReport]) -> tuple[VersionCount, ...]:
--- a/ibisrack/room/view.py
+++ b/ibisrack/room/view.py
@@ -126,7 +126,7 @@
     """A version that nodes refused although they are on the accepted one.
 
     Attributes:
-      node_count: Nodes that are listed with the refusal; there may be more.
+      node_count: Nodes known to have refused it; there may be more.
       faults: File, line, reason and requester, without repetitions.
     """
 
