--- a/bench/control_bench.py
+++ b/bench/control_bench.py
@@ -30,7 +30,8 @@
 CPU_BOUND_PERCENT = 3.5
 MEMORY_BOUND_MB = 64.0
 
-SIZES = ((12, 1), (12, 3))
+# Zones and nodes in each; the bounds hold for every size.
+SIZES = ((12, 3), (12, 6), (12, 12))
 
 _TOTALS = (
     "convergence_time_s",
@@ -68,7 +69,8 @@
 async def _spent(fleet: Fleet, work) -> Spent:
     """Runs work and returns the largest use among the nodes."""
     processes = [psutil.Process(node.handle.pid) for node in fleet.nodes]
-    counter = SocketCounter(frozenset(process.pid for process in processes))
+    admin_ports = frozenset(node.settings["listen"]["admin_port"] for node in fleet.nodes)
+    counter = SocketCounter(frozenset(process.pid for process in processes), admin_ports)
     await asyncio.to_thread(counter.poll)
     bytes_before = counter.totals()
     cpu_before = {process.pid: _cpu_s(process) for process in processes}
--- a/bench/sockets.py
+++ b/bench/sockets.py
@@ -21,20 +21,24 @@
 
     Attributes:
       pids: The processes to count.
+      excluded_ports: Local ports whose connections are left out, such as those that the bench
+        itself reads from.
     """
 
     pids: frozenset[int]
+    excluded_ports: frozenset[int] = frozenset()
     _last: dict[tuple[str, ...], int] = attrs.field(factory=dict)
     _totals: dict[int, int] = attrs.field(factory=dict)
 
     def poll(self) -> None:
-        """Adds what went over the connections since the last poll."""
-        seen: dict[tuple[str, ...], int] = {}
+        """Adds what went over the connections since the last poll.
+
+        A listing may miss a connection that is still open, so the last counts are kept.
+        """
         for pid, key, count in _connections(_ss_lines()):
-            if pid in self.pids:
-                seen[key] = count
+            if pid in self.pids and int(key[1].rpartition(":")[2]) not in self.excluded_ports:
                 self._totals[pid] = self._totals.get(pid, 0) + count - self._last.get(key, 0)
-        self._last = seen
+                self._last[key] = count
 
     def totals(self) -> dict[int, int]:
         """Returns the bytes sent and received by each process."""
