--- /dev/null
+++ b/ibisrack/ctl/nodes.py
@@ -0,0 +1,42 @@
+"""Commands on single nodes: drain and version."""
+
+from importlib.metadata import PackageNotFoundError, version
+
+import attrs
+
+from ibisrack.admin.client import AdminError
+from ibisrack.admin.messages import Status, decode
+from ibisrack.bin.common import EXIT_OK, EXIT_UNREACHABLE
+from ibisrack.ctl.commands import Drain, Options, Version
+from ibisrack.ctl.output import Result
+from ibisrack.ctl.run import admin_client, run_command
+from ibisrack.text import table
+
+
+@run_command.register
+async def _(command: Drain, options: Options) -> Result:
+    async with admin_client(options) as client:
+        body = await client.body(command.address, "/drain", "POST")
+    status = decode(body, Status)
+    line = f"{status.node_id} in {status.zone} is {status.state}"
+    return Result((line,), attrs.asdict(status))
+
+
+def program_version() -> str:
+    """Returns the version of the installed package."""
+    try:
+        return version("ibisrack")
+    except PackageNotFoundError:
+        return "not installed as a package"
+
+
+@run_command.register
+async def _(command: Version, options: Options) -> Result:
+    async with admin_client(options) as client:
+        answers = await client.get_all(options.nodes, "/status", Status)
+    found = [answer for answer in answers.values() if not isinstance(answer, AdminError)]
+    errors = tuple(str(e) for e in answers.values() if isinstance(e, AdminError))
+    rows = [(s.node_id, f"revision {s.revision}", s.digest[:8], s.state) for s in found]
+    lines = (f"ibisctl {program_version()}", *table(rows))
+    data = {"program": program_version(), "nodes": found}
+    return Result(lines, data, EXIT_UNREACHABLE if errors else EXIT_OK, errors)
