--- a/ibisrack/membership/failures_test.py
+++ b/ibisrack/membership/failures_test.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from ibisrack.membership.departures import FORGET_AFTER_S
+from ibisrack.membership.readers import elect
 from ibisrack.membership.records import Liveness
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.stepping import SteppedFleet, members_of_zone, start_node, stepped_fleet
@@ -136,6 +137,18 @@
     assert len({n.members.digest() for n in fleet.running()}) == 1
 
 
+def test_zone_that_loses_both_readers_elects_two_others():
+    """Guards against a zone that nobody reads the platform for."""
+    fleet = stepped_fleet(48, 12, seed=13)
+    any_node = fleet.nodes["node-0000"]
+    fleet.down |= {m.node_id for m in elect("zone-03", any_node.members.all())}
+    fleet.run(DETECTION_S)
+    elected = {elect("zone-03", n.members.all()) for n in fleet.running()}
+    (readers,) = elected
+    assert len(readers) == 2
+    assert not fleet.down & {reader.node_id for reader in readers}
+
+
 def test_flapping_node_is_alive_in_the_end_and_costs_no_other_node():
     fleet = stepped_fleet(24, 6, seed=9)
     for _ in range(10):
