--- a/ibisrack/room/page/room.js
+++ b/ibisrack/room/page/room.js
@@ -4,9 +4,10 @@
 const POLL_MS = 1000;
 const LOST_AFTER_MS = 5000;
 const MAX_STRAGGLERS = 7;
-const MAX_RANKS = 10;
+const MAX_RANKS = 8;
 const MAX_RULES = 12;
 const MAX_FAULTS = 3;
+const MANY_ZONES = 6; // More than these are shown without their age, unless it is too high.
 const LOW_PERCENT = 95; // The bound of the design page for the share that other work keeps.
 
 let lastAnswerAt = null;
@@ -71,7 +72,7 @@
 
 function zone(item) {
   const complete = item.on_accepted === item.total && !item.stale;
-  const box = element("div", complete ? "zone" : "zone short");
+  const box = element("div", `zone${complete ? "" : " short"}${item.stale ? " stale" : ""}`);
   box.append(element("div", "name", `${complete ? "\u2713" : "\u2717"} ${item.zone}`));
   box.append(element("div", "big", `${item.on_accepted} of ${item.total}`));
   const age = item.age_s === null ? "nothing known" : `${Math.ceil(item.age_s)} s old`;
@@ -88,10 +89,10 @@
   return box;
 }
 
-function stragglers(view) {
+function stragglers(view, limit) {
   if (!view.accepted_revision) return [element("div", "none", "? not known")];
   if (!view.straggler_count) return [element("div", "none", "\u2713 none")];
-  const shown = view.stragglers.slice(0, MAX_STRAGGLERS).map(straggler);
+  const shown = view.stragglers.slice(0, limit).map(straggler);
   const rest = view.straggler_count - shown.length;
   if (rest > 0) shown.push(element("div", "none", `and ${rest} more`));
   return shown;
@@ -139,12 +140,21 @@
   return row("td", cells);
 }
 
-function rules(items, count) {
+function rules(items, count, limit) {
   const head = [
     ["line", "number"], ["route", ""], ["demand", "number"], ["served", "number"],
     ["refused", "number"], ["unknown", "number"], ["asked by, and why", ""],
   ];
-  return [row("th", head), ...items.slice(0, MAX_RULES).map(ruleRow), ...more(count, MAX_RULES, 7)];
+  return [row("th", head), ...items.slice(0, limit).map(ruleRow), ...more(count, limit, 7)];
+}
+
+// Shows as many rows as fit on the screen, so that what is left out is counted and not cut off.
+function fit(section, most, render) {
+  for (let rows = most; rows >= 1; rows -= 1) {
+    render(rows);
+    const bottom = document.getElementById(section).getBoundingClientRect().bottom;
+    if (bottom <= window.innerHeight) return;
+  }
 }
 
 function show(title, view) {
@@ -153,11 +163,12 @@
   setText("age-text", view.age_s === null ? "no data" : `data up to ${Math.ceil(view.age_s)} s old`);
   banner(view);
   fill("notes", notes(view));
+  document.getElementById("zones").className = view.zones.length > MANY_ZONES ? "many" : "";
   fill("zones", view.zones.map(zone));
   setText("straggler-count", view.straggler_count ? `(${view.straggler_count})` : "");
-  fill("stragglers", stragglers(view));
   fill("ranks", ranks(view.ranks, view.rank_count));
-  fill("rules", rules(view.rules, view.rule_count));
+  fit("nodes", MAX_STRAGGLERS, (rows) => fill("stragglers", stragglers(view, rows)));
+  fit("work", MAX_RULES, (rows) => fill("rules", rules(view.rules, view.rule_count, rows)));
 }
 
 function showLost() {
