Pass compressed request bodies on as they came

Cause: the call port decompressed a body with Content-Encoding: gzip and passed the header on, so the upstream received a body that its headers contradict; a body that was not gzip gave 500 without an outcome. Found while trying hostile headers. Change: the call port's server leaves bodies alone; a malformed body is refused as not run. Conclusion: lodgements with compressed bodies reach the upstream whole.

--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -12,7 +12,7 @@
 from ibisrack.calls.ingress import Ingress
 from ibisrack.calls.keyed import create_keyed_runs
 from ibisrack.calls.owner import Owner
-from ibisrack.calls.server import CallServer
+from ibisrack.calls.server import CallServer, http_server
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import PlatformError
 from ibisrack.exchange.carrier import start_server
@@ -155,11 +155,7 @@
     async with _session(0) as session, _session(UPSTREAM_CONNECTIONS) as upstream:
         process = _assemble(settings, session, upstream)
         ingress = Ingress(process.node, process.owner, session)
-        call_server = web.Server(
-            CallServer(process.node, process.owner, ingress).handle,
-            access_log=None,
-            handler_cancellation=True,
-        )
+        call_server = http_server(CallServer(process.node, process.owner, ingress))
         source = FleetSource(process.exchanger)
         admin = AdminServer(process.node, process.owner, source, process.drain).application()
         runners = [web.ServerRunner(call_server), web.AppRunner(admin, access_log=None)]
