Refuse peer requests whose body is malformed without an internal error

Cause: a POST to the peer port with Content-Encoding: gzip and another content gave 500, and an encoded body was expanded before its size was checked. Conclusion: the peer port stays up and bounded.

--- a/ibisrack/exchange/carrier.py
+++ b/ibisrack/exchange/carrier.py
@@ -62,6 +62,8 @@
             return web.Response(body=self.serve(frame))
         except HTTPRequestEntityTooLarge:
             return web.Response(status=413)
+        except web.RequestPayloadError:
+            return web.Response(status=400, text="the body is malformed or not complete")
         except MessageError as error:
             return web.Response(status=400, text=str(error)[:MAX_ERROR_BYTES])
 
@@ -92,6 +94,7 @@
         request_factory=_request_factory,
         access_log=None,
         keepalive_timeout=2 * KEEPALIVE_S,
+        auto_decompress=False,  # Frames are compressed already; an encoding could expand freely.
     )
     runner = web.ServerRunner(server)
     await runner.setup()
--- /dev/null
+++ b/ibisrack/exchange/carrier_test.py
@@ -0,0 +1,33 @@
+"""Tests of the peer port against hostile requests."""
+
+import re
+
+from ibisrack.errors import MessageError
+from ibisrack.exchange.carrier import PATH, start_server
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.hostile import exchange_all, hostile_requests
+
+_PATHS = [PATH.encode(), PATH.encode() + b"?x", b"/none"]
+_HEADERS = b"Content-Encoding Content-Length Transfer-Encoding Host Expect".split()
+
+
+def _refuse(frame: bytes) -> bytes:
+    raise MessageError("the frame is malformed")
+
+
+async def test_hostile_requests_do_not_stop_the_peer_port():
+    """Guards against a request that breaks the server for the peers after it."""
+    runner = await start_server("127.0.0.1", 0, _refuse)
+    address = f"127.0.0.1:{runner.addresses[0][1]}"
+    head = b"POST " + PATH.encode() + b" HTTP/1.1\r\nHost: a\r\nContent-Encoding: gzip\r\n"
+    encoded = head + b"Connection: close\r\nContent-Length: 3\r\n\r\nabc"
+    try:
+        pairs = await exchange_all(address, [*hostile_requests(300, _PATHS, _HEADERS), encoded])
+    finally:
+        await runner.cleanup()
+    assert sum(bool(answer) for _, answer in pairs) > len(pairs) / 2
+    for request, answer in pairs:
+        assert not answer or re.match(rb"HTTP/1\.[01] [1234]", answer), (request, answer)
+
+
+load_tests = function_tests(__name__)
