--- a/ibisrack/room/assemble.py
+++ b/ibisrack/room/assemble.py
@@ -46,6 +46,7 @@
       rules: Rules in force at a node, None while they are not known.
       rules_revision: Their revision.
       probes: How silent nodes failed to answer this process, None for an answer, by node id.
+      leaving: Nodes that are marked as leaving.
     """
 
     fleet: FleetView | None = None
@@ -54,6 +55,11 @@
     rules: RuleSet | None = None
     rules_revision: int = 0
     probes: Mapping[str, Silence | None] = attrs.field(factory=dict)
+    leaving: frozenset[str] = frozenset()
+
+    def departed(self, zone: ZoneView) -> int:
+        """Counts the listed stragglers of a zone that left as planned."""
+        return sum(node.node_id in self.leaving for node in zone.stragglers)
 
 
 def assemble(known: Known, stale_s: float) -> ScreenView:
@@ -65,8 +71,10 @@
     """
     fleet = known.fleet or FleetView("", None, 0, 0, (), (), ())
     revision = fleet.accepted.revision if fleet.accepted else 0
-    zones = tuple(zone_screen(zone, revision, known.fleet_age_s, stale_s) for zone in fleet.zones)
-    listed = [(zone.zone, node) for zone in fleet.zones for node in zone.stragglers]
+    zones = tuple(zone_screen(zone, revision, known, stale_s) for zone in fleet.zones)
+    nodes = [(zone.zone, node) for zone in fleet.zones for node in zone.stragglers]
+    listed = [(zone, node) for zone, node in nodes if node.node_id not in known.leaving]
+    departed = len(nodes) - len(listed)
     holding = [node for _, node in listed if _only_refuses(node, revision)]
     refusing = len(holding) + sum(_unlisted_refusals(zone, revision) for zone in fleet.zones)
     behind = [straggler_view(zone, node, known.probes) for zone, node in listed]
@@ -76,12 +84,13 @@
     return ScreenView(
         accepted_revision=revision,
         accepted_digest=fleet.accepted.digest if fleet.accepted else "",
-        total=fleet.members,
+        total=fleet.members - departed,
         on_accepted=sum(zone.on_accepted for zone in zones),
         refused=_refusal(holding, refusing),
         zones=zones,
         stragglers=tuple(sorted(behind, key=_straggler_order)),
-        straggler_count=fleet.straggler_count - refusing,
+        straggler_count=fleet.straggler_count - refusing - departed,
+        leaving=departed,
         ranks=ranks[:MAX_ROWS],
         rank_count=len(ranks),
         rules=rules[:MAX_ROWS],
@@ -113,13 +122,14 @@
     return RefusalView(count, faults) if holding else None
 
 
-def zone_screen(zone: ZoneView, accepted: int, fleet_age_s: float, stale_s: float) -> ZoneScreen:
+def zone_screen(zone: ZoneView, accepted: int, known: Known, stale_s: float) -> ZoneScreen:
     """Counts the nodes of a zone that are known to be on the accepted version.
 
     The count of versions holds last reports, also those of nodes that have gone silent since; these
     are taken off.  So are stragglers beyond the listed ones, unless they are known to be refusals.
+    Nodes that left as planned are not part of the total.
     """
-    age_s = None if zone.age_s is None else round(zone.age_s + fleet_age_s, 1)
+    age_s = None if zone.age_s is None else round(zone.age_s + known.fleet_age_s, 1)
     reported = sum(count.nodes for count in zone.by_version if count.revision == accepted > 0)
     on_it = [node for node in zone.stragglers if node.revision == accepted]
     silent = sum(not _only_refuses(node, accepted) for node in on_it)
@@ -127,7 +137,7 @@
     return ZoneScreen(
         zone=zone.zone,
         region=zone.region,
-        total=zone.members,
+        total=zone.members - known.departed(zone),
         on_accepted=max(0, min(reported, zone.members) - silent - unlisted),
         age_s=age_s,
         stale=age_s is None or age_s > stale_s,
--- a/ibisrack/room/assemble_test.py
+++ b/ibisrack/room/assemble_test.py
@@ -66,6 +66,14 @@
     assert "asked by J. Okafor" in "\n".join(fleet_lines(view))
 
 
+def test_nodes_that_left_as_planned_are_not_stragglers():
+    """Guards against a screen that shows each of 510 planned restarts a day as a failure."""
+    zone = _zone(Straggler("n2", "cut off", 5, "x"))
+    view = assemble(_known(zone, leaving=frozenset(["n2"])), 15)
+    assert (view.on_accepted, view.total, view.straggler_count, view.leaving) == (2, 2, 0, 1)
+    assert (view.zones[0].on_accepted, view.zones[0].total) == (2, 2)
+
+
 def test_probe_tells_a_sleeping_node_from_one_that_does_not_run():
     zone = _zone(Straggler("n2", "cut off", 5, "x"), Straggler("n3", "cut off", 5, "x"))
     probes = {"n2": Silence.NO_ANSWER, "n3": Silence.REFUSED}
--- a/ibisrack/room/page/room.js
+++ b/ibisrack/room/page/room.js
@@ -54,7 +54,8 @@
   const counts = `${view.on_accepted} of ${view.total} nodes on it`;
   const complete = view.on_accepted === view.total;
   const state = `VERSION ${view.accepted_revision} ${complete ? "ON ALL NODES" : "NOT ON ALL"}`;
-  showBanner(complete ? "good" : "bad", complete ? "\u2713" : "\u2717", state, counts);
+  const leaving = view.leaving ? `, ${view.leaving} more left as planned` : "";
+  showBanner(complete ? "good" : "bad", complete ? "\u2713" : "\u2717", state, counts + leaving);
 }
 
 function notes(view) {
--- a/ibisrack/room/poller.py
+++ b/ibisrack/room/poller.py
@@ -21,6 +21,7 @@
 
 MAX_PROBES = 10
 MEMBERS_INTERVAL_S = 30.0  # The member table of 1,300 nodes has about 300 KB of JSON.
+SILENT_INTERVAL_S = 5.0  # While nodes are silent: whether they are leaving is news of seconds.
 MAX_FALLBACK_ADDRESSES = 5
 
 
@@ -100,18 +101,25 @@
 
     async def _read_members(self) -> None:
         now_s = read_clocks().monotonic_s
-        if self._members_at_s is not None and now_s - self._members_at_s < MEMBERS_INTERVAL_S:
+        interval_s = SILENT_INTERVAL_S if self._silent() else MEMBERS_INTERVAL_S
+        if self._members_at_s is not None and now_s - self._members_at_s < interval_s:
             return
         try:
             self._members = await self.client.get(self._source, "/members", tuple[Member, ...])
         except AdminError:
             return  # Only fallback addresses and probes depend on it.
         self._members_at_s = now_s
+        leaving = frozenset(m.node_id for m in self._members if m.leaving)
+        self.known = attrs.evolve(self.known, leaving=leaving)
+
+    def _silent(self) -> set[str]:
+        """Returns the listed nodes that do not answer their peers."""
+        listed = [node for zone in self.known.fleet.zones for node in zone.stragglers]
+        return {node.node_id for node in listed if node.cause in (ASLEEP, CUT_OFF)}
 
     async def _probe(self) -> None:
         """Asks silent nodes directly, as this process may see more of the cause."""
-        listed = [node for zone in self.known.fleet.zones for node in zone.stragglers]
-        silent = {node.node_id for node in listed if node.cause in (ASLEEP, CUT_OFF)}
+        silent = self._silent() - self.known.leaving
         found = [m for m in self._members if m.node_id in silent][:MAX_PROBES]
         results = await asyncio.gather(*(self._probe_one(member) for member in found))
         probes = {member.node_id: r for member, r in zip(found, results, strict=True)}
--- a/ibisrack/room/terminal.py
+++ b/ibisrack/room/terminal.py
@@ -47,6 +47,8 @@
     """Returns the part of the view about versions and nodes."""
     age = "no data" if view.age_s is None else f"data up to {view.age_s:.0f} s old"
     lines = [headline(view), f"{age}, from {view.source or 'nobody'}"]
+    if view.leaving:
+        lines.append(f"{view.leaving} nodes left as planned and are not counted")
     lines += [f"NOTE {printable(problem)}" for problem in view.problems]
     if view.refused:
         lines += ["", f"REFUSED: a newer version, by at least {view.refused.node_count} nodes"]
--- a/ibisrack/room/view.py
+++ b/ibisrack/room/view.py
@@ -147,6 +147,7 @@
       zones: Nodes by availability zone.
       stragglers: Nodes not known to be on the accepted version, as far as they are listed.
       straggler_count: Number of all of them.
+      leaving: Nodes that left as planned and are still listed; they are not part of the total.
       ranks: Calls by rank, the least kept first, at most MAX_ROWS.
       rank_count: Number of all ranks.
       rules: Calls by route, the most refused first, at most MAX_ROWS.
@@ -164,6 +165,7 @@
     zones: tuple[ZoneView, ...]
     stragglers: tuple[StragglerView, ...]
     straggler_count: int
+    leaving: int
     ranks: tuple[RankView, ...]
     rank_count: int
     rules: tuple[RuleView, ...]
