Tell the program's version also when it runs from the source tree

Cause: ibisctl version said 'not installed as a package'. Conclusion: support requests can name the build.

--- a/ibisrack/ctl/nodes.py
+++ b/ibisrack/ctl/nodes.py
@@ -1,9 +1,8 @@
 """Commands on single nodes: drain and version."""
 
-from importlib.metadata import PackageNotFoundError, version
-
 import attrs
 
+from ibisrack import __version__
 from ibisrack.admin.client import AdminError
 from ibisrack.admin.messages import Status, decode
 from ibisrack.bin.common import EXIT_OK, EXIT_UNREACHABLE
@@ -22,14 +21,6 @@
     return Result((line,), attrs.asdict(status))
 
 
-def program_version() -> str:
-    """Returns the version of the installed package."""
-    try:
-        return version("ibisrack")
-    except PackageNotFoundError:
-        return "not installed as a package"
-
-
 @run_command.register
 async def _(command: Version, options: Options) -> Result:
     async with admin_client(options) as client:
@@ -37,6 +28,6 @@
     found = [answer for answer in answers.values() if not isinstance(answer, AdminError)]
     errors = tuple(str(e) for e in answers.values() if isinstance(e, AdminError))
     rows = [(s.node_id, f"revision {s.revision}", s.digest[:8], s.state) for s in found]
-    lines = (f"ibisctl {program_version()}", *table(rows))
-    data = {"program": program_version(), "nodes": found}
+    lines = (f"ibisctl {__version__}", *table(rows))
+    data = {"program": __version__, "nodes": found}
     return Result(lines, data, EXIT_UNREACHABLE if errors else EXIT_OK, errors)
