--- a/ibisrack/room/assemble_test.py
+++ b/ibisrack/room/assemble_test.py
@@ -1,5 +1,6 @@
 """Tests of the screen's view and of its poller."""
 
+import attrs
 import msgspec
 from aiohttp import ClientSession
 from hypothesis import given
@@ -8,7 +9,7 @@
 from ibisrack.admin.client import AdminClient, AdminError, Silence
 from ibisrack.admin.messages import Member, RulesText, Status, decode
 from ibisrack.errors import MessageError
-from ibisrack.room.assemble import Known, assemble
+from ibisrack.room.assemble import Known, assemble, freshest
 from ibisrack.room.fleet import FleetView, VersionNodes, VersionView, ZoneView
 from ibisrack.room.messages import RankCounts, RuleCounts, Straggler
 from ibisrack.room.poller import Poller
@@ -117,6 +118,27 @@
     assert admin.requests == ["/fleet", "/rules", "/members", "/fleet"]
 
 
+def test_freshest_data_of_each_zone_is_kept():
+    """Guards against a screen that flips between the two sides of a partition."""
+    north, south = _zone(age_s=2.0), attrs.evolve(_zone(age_s=400.0), zone="south")
+    one = attrs.evolve(_fleet(north), zones=(north, south))
+    other = attrs.evolve(one, zones=(_zone(age_s=300.0), attrs.evolve(south, age_s=1.0)))
+    ages_s = {zone.zone: zone.age_s for zone in freshest(one, 2.0, other).zones}
+    assert ages_s == {"newman": 4.0, "south": 1.0}
+    assert freshest(None, 0.0, one) == attrs.evolve(one, members=6)
+
+
+async def test_poller_asks_another_node_when_an_answer_is_out_of_date():
+    stale = _answers(_fleet(_zone(age_s=400.0)))
+    async with fake_admin(stale) as a, fake_admin(_answers(_fleet(_zone()))) as b:
+        async with ClientSession() as session:
+            poller = Poller(AdminClient(session, 0.5), (a.address, b.address))
+            await poller.read_round()
+            assert poller.view().zones[0].stale
+            await poller.read_round()
+    assert not poller.view().zones[0].stale
+
+
 async def test_poller_keeps_the_last_view_when_nobody_answers():
     async with fake_admin(_answers(_fleet(_zone()))) as admin, ClientSession() as session:
         poller = Poller(AdminClient(session, 0.5), (admin.address,))
--- a/ibisrack/room/poller.py
+++ b/ibisrack/room/poller.py
@@ -13,7 +13,7 @@
 from ibisrack.admin.messages import DEAD, Member, RulesText, Status
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import RulesError
-from ibisrack.room.assemble import Known, assemble
+from ibisrack.room.assemble import Known, assemble, freshest
 from ibisrack.room.fleet import FleetView
 from ibisrack.room.stragglers import ASLEEP, CUT_OFF
 from ibisrack.room.view import ScreenView
@@ -68,10 +68,17 @@
         await self._probe()
 
     def _candidates(self) -> list[str]:
-        """Returns the addresses to ask, the one that answered last first."""
+        """Returns the addresses to ask, the one that answered last first.
+
+        When its answer was out of date, the next one goes first: the two may be on different sides
+        of a partition, and the freshest answer for each zone is kept.
+        """
         alive = [m.admin_address for m in self._members if m.liveness != DEAD]
-        known = [self._source] if self._source else []
-        return list(dict.fromkeys((*known, *self.addresses, *alive[:MAX_FALLBACK_ADDRESSES])))
+        found = list(dict.fromkeys((*self.addresses, *alive[:MAX_FALLBACK_ADDRESSES])))
+        if self._source not in found:
+            return found
+        first = found.index(self._source) + any(zone.stale for zone in self.view().zones)
+        return found[first:] + found[:first]
 
     async def _read_fleet(self) -> bool:
         error: AdminError | None = None
@@ -81,8 +88,9 @@
             except AdminError as caught:
                 error = caught
                 continue
-            self._source = address
-            self._fleet_at_s = read_clocks().monotonic_s
+            now_s = read_clocks().monotonic_s
+            fleet = freshest(self.known.fleet, now_s - self._fleet_at_s, fleet)
+            self._source, self._fleet_at_s = address, now_s
             self.known = attrs.evolve(self.known, fleet=fleet, error="")
             return True
         self.known = attrs.evolve(self.known, error=str(error))
