Keep the decoding of time lines out of the merge

Cause: timeline/merge.py decoded JSON for its tests only; decisions stay apart from encoding. Conclusion: the module holds decisions only.

--- a/ibisrack/timeline/merge.py
+++ b/ibisrack/timeline/merge.py
@@ -1,6 +1,6 @@
 """Merges the time lines of several processes and follows one call.
 
-The functions are pure: fetching the time lines and printing the result are duties of other modules.
+The functions are pure; fetching, decoding and printing are duties of other modules.
 """
 
 from collections.abc import Iterable
@@ -8,9 +8,7 @@
 from typing import Any
 
 import attrs
-import msgspec
 
-from ibisrack.errors import MessageError
 from ibisrack.timeline.clock import Timestamp
 from ibisrack.timeline.events import CallFinished
 
@@ -65,18 +63,6 @@
     duration_ms: float
 
 
-def decode_records(body: bytes) -> list[Record]:
-    """Decodes the answer of a node to GET /timeline.
-
-    Raises:
-      MessageError: The answer is malformed.
-    """
-    try:
-        return msgspec.json.decode(body, type=list[Record])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise MessageError(f"not a time line: {error}") from error
-
-
 def _order(record: Record) -> tuple[int, int, str]:
     return (*record.stamp.order, record.node_id)
 
--- a/ibisrack/timeline/merge_test.py
+++ b/ibisrack/timeline/merge_test.py
@@ -4,13 +4,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ibisrack.admin.messages import decode
 from ibisrack.errors import MessageError, RequestError
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.fuzz import fuzz
 from ibisrack.timeline.clock import Timestamp
 from ibisrack.timeline.events import CallFinished, VersionActivated
 from ibisrack.timeline.log import EventLog
-from ibisrack.timeline.merge import Record, decode_records, merge, trace
+from ibisrack.timeline.merge import Record, merge, trace
 from ibisrack.timeline.query import EventFilter, from_query, select, to_query
 
 
@@ -22,7 +23,7 @@
     log = EventLog(node_id, 100)
     for wall_ms, event in events:
         log.record(event, wall_ms)
-    return decode_records(msgspec.json.encode(log.entries()))
+    return decode(msgspec.json.encode(log.entries()), list[Record])
 
 
 def test_merge_follows_the_clocks():
@@ -46,7 +47,7 @@
     log = EventLog("a", 100)
     log.record(VersionActivated(2, "x", 1), 1)
     log.record(_call("ingress", "b"), 2)
-    records = decode_records(msgspec.json.encode(log.entries()))
+    records = decode(msgspec.json.encode(log.entries()), list[Record])
     for event_filter in (EventFilter(revision=1), EventFilter(call_id="c1"), EventFilter(limit=1)):
         assert from_query(to_query(event_filter)) == event_filter
         kept = select(log.entries(), event_filter)
@@ -120,7 +121,7 @@
 @given(st.binary(max_size=60) | _JSON.map(msgspec.json.encode))
 def test_malformed_time_lines_are_refused(body):
     try:
-        records = decode_records(body)
+        records = decode(body, list[Record])
     except MessageError:
         return
     assert all(isinstance(record, Record) for record in records)
