--- a/ibisrack/node/lifecycle.py
+++ b/ibisrack/node/lifecycle.py
@@ -1,5 +1,7 @@
 """Lifecycle of a node, from start to stop."""
 
+import logging
+
 from transitions import Machine
 
 STARTING = "starting"
@@ -9,6 +11,9 @@
 DRAINING = "draining"
 STOPPED = "stopped"
 
+# The library logs every callback; the time line holds the changes of state.
+logging.getLogger("transitions").setLevel(logging.WARNING)
+
 _TRANSITIONS = [
     {"trigger": "join", "source": STARTING, "dest": JOINING},
     {"trigger": "serve", "source": [JOINING, RESUMING], "dest": SERVING},
