--- a/ibisrack/calls/admission.py
+++ b/ibisrack/calls/admission.py
@@ -72,6 +72,7 @@
     """
 
     slots: int
+    _slot_limit: int | None = None
     _queues: dict[str, _Queue] = attrs.field(factory=dict)
     _running: set[Ticket] = attrs.field(factory=set)
 
@@ -87,6 +88,10 @@
                 queues[name] = queue
         self._queues = queues
 
+    def limit_slots(self, limit: int) -> None:
+        """Uses at most so many of the slots from now on, for a cold or shedding upstream."""
+        self._slot_limit = limit
+
     @property
     def busy(self) -> int:
         """Calls that run."""
@@ -142,7 +147,8 @@
 
     def _may_run(self, queue: _Queue) -> bool:
         limit = queue.rule.max_slots or self.slots
-        return len(self._running) < self.slots and queue.running < limit
+        usable = self.slots if self._slot_limit is None else min(self.slots, self._slot_limit)
+        return len(self._running) < usable and queue.running < limit
 
     def _start(self, queue: _Queue, ticket: Ticket) -> Admitted:
         queue.running += 1
--- a/ibisrack/calls/headers.py
+++ b/ibisrack/calls/headers.py
@@ -96,8 +96,3 @@
         rank=headers.get(RANK, ""),
         idempotency_key=headers.get(IDEMPOTENCY_KEY, ""),
     )
-
-
-def forwardable(headers: Mapping[str, str]) -> dict[str, str]:
-    """Returns the headers that may be passed on."""
-    return {name: value for name, value in headers.items() if name.lower() not in NOT_FORWARDED}
--- a/ibisrack/calls/ingress.py
+++ b/ibisrack/calls/ingress.py
@@ -1,7 +1,6 @@
 """Takes calls from callers: matches the route, chooses the instance, forwards."""
 
 import attrs
-from aiohttp import ClientSession
 
 from ibisrack.calls.balance import LoadView, choose, eligible
 from ibisrack.calls.headers import (
@@ -25,6 +24,7 @@
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.membership.records import MemberRecord
 from ibisrack.node.state import NodeState
+from ibisrack.upstreams.connections import PeerPools
 
 
 @attrs.define
@@ -34,13 +34,13 @@
     Attributes:
       node: The node's state.
       owner: The local upstream.
-      session: HTTP client session towards other nodes.
+      pools: Connections to other nodes.
       view: Loads of the instances.
     """
 
     node: NodeState
     owner: Owner
-    session: ClientSession
+    pools: PeerPools
     view: LoadView = attrs.field(factory=LoadView)
 
     async def run(self, call: Call) -> tuple[Answer, str]:
@@ -85,7 +85,6 @@
         if budget_s <= 0:
             raise NotRunError(Reason.DEADLINE)
         headers = {
-            **call.headers,
             "Host": call.route.host,
             CALL_ID: call.call_id,
             DEADLINE_MS: str(max(1, int(budget_s * 1000))),
@@ -95,8 +94,8 @@
             RETRY_RIGHT: "yes" if call.retry_right else "held",
             REVISION: str(call.revision),
         }
-        base_url = f"http://{instance.host}:{instance.call_port}"
-        answer = await send(self.session, base_url, call, headers, budget_s)
+        pool = self.pools.at(instance.host, instance.call_port)
+        answer = await send(pool, call, headers, budget_s)
         return self._checked(call, instance, answer)
 
     def _checked(self, call: Call, instance: MemberRecord, answer: Answer) -> Answer:
--- a/ibisrack/calls/messages.py
+++ b/ibisrack/calls/messages.py
@@ -49,7 +49,7 @@
       body: The whole body, or the part before ``rest``.
       outcome: What is known of the execution.
       rest: The remaining body of an answer that is too large to hold; iterating it raises
-        UnknownOutcomeError when the answer is cut short.
+        UnknownOutcomeError when the answer is cut short, and the holder closes it.
     """
 
     status: int
--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -29,3 +29,4 @@
     KEY_TOO_OLD = "key-too-old"
     KEY_HOME_UNREACHABLE = "key-home-unreachable"
     WRONG_ANSWER = "answer-of-another-call"
+    UNDELIMITED_ANSWER = "answer-without-length"
--- a/ibisrack/calls/owner.py
+++ b/ibisrack/calls/owner.py
@@ -1,17 +1,16 @@
 """Runs calls on the local upstream; the single authority on what has run there."""
 
 import attrs
-from aiohttp import ClientSession
 
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.headers import CALL_ID, DEADLINE_MS, DEPTH, RANK, RETRY_RIGHT
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Reason
-from ibisrack.calls.transport import send
 from ibisrack.clocks import read_clocks
-from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.errors import NotRunError
 from ibisrack.node.lifecycle import DRAINING, SERVING
 from ibisrack.node.state import NodeState
+from ibisrack.upstreams.local import LocalUpstream
 
 
 @attrs.define
@@ -21,13 +20,13 @@
     Attributes:
       node: The node's state.
       gate: Admission to the slots.
-      session: HTTP client session with a connection limit.
+      upstream: The upstream.
       in_flight: Calls admitted or queued here.
     """
 
     node: NodeState
     gate: Gate
-    session: ClientSession
+    upstream: LocalUpstream
     in_flight: int = 0
 
     def reconfigure(self) -> None:
@@ -36,6 +35,8 @@
         service = candidate and candidate.rules.services.get(self.node.members.own().service)
         if service:
             self.gate.scheduler.configure(service.rule.slots, service.ranks)
+            self.upstream.configure(service.rule)
+            self._limit_slots()
 
     async def run(self, call: Call) -> Answer:
         """Runs a call on the upstream.
@@ -57,7 +58,6 @@
         if budget_s <= 0:
             raise NotRunError(Reason.DEADLINE)
         headers = {
-            **call.headers,
             "Host": call.route.host,
             CALL_ID: call.call_id,
             DEADLINE_MS: str(max(1, int(budget_s * 1000))),
@@ -66,9 +66,13 @@
         }
         if not call.retry_right:
             headers[RETRY_RIGHT] = "held"
-        base_url = self.node.settings.upstream.base_url
-        answer = await send(self.session, base_url, call, headers, budget_s)
-        return _verified(answer, call)
+        try:
+            return await self.upstream.run(call, headers, budget_s)
+        finally:
+            self._limit_slots()
+
+    def _limit_slots(self) -> None:
+        self.gate.scheduler.limit_slots(self.upstream.state.slots_now())
 
     def _check_serving(self) -> None:
         state = self.node.lifecycle.state
@@ -76,15 +80,3 @@
             raise NotRunError(Reason.DRAINING)
         if state != SERVING:
             raise NotRunError(Reason.NOT_SERVING)
-
-
-def _verified(answer: Answer, call: Call) -> Answer:
-    """Checks that an upstream's answer belongs to the call.
-
-    Raises:
-      UnknownOutcomeError: The upstream named another call.
-    """
-    named = answer.headers.get(CALL_ID, call.call_id)
-    if named != call.call_id:
-        raise UnknownOutcomeError(Reason.WRONG_ANSWER)
-    return answer
--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -1,10 +1,10 @@
 """The HTTP server for calls: one task for each connection, each request written straight down."""
 
-from urllib.parse import urlsplit
-
 import attrs
 from aiohttp import web
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
+from aiohttp.web_protocol import RequestPayloadError
+from multidict import CIMultiDict
 
 from ibisrack.calls.headers import (
     CALL_ID,
@@ -14,7 +14,6 @@
     REVISION,
     SERVED_BY,
     CallContext,
-    forwardable,
     read_context,
 )
 from ibisrack.calls.ingress import Ingress
@@ -22,6 +21,7 @@
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Outcome, Reason
 from ibisrack.calls.owner import Owner
+from ibisrack.calls.relay import relayed
 from ibisrack.clocks import Instant, read_clocks
 from ibisrack.errors import NotRunError, RequestError, UnknownOutcomeError
 from ibisrack.node.lifecycle import DRAINING, SERVING
@@ -30,9 +30,6 @@
 
 MAX_BODY_BYTES = 1024 * 1024
 _TEXT = "text/plain; charset=utf-8"
-_OWN_HEADERS = frozenset(
-    name.lower() for name in (CALL_ID, LOAD, OUTCOME, REASON, REVISION, SERVED_BY)
-)
 
 
 @attrs.define
@@ -56,7 +53,8 @@
             context = read_context(request.headers)
             body = await _read_body(request)
         except RequestError as error:
-            return self._refusal("", error.status, Outcome.NOT_RUN, Reason.BAD_REQUEST, str(error))
+            reason = Reason.TOO_LARGE if error.status == 413 else Reason.BAD_REQUEST
+            return self._refusal("", error.status, Outcome.NOT_RUN, reason, str(error))
         call: Call | None = None
         try:
             call = self._match(request, context, body, start)
@@ -85,7 +83,7 @@
         candidate = self.node.versions.in_force
         if candidate is None:
             raise NotRunError(Reason.NO_VERSION)
-        path = urlsplit(request.path_qs).path
+        path = request.rel_url.raw_path
         host = request.headers.get("Host", "").partition(":")[0]
         route = match(candidate.rules, request.method, host, path)
         if route is None:
@@ -94,8 +92,8 @@
         return Call(
             call_id=context.call_id,
             method=request.method,
-            path=request.path_qs,
-            headers=forwardable(request.headers),
+            path=request.rel_url.raw_path_qs,
+            headers=relayed(request.headers),
             body=body,
             route=route,
             revision=candidate.version_id.revision,
@@ -113,28 +111,11 @@
     async def _respond(
         self, request: web.BaseRequest, call: Call, answer: Answer, served_by: str
     ) -> web.StreamResponse:
-        headers = {
-            name: value
-            for name, value in forwardable(answer.headers).items()
-            if name.lower() not in _OWN_HEADERS
-        }
-        headers |= self._own_headers(call.call_id, answer.outcome, served_by)
+        headers = relayed(answer.headers)
+        headers.update(self._own_headers(call.call_id, answer.outcome, served_by))
         if answer.rest is None:
             return web.Response(status=answer.status, headers=headers, body=answer.body)
-        response = web.StreamResponse(status=answer.status, headers=headers)
-        await response.prepare(request)
-        await response.write(answer.body)
-        try:
-            async for part in answer.rest:
-                await response.write(part)
-        except UnknownOutcomeError:
-            # The status is already sent; only a broken connection tells the caller that the
-            # answer is not whole.
-            if request.transport is not None:
-                request.transport.abort()
-            return response
-        await response.write_eof()
-        return response
+        return await _stream(request, answer, headers)
 
     def _own_headers(self, call_id: str, outcome: Outcome, served_by: str) -> dict[str, str]:
         candidate = self.node.versions.in_force
@@ -185,12 +166,41 @@
         self.node.record(event, now)
 
 
+async def _stream(
+    request: web.BaseRequest, answer: Answer, headers: CIMultiDict[str]
+) -> web.StreamResponse:
+    """Passes on an answer that is too large to hold."""
+    response = web.StreamResponse(status=answer.status, headers=headers)
+    length = answer.headers.get("Content-Length")
+    if length is not None:
+        response.content_length = int(length)
+    try:
+        await response.prepare(request)
+        await response.write(answer.body)
+        async for part in answer.rest:
+            await response.write(part)
+    except UnknownOutcomeError:
+        # The status is already sent; only a broken connection tells the caller that the answer is
+        # not whole.
+        if request.transport is not None:
+            request.transport.abort()
+        return response
+    finally:
+        answer.rest.close()
+    await response.write_eof()
+    return response
+
+
 async def _read_body(request: web.BaseRequest) -> bytes:
     if not request.can_read_body:
         return b""
     if (request.content_length or 0) > MAX_BODY_BYTES:
         raise RequestError(f"the body is larger than {MAX_BODY_BYTES} bytes", 413)
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
     try:
         return await request.read()
     except HTTPRequestEntityTooLarge as error:
         raise RequestError(f"the body is larger than {MAX_BODY_BYTES} bytes", 413) from error
+    except RequestPayloadError as error:
+        raise RequestError("the body is not valid HTTP") from error
--- a/ibisrack/calls/transport.py
+++ b/ibisrack/calls/transport.py
@@ -1,80 +1,120 @@
 """Sends a call over HTTP to an upstream or to another node and reads the whole answer."""
 
+import asyncio
 from collections.abc import AsyncIterator, Mapping
 
-from aiohttp import (
-    ClientConnectorError,
-    ClientError,
-    ClientResponse,
-    ClientSession,
-    ClientTimeout,
-    ConnectionTimeoutError,
-)
+import attrs
+from aiohttp import ClientError, StreamReader
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage, StreamWriter
+from aiohttp.http_exceptions import HttpProcessingError
+from multidict import CIMultiDict
 
+from ibisrack.calls.headers import CALL_ID
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.upstreams.connections import ConnectionPool
 
 HELD_ANSWER_BYTES = 256 * 1024  # Answers up to this size are held until they are complete.
-CONNECT_TIMEOUT_S = 1.0
+_BROKEN = (ClientError, HttpProcessingError, OSError)
+_NO_BODY_STATUSES = frozenset({204, 304})
 
 
 async def send(
-    session: ClientSession, base_url: str, call: Call, headers: Mapping[str, str], budget_s: float
+    pool: ConnectionPool, call: Call, context: Mapping[str, str], budget_s: float
 ) -> Answer:
     """Sends a call and returns its answer.
 
     Args:
-      session: HTTP client session.
-      base_url: http://IP:PORT of the receiver.
+      pool: Connections to the receiver.
       call: The call.
-      headers: Headers to send.
+      context: Headers of this hop, added to those of the call.
       budget_s: Time that is left for the call.
 
     Raises:
-      NotRunError: No connection could be made, so the receiver never saw the call.
-      UnknownOutcomeError: The connection broke or the time ran out after the call was sent.
+      NotRunError: No connection could be had, so the receiver never saw the call.
+      UnknownOutcomeError: The connection broke, the time ran out or the answer was of another call
+        or without a verifiable end, after the call was sent.
     """
-    timeout = ClientTimeout(total=budget_s, connect=min(CONNECT_TIMEOUT_S, budget_s))
+    deadline_at_s = asyncio.get_running_loop().time() + budget_s
+    connection = pool.take_idle()
+    if connection is None:  # A connection without unread answers is falsy.
+        connection = await _acquire(pool, deadline_at_s)
     try:
-        response = await session.request(
-            call.method,
-            base_url + call.path,
-            headers=headers,
-            data=call.body or None,
-            timeout=timeout,
-            allow_redirects=False,
-        )
-        return await _read(response)
-    except (ClientConnectorError, ConnectionTimeoutError) as error:
-        raise NotRunError(Reason.UPSTREAM_UNREACHABLE) from error
+        async with asyncio.timeout_at(deadline_at_s):
+            await _write(connection, call, context)
+            answer = await _read(pool, connection, call, deadline_at_s)
     except TimeoutError as error:
+        pool.discard(connection)
         raise UnknownOutcomeError(Reason.DEADLINE) from error
-    except (ClientError, OSError) as error:
+    except _BROKEN as error:
+        pool.discard(connection)
         raise UnknownOutcomeError(Reason.CONNECTION_LOST) from error
+    except BaseException:
+        pool.discard(connection)
+        raise
+    if answer.rest is None:
+        pool.release(connection)
+    return answer
 
 
-async def _read(response: ClientResponse) -> Answer:
-    """Reads an answer; one that is larger than HELD_ANSWER_BYTES is streamed."""
+async def _acquire(pool: ConnectionPool, deadline_at_s: float) -> ResponseHandler:
     try:
-        body = await _read_held(response)
-    except BaseException:
-        response.close()
-        raise
+        async with asyncio.timeout_at(deadline_at_s):
+            return await pool.acquire()
+    except TimeoutError as error:
+        raise NotRunError(Reason.DEADLINE) from error
+
+
+async def _write(connection: ResponseHandler, call: Call, context: Mapping[str, str]) -> None:
+    """Writes head and body at once; from here on the receiver may run the call."""
+    headers = CIMultiDict(call.headers)
+    headers.update(context)
+    if call.body or call.method in ("POST", "PUT", "PATCH"):
+        headers["Content-Length"] = str(len(call.body))
+    connection.set_response_params(skip_payload=call.method == "HEAD", auto_decompress=False)
+    writer = StreamWriter(connection, asyncio.get_running_loop())
+    await writer.write_headers(f"{call.method} {call.path} HTTP/1.1", headers)
+    await writer.write_eof(call.body)
+
+
+async def _read(
+    pool: ConnectionPool, connection: ResponseHandler, call: Call, deadline_at_s: float
+) -> Answer:
+    message, content = await connection.read()
+    while message.code < 200:
+        message, content = await connection.read()
+    if message.headers.get(CALL_ID, call.call_id) != call.call_id:
+        raise UnknownOutcomeError(Reason.WRONG_ANSWER)
+    if not _has_verifiable_end(message, call.method):
+        raise UnknownOutcomeError(Reason.UNDELIMITED_ANSWER)
+    body = await _read_held(message, content)
     rest = None
-    if not response.content.at_eof():
-        rest = _stream(response)
-    return Answer(response.status, response.headers, body, rest=rest)
+    if not content.at_eof():
+        rest = AnswerStream(pool, connection, content, deadline_at_s)
+    return Answer(message.code, message.headers, body, rest=rest)
+
 
+def _has_verifiable_end(message: RawResponseMessage, method: str) -> bool:
+    """Tells whether a cut answer could be told from a whole one.
 
-async def _read_held(response: ClientResponse) -> bytes:
-    length = response.content_length
-    if length is not None and length <= HELD_ANSWER_BYTES:
-        return await response.read()
+    The end of an answer without a length is the end of its connection, which a receiver that dies
+    looks like as well.
+    """
+    if method == "HEAD" or message.code in _NO_BODY_STATUSES:
+        return True
+    return message.chunked or "Content-Length" in message.headers
+
+
+async def _read_held(message: RawResponseMessage, content: StreamReader) -> bytes:
+    length = message.headers.get("Content-Length")
+    if length is not None and int(length) <= HELD_ANSWER_BYTES:
+        return await content.read()
     parts: list[bytes] = []
     size = 0
     while size < HELD_ANSWER_BYTES:
-        part = await response.content.readany()
+        part = await content.readany()
         if not part:
             break
         parts.append(part)
@@ -82,12 +122,36 @@
     return b"".join(parts)
 
 
-async def _stream(response: ClientResponse) -> AsyncIterator[bytes]:
-    """Yields the rest of an answer; the connection is never used again after a break."""
-    try:
-        async for part in response.content.iter_any():
-            yield part
-    except (TimeoutError, ClientError, OSError) as error:
-        raise UnknownOutcomeError(Reason.CONNECTION_LOST) from error
-    finally:
-        response.close()
+@attrs.define(eq=False)
+class AnswerStream(AsyncIterator[bytes]):
+    """The rest of an answer that is too large to hold.
+
+    The holder must close it; its connection is used again only after the whole answer was read.
+    """
+
+    pool: ConnectionPool
+    connection: ResponseHandler
+    content: StreamReader
+    deadline_at_s: float
+    closed: bool = False
+
+    async def __anext__(self) -> bytes:
+        """Returns the next part.
+
+        Raises:
+          UnknownOutcomeError: The answer was cut short or the time ran out.
+        """
+        try:
+            async with asyncio.timeout_at(self.deadline_at_s):
+                part = await self.content.readany()
+        except (TimeoutError, *_BROKEN) as error:
+            raise UnknownOutcomeError(Reason.CONNECTION_LOST) from error
+        if not part:
+            raise StopAsyncIteration
+        return part
+
+    def close(self) -> None:
+        """Gives the connection back; one with unread parts is aborted."""
+        if not self.closed:
+            self.closed = True
+            self.pool.release(self.connection)
--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -8,6 +8,7 @@
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector, web
 
 from ibisrack.calls.admission import Scheduler
+from ibisrack.calls.connections import CallConnections
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.ingress import Ingress
 from ibisrack.calls.owner import Owner
@@ -24,9 +25,11 @@
 from ibisrack.platform.client import RULES
 from ibisrack.platform.reader import PlatformReader, is_elected
 from ibisrack.settings.node import NodeSettings
+from ibisrack.upstreams.connections import PeerPools
+from ibisrack.upstreams.local import LocalUpstream, open_pool
 
 TICK_S = 0.25
-UPSTREAM_CONNECTIONS = 100
+PEER_CONNECTIONS = 100  # Most connections to one other node.
 DRAIN_POLL_S = 0.05
 DRAIN_NOTICE_S = 0.5  # Time for peers to learn of the leaving before the servers close.
 
@@ -102,8 +105,8 @@
         self.stopped.set()
 
 
-def _session(limit: int) -> ClientSession:
-    connector = TCPConnector(limit=limit, limit_per_host=0, ttl_dns_cache=None)
+def _session() -> ClientSession:
+    connector = TCPConnector(limit=0, limit_per_host=0, ttl_dns_cache=None)
     return ClientSession(
         connector=connector,
         cookie_jar=DummyCookieJar(),
@@ -117,8 +120,9 @@
     await web.TCPSite(runner, host, port, backlog=1024).start()
 
 
-def _assemble(settings: NodeSettings, session: ClientSession, upstream: ClientSession):
+def _assemble(settings: NodeSettings, session: ClientSession):
     node = create_node(settings, Random(settings.identity.node_id))
+    upstream = LocalUpstream(settings.upstream, open_pool(settings.upstream.base_url))
     owner = Owner(node, Gate(Scheduler(slots=1)), upstream)
     news = News()
     process = NodeProcess(
@@ -138,20 +142,24 @@
     Args:
       settings: The checked settings.
     """
-    async with _session(0) as session, _session(UPSTREAM_CONNECTIONS) as upstream:
-        process = _assemble(settings, session, upstream)
-        ingress = Ingress(process.node, process.owner, session)
-        call_server = web.Server(
-            CallServer(process.node, process.owner, ingress).handle,
-            access_log=None,
-            handler_cancellation=True,
-        )
+    async with _session() as session:
+        process = _assemble(settings, session)
+        pools = PeerPools(PEER_CONNECTIONS)
+        ingress = Ingress(process.node, process.owner, pools)
+        call_server = CallConnections(CallServer(process.node, process.owner, ingress))
         admin = AdminServer(process.node, process.owner, process.drain).application()
         runners = [web.ServerRunner(call_server), web.AppRunner(admin, access_log=None)]
-        await _run_tasks(settings, process, runners)
+        await _run_tasks(settings, process, runners, session)
+        pools.close()
+        process.owner.upstream.pool.close()
 
 
-async def _run_tasks(settings, process: NodeProcess, runners: list[web.BaseRunner]) -> None:
+async def _run_tasks(
+    settings: NodeSettings,
+    process: NodeProcess,
+    runners: list[web.BaseRunner],
+    session: ClientSession,
+) -> None:
     listen = settings.listen
     grpc_server = await start_server(f"{listen.host}:{listen.peer_port}", process.exchanger.serve)
     for runner, port in zip(runners, (listen.call_port, listen.admin_port), strict=True):
@@ -167,6 +175,7 @@
             supervise_links(process.exchanger, process.news),
             reconnect_lost_peers(process.exchanger),
             process.reader.run_all(),
+            process.owner.upstream.watch(session),
         )
     ]
     await process.stopped.wait()
