Run the node on uvloop with rare garbage collections

Cause: the selector loop of asyncio takes about 0.1 ms of Python for the five polls of a call, and a full collection walks the kept time line.

Change: uvloop without io_uring, startup objects frozen, higher collection thresholds; the decisions of the upstream are a plain singledispatch function, which costs less than a singledispatchmethod.

--- a/ibisrack/bin/ibis_node.py
+++ b/ibisrack/bin/ibis_node.py
@@ -1,10 +1,9 @@
 """The node beside an upstream."""
 
-import asyncio
-
 from absl import app, flags
 
 from ibisrack.bin.common import log_as_json, settings_or_exit
+from ibisrack.bin.loop import run_on_uvloop
 from ibisrack.node.run import run_node
 from ibisrack.settings.node import NodeSettings
 
@@ -15,7 +14,7 @@
     """Runs the node."""
     settings = settings_or_exit(_SETTINGS.value, NodeSettings)
     log_as_json()
-    asyncio.run(run_node(settings))
+    run_on_uvloop(run_node(settings))
 
 
 def run() -> None:
--- a/ibisrack/upstreams/state.py
+++ b/ibisrack/upstreams/state.py
@@ -4,7 +4,7 @@
 takes effect only while no call since the last read says otherwise.
 """
 
-from functools import singledispatchmethod
+from functools import singledispatch
 
 import attrs
 
@@ -38,6 +38,9 @@
       sheds: Sheds in a row.
       blocked_until_s: Monotonic time until which no call is sent.
       lifecycle: The upstream's state machine.
+      retry_s: Length of the next block.
+      reduced_at_s: Monotonic time of the last reduction for sheds.
+      answered_since_read: Whether a call was answered since the last read of the health endpoint.
     """
 
     slots: int = 1
@@ -46,9 +49,9 @@
     sheds: int = 0
     blocked_until_s: float = 0.0
     lifecycle: UpstreamLifecycle = attrs.field(factory=UpstreamLifecycle)
-    _retry_s: float = RETRY_FIRST_S
-    _reduced_at_s: float = float("-inf")
-    _answered_since_read: bool = False
+    retry_s: float = RETRY_FIRST_S
+    reduced_at_s: float = float("-inf")
+    answered_since_read: bool = False
 
     def configure(self, slots: int) -> None:
         """Takes the slots of the version in force."""
@@ -71,74 +74,86 @@
           observation: What was seen.
           now_s: Monotonic time.
         """
-        self._apply(observation, now_s)
-
-    @singledispatchmethod
-    def _apply(self, observation: Observation, now_s: float) -> None:
-        raise TypeError(f"unknown observation {type(observation).__name__}")
-
-    @_apply.register
-    def _(self, observation: Answered, now_s: float) -> None:
-        self.failures = 0
-        self.sheds = 0
-        self._answered_since_read = True
-        state = self.lifecycle.state
-        if state == READY and self.allowed >= self.slots:
-            return
-        if state in (FAILING, DRAINING):
-            self._recover()
-        # One more slot after as many successes as there are slots: every round of calls adds one.
-        self.allowed = min(float(self.slots), self.allowed + 1.0 / max(1.0, self.allowed))
-        if self.allowed >= self.slots and self.lifecycle.state == COLD:
-            self.lifecycle.trigger("warm")
-
-    @_apply.register
-    def _(self, observation: Shed, now_s: float) -> None:
-        self.sheds += 1
-        if now_s - self._reduced_at_s >= REDUCE_INTERVAL_S:
-            self._reduced_at_s = now_s
-            self.allowed = max(FIRST_SLOTS, self.allowed / 2)
-        if self.sheds >= DRAINING_AFTER and self.allowed <= FIRST_SLOTS:
-            self.lifecycle.trigger("drain")
-            self._block(now_s)
-
-    @_apply.register
-    def _(self, observation: Unreachable, now_s: float) -> None:
-        self._fail()
-        self._block(now_s)
-
-    @_apply.register
-    def _(self, observation: Broken, now_s: float) -> None:
-        self._fail()
-
-    @_apply.register
-    def _(self, observation: HealthRead, now_s: float) -> None:
-        if observation.healthy and self.lifecycle.state in (FAILING, DRAINING):
-            # The next call decides whether the claim is true.
-            self.blocked_until_s = now_s
-        elif not observation.healthy and not self._answered_since_read:
-            self.allowed = FIRST_SLOTS
-        self._answered_since_read = False
-
-    @_apply.register
-    def _(self, observation: LoadRead, now_s: float) -> None:
-        if self.sheds and observation.slots > 0:
-            # Without sheds the own count of running calls is the better figure.
-            room = observation.slots - observation.busy
-            self.allowed = max(FIRST_SLOTS, min(self.allowed, float(room)))
+        _apply(observation, self, now_s)
 
-    def _fail(self) -> None:
+    def note_failure(self) -> None:
+        """Counts a failure; several in a row mean that the upstream is failing."""
         self.failures += 1
         if self.failures >= FAILING_AFTER:
             self.lifecycle.trigger("fail")
             self.allowed = FIRST_SLOTS
 
-    def _block(self, now_s: float) -> None:
-        self.blocked_until_s = now_s + self._retry_s
-        self._retry_s = min(RETRY_MOST_S, self._retry_s * 2)
+    def block(self, now_s: float) -> None:
+        """Sends no call for a while that doubles each time."""
+        self.blocked_until_s = now_s + self.retry_s
+        self.retry_s = min(RETRY_MOST_S, self.retry_s * 2)
 
-    def _recover(self) -> None:
+    def recover(self) -> None:
+        """Starts again as a cold upstream."""
         self.lifecycle.trigger("recover")
         self.allowed = FIRST_SLOTS
         self.blocked_until_s = 0.0
-        self._retry_s = RETRY_FIRST_S
+        self.retry_s = RETRY_FIRST_S
+
+
+@singledispatch
+def _apply(observation: Observation, upstream: UpstreamState, now_s: float) -> None:
+    raise TypeError(f"unknown observation {type(observation).__name__}")
+
+
+@_apply.register
+def _(observation: Answered, upstream: UpstreamState, now_s: float) -> None:
+    upstream.failures = 0
+    upstream.sheds = 0
+    upstream.answered_since_read = True
+    state = upstream.lifecycle.state
+    if state == READY and upstream.allowed >= upstream.slots:
+        return
+    if state in (FAILING, DRAINING):
+        upstream.recover()
+    # One more slot after as many successes as there are slots: every round of calls adds one.
+    upstream.allowed = min(
+        float(upstream.slots), upstream.allowed + 1.0 / max(1.0, upstream.allowed)
+    )
+    if upstream.allowed >= upstream.slots and upstream.lifecycle.state == COLD:
+        upstream.lifecycle.trigger("warm")
+
+
+@_apply.register
+def _(observation: Shed, upstream: UpstreamState, now_s: float) -> None:
+    upstream.sheds += 1
+    if now_s - upstream.reduced_at_s >= REDUCE_INTERVAL_S:
+        upstream.reduced_at_s = now_s
+        upstream.allowed = max(FIRST_SLOTS, upstream.allowed / 2)
+    if upstream.sheds >= DRAINING_AFTER and upstream.allowed <= FIRST_SLOTS:
+        upstream.lifecycle.trigger("drain")
+        upstream.block(now_s)
+
+
+@_apply.register
+def _(observation: Unreachable, upstream: UpstreamState, now_s: float) -> None:
+    upstream.note_failure()
+    upstream.block(now_s)
+
+
+@_apply.register
+def _(observation: Broken, upstream: UpstreamState, now_s: float) -> None:
+    upstream.note_failure()
+
+
+@_apply.register
+def _(observation: HealthRead, upstream: UpstreamState, now_s: float) -> None:
+    if observation.healthy and upstream.lifecycle.state in (FAILING, DRAINING):
+        # The next call decides whether the claim is true.
+        upstream.blocked_until_s = now_s
+    elif not observation.healthy and not upstream.answered_since_read:
+        upstream.allowed = FIRST_SLOTS
+    upstream.answered_since_read = False
+
+
+@_apply.register
+def _(observation: LoadRead, upstream: UpstreamState, now_s: float) -> None:
+    if upstream.sheds and observation.slots > 0:
+        # Without sheds the own count of running calls is the better figure.
+        room = observation.slots - observation.busy
+        upstream.allowed = max(FIRST_SLOTS, min(upstream.allowed, float(room)))
