--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -18,12 +18,17 @@
 from ibisrack.exchange.carrier import start_server
 from ibisrack.exchange.conversation import Exchanger
 from ibisrack.exchange.links import News, contact_seeds, reconnect_lost_peers, supervise_links
+from ibisrack.membership.upkeep import pass_time
 from ibisrack.node.admin import AdminServer
+from ibisrack.node.joining import Step
 from ibisrack.node.lifecycle import JOINING
 from ibisrack.node.state import NodeState, create_node
 from ibisrack.platform.budget import ReadBudget
 from ibisrack.platform.client import RULES
-from ibisrack.platform.reader import PlatformReader, is_elected
+from ibisrack.platform.reader import PlatformReader
+from ibisrack.room.reporter import Reporter
+from ibisrack.room.source import FleetSource
+from ibisrack.room.status import ReportSchedule
 from ibisrack.settings.node import NodeSettings
 from ibisrack.upstreams.connections import PeerPools
 from ibisrack.upstreams.local import LocalUpstream, open_pool
@@ -43,6 +48,7 @@
     exchanger: Exchanger
     news: News
     reader: PlatformReader
+    reporter: Reporter
     stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def changed(self) -> None:
@@ -53,41 +59,45 @@
 
     async def tick(self) -> None:
         """Runs time-driven decisions until cancelled."""
+        node = self.node
         while True:
             now = read_clocks()
-            if self.node.tick(now):
+            if node.tick(now):
                 self.owner.gate.expire()
                 self.news.announce()
-            if self.node.activate_if_ready(now):
+            members_changed = pass_time(node, now)
+            if node.activate_if_ready(now) or members_changed:
                 self.changed()
-            self._serve_if_ready()
+            if node.serve_if_ready(now):
+                self.news.announce()
+            if node.versions.needs_source(now.monotonic_s):
+                self.news.repeat()
             await asyncio.sleep(TICK_S)
 
     async def join(self) -> None:
-        """Learns from peers; while none has a version, the elected ones read the platform."""
+        """Drives the join until this node takes calls; the link tasks ask the links."""
         node = self.node
-        node.move("join", read_clocks())
-        answers = await contact_seeds(self.exchanger)
-        self.changed()
-        while node.versions.highest() is None:
-            await asyncio.sleep(self.reader.budget.lone_start_s())
-            if node.versions.highest() is None and (not answers or is_elected(node)):
-                await self._read_alone()
+        budget = self.reader.budget
+        node.begin_join(read_clocks(), budget.first_read_s(True), budget.first_read_s(False))
+        revision = 0
+        while node.lifecycle.state == JOINING:
+            if not node.links.told:
+                await contact_seeds(self.exchanger)
+                self.changed()
+            if node.join_step(read_clocks()) is Step.READ_PLATFORM:
+                revision = await self._read_alone(revision)
                 self.changed()
-            answers = await contact_seeds(self.exchanger)
+            await asyncio.sleep(TICK_S)
 
-    async def _read_alone(self) -> None:
+    async def _read_alone(self, known_revision: int) -> int:
+        """Reads the platform within the read budget; returns the revision that it has."""
+        budget = self.reader.budget
+        await asyncio.sleep(budget.wait_s(read_clocks().monotonic_s))
         try:
-            await self.reader.read_once(RULES, 0)
+            return await self.reader.read_once(RULES, known_revision)
         except PlatformError:
-            await asyncio.sleep(self.reader.budget.failed())
-
-    def _serve_if_ready(self) -> None:
-        node = self.node
-        if node.versions.in_force is None:
-            return
-        if node.lifecycle.state == JOINING or node.links.answered:
-            node.move("serve", read_clocks())
+            await asyncio.sleep(budget.failed())
+            return known_revision
 
     async def drain(self) -> None:
         """Refuses new work, finishes what is in flight, then stops."""
@@ -130,9 +140,11 @@
         owner,
         exchanger=None,
         news=news,
+        reporter=None,
         reader=PlatformReader(node, session, ReadBudget(node.rng), lambda: process.changed()),
     )
     process.exchanger = Exchanger(node, process.changed)
+    process.reporter = Reporter(process.exchanger, ReportSchedule(node.rng))
     return process
 
 
@@ -147,7 +159,8 @@
         pools = PeerPools(PEER_CONNECTIONS)
         ingress = Ingress(process.node, process.owner, pools)
         call_server = CallConnections(CallServer(process.node, process.owner, ingress))
-        admin = AdminServer(process.node, process.owner, process.drain).application()
+        source = FleetSource(process.exchanger)
+        admin = AdminServer(process.node, process.owner, source, process.drain).application()
         runners = [web.ServerRunner(call_server), web.AppRunner(admin, access_log=None)]
         await _run_tasks(settings, process, runners, session)
         pools.close()
@@ -161,7 +174,7 @@
     session: ClientSession,
 ) -> None:
     listen = settings.listen
-    grpc_server = await start_server(f"{listen.host}:{listen.peer_port}", process.exchanger.serve)
+    peer_runner = await start_server(listen.host, listen.peer_port, process.exchanger.serve)
     for runner, port in zip(runners, (listen.call_port, listen.admin_port), strict=True):
         await _serve_http(runner, listen.host, port)
     loop = asyncio.get_running_loop()
@@ -176,12 +189,12 @@
             reconnect_lost_peers(process.exchanger),
             process.reader.run_all(),
             process.owner.upstream.watch(session),
+            process.reporter.run(),
         )
     ]
     await process.stopped.wait()
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    for runner in runners:
+    for runner in (*runners, peer_runner):
         await runner.cleanup()
-    await grpc_server.stop(0.2)
--- /dev/null
+++ b/ibisrack/room/partners.py
@@ -0,0 +1,31 @@
+"""Which readers a node reports to and exchanges summaries with.
+
+Partners are neighbours in a ring of all readers, so every reader is the partner of as many others
+as it has itself.  Choice by weight gave some readers twice the mean and put them over their bytes.
+"""
+
+from collections.abc import Iterable
+
+from ibisrack.membership.links import weight
+from ibisrack.membership.readers import elect
+from ibisrack.membership.records import MemberRecord
+
+PARTNER_OFFSETS = (1, 2, 5)  # In a ring of 24 readers, any other is at most six steps away.
+
+
+def own_readers(own: MemberRecord, members: Iterable[MemberRecord]) -> tuple[MemberRecord, ...]:
+    """Returns the other readers of the own zone."""
+    return tuple(m for m in elect(own.zone, members) if m.node_id != own.node_id)
+
+
+def partners(own: MemberRecord, members: Iterable[MemberRecord]) -> tuple[MemberRecord, ...]:
+    """Returns the readers of other zones that a reader exchanges summaries with."""
+    known = list(members)
+    zones = sorted({m.zone for m in known})
+    ring = [m for zone in zones for m in elect(zone, known)]
+    ring.sort(key=lambda member: weight("summaries", member.node_id))
+    if own not in ring:
+        return ()
+    place = ring.index(own)
+    chosen = [ring[(place + offset) % len(ring)] for offset in PARTNER_OFFSETS]
+    return tuple(m for m in dict.fromkeys(chosen) if m.zone != own.zone)
--- a/ibisrack/upstreams/state.py
+++ b/ibisrack/upstreams/state.py
@@ -92,8 +92,6 @@
         """Starts again as a cold upstream."""
         self.lifecycle.trigger("recover")
         self.allowed = FIRST_SLOTS
-        self.blocked_until_s = 0.0
-        self.retry_s = RETRY_FIRST_S
 
 
 @singledispatch
@@ -106,6 +104,8 @@
     upstream.failures = 0
     upstream.sheds = 0
     upstream.answered_since_read = True
+    upstream.blocked_until_s = 0.0
+    upstream.retry_s = RETRY_FIRST_S
     state = upstream.lifecycle.state
     if state == READY and upstream.allowed >= upstream.slots:
         return
