Check promises to callers under faults of real processes

Cause: nothing compared what callers were told with what upstreams ran.

A draining node ends its connections with its answers, and closes the rest only after it has stopped listening for a while.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -205,16 +205,19 @@
         node["exchange"] = {"seeds": seeds}
 
 
-def _upstream(settings: dict, slots: int, work_ms: float) -> Process:
+def _upstream(settings: dict, slots: int, work_ms: float, extra: dict) -> Process:
     instance = settings["identity"]["node_id"]
     port = int(settings["upstream"]["base_url"].rpartition(":")[2])
     own = {"host": HOST, "port": port, "instance": instance, "slots": slots, "work_ms": work_ms}
-    return Process(f"upstream-{instance}", "ibisrack.bin.ibis_standin_upstream", own)
+    return Process(f"upstream-{instance}", "ibisrack.bin.ibis_standin_upstream", own | extra)
 
 
 @asynccontextmanager
 async def started_fleet(
-    deployment: Deployment, upstreams: bool = True, work_ms: float = 5.0
+    deployment: Deployment,
+    upstreams: bool = True,
+    work_ms: float = 5.0,
+    upstream_settings: dict | None = None,
 ) -> AsyncIterator[Fleet]:
     """Starts a fleet with its rules published and ends it afterwards.
 
@@ -222,7 +225,9 @@
       deployment: What to start.
       upstreams: Whether upstream stand-ins are started too.
       work_ms: Mean time of a call at an upstream.
+      upstream_settings: Further settings of every upstream stand-in.
     """
+    extra = upstream_settings or {}
     count = sum(plan.instances for plan in deployment.services)
     platform_port, *ports = free_ports(4 * count + 1)
     platform = Process(
@@ -236,7 +241,9 @@
             f"node-{s['identity']['node_id']}",
             "ibisrack.bin.ibis_node",
             s,
-            upstream=_upstream(s, slots[s["identity"]["service"]], work_ms) if upstreams else None,
+            upstream=(
+                _upstream(s, slots[s["identity"]["service"]], work_ms, extra) if upstreams else None
+            ),
         )
         for s in settings
     ]
--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -114,7 +114,8 @@
         headers = relayed(answer.headers)
         headers.update(self._own_headers(call.call_id, answer.outcome, served_by))
         if answer.rest is None:
-            return web.Response(status=answer.status, headers=headers, body=answer.body)
+            response = web.Response(status=answer.status, headers=headers, body=answer.body)
+            return self._last_if_draining(response)
         return await _stream(request, answer, headers)
 
     def _own_headers(self, call_id: str, outcome: Outcome, served_by: str) -> dict[str, str]:
@@ -135,9 +136,16 @@
         if status == 503:
             headers["Retry-After"] = "1"
         text = f"{outcome.value}: {detail or reason}\n"
-        return web.Response(
+        response = web.Response(
             status=status, headers={**headers, "Content-Type": _TEXT}, body=text.encode()
         )
+        return self._last_if_draining(response)
+
+    def _last_if_draining(self, response: web.Response) -> web.Response:
+        """Tells the sender to use another connection before a stop closes this one."""
+        if self.node.lifecycle.state == DRAINING:
+            response.force_close()
+        return response
 
     def _note(
         self,
--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -36,6 +36,7 @@
 TICK_S = 0.25
 PEER_CONNECTIONS = 100  # Most connections to one other node.
 DRAIN_POLL_S = 0.05
+LAST_REQUESTS_S = 0.3  # A connection closed earlier would cut off calls that were just sent on it.
 DRAIN_NOTICE_S = 0.5  # Time for peers to learn of the leaving before the servers close.
 
 
@@ -130,6 +131,13 @@
     await web.TCPSite(runner, host, port, backlog=1024).start()
 
 
+async def _stop_listening(runner: web.BaseRunner) -> None:
+    """Takes no new connections and lets the requests that are on their way arrive."""
+    for site in tuple(runner.sites):
+        await site.stop()
+    await asyncio.sleep(LAST_REQUESTS_S)
+
+
 def _assemble(settings: NodeSettings, session: ClientSession):
     node = create_node(settings, Random(settings.identity.node_id))
     upstream = LocalUpstream(settings.upstream, open_pool(settings.upstream.base_url))
@@ -193,6 +201,7 @@
         )
     ]
     await process.stopped.wait()
+    await _stop_listening(runners[0])
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
--- a/ibisrack/settings/standins.py
+++ b/ibisrack/settings/standins.py
@@ -32,6 +32,8 @@
       work_ms: Mean time of a call that names no time of its own.
       cold_start_s: Time after the start during which calls take longer.
       cold_factor: How much longer they take.
+      record_file: File that gets one line for each execution, or empty.  It outlives the process.
+      node_url: Call address of the node beside the stand-in, for calls onwards, or empty.
     """
 
     host: str = attrs.field(validator=ip_address)
@@ -41,6 +43,8 @@
     work_ms: float = attrs.field(default=5.0, validator=in_range(0, 60_000))
     cold_start_s: float = attrs.field(default=0.0, validator=in_range(0, 600))
     cold_factor: float = attrs.field(default=4.0, validator=in_range(1, 100))
+    record_file: str = ""
+    node_url: str = ""
 
 
 @attrs.frozen
@@ -55,6 +59,9 @@
       calls_per_s: Offered rate, with exponential gaps.
       work_ms: Time of a call at the upstream.
       answer_bytes: Least size of the answer.
+      deadline_ms: Deadline that the caller sends, or 0 for none.
+      keyed: Whether each call carries an idempotency key of its own.
+      tries: Attempts for a call that was told as not run.
     """
 
     rank: str = attrs.field(validator=not_empty)
@@ -64,6 +71,9 @@
     calls_per_s: float = attrs.field(validator=in_range(0.01, 10_000))
     work_ms: float = attrs.field(default=5.0, validator=in_range(0, 60_000))
     answer_bytes: int = attrs.field(default=0, validator=in_range(0, 10_000_000))
+    deadline_ms: int = attrs.field(default=0, validator=in_range(0, 3_600_000))
+    keyed: bool = False
+    tries: int = attrs.field(default=1, validator=in_range(1, 10))
 
 
 @attrs.frozen
@@ -75,9 +85,13 @@
       traffic: Kinds of work.
       duration_s: Time during which calls are started.
       seed: Seed of the random gaps.
+      name: Prefix of the call ids, so that several callers do not use the same.
+      told_file: File for what was told of each call, as JSON, or empty.
     """
 
     targets: tuple[str, ...] = attrs.field(validator=ip_ports)
     traffic: tuple[TrafficSettings, ...]
     duration_s: float = attrs.field(default=5.0, validator=in_range(0.1, 600))
     seed: int = attrs.field(default=1, validator=in_range(0, 2**31))
+    name: str = "caller"
+    told_file: str = ""
--- a/ibisrack/standins/caller.py
+++ b/ibisrack/standins/caller.py
@@ -3,21 +3,38 @@
 import asyncio
 import itertools
 import time
+import uuid
+from pathlib import Path
 from random import Random
 
 import attrs
-from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+import msgspec
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+    TCPConnector,
+)
 from hdrh.histogram import HdrHistogram
 
 from ibisrack.settings.standins import CallerSettings, TrafficSettings
 
 MAX_LATENCY_US = 120_000_000
 CALL_TIMEOUT_S = 60.0
+RETRY_PAUSE_S = 0.05
 
 
 @attrs.frozen
 class ToldOutcome:
-    """What a caller was told of one call."""
+    """What a caller was told of one call, in the last of its attempts.
+
+    Attributes:
+      outcome: done, not-run or unknown as the node said; unknown when the connection broke;
+        not-sent when none could be opened; wrong for the answer of another call; truncated for an
+        answer that came as whole and is not.
+      ended_wall_s: Time of the answer since the epoch.
+    """
 
     call_id: str
     rank: str
@@ -26,6 +43,7 @@
     reason: str
     served_by: str
     latency_ms: float
+    ended_wall_s: float = 0.0
 
 
 @attrs.define
@@ -35,8 +53,10 @@
     offered: int = 0
     done: int = 0
     not_run: int = 0
+    not_sent: int = 0
     unknown: int = 0
     wrong_answers: int = 0
+    truncated: int = 0
     histogram: HdrHistogram = attrs.field(factory=lambda: HdrHistogram(1, MAX_LATENCY_US, 3))
 
     def percentile_ms(self, percent: float) -> float:
@@ -75,16 +95,17 @@
     async def call(self, traffic: TrafficSettings) -> ToldOutcome:
         """Sends one call and notes what was told."""
         number = next(self._numbers)
-        call_id = f"{traffic.rank}-{self.settings.seed}-{number}"
-        target = self.settings.targets[number % len(self.settings.targets)]
-        headers = {
-            "Host": traffic.host,
-            "Ibis-Call-Id": call_id,
-            "X-Work-Ms": str(traffic.work_ms),
-            "X-Answer-Bytes": str(traffic.answer_bytes),
-        }
+        call_id = f"{self.settings.name}-{traffic.rank}-{self.settings.seed}-{number}"
+        headers = _headers(traffic, call_id)
         start_s = time.monotonic()
-        told = await self._exchange(traffic, f"http://{target}{traffic.path}", headers, start_s)
+        for attempt in range(traffic.tries):
+            target = self.settings.targets[(number + attempt) % len(self.settings.targets)]
+            url = f"http://{target}{traffic.path}"
+            told = await self._exchange(traffic, url, headers, start_s)
+            if told.outcome not in ("not-run", "not-sent"):
+                break
+            if attempt + 1 < traffic.tries:
+                await asyncio.sleep(RETRY_PAUSE_S)
         self._note(traffic, told)
         return told
 
@@ -100,12 +121,16 @@
                 outcome = answer.headers.get("Ibis-Outcome", "unknown")
                 reason = answer.headers.get("Ibis-Reason", "")
                 served_by = answer.headers.get("Ibis-Served-By", "")
-                if status == 200 and call_id.encode() not in body:
-                    outcome = "wrong"
+                if status == 200:
+                    outcome = _verdict(outcome, call_id, traffic, body)
+        except ClientConnectorError:
+            outcome, reason = "not-sent", "no-connection"
         except (ClientError, OSError, TimeoutError):
-            pass
+            outcome, reason = "unknown", "connection-lost"
         latency_ms = (time.monotonic() - start_s) * 1000
-        return ToldOutcome(call_id, traffic.rank, status, outcome, reason, served_by, latency_ms)
+        return ToldOutcome(
+            call_id, traffic.rank, status, outcome, reason, served_by, latency_ms, time.time()
+        )
 
     def _note(self, traffic: TrafficSettings, told: ToldOutcome) -> None:
         self.told.append(told)
@@ -116,18 +141,57 @@
             report.histogram.record_value(max(1, int(told.latency_ms * 1000)))
         elif told.outcome == "not-run":
             report.not_run += 1
+        elif told.outcome == "not-sent":
+            report.not_sent += 1
         elif told.outcome == "wrong":
             report.wrong_answers += 1
+        elif told.outcome == "truncated":
+            report.truncated += 1
         else:
             report.unknown += 1
 
 
+def _headers(traffic: TrafficSettings, call_id: str) -> dict[str, str]:
+    headers = {
+        "Host": traffic.host,
+        "Ibis-Call-Id": call_id,
+        "X-Work-Ms": str(traffic.work_ms),
+        "X-Answer-Bytes": str(traffic.answer_bytes),
+    }
+    if traffic.deadline_ms:
+        headers["Ibis-Deadline-Ms"] = str(traffic.deadline_ms)
+    if traffic.keyed:
+        headers["Idempotency-Key"] = str(_uuid7())
+    return headers
+
+
+def _uuid7() -> uuid.UUID:
+    """Returns a UUIDv7 (RFC 9562): 48 bits of milliseconds since the epoch, then random bits."""
+    random_bits = uuid.uuid4().int & ((1 << 80) - 1)
+    value = int(time.time() * 1000) << 80 | random_bits
+    value = value & ~(0xF << 76) | 7 << 76
+    value = value & ~(0b11 << 62) | 0b10 << 62
+    return uuid.UUID(int=value)
+
+
+def _verdict(outcome: str, call_id: str, traffic: TrafficSettings, body: bytes) -> str:
+    """Checks a whole answer of a stand-in: JSON that names the call, padded with blanks."""
+    if b"}" not in body or len(body) < traffic.answer_bytes:
+        return "truncated"
+    return outcome if f'"{call_id}"'.encode() in body else "wrong"
+
+
 async def run_caller(settings: CallerSettings) -> Caller:
     """Sends the traffic of the settings and returns the caller with its reports."""
     timeout = ClientTimeout(total=CALL_TIMEOUT_S)
     async with ClientSession(connector=TCPConnector(limit=0), timeout=timeout) as session:
+        # The session would send a GET again when its connection breaks, and report only the second
+        # attempt: a call that did run could look as if it had never been sent.
+        session._retry_connection = False
         caller = Caller(settings, session)
         await caller.run()
+    if settings.told_file:
+        Path(settings.told_file).write_bytes(msgspec.json.encode(caller.told))
     return caller
 
 
@@ -138,8 +202,10 @@
             "offered": report.offered,
             "done": report.done,
             "not_run": report.not_run,
+            "not_sent": report.not_sent,
             "unknown": report.unknown,
             "wrong_answers": report.wrong_answers,
+            "truncated": report.truncated,
             "p50_ms": report.percentile_ms(50),
             "p99_ms": report.percentile_ms(99),
         }
--- a/ibisrack/standins/upstream.py
+++ b/ibisrack/standins/upstream.py
@@ -7,12 +7,13 @@
 
 import asyncio
 import json
+import os
 import time
 from random import Random
 
 import attrs
 import msgspec
-from aiohttp import web
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
 from ibisrack.settings.standins import StandinUpstreamSettings
 
@@ -20,6 +21,9 @@
 DEADLINE_MS = "Ibis-Deadline-Ms"
 WORK_MS = "X-Work-Ms"
 ANSWER_BYTES = "X-Answer-Bytes"
+ONWARDS = "X-Onwards"  # HOST/PATH items, comma-separated; the first is called, the rest passed on.
+CONTEXT = (CALL_ID, DEADLINE_MS, "Ibis-Depth", "Ibis-Retry-Right")
+ONWARD_TIMEOUT_S = 60.0
 
 
 @attrs.define
@@ -53,6 +57,9 @@
       reported_busy: Busy slots that the load endpoint reports, or -1 for the truth.
       reported_healthy: What the health endpoint reports.
       slow_factor: Multiplies the time of each call.
+      twice_percent: Share of answers that are sent twice.
+      other_call_percent: Share of answers that name another call.
+      chunked: Answers are sent in chunks without a length.
     """
 
     draining: bool = False
@@ -62,6 +69,9 @@
     reported_busy: int = -1
     reported_healthy: bool = True
     slow_factor: float = 1.0
+    twice_percent: int = 0
+    other_call_percent: int = 0
+    chunked: bool = False
 
 
 @attrs.define
@@ -113,9 +123,11 @@
         call_id = request.headers.get(CALL_ID, "")
         execution = Execution(call_id, request.path, time.monotonic())
         self.executions.append(execution)
+        self._record(execution)
         self.busy += 1
         try:
             await asyncio.sleep(self._work_s(request))
+            await self._call_onwards(request)
             execution.result = self._result(request, execution)
         except asyncio.CancelledError:
             execution.result = "cancelled"
@@ -125,6 +137,32 @@
             execution.ended_s = time.monotonic()
         return await self._answer(request, execution)
 
+    def _record(self, execution: Execution) -> None:
+        """Writes a line at the start of an execution; a killed process leaves it behind."""
+        if self.settings.record_file:
+            line = f"{execution.call_id} {time.time():.6f} {self.settings.instance}\n"
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+            descriptor = os.open(self.settings.record_file, flags, 0o600)
+            os.write(descriptor, line.encode())
+            os.close(descriptor)
+
+    async def _call_onwards(self, request: web.Request) -> None:
+        """Makes the call onwards that the request names, through the own node."""
+        first, _, rest = request.headers.get(ONWARDS, "").partition(",")
+        if not first or not self.settings.node_url:
+            return
+        host, _, path = first.partition("/")
+        headers = {name: request.headers[name] for name in CONTEXT if name in request.headers}
+        headers |= {"Host": host, WORK_MS: request.headers.get(WORK_MS, "0"), ONWARDS: rest}
+        timeout = ClientTimeout(total=ONWARD_TIMEOUT_S)
+        try:
+            async with ClientSession(timeout=timeout) as session:
+                url = f"{self.settings.node_url}/{path}"
+                async with session.get(url, headers=headers) as answer:
+                    await answer.read()
+        except (ClientError, OSError) as error:
+            raise web.HTTPBadGateway(text=f"{type(error).__name__}\n") from error
+
     def _work_s(self, request: web.Request) -> float:
         work_ms = float(request.headers.get(WORK_MS, self.settings.work_ms))
         cold = time.monotonic() - self.started_s < self.settings.cold_start_s
@@ -137,19 +175,42 @@
 
     async def _answer(self, request: web.Request, execution: Execution) -> web.StreamResponse:
         headers = {CALL_ID: execution.call_id, "X-Instance": self.settings.instance}
+        if self._happens(self.behaviour.other_call_percent):
+            headers[CALL_ID] = "another-call"
         if self.behaviour.fail:
             return web.Response(status=500, headers=headers, text="failed\n")
         text = json.dumps({"call_id": execution.call_id, "instance": self.settings.instance})
         body = text.encode().ljust(int(request.headers.get(ANSWER_BYTES, "0")), b" ")
-        if self.rng.random() * 100 >= self.behaviour.cut_percent:
-            return web.Response(headers=headers, body=body)
-        execution.result = "cut"
-        response = web.StreamResponse(headers={**headers, "Content-Length": str(len(body))})
+        if self._happens(self.behaviour.cut_percent):
+            execution.result = "cut"
+            return await self._send(request, headers, body, len(body) // 2)
+        if self._happens(self.behaviour.twice_percent):
+            text = f"HTTP/1.1 200 OK\r\n{CALL_ID}: {execution.call_id}\r\n"
+            request.transport.write(f"{text}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        if self.behaviour.chunked:
+            return await self._send(request, headers, body, len(body))
+        return web.Response(headers=headers, body=body)
+
+    async def _send(
+        self, request: web.Request, headers: dict[str, str], body: bytes, sent_bytes: int
+    ) -> web.StreamResponse:
+        """Sends an answer in two parts and breaks the connection if it is not whole."""
+        response = web.StreamResponse(headers=headers)
+        if self.behaviour.chunked:
+            response.enable_chunked_encoding()
+        else:
+            response.content_length = len(body)
         await response.prepare(request)
-        await response.write(body[: len(body) // 2])
-        request.transport.abort()
+        await response.write(body[: sent_bytes // 2])
+        await response.write(body[sent_bytes // 2 : sent_bytes])
+        if sent_bytes < len(body):
+            # Closing in order looks like an end to a reader that does not count.
+            request.transport.close()
         return response
 
+    def _happens(self, percent: int) -> bool:
+        return self.rng.random() * 100 < percent
+
 
 async def run_upstream(settings: StandinUpstreamSettings) -> None:
     """Runs the stand-in until cancelled."""
