--- /dev/null
+++ b/ibisrack/calls/server_test.py
@@ -0,0 +1,179 @@
+"""Tests of the call server: typed answers, relayed headers and callers that go away."""
+
+import asyncio
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from multidict import CIMultiDict
+
+from ibisrack.calls.headers import read_context
+from ibisrack.calls.relay import relayed
+from ibisrack.calls.server import MAX_BODY_BYTES
+from ibisrack.errors import RequestError
+from ibisrack.testing.data_path import Receiver, caller_session, receiver, serving_node
+from ibisrack.testing.functions import function_tests
+
+HEADERS = {"Host": "notice-desk", "Ibis-Call-Id": "call-1"}
+FIXED = settings(derandomize=True, database=None, deadline=None, max_examples=200)
+_TEXT = st.text(st.characters(min_codepoint=33, max_codepoint=255), max_size=30)
+_NAMES = st.sampled_from(
+    ["Ibis-Call-Id", "ibis-deadline-ms", "IBIS-DEPTH", "Ibis-Outcome", "Connection", "X-Other"]
+)
+
+
+async def _upstream(state: Receiver, reader, writer) -> None:
+    """Answers every request and claims outcomes that only a node may tell."""
+    while True:
+        await state.read_request(reader)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nIbis-Outcome: not-run\r\n"
+            b"ibis-served-by: another\r\nIbis-Reason: forged\r\nSet-Cookie: a=1\r\n"
+            b"Set-Cookie: b=2\r\nConnection: keep-alive, x-private\r\nX-Private: 1\r\n\r\nok"
+        )
+
+
+async def _raw(address: str, content: bytes, whole: bool = False) -> bytes:
+    """Sends bytes and returns the head of the answer, or everything up to the end."""
+    host, _, port = address.partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(content)
+    try:
+        async with asyncio.timeout(5):
+            return await (reader.read() if whole else reader.readuntil(b"\r\n\r\n"))
+    finally:
+        writer.close()
+
+
+async def test_upstream_cannot_forge_an_outcome():
+    """Guards against an upstream that tells callers what only its node knows."""
+    async with (
+        receiver(_upstream) as upstream,
+        serving_node(upstream.port) as (_, address),
+        caller_session() as session,
+    ):
+        url = f"http://{address}/approvals/1"
+        async with session.get(url, headers=HEADERS) as answer:
+            assert await answer.read() == b"ok"
+            assert answer.headers.getall("Ibis-Outcome") == ["done"]
+            assert answer.headers.getall("Ibis-Served-By") == ["notice-desk-0"]
+            assert "Ibis-Reason" not in answer.headers and "X-Private" not in answer.headers
+            assert answer.headers.getall("Set-Cookie") == ["a=1", "b=2"]
+
+
+async def test_caller_cannot_set_the_context_of_the_upstream():
+    """Guards against two headers of one name, of which the upstream reads the caller's."""
+    headers = {"Host": "notice-desk", "ibis-call-id": "call-1", "ibis-deadline-ms": "900000"}
+    async with (
+        receiver(_upstream) as upstream,
+        serving_node(upstream.port) as (_, address),
+        caller_session() as session,
+    ):
+        async with session.get(f"http://{address}/approvals/1", headers=headers) as answer:
+            assert answer.status == 200
+        lines = upstream.heads[0].lower().split(b"\r\n")
+        deadlines = [line for line in lines if line.startswith(b"ibis-deadline-ms:")]
+        assert len(deadlines) == 1 and int(deadlines[0].split(b":")[1]) <= 1000
+        assert sum(line.startswith(b"ibis-call-id:") for line in lines) == 1
+
+
+async def test_malformed_and_oversized_requests_get_typed_refusals():
+    """Guards against a refusal that does not tell whether the call ran."""
+    chunked = b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"
+    requests = {
+        b"nonsense\r\n\r\n": b"400",
+        b"GET /approvals HTTP/1.1\r\nHost: notice-desk\r\nX: " + b"x" * 9000 + b"\r\n\r\n": b"400",
+        b"POST /notices HTTP/1.1\r\nHost: notice-desk\r\n" + chunked: b"400",
+        b"GET /approvals HTTP/1.1\r\nHost: notice-desk\r\nIbis-Depth: x\r\n"
+        b"Connection: close\r\n\r\n": b"400",
+        b"GET /nothing HTTP/1.1\r\nHost: notice-desk\r\nConnection: close\r\n\r\n": b"404",
+        b"POST /notices HTTP/1.1\r\nHost: notice-desk\r\nConnection: close\r\nContent-Length: "
+        + str(MAX_BODY_BYTES + 1).encode()
+        + b"\r\n\r\n": b"413",
+    }
+    async with receiver(_upstream) as upstream, serving_node(upstream.port) as (_, address):
+        for request, status in requests.items():
+            answer = await _raw(address, request)
+            assert answer.split(b" ", 2)[1] == status, (request[:60], answer[:200])
+            assert b"Ibis-Outcome: not-run" in answer, answer[:300]
+        assert not upstream.heads
+
+
+async def test_shed_call_is_not_run_and_a_copied_refusal_is_the_answer():
+    """Guards against a false not-run for work that called another service and was refused there."""
+    for extra, status, outcome in (
+        (b"", 503, "not-run"),
+        (b"Ibis-Outcome: not-run\r\n", 503, "done"),
+    ):
+        head = b"HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nContent-Length: 0\r\n" + extra + b"\r\n"
+
+        async def script(state: Receiver, reader, writer, head: bytes = head) -> None:
+            while True:
+                await state.read_request(reader)
+                writer.write(head)
+
+        async with (
+            receiver(script) as upstream,
+            serving_node(upstream.port) as (_, address),
+            caller_session() as session,
+        ):
+            async with session.get(f"http://{address}/approvals/1", headers=HEADERS) as answer:
+                assert (answer.status, answer.headers["Ibis-Outcome"]) == (status, outcome)
+
+
+async def test_cut_stream_breaks_the_connection_of_the_caller():
+    """Guards against a large answer that a node completes although the upstream died."""
+    body = b"x" * 600_000
+
+    async def script(state: Receiver, reader, writer) -> None:
+        await state.read_request(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(f"{len(body):x}\r\n".encode() + body + b"\r\n")
+
+    async with receiver(script) as upstream, serving_node(upstream.port) as (_, address):
+        request = b"GET /approvals/1 HTTP/1.1\r\nHost: notice-desk\r\n\r\n"
+        try:
+            answer = await _raw(address, request, whole=True)
+        except ConnectionError:
+            return
+        assert answer.startswith(b"HTTP/1.1 200") and not answer.endswith(b"0\r\n\r\n")
+
+
+async def test_caller_that_goes_away_frees_its_slot():
+    """Guards against slots that calls without a caller keep until their deadline."""
+    gone = asyncio.Event()
+
+    async def script(state: Receiver, reader, writer) -> None:
+        await state.read_request(reader)
+        await reader.read()
+        gone.set()
+
+    async with receiver(script) as upstream, serving_node(upstream.port) as (owner, address):
+        host, _, port = address.partition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /approvals/1 HTTP/1.1\r\nHost: notice-desk\r\n\r\n")
+        while not upstream.heads:
+            await asyncio.sleep(0.001)
+        assert owner.gate.load().busy == 1
+        writer.close()
+        async with asyncio.timeout(5):
+            await gone.wait()
+            while owner.gate.load().busy:
+                await asyncio.sleep(0.001)
+        assert owner.in_flight == 0
+
+
+@FIXED
+@given(st.lists(st.tuples(_NAMES, _TEXT), max_size=12))
+def test_any_headers_are_read_or_refused_and_reserved_ones_never_relayed(items):
+    """Guards against a header that ends as a programming error or reaches the other side."""
+    headers = CIMultiDict(items)
+    try:
+        context = read_context(headers)
+        assert 1 <= len(context.call_id) <= 64
+    except RequestError as error:
+        assert error.status == 400
+    names = {name.lower() for name in relayed(headers)}
+    assert not any(name.startswith("ibis-") or name == "connection" for name in names)
+
+
+load_tests = function_tests(__name__)
--- /dev/null
+++ b/ibisrack/testing/data_path.py
@@ -0,0 +1,142 @@
+"""Fixtures for the data path: scripted receivers and a node's call server, on loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from random import Random
+
+import attrs
+import cattrs
+from aiohttp import ClientSession, web
+
+from ibisrack.calls.admission import Scheduler
+from ibisrack.calls.connections import CallConnections
+from ibisrack.calls.gate import Gate
+from ibisrack.calls.ingress import Ingress
+from ibisrack.calls.messages import Call
+from ibisrack.calls.owner import Owner
+from ibisrack.calls.server import CallServer
+from ibisrack.clocks import read_clocks
+from ibisrack.node.state import NodeState, create_node
+from ibisrack.rules.model import RouteRule
+from ibisrack.settings.node import NodeSettings
+from ibisrack.testing.fixtures import PILBARA_RULES
+from ibisrack.upstreams.connections import ConnectionPool, PeerPools
+from ibisrack.upstreams.local import LocalUpstream, open_pool
+from ibisrack.upstreams.sizing import PoolSizing
+from ibisrack.versions.chunks import chunked
+
+HOST = "127.0.0.1"
+
+
+@attrs.define
+class Receiver:
+    """A server whose connections run a script.
+
+    Attributes:
+      port: Its TCP port.
+      heads: Head of every request that ``read_request`` read.
+      connections: Connections accepted so far.
+    """
+
+    port: int = 0
+    heads: list[bytes] = attrs.field(factory=list)
+    connections: int = 0
+
+    async def read_request(self, reader: asyncio.StreamReader) -> bytes:
+        """Reads the head of one request without a body."""
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.heads.append(head)
+        return head
+
+
+@asynccontextmanager
+async def receiver(
+    script: Callable[[Receiver, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
+) -> AsyncIterator[Receiver]:
+    """Runs a receiver; a connection is closed when its script ends."""
+    state = Receiver()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        state.connections += 1
+        try:
+            await script(state, reader, writer)
+            await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, HOST, 0)
+    state.port = server.sockets[0].getsockname()[1]
+    async with server:
+        yield state
+
+
+def pool_of(port: int, limit: int = 4) -> ConnectionPool:
+    """Returns a pool for a receiver on loopback."""
+    return ConnectionPool(HOST, port, PoolSizing(limit))
+
+
+def call(call_id: str = "call-1", method: str = "GET") -> Call:
+    """Returns a call to the lookups of a service."""
+    route = RouteRule(
+        line=1,
+        requester="Mei Tan",
+        reason="test",
+        method=method,
+        match="notice-desk/approvals",
+        to="notice-desk",
+        rank="approval",
+        deadline_ms=1000,
+        idempotent=True,
+    )
+    return Call(call_id, method, "/approvals/12", {}, b"", route, 1, 0.0)
+
+
+def _serving_node(upstream_port: int) -> NodeState:
+    values = {
+        "identity": {
+            "node_id": "notice-desk-0",
+            "service": "notice-desk",
+            "zone": "karratha",
+            "region": "wa-north",
+        },
+        "listen": {"host": HOST, "call_port": 1, "peer_port": 2, "admin_port": 3},
+        "upstream": {"base_url": f"http://{HOST}:{upstream_port}"},
+        "platform": {"base_url": f"http://{HOST}:1"},
+    }
+    node = create_node(cattrs.structure(values, NodeSettings), Random(1))
+    version = chunked(1, PILBARA_RULES)
+    node.versions.stage(version.manifest, version.chunks, 0.0)
+    node.versions.activate()
+    node.move("join", read_clocks())
+    node.move("serve", read_clocks())
+    return node
+
+
+@asynccontextmanager
+async def serving_node(upstream_port: int) -> AsyncIterator[tuple[Owner, str]]:
+    """Runs the call server of a node; yields the owner of its upstream and its HOST:PORT."""
+    node = _serving_node(upstream_port)
+    upstream = LocalUpstream(node.settings.upstream, open_pool(node.settings.upstream.base_url))
+    owner = Owner(node, Gate(Scheduler(slots=1)), upstream)
+    owner.reconfigure()
+    pools = PeerPools(4)
+    runner = web.ServerRunner(CallConnections(CallServer(node, owner, Ingress(node, owner, pools))))
+    await runner.setup()
+    site = web.TCPSite(runner, HOST, 0)
+    await site.start()
+    try:
+        yield owner, f"{HOST}:{runner.addresses[0][1]}"
+    finally:
+        await runner.cleanup()
+        upstream.pool.close()
+        pools.close()
+
+
+@asynccontextmanager
+async def caller_session() -> AsyncIterator[ClientSession]:
+    """Yields the session of a caller."""
+    async with ClientSession() as session:
+        yield session
--- /dev/null
+++ b/ibisrack/upstreams/state_test.py
@@ -0,0 +1,109 @@
+"""Tests of what the node makes of its upstream's behaviour."""
+
+from ibisrack.testing.functions import function_tests
+from ibisrack.upstreams.lifecycle import COLD, DRAINING, FAILING, READY
+from ibisrack.upstreams.messages import (
+    Answered,
+    Broken,
+    HealthRead,
+    LoadRead,
+    Observation,
+    Shed,
+    Unreachable,
+)
+from ibisrack.upstreams.sizing import OPENING_LIMIT, PoolSizing
+from ibisrack.upstreams.state import UpstreamState
+
+
+def _observe(state: UpstreamState, observation: Observation, times: int = 1, now_s: float = 0.0):
+    for _ in range(times):
+        state.observe(observation, now_s)
+
+
+def _ready(slots: int = 6) -> UpstreamState:
+    state = UpstreamState()
+    state.configure(slots)
+    _observe(state, Answered(), times=slots * slots)
+    return state
+
+
+def test_cold_upstream_gets_slots_with_its_successes():
+    """Guards against a burst at an instance that has just started."""
+    state = UpstreamState()
+    state.configure(6)
+    seen = [state.slots_now()]
+    while state.lifecycle.state == COLD and len(seen) < 100:
+        _observe(state, Answered())
+        seen.append(state.slots_now())
+    assert seen[0] == 1 and seen[2] == 2 and seen[-1] == 6
+    assert seen == sorted(seen) and len(seen) > 10
+    assert state.lifecycle.state == READY
+
+
+def test_one_burst_of_sheds_halves_the_slots_once():
+    """Guards against one overload that takes an instance down to one slot."""
+    state = _ready()
+    _observe(state, Shed(), times=2)
+    assert state.slots_now() == 3
+    assert state.may_call(0.0)
+
+
+def test_upstream_that_only_sheds_is_draining_until_a_call_succeeds():
+    """Guards against calls that are sent to a draining upstream at full rate."""
+    state = _ready()
+    for step in range(5):
+        _observe(state, Shed(), now_s=step * 0.2)
+    assert state.lifecycle.state == DRAINING
+    assert not state.may_call(0.9)
+    _observe(state, HealthRead(True), now_s=0.9)
+    assert state.may_call(0.9)
+    assert state.lifecycle.state == DRAINING
+    _observe(state, Answered(), now_s=1.0)
+    assert state.lifecycle.state == COLD
+
+
+def test_unreachable_upstream_is_tried_less_and_less_often():
+    """Guards against a connection attempt for every call to a dead upstream."""
+    state = _ready()
+    _observe(state, Unreachable(), now_s=10.0)
+    assert not state.may_call(10.2) and state.may_call(10.25)
+    _observe(state, Unreachable(), now_s=10.25)
+    assert not state.may_call(10.7) and state.may_call(10.75)
+
+
+def test_broken_connections_in_a_row_mean_failing_and_a_success_means_cold():
+    """Guards against full load on an upstream that has just been replaced."""
+    state = _ready()
+    _observe(state, Broken(), times=2)
+    assert state.lifecycle.state == READY
+    _observe(state, Broken())
+    assert state.lifecycle.state == FAILING and state.slots_now() == 1
+    _observe(state, Answered())
+    assert state.lifecycle.state == COLD
+
+
+def test_claims_of_the_endpoints_yield_to_what_calls_showed():
+    """Guards against a health endpoint that lags and takes a good instance out of service."""
+    state = _ready()
+    _observe(state, Answered())
+    _observe(state, HealthRead(False))
+    _observe(state, LoadRead(busy=99, slots=6))
+    assert state.slots_now() == 6
+    _observe(state, HealthRead(False))
+    assert state.slots_now() == 1
+    assert state.may_call(0.0)
+
+
+def test_connections_are_opened_gently():
+    """Guards against a burst of calls that opens a burst of connections."""
+    sizing = PoolSizing(limit=100, warm=6, waiting=50)
+    assert sizing.to_open() == OPENING_LIMIT
+    sizing.opening = OPENING_LIMIT
+    assert sizing.to_open() == 0
+    full = PoolSizing(limit=8, busy=8, waiting=3)
+    assert full.to_open() == 0
+    shrunk = PoolSizing(limit=4, busy=3, idle=3)
+    assert shrunk.surplus() == 2
+
+
+load_tests = function_tests(__name__)
