--- a/ibisrack/calls/owner.py
+++ b/ibisrack/calls/owner.py
@@ -4,8 +4,11 @@
 
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.headers import CALL_ID, DEADLINE_MS, DEPTH, RANK, RETRY_RIGHT
+from ibisrack.calls.keyed import KeyedRuns
+from ibisrack.calls.keys import is_keyed
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.retry import passes_right
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError
 from ibisrack.node.lifecycle import DRAINING, SERVING
@@ -21,20 +24,23 @@
       node: The node's state.
       gate: Admission to the slots.
       upstream: The upstream.
+      keyed: At-most-once runs of keyed calls.
       in_flight: Calls admitted or queued here.
     """
 
     node: NodeState
     gate: Gate
     upstream: LocalUpstream
+    keyed: KeyedRuns
     in_flight: int = 0
 
     def reconfigure(self) -> None:
-        """Takes the slots and ranks of the version in force."""
+        """Takes the slots and ranks of the version in force, and the list of instances."""
+        self.keyed.observe(self.node.members, read_clocks().wall_ms)
         candidate = self.node.versions.in_force
         service = candidate and candidate.rules.services.get(self.node.members.own().service)
         if service:
-            self.gate.scheduler.configure(service.rule.slots, service.ranks)
+            self.gate.configure(service)
             self.upstream.configure(service.rule)
             self._limit_slots()
 
@@ -44,7 +50,14 @@
         Raises:
           NotRunError: The call was refused and did not run.
           UnknownOutcomeError: The call may have run.
+          RequestError: The key of the call is malformed.
         """
+        if not is_keyed(call):
+            return await self._run_once(call)
+        self.keyed.observe(self.node.members, read_clocks().wall_ms)
+        return await self.keyed.run(call, self._run_once)
+
+    async def _run_once(self, call: Call) -> Answer:
         self._check_serving()
         self.in_flight += 1
         try:
@@ -63,20 +76,22 @@
             DEADLINE_MS: str(max(1, int(budget_s * 1000))),
             DEPTH: str(call.depth + 1),
             RANK: call.route.rank,
+            RETRY_RIGHT: "yes" if passes_right(call) else "held",
         }
-        if not call.retry_right:
-            headers[RETRY_RIGHT] = "held"
         try:
             return await self.upstream.run(call, headers, budget_s)
         finally:
             self._limit_slots()
 
     def _limit_slots(self) -> None:
-        self.gate.scheduler.limit_slots(self.upstream.state.slots_now())
+        """Takes over how many slots the upstream is given at present."""
+        slots = self.upstream.state.slots_now()
+        if slots != self.gate.scheduler.usable_slots:
+            self.gate.limit_slots(slots)
 
     def _check_serving(self) -> None:
         state = self.node.lifecycle.state
         if state == DRAINING or self.node.members.own().leaving:
             raise NotRunError(Reason.DRAINING)
-        if state != SERVING:
+        if state != SERVING or self.node.paused(read_clocks()):
             raise NotRunError(Reason.NOT_SERVING)
--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -8,6 +8,7 @@
 
 from ibisrack.calls.headers import (
     CALL_ID,
+    KEY_PERIOD,
     LOAD,
     OUTCOME,
     REASON,
@@ -17,6 +18,7 @@
     read_context,
 )
 from ibisrack.calls.ingress import Ingress
+from ibisrack.calls.keys import asks_home, unmatched_outcome
 from ibisrack.calls.match import match
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Outcome, Reason
@@ -62,13 +64,14 @@
             self._note(context, call, answer.outcome, "", served_by, start)
             return await self._respond(request, call, answer, served_by)
         except RequestError as error:
-            return self._refusal(
-                context.call_id, error.status, Outcome.NOT_RUN, Reason.NO_ROUTE, str(error)
-            )
+            outcome = unmatched_outcome(error, context)
+            reason = Reason.NO_ROUTE if call is None else Reason.BAD_REQUEST
+            return self._refusal(context.call_id, error.status, outcome, reason, str(error))
         except NotRunError as error:
-            self._note(context, call, Outcome.NOT_RUN, error.reason, "", start)
+            outcome = Outcome.NOT_RUN if call else unmatched_outcome(error, context)
+            self._note(context, call, outcome, error.reason, "", start)
             status = 504 if error.reason == Reason.DEADLINE else 503
-            return self._refusal(context.call_id, status, Outcome.NOT_RUN, error.reason)
+            return self._refusal(context.call_id, status, outcome, error.reason)
         except UnknownOutcomeError as error:
             self._note(context, call, Outcome.UNKNOWN, error.reason, "", start)
             status = 504 if error.reason == Reason.DEADLINE else 502
@@ -78,7 +81,8 @@
         self, request: web.BaseRequest, context: CallContext, body: bytes, start: Instant
     ) -> Call:
         state = self.node.lifecycle.state
-        if state != SERVING or self.node.paused(start):
+        is_ready = state == SERVING and not self.node.paused(start)
+        if not is_ready and not asks_home(context):
             raise NotRunError(Reason.DRAINING if state == DRAINING else Reason.NOT_SERVING)
         candidate = self.node.versions.in_force
         if candidate is None:
@@ -101,6 +105,7 @@
             depth=context.depth,
             retry_right=context.retry_right,
             idempotency_key=context.idempotency_key,
+            key_period=context.key_period,
         )
 
     async def _run(self, call: Call, context: CallContext) -> tuple[Answer, str]:
@@ -113,6 +118,7 @@
     ) -> web.StreamResponse:
         headers = relayed(answer.headers)
         headers.update(self._own_headers(call.call_id, answer.outcome, served_by))
+        headers[KEY_PERIOD] = self.ingress.period(call.route.to)
         if answer.rest is None:
             response = web.Response(status=answer.status, headers=headers, body=answer.body)
             return self._last_if_draining(response)
--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -11,6 +11,7 @@
 from ibisrack.calls.connections import CallConnections
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.ingress import Ingress
+from ibisrack.calls.keyed import create_keyed_runs
 from ibisrack.calls.owner import Owner
 from ibisrack.calls.server import CallServer
 from ibisrack.clocks import read_clocks
@@ -141,7 +142,8 @@
 def _assemble(settings: NodeSettings, session: ClientSession):
     node = create_node(settings, Random(settings.identity.node_id))
     upstream = LocalUpstream(settings.upstream, open_pool(settings.upstream.base_url))
-    owner = Owner(node, Gate(Scheduler(slots=1)), upstream)
+    keyed = create_keyed_runs(settings.identity.node_id, read_clocks().wall_ms)
+    owner = Owner(node, Gate(Scheduler(slots=1)), upstream, keyed)
     news = News()
     process = NodeProcess(
         node,
