--- a/ibisrack/room/assemble_test.py
+++ b/ibisrack/room/assemble_test.py
@@ -1,5 +1,6 @@
 """Tests of the screen's view and of its poller."""
 
+import attrs
 import msgspec
 from aiohttp import ClientSession
 from hypothesis import given
@@ -8,7 +9,7 @@
 from ibisrack.admin.client import AdminClient, AdminError, Silence
 from ibisrack.admin.messages import Member, RulesText, Status, decode
 from ibisrack.errors import MessageError
-from ibisrack.room.assemble import Known, assemble
+from ibisrack.room.assemble import Known, assemble, freshest
 from ibisrack.room.fleet import FleetView, VersionNodes, VersionView, ZoneView
 from ibisrack.room.messages import RankCounts, RuleCounts, Straggler
 from ibisrack.room.poller import Poller
@@ -66,6 +67,14 @@
     assert "asked by J. Okafor" in "\n".join(fleet_lines(view))
 
 
+def test_nodes_that_left_as_planned_are_not_stragglers():
+    """Guards against a screen that shows each of 510 planned restarts a day as a failure."""
+    zone = _zone(Straggler("n2", "cut off", 5, "x"))
+    view = assemble(_known(zone, leaving=frozenset(["n2"])), 15)
+    assert (view.on_accepted, view.total, view.straggler_count, view.leaving) == (2, 2, 0, 1)
+    assert (view.zones[0].on_accepted, view.zones[0].total) == (2, 2)
+
+
 def test_probe_tells_a_sleeping_node_from_one_that_does_not_run():
     zone = _zone(Straggler("n2", "cut off", 5, "x"), Straggler("n3", "cut off", 5, "x"))
     probes = {"n2": Silence.NO_ANSWER, "n3": Silence.REFUSED}
@@ -109,6 +118,27 @@
     assert admin.requests == ["/fleet", "/rules", "/members", "/fleet"]
 
 
+def test_freshest_data_of_each_zone_is_kept():
+    """Guards against a screen that flips between the two sides of a partition."""
+    north, south = _zone(age_s=2.0), attrs.evolve(_zone(age_s=400.0), zone="south")
+    one = attrs.evolve(_fleet(north), zones=(north, south))
+    other = attrs.evolve(one, zones=(_zone(age_s=300.0), attrs.evolve(south, age_s=1.0)))
+    ages_s = {zone.zone: zone.age_s for zone in freshest(one, 2.0, other).zones}
+    assert ages_s == {"newman": 4.0, "south": 1.0}
+    assert freshest(None, 0.0, one) == attrs.evolve(one, members=6)
+
+
+async def test_poller_asks_another_node_when_an_answer_is_out_of_date():
+    stale = _answers(_fleet(_zone(age_s=400.0)))
+    async with fake_admin(stale) as a, fake_admin(_answers(_fleet(_zone()))) as b:
+        async with ClientSession() as session:
+            poller = Poller(AdminClient(session, 0.5), (a.address, b.address))
+            await poller.read_round()
+            assert poller.view().zones[0].stale
+            await poller.read_round()
+    assert not poller.view().zones[0].stale
+
+
 async def test_poller_keeps_the_last_view_when_nobody_answers():
     async with fake_admin(_answers(_fleet(_zone()))) as admin, ClientSession() as session:
         poller = Poller(AdminClient(session, 0.5), (admin.address,))
