Transfer a new value by one reader in turn, and collect status on other nodes than the readers

Cause: the busiest of 36 nodes spent 3419 B/s for control, over the bound of 3000: 1.8 to 2.1 KB/s idle and 214 KB for each change, most of it the value of 170 KB that every reader read from the platform. At 108 nodes in a zone, reports every 10 s would add about 3 KB/s to a reader. Change: readers watch the revision with HEAD; one of them, another for each revision, reads the value at once and the others after 1 to 2 s if it has not come over the links. Collectors of status are elected apart from readers, and the time between reports grows with the zone.

--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -93,12 +93,10 @@
 
     async def _read_alone(self, known_revision: int) -> int:
         """Reads the platform within the read budget; returns the revision that it has."""
-        budget = self.reader.budget
-        await asyncio.sleep(budget.wait_s(read_clocks().monotonic_s))
         try:
             return await self.reader.read_once(RULES, known_revision)
         except PlatformError:
-            await asyncio.sleep(budget.failed())
+            await asyncio.sleep(self.reader.budget.failed())
             return known_revision
 
     async def drain(self) -> None:
--- a/ibisrack/platform/client.py
+++ b/ibisrack/platform/client.py
@@ -1,11 +1,12 @@
 """Reads and watches values of the platform's configuration service over HTTP.
 
 ``GET /v1/config/NAME?after_revision=R&wait_s=S`` answers 200 with the value and its revision in
-``X-Revision``, or 304 when nothing above R appeared within S seconds.
+``X-Revision``, or 304 when nothing above R appeared within S seconds.  HEAD answers the same
+without the value.
 """
 
 import msgspec
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
 
 from ibisrack.errors import PlatformError, PlatformTimeoutError
 from ibisrack.platform.messages import HostList, ListedHost, PlatformValue
@@ -39,20 +40,39 @@
       PlatformTimeoutError: The service did not answer in time.
       PlatformError: The service did not give a usable answer.
     """
+    return await _ask(session, settings, "GET", name, after_revision, watch_s)
+
+
+async def watch_revision(
+    session: ClientSession,
+    settings: PlatformSettings,
+    name: str,
+    after_revision: int,
+    watch_s: float,
+) -> int | None:
+    """Waits like ``watch``, but for the revision alone; the value is not transferred."""
+    notice = await _ask(session, settings, "HEAD", name, after_revision, watch_s)
+    return notice.revision if notice else None
+
+
+async def _ask(
+    session: ClientSession,
+    settings: PlatformSettings,
+    method: str,
+    name: str,
+    after_revision: int,
+    watch_s: float,
+) -> PlatformValue | None:
     url = f"{settings.base_url}/v1/config/{name}"
     params = {"after_revision": str(after_revision), "wait_s": f"{watch_s:.3f}"}
     timeout = ClientTimeout(total=watch_s + settings.timeout_s)
     try:
-        async with session.get(url, params=params, timeout=timeout) as answer:
+        async with session.request(method, url, params=params, timeout=timeout) as answer:
             if answer.status == 304:
                 return None
             if answer.status != 200:
                 raise PlatformError(f"{name}: status {answer.status}")
-            content = await answer.content.read(MAX_CONTENT_BYTES + 1)
-            while not answer.content.at_eof() and len(content) <= MAX_CONTENT_BYTES:
-                content += await answer.content.read(MAX_CONTENT_BYTES + 1 - len(content))
-            if len(content) > MAX_CONTENT_BYTES:
-                raise PlatformError(f"{name}: the value is larger than {MAX_CONTENT_BYTES} bytes")
+            content = await _content(answer, name)
             return PlatformValue(name, _revision(answer.headers.get("X-Revision", "")), content)
     except TimeoutError as error:
         raise PlatformTimeoutError(f"{name}: no answer within {timeout.total:.1f} s") from error
@@ -60,6 +80,15 @@
         raise PlatformError(f"{name}: {type(error).__name__} {error}") from error
 
 
+async def _content(answer: ClientResponse, name: str) -> bytes:
+    content = await answer.content.read(MAX_CONTENT_BYTES + 1)
+    while not answer.content.at_eof() and len(content) <= MAX_CONTENT_BYTES:
+        content += await answer.content.read(MAX_CONTENT_BYTES + 1 - len(content))
+    if len(content) > MAX_CONTENT_BYTES:
+        raise PlatformError(f"{name}: the value is larger than {MAX_CONTENT_BYTES} bytes")
+    return content
+
+
 def _revision(text: str) -> int:
     if not text.isascii() or not text.isdigit() or len(text) > 18:
         raise PlatformError(f"X-Revision is not a revision: '{text[:40]}'")
--- a/ibisrack/platform/platform_test.py
+++ b/ibisrack/platform/platform_test.py
@@ -153,6 +153,27 @@
     assert standin.counts["calls"] == 2
 
 
+async def test_elected_reader_reads_a_version_that_its_links_do_not_bring():
+    async def check(reader: PlatformReader, standin: StandinPlatform) -> None:
+        assert await reader.follow_once(RULES, 0) == 3
+        assert reader.node.versions.staged.version_id.revision == 3
+
+    assert (await _with_platform(check)).counts["calls"] == 2
+
+
+async def test_elected_reader_does_not_read_what_it_holds_or_what_is_lower():
+    """Guards against whole values that are transferred again at every change."""
+
+    async def check(reader: PlatformReader, standin: StandinPlatform) -> None:
+        await reader.read_once(RULES, 0)
+        assert await reader.follow_once(RULES, 0) == 3
+        standin.values[RULES].revision = 2
+        assert await reader.follow_once(RULES, 3) == 2
+        assert reader.node.log.entries()[-1].kind == "LowerRevisionIgnored"
+
+    assert (await _with_platform(check)).counts["calls"] == 3
+
+
 async def test_refusal_and_outage_raise_and_change_nothing():
     async def check(reader: PlatformReader, standin: StandinPlatform) -> None:
         for faults in (Faults(unavailable=True), Faults()):
--- a/ibisrack/platform/reader.py
+++ b/ibisrack/platform/reader.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from functools import singledispatch
+from typing import Any
 
 import attrs
 from aiohttp import ClientSession
@@ -13,14 +14,16 @@
 from ibisrack.node.lifecycle import JOINING, STARTING
 from ibisrack.node.state import NodeState
 from ibisrack.platform.budget import ReadBudget
-from ibisrack.platform.client import HOSTS, RULES, parse_hosts, watch
+from ibisrack.platform.client import HOSTS, RULES, parse_hosts, watch, watch_revision
 from ibisrack.platform.messages import HostList, PlatformValue
+from ibisrack.platform.turns import wait_before_read_s
 from ibisrack.timeline.events import LowerRevisionIgnored, PlatformUnavailable
 from ibisrack.versions.chunks import chunked
 from ibisrack.versions.handlers import record_conflict, stage_version
 from ibisrack.versions.store import Interest
 
 ELECTION_CHECK_S = 1.0
+READ_WAIT_S = 0.0  # A plain read does not wait at the service.
 
 
 def is_elected(node: NodeState) -> bool:
@@ -121,13 +124,28 @@
     async def _watch_while_elected(self, name: str) -> None:
         revision = _held_revision(self.node, name)
         while is_reader(self.node):
-            await asyncio.sleep(self.budget.wait_s(read_clocks().monotonic_s))
             try:
-                revision = await self.read_once(name, revision)
+                revision = await self.follow_once(name, revision)
             except PlatformError as error:
                 self.node.record(PlatformUnavailable(name, str(error)), read_clocks())
                 await asyncio.sleep(self.budget.failed(isinstance(error, PlatformTimeoutError)))
 
+    async def follow_once(self, name: str, known_revision: int) -> int:
+        """Watches the revision of a value and reads the value unless the links bring it.
+
+        Returns:
+          The revision to pass to the next watch.
+
+        Raises:
+          PlatformError: The platform did not give a usable answer.
+        """
+        revision = await self._spend(watch_revision, name, known_revision, None)
+        if revision is not None and await self._is_missing(name, revision):
+            value = await self._spend(watch, name, 0, READ_WAIT_S)
+            revision = self._take(value) if value else revision
+        self._review(name)
+        return known_revision if revision is None else revision
+
     async def read_once(self, name: str, known_revision: int) -> int:
         """Watches a value once and takes what it returns.
 
@@ -137,34 +155,56 @@
         Raises:
           PlatformError: The platform did not give a usable answer.
         """
+        value = await self._spend(watch, name, known_revision, None)
+        revision = self._take(value) if value else known_revision
+        self._review(name)
+        return revision
+
+    async def _is_missing(self, name: str, revision: int) -> bool:
+        """Waits for this node's turn; tells whether a revision has still to be read."""
+        node = self.node
+        held_revision = _held_revision(node, name)
+        if revision < held_revision:
+            node.record(
+                LowerRevisionIgnored(revision, held_revision, f"platform {name}"), read_clocks()
+            )
+            return False
+        members = node.members
+        wait_s = wait_before_read_s(members.own_id, members.all(), revision, node.rng)
+        await asyncio.sleep(wait_s)
+        return _held_revision(node, name) < revision
+
+    async def _spend(self, ask: Callable, name: str, revision: int, wait_s: float | None) -> Any:
+        """Makes one call to the platform within the read budget."""
+        await asyncio.sleep(self.budget.wait_s(read_clocks().monotonic_s))
         self.budget.spend(read_clocks().monotonic_s)
         settings = self.node.settings.platform
-        watch_s = self.budget.watch_s(settings.watch_s)
+        watch_s = self.budget.watch_s(settings.watch_s) if wait_s is None else wait_s
         self.node.tally.platform_reads += 1
         try:
-            value = await watch(self.session, settings, name, known_revision, watch_s)
+            answer = await ask(self.session, settings, name, revision, watch_s)
         except PlatformError:
             self.node.tally.platform_failures += 1
             raise
         self.budget.succeeded()
-        if value is not None:
-            self._take(value)
-            known_revision = value.revision
+        return answer
+
+    def _review(self, name: str) -> None:
         if name == HOSTS:
             review_hosts(self.node, read_clocks())
             self.on_change()
-        return known_revision
 
-    def _take(self, value: PlatformValue) -> None:
-        """Takes a value; one that is malformed is recorded and not read again."""
+    def _take(self, value: PlatformValue) -> int:
+        """Takes a value and returns its revision; one that is malformed is not read again."""
         now = read_clocks()
         try:
             parsed = parse_hosts(value.content, value.revision) if value.name == HOSTS else value
         except PlatformError as error:
             self.node.record(PlatformUnavailable(value.name, str(error)), now)
-            return
+            return value.revision
         accept(parsed, self.node, now)
         self.on_change()
+        return value.revision
 
     async def run_all(self) -> None:
         """Watches every value until cancelled."""
--- a/ibisrack/room/partners.py
+++ b/ibisrack/room/partners.py
@@ -1,28 +1,29 @@
-"""Which readers a node reports to and exchanges summaries with.
+"""Which collectors a node reports to and exchanges summaries with.
 
-Partners are neighbours in a ring of all readers, so every reader is the partner of as many others
-as it has itself.  Choice by weight gave some readers twice the mean and put them over their bytes.
+Partners are neighbours in a ring of all collectors, so every collector is the partner of as many
+others as it has itself.  Choice by weight gave some collectors twice the mean and put them over
+their bytes.
 """
 
 from collections.abc import Iterable
 
 from ibisrack.membership.links import weight
-from ibisrack.membership.readers import elect
+from ibisrack.membership.readers import elect_collectors
 from ibisrack.membership.records import MemberRecord
 
-PARTNER_OFFSETS = (1, 2, 5)  # In a ring of 24 readers, any other is at most six steps away.
+PARTNER_OFFSETS = (1, 2, 5)  # In a ring of 24 collectors, any other is at most six steps away.
 
 
-def own_readers(own: MemberRecord, members: Iterable[MemberRecord]) -> tuple[MemberRecord, ...]:
-    """Returns the other readers of the own zone."""
-    return tuple(m for m in elect(own.zone, members) if m.node_id != own.node_id)
+def own_collectors(own: MemberRecord, members: Iterable[MemberRecord]) -> tuple[MemberRecord, ...]:
+    """Returns the other collectors of the own zone."""
+    return tuple(m for m in elect_collectors(own.zone, members) if m.node_id != own.node_id)
 
 
 def partners(own: MemberRecord, members: Iterable[MemberRecord]) -> tuple[MemberRecord, ...]:
-    """Returns the readers of other zones that a reader exchanges summaries with."""
+    """Returns the collectors of other zones that a collector exchanges summaries with."""
     known = list(members)
     zones = sorted({m.zone for m in known})
-    ring = [m for zone in zones for m in elect(zone, known)]
+    ring = [m for zone in zones for m in elect_collectors(zone, known)]
     ring.sort(key=lambda member: weight("summaries", member.node_id))
     if own not in ring:
         return ()
--- a/ibisrack/room/partners_test.py
+++ b/ibisrack/room/partners_test.py
@@ -2,13 +2,13 @@
 
 from collections import Counter
 
-from ibisrack.membership.readers import elect
+from ibisrack.membership.readers import elect_collectors
 from ibisrack.room.partners import partners
 from ibisrack.testing.fixtures import member
 from ibisrack.testing.functions import function_tests
 
 MEMBERS = [member(f"n{i}", zone=f"z{i % 12}") for i in range(60)]
-READERS = [m for zone in range(12) for m in elect(f"z{zone}", MEMBERS)]
+READERS = [m for zone in range(12) for m in elect_collectors(f"z{zone}", MEMBERS)]
 
 
 def test_no_reader_has_more_partners_than_others():
--- a/ibisrack/room/reporter.py
+++ b/ibisrack/room/reporter.py
@@ -7,9 +7,9 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.exchange.channels import ChannelCache
 from ibisrack.exchange.conversation import Exchanger, try_converse
-from ibisrack.membership.readers import elect
+from ibisrack.membership.readers import elect_collectors
 from ibisrack.membership.records import MemberRecord
-from ibisrack.room.partners import own_readers, partners
+from ibisrack.room.partners import own_collectors, partners
 from ibisrack.room.status import ReportSchedule, status_report
 
 CHECK_INTERVAL_S = 0.5
@@ -47,11 +47,13 @@
     def _is_reader(self) -> bool:
         members = self.exchanger.node.members
         own = members.own()
-        return own in elect(own.zone, members.all())
+        return own in elect_collectors(own.zone, members.all())
 
     async def _report(self) -> None:
         node = self.exchanger.node
-        readers = {m.peer_address: m for m in own_readers(node.members.own(), node.members.all())}
+        readers = {
+            m.peer_address: m for m in own_collectors(node.members.own(), node.members.all())
+        }
         await self._report_channels.keep(readers)
         due = self.schedule.due(node, tuple(readers), read_clocks().monotonic_s)
         if due:
--- a/ibisrack/room/reports.py
+++ b/ibisrack/room/reports.py
@@ -16,6 +16,7 @@
 )
 from ibisrack.room.stragglers import REFUSED, straggler
 from ibisrack.room.sums import add_ranks, add_rules
+from ibisrack.room.timing import silent_after_s
 from ibisrack.versions.chunks import VersionId
 
 MAX_STRAGGLERS = 20
@@ -143,12 +144,13 @@
     def _stragglers(self, inside: dict[str, MemberRecord], now_s: float) -> list[Straggler]:
         accepted = self.accepted()
         revision = accepted.revision if accepted else 0
+        limit_s = silent_after_s(len(inside))
         found = []
         for node_id, member in sorted(inside.items()):
             received = self._reports.get(node_id)
             report = received.report if received else None
             age_s = now_s - received.at_s if received else 0.0
-            found.append(straggler(member, report, age_s, revision))
+            found.append(straggler(member, report, age_s, limit_s, revision))
         # Refusals last: when one of them is listed, all that are left out are refusals too.
         listed = (s for s in found if s)
         return sorted(listed, key=lambda s: (s.revision, s.cause == REFUSED, s.node_id))
--- a/ibisrack/room/source.py
+++ b/ibisrack/room/source.py
@@ -7,9 +7,9 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.exchange.channels import ChannelCache
 from ibisrack.exchange.conversation import Exchanger, try_converse
-from ibisrack.membership.readers import elect
+from ibisrack.membership.readers import elect_collectors
 from ibisrack.room.fleet import FleetView, fleet_view
-from ibisrack.room.partners import own_readers
+from ibisrack.room.partners import own_collectors
 
 CACHE_S = 1.0
 FRESHER_BY_S = 0.5
@@ -41,9 +41,9 @@
         """Asks the readers of the zone in turn until one answers."""
         node = self.exchanger.node
         own = node.members.own()
-        if own in elect(own.zone, node.members.all()):
+        if own in elect_collectors(own.zone, node.members.all()):
             return
-        readers = [m.peer_address for m in own_readers(own, node.members.all())]
+        readers = [m.peer_address for m in own_collectors(own, node.members.all())]
         await self._channels.keep(readers)
         opening = (node.room.wanted(read_clocks().monotonic_s, FRESHER_BY_S),)
         for address in readers:
--- a/ibisrack/room/source_test.py
+++ b/ibisrack/room/source_test.py
@@ -3,10 +3,10 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.exchange.carrier import start_server
 from ibisrack.exchange.conversation import Exchanger
-from ibisrack.membership.readers import elect
+from ibisrack.membership.readers import elect_collectors
 from ibisrack.membership.table import MemberTable
 from ibisrack.node.state import NodeState
-from ibisrack.room.partners import own_readers
+from ibisrack.room.partners import own_collectors
 from ibisrack.room.reporter import Reporter
 from ibisrack.room.source import FleetSource
 from ibisrack.room.status import ReportSchedule, status_report
@@ -22,7 +22,7 @@
     for table in tables:
         for record in records:
             table.apply(record)
-    readers = [m.node_id for m in elect("z", records)]
+    readers = [m.node_id for m in elect_collectors("z", records)]
     return sorted(nodes, key=lambda node: node.members.own_id not in readers)
 
 
@@ -40,7 +40,7 @@
     exchanger = servers[int(outsider.members.own_id[1:])]
     reporter = Reporter(exchanger, ReportSchedule(outsider.rng))
     try:
-        for reader in own_readers(outsider.members.own(), outsider.members.all()):
+        for reader in own_collectors(outsider.members.own(), outsider.members.all()):
             assert await reporter._send(reader.peer_address)
         for node in nodes[:2]:
             now = read_clocks()
--- a/ibisrack/room/status.py
+++ b/ibisrack/room/status.py
@@ -7,11 +7,11 @@
 from ibisrack.clocks import Instant
 from ibisrack.node.state import NodeState
 from ibisrack.room.messages import RefusedVersion, StatusReport
+from ibisrack.room.timing import report_interval_s
 from ibisrack.versions.store import Refusal
 
 MAX_FAULTS = 5
 MAX_FAULT_CHARS = 200
-REPORT_INTERVAL_S = 10.0
 CHANGE_DELAY_S = 0.5  # Spreads the reports of a zone after a change, and joins staging and swap.
 
 RETRY_DELAY_S = 2.0
@@ -79,10 +79,10 @@
         if self._change_due_s is not None and now_s >= self._change_due_s:
             self._sent = essence
             self._change_due_s = None
-            self._plan_steady(now_s)
+            self._plan_steady(node, now_s)
             return readers
         if now_s >= self._steady_due_s:
-            self._plan_steady(now_s)
+            self._plan_steady(node, now_s)
             self._turn += 1
             return (readers[self._turn % len(readers)],)
         return ()
@@ -92,5 +92,8 @@
         self._sent = None
         self._change_due_s = now_s + self.rng.uniform(0.5, 1.5) * RETRY_DELAY_S
 
-    def _plan_steady(self, now_s: float) -> None:
-        self._steady_due_s = now_s + self.rng.uniform(0.9, 1.1) * REPORT_INTERVAL_S
+    def _plan_steady(self, node: NodeState, now_s: float) -> None:
+        zone = node.members.own().zone
+        zone_members = sum(1 for member in node.members.all() if member.zone == zone)
+        interval_s = report_interval_s(zone_members)
+        self._steady_due_s = now_s + self.rng.uniform(0.9, 1.1) * interval_s
--- a/ibisrack/room/stragglers.py
+++ b/ibisrack/room/stragglers.py
@@ -10,12 +10,13 @@
 STARTING_UP = "starting"
 BEHIND = "behind"
 
-# A node reports to each reader every 20 s, so that one lost report does not count as cut off.
-SILENT_AFTER_S = 45.0
-
 
 def _cause(
-    member: MemberRecord, report: StatusReport | None, age_s: float, accepted_revision: int
+    member: MemberRecord,
+    report: StatusReport | None,
+    age_s: float,
+    limit_s: float,
+    accepted_revision: int,
 ) -> tuple[str, str] | None:
     """Returns the cause and its detail, None for a node that is as it should be."""
     if member.liveness is Liveness.DEAD:
@@ -24,7 +25,7 @@
         return ASLEEP, "missed its last exchanges"
     if report is None:
         return STARTING_UP, "has not reported yet"
-    if age_s > SILENT_AFTER_S:
+    if age_s > limit_s:
         return CUT_OFF, f"last report {age_s:.0f} s ago"
     if report.state in (STARTING, JOINING):
         return STARTING_UP, report.state
@@ -49,7 +50,11 @@
 
 
 def straggler(
-    member: MemberRecord, report: StatusReport | None, age_s: float, accepted_revision: int
+    member: MemberRecord,
+    report: StatusReport | None,
+    age_s: float,
+    limit_s: float,
+    accepted_revision: int,
 ) -> Straggler | None:
     """Judges one node.
 
@@ -57,9 +62,10 @@
       member: The node's member record.
       report: Its last report.
       age_s: Age of the report.
+      limit_s: Age at which the node counts as cut off.
       accepted_revision: Highest revision that is in force anywhere.
     """
-    found = _cause(member, report, age_s, accepted_revision)
+    found = _cause(member, report, age_s, limit_s, accepted_revision)
     if found is None:
         return None
     return Straggler(member.node_id, found[0], revision_of(report), found[1])
