Build the settings converter once

Cause: each load built a converter anew, 10 ms a case in the generated tests. Change: the converter is cached; two lines of the terminal view avoid false plurals.

--- a/ibisrack/room/terminal.py
+++ b/ibisrack/room/terminal.py
@@ -48,7 +48,7 @@
     age = "no data" if view.age_s is None else f"data up to {view.age_s:.0f} s old"
     lines = [headline(view), f"{age}, from {view.source or 'nobody'}"]
     if view.leaving:
-        lines.append(f"{view.leaving} nodes left as planned and are not counted")
+        lines.append(f"left as planned and not counted: {view.leaving}")
     lines += [f"NOTE {printable(problem)}" for problem in view.problems]
     if view.refused:
         lines += ["", f"REFUSED: a newer version, by at least {view.refused.node_count} nodes"]
@@ -56,7 +56,7 @@
     lines += ["", *table(map(_zone_row, view.zones))]
     if view.straggler_count:
         rows = list(map(_straggler_row, view.stragglers[:MAX_STRAGGLERS]))
-        lines += ["", f"{view.straggler_count} stragglers", *table(rows)]
+        lines += ["", f"stragglers: {view.straggler_count}", *table(rows)]
     return lines
 
 
--- a/ibisrack/settings/loader.py
+++ b/ibisrack/settings/loader.py
@@ -6,6 +6,7 @@
 """
 
 import json
+from functools import cache
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -38,6 +39,7 @@
     return structure
 
 
+@cache
 def _converter() -> Converter:
     converter = Converter(forbid_extra_keys=True, detailed_validation=True)
     for primitive in (int, float, str, bool):
