Split the assembly of the view by duty

Change: room/work.py joins calls with rules, room/freshest.py joins answers; no behaviour changes. Conclusion: each module has one duty.

--- a/ibisrack/room/assemble.py
+++ b/ibisrack/room/assemble.py
@@ -10,20 +10,17 @@
 
 from ibisrack.admin.client import Silence
 from ibisrack.room.fleet import FleetView, ZoneView
-from ibisrack.room.messages import RankCounts, RuleCounts, Straggler
+from ibisrack.room.messages import Straggler
 from ibisrack.room.stragglers import REFUSED
-from ibisrack.room.sums import OTHER
 from ibisrack.room.view import (
     MAX_ROWS,
     Cause,
-    RankView,
     RefusalView,
-    RuleView,
     ScreenView,
     StragglerView,
 )
 from ibisrack.room.view import ZoneView as ZoneScreen
-from ibisrack.rules.model import RankRule, RouteRule
+from ibisrack.room.work import rank_views, rule_views
 from ibisrack.rules.ruleset import RuleSet
 
 _CAUSES = {cause.value: cause for cause in Cause}
@@ -62,35 +59,6 @@
         return sum(node.node_id in self.leaving for node in zone.stragglers)
 
 
-def freshest(held: FleetView | None, held_age_s: float, answer: FleetView) -> FleetView:
-    """Joins an answer with the one before; for each zone of the answer the freshest data is kept.
-
-    Args:
-      held: The answer before, perhaps of a node on another side of a partition.
-      held_age_s: Its age.
-      answer: The new answer, which names the zones.
-    """
-    before = {zone.zone: zone for zone in held.zones} if held else {}
-    zones = tuple(_fresher(before.get(zone.zone), held_age_s, zone) for zone in answer.zones)
-    versions = [view.accepted for view in (held, answer) if view and view.accepted]
-    return attrs.evolve(
-        answer,
-        accepted=max(versions, key=lambda version: version.revision, default=None),
-        members=sum(zone.members for zone in zones),
-        straggler_count=sum(zone.straggler_count for zone in zones),
-        zones=zones,
-    )
-
-
-def _fresher(held: ZoneView | None, held_age_s: float, zone: ZoneView) -> ZoneView:
-    if held is None or held.age_s is None:
-        return zone
-    age_s = held.age_s + held_age_s
-    if zone.age_s is not None and zone.age_s <= age_s:
-        return zone
-    return attrs.evolve(held, age_s=age_s)
-
-
 def assemble(known: Known, stale_s: float) -> ScreenView:
     """Returns the view.
 
@@ -190,67 +158,6 @@
     return (tuple(Cause).index(node.cause), node.zone, node.node_id)
 
 
-def _kept_percent(row: RankCounts) -> float | None:
-    return round(100 * row.served / row.offered, 1) if row.offered else None
-
-
-def rank_views(rules: RuleSet | None, rows: Iterable[RankCounts]) -> tuple[RankView, ...]:
-    """Joins the calls by rank with the rules; ranks that keep least come first.
-
-    Ranks without calls are listed last.  Rows that the rules do not name, and the sum of the rows
-    that a node left out, are kept.
-    """
-    services = rules.services.values() if rules else ()
-    declared = {(rank.service, rank.rank): rank for s in services for rank in s.ranks}
-    counted = {(row.service, row.rank): row for row in rows}
-    if (OTHER, OTHER) not in counted:
-        for key in declared.keys() - counted.keys():
-            counted[key] = RankCounts(*key, 0, 0, 0, 0)
-    views = [_rank_view(declared.get(key), row) for key, row in counted.items()]
-    return tuple(sorted(views, key=_rank_order))
-
-
-def _rank_view(rank: RankRule | None, row: RankCounts) -> RankView:
-    return RankView(
-        service=row.service,
-        rank=row.rank,
-        order=rank.order if rank else 0,
-        share_percent=rank.share_percent if rank else 0,
-        demand=row.offered,
-        served=row.served,
-        refused=row.not_run,
-        unknown=row.unknown,
-        kept_percent=_kept_percent(row),
-    )
-
-
-def _rank_order(view: RankView) -> tuple:
-    kept = 101.0 if view.kept_percent is None else view.kept_percent
-    return (kept, view.service, view.order, view.rank)
-
-
-def rule_views(rules: RuleSet | None, rows: Iterable[RuleCounts]) -> tuple[RuleView, ...]:
-    """Joins the calls by line with the routes; routes that refused most come first."""
-    counted = {row.line: row for row in rows}
-    routes = [route for found in rules.routes.values() for route in found] if rules else []
-    views = [_rule_view(r, counted.get(r.line, RuleCounts(r.line, 0, 0, 0, 0))) for r in routes]
-    return tuple(sorted(views, key=lambda v: (-v.refused - v.unknown, -v.demand, v.line)))
-
-
-def _rule_view(route: RouteRule, row: RuleCounts) -> RuleView:
-    return RuleView(
-        line=route.line,
-        route=f"{route.method} {route.match}",
-        rank=route.rank,
-        requester=route.requester,
-        reason=route.reason,
-        demand=row.offered,
-        served=row.served,
-        refused=row.not_run,
-        unknown=row.unknown,
-    )
-
-
 def _problems(known: Known, revision: int, zones: Iterable[ZoneScreen]) -> Iterator[str]:
     if known.error:
         yield f"no node that was asked answers: {known.error}"
--- a/ibisrack/room/assemble_test.py
+++ b/ibisrack/room/assemble_test.py
@@ -9,8 +9,9 @@
 from ibisrack.admin.client import AdminClient, AdminError, Silence
 from ibisrack.admin.messages import Member, RulesText, Status, decode
 from ibisrack.errors import MessageError
-from ibisrack.room.assemble import Known, assemble, freshest
+from ibisrack.room.assemble import Known, assemble
 from ibisrack.room.fleet import FleetView, VersionNodes, VersionView, ZoneView
+from ibisrack.room.freshest import freshest
 from ibisrack.room.messages import RankCounts, RuleCounts, Straggler
 from ibisrack.room.poller import Poller
 from ibisrack.room.server import RoomServer
--- a/ibisrack/room/poller.py
+++ b/ibisrack/room/poller.py
@@ -13,8 +13,9 @@
 from ibisrack.admin.messages import DEAD, Member, RulesText, Status
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import RulesError
-from ibisrack.room.assemble import Known, assemble, freshest
+from ibisrack.room.assemble import Known, assemble
 from ibisrack.room.fleet import FleetView
+from ibisrack.room.freshest import freshest
 from ibisrack.room.stragglers import ASLEEP, CUT_OFF
 from ibisrack.room.view import ScreenView
 from ibisrack.rules.ruleset import check
