--- a/ibisrack/calls/server_test.py
+++ b/ibisrack/calls/hostile_test.py
@@ -9,11 +9,12 @@
 
 from ibisrack.calls.admission import Scheduler
 from ibisrack.calls.gate import Gate
+from ibisrack.calls.http_server import http_server
 from ibisrack.calls.ingress import Ingress
 from ibisrack.calls.keyed import create_keyed_runs
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.owner import Owner
-from ibisrack.calls.server import CallServer, http_server
+from ibisrack.calls.server import CallServer
 from ibisrack.clocks import read_clocks
 from ibisrack.node.lifecycle import SERVING
 from ibisrack.testing.fixtures import PILBARA_RULES, bare_node
--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -5,6 +5,7 @@
 import attrs
 from aiohttp import web
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
+from aiohttp.web_protocol import RequestPayloadError
 
 from ibisrack.calls.headers import (
     CALL_ID,
@@ -193,16 +194,6 @@
         self.node.record(event, now)
 
 
-def http_server(calls: CallServer) -> web.Server:
-    """Returns the server for the call port.
-
-    Bodies stay as they came: their Content-Encoding header is passed on with them.
-    """
-    return web.Server(
-        calls.handle, access_log=None, handler_cancellation=True, auto_decompress=False
-    )
-
-
 async def _read_body(request: web.BaseRequest) -> bytes:
     if not request.can_read_body:
         return b""
@@ -212,5 +203,5 @@
         return await request.read()
     except HTTPRequestEntityTooLarge as error:
         raise RequestError(f"the body is larger than {MAX_BODY_BYTES} bytes", 413) from error
-    except web.RequestPayloadError as error:
-        raise RequestError("the body is malformed or not complete") from error
+    except RequestPayloadError as error:
+        raise RequestError("the body is not valid HTTP") from error
--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -9,10 +9,11 @@
 
 from ibisrack.calls.admission import Scheduler
 from ibisrack.calls.gate import Gate
+from ibisrack.calls.http_server import http_server
 from ibisrack.calls.ingress import Ingress
 from ibisrack.calls.keyed import create_keyed_runs
 from ibisrack.calls.owner import Owner
-from ibisrack.calls.server import CallServer, http_server
+from ibisrack.calls.server import CallServer
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import PlatformError
 from ibisrack.exchange.carrier import start_server
