--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -34,3 +34,4 @@
     KEY_REUSED = "key-used-for-another-request"
     ANSWER_NOT_KEPT = "answer-not-kept"
     WRONG_ANSWER = "answer-of-another-call"
+    UNDELIMITED_ANSWER = "answer-without-length"
