Exchange summaries every 6 s, and let a reader read once a second

Cause: collectors spent about 1.1 KB/s on summaries every 4 s (3080 B/s in all for the busiest of 72 nodes), and readers whose budget of 0.5 reads a second was used up took a change late when changes came every second (median convergence 0.85 s, 0.16 s before).

--- a/ibisrack/platform/budget.py
+++ b/ibisrack/platform/budget.py
@@ -8,8 +8,8 @@
 
 import attrs
 
-READ_BURST = 4.0
-READS_PER_S = 0.5
+READ_BURST = 6.0  # A change takes a reader up to two reads.
+READS_PER_S = 1.0
 BACKOFF_FIRST_S = 0.5
 BACKOFF_LIMIT_S = 30.0
 FIRST_READ_LOW_S = 1.0
--- a/ibisrack/room/reporter.py
+++ b/ibisrack/room/reporter.py
@@ -13,8 +13,8 @@
 from ibisrack.room.status import ReportSchedule, status_report
 
 CHECK_INTERVAL_S = 0.5
-SUMMARY_STEPS = 8  # A reader exchanges summaries about every 4 s.
-FRESHER_BY_S = 4.0  # Bounds how often the summary of a zone is sent to the same reader.
+SUMMARY_STEPS = 12  # A collector exchanges summaries about every 6 s.
+FRESHER_BY_S = 6.0  # Bounds how often the summary of a zone is sent to the same reader.
 
 
 @attrs.define
