--- a/ibisrack/exchange/conversation.py
+++ b/ibisrack/exchange/conversation.py
@@ -5,16 +5,14 @@
 
 import attrs
 
-# The handlers register themselves when their modules are imported.
-import ibisrack.membership.handlers
-import ibisrack.room.handlers
-import ibisrack.versions.handlers  # noqa: F401
+import ibisrack.exchange.registry  # noqa: F401
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import MessageError, PeerError
 from ibisrack.exchange.carrier import Channel, send_frame
 from ibisrack.exchange.codec import decode_frame, encode_frame
 from ibisrack.exchange.dispatch import greeting, process
 from ibisrack.exchange.messages import Hello
+from ibisrack.membership.upkeep import news_for, told
 from ibisrack.node.state import NodeState
 
 MAX_ROUNDS = 8  # An offer takes four; more means that the peers talk past each other.
@@ -44,8 +42,13 @@
         Raises:
           MessageError: The frame is not valid.
         """
-        replies = self._process(decode_frame(frame))
-        return encode_frame((*greeting(self.node, read_clocks()), *replies))
+        traffic = self.node.traffic
+        messages = decode_frame(traffic.received(frame))
+        replies = self._process(messages)
+        peer_id = _sender(messages).sender.node_id
+        news = news_for(self.node, peer_id)
+        told(self.node, peer_id, news)
+        return traffic.sent(encode_frame((*greeting(self.node, read_clocks()), *replies, *news)))
 
     async def converse(
         self, channel: Channel, timeout_s: float, opening: tuple[Any, ...] = ()
@@ -64,10 +67,12 @@
           PeerError: The peer did not answer.
           MessageError: The peer's answer is not valid.
         """
+        traffic = self.node.traffic
         to_send: tuple[Any, ...] = opening or (self.node.members.digest(),)
         for _ in range(MAX_ROUNDS):
             frame = encode_frame((*greeting(self.node, read_clocks()), *to_send))
-            messages = decode_frame(await send_frame(channel, frame, timeout_s))
+            answer = await send_frame(channel, traffic.sent(frame), timeout_s)
+            messages = decode_frame(traffic.received(answer))
             hello = _sender(messages)
             to_send = self._process(messages)
             if not to_send:
--- a/ibisrack/node/joining.py
+++ b/ibisrack/node/joining.py
@@ -64,13 +64,15 @@
     Attributes:
       started_at_s: Monotonic time of the start.
       join_timeout_s: Time after which a node without any answering peer reads the platform.
-      lone_start_s: Jittered time before the first read, so that a fleet that restarts together
-        does not read the platform at once.
+      first_read_s: Jittered time before the first read of an elected node, so that a fleet that
+        restarts together does not read the platform at once.
+      lone_read_s: The same for a node that no peer answers.
     """
 
     started_at_s: float
     join_timeout_s: float
-    lone_start_s: float
+    first_read_s: float
+    lone_read_s: float
 
     def step(self, view: LinksView, versions: VersionStore, now_s: float) -> Step:
         """Returns the next step of the join.
@@ -91,11 +93,11 @@
             return Step.SERVE if _reached(versions, view.highest) else Step.PULL
         if versions.in_force is not None:
             return Step.SERVE
-        due = view.elected and waited_s >= self.lone_start_s
+        due = view.elected and waited_s >= self.first_read_s
         return Step.READ_PLATFORM if due else Step.ASK
 
     def _alone(self, versions: VersionStore, waited_s: float) -> Step:
-        if waited_s < max(self.join_timeout_s, self.lone_start_s):
+        if waited_s < max(self.join_timeout_s, self.lone_read_s):
             return Step.ASK
         return Step.SERVE if versions.in_force is not None else Step.READ_PLATFORM
 
--- a/ibisrack/node/joining_test.py
+++ b/ibisrack/node/joining_test.py
@@ -9,7 +9,7 @@
 from ibisrack.versions.chunks import VersionId, chunked
 from ibisrack.versions.store import VersionStore
 
-JOIN = Joining(started_at_s=100.0, join_timeout_s=3.0, lone_start_s=2.0)
+JOIN = Joining(started_at_s=100.0, join_timeout_s=3.0, first_read_s=2.0, lone_read_s=2.0)
 REVISION_4 = VersionId(4, b"x" * 16)
 REVISION_6 = VersionId(6, b"x" * 16)
 
@@ -72,7 +72,7 @@
     node = bare_node("own")
     node.learn(member("a"), _instant(0.0))
     node.versions = _store(4)
-    node.begin_join(_instant(0.0), lone_start_s=1.0)
+    node.begin_join(_instant(0.0), first_read_s=1.0, lone_read_s=1.0)
     node.tick(_instant(0.0))
     node.links.told["a"] = REVISION_4
     assert node.serve_if_ready(_instant(0.1))
@@ -106,7 +106,7 @@
     node = bare_node("own")
     node.learn(member("a"), _instant(0.0))
     node.versions = _store(4)
-    node.begin_join(_instant(0.0), lone_start_s=1.0)
+    node.begin_join(_instant(0.0), first_read_s=1.0, lone_read_s=1.0)
     node.tick(_instant(0.0))
     node.tick(_instant(60.0))
     assert not node.serve_if_ready(_instant(60.0))
--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -10,6 +10,7 @@
 from ibisrack.calls.admission import Scheduler
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.ingress import Ingress
+from ibisrack.calls.keyed import create_keyed_runs
 from ibisrack.calls.owner import Owner
 from ibisrack.calls.server import CallServer
 from ibisrack.clocks import read_clocks
@@ -17,6 +18,7 @@
 from ibisrack.exchange.carrier import start_server
 from ibisrack.exchange.conversation import Exchanger
 from ibisrack.exchange.links import News, contact_seeds, reconnect_lost_peers, supervise_links
+from ibisrack.membership.upkeep import pass_time
 from ibisrack.node.admin import AdminServer
 from ibisrack.node.joining import Step
 from ibisrack.node.lifecycle import JOINING
@@ -61,16 +63,20 @@
             if node.tick(now):
                 self.owner.gate.expire()
                 self.news.announce()
-            if node.activate_if_ready(now):
+            members_changed = pass_time(node, now)
+            if node.activate_if_ready(now) or members_changed:
                 self.changed()
-            if node.serve_if_ready(now) or node.versions.needs_source(now.monotonic_s):
+            if node.serve_if_ready(now):
                 self.news.announce()
+            if node.versions.needs_source(now.monotonic_s):
+                self.news.repeat()
             await asyncio.sleep(TICK_S)
 
     async def join(self) -> None:
         """Drives the join until this node takes calls; the link tasks ask the links."""
         node = self.node
-        node.begin_join(read_clocks(), self.reader.budget.lone_start_s())
+        budget = self.reader.budget
+        node.begin_join(read_clocks(), budget.first_read_s(True), budget.first_read_s(False))
         revision = 0
         while node.lifecycle.state == JOINING:
             if not node.links.told:
@@ -124,7 +130,8 @@
 
 def _assemble(settings: NodeSettings, session: ClientSession, upstream: ClientSession):
     node = create_node(settings, Random(settings.identity.node_id))
-    owner = Owner(node, Gate(Scheduler(slots=1)), upstream)
+    keyed = create_keyed_runs(settings.identity.node_id, read_clocks().wall_ms)
+    owner = Owner(node, Gate(Scheduler(slots=1)), upstream, keyed)
     news = News()
     process = NodeProcess(
         node,
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -4,13 +4,20 @@
 
 import attrs
 
+from ibisrack.calls.tally import Tally
 from ibisrack.clocks import Instant
+from ibisrack.exchange.traffic import ExchangeTraffic
+from ibisrack.membership.departures import Departures
 from ibisrack.membership.links import choose_links
+from ibisrack.membership.news import NewsQueue
 from ibisrack.membership.readers import elect
 from ibisrack.membership.records import MemberRecord
+from ibisrack.membership.suspicion import Suspicions
 from ibisrack.membership.table import MemberTable
 from ibisrack.node.joining import Joining, LinksView, Resuming, Step
 from ibisrack.node.lifecycle import JOINING, RESUMING, Lifecycle
+from ibisrack.node.observe import observe
+from ibisrack.platform.hosts import HostsView
 from ibisrack.room.counters import CallCounters
 from ibisrack.room.reports import RoomState
 from ibisrack.settings.node import NodeSettings
@@ -21,6 +28,7 @@
     PauseDetected,
     VersionActivated,
 )
+from ibisrack.timeline.journal import write_entry
 from ibisrack.timeline.log import EventLog
 from ibisrack.versions.chunks import VersionId
 from ibisrack.versions.store import VersionStore
@@ -83,9 +91,15 @@
       counters: Calls of the last minute.
       lifecycle: The node's own state machine.
       links: Health of the links.
+      news: Member changes to tell to peers.
+      suspicions: Members that are suspected.
+      departures: Members that are dead.
+      hosts: The platform's host list.
       joining: The decision to serve after the start, None before it.
       resuming: The decision to serve after the last pause.
       last_tick_s: Monotonic time of the last tick, for pause detection.
+      tally: Counts of events and calls since the start.
+      traffic: Counts of the frames exchanged with peers.
     """
 
     settings: NodeSettings
@@ -97,13 +111,20 @@
     counters: CallCounters = attrs.field(factory=CallCounters)
     lifecycle: Lifecycle = attrs.field(factory=Lifecycle)
     links: LinkHealth = attrs.field(factory=LinkHealth)
+    news: NewsQueue = attrs.field(factory=NewsQueue)
+    suspicions: Suspicions = attrs.field(factory=Suspicions)
+    departures: Departures = attrs.field(factory=Departures)
+    hosts: HostsView = attrs.field(factory=HostsView)
     joining: Joining | None = None
     resuming: Resuming | None = None
     last_tick_s: float | None = None
+    tally: Tally = attrs.field(factory=Tally)
+    traffic: ExchangeTraffic = attrs.field(factory=ExchangeTraffic)
 
     def record(self, event: Event, now: Instant) -> None:
-        """Adds an event to the time line."""
-        self.log.record(event, now.wall_ms)
+        """Adds an event to the time line, the counts and, for control events, the log."""
+        observe(event, self.tally, self.counters, now.monotonic_s)
+        write_entry(self.log.record(event, now.wall_ms))
 
     def move(self, trigger: str, now: Instant) -> None:
         """Fires a lifecycle trigger and records the change."""
@@ -112,17 +133,38 @@
         if self.lifecycle.state != old:
             self.record(NodeStateChanged(old, self.lifecycle.state), now)
 
-    def learn(self, record: MemberRecord, now: Instant) -> bool:
-        """Applies a member record and records a change."""
+    def learn(self, record: MemberRecord, now: Instant, source: str = "") -> bool:
+        """Applies a member record, queues it as news and records a change.
+
+        Args:
+          record: What was heard or decided.
+          now: The current instant.
+          source: Peer that sent the record, empty for a decision of this node.
+        """
         if not self.members.apply(record):
+            self._note_known(record, source)
             return False
         kept = self.members.get(record.node_id)
+        self.news.add(kept.node_id, source if kept == record else "")
+        self.suspicions.note(kept, now.monotonic_s)
+        self.departures.note(kept, now.monotonic_s)
         event = MemberChanged(
             kept.node_id, kept.liveness.name, kept.leaving, kept.generation, kept.incarnation
         )
         self.record(event, now)
         return True
 
+    def forget(self, node_id: str) -> None:
+        """Forgets a member that has left."""
+        self.members.forget(node_id)
+        self.suspicions.forget(node_id)
+        self.departures.drop(node_id)
+
+    def _note_known(self, record: MemberRecord, source: str) -> None:
+        known = self.members.get(record.node_id)
+        if source and known and known.precedence == record.precedence:
+            self.news.heard(record.node_id, source)
+
     def activate_if_ready(self, now: Instant) -> bool:
         """Puts the staged version in force once enough peers hold it."""
         if self.versions.staged is None or self.paused(now):
@@ -154,6 +196,7 @@
         self.record(PauseDetected(now.monotonic_s - last_s), now)
         self.links.forget()
         self.versions.confirm_again(now.monotonic_s)
+        self.suspicions.restart(now.monotonic_s)
         self.resuming = Resuming(now.monotonic_s)
         if self.joining is not None:
             self.joining = attrs.evolve(self.joining, started_at_s=now.monotonic_s)
@@ -182,10 +225,16 @@
             elected=any(reader.node_id == own.node_id for reader in readers),
         )
 
-    def begin_join(self, now: Instant, lone_start_s: float) -> None:
-        """Starts the join; lone_start_s is the jittered time before a first platform read."""
+    def begin_join(self, now: Instant, first_read_s: float, lone_read_s: float) -> None:
+        """Starts the join.
+
+        Args:
+          now: The current instant.
+          first_read_s: Jittered time before a first platform read of an elected node.
+          lone_read_s: The same for a node that no peer answers.
+        """
         timeout_s = self.settings.exchange.join_timeout_s
-        self.joining = Joining(now.monotonic_s, timeout_s, lone_start_s)
+        self.joining = Joining(now.monotonic_s, timeout_s, first_read_s, lone_read_s)
         self.move("join", now)
 
     def join_step(self, now: Instant) -> Step:
--- a/ibisrack/testing/fixtures.py
+++ b/ibisrack/testing/fixtures.py
@@ -4,8 +4,10 @@
 
 from random import Random
 
+from ibisrack.calls.messages import Call
 from ibisrack.membership.records import MemberRecord
 from ibisrack.node.state import NodeState, create_node
+from ibisrack.rules.model import RankRule, RouteRule
 from ibisrack.settings.node import (
     IdentitySettings,
     ListenSettings,
@@ -89,11 +91,33 @@
     return MemberRecord(node_id=node_id, **{**place, **ports, **fields})
 
 
-def bare_node(node_id: str, zone: str = "z", region: str = "r", seed: int = 1) -> NodeState:
+def rank_rule(rank: str, **fields) -> RankRule:
+    """Returns a rank rule with defaults for a test."""
+    origin = {"line": 1, "requester": "Mei Tan", "reason": "test", "service": "notice-desk"}
+    return RankRule(rank=rank, **{**origin, "order": 1, "share_percent": 0, **fields})
+
+
+def route_rule(**fields) -> RouteRule:
+    """Returns a route rule with defaults for a test."""
+    origin = {"line": 1, "requester": "Mei Tan", "reason": "test"}
+    target = {"method": "POST", "match": "notice-desk/notices", "to": "notice-desk"}
+    traits = {"rank": "lodgement", "deadline_ms": 2000, "idempotent": False}
+    return RouteRule(**{**origin, **target, **traits, **fields})
+
+
+def call_to(retry_right: bool = True, key: str = "", body: bytes = b"", **fields) -> Call:
+    """Returns a call with defaults for a test; the fields are those of its route."""
+    route = route_rule(**fields)
+    return Call("call-1", "POST", "/notices", {}, body, route, 1, 1e9, 0, retry_right, key)
+
+
+def bare_node(
+    node_id: str, zone: str = "z", region: str = "r", seed: int = 1, peer_port: int = 2
+) -> NodeState:
     """Returns the state of a node that has just started, without tasks or servers."""
     settings = NodeSettings(
         IdentitySettings(node_id, "notice-desk", zone, region),
-        ListenSettings("127.0.0.1", 1, 2, 3),
+        ListenSettings("127.0.0.1", 1, peer_port, 3),
         UpstreamSettings("http://127.0.0.1:4"),
         PlatformSettings("http://127.0.0.1:5"),
     )
--- a/ibisrack/testing/stepped.py
+++ b/ibisrack/testing/stepped.py
@@ -21,6 +21,7 @@
 from ibisrack.node.joining import Step
 from ibisrack.node.lifecycle import JOINING, SERVING
 from ibisrack.node.state import NodeState
+from ibisrack.platform.budget import ReadBudget
 from ibisrack.platform.messages import PlatformValue
 from ibisrack.platform.reader import accept, is_reader
 
@@ -138,7 +139,9 @@
         if known:
             stepped.bytes_sent = known.bytes_sent
         self.nodes[node_id] = stepped
-        stepped.node.begin_join(self.now(), stepped.node.rng.uniform(1.0, 6.0))
+        budget = ReadBudget(stepped.node.rng)
+        reads_s = (budget.first_read_s(has_peers=True), budget.first_read_s(has_peers=False))
+        stepped.node.begin_join(self.now(), *reads_s)
 
     def crash(self, node_id: str) -> None:
         """Ends a process; its memory is lost."""
--- a/ibisrack/versions/store_test.py
+++ b/ibisrack/versions/store_test.py
@@ -39,6 +39,15 @@
     assert store.activate().version_id.revision == 8
 
 
+def test_staged_lower_revision_does_not_replace_the_one_in_force():
+    """Guards the swap itself, should a lower revision ever get past the staging."""
+    store = _store_at(5)
+    lower = _store_at(4).in_force
+    store.staged = lower
+    assert store.activate() is None
+    assert store.in_force.version_id.revision == 5
+
+
 def test_bad_version_leaves_the_former_in_force_and_names_the_line():
     store = _store_at(5)
     refusal = _stage(store, 6, PILBARA_RULES + b"route GET x/ to=none rank=a  # Ana: broken\n")
