--- a/ibisrack/exchange/codec.py
+++ b/ibisrack/exchange/codec.py
@@ -19,6 +19,7 @@
     OfferManifest,
     VersionState,
     WantChunks,
+    WantManifest,
 )
 
 MAX_FRAME_BYTES = 3_000_000
@@ -58,6 +59,7 @@
         VersionState,
         OfferManifest,
         WantChunks,
+        WantManifest,
         OfferChunks,
         MembersDigest,
         MembersUpdate,
--- a/ibisrack/testing/spreading.py
+++ b/ibisrack/testing/spreading.py
@@ -1,9 +1,8 @@
 """Spreads one version over many stepped nodes and counts rounds and bytes.
 
 In a round every node with news exchanges once with each of its links, and one node in ten queries
-a random link, as each node does every second: a few nodes are nobody's link and get the version by
-their own query only.  Member tables hold only a node's links, and exchanges open without the member
-digest, so the bytes are those of the greetings and of the versions.
+a random link, as each node does every second.  Member tables hold only a node's links, and exchanges
+open without the member digest, so the bytes are those of the greetings and of the versions.
 """
 
 from random import Random
--- a/ibisrack/versions/handlers.py
+++ b/ibisrack/versions/handlers.py
@@ -1,6 +1,6 @@
 """What a node does with the messages of the versions slice.
 
-The side with the higher version offers it; the other side asks for the chunks that it lacks.
+The side with the lower version asks one peer for the manifest, then for the chunks that it lacks.
 """
 
 from typing import Any
@@ -12,7 +12,13 @@
 from ibisrack.node.state import NodeState
 from ibisrack.timeline.events import VersionConflict, VersionRefused, VersionStaged
 from ibisrack.versions.chunks import Chunked, VersionId, pack, unpack
-from ibisrack.versions.messages import OfferChunks, OfferManifest, VersionState, WantChunks
+from ibisrack.versions.messages import (
+    OfferChunks,
+    OfferManifest,
+    VersionState,
+    WantChunks,
+    WantManifest,
+)
 from ibisrack.versions.store import Candidate, Interest, Refusal
 
 
@@ -48,12 +54,22 @@
 def _(message: VersionState, node: NodeState, peer: Hello, now: Instant) -> tuple[Any, ...]:
     node.versions.confirm(peer.sender.node_id, message)
     node.links.told[peer.sender.node_id] = message.highest
-    theirs, mine = message.highest, node.versions.highest()
-    if theirs and node.versions.interest(theirs) is Interest.CONFLICT:
+    theirs = message.highest
+    if theirs is None:
+        return ()
+    if node.versions.interest(theirs) is Interest.CONFLICT:
         record_conflict(node, theirs, now)
-    if mine and (theirs is None or theirs.revision < mine.version_id.revision):
-        return (OfferManifest(mine.manifest),)
-    return ()
+    if not node.versions.reserve(theirs, peer.sender.node_id, now.monotonic_s):
+        return ()
+    return (WantManifest(theirs),)
+
+
+@handle.register
+def _(message: WantManifest, node: NodeState, peer: Hello, now: Instant) -> tuple[Any, ...]:
+    mine = node.versions.highest()
+    if mine is None or mine.version_id.revision < message.version_id.revision:
+        return ()
+    return (OfferManifest(mine.manifest),)
 
 
 @handle.register
--- a/ibisrack/versions/messages.py
+++ b/ibisrack/versions/messages.py
@@ -23,6 +23,13 @@
         return self.staged or self.in_force
 
 
+@attrs.frozen
+class WantManifest:
+    """Asks for the manifest of a version that the receiver holds and the sender lacks."""
+
+    version_id: VersionId
+
+
 @attrs.frozen
 class OfferManifest:
     """Offers a version that the receiver lacks."""
--- a/ibisrack/versions/store.py
+++ b/ibisrack/versions/store.py
@@ -73,19 +73,16 @@
     """A version that a source is delivering.
 
     Attributes:
-      manifest: The offered version.
+      version_id: The version.
       source_id: The node that delivers it.
       until_s: Monotonic time at which the reservation lapses.
+      manifest: The manifest, once the source offered it.
     """
 
-    manifest: Manifest
+    version_id: VersionId
     source_id: str
     until_s: float
-
-    @property
-    def version_id(self) -> VersionId:
-        """Identity of the version."""
-        return self.manifest.version_id
+    manifest: Manifest | None = None
 
 
 @attrs.define
@@ -143,24 +140,39 @@
                 return Interest.LOWER
         return Interest.WANTED
 
+    def reserve(self, version_id: VersionId, source_id: str, now_s: float) -> bool:
+        """Reserves the transfer of a version to a peer that holds it.
+
+        Without the reservation each of the links would deliver the same version.  A higher
+        revision takes over the reservation of a lower one.
+
+        Returns:
+          Whether the peer should be asked for the version now.
+        """
+        if self.interest(version_id) is not Interest.WANTED:
+            return False
+        current = self._transfer
+        if current and current.version_id.revision >= version_id.revision:
+            if now_s < current.until_s:
+                self._source_wanted |= current.source_id != source_id
+                return False
+        self._transfer = _Transfer(version_id, source_id, now_s + TRANSFER_TIMEOUT_S)
+        return True
+
     def offer(self, manifest: Manifest, source_id: str, now_s: float) -> tuple[bytes, ...] | None:
         """Takes an offer of a version from a peer and reserves the transfer to it.
 
-        Without the reservation each of the links would deliver the same chunks.  A higher revision
-        takes over the reservation of a lower one.
-
         Returns:
           The digests of the chunks that are missing, or None when the version is not wanted now.
         """
         version_id = manifest.version_id
+        current = self._transfer
+        asked = current and (current.version_id, current.source_id) == (version_id, source_id)
+        if not asked and not self.reserve(version_id, source_id, now_s):
+            return None
         if self.interest(version_id) is not Interest.WANTED:
             return None
-        current = self._transfer
-        if current and current.version_id.revision >= version_id.revision:
-            if now_s < current.until_s and current.source_id != source_id:
-                self._source_wanted = True
-                return None
-        self._transfer = _Transfer(manifest, source_id, now_s + TRANSFER_TIMEOUT_S)
+        self._transfer = _Transfer(version_id, source_id, now_s + TRANSFER_TIMEOUT_S, manifest)
         return self.missing(manifest)
 
     def offered(self, version_id: VersionId) -> Manifest | None:
@@ -172,7 +184,7 @@
         Raises:
           MessageError: No such offer was made.
         """
-        if self._transfer and self._transfer.version_id == version_id:
+        if self._transfer and self._transfer.version_id == version_id and self._transfer.manifest:
             return self._transfer.manifest
         highest = self.highest()
         known = [holder.version_id.revision for holder in (self._transfer, highest) if holder]
