--- a/ibisrack/calls/headers.py
+++ b/ibisrack/calls/headers.py
@@ -100,8 +100,3 @@
         idempotency_key=headers.get(IDEMPOTENCY_KEY, ""),
         key_period=headers.get(KEY_PERIOD, ""),
     )
-
-
-def forwardable(headers: Mapping[str, str]) -> dict[str, str]:
-    """Returns the headers that may be passed on."""
-    return {name: value for name, value in headers.items() if name.lower() not in NOT_FORWARDED}
--- a/ibisrack/calls/ingress.py
+++ b/ibisrack/calls/ingress.py
@@ -3,7 +3,6 @@
 from functools import singledispatch
 
 import attrs
-from aiohttp import ClientSession
 
 from ibisrack.calls.balance import LoadView, choose, eligible
 from ibisrack.calls.headers import (
@@ -11,6 +10,7 @@
     DEADLINE_MS,
     DEPTH,
     HOP,
+    KEY_PERIOD,
     LOAD,
     OUTCOME,
     RANK,
@@ -30,6 +30,7 @@
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.membership.records import MemberRecord
 from ibisrack.node.state import NodeState
+from ibisrack.upstreams.connections import PeerPools
 
 MAX_VIEWS = 2048  # More than the hosts of the fleet; views of hosts that have gone add up.
 
@@ -43,14 +44,14 @@
     Attributes:
       node: The node's state.
       owner: The local upstream.
-      session: HTTP client session towards other nodes.
+      pools: Connections to other nodes.
       view: Loads of the instances.
       budget: Retries that are allowed.
     """
 
     node: NodeState
     owner: Owner
-    session: ClientSession
+    pools: PeerPools
     view: LoadView = attrs.field(factory=LoadView)
     budget: RetryBudget = attrs.field(factory=RetryBudget)
 
@@ -179,7 +180,6 @@
         if budget_s <= 0:
             raise NotRunError(Reason.DEADLINE)
         headers = {
-            **call.headers,
             "Host": call.route.host,
             CALL_ID: call.call_id,
             DEADLINE_MS: str(max(1, int(budget_s * 1000))),
@@ -189,8 +189,10 @@
             RETRY_RIGHT: "yes" if call.retry_right else "held",
             REVISION: str(call.revision),
         }
-        base_url = f"http://{instance.host}:{instance.call_port}"
-        return await send(self.session, base_url, call, headers, budget_s)
+        if call.key_period:
+            headers[KEY_PERIOD] = call.key_period
+        pool = self.pools.at(instance.host, instance.call_port)
+        return await send(pool, call, headers, budget_s)
 
     def _checked(self, call: Call, instance: MemberRecord, answer: Answer) -> Answer:
         """Turns the other node's verdict into an answer or an error."""
--- a/ibisrack/calls/ingress_test.py
+++ b/ibisrack/calls/ingress_test.py
@@ -19,6 +19,7 @@
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.testing.fixtures import bare_node, call_to, member
 from ibisrack.testing.functions import function_tests
+from ibisrack.upstreams.connections import PeerPools
 
 LOST = UnknownOutcomeError(Reason.CONNECTION_LOST)
 UNREACHABLE = NotRunError(Reason.UPSTREAM_UNREACHABLE)
@@ -31,13 +32,13 @@
     script: list
     sent: list[str] = attrs.field(factory=list)
 
-    async def send(self, session, base_url, call: Call, headers, budget_s: float) -> Answer:
-        self.sent.append(base_url)
+    async def send(self, pool, call: Call, headers, budget_s: float) -> Answer:
+        self.sent.append(f"{pool.host}:{pool.port}")
         verdict = self.script.pop(0)
         if isinstance(verdict, Exception):
             raise verdict
         outcome, reason = verdict
-        served_by = f"other-{base_url[-1]}"
+        served_by = f"other-{pool.port}"
         own = {CALL_ID: call.call_id, SERVED_BY: served_by, OUTCOME: outcome, REASON: reason}
         return Answer(200, own, b"")
 
@@ -52,7 +53,7 @@
     owner = Owner(node, Gate(Scheduler(1)), None, keyed)
     network = Network(list(script))
     with patch("ibisrack.calls.ingress.send", network.send):
-        made = Ingress(node, owner, None)
+        made = Ingress(node, owner, PeerPools(1))
         made.budget.tokens = 5.0
         yield made, network
 
--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -8,6 +8,7 @@
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector, web
 
 from ibisrack.calls.admission import Scheduler
+from ibisrack.calls.connections import CallConnections
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.ingress import Ingress
 from ibisrack.calls.keyed import create_keyed_runs
@@ -30,10 +31,13 @@
 from ibisrack.room.source import FleetSource
 from ibisrack.room.status import ReportSchedule
 from ibisrack.settings.node import NodeSettings
+from ibisrack.upstreams.connections import PeerPools
+from ibisrack.upstreams.local import LocalUpstream, open_pool
 
 TICK_S = 0.25
-UPSTREAM_CONNECTIONS = 100
+PEER_CONNECTIONS = 100  # Most connections to one other node.
 DRAIN_POLL_S = 0.05
+LAST_REQUESTS_S = 0.3  # A connection closed earlier would cut off calls that were just sent on it.
 DRAIN_NOTICE_S = 0.5  # Time for peers to learn of the leaving before the servers close.
 
 
@@ -113,8 +117,8 @@
         self.stopped.set()
 
 
-def _session(limit: int) -> ClientSession:
-    connector = TCPConnector(limit=limit, limit_per_host=0, ttl_dns_cache=None)
+def _session() -> ClientSession:
+    connector = TCPConnector(limit=0, limit_per_host=0, ttl_dns_cache=None)
     return ClientSession(
         connector=connector,
         cookie_jar=DummyCookieJar(),
@@ -128,8 +132,16 @@
     await web.TCPSite(runner, host, port, backlog=1024).start()
 
 
-def _assemble(settings: NodeSettings, session: ClientSession, upstream: ClientSession):
+async def _stop_listening(runner: web.BaseRunner) -> None:
+    """Takes no new connections and lets the requests that are on their way arrive."""
+    for site in tuple(runner.sites):
+        await site.stop()
+    await asyncio.sleep(LAST_REQUESTS_S)
+
+
+def _assemble(settings: NodeSettings, session: ClientSession):
     node = create_node(settings, Random(settings.identity.node_id))
+    upstream = LocalUpstream(settings.upstream, open_pool(settings.upstream.base_url))
     keyed = create_keyed_runs(settings.identity.node_id, read_clocks().wall_ms)
     owner = Owner(node, Gate(Scheduler(slots=1)), upstream, keyed)
     news = News()
@@ -152,21 +164,25 @@
     Args:
       settings: The checked settings.
     """
-    async with _session(0) as session, _session(UPSTREAM_CONNECTIONS) as upstream:
-        process = _assemble(settings, session, upstream)
-        ingress = Ingress(process.node, process.owner, session)
-        call_server = web.Server(
-            CallServer(process.node, process.owner, ingress).handle,
-            access_log=None,
-            handler_cancellation=True,
-        )
+    async with _session() as session:
+        process = _assemble(settings, session)
+        pools = PeerPools(PEER_CONNECTIONS)
+        ingress = Ingress(process.node, process.owner, pools)
+        call_server = CallConnections(CallServer(process.node, process.owner, ingress))
         source = FleetSource(process.exchanger)
         admin = AdminServer(process.node, process.owner, source, process.drain).application()
         runners = [web.ServerRunner(call_server), web.AppRunner(admin, access_log=None)]
-        await _run_tasks(settings, process, runners)
+        await _run_tasks(settings, process, runners, session)
+        pools.close()
+        process.owner.upstream.pool.close()
 
 
-async def _run_tasks(settings, process: NodeProcess, runners: list[web.BaseRunner]) -> None:
+async def _run_tasks(
+    settings: NodeSettings,
+    process: NodeProcess,
+    runners: list[web.BaseRunner],
+    session: ClientSession,
+) -> None:
     listen = settings.listen
     peer_runner = await start_server(listen.host, listen.peer_port, process.exchanger.serve)
     for runner, port in zip(runners, (listen.call_port, listen.admin_port), strict=True):
@@ -182,10 +198,12 @@
             supervise_links(process.exchanger, process.news),
             reconnect_lost_peers(process.exchanger),
             process.reader.run_all(),
+            process.owner.upstream.watch(session),
             process.reporter.run(),
         )
     ]
     await process.stopped.wait()
+    await _stop_listening(runners[0])
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
--- a/ibisrack/testing/stepped.py
+++ b/ibisrack/testing/stepped.py
@@ -140,8 +140,7 @@
             stepped.bytes_sent = known.bytes_sent
         self.nodes[node_id] = stepped
         budget = ReadBudget(stepped.node.rng)
-        reads_s = (budget.first_read_s(has_peers=True), budget.first_read_s(has_peers=False))
-        stepped.node.begin_join(self.now(), *reads_s)
+        stepped.node.begin_join(self.now(), budget.first_read_s(True), budget.first_read_s(False))
 
     def crash(self, node_id: str) -> None:
         """Ends a process; its memory is lost."""
