Ask the links once more for confirmations of a staged version

Cause: a node whose links took the version from others at the moment it told them got no confirmation and waited out the whole second.

Change: 0.25 s after staging the links are asked a second time.

--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -72,7 +72,7 @@
                 self.changed()
             if node.serve_if_ready(now):
                 self.news.announce()
-            if node.versions.needs_source(now.monotonic_s):
+            if node.needs_exchange(now):
                 self.news.repeat()
             await asyncio.sleep(TICK_S)
 
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -183,6 +183,11 @@
         self.record(VersionActivated(version_id.revision, digest, previous), now)
         return True
 
+    def needs_exchange(self, now: Instant) -> bool:
+        """Tells that the links should be asked for a version or for confirmations of one."""
+        source = self.versions.needs_source(now.monotonic_s)
+        return self.versions.needs_confirmations(now.monotonic_s) or source
+
     def tick(self, now: Instant) -> bool:
         """Notes the passing of time.
 
--- a/ibisrack/testing/spreading.py
+++ b/ibisrack/testing/spreading.py
@@ -85,7 +85,8 @@
         rounds += 1
         fleet.now_s += ROUND_S
         for stepped in living:
-            if stepped.node.activate_if_ready(fleet.now()):
+            node, now = stepped.node, fleet.now()
+            if node.activate_if_ready(now) or node.needs_exchange(now):
                 fleet.tell(stepped.node.members.own_id)
             if fleet.rng.random() < ROUND_S / QUERY_INTERVAL_S:
                 stepped.talk.add(fleet.rng.choice(sorted(stepped.node.links.chosen)))
--- a/ibisrack/testing/stepped.py
+++ b/ibisrack/testing/stepped.py
@@ -162,7 +162,7 @@
         news = node.tick(now)
         news |= node.activate_if_ready(now)
         news |= node.serve_if_ready(now)
-        news |= node.versions.needs_source(now.monotonic_s)
+        news |= node.needs_exchange(now)
         if node.lifecycle.state == JOINING:
             self._join(stepped)
         elif is_reader(node) and self.rng.random() < TICK_S:
--- a/ibisrack/versions/store.py
+++ b/ibisrack/versions/store.py
@@ -17,6 +17,7 @@
 
 CONFIRMATIONS = 2  # Peers that must hold a version before this node puts it in force.
 CONFIRM_TIMEOUT_S = 1.0
+ASK_AGAIN_S = 0.25
 # Shorter than CONFIRM_TIMEOUT_S, so that a peer whose source died can still confirm in time.
 TRANSFER_TIMEOUT_S = 0.5
 
@@ -62,10 +63,17 @@
 
 @attrs.define
 class _Confirmation:
-    """Peers known to hold the staged version."""
+    """Peers known to hold the staged version.
+
+    Attributes:
+      staged_at_s: Monotonic time at which the version was staged.
+      holders: Node ids of the peers.
+      asked_again: Whether the links were asked a second time.
+    """
 
     staged_at_s: float
     holders: set[str] = attrs.field(factory=set)
+    asked_again: bool = False
 
 
 @attrs.define
@@ -267,6 +275,17 @@
         else:
             self._confirmation.holders.discard(peer_id)
 
+    def needs_confirmations(self, now_s: float) -> bool:
+        """Tells once that the links should be asked again whether they hold the staged version.
+
+        Links that took the version from others when they were told do not confirm by themselves.
+        """
+        waiting = self._confirmation
+        if not waiting or waiting.asked_again or now_s < waiting.staged_at_s + ASK_AGAIN_S:
+            return False
+        waiting.asked_again = True
+        return True
+
     def confirm_again(self, now_s: float) -> None:
         """Starts the confirmation again after a pause, during which nobody could be heard."""
         if self._confirmation:
--- a/ibisrack/versions/store_test.py
+++ b/ibisrack/versions/store_test.py
@@ -122,6 +122,16 @@
     assert not store.may_activate(10.1, LINKS)
 
 
+def test_links_are_asked_once_more_for_confirmations():
+    """Guards against a node that waits the whole second for links that hold the version."""
+    store = _store_at(5)
+    assert not store.needs_confirmations(9.0)
+    _stage(store, 6, CHANGED, now_s=10.0)
+    assert not store.needs_confirmations(10.2)
+    assert store.needs_confirmations(10.25)
+    assert not store.needs_confirmations(10.3)
+
+
 def test_isolated_node_activates_alone_after_the_timeout():
     """Guards against a node that has just started and does not know its peers yet."""
     store = _store_at(5)
