--- a/ibisrack/timeline/journal.py
+++ b/ibisrack/timeline/journal.py
@@ -1,8 +1,8 @@
 """Writes control events of the time line to the log, one JSON line each.
 
 Calls are not logged: at 140 calls a second they would cost more than the control work of a node.
-Changes of members are not logged either: a fleet that restarts would write one line for each pair of
-its nodes.  The time line has both.
+Changes of members are not logged either: a fleet that restarts would write one line for each pair
+of its nodes.  The time line has both.
 Events carry names, revisions and faults only, so no secret of a caller reaches the log.
 """
 
