--- a/ibisrack/testing/spreading.py
+++ b/ibisrack/testing/spreading.py
@@ -1,9 +1,8 @@
 """Spreads one version over many stepped nodes and counts rounds and bytes.
 
 In a round every node with news exchanges once with each of its links, and one node in ten queries
-a random link, as each node does every second: a few nodes are nobody's link and get the version by
-their own query only.  Member tables hold only a node's links, and exchanges open without the member
-digest, so the bytes are those of the greetings and of the versions.
+a random link, as each node does every second.  Member tables hold only a node's links, and
+exchanges open without the member digest, so the bytes are those of the greetings and versions.
 """
 
 from random import Random
@@ -86,7 +85,8 @@
         rounds += 1
         fleet.now_s += ROUND_S
         for stepped in living:
-            if stepped.node.activate_if_ready(fleet.now()):
+            node, now = stepped.node, fleet.now()
+            if node.activate_if_ready(now) or node.needs_exchange(now):
                 fleet.tell(stepped.node.members.own_id)
             if fleet.rng.random() < ROUND_S / QUERY_INTERVAL_S:
                 stepped.talk.add(fleet.rng.choice(sorted(stepped.node.links.chosen)))
--- a/ibisrack/versions/store_test.py
+++ b/ibisrack/versions/store_test.py
@@ -39,6 +39,15 @@
     assert store.activate().version_id.revision == 8
 
 
+def test_staged_lower_revision_does_not_replace_the_one_in_force():
+    """Guards the swap itself, should a lower revision ever get past the staging."""
+    store = _store_at(5)
+    lower = _store_at(4).in_force
+    store.staged = lower
+    assert store.activate() is None
+    assert store.in_force.version_id.revision == 5
+
+
 def test_bad_version_leaves_the_former_in_force_and_names_the_line():
     store = _store_at(5)
     refusal = _stage(store, 6, PILBARA_RULES + b"route GET x/ to=none rank=a  # Ana: broken\n")
@@ -113,6 +122,16 @@
     assert not store.may_activate(10.1, LINKS)
 
 
+def test_links_are_asked_once_more_for_confirmations():
+    """Guards against a node that waits the whole second for links that hold the version."""
+    store = _store_at(5)
+    assert not store.needs_confirmations(9.0)
+    _stage(store, 6, CHANGED, now_s=10.0)
+    assert not store.needs_confirmations(10.2)
+    assert store.needs_confirmations(10.25)
+    assert not store.needs_confirmations(10.3)
+
+
 def test_isolated_node_activates_alone_after_the_timeout():
     """Guards against a node that has just started and does not know its peers yet."""
     store = _store_at(5)
