--- a/bench/admission_bench.py
+++ b/bench/admission_bench.py
@@ -4,6 +4,7 @@
 counts.  Baselines: first come first served without shares or limits.
 """
 
+from collections.abc import Callable
 from functools import cache
 
 import attrs
@@ -94,12 +95,24 @@
     return {**check(PILBARA_RULES).services, **check(CHAPA_MAYA_RULES).services}
 
 
-def measure(name: str, policy: object, draw: ServiceTime, seeds: tuple[int, ...]) -> Outcome:
-    """Runs one service under a policy."""
+def chosen() -> Scheduler:
+    """Returns a scheduler as nodes use it."""
+    return Scheduler(1)
+
+
+def first_come() -> Scheduler:
+    """Returns the baseline."""
+    return Scheduler(1, FirstCome())
+
+
+def measure(
+    name: str, scheduler: Callable[[], Scheduler], draw: ServiceTime, seeds: tuple[int, ...]
+) -> Outcome:
+    """Runs one service under a new scheduler for each seed."""
     service = services()[name]
-    ranks = _without_limits(service.ranks) if policy == FirstCome() else service.ranks
+    ranks = _without_limits(service.ranks) if scheduler is first_come else service.ranks
     work = WORK[name]
-    runs = [Simulation(service, ranks, work, _scheduler(policy), draw, seed) for seed in seeds]
+    runs = [Simulation(service, ranks, work, scheduler(), draw, seed) for seed in seeds]
     for run in runs:
         run.run()
     urgent, bulk = service.ranks[0].rank, service.ranks[-1].rank
@@ -116,10 +129,6 @@
     )
 
 
-def _scheduler(policy: object) -> Scheduler:
-    return Scheduler(1, policy) if policy is not None else Scheduler(1)
-
-
 def _without_limits(ranks: tuple[RankRule, ...]) -> tuple[RankRule, ...]:
     return tuple(attrs.evolve(rank, share_percent=0, max_slots=0) for rank in ranks)
 
@@ -182,8 +191,8 @@
     measures = []
     for name in WORK:
         draws = (exponential, heavy_tailed)
-        measures += _chosen(name, worst([measure(name, None, draw, SEEDS) for draw in draws]))
-        measures += _baseline(name, measure(name, FirstCome(), exponential, SEEDS[:1]))
+        measures += _chosen(name, worst([measure(name, chosen, draw, SEEDS) for draw in draws]))
+        measures += _baseline(name, measure(name, first_come, exponential, SEEDS[:1]))
     return measures
 
 
--- a/bench/admission_policies.py
+++ b/bench/admission_policies.py
@@ -20,14 +20,20 @@
 
 
 @attrs.define
-class Stride:
-    """Serves ranks in proportion to their shares (stride scheduling, Waldspurger 1995).
+class FairQueueing:
+    """Serves ranks in proportion to their shares (start-time fair queueing, Goyal 1996).
 
     Attributes:
-      passes: Virtual time of each rank.
+      virtual: Start tag of the call that was served last.
+      tags: Finish tag of the last call of each rank.
     """
 
-    passes: dict[str, float] = attrs.field(factory=dict)
+    virtual: float = 0.0
+    tags: dict[str, float] = attrs.field(factory=dict)
+
+    def start_tag(self, queue: RankQueue) -> float:
+        """Returns the start tag of the next call; a rank that was idle joins at the present."""
+        return max(self.virtual, self.tags.get(queue.rule.rank, 0.0))
 
 
 @attrs.frozen
@@ -51,14 +57,11 @@
 
 
 @pick.register
-def _(policy: Stride, ready: Sequence[RankQueue], now_s: float) -> RankQueue:
-    passes = policy.passes
-    queue = min(ready, key=lambda queue: passes.get(queue.rule.rank, 0.0))
-    # A rank that was idle joins at the present virtual time and brings no credit along.
-    start = passes.get(queue.rule.rank, 0.0)
-    for other in ready:
-        passes[other.rule.rank] = max(passes.get(other.rule.rank, 0.0), start)
-    passes[queue.rule.rank] += queue.estimate.mean_s / max(1, queue.rule.share_percent)
+def _(policy: FairQueueing, ready: Sequence[RankQueue], now_s: float) -> RankQueue:
+    queue = min(ready, key=policy.start_tag)
+    policy.virtual = policy.start_tag(queue)
+    cost = queue.estimate.mean_s / max(1, queue.rule.share_percent)
+    policy.tags[queue.rule.rank] = policy.virtual + cost
     return queue
 
 
--- a/ibisrack/calls/admission_test.py
+++ b/ibisrack/calls/admission_test.py
@@ -176,6 +176,18 @@
     assert not made.running
 
 
+def test_an_expired_call_is_refused_on_arrival_and_at_the_next_end():
+    """Guards against expired calls that wait behind the limit of their own rank."""
+    made = driver(3)
+    assert made.submit("urgent", 0.0).reason == Reason.DEADLINE
+    for _ in range(3):
+        made.submit("bulk", 0.5)
+    made.submit("urgent", 5.0)
+    made.now_s += 1.0
+    made.finish(max(made.running))
+    assert not made.waiting
+
+
 def test_an_estimate_that_is_too_high_recovers():
     """Guards against an idle instance that refuses every call because of one slow call."""
     made = driver(2)
