--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -72,7 +72,8 @@
         except NotRunError as error:
             outcome = Outcome.NOT_RUN if call else unmatched_outcome(error, context)
             self._note(context, call, outcome, error.reason, "", start)
-            status = 504 if error.reason == Reason.DEADLINE else 503
+            status = 503 if outcome == Outcome.NOT_RUN else 502
+            status = 504 if error.reason == Reason.DEADLINE else status
             return self._refusal(context.call_id, status, outcome, error.reason)
         except UnknownOutcomeError as error:
             self._note(context, call, Outcome.UNKNOWN, error.reason, "", start)
