--- a/ibisrack/calls/owner_test.py
+++ b/ibisrack/calls/owner_test.py
@@ -1,7 +1,6 @@
 """Tests of what the upstream is told of a call."""
 
 import time
-from unittest.mock import patch
 
 import attrs
 
@@ -18,6 +17,24 @@
 from ibisrack.testing.functions import function_tests
 
 
+@attrs.define
+class FakeUpstream:
+    """Keeps the headers that it gets; it is its own state."""
+
+    headers: dict[str, str] = attrs.field(factory=dict)
+
+    @property
+    def state(self) -> "FakeUpstream":
+        return self
+
+    def slots_now(self) -> int:
+        return 1
+
+    async def run(self, call: Call, headers: dict[str, str], budget_s: float) -> Answer:
+        self.headers = headers
+        return Answer(200, {}, b"")
+
+
 def owner() -> Owner:
     """Returns the owner of a serving node."""
     node = bare_node("own")
@@ -25,20 +42,13 @@
     node.move("serve", read_clocks())
     gate = Gate(Scheduler(1))
     gate.scheduler.configure(1, (rank_rule("lodgement"),), 0.0)
-    return Owner(node, gate, None, create_keyed_runs("own", 0))
+    return Owner(node, gate, FakeUpstream(), create_keyed_runs("own", 0))
 
 
 async def headers_sent(made: Owner, call: Call) -> dict[str, str]:
     """Returns the headers that the upstream gets."""
-    seen = {}
-
-    async def send(session, base_url, call, headers, budget_s) -> Answer:
-        seen.update(headers)
-        return Answer(200, {}, b"")
-
-    with patch("ibisrack.calls.owner.send", send):
-        await made.run(attrs.evolve(call, deadline_at_s=time.monotonic() + 60))
-    return seen
+    await made.run(attrs.evolve(call, deadline_at_s=time.monotonic() + 60))
+    return made.upstream.headers
 
 
 async def test_layers_below_an_idempotent_call_do_not_hold_the_right():
