--- /dev/null
+++ b/ibisrack/calls/owner_test.py
@@ -0,0 +1,72 @@
+"""Tests of what the upstream is told of a call."""
+
+import time
+
+import attrs
+
+from ibisrack.calls.admission import Scheduler
+from ibisrack.calls.gate import Gate
+from ibisrack.calls.headers import RETRY_RIGHT
+from ibisrack.calls.keyed import create_keyed_runs
+from ibisrack.calls.messages import Answer, Call
+from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.owner import Owner
+from ibisrack.clocks import read_clocks
+from ibisrack.errors import NotRunError
+from ibisrack.testing.fixtures import bare_node, call_to, rank_rule
+from ibisrack.testing.functions import function_tests
+
+
+@attrs.define
+class FakeUpstream:
+    """Keeps the headers that it gets; it is its own state."""
+
+    headers: dict[str, str] = attrs.field(factory=dict)
+
+    @property
+    def state(self) -> "FakeUpstream":
+        return self
+
+    def slots_now(self) -> int:
+        return 1
+
+    async def run(self, call: Call, headers: dict[str, str], budget_s: float) -> Answer:
+        self.headers = headers
+        return Answer(200, {}, b"")
+
+
+def owner() -> Owner:
+    """Returns the owner of a serving node."""
+    node = bare_node("own")
+    node.move("join", read_clocks())
+    node.move("serve", read_clocks())
+    gate = Gate(Scheduler(1))
+    gate.scheduler.configure(1, (rank_rule("lodgement"),), 0.0)
+    return Owner(node, gate, FakeUpstream(), create_keyed_runs("own", 0))
+
+
+async def headers_sent(made: Owner, call: Call) -> dict[str, str]:
+    """Returns the headers that the upstream gets."""
+    await made.run(attrs.evolve(call, deadline_at_s=time.monotonic() + 60))
+    return made.upstream.headers
+
+
+async def test_layers_below_an_idempotent_call_do_not_hold_the_right():
+    """Guards against retries that multiply through the layers."""
+    assert (await headers_sent(owner(), call_to(idempotent=True)))[RETRY_RIGHT] == "held"
+    assert (await headers_sent(owner(), call_to(idempotent=False)))[RETRY_RIGHT] == "yes"
+
+
+async def test_a_draining_owner_refuses_new_work_as_not_run():
+    """Guards against new work on a leaving upstream."""
+    made = owner()
+    made.node.move("drain", read_clocks())
+    try:
+        await headers_sent(made, call_to())
+    except NotRunError as error:
+        assert error.reason == Reason.DRAINING
+    else:
+        raise AssertionError("the call must be refused")
+
+
+load_tests = function_tests(__name__)
