--- a/bench/flood_bench.py
+++ b/bench/flood_bench.py
@@ -30,8 +30,8 @@
 GOODPUT_BOUND = 0.99
 FLOOD_FACTOR = 5.0
 WORK_MS = 250.0  # Long enough that the callers of this bench can offer five times the capacity.
-PHASE_S = 8.0
-SETTLED_S = 2.0  # Start of a phase, while queues fill, that is left out.
+PHASE_S = 10.0
+SETTLED_S = 3.0  # Start of a phase, while queues fill, that is left out.
 SAMPLE_INTERVAL_S = 0.1
 CALM_LOAD = 0.2  # Share of the slots that each rank asks for outside of floods.
 ABOVE_SHARE = 2.0  # What the other ranks ask for in the urgent flood, as a multiple of their share.
@@ -88,10 +88,11 @@
         kinds = tuple(self.kind(rank, loads[rank.rank]) for rank in self.ranks)
         samples: list[float] = []
         sampling = asyncio.create_task(self._sample(samples))
-        start_wall_s = time.time()
         told = await send_traffic(self.fleet, kinds, PHASE_S, name, CALLERS)
         sampling.cancel()
         await asyncio.gather(sampling, return_exceptions=True)
+        # Callers take a second or so to start, so the phase begins with their first call.
+        start_wall_s = min(t.ended_wall_s - t.latency_ms / 1000 for t in told)
         return Phase(told, start_wall_s, tuple(samples))
 
     async def _sample(self, samples: list[float]) -> None:
