--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -3,7 +3,6 @@
 import attrs
 from aiohttp import web
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
-from aiohttp.web_protocol import RequestPayloadError
 from multidict import CIMultiDict
 
 from ibisrack.calls.headers import (
@@ -143,7 +142,9 @@
             headers["Retry-After"] = "1"
         text = f"{outcome.value}: {detail or reason}\n"
         response = web.Response(
-            status=status, headers={**headers, "Content-Type": _TEXT}, body=text.encode()
+            status=status,
+            headers={**headers, "Content-Type": _TEXT},
+            body=text.encode(errors="backslashreplace"),
         )
         return self._last_if_draining(response)
 
@@ -216,5 +217,5 @@
         return await request.read()
     except HTTPRequestEntityTooLarge as error:
         raise RequestError(f"the body is larger than {MAX_BODY_BYTES} bytes", 413) from error
-    except RequestPayloadError as error:
+    except web.RequestPayloadError as error:
         raise RequestError("the body is not valid HTTP") from error
--- /dev/null
+++ b/ibisrack/calls/tally.py
@@ -0,0 +1,70 @@
+"""Counts what happened at a node since its start, for metrics.
+
+A call costs a few dictionary look-ups and integer additions here; the metrics library is used only
+when the figures are read.
+"""
+
+from bisect import bisect_left
+from functools import singledispatchmethod
+
+import attrs
+
+from ibisrack.timeline.events import CallFinished, Event
+
+DURATION_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000, 30_000)
+
+
+@attrs.define
+class Histogram:
+    """Counts of durations in fixed buckets.
+
+    Attributes:
+      counts: Calls in each bucket; the last one is above every bound.
+      sum_ms: Sum of the durations.
+    """
+
+    counts: list[int] = attrs.field(factory=lambda: [0] * (len(DURATION_BOUNDS_MS) + 1))
+    sum_ms: float = 0.0
+
+    def add(self, duration_ms: float) -> None:
+        """Adds a duration."""
+        self.counts[bisect_left(DURATION_BOUNDS_MS, duration_ms)] += 1
+        self.sum_ms += duration_ms
+
+
+@attrs.define
+class Tally:
+    """Counts of the events of a node since its start.
+
+    Attributes:
+      calls: Calls by role, service, rank and outcome.
+      durations: Durations by rank of calls that this node took from callers.
+      events: Events other than calls, by kind.
+      platform_reads: Reads of the platform that were started.
+      platform_failures: Reads of the platform that failed.
+    """
+
+    calls: dict[tuple[str, str, str, str], int] = attrs.field(factory=dict)
+    durations: dict[str, Histogram] = attrs.field(factory=dict)
+    events: dict[str, int] = attrs.field(factory=dict)
+    platform_reads: int = 0
+    platform_failures: int = 0
+
+    @singledispatchmethod
+    def count(self, event: Event) -> None:
+        """Counts an event."""
+        kind = type(event).__name__
+        self.events[kind] = self.events.get(kind, 0) + 1
+
+    @count.register
+    def _(self, event: CallFinished) -> None:
+        key = (event.role, event.service, event.rank, event.outcome)
+        self.calls[key] = self.calls.get(key, 0) + 1
+        if event.role == "ingress":
+            self._histogram(event.rank).add(event.duration_ms)
+
+    def _histogram(self, rank: str) -> Histogram:
+        histogram = self.durations.get(rank)
+        if histogram is None:
+            histogram = self.durations[rank] = Histogram()
+        return histogram
--- /dev/null
+++ b/ibisrack/ctl/output.py
@@ -0,0 +1,35 @@
+"""What a command prints: text for people, JSON for programs, and an exit code."""
+
+from typing import Any
+
+import attrs
+import msgspec
+
+from ibisrack.bin.common import EXIT_OK
+
+
+@attrs.frozen
+class Result:
+    """The result of a command.
+
+    Attributes:
+      lines: Text for people.
+      data: The same for programs; it is printed as JSON.
+      exit_code: Exit code of the process.
+      errors: Problems, for standard error.
+      json_lines: Whether the data is a list that is printed one element a line.
+    """
+
+    lines: tuple[str, ...]
+    data: Any
+    exit_code: int = EXIT_OK
+    errors: tuple[str, ...] = ()
+    json_lines: bool = False
+
+    def text(self, as_json: bool) -> str:
+        """Returns what goes to standard output."""
+        if not as_json:
+            return "\n".join(self.lines)
+        if self.json_lines:
+            return "\n".join(msgspec.json.encode(item).decode() for item in self.data)
+        return msgspec.json.format(msgspec.json.encode(self.data), indent=2).decode()
--- a/ibisrack/node/admin.py
+++ b/ibisrack/node/admin.py
@@ -5,12 +5,16 @@
 import attrs
 import msgspec
 from aiohttp import web
-from aioprometheus import REGISTRY, render
+from aioprometheus import render
 
 from ibisrack.calls.messages import LoadReport
 from ibisrack.calls.owner import Owner
+from ibisrack.errors import RequestError
+from ibisrack.node.metrics import collect
 from ibisrack.node.state import NodeState
+from ibisrack.node.views import add_views
 from ibisrack.room.source import FleetSource
+from ibisrack.timeline.query import from_query, select
 from ibisrack.versions.messages import VersionState
 
 
@@ -88,6 +92,7 @@
         app.router.add_get("/timeline", self.timeline)
         app.router.add_get("/metrics", self.metrics)
         app.router.add_post("/drain", self.start_drain)
+        add_views(app, self.node)
         return app
 
     async def status(self, request: web.Request) -> web.Response:
@@ -103,12 +108,18 @@
         return _json(tuple(self.node.members.all()))
 
     async def timeline(self, request: web.Request) -> web.Response:
-        """Answers with the recent events."""
-        return _json(self.node.log.entries())
+        """Answers with the recent events that pass the filter of the query."""
+        try:
+            event_filter = from_query(request.query)
+        except RequestError as error:
+            raise web.HTTPBadRequest(text=f"{error}\n") from error
+        return _json(select(self.node.log.entries(), event_filter))
 
     async def metrics(self, request: web.Request) -> web.Response:
         """Answers with the metrics in the Prometheus text format."""
-        content, headers = render(REGISTRY, request.headers.getall("Accept", []))
+        content, headers = render(
+            collect(self.node, self.owner.gate), request.headers.getall("Accept", [])
+        )
         return web.Response(body=content, headers=headers)
 
     async def start_drain(self, request: web.Request) -> web.Response:
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -4,7 +4,9 @@
 
 import attrs
 
+from ibisrack.calls.tally import Tally
 from ibisrack.clocks import Instant
+from ibisrack.exchange.traffic import ExchangeTraffic
 from ibisrack.membership.departures import Departures
 from ibisrack.membership.links import choose_links
 from ibisrack.membership.news import NewsQueue
@@ -14,6 +16,7 @@
 from ibisrack.membership.table import MemberTable
 from ibisrack.node.joining import Joining, LinksView, Resuming, Step
 from ibisrack.node.lifecycle import JOINING, RESUMING, Lifecycle
+from ibisrack.node.observe import observe
 from ibisrack.platform.hosts import HostsView
 from ibisrack.room.counters import CallCounters
 from ibisrack.room.reports import RoomState
@@ -25,6 +28,7 @@
     PauseDetected,
     VersionActivated,
 )
+from ibisrack.timeline.journal import write_entry
 from ibisrack.timeline.log import EventLog
 from ibisrack.versions.chunks import VersionId
 from ibisrack.versions.store import VersionStore
@@ -94,6 +98,8 @@
       joining: The decision to serve after the start, None before it.
       resuming: The decision to serve after the last pause.
       last_tick_s: Monotonic time of the last tick, for pause detection.
+      tally: Counts of events and calls since the start.
+      traffic: Counts of the frames exchanged with peers.
     """
 
     settings: NodeSettings
@@ -112,10 +118,13 @@
     joining: Joining | None = None
     resuming: Resuming | None = None
     last_tick_s: float | None = None
+    tally: Tally = attrs.field(factory=Tally)
+    traffic: ExchangeTraffic = attrs.field(factory=ExchangeTraffic)
 
     def record(self, event: Event, now: Instant) -> None:
-        """Adds an event to the time line."""
-        self.log.record(event, now.wall_ms)
+        """Adds an event to the time line, the counts and, for control events, the log."""
+        observe(event, self.tally, self.counters, now.monotonic_s)
+        write_entry(self.log.record(event, now.wall_ms))
 
     def move(self, trigger: str, now: Instant) -> None:
         """Fires a lifecycle trigger and records the change."""
@@ -158,7 +167,10 @@
 
     def activate_if_ready(self, now: Instant) -> bool:
         """Puts the staged version in force once enough peers hold it."""
-        if not self.links.chosen:
+        if self.versions.staged is None or self.paused(now):
+            return False
+        if self.lifecycle.state == JOINING:
+            # The table still fills, and a peer that was learned a moment ago has to confirm too.
             self.refresh_links()
         if not self.versions.may_activate(now.monotonic_s, self.links.chosen):
             return False
@@ -184,6 +196,7 @@
         self.record(PauseDetected(now.monotonic_s - last_s), now)
         self.links.forget()
         self.suspicions.restart(now.monotonic_s)
+        self.versions.confirm_again(now.monotonic_s)
         self.resuming = Resuming(now.monotonic_s)
         if self.joining is not None:
             self.joining = attrs.evolve(self.joining, started_at_s=now.monotonic_s)
--- /dev/null
+++ b/ibisrack/node/views.py
@@ -0,0 +1,27 @@
+"""Admin endpoints for the operators' tools beyond the node's own state."""
+
+import msgspec
+from aiohttp import web
+
+from ibisrack.admin.messages import RulesText
+from ibisrack.node.state import NodeState
+
+
+def rules_text(node: NodeState) -> RulesText:
+    """Returns the rules file in force; revision 0 and no content when there is none."""
+    candidate = node.versions.in_force
+    if candidate is None:
+        return RulesText(0, "", "")
+    content = b"".join(node.versions.chunks(candidate.manifest.chunk_digests))
+    version_id = candidate.version_id
+    return RulesText(version_id.revision, version_id.digest.hex(), content.decode())
+
+
+def add_views(app: web.Application, node: NodeState) -> None:
+    """Adds the endpoints to the admin server."""
+
+    async def rules(request: web.Request) -> web.Response:
+        body = msgspec.json.encode(rules_text(node))
+        return web.Response(body=body, content_type="application/json")
+
+    app.router.add_get("/rules", rules)
