--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -3,6 +3,7 @@
 import attrs
 from aiohttp import web
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
+from aiohttp.web_protocol import RequestPayloadError
 from multidict import CIMultiDict
 
 from ibisrack.calls.headers import (
@@ -217,5 +218,5 @@
         return await request.read()
     except HTTPRequestEntityTooLarge as error:
         raise RequestError(f"the body is larger than {MAX_BODY_BYTES} bytes", 413) from error
-    except web.RequestPayloadError as error:
+    except RequestPayloadError as error:
         raise RequestError("the body is not valid HTTP") from error
