--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -43,12 +43,13 @@
     keyed: bool = False
 
 
+KEYED = "keyed"  # Name of the kind whose calls carry idempotency keys.
 _LARGE_BYTES = 600_000  # More than a node holds, so that the answer is streamed.
 
 KINDS: dict[str, tuple[Kind, ...]] = {
     "pilbara": (
         Kind("lodgement", "POST", "notice-desk", "/notices", 220, idempotent=False),
-        Kind("keyed", "POST", "notice-desk", "/notices/k", 60, idempotent=False, keyed=True),
+        Kind(KEYED, "POST", "notice-desk", "/notices/k", 60, idempotent=False, keyed=True),
         Kind("approval", "GET", "notice-desk", "/approvals/12", 220, answer_bytes=40_000),
         Kind("curfew", "GET", "route-docs", "/curfews/9", 200),
         Kind("plan", "GET", "route-docs", "/plans/3", 150, answer_bytes=5_000),
@@ -56,7 +57,7 @@
     ),
     "chapa-maya": (
         Kind("order", "POST", "tienda", "/orders", 220, idempotent=False),
-        Kind("keyed", "POST", "tienda", "/reservations", 60, idempotent=False, keyed=True),
+        Kind(KEYED, "POST", "tienda", "/reservations", 60, idempotent=False, keyed=True),
         Kind("lookup", "GET", "tienda", "/stock/4", 220, answer_bytes=5_000),
         Kind("photo", "GET", "archivo", "/photos/7", 200, answer_bytes=40_000),
         Kind("pricing", "GET", "tienda", "/pricing", 150),
