Split the retry budget between the outermost layer and the others

Cause: when the last service of a chain of seven refuses every call, its own caller and the outermost layer both spent a budget of 0.1: 1.21 attempts, over the bound of 1.1 that had not been set for it. Change: a call earns 0.05 token where its layer holds the retry right, 0.04 elsewhere; both measures have the bound now, and the test allows a twentieth of the calls in place of a tenth.

--- a/bench/retries_bench.py
+++ b/bench/retries_bench.py
@@ -35,6 +35,6 @@
     return [
         Measure("retry_amplification", failing, "x", at_most=AMPLIFICATION_BOUND),
         Measure("retry_amplification_baseline", failing_baseline, "x"),
-        Measure("retry_amplification_refusals", refusing, "x"),
+        Measure("retry_amplification_refusals", refusing, "x", at_most=AMPLIFICATION_BOUND),
         Measure("retry_amplification_refusals_baseline", refusing_baseline, "x"),
     ]
--- a/bench/retries_sim.py
+++ b/bench/retries_sim.py
@@ -6,7 +6,7 @@
 
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Reason
-from ibisrack.calls.retry import MAX_TOKENS, Attempts, Result, RetryBudget, passes_right
+from ibisrack.calls.retry import INNER_SHARE, MAX_TOKENS, Attempts, Result, RetryBudget, passes_right
 from ibisrack.errors import NotRunError
 from ibisrack.testing.fixtures import call_to
 
@@ -19,7 +19,7 @@
 class UnlimitedBudget:
     """Baseline: every allowed retry is made."""
 
-    def earn(self) -> None:
+    def earn(self, call: Call) -> None:
         """Notes a new call."""
 
     def spend(self) -> bool:
@@ -57,7 +57,7 @@
         """Makes one call to a layer, with its retries."""
         call = call_to(retry_right, idempotent=True, tries=2)
         budget = self.budgets[layer]
-        budget.earn()
+        budget.earn(call)
         attempts = Attempts(call, budget)
         while True:
             result = self._attempt(layer, call)
@@ -94,4 +94,4 @@
 
 FAILING = FAILED_BELOW
 REFUSING = NotRunError(Reason.SHED)
-HEALTHY_CALLS = int(10 * MAX_TOKENS)
+HEALTHY_CALLS = int(MAX_TOKENS / INNER_SHARE)
--- a/ibisrack/calls/ingress.py
+++ b/ibisrack/calls/ingress.py
@@ -80,7 +80,7 @@
           UnknownOutcomeError: An instance may have run the call.
           RequestError: The key of the call is malformed.
         """
-        self.budget.earn()
+        self.budget.earn(call)
         if is_keyed(call):
             home = self._home(call)
             return await self._attempt(call, home), home.node_id
--- a/ibisrack/calls/retry.py
+++ b/ibisrack/calls/retry.py
@@ -14,7 +14,10 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 
-RETRY_SHARE = 0.1  # Retries for each call of a node.
+# Retries that a call earns.  A refusal deep in a chain may be tried again by the layer that met it
+# and, as a failure, by the outermost one: 1.05 * 1.04 attempts stay below 1.1.
+OUTERMOST_SHARE = 0.05
+INNER_SHARE = 0.04
 MAX_TOKENS = 10.0  # Calls that may be tried again in one burst.
 
 # Answers with which an upstream says that something below it failed (RFC 9110, section 15.6).
@@ -30,7 +33,7 @@
 class RetryBudget:
     """Token bucket of a node: each call earns a part of a retry.
 
-    It starts with one token and so lets a new node repeat a call before ten others were served.
+    It starts with one token, so that a new node can repeat a call before it has served others.
 
     Attributes:
       tokens: Retries that are allowed now.
@@ -38,9 +41,10 @@
 
     tokens: float = 1.0
 
-    def earn(self) -> None:
+    def earn(self, call: Call) -> None:
         """Notes a new call."""
-        self.tokens = min(MAX_TOKENS, self.tokens + RETRY_SHARE)
+        share = OUTERMOST_SHARE if call.retry_right else INNER_SHARE
+        self.tokens = min(MAX_TOKENS, self.tokens + share)
 
     def spend(self) -> bool:
         """Takes a token; returns whether there was one."""
--- a/ibisrack/calls/retry_test.py
+++ b/ibisrack/calls/retry_test.py
@@ -76,16 +76,16 @@
 
 @REPEATABLE
 @given(st.lists(st.integers(0, 20), max_size=60))
-def test_retries_stay_within_a_tenth_of_the_calls(bursts):
+def test_retries_stay_within_a_twentieth_of_the_calls(bursts):
     """Guards against a retry storm; each burst is a number of failing calls."""
     budget = RetryBudget()
     calls = retries = 0
     for burst in bursts:
         for _ in range(burst):
-            budget.earn()
+            budget.earn(call_to(retry_right=True, idempotent=True, tries=2))
             calls += 1
             retries += budget.spend()
-    assert retries <= 1 + calls / 10 + 1e-6
+    assert retries <= 1 + calls / 20 + 1e-6
 
 
 load_tests = function_tests(__name__)
