--- a/bench/retries_sim.py
+++ b/bench/retries_sim.py
@@ -6,7 +6,14 @@
 
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Reason
-from ibisrack.calls.retry import INNER_SHARE, MAX_TOKENS, Attempts, Result, RetryBudget, passes_right
+from ibisrack.calls.retry import (
+    INNER_SHARE,
+    MAX_TOKENS,
+    Attempts,
+    Result,
+    RetryBudget,
+    passes_right,
+)
 from ibisrack.errors import NotRunError
 from ibisrack.testing.fixtures import call_to
 
