--- a/ibisrack/room/fleet.py
+++ b/ibisrack/room/fleet.py
@@ -35,7 +35,7 @@
 
     zone: str
     region: str
-    reader: str
+    collector: str
     members: int
     age_s: float | None
     newest_report_age_s: float | None
@@ -72,7 +72,7 @@
     return ZoneView(
         zone=summary.zone,
         region=summary.region,
-        reader=summary.reader,
+        collector=summary.collector,
         members=summary.members,
         age_s=_rounded(summary.age_s),
         newest_report_age_s=_rounded(summary.newest_report_age_s),
--- a/ibisrack/room/messages.py
+++ b/ibisrack/room/messages.py
@@ -50,7 +50,7 @@
 
 @attrs.frozen
 class StatusReport:
-    """What a node tells the readers of its zone.
+    """What a node tells the collectors of its zone.
 
     Attributes:
       node_id: Name of the host; the sender.
@@ -100,13 +100,13 @@
 
 @attrs.frozen
 class ZoneSummary:
-    """The state of a zone as one of its readers sees it.
+    """The state of a zone as one of its collectors sees it.
 
     Attributes:
       zone: Availability zone.
       region: Region of the zone.
-      reader: Reader that made the summary.
-      members: Nodes of the zone in the reader's member table.
+      collector: Collector that made the summary.
+      members: Nodes of the zone in the collector's member table.
       by_version: Nodes by version in force.
       by_state: Nodes by lifecycle state.
       straggler_count: Number of all stragglers.
@@ -119,7 +119,7 @@
 
     zone: str
     region: str
-    reader: str
+    collector: str
     members: int
     by_version: tuple[VersionCount, ...]
     by_state: dict[str, int]
@@ -133,7 +133,7 @@
 
 @attrs.frozen
 class WantSummaries:
-    """Asks a reader for the summaries that are fresher than the sender's.
+    """Asks a collector for the summaries that are fresher than the sender's.
 
     Attributes:
       held_ages_s: Age of each summary that the sender holds, by zone.
--- a/ibisrack/room/partners_test.py
+++ b/ibisrack/room/partners_test.py
@@ -8,22 +8,22 @@
 from ibisrack.testing.functions import function_tests
 
 MEMBERS = [member(f"n{i}", zone=f"z{i % 12}") for i in range(60)]
-READERS = [m for zone in range(12) for m in elect_collectors(f"z{zone}", MEMBERS)]
+COLLECTORS = [m for zone in range(12) for m in elect_collectors(f"z{zone}", MEMBERS)]
 
 
-def test_no_reader_has_more_partners_than_others():
-    """Guards against a reader that many others choose and whose bytes go over the bound."""
-    chosen = Counter(p.node_id for reader in READERS for p in partners(reader, MEMBERS))
-    assert len(chosen) == len(READERS) == 24
+def test_no_collector_has_more_partners_than_others():
+    """Guards against a collector that many others choose and whose bytes go over the bound."""
+    chosen = Counter(p.node_id for collector in COLLECTORS for p in partners(collector, MEMBERS))
+    assert len(chosen) == len(COLLECTORS) == 24
     assert max(chosen.values()) <= 3
 
 
-def test_summaries_reach_every_reader():
-    """Guards against a group of readers that hears nothing of the others."""
-    reached = {READERS[0]}
-    for _ in range(len(READERS)):
-        reached |= {p for reader in reached for p in partners(reader, MEMBERS)}
-    assert reached == set(READERS)
+def test_summaries_reach_every_collector():
+    """Guards against a group of collectors that hears nothing of the others."""
+    reached = {COLLECTORS[0]}
+    for _ in range(len(COLLECTORS)):
+        reached |= {p for collector in reached for p in partners(collector, MEMBERS)}
+    assert reached == set(COLLECTORS)
 
 
 load_tests = function_tests(__name__)
--- a/ibisrack/room/reporter.py
+++ b/ibisrack/room/reporter.py
@@ -1,4 +1,4 @@
-"""The task that reports the node's status and, on a reader, exchanges summaries."""
+"""The task that reports the node's status and, on a collector, exchanges summaries."""
 
 import asyncio
 
@@ -14,7 +14,7 @@
 
 CHECK_INTERVAL_S = 0.5
 SUMMARY_STEPS = 12  # A collector exchanges summaries about every 6 s.
-FRESHER_BY_S = 6.0  # Bounds how often the summary of a zone is sent to the same reader.
+FRESHER_BY_S = 6.0  # Bounds how often the summary of a zone is sent to the same collector.
 
 
 @attrs.define
@@ -39,23 +39,23 @@
             await asyncio.sleep(node.rng.uniform(0.8, 1.2) * CHECK_INTERVAL_S)
             step += 1
             await self._report()
-            if self._is_reader():
+            if self._is_collector():
                 self._summarize()
                 if step % SUMMARY_STEPS == 0:
                     await self._exchange_summaries()
 
-    def _is_reader(self) -> bool:
+    def _is_collector(self) -> bool:
         members = self.exchanger.node.members
         own = members.own()
         return own in elect_collectors(own.zone, members.all())
 
     async def _report(self) -> None:
         node = self.exchanger.node
-        readers = {
+        collectors = {
             m.peer_address: m for m in own_collectors(node.members.own(), node.members.all())
         }
-        await self._report_channels.keep(readers)
-        due = self.schedule.due(node, tuple(readers), read_clocks().monotonic_s)
+        await self._report_channels.keep(collectors)
+        due = self.schedule.due(node, tuple(collectors), read_clocks().monotonic_s)
         if due:
             results = await asyncio.gather(*(self._send(address) for address in due))
             if not all(results):
--- a/ibisrack/room/reports.py
+++ b/ibisrack/room/reports.py
@@ -128,7 +128,7 @@
         summary = ZoneSummary(
             zone=self.zone,
             region=own.region,
-            reader=own.node_id,
+            collector=own.node_id,
             members=len(inside),
             by_version=_by_version(reports),
             by_state=dict(Counter(report.state for report in reports)),
--- a/ibisrack/room/reports_test.py
+++ b/ibisrack/room/reports_test.py
@@ -113,18 +113,18 @@
     raise AssertionError("the report was taken")
 
 
-def test_change_goes_to_every_reader_and_steady_reports_take_turns():
+def test_change_goes_to_every_collector_and_steady_reports_take_turns():
     node, schedule = bare_node("own"), ReportSchedule(Random(1))
-    readers = ("r1", "r2")
-    assert schedule.due(node, readers, 100.0) in (readers, ("r2",))
-    sent = [schedule.due(node, readers, 100.0 + i * 0.5) for i in range(1, 120)]
-    assert sent.count(readers) == 1
+    collectors = ("r1", "r2")
+    assert schedule.due(node, collectors, 100.0) in (collectors, ("r2",))
+    sent = [schedule.due(node, collectors, 100.0 + i * 0.5) for i in range(1, 120)]
+    assert sent.count(collectors) == 1
     singles = [s[0] for s in sent if len(s) == 1]
     assert 4 <= len(singles) <= 6
     assert set(singles) == {"r1", "r2"}
     node.move("join", NOW)
-    later = [schedule.due(node, readers, 160.0 + i * 0.5) for i in range(3)]
-    assert readers in later
+    later = [schedule.due(node, collectors, 160.0 + i * 0.5) for i in range(3)]
+    assert collectors in later
 
 
 def test_counts_leave_the_window_after_a_minute():
--- a/ibisrack/room/source.py
+++ b/ibisrack/room/source.py
@@ -17,7 +17,7 @@
 
 @attrs.define
 class FleetSource:
-    """Holds the view for a second; a node that is no reader asks the reader of its zone.
+    """Holds the view for a second; a node that is no collector asks the collector of its zone.
 
     Attributes:
       exchanger: Carries the exchanges.
@@ -33,20 +33,20 @@
         """Returns the view, at most CACHE_S old at this node."""
         async with self._lock:
             if self._view is None or read_clocks().monotonic_s - self._made_at_s >= CACHE_S:
-                await self._ask_reader()
+                await self._ask_collector()
                 self._make()
         return self._view
 
-    async def _ask_reader(self) -> None:
-        """Asks the readers of the zone in turn until one answers."""
+    async def _ask_collector(self) -> None:
+        """Asks the collectors of the zone in turn until one answers."""
         node = self.exchanger.node
         own = node.members.own()
         if own in elect_collectors(own.zone, node.members.all()):
             return
-        readers = [m.peer_address for m in own_collectors(own, node.members.all())]
-        await self._channels.keep(readers)
+        collectors = [m.peer_address for m in own_collectors(own, node.members.all())]
+        await self._channels.keep(collectors)
         opening = (node.room.wanted(read_clocks().monotonic_s, FRESHER_BY_S),)
-        for address in readers:
+        for address in collectors:
             channel = self._channels.get(address)
             timeout_s = node.settings.exchange.timeout_s
             if await try_converse(self.exchanger, channel, timeout_s, opening):
--- a/ibisrack/room/source_test.py
+++ b/ibisrack/room/source_test.py
@@ -1,4 +1,4 @@
-"""Tests of the fleet view of a node that is no reader, over real channels."""
+"""Tests of the fleet view of a node that is no collector, over real channels."""
 
 from ibisrack.clocks import read_clocks
 from ibisrack.exchange.carrier import start_server
@@ -15,18 +15,18 @@
 
 
 def _zone(ports: tuple[int, ...]) -> list[NodeState]:
-    """Returns the nodes of one zone that know each other, the readers first."""
+    """Returns the nodes of one zone that know each other, the collectors first."""
     nodes = [bare_node(f"n{i}", peer_port=port) for i, port in enumerate(ports)]
     records = [node.members.own() for node in nodes]
     tables: list[MemberTable] = [node.members for node in nodes]
     for table in tables:
         for record in records:
             table.apply(record)
-    readers = [m.node_id for m in elect_collectors("z", records)]
-    return sorted(nodes, key=lambda node: node.members.own_id not in readers)
+    collectors = [m.node_id for m in elect_collectors("z", records)]
+    return sorted(nodes, key=lambda node: node.members.own_id not in collectors)
 
 
-async def test_node_reports_to_its_reader_and_shows_the_summary():
+async def test_node_reports_to_its_collector_and_shows_the_summary():
     """Guards against channels of the room slice that do not fit the carrier."""
     servers = {}
     ports = []
@@ -40,8 +40,8 @@
     exchanger = servers[int(outsider.members.own_id[1:])]
     reporter = Reporter(exchanger, ReportSchedule(outsider.rng))
     try:
-        for reader in own_collectors(outsider.members.own(), outsider.members.all()):
-            assert await reporter._send(reader.peer_address)
+        for collector in own_collectors(outsider.members.own(), outsider.members.all()):
+            assert await reporter._send(collector.peer_address)
         for node in nodes[:2]:
             now = read_clocks()
             node.room.take(status_report(node, now), now.monotonic_s)
@@ -51,8 +51,8 @@
         for server, _ in ports:
             await server.cleanup()
     (zone,) = view.zones
-    assert zone.reader in (node.members.own_id for node in nodes[:2])
-    assert zone.by_state == {"starting": 2}, "the reader's own report and that of the outsider"
+    assert zone.collector in (node.members.own_id for node in nodes[:2])
+    assert zone.by_state == {"starting": 2}, "the collector's own report and that of the outsider"
 
 
 load_tests = function_tests(__name__)
--- a/ibisrack/room/status.py
+++ b/ibisrack/room/status.py
@@ -48,10 +48,10 @@
 
 @attrs.define
 class ReportSchedule:
-    """Decides when a report is due and which readers receive it.
+    """Decides when a report is due and which collectors receive it.
 
-    A change goes to every reader; a report without a change goes to one reader in turn, which
-    halves the messages that a reader of a large zone takes.
+    A change goes to every collector; a report without a change goes to one collector in turn, which
+    halves the messages that a collector of a large zone takes.
 
     Attributes:
       rng: Source of the jitter.
@@ -63,15 +63,15 @@
     _steady_due_s: float = 0.0
     _turn: int = 0
 
-    def due(self, node: NodeState, readers: tuple[str, ...], now_s: float) -> tuple[str, ...]:
-        """Returns the readers that receive a report now.
+    def due(self, node: NodeState, collectors: tuple[str, ...], now_s: float) -> tuple[str, ...]:
+        """Returns the collectors that receive a report now.
 
         Args:
           node: The node's state.
-          readers: Readers of the zone, without the node itself.
+          collectors: Collectors of the zone, without the node itself.
           now_s: Monotonic time.
         """
-        if not readers:
+        if not collectors:
             return ()
         essence = _essence(node)
         if essence != self._sent and self._change_due_s is None:
@@ -80,11 +80,11 @@
             self._sent = essence
             self._change_due_s = None
             self._plan_steady(node, now_s)
-            return readers
+            return collectors
         if now_s >= self._steady_due_s:
             self._plan_steady(node, now_s)
             self._turn += 1
-            return (readers[self._turn % len(readers)],)
+            return (collectors[self._turn % len(collectors)],)
         return ()
 
     def failed(self, now_s: float) -> None:
