--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := ibisrack bench
 
-.PHONY: demo test bench format clean
+.PHONY: demo test bench room format clean
 
 $(STAMP): requirements.txt requirements-dev.txt
 	python3.11 -m venv $(VENV)
@@ -21,6 +21,9 @@
 bench: $(STAMP)
 	$(PY) -m bench.runner $(if $(ONLY),--only=$(ONLY))
 
+room: $(STAMP)
+	$(PY) -m bench.watch
+
 format: $(STAMP)
 	$(VENV)/bin/black --quiet $(SOURCES)
 	$(VENV)/bin/ruff check --fix --quiet $(SOURCES)
--- a/bench/screens.py
+++ b/bench/screens.py
@@ -23,7 +23,8 @@
 ).split()
 
 
-def _room(fleet: Fleet, port: int) -> Process:
+def room_process(fleet: Fleet, port: int) -> Process:
+    """Returns the room server for a fleet, which asks three of its nodes."""
     addresses = [f"{HOST}:{n.settings['listen']['admin_port']}" for n in fleet.nodes[:3]]
     settings = {
         "title": "Pilbara Heavy Haul Permits Group",
@@ -33,7 +34,8 @@
     return Process("room", "ibisrack.bin.ibis_room", settings)
 
 
-def _caller(fleet: Fleet, duration_s: float) -> Process:
+def caller_process(fleet: Fleet, duration_s: float) -> Process:
+    """Returns a caller that sends work of every rank to every node."""
     paths = [
         ("lodgement", "POST", "notice-desk", "/notices", 20),
         ("approval", "GET", "notice-desk", "/approvals/12", 30),
@@ -79,7 +81,7 @@
     """
     async with started_fleet(PILBARA) as fleet:
         (port,) = free_ports(1)
-        room, caller = _room(fleet, port), _caller(fleet, 90.0)
+        room, caller = room_process(fleet, port), caller_process(fleet, 90.0)
         try:
             await room.start(fleet.folder)
             await caller.start(fleet.folder)
--- a/ibisrack/settings/room.py
+++ b/ibisrack/settings/room.py
@@ -34,13 +34,13 @@
         and other members when none of them answers.
       interval_s: Time between two reads of the fleet, however many screens are open.
       timeout_s: Time for one answer.
-      stale_s: Age from which a zone is shown as out of date; nodes report at least every 10 s.
+      stale_s: Age from which a zone is shown as out of date; summaries of 12 zones take up to 40 s.
     """
 
     admin_addresses: tuple[str, ...] = attrs.field(validator=_some_addresses)
     interval_s: float = attrs.field(default=2.0, validator=in_range(0.5, 60))
     timeout_s: float = attrs.field(default=2.0, validator=in_range(0.1, 30))
-    stale_s: float = attrs.field(default=15.0, validator=in_range(1, 600))
+    stale_s: float = attrs.field(default=45.0, validator=in_range(1, 600))
 
 
 @attrs.frozen
