--- a/ibisrack/calls/keyed_test.py
+++ b/ibisrack/calls/keyed_test.py
@@ -12,16 +12,12 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.membership.table import MemberTable
-from ibisrack.testing.fixtures import call_to, member
+from ibisrack.testing.fixtures import call_to, member, new_key
 from ibisrack.testing.functions import function_tests
 
 DONE = Answer(200, {}, b"ok")
 
 
-def new_key() -> str:
-    return str(uuid.UUID(int=(int(time.time() * 1000) << 80) | (7 << 76) | (2 << 62) | 5))
-
-
 def home(*others: str) -> KeyedRuns:
     """Returns the home of a node that started long ago in a list of instances."""
     started_ms = int(time.time() * 1000) - SETTLE_MS - 2 * CLOCK_SKEW_MS
--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -18,7 +18,7 @@
     read_context,
 )
 from ibisrack.calls.ingress import Ingress
-from ibisrack.calls.keys import asks_home, unmatched_outcome
+from ibisrack.calls.keys import asks_home, is_keyed, unmatched_outcome
 from ibisrack.calls.match import match
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Outcome, Reason
@@ -81,10 +81,8 @@
     def _match(
         self, request: web.BaseRequest, context: CallContext, body: bytes, start: Instant
     ) -> Call:
-        state = self.node.lifecycle.state
-        is_ready = state == SERVING and not self.node.paused(start)
-        if not is_ready and not asks_home(context):
-            raise NotRunError(Reason.DRAINING if state == DRAINING else Reason.NOT_SERVING)
+        if not context.idempotency_key:
+            self._require_serving(start)
         candidate = self.node.versions.in_force
         if candidate is None:
             raise NotRunError(Reason.NO_VERSION)
@@ -94,7 +92,7 @@
         if route is None:
             raise RequestError(f"no route for {request.method} {host}{path}", 404)
         deadline_ms = min(context.deadline_ms or route.deadline_ms, route.deadline_ms)
-        return Call(
+        call = Call(
             call_id=context.call_id,
             method=request.method,
             path=request.rel_url.raw_path_qs,
@@ -108,6 +106,17 @@
             idempotency_key=context.idempotency_key,
             key_period=context.key_period,
         )
+        # A draining node still asks the home of a key: only the home can refuse it as not run.
+        is_draining = self.node.lifecycle.state == DRAINING
+        if not asks_home(context) and not (is_draining and is_keyed(call)):
+            self._require_serving(start)
+        return call
+
+    def _require_serving(self, start: Instant) -> None:
+        """Refuses a call unless this node takes calls."""
+        state = self.node.lifecycle.state
+        if state != SERVING or self.node.paused(start):
+            raise NotRunError(Reason.DRAINING if state == DRAINING else Reason.NOT_SERVING)
 
     async def _run(self, call: Call, context: CallContext) -> tuple[Answer, str]:
         if context.forwarded:
--- a/ibisrack/calls/server_test.py
+++ b/ibisrack/calls/server_test.py
@@ -9,8 +9,10 @@
 from ibisrack.calls.headers import read_context
 from ibisrack.calls.relay import relayed
 from ibisrack.calls.server import MAX_BODY_BYTES
+from ibisrack.clocks import read_clocks
 from ibisrack.errors import RequestError
 from ibisrack.testing.data_path import Receiver, caller_session, receiver, serving_node
+from ibisrack.testing.fixtures import new_key
 from ibisrack.testing.functions import function_tests
 
 HEADERS = {"Host": "notice-desk", "Ibis-Call-Id": "call-1"}
@@ -120,6 +122,26 @@
                 assert (answer.status, answer.headers["Ibis-Outcome"]) == (status, outcome)
 
 
+async def test_draining_node_still_asks_the_home_of_a_key():
+    """Guards against keyed calls of unknown outcome at every planned stop."""
+    key = {"Idempotency-Key": new_key()}
+    async with (
+        receiver(_upstream) as upstream,
+        serving_node(upstream.port) as (owner, address),
+        caller_session() as session,
+    ):
+        owner.node.move("drain", read_clocks())
+        for path, method, reason in (
+            ("/notices", "POST", "key-too-old"),
+            ("/approvals/1", "GET", "draining"),
+        ):
+            url = f"http://{address}{path}"
+            async with session.request(method, url, headers={**HEADERS, **key}) as answer:
+                assert answer.headers["Ibis-Reason"] == reason, await answer.text()
+                assert answer.headers["Ibis-Outcome"] == "unknown"
+        assert not upstream.heads
+
+
 async def test_cut_stream_breaks_the_connection_of_the_caller():
     """Guards against a large answer that a node completes although the upstream died."""
     body = b"x" * 600_000
--- a/ibisrack/testing/fixtures.py
+++ b/ibisrack/testing/fixtures.py
@@ -2,6 +2,8 @@
 
 # ruff: noqa: E501 (rules are one line each, however long)
 
+import time
+import uuid
 from random import Random
 
 from ibisrack.calls.messages import Call
@@ -122,3 +124,8 @@
         PlatformSettings("http://127.0.0.1:5"),
     )
     return create_node(settings, Random(seed))
+
+
+def new_key() -> str:
+    """Returns a key made now: a UUIDv7, RFC 9562, section 5.7."""
+    return str(uuid.UUID(int=(int(time.time() * 1000) << 80) | (7 << 76) | (2 << 62) | 5))
