--- a/ibisrack/admin/messages.py
+++ b/ibisrack/admin/messages.py
@@ -27,7 +27,7 @@
 
 @attrs.frozen
 class Status:
-    """Answer of GET /status, as far as the tools need it.
+    """Answer of GET /status.
 
     Attributes:
       node_id: Name of the host.
@@ -38,6 +38,7 @@
       refused_revision: Highest refused revision, 0 for none.
       refused_faults: Faults of the refused version, with line and requester.
       load: Load of the upstream.
+      members: Number of known nodes that are not dead.
     """
 
     node_id: str
@@ -48,6 +49,7 @@
     refused_revision: int
     refused_faults: tuple[str, ...]
     load: Load
+    members: int = 0
 
 
 @attrs.frozen
--- a/ibisrack/calls/hostile_test.py
+++ b/ibisrack/calls/hostile_test.py
@@ -51,4 +51,11 @@
         await upstream.cleanup()
 
 
+async def test_body_that_is_cut_short_is_refused_as_not_run():
+    head = b"POST /notices HTTP/1.1\r\nHost: notice-desk\r\nTransfer-Encoding: chunked\r\n\r\n"
+    async with serving_node(1) as (_, address):
+        ((_, answer),) = await exchange_all(address, [head + b"zz"])
+    assert b"Ibis-Outcome: not-run" in answer, answer
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/calls/ingress.py
+++ b/ibisrack/calls/ingress.py
@@ -7,13 +7,10 @@
 from ibisrack.calls.balance import LoadView, choose, eligible
 from ibisrack.calls.headers import (
     CALL_ID,
-    DEADLINE_MS,
-    DEPTH,
     HOP,
     KEY_PERIOD,
     LOAD,
     OUTCOME,
-    RANK,
     REASON,
     RETRY_RIGHT,
     REVISION,
@@ -24,6 +21,7 @@
 from ibisrack.calls.messages import Answer, Call, parse_load
 from ibisrack.calls.outcomes import Outcome, Reason
 from ibisrack.calls.owner import Owner
+from ibisrack.calls.relay import context_headers, remaining_s
 from ibisrack.calls.retry import Attempts, Result, RetryBudget
 from ibisrack.calls.transport import send
 from ibisrack.clocks import read_clocks
@@ -180,16 +178,10 @@
         return self._checked(call, instance, answer)
 
     async def _forward_once(self, call: Call, instance: MemberRecord) -> Answer:
-        budget_s = call.deadline_at_s - read_clocks().monotonic_s
-        if budget_s <= 0:
-            raise NotRunError(Reason.DEADLINE)
+        budget_s = remaining_s(call, read_clocks().monotonic_s)
         headers = {
-            "Host": call.route.host,
-            CALL_ID: call.call_id,
-            DEADLINE_MS: str(max(1, int(budget_s * 1000))),
-            DEPTH: str(call.depth),
+            **context_headers(call, budget_s, call.depth),
             HOP: "1",
-            RANK: call.route.rank,
             RETRY_RIGHT: "yes" if call.retry_right else "held",
             REVISION: str(call.revision),
         }
--- a/ibisrack/calls/owner.py
+++ b/ibisrack/calls/owner.py
@@ -3,11 +3,12 @@
 import attrs
 
 from ibisrack.calls.gate import Gate
-from ibisrack.calls.headers import CALL_ID, DEADLINE_MS, DEPTH, RANK, RETRY_RIGHT
+from ibisrack.calls.headers import RETRY_RIGHT
 from ibisrack.calls.keyed import KeyedRuns
 from ibisrack.calls.keys import is_keyed
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.relay import context_headers, remaining_s
 from ibisrack.calls.retry import passes_right
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError
@@ -67,15 +68,9 @@
             self.in_flight -= 1
 
     async def _run_in_slot(self, call: Call) -> Answer:
-        budget_s = call.deadline_at_s - read_clocks().monotonic_s
-        if budget_s <= 0:
-            raise NotRunError(Reason.DEADLINE)
+        budget_s = remaining_s(call, read_clocks().monotonic_s)
         headers = {
-            "Host": call.route.host,
-            CALL_ID: call.call_id,
-            DEADLINE_MS: str(max(1, int(budget_s * 1000))),
-            DEPTH: str(call.depth + 1),
-            RANK: call.route.rank,
+            **context_headers(call, budget_s, call.depth + 1),
             RETRY_RIGHT: "yes" if passes_right(call) else "held",
         }
         try:
--- a/ibisrack/calls/relay.py
+++ b/ibisrack/calls/relay.py
@@ -4,7 +4,10 @@
 
 from multidict import CIMultiDict
 
-from ibisrack.calls.headers import NOT_FORWARDED
+from ibisrack.calls.headers import CALL_ID, DEADLINE_MS, DEPTH, NOT_FORWARDED, RANK
+from ibisrack.calls.messages import Call
+from ibisrack.calls.outcomes import Reason
+from ibisrack.errors import NotRunError
 
 # Only nodes set headers with this prefix.  Passing on those of a caller or an upstream would let
 # them name another deadline, or claim an outcome that the node did not find.
@@ -26,6 +29,29 @@
     return kept
 
 
+def remaining_s(call: Call, now_s: float) -> float:
+    """Returns the time that is left for a call, in seconds.
+
+    Raises:
+      NotRunError: The deadline has passed, so the call is not sent.
+    """
+    budget_s = call.deadline_at_s - now_s
+    if budget_s <= 0:
+        raise NotRunError(Reason.DEADLINE)
+    return budget_s
+
+
+def context_headers(call: Call, budget_s: float, depth: int) -> dict[str, str]:
+    """Returns the headers of a call's context that every receiver gets."""
+    return {
+        "Host": call.route.host,
+        CALL_ID: call.call_id,
+        DEADLINE_MS: str(max(1, int(budget_s * 1000))),
+        DEPTH: str(depth),
+        RANK: call.route.rank,
+    }
+
+
 def _named_by_connection(headers: Mapping[str, str]) -> frozenset[str]:
     value = headers.get("Connection")
     if value is None:
--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -81,9 +81,9 @@
     def _match(
         self, request: web.BaseRequest, context: CallContext, body: bytes, start: Instant
     ) -> Call:
-        if not context.idempotency_key:
-            self._require_serving(start)
         candidate = self.node.versions.in_force
+        if candidate is None or not context.idempotency_key:
+            self._require_serving(start)
         if candidate is None:
             raise NotRunError(Reason.NO_VERSION)
         path = request.rel_url.raw_path
--- a/ibisrack/node/admin.py
+++ b/ibisrack/node/admin.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from aioprometheus import render
 
-from ibisrack.calls.messages import LoadReport
+from ibisrack.admin.messages import Load, Status
 from ibisrack.calls.owner import Owner
 from ibisrack.errors import RequestError
 from ibisrack.node.metrics import collect
@@ -18,39 +18,12 @@
 from ibisrack.versions.messages import VersionState
 
 
-@attrs.frozen
-class NodeStatus:
-    """What a node tells of itself.
-
-    Attributes:
-      node_id: Name of the host.
-      zone: Availability zone.
-      state: Lifecycle state.
-      revision: Revision in force, 0 for none.
-      digest: Digest in force, hexadecimal.
-      refused_revision: Highest refused revision, 0 for none.
-      refused_faults: Faults of the refused version.
-      members: Number of known nodes.
-      load: Load of the local upstream.
-    """
-
-    node_id: str
-    zone: str
-    state: str
-    revision: int
-    digest: str
-    refused_revision: int
-    refused_faults: tuple[str, ...]
-    members: int
-    load: LoadReport
-
-
-def status_of(node: NodeState, owner: Owner) -> NodeStatus:
+def status_of(node: NodeState, owner: Owner) -> Status:
     """Returns the status of a node."""
     versions: VersionState = node.versions.state()
     refused = node.versions.refused
-    own = node.members.own()
-    return NodeStatus(
+    own, load = node.members.own(), owner.gate.load()
+    return Status(
         node_id=own.node_id,
         zone=own.zone,
         state=node.lifecycle.state,
@@ -59,7 +32,7 @@
         refused_revision=refused.version_id.revision if refused else 0,
         refused_faults=tuple(str(fault) for fault in refused.faults) if refused else (),
         members=len(node.members.live()),
-        load=owner.gate.load(),
+        load=Load(load.busy, load.queued, load.slots),
     )
 
 
