--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import signal
+from collections.abc import Awaitable, Callable
+from functools import partial
 from random import Random
 
 import attrs
@@ -24,6 +26,7 @@
 from ibisrack.node.joining import Step
 from ibisrack.node.lifecycle import JOINING
 from ibisrack.node.state import NodeState, create_node
+from ibisrack.node.tasks import keep_running
 from ibisrack.platform.budget import ReadBudget
 from ibisrack.platform.client import RULES
 from ibisrack.platform.reader import PlatformReader
@@ -41,24 +44,34 @@
 DRAIN_NOTICE_S = 0.5  # Time for peers to learn of the leaving before the servers close.
 
 
+@attrs.define
+class Changes:
+    """Makes the node act on what an exchange or a read has changed."""
+
+    node: NodeState
+    owner: Owner
+    news: News
+
+    def apply(self) -> None:
+        """Puts a version in force that is ready, and tells the links."""
+        self.node.activate_if_ready(read_clocks())
+        self.owner.reconfigure()
+        self.news.announce()
+
+
 @attrs.define
 class NodeProcess:
     """The tasks and servers of one node."""
 
     node: NodeState
     owner: Owner
-    exchanger: Exchanger
     news: News
+    changes: Changes
+    exchanger: Exchanger
     reader: PlatformReader
     reporter: Reporter
     stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
 
-    def changed(self) -> None:
-        """Takes over what an exchange or a read has changed."""
-        self.node.activate_if_ready(read_clocks())
-        self.owner.reconfigure()
-        self.news.announce()
-
     async def tick(self) -> None:
         """Runs time-driven decisions until cancelled."""
         node = self.node
@@ -69,7 +82,7 @@
                 self.news.announce()
             members_changed = pass_time(node, now)
             if node.activate_if_ready(now) or members_changed:
-                self.changed()
+                self.changes.apply()
             if node.serve_if_ready(now):
                 self.news.announce()
             if node.needs_exchange(now):
@@ -85,10 +98,10 @@
         while node.lifecycle.state == JOINING:
             if not node.links.told:
                 await contact_seeds(self.exchanger)
-                self.changed()
+                self.changes.apply()
             if node.join_step(read_clocks()) is Step.READ_PLATFORM:
                 revision = await self._read_alone(revision)
-                self.changed()
+                self.changes.apply()
             await asyncio.sleep(TICK_S)
 
     async def _read_alone(self, known_revision: int) -> int:
@@ -137,23 +150,23 @@
     await asyncio.sleep(LAST_REQUESTS_S)
 
 
-def _assemble(settings: NodeSettings, session: ClientSession):
+def _assemble(settings: NodeSettings, session: ClientSession) -> NodeProcess:
     node = create_node(settings, Random(settings.identity.node_id))
     upstream = LocalUpstream(settings.upstream, open_pool(settings.upstream.base_url))
     keyed = create_keyed_runs(settings.identity.node_id, read_clocks().wall_ms)
     owner = Owner(node, Gate(Scheduler(slots=1)), upstream, keyed)
     news = News()
-    process = NodeProcess(
+    changes = Changes(node, owner, news)
+    exchanger = Exchanger(node, changes.apply)
+    return NodeProcess(
         node,
         owner,
-        exchanger=None,
-        news=news,
-        reporter=None,
-        reader=PlatformReader(node, session, ReadBudget(node.rng), lambda: process.changed()),
+        news,
+        changes,
+        exchanger,
+        reader=PlatformReader(node, session, ReadBudget(node.rng), changes.apply),
+        reporter=Reporter(exchanger, ReportSchedule(node.rng)),
     )
-    process.exchanger = Exchanger(node, process.changed)
-    process.reporter = Reporter(process.exchanger, ReportSchedule(node.rng))
-    return process
 
 
 async def run_node(settings: NodeSettings) -> None:
@@ -175,6 +188,21 @@
         process.owner.upstream.pool.close()
 
 
+def _duties(
+    process: NodeProcess, session: ClientSession
+) -> dict[str, Callable[[], Awaitable[None]]]:
+    """Returns the long-running tasks of a node by name."""
+    return {
+        "tick": process.tick,
+        "join": process.join,
+        "links": partial(supervise_links, process.exchanger, process.news),
+        "reconnect": partial(reconnect_lost_peers, process.exchanger),
+        "platform": process.reader.run_all,
+        "upstream": partial(process.owner.upstream.watch, session),
+        "reports": process.reporter.run,
+    }
+
+
 async def _run_tasks(
     settings: NodeSettings,
     process: NodeProcess,
@@ -189,16 +217,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, lambda: loop.create_task(process.drain()))
     tasks = [
-        loop.create_task(coroutine)
-        for coroutine in (
-            process.tick(),
-            process.join(),
-            supervise_links(process.exchanger, process.news),
-            reconnect_lost_peers(process.exchanger),
-            process.reader.run_all(),
-            process.owner.upstream.watch(session),
-            process.reporter.run(),
-        )
+        loop.create_task(keep_running(name, start))
+        for name, start in _duties(process, session).items()
     ]
     await process.stopped.wait()
     await _stop_listening(runners[0])
