--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -218,16 +218,19 @@
         self.links.chosen = frozenset(link.node_id for link in links)
         return links
 
+    def is_elected(self) -> bool:
+        """Tells whether this node's member table elects it to read for its zone."""
+        own = self.members.own()
+        return own.node_id in {m.node_id for m in elect(own.zone, self.members.all())}
+
     def view(self) -> LinksView:
         """Returns what the decisions on joining and resuming depend on."""
         self.refresh_links()
         links = self.links
-        own = self.members.own()
-        readers = elect(own.zone, self.members.all())
         return LinksView(
             told={peer: links.told[peer] for peer in links.chosen if peer in links.told},
             unheard=links.chosen - links.told.keys() - links.failed.keys(),
-            elected=any(reader.node_id == own.node_id for reader in readers),
+            elected=self.is_elected(),
         )
 
     def begin_join(self, now: Instant, first_read_s: float, lone_read_s: float) -> None:
--- a/ibisrack/platform/platform_test.py
+++ b/ibisrack/platform/platform_test.py
@@ -18,7 +18,7 @@
 from ibisrack.platform.client import HOSTS, RULES
 from ibisrack.platform.hosts import ABSENT_DEAD_S
 from ibisrack.platform.messages import HostList, ListedHost
-from ibisrack.platform.reader import PlatformReader, accept, is_elected, review_hosts
+from ibisrack.platform.reader import PlatformReader, accept, review_hosts
 from ibisrack.settings.node import PlatformSettings
 from ibisrack.settings.standins import StandinPlatformSettings
 from ibisrack.standins.platform import Faults, StandinPlatform, Value
@@ -120,7 +120,7 @@
     for step in range(round(3.5 / STEP_S)):
         passed_s = (step + 1) * STEP_S
         due = [n for n in fleet.running() if first_read_s[n.members.own_id] <= passed_s]
-        readers |= {n.members.own_id for n in due if is_elected(n)}
+        readers |= {n.members.own_id for n in due if n.is_elected()}
         if step == 0:
             contact_seeds(fleet, 12)
         fleet.step()
--- a/ibisrack/platform/reader.py
+++ b/ibisrack/platform/reader.py
@@ -10,7 +10,6 @@
 
 from ibisrack.clocks import Instant, read_clocks
 from ibisrack.errors import PlatformError, PlatformTimeoutError
-from ibisrack.membership.readers import elect
 from ibisrack.node.lifecycle import JOINING, STARTING
 from ibisrack.node.state import NodeState
 from ibisrack.platform.budget import ReadBudget
@@ -26,19 +25,13 @@
 READ_WAIT_S = 0.0  # A plain read does not wait at the service.
 
 
-def is_elected(node: NodeState) -> bool:
-    """Tells whether this node's member table elects it to read for its zone."""
-    own = node.members.own()
-    return own.node_id in {m.node_id for m in elect(own.zone, node.members.all())}
-
-
 def is_reader(node: NodeState) -> bool:
     """Tells whether this node watches the platform; one that has not joined does not.
 
     Before it has joined, a node knows few peers and would elect itself, and a fleet that restarts
     together would read all at once.
     """
-    return node.lifecycle.state not in (STARTING, JOINING) and is_elected(node)
+    return node.lifecycle.state not in (STARTING, JOINING) and node.is_elected()
 
 
 def accept_rules(node: NodeState, value: PlatformValue, now: Instant) -> None:
--- a/ibisrack/testing/stepped.py
+++ b/ibisrack/testing/stepped.py
@@ -11,12 +11,11 @@
 
 import attrs
 
-# The handlers register themselves when their modules are imported.
-import ibisrack.membership.handlers
-import ibisrack.versions.handlers  # noqa: F401
+import ibisrack.exchange.registry  # noqa: F401
 from ibisrack.clocks import Instant
 from ibisrack.errors import MessageError
 from ibisrack.exchange.codec import decode_frame, encode_frame
+from ibisrack.exchange.conversation import MAX_ROUNDS
 from ibisrack.exchange.dispatch import greeting, process
 from ibisrack.node.joining import Step
 from ibisrack.node.lifecycle import JOINING, SERVING
@@ -25,7 +24,6 @@
 from ibisrack.platform.messages import PlatformValue
 from ibisrack.platform.reader import accept, is_reader
 
-MAX_ROUNDS = 8
 TICK_S = 0.25
 
 
--- a/ibisrack/testing/stepping.py
+++ b/ibisrack/testing/stepping.py
@@ -9,11 +9,9 @@
 
 import attrs
 
-# The handlers register themselves when their modules are imported.
-import ibisrack.membership.handlers
-import ibisrack.room.handlers
-import ibisrack.versions.handlers  # noqa: F401
+import ibisrack.exchange.registry  # noqa: F401
 from ibisrack.clocks import Instant
+from ibisrack.exchange.conversation import MAX_ROUNDS
 from ibisrack.exchange.dispatch import greeting, process
 from ibisrack.membership.links import choose_links
 from ibisrack.membership.reconnect import lost_addresses
@@ -25,7 +23,6 @@
 
 STEP_S = 0.25
 RECONNECT_SHARE = STEP_S / 5.0
-MAX_ROUNDS = 8
 
 
 @attrs.define
--- a/ibisrack/versions/protocol_spec.py
+++ b/ibisrack/versions/protocol_spec.py
@@ -27,7 +27,6 @@
 
 
 ANSWERING = frozenset((Mode.JOINING, Mode.SERVING, Mode.RESUMING))
-RECEIVING = ANSWERING
 UNHEARD = -2
 SILENT = -1
 
