--- a/ibisrack/calls/admission.py
+++ b/ibisrack/calls/admission.py
@@ -158,6 +158,14 @@
                 refused.append(Refused(ticket, Reason.DEADLINE))
         return refused
 
+    def refuse_waiting(self, reason: Reason, now_s: float) -> list[Decision]:
+        """Refuses every waiting call."""
+        refused: list[Decision] = []
+        for queue in self._queues.values():
+            while queue.waiting:
+                refused.append(Refused(queue.take(self.order, now_s), reason))
+        return refused
+
     def _configured(self, rule: RankRule) -> RankQueue:
         queue = self._queues.get(rule.rank) or RankQueue(rule)
         queue.rule = rule
--- a/ibisrack/calls/gate.py
+++ b/ibisrack/calls/gate.py
@@ -47,12 +47,21 @@
     async def slot(self, call: Call) -> AsyncIterator[None]:
         """Holds a slot for a call.
 
+        Raises:
+          NotRunError: The call was refused.
+        """
+        async with self.hold(call.call_id, call.route.rank, call.deadline_at_s):
+            yield
+
+    @asynccontextmanager
+    async def hold(self, call_id: str, rank: str, deadline_at_s: float) -> AsyncIterator[None]:
+        """Holds a slot for the call with an id.
+
         Raises:
           NotRunError: The call was refused.
         """
         now_s = read_clocks().monotonic_s
-        number = next(self._numbers)
-        ticket = Ticket(call.call_id, number, call.route.rank, now_s, call.deadline_at_s)
+        ticket = Ticket(call_id, next(self._numbers), rank, now_s, deadline_at_s)
         await self._enter(ticket, now_s)
         try:
             yield
@@ -63,6 +72,10 @@
         """Refuses waiting calls whose deadline has passed."""
         self.apply(self.scheduler.expire(read_clocks().monotonic_s))
 
+    def refuse_waiting(self, reason: Reason) -> None:
+        """Refuses every waiting call."""
+        self.apply(self.scheduler.refuse_waiting(reason, read_clocks().monotonic_s))
+
     def apply(self, decisions: Iterable[Decision]) -> None:
         """Carries out decisions about waiting calls."""
         for decision in decisions:
--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -35,3 +35,7 @@
     ANSWER_NOT_KEPT = "answer-not-kept"
     WRONG_ANSWER = "answer-of-another-call"
     UNDELIMITED_ANSWER = "answer-without-length"
+    NEVER_RECEIVED = "never-received"
+    CANCELLED = "cancelled"
+    MISDIRECTED = "misdirected"
+    NO_BUDGET = "no-retry-budget"
--- /dev/null
+++ b/ibisrack/dispatch/budget.py
@@ -0,0 +1,91 @@
+"""The part of the fleet's retry budget that one node may use.
+
+The budget bounds, for each service and any window, the arrivals at its instances beyond the first
+of each request, summed over all nodes.  Nodes do not talk about it: each keeps to its share.
+"""
+
+import math
+from collections import deque
+
+import attrs
+
+BUCKETS = 20  # Parts of a window in which arrivals are counted.
+MARGIN = 0.7  # Part of the budget that is used; nodes disagree on their number for a while.
+
+
+@attrs.define
+class Window:
+    """Counts over a sliding window.
+
+    Attributes:
+      length_s: Length of the window.
+    """
+
+    length_s: float
+    _buckets: deque[list] = attrs.field(factory=deque)  # Number of the bucket and its count.
+    _sum: int = 0
+
+    def add(self, now_s: float) -> None:
+        """Counts one."""
+        number = self._number(now_s)
+        if not self._buckets or self._buckets[-1][0] != number:
+            self._buckets.append([number, 0])
+        self._buckets[-1][1] += 1
+        self._sum += 1
+
+    def total(self, now_s: float) -> int:
+        """Returns the count within the window that ends now."""
+        oldest = self._number(now_s) - BUCKETS
+        while self._buckets and self._buckets[0][0] < oldest:
+            self._sum -= self._buckets.popleft()[1]
+        return self._sum
+
+    def _number(self, now_s: float) -> int:
+        return math.floor(now_s / self.length_s * BUCKETS)
+
+
+@attrs.define
+class ServiceBudget:
+    """Requests for a service and its repeats."""
+
+    requests: Window
+    repeats: Window
+
+
+@attrs.define
+class RepeatBudget:
+    """Budgets of all services.
+
+    Attributes:
+      ratio: Repeats for each request.
+      slack: Repeats beyond that, over all nodes.
+      window_s: Length of the window.
+      nodes: Number of nodes that share the slack.
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+    nodes: int = 1
+    _services: dict[str, ServiceBudget] = attrs.field(factory=dict)
+
+    def note(self, service: str, now_s: float) -> None:
+        """Counts a request."""
+        self._of(service).requests.add(now_s)
+
+    def spend(self, service: str, now_s: float) -> bool:
+        """Takes one repeat; returns whether it is allowed."""
+        budget = self._of(service)
+        requests = budget.requests.total(now_s)
+        allowed = MARGIN * (self.ratio * requests + self.slack / max(1, self.nodes))
+        if budget.repeats.total(now_s) + 1 > allowed:
+            return False
+        budget.repeats.add(now_s)
+        return True
+
+    def _of(self, service: str) -> ServiceBudget:
+        budget = self._services.get(service)
+        if budget is None:
+            budget = ServiceBudget(Window(self.window_s), Window(self.window_s))
+            self._services[service] = budget
+        return budget
--- /dev/null
+++ b/ibisrack/dispatch/dispatcher.py
@@ -0,0 +1,211 @@
+"""Takes requests where they arrive: finds the route, chooses instances, sends and repeats."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from functools import singledispatch
+from random import Random
+from typing import Protocol
+
+import attrs
+
+from ibisrack.calls.messages import Answer
+from ibisrack.calls.outcomes import Reason
+from ibisrack.clocks import read_clocks
+from ibisrack.dispatch.attempts import Attempts, Result
+from ibisrack.dispatch.budget import RepeatBudget
+from ibisrack.dispatch.choice import Views, choose
+from ibisrack.dispatch.request import Request
+from ibisrack.dispatch.verdicts import Failure, NoRoute, Refusal, Verdict
+from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.instances.directory import InstanceDirectory
+from ibisrack.instances.model import Instance
+from ibisrack.links.messages import Load, Submit
+from ibisrack.routing.holder import ConfigurationHolder
+from ibisrack.routing.splits import Splitter
+
+MAX_REFUSALS = 6  # Nodes that are asked for one request before the caller is told to come back.
+LEAST_RETRY_AFTER_S = 0.05
+NO_ROUTE_RETRY_AFTER_S = 0.3  # Until a node without a configuration has one.
+
+_LOGGER = logging.getLogger("ibisrack.dispatch")
+
+
+class Target(Protocol):
+    """The node beside an instance: this one, or a peer over its link."""
+
+    load: Load | None
+
+    def next_number(self) -> int:
+        """Returns a number for a new request."""
+
+    async def run(self, submit: Submit) -> Answer:
+        """Runs a request.
+
+        Raises:
+          NotRunError: It did not run.
+          UnknownOutcomeError: It may have run.
+        """
+
+
+@attrs.define(eq=False)
+class Dispatcher:
+    """Serves the requests of the callers on this machine.
+
+    Attributes:
+      zone: Own availability zone.
+      configurations: The configuration in force.
+      directory: The known instances.
+      target_of: Returns the node beside an instance.
+      budget: Repeats that are allowed.
+      rng: Source of jitter.
+      views: What is known of the instances.
+      splitter: Chooses among the services of a route.
+      running: Requests that are being served.
+    """
+
+    zone: str
+    configurations: ConfigurationHolder
+    directory: InstanceDirectory
+    target_of: Callable[[Instance], Target]
+    budget: RepeatBudget
+    rng: Random
+    views: Views = attrs.field(factory=Views)
+    splitter: Splitter = attrs.field(factory=Splitter)
+    running: int = 0
+
+    async def serve(self, request: Request) -> Verdict:
+        """Returns what the caller of a request is told."""
+        self.running += 1
+        try:
+            return await self._serve(request)
+        finally:
+            self.running -= 1
+
+    async def _serve(self, request: Request) -> Verdict:
+        if self.configurations.current is None:
+            return Refusal(Reason.NO_VERSION, NO_ROUTE_RETRY_AFTER_S)
+        version = self.configurations.version
+        route = self.configurations.table.find(request.host, request.path)
+        if route is None:
+            return NoRoute()
+        due_at_s = min(request.deadline_at_s, request.received_at_s + route.timeout_s)
+        service = self.splitter.service(route)
+        attempts = Attempts(route, service, due_at_s, self.budget)
+        self.budget.note(service, request.received_at_s)
+        try:
+            async with asyncio.timeout(due_at_s - read_clocks().monotonic_s):
+                result = await self._attempt_all(request, attempts)
+        except TimeoutError:
+            result = UnknownOutcomeError(Reason.DEADLINE)
+        verdict = to_verdict(result, self, attempts)
+        if not isinstance(verdict, Answer):
+            _log(request, attempts, version, verdict)
+        return verdict
+
+    async def _attempt_all(self, request: Request, attempts: Attempts) -> Result:
+        """Makes attempts until one of them is final."""
+        tried: set[str] = set()
+        result: Result = NotRunError(Reason.NO_INSTANCE)
+        while len(tried) < MAX_REFUSALS:
+            instance = self._choose(attempts, tried)
+            if instance is None:
+                break
+            tried.add(instance.instance_id)
+            result = await self._attempt(request, attempts, instance, len(tried))
+            if not attempts.again(result, read_clocks().monotonic_s):
+                break
+        return attempts.verdict(result)
+
+    def _choose(self, attempts: Attempts, tried: set[str]) -> Instance | None:
+        route, now_s = attempts.route, read_clocks().monotonic_s
+        candidates = [
+            instance
+            for instance in self.directory.of(attempts.service)
+            if instance.ready and instance.instance_id not in tried
+        ]
+        for instance in candidates:
+            load = self.target_of(instance).load
+            if load is not None:
+                self.views.of(instance.instance_id).report(load)
+        cost_s = self.views.zone_cost(route.name) * route.target_s
+        return choose(candidates, self.views, self.zone, cost_s, self.rng, now_s)
+
+    async def _attempt(
+        self, request: Request, attempts: Attempts, instance: Instance, number: int
+    ) -> Result:
+        """Makes one attempt and keeps what it showed of the instance."""
+        name, route = instance.instance_id, attempts.route
+        view, target = self.views.of(name), self.target_of(instance)
+        now_s = read_clocks().monotonic_s
+        left_ms = int((attempts.deadline_at_s - now_s) * 1000)
+        if left_ms <= 0:
+            return NotRunError(Reason.DEADLINE)
+        submit = Submit(
+            number=target.next_number(),
+            request_id=request.request_id,
+            attempt=number,
+            instance_id=name,
+            service=attempts.service,
+            rank=route.rank,
+            repeatable=route.repeatable,
+            left_ms=left_ms,
+            target_ms=int((request.received_at_s + route.target_s - now_s) * 1000),
+            caller_service=request.caller_service,
+            method=request.method,
+            host=request.host,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+        )
+        view.in_flight += 1
+        view.sent_since += 1
+        try:
+            answer = await target.run(submit)
+        except NotRunError as error:
+            self.views.avoid(name, error.reason, read_clocks().monotonic_s)
+            return error
+        except UnknownOutcomeError as error:
+            self.views.failed(name, read_clocks().monotonic_s)
+            return error
+        finally:
+            view.in_flight -= 1
+        self.views.note_size(route.name, len(answer.body))
+        return answer
+
+    def retry_after_s(self, attempts: Attempts) -> float:
+        """Returns when a refused caller may come back."""
+        return max(LEAST_RETRY_AFTER_S, attempts.route.target_s / 4)
+
+
+@singledispatch
+def to_verdict(result: object, dispatcher: Dispatcher, attempts: Attempts) -> Verdict:
+    """Returns what a caller is told about a result."""
+    return result
+
+
+@to_verdict.register
+def _(result: NotRunError, dispatcher: Dispatcher, attempts: Attempts) -> Verdict:
+    return Refusal(str(result.reason), dispatcher.retry_after_s(attempts))
+
+
+@to_verdict.register
+def _(result: UnknownOutcomeError, dispatcher: Dispatcher, attempts: Attempts) -> Verdict:
+    return Failure(str(result.reason), result.reason == Reason.DEADLINE)
+
+
+def _log(request: Request, attempts: Attempts, version: int, verdict: Verdict) -> None:
+    now_s = read_clocks().monotonic_s
+    _LOGGER.info(
+        "request not served",
+        extra={
+            "request_id": request.request_id,
+            "route": attempts.route.name,
+            "service": attempts.service,
+            "version": version,
+            "arrivals": attempts.arrivals,
+            "held_ms": round((now_s - request.received_at_s) * 1000),
+            "verdict": type(verdict).__name__,
+            "reason": getattr(verdict, "reason", ""),
+        },
+    )
--- a/ibisrack/errors.py
+++ b/ibisrack/errors.py
@@ -61,6 +61,10 @@
     """The platform's service did not answer in time."""
 
 
+class HistoryGoneError(PlatformError):
+    """The platform's service does not know the changes since a revision any more."""
+
+
 class PeerError(IbisError):
     """A peer node did not answer a control exchange."""
 
--- /dev/null
+++ b/ibisrack/instances/__init__.py
@@ -0,0 +1,1 @@
+"""Instances: which upstreams exist, where they are and whether they take requests."""
--- /dev/null
+++ b/ibisrack/platform/front.py
@@ -0,0 +1,188 @@
+"""The HTTP front end for callers on this machine, and the readiness check of the platform."""
+
+from collections.abc import Awaitable, Callable
+from functools import singledispatch
+from http import HTTPStatus
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestPayloadError
+
+from ibisrack.calls.messages import Answer
+from ibisrack.calls.relay import relayed
+from ibisrack.clocks import read_clocks
+from ibisrack.dispatch.request import Request
+from ibisrack.dispatch.verdicts import Failure, NoRoute, Refusal, Verdict
+from ibisrack.errors import RequestError
+from ibisrack.platform.headers import DEADLINE_MS, REQUEST_ID, RETRY_AFTER, SET_BY_NODES, plain
+from ibisrack.routing.model import Limits
+
+READY_PATH = "/-/readyz"
+NO_DEADLINE_MS = 3_600_000  # A caller that names no deadline is bound by the route's timeout.
+MAX_HEADERS = 256
+
+Serve = Callable[[Request], Awaitable[Verdict]]
+
+
+class CallerConnection(web.RequestHandler):
+    """One connection of a caller."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answers a request that is not valid HTTP, or that a programming error ended."""
+        if status != HTTPStatus.BAD_REQUEST:
+            return super().handle_error(request, status, exc, message)
+        response = web.Response(status=status, text="the request is not valid HTTP\n")
+        response.force_close()
+        return response
+
+
+class CallerServer(web.Server):
+    """Serves callers: one task for each connection.
+
+    Attributes:
+      limits: Returns the limits of the configuration in force.
+      serve: Serves a request.
+      caller_service: Returns the service on this machine.
+      is_leaving: Returns whether connections should end with their next answer.
+    """
+
+    def __init__(
+        self,
+        serve: Serve,
+        limits: Callable[[], Limits],
+        caller_service: Callable[[], str],
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        super().__init__(self._handle, handler_cancellation=True)
+        self.serve = serve
+        self.limits = limits
+        self.caller_service = caller_service
+        self.is_leaving = is_leaving
+
+    def __call__(self) -> web.RequestHandler:
+        """Returns the protocol of a new connection."""
+        limits = self.limits()
+        return CallerConnection(
+            self,
+            loop=self._loop,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=limits.idle_timeout_s,
+            max_line_size=limits.max_header_bytes,
+            max_field_size=limits.max_header_bytes,
+            max_headers=MAX_HEADERS,
+        )
+
+    async def _handle(self, message: web.BaseRequest) -> web.StreamResponse:
+        received_at_s = read_clocks().monotonic_s
+        try:
+            request = await self._request(message, received_at_s)
+        except RequestError as error:
+            response = web.Response(status=error.status, text=f"{error}\n")
+            response.force_close()
+            return response
+        response = respond(await self.serve(request))
+        response.headers.setdefault(REQUEST_ID, request.request_id)
+        if self.is_leaving():
+            response.force_close()
+        return response
+
+    async def _request(self, message: web.BaseRequest, received_at_s: float) -> Request:
+        """Reads a request.
+
+        Raises:
+          RequestError: The request is malformed.
+        """
+        headers = message.headers
+        target = message._message.path  # The bytes as sent: every accessor normalises them.
+        request_id = headers.get(REQUEST_ID, "")
+        if not request_id or not target.isascii() or not target.startswith("/"):
+            raise RequestError(f"a request needs {REQUEST_ID} and a path")
+        body = await _read_body(message, self.limits().max_body_bytes)
+        forwarded = tuple(plain(relayed(headers), without=SET_BY_NODES).items())
+        return Request(
+            request_id=request_id,
+            method=message.method,
+            host=headers.get("Host", ""),
+            target=target,
+            headers=forwarded,
+            body=body,
+            caller_service=self.caller_service(),
+            received_at_s=received_at_s,
+            deadline_at_s=received_at_s + _deadline_ms(headers.get(DEADLINE_MS)) / 1000,
+        )
+
+
+class ReadyServer(web.Server):
+    """Answers the platform's readiness check."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        super().__init__(self._handle, access_log=None)
+        self._is_ready = is_ready
+
+    async def _handle(self, message: web.BaseRequest) -> web.StreamResponse:
+        if message.path != READY_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self._is_ready() else 503)
+
+
+@singledispatch
+def respond(verdict: object) -> web.Response:
+    """Returns the HTTP response of a verdict."""
+    raise TypeError(f"unknown verdict {type(verdict).__name__}")
+
+
+@respond.register
+def _(verdict: Answer) -> web.Response:
+    return web.Response(status=verdict.status, headers=verdict.headers, body=verdict.body)
+
+
+@respond.register
+def _(verdict: Refusal) -> web.Response:
+    headers = {RETRY_AFTER: f"{verdict.retry_after_s:.3f}"}
+    return web.Response(status=503, headers=headers, text=f"not run: {verdict.reason}\n")
+
+
+@respond.register
+def _(verdict: NoRoute) -> web.Response:
+    return web.Response(status=404, text="no route\n")
+
+
+@respond.register
+def _(verdict: Failure) -> web.Response:
+    return web.Response(status=504 if verdict.late else 502, text=f"unknown: {verdict.reason}\n")
+
+
+def _deadline_ms(text: str | None) -> int:
+    if text is None:
+        return NO_DEADLINE_MS
+    if not text.isascii() or not text.isdigit() or len(text) > 10:
+        raise RequestError(f"{DEADLINE_MS} must be a whole number")
+    return int(text)
+
+
+async def _read_body(message: web.BaseRequest, limit_bytes: int) -> bytes:
+    if not message.can_read_body:
+        return b""
+    if (message.content_length or 0) > limit_bytes:
+        raise RequestError(f"the body is larger than {limit_bytes} bytes", 413)
+    if message.headers.get("Expect", "").lower() == "100-continue":
+        message.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    parts: list[bytes] = []
+    size = 0
+    try:
+        while part := await message.content.readany():
+            parts.append(part)
+            size += len(part)
+            if size > limit_bytes:
+                raise RequestError(f"the body is larger than {limit_bytes} bytes", 413)
+    except RequestPayloadError as error:
+        raise RequestError("the body is not valid HTTP") from error
+    return b"".join(parts)
--- /dev/null
+++ b/ibisrack/platform/upstream.py
@@ -0,0 +1,121 @@
+"""Sends requests to the instance beside the node over HTTP and checks its answers."""
+
+import attrs
+from aiohttp import ClientError, StreamReader
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.http_exceptions import HttpProcessingError
+
+from ibisrack.calls.messages import Answer
+from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.relay import relayed
+from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.links.messages import Submit
+from ibisrack.platform.headers import (
+    CALLER_SERVICE,
+    DEADLINE_MS,
+    EXPECTED_INSTANCE,
+    NOT_EXECUTED,
+    REQUEST_ID,
+    SIGNATURE,
+    plain,
+)
+from ibisrack.upstreams.connections import ConnectionPool
+
+MISDIRECTED = 421  # Another instance has the address.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_STRAY_ANSWERS = 4  # Answers to other requests that are skipped on a connection.
+
+_BROKEN = (ClientError, HttpProcessingError, OSError)
+_BODILESS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
+
+
+@attrs.define(eq=False)
+class HttpUpstream:
+    """The instance beside the node.
+
+    Attributes:
+      pool: Connections to it.
+    """
+
+    pool: ConnectionPool
+
+    async def send(self, submit: Submit, left_s: float) -> Answer:
+        """Sends a request; see ibisrack.hosting.host.Upstream."""
+        left_ms = int(left_s * 1000)
+        if left_ms <= 0:
+            raise NotRunError(Reason.DEADLINE)
+        connection = self.pool.take_idle()
+        if connection is None:  # A connection without unread answers is falsy.
+            connection = await self.pool.acquire()
+        try:
+            connection.set_response_params(
+                skip_payload=submit.method == "HEAD", auto_decompress=False
+            )
+            connection.transport.write(_encode(submit, left_ms))
+            answer = await self._answer(connection, submit)
+        except _BROKEN as error:
+            self.pool.discard(connection)
+            raise UnknownOutcomeError(Reason.CONNECTION_LOST) from error
+        except BaseException:
+            self.pool.discard(connection)
+            raise
+        self.pool.release(connection)
+        return answer
+
+    async def _answer(self, connection: ResponseHandler, submit: Submit) -> Answer:
+        message, body = await self._own_answer(connection, submit)
+        headers = message.headers
+        if NOT_EXECUTED in headers:
+            if message.code == MISDIRECTED:
+                raise NotRunError(Reason.MISDIRECTED)
+            raise NotRunError(Reason.SHED)
+        if message.code == MISDIRECTED:
+            raise NotRunError(Reason.MISDIRECTED)
+        if "Content-Encoding" in headers or SIGNATURE not in headers:
+            raise UnknownOutcomeError(Reason.WRONG_ANSWER)
+        return Answer(message.code, plain(relayed(headers)), body)
+
+    async def _own_answer(
+        self, connection: ResponseHandler, submit: Submit
+    ) -> tuple[RawResponseMessage, bytes]:
+        """Reads the answer to a request, past late answers to earlier ones."""
+        strays = 0
+        while True:
+            message, content = await connection.read()
+            if message.code < 200:
+                continue
+            body = await _read(content)
+            echoed = message.headers.get(REQUEST_ID, submit.request_id)
+            if echoed == submit.request_id:
+                return message, body
+            strays += 1
+            connection.force_close()
+            if strays > MAX_STRAY_ANSWERS:
+                raise UnknownOutcomeError(Reason.WRONG_ANSWER)
+
+
+async def _read(content: StreamReader) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    while part := await content.readany():
+        parts.append(part)
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            raise UnknownOutcomeError(Reason.TOO_LARGE)
+    return b"".join(parts)
+
+
+def _encode(submit: Submit, left_ms: int) -> bytes:
+    lines = [f"{submit.method} {submit.target} HTTP/1.1", f"Host: {submit.host}"]
+    lines += [f"{name}: {value}" for name, value in submit.headers]
+    lines += [
+        f"{REQUEST_ID}: {submit.request_id}",
+        f"{DEADLINE_MS}: {left_ms}",
+        f"{EXPECTED_INSTANCE}: {submit.instance_id}",
+        f"{CALLER_SERVICE}: {submit.caller_service}",
+    ]
+    if submit.body or submit.method not in _BODILESS:
+        lines.append(f"Content-Length: {len(submit.body)}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1") + submit.body
--- /dev/null
+++ b/ibisrack/routing/table.py
@@ -0,0 +1,46 @@
+"""Finds the route of a request: the longest prefix among the routes of its host."""
+
+import attrs
+
+from ibisrack.routing.model import Configuration, Route
+
+
+@attrs.frozen
+class RouteTable:
+    """Routes by host and prefix.
+
+    Attributes:
+      by_host: Prefixes of each host with their routes.
+    """
+
+    by_host: dict[str, dict[str, Route]]
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest matching prefix, or None.
+
+        Prefixes end with a slash, so the candidates are the path's own prefixes up to each slash.
+
+        Args:
+          host: Host header as the caller sent it, with or without a port.
+          path: Path of the request without its query, byte for byte.
+        """
+        prefixes = self.by_host.get(host)
+        if prefixes is None:
+            prefixes = self.by_host.get(host.partition(":")[0].lower())
+        if prefixes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def build_table(configuration: Configuration) -> RouteTable:
+    """Returns the table of a configuration's routes."""
+    by_host: dict[str, dict[str, Route]] = {}
+    for route in configuration.routes:
+        by_host.setdefault(route.host, {})[route.prefix] = route
+    return RouteTable(by_host)
--- /dev/null
+++ b/ibisrack/sidecar/run.py
@@ -0,0 +1,153 @@
+"""Runs a sidecar process: assembles its parts, serves, and stops without cutting requests off."""
+
+import asyncio
+import logging
+import signal
+from functools import partial
+from random import Random
+
+from aiohttp import web
+
+from ibisrack.calls.admission import Scheduler
+from ibisrack.calls.gate import Gate
+from ibisrack.clocks import read_clocks
+from ibisrack.dispatch.budget import RepeatBudget
+from ibisrack.dispatch.dispatcher import Dispatcher
+from ibisrack.hosting.host import Host
+from ibisrack.instances.directory import InstanceDirectory
+from ibisrack.links.incoming import ServedLink, serve_link
+from ibisrack.node.tasks import keep_running
+from ibisrack.platform.entries import (
+    CONFIGURATION_KEY,
+    decode_configuration,
+    decode_instance,
+    instance_id,
+)
+from ibisrack.platform.front import CallerServer, ReadyServer
+from ibisrack.platform.store import StoreClient, open_session
+from ibisrack.platform.upstream import HttpUpstream
+from ibisrack.registry.follower import RegistryFollower
+from ibisrack.registry.view import RegistryView
+from ibisrack.routing.holder import ConfigurationHolder
+from ibisrack.routing.model import Limits
+from ibisrack.settings.sidecar import SidecarSettings
+from ibisrack.sidecar.node import SidecarNode
+from ibisrack.upstreams.connections import ConnectionPool
+from ibisrack.upstreams.sizing import PoolSizing
+
+BACKLOG = 1024
+FIRST_CONNECTIONS = 4  # Limit of the pool until the registry lists the instance's slots.
+SPARE_CONNECTIONS = 2  # Beyond the slots, for connections that are being replaced.
+# Callers are moved away after two checks, one a second; requests come until then.
+LEAST_STOP_S = 2.6
+STOP_MARGIN_S = 0.4  # Before the process would be killed.
+STOP_POLL_S = 0.05
+
+_LOGGER = logging.getLogger("ibisrack.sidecar")
+
+
+class PlatformEntries:
+    """Decodes the platform's entries; see ibisrack.sidecar.node.EntryDecoder."""
+
+    configuration_key = CONFIGURATION_KEY
+    instance_id = staticmethod(instance_id)
+    instance = staticmethod(decode_instance)
+    configuration = staticmethod(decode_configuration)
+
+
+def assemble(settings: SidecarSettings) -> SidecarNode:
+    """Returns a node that has just started."""
+    rng = Random(f"{settings.node_id} {read_clocks().wall_ms}")
+    directory, configurations = InstanceDirectory(), ConfigurationHolder()
+    pool = ConnectionPool(
+        settings.instance.host, settings.instance.port, PoolSizing(FIRST_CONNECTIONS)
+    )
+    address = (settings.instance.host, settings.instance.port)
+    host = Host(address, Gate(Scheduler(slots=1)), HttpUpstream(pool), directory)
+    node = SidecarNode(
+        settings, PlatformEntries(), rng, directory, configurations, RegistryView(), host
+    )
+    node.on_slots = lambda slots: pool.resize(slots + SPARE_CONNECTIONS, 0)
+    budget = RepeatBudget(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
+    node.dispatcher = Dispatcher(
+        settings.zone, configurations, directory, node.target_of, budget, rng
+    )
+    return node
+
+
+async def run_sidecar(settings: SidecarSettings) -> None:
+    """Runs a sidecar until SIGTERM or SIGINT."""
+    node = assemble(settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    async with open_session() as session:
+        store = StoreClient(session, settings.registry.host, settings.registry.port)
+        follower = RegistryFollower(
+            store, node.view, node.rng, on_entries=node.take, on_state=node.registry_state
+        )
+        node.learn_from(follower.learn)
+        runners = await _serve(node)
+        _LOGGER.info("started", extra={"node": settings.node_id, "service": settings.service})
+        tasks = [
+            loop.create_task(keep_running("registry", follower.follow)),
+            loop.create_task(keep_running("tick", node.tick)),
+        ]
+        await stop.wait()
+        await _drain(node)
+        _LOGGER.info("stopped", extra={"node": settings.node_id})
+        for task in tasks:
+            task.cancel()
+        for runner in runners:
+            await runner.cleanup()
+
+
+async def _serve(node: SidecarNode) -> list[web.BaseRunner]:
+    settings = node.settings
+
+    def open_link(writer: asyncio.StreamWriter) -> ServedLink:
+        return ServedLink(node.host, node.load, node.entries_after, writer)
+
+    await asyncio.start_server(
+        partial(serve_link, node.hello, open_link, node.served),
+        settings.links.host,
+        settings.links.port,
+        backlog=BACKLOG,
+    )
+    callers = CallerServer(
+        node.dispatcher.serve,
+        limits=lambda: (
+            node.configurations.current.limits if node.configurations.current else Limits()
+        ),
+        caller_service=lambda: node.settings.service,
+        is_leaving=lambda: node.leaving,
+    )
+    runners: list[web.BaseRunner] = []
+    for server, address in (
+        (callers, settings.calls),
+        (ReadyServer(lambda: node.ready), settings.ready),
+    ):
+        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, address.host, address.port, backlog=BACKLOG).start()
+        runners.append(runner)
+    return runners
+
+
+async def _drain(node: SidecarNode) -> None:
+    """Says that the node leaves, and waits until nobody is cut off by its end."""
+    start_s = read_clocks().monotonic_s
+    node.leaving = True
+    node.host.stopping = True
+    for link in node.served:
+        link.tell_load()
+    _LOGGER.info("stopping", extra={"node": node.settings.node_id})
+    while True:
+        await asyncio.sleep(STOP_POLL_S)
+        elapsed_s = read_clocks().monotonic_s - start_s
+        idle = not node.host.gate.load().busy and not node.dispatcher.running
+        if elapsed_s >= LEAST_STOP_S and idle:
+            return
+        if elapsed_s >= node.settings.stop_s - STOP_MARGIN_S:
+            return
