Serve calls in time first at the owner

Cause: in an overload the owner's queue served calls in the order of arrival, so all were late. The scheduler takes another order (nearest target first) and another choice of rank (ranks with calls in time first); a call that cannot meet its target behind those that wait is refused at once.

--- a/ibisrack/calls/admission.py
+++ b/ibisrack/calls/admission.py
@@ -10,7 +10,15 @@
 import attrs
 
 from ibisrack.calls.outcomes import Reason
-from ibisrack.calls.ranks import OldestFirst, RankQueue, SharedPriority, Ticket, pick
+from ibisrack.calls.ranks import (
+    OldestFirst,
+    RankQueue,
+    SharedPriority,
+    Ticket,
+    expiry_s,
+    pick,
+    refusal,
+)
 from ibisrack.rules.model import RankRule
 
 
@@ -127,11 +135,12 @@
             return self._submit_to_slot(queue, ticket, now_s)
         if len(queue.waiting) >= queue.rule.max_queue:
             return Refused(ticket, Reason.QUEUE_FULL)
-        needed_s = queue.expected_wait_s() + queue.margin_s(ticket)
-        if queue.waiting and needed_s > ticket.deadline_at_s - now_s:
-            return Refused(ticket, Reason.TOO_BUSY)
+        reason = refusal(self.order, queue, ticket, now_s)
+        if reason is not None:
+            return Refused(ticket, reason)
         queue.add(ticket, now_s)
-        heapq.heappush(self._deadlines, (ticket.deadline_at_s, ticket.number, ticket))
+        until_s = expiry_s(self.order, ticket)
+        heapq.heappush(self._deadlines, (until_s, ticket.number, ticket))
         return Queued(ticket)
 
     def finish(self, ticket: Ticket, now_s: float) -> list[Decision]:
--- a/ibisrack/calls/gate.py
+++ b/ibisrack/calls/gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from functools import singledispatch
@@ -54,14 +55,16 @@
             yield
 
     @asynccontextmanager
-    async def hold(self, call_id: str, rank: str, deadline_at_s: float) -> AsyncIterator[None]:
+    async def hold(
+        self, call_id: str, rank: str, deadline_at_s: float, target_at_s: float = math.inf
+    ) -> AsyncIterator[None]:
         """Holds a slot for the call with an id.
 
         Raises:
           NotRunError: The call was refused.
         """
         now_s = read_clocks().monotonic_s
-        ticket = Ticket(call_id, next(self._numbers), rank, now_s, deadline_at_s)
+        ticket = Ticket(call_id, next(self._numbers), rank, now_s, deadline_at_s, target_at_s)
         await self._enter(ticket, now_s)
         try:
             yield
--- a/ibisrack/calls/ranks.py
+++ b/ibisrack/calls/ranks.py
@@ -1,5 +1,6 @@
 """Waiting and running calls of one rank, and the choice of the rank that is served next."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Sequence
 from functools import singledispatch
@@ -7,6 +8,7 @@
 import attrs
 
 from ibisrack.calls.estimates import ServiceEstimate
+from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.shares import ShareAccount
 from ibisrack.rules.model import RankRule
 
@@ -23,6 +25,7 @@
       rank: Name of the rank.
       arrived_at_s: Monotonic time of the arrival.
       deadline_at_s: Monotonic time at which the caller gives up.
+      target_at_s: Monotonic time at which the answer loses most of its value.
     """
 
     call_id: str
@@ -30,6 +33,7 @@
     rank: str
     arrived_at_s: float
     deadline_at_s: float
+    target_at_s: float = math.inf
 
 
 @attrs.frozen
@@ -37,17 +41,6 @@
     """Serves the calls of a rank in the order of their arrival."""
 
 
-@singledispatch
-def take(order: object, waiting: OrderedDict[int, Ticket]) -> Ticket:
-    """Removes and returns the call of a rank that is served next."""
-    raise TypeError(f"unknown order {type(order).__name__}")
-
-
-@take.register
-def _(order: OldestFirst, waiting: OrderedDict[int, Ticket]) -> Ticket:
-    return waiting.popitem(last=False)[1]
-
-
 @attrs.define(eq=False)
 class RankQueue:
     """Calls of one rank.
@@ -92,7 +85,7 @@
     def take(self, order: object, now_s: float) -> Ticket:
         """Removes the call that is served next."""
         self.advance(now_s)
-        return take(order, self.waiting)
+        return take(order, self, now_s)
 
     def remove(self, ticket: Ticket, now_s: float) -> bool:
         """Removes a waiting call; returns whether it waited."""
@@ -119,9 +112,12 @@
         self.estimate.add(service_s)
         self.account.charge(service_s - charged_s, self.estimate.mean_s)
 
-    def expected_wait_s(self) -> float:
+    def expected_wait_s(self, ahead: int | None = None) -> float:
         """Returns how long a call that joins the queue now is expected to wait.
 
+        Args:
+          ahead: Waiting calls that are served before it; all of them by default.
+
         The interval between starts is measured.  It cannot be shorter than all slots together
         allow, nor longer than the guaranteed share does.
         """
@@ -129,7 +125,7 @@
         gap_s = max(self._gap_s, mean_s / min(self.slots, self.rule.max_slots or self.slots))
         if self.account.rate > 0:
             gap_s = min(gap_s, mean_s / self.account.rate)
-        return (len(self.waiting) + 1) * gap_s
+        return ((len(self.waiting) if ahead is None else ahead) + 1) * gap_s
 
     def margin_s(self, ticket: Ticket) -> float:
         """Returns the time that a call should have left when it starts.
@@ -140,6 +136,36 @@
         return min(self.estimate.tail_s, (ticket.deadline_at_s - ticket.arrived_at_s) / 2)
 
 
+@singledispatch
+def take(order: object, queue: RankQueue, now_s: float) -> Ticket:
+    """Removes and returns the call of a rank that is served next."""
+    raise TypeError(f"unknown order {type(order).__name__}")
+
+
+@take.register
+def _(order: OldestFirst, queue: RankQueue, now_s: float) -> Ticket:
+    return queue.waiting.popitem(last=False)[1]
+
+
+@singledispatch
+def refusal(order: object, queue: RankQueue, ticket: Ticket, now_s: float) -> Reason | None:
+    """Returns why a call that would have to wait is refused, None when it may wait."""
+    raise TypeError(f"unknown order {type(order).__name__}")
+
+
+@refusal.register
+def _(order: OldestFirst, queue: RankQueue, ticket: Ticket, now_s: float) -> Reason | None:
+    needed_s = queue.expected_wait_s() + queue.margin_s(ticket)
+    is_late = queue.waiting and needed_s > ticket.deadline_at_s - now_s
+    return Reason.TOO_BUSY if is_late else None
+
+
+@singledispatch
+def expiry_s(order: object, ticket: Ticket) -> float:
+    """Returns the monotonic time until which a call may wait."""
+    return ticket.deadline_at_s
+
+
 @attrs.frozen
 class SharedPriority:
     """Strict order of ranks above a guaranteed share of slot time for each."""
--- /dev/null
+++ b/ibisrack/calls/targets.py
@@ -0,0 +1,82 @@
+"""Order of waiting calls by the time at which their answers lose most of their value.
+
+A call that can still be answered in time goes before one that can't, whatever their ranks, unless
+a rank is short of its guaranteed share.  A queue that served its calls in the order of arrival
+would answer all of them late in an overload; this one answers as many in time as there are slots.
+"""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+import attrs
+
+from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.ranks import RankQueue, Ticket, expiry_s, pick, refusal, take
+
+# Part of the mean service time that must be left before the target for a call to count as in time.
+IN_TIME_MEANS = 0.7
+# Part of its whole time after which a call that still waits is refused; holding it longer would
+# leave its caller no time to come back.
+PATIENCE = 0.4
+LATE_PER_SLOT = 0.5  # Calls past their target that may wait at an instance, for each of its slots.
+
+
+@attrs.frozen
+class EarliestTarget:
+    """Serves calls in time first, those with the nearest target before others."""
+
+
+@attrs.frozen
+class InTimeFirst:
+    """Serves ranks with calls in time by precedence, then the other ranks by precedence."""
+
+
+def in_time(ticket: Ticket, mean_s: float, now_s: float) -> bool:
+    """Tells whether a call that starts now is expected to meet its target."""
+    return ticket.target_at_s - now_s >= mean_s * IN_TIME_MEANS
+
+
+@take.register
+def _(order: EarliestTarget, queue: RankQueue, now_s: float) -> Ticket:
+    waiting: OrderedDict[int, Ticket] = queue.waiting
+    chosen = min(waiting.values(), key=lambda ticket: _place(ticket, queue, now_s))
+    return waiting.pop(chosen.number)
+
+
+@refusal.register
+def _(order: EarliestTarget, queue: RankQueue, ticket: Ticket, now_s: float) -> Reason | None:
+    mean_s = queue.estimate.mean_s
+    if not in_time(ticket, mean_s, now_s):
+        late = sum(not in_time(other, mean_s, now_s) for other in queue.waiting.values())
+        return Reason.TOO_BUSY if late >= queue.slots * LATE_PER_SLOT else None
+    ahead = sum(
+        in_time(other, mean_s, now_s) and other.target_at_s <= ticket.target_at_s
+        for other in queue.waiting.values()
+    )
+    wait_s = queue.expected_wait_s(ahead)
+    return None if in_time(ticket, mean_s, now_s + wait_s) else Reason.TOO_BUSY
+
+
+@expiry_s.register
+def _(order: EarliestTarget, ticket: Ticket) -> float:
+    return ticket.arrived_at_s + (ticket.deadline_at_s - ticket.arrived_at_s) * PATIENCE
+
+
+@pick.register
+def _(policy: InTimeFirst, ready: Sequence[RankQueue], now_s: float) -> RankQueue:
+    for queue in ready:
+        queue.advance(now_s)
+        if queue.account.is_owed(queue.estimate.mean_s):
+            return queue
+    for queue in ready:
+        mean_s = queue.estimate.mean_s
+        if any(in_time(ticket, mean_s, now_s) for ticket in queue.waiting.values()):
+            return queue
+    return ready[0]
+
+
+def _place(ticket: Ticket, queue: RankQueue, now_s: float) -> tuple[bool, float]:
+    """Returns the place of a call in its queue, the lowest first."""
+    if in_time(ticket, queue.estimate.mean_s, now_s):
+        return False, ticket.target_at_s
+    return True, ticket.arrived_at_s
--- a/ibisrack/hosting/host.py
+++ b/ibisrack/hosting/host.py
@@ -106,7 +106,8 @@
         start_s = read_clocks().monotonic_s
         deadline_at_s = start_s + submit.left_ms / 1000 - VERDICT_S
         self._check(submit)
-        async with self.gate.hold(submit.request_id, submit.rank, deadline_at_s):
+        target_at_s = start_s + submit.target_ms / 1000
+        async with self.gate.hold(submit.request_id, submit.rank, deadline_at_s, target_at_s):
             self._check(submit)
             now_s = read_clocks().monotonic_s
             answer = await self.upstream.send(submit, deadline_at_s + VERDICT_S - now_s)
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -10,6 +10,7 @@
 
 from ibisrack.calls.admission import Scheduler
 from ibisrack.calls.gate import Gate
+from ibisrack.calls.targets import EarliestTarget, InTimeFirst
 from ibisrack.clocks import read_clocks
 from ibisrack.dispatch.budget import RepeatBudget
 from ibisrack.dispatch.dispatcher import Dispatcher
@@ -63,7 +64,9 @@
         settings.instance.host, settings.instance.port, PoolSizing(FIRST_CONNECTIONS)
     )
     address = (settings.instance.host, settings.instance.port)
-    host = Host(address, Gate(Scheduler(slots=1)), HttpUpstream(pool), directory)
+    host = Host(
+        address, Gate(Scheduler(1, InTimeFirst(), EarliestTarget())), HttpUpstream(pool), directory
+    )
     node = SidecarNode(
         settings, PlatformEntries(), rng, directory, configurations, RegistryView(), host
     )
