--- a/ibisrack/bin/ibis_sidecar.py
+++ b/ibisrack/bin/ibis_sidecar.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from pathlib import Path
 
 from ibisrack.bin.common import EXIT_USAGE, log_as_json
 from ibisrack.bin.loop import run_on_uvloop
@@ -20,7 +21,7 @@
             print(fault, file=sys.stderr)
         sys.exit(EXIT_USAGE)
     log_as_json()
-    run_on_uvloop(run_sidecar(settings))
+    run_on_uvloop(run_sidecar(settings, Path(path), load_platform_settings))
 
 
 if __name__ == "__main__":
--- a/ibisrack/calls/admission.py
+++ b/ibisrack/calls/admission.py
@@ -167,12 +167,16 @@
                 refused.append(Refused(ticket, Reason.DEADLINE))
         return refused
 
-    def refuse_waiting(self, reason: Reason, now_s: float) -> list[Decision]:
-        """Refuses every waiting call."""
+    def refuse_waiting(
+        self, reason: Reason, now_s: float, call_ids: frozenset[str] | None = None
+    ) -> list[Decision]:
+        """Refuses waiting calls: all of them, or those with the given ids."""
         refused: list[Decision] = []
         for queue in self._queues.values():
-            while queue.waiting:
-                refused.append(Refused(queue.take(self.order, now_s), reason))
+            for ticket in tuple(queue.waiting.values()):
+                if call_ids is None or ticket.call_id in call_ids:
+                    queue.remove(ticket, now_s)
+                    refused.append(Refused(ticket, reason))
         return refused
 
     def _configured(self, rule: RankRule) -> RankQueue:
--- a/ibisrack/calls/gate.py
+++ b/ibisrack/calls/gate.py
@@ -79,6 +79,11 @@
         """Refuses every waiting call."""
         self.apply(self.scheduler.refuse_waiting(reason, read_clocks().monotonic_s))
 
+    def refuse(self, call_id: str, reason: Reason) -> None:
+        """Refuses a call if it waits."""
+        now_s = read_clocks().monotonic_s
+        self.apply(self.scheduler.refuse_waiting(reason, now_s, frozenset((call_id,))))
+
     def apply(self, decisions: Iterable[Decision]) -> None:
         """Carries out decisions about waiting calls."""
         for decision in decisions:
--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -38,4 +38,4 @@
     NEVER_RECEIVED = "never-received"
     CANCELLED = "cancelled"
     MISDIRECTED = "misdirected"
-    NO_BUDGET = "no-retry-budget"
+    WITHDRAWN = "withdrawn"
--- a/ibisrack/calls/targets.py
+++ b/ibisrack/calls/targets.py
@@ -18,12 +18,15 @@
 # Part of its whole time after which a call that still waits is refused; holding it longer would
 # leave its caller no time to come back.
 PATIENCE = 0.4
+# How much of a target counts in the order of calls in time.  With the whole of it, calls with long
+# targets would never start in an overload; with none, short ones would wait behind them.
+TARGET_WEIGHT = 0.3
 LATE_PER_SLOT = 0.5  # Calls past their target that may wait at an instance, for each of its slots.
 
 
 @attrs.frozen
 class EarliestTarget:
-    """Serves calls in time first, those with the nearest target before others."""
+    """Serves calls in time first, by their arrival and a part of their target."""
 
 
 @attrs.frozen
@@ -50,7 +53,7 @@
         late = sum(not in_time(other, mean_s, now_s) for other in queue.waiting.values())
         return Reason.TOO_BUSY if late >= queue.slots * LATE_PER_SLOT else None
     ahead = sum(
-        in_time(other, mean_s, now_s) and other.target_at_s <= ticket.target_at_s
+        in_time(other, mean_s, now_s) and _urgency(other) <= _urgency(ticket)
         for other in queue.waiting.values()
     )
     wait_s = queue.expected_wait_s(ahead)
@@ -59,7 +62,8 @@
 
 @expiry_s.register
 def _(order: EarliestTarget, ticket: Ticket) -> float:
-    return ticket.arrived_at_s + (ticket.deadline_at_s - ticket.arrived_at_s) * PATIENCE
+    patient_s = ticket.arrived_at_s + (ticket.deadline_at_s - ticket.arrived_at_s) * PATIENCE
+    return max(patient_s, min(ticket.target_at_s, ticket.deadline_at_s))
 
 
 @pick.register
@@ -78,5 +82,9 @@
 def _place(ticket: Ticket, queue: RankQueue, now_s: float) -> tuple[bool, float]:
     """Returns the place of a call in its queue, the lowest first."""
     if in_time(ticket, queue.estimate.mean_s, now_s):
-        return False, ticket.target_at_s
+        return False, _urgency(ticket)
     return True, ticket.arrived_at_s
+
+
+def _urgency(ticket: Ticket) -> float:
+    return ticket.arrived_at_s + (ticket.target_at_s - ticket.arrived_at_s) * TARGET_WEIGHT
--- a/ibisrack/dispatch/attempts.py
+++ b/ibisrack/dispatch/attempts.py
@@ -103,7 +103,7 @@
 
 @may_repeat.register
 def _(result: NotRunError, route: Route) -> bool:
-    return result.reason != Reason.DEADLINE
+    return result.reason not in (Reason.DEADLINE, Reason.WITHDRAWN)
 
 
 @may_repeat.register
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -48,6 +48,24 @@
         """
 
 
+@attrs.frozen
+class Stop:
+    """A planned end of the process.
+
+    Attributes:
+      accepts_until_s: Monotonic time until which every request is taken: callers need it to turn
+        to other nodes.
+      ends_at_s: Monotonic time of the end.
+    """
+
+    accepts_until_s: float
+    ends_at_s: float
+
+    def is_too_late(self, now_s: float, due_at_s: float) -> bool:
+        """Tells whether a request that came now might be cut off by the end."""
+        return now_s > self.accepts_until_s and due_at_s > self.ends_at_s
+
+
 @attrs.define(eq=False)
 class Dispatcher:
     """Serves the requests of the callers on this machine.
@@ -62,6 +80,7 @@
       views: What is known of the instances.
       splitter: Chooses among the services of a route.
       running: Requests that are being served.
+      stop: When this process ends, None while that is not planned.
     """
 
     zone: str
@@ -73,6 +92,7 @@
     views: Views = attrs.field(factory=Views)
     splitter: Splitter = attrs.field(factory=Splitter)
     running: int = 0
+    stop: Stop | None = None
 
     async def serve(self, request: Request) -> Verdict:
         """Returns what the caller of a request is told."""
@@ -90,6 +110,8 @@
         if route is None:
             return NoRoute()
         due_at_s = min(request.deadline_at_s, request.received_at_s + route.timeout_s)
+        if self.stop is not None and self.stop.is_too_late(request.received_at_s, due_at_s):
+            return Refusal(Reason.DRAINING, LEAST_RETRY_AFTER_S)
         service = self.splitter.service(route)
         attempts = Attempts(route, service, due_at_s, self.budget)
         self.budget.note(service, request.received_at_s)
--- a/ibisrack/links/codec.py
+++ b/ibisrack/links/codec.py
@@ -24,6 +24,7 @@
     Resume,
     Submit,
     Unknown,
+    Withdraw,
 )
 
 LENGTH_BYTES = 4
@@ -42,6 +43,7 @@
     Ping,
     AskEntries,
     Entries,
+    Withdraw,
 )
 _NUMBERS = {cls: number for number, cls in enumerate(MESSAGE_TYPES)}
 
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -26,6 +26,7 @@
     Resume,
     Submit,
     Unknown,
+    Withdraw,
 )
 
 PART_BYTES = 64 * 1024  # Larger answers are sent in parts, so that they don't hold up others.
@@ -156,6 +157,13 @@
         link.host.cancel(run)
 
 
+@receive.register
+def _(message: Withdraw, link: ServedLink) -> None:
+    run = link.runs.get(message.number)
+    if run is not None:
+        link.host.gate.refuse(run.submit.request_id, Reason.WITHDRAWN)
+
+
 @receive.register
 def _(message: Ping, link: ServedLink) -> None:
     write_message(link.writer, link.report())
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -67,6 +67,13 @@
     number: int
 
 
+@attrs.frozen
+class Withdraw:
+    """Asks to refuse a request that has not started; one that runs goes on."""
+
+    number: int
+
+
 @attrs.frozen
 class Resume:
     """Asks, over a new link, for the result of a request that was submitted over a lost one.
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -32,6 +32,7 @@
     Resume,
     Submit,
     Unknown,
+    Withdraw,
 )
 
 CONNECT_TIMEOUT_S = 0.3
@@ -130,6 +131,11 @@
         if self.is_open:
             write_message(self._writer, AskEntries(revision))
 
+    def withdraw(self) -> None:
+        """Asks the peer to refuse the requests that it has not started."""
+        if self.is_open:
+            write_message(self._writer, *(Withdraw(number) for number in self.pending))
+
     def want(self) -> None:
         """Lets the link be opened."""
         self._wanted.set()
--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -2,7 +2,6 @@
 
 import attrs
 from aiohttp import ClientError, StreamReader
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 from aiohttp.http_exceptions import HttpProcessingError
 
@@ -20,7 +19,7 @@
     SIGNATURE,
     plain,
 )
-from ibisrack.upstreams.connections import ConnectionPool
+from ibisrack.upstreams.connections import Connection, ConnectionPool
 
 MISDIRECTED = 421  # Another instance has the address.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
@@ -50,7 +49,9 @@
             connection = await self.pool.acquire()
         try:
             connection.set_response_params(
-                skip_payload=submit.method == "HEAD", auto_decompress=False
+                skip_payload=submit.method == "HEAD",
+                read_until_eof=True,
+                auto_decompress=False,
             )
             connection.transport.write(_encode(submit, left_ms))
             answer = await self._answer(connection, submit)
@@ -63,7 +64,7 @@
         self.pool.release(connection)
         return answer
 
-    async def _answer(self, connection: ResponseHandler, submit: Submit) -> Answer:
+    async def _answer(self, connection: Connection, submit: Submit) -> Answer:
         message, body = await self._own_answer(connection, submit)
         headers = message.headers
         if NOT_EXECUTED in headers:
@@ -77,7 +78,7 @@
         return Answer(message.code, plain(relayed(headers)), body)
 
     async def _own_answer(
-        self, connection: ResponseHandler, submit: Submit
+        self, connection: Connection, submit: Submit
     ) -> tuple[RawResponseMessage, bytes]:
         """Reads the answer to a request, past late answers to earlier ones."""
         strays = 0
@@ -86,6 +87,8 @@
             if message.code < 200:
                 continue
             body = await _read(content)
+            if connection.broke:  # An answer without a length ends only with a proper close.
+                raise UnknownOutcomeError(Reason.CONNECTION_LOST)
             echoed = message.headers.get(REQUEST_ID, submit.request_id)
             if echoed == submit.request_id:
                 return message, body
--- a/ibisrack/registry/follower.py
+++ b/ibisrack/registry/follower.py
@@ -11,7 +11,9 @@
 from ibisrack.registry.messages import Changes, Entry, Listing, Registry
 from ibisrack.registry.view import RegistryView
 
-WAIT_S = 25.0  # Longest wait for changes; calls are priced.
+# Longest wait for changes.  Calls are priced, but a registry that drops its history may leave a
+# waiting call deaf, and only the next call shows that.
+WAIT_S = 3.0
 PROBE_WAIT_S = 0.001  # Wait of the first call after a failure: it shows a return at once.
 COALESCE_S = 0.25  # Pause after changes, so that a series of them takes fewer calls.
 FIRST_RETRY_S = 0.15
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ibisrack.calls.messages import Answer
+from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
 from ibisrack.dispatch.dispatcher import Dispatcher, Target
 from ibisrack.errors import MessageError
@@ -129,6 +130,31 @@
             self.view.revision,
         )
 
+    def reload(self, settings: SidecarSettings) -> None:
+        """Takes changed settings; addresses on which the process listens stay as they are."""
+        kept = attrs.evolve(
+            settings,
+            instance=self.settings.instance,
+            calls=self.settings.calls,
+            links=self.settings.links,
+            ready=self.settings.ready,
+            registry=self.settings.registry,
+        )
+        if kept != settings:
+            _LOGGER.warning("changed addresses need a restart")
+        _LOGGER.info("settings reloaded", extra={"changed": kept != self.settings})
+        self.settings = kept
+        self.dispatcher.zone = kept.zone
+        self.dispatcher.budget.ratio = kept.retry_ratio
+        self.dispatcher.budget.slack = kept.retry_slack
+        self._own_changed()
+
+    def withdraw(self) -> None:
+        """Lets the requests of this node that wait anywhere be refused, before it ends."""
+        self.host.gate.refuse_waiting(Reason.WITHDRAWN)
+        for link in self.peers.values():
+            link.withdraw()
+
     def learn_from(self, learn: Callable[[Listing], None]) -> None:
         """Sets what takes the content that peers send."""
         self._learn = learn
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -3,7 +3,10 @@
 import asyncio
 import logging
 import signal
+from collections.abc import Callable
+from contextlib import suppress
 from functools import partial
+from pathlib import Path
 from random import Random
 
 from aiohttp import web
@@ -13,7 +16,8 @@
 from ibisrack.calls.targets import EarliestTarget, InTimeFirst
 from ibisrack.clocks import read_clocks
 from ibisrack.dispatch.budget import RepeatBudget
-from ibisrack.dispatch.dispatcher import Dispatcher
+from ibisrack.dispatch.dispatcher import Dispatcher, Stop
+from ibisrack.errors import SettingsError
 from ibisrack.hosting.host import Host
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.links.incoming import ServedLink, serve_link
@@ -40,9 +44,11 @@
 FIRST_CONNECTIONS = 4  # Limit of the pool until the registry lists the instance's slots.
 SPARE_CONNECTIONS = 2  # Beyond the slots, for connections that are being replaced.
 # Callers are moved away after two checks, one a second; requests come until then.
-LEAST_STOP_S = 2.6
+LEAST_STOP_S = 2.5
 STOP_MARGIN_S = 0.4  # Before the process would be killed.
+WITHDRAW_S = 0.5  # Before the end, requests that still wait somewhere are refused.
 STOP_POLL_S = 0.05
+SETTINGS_POLL_S = 1.0  # The settings file may change without a signal.
 
 _LOGGER = logging.getLogger("ibisrack.sidecar")
 
@@ -78,13 +84,23 @@
     return node
 
 
-async def run_sidecar(settings: SidecarSettings) -> None:
-    """Runs a sidecar until SIGTERM or SIGINT."""
+async def run_sidecar(
+    settings: SidecarSettings, path: Path, load: Callable[[str], SidecarSettings]
+) -> None:
+    """Runs a sidecar until SIGTERM or SIGINT.
+
+    Args:
+      settings: The settings at the start.
+      path: The settings file; it is read again on SIGHUP and when it has changed.
+      load: Reads the settings file.
+    """
     node = assemble(settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    hangup = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, hangup.set)
     async with open_session() as session:
         store = StoreClient(session, settings.registry.host, settings.registry.port)
         follower = RegistryFollower(
@@ -96,6 +112,7 @@
         tasks = [
             loop.create_task(keep_running("registry", follower.follow)),
             loop.create_task(keep_running("tick", node.tick)),
+            loop.create_task(keep_running("settings", partial(_reload, node, path, load, hangup))),
         ]
         await stop.wait()
         await _drain(node)
@@ -106,6 +123,39 @@
             await runner.cleanup()
 
 
+async def _reload(
+    node: SidecarNode,
+    path: Path,
+    load: Callable[[str], SidecarSettings],
+    hangup: asyncio.Event,
+) -> None:
+    """Takes over changed settings; a file with faults changes nothing."""
+    seen = _fingerprint(path)
+    while True:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(SETTINGS_POLL_S):
+                await hangup.wait()
+        signalled = hangup.is_set()
+        hangup.clear()
+        found = _fingerprint(path)
+        if found == seen and not signalled:
+            continue
+        seen = found
+        try:
+            node.reload(load(str(path)))
+        except SettingsError as error:
+            _LOGGER.error("settings refused", extra={"faults": [str(f) for f in error.faults]})
+
+
+def _fingerprint(path: Path) -> tuple[int, int] | None:
+    """Returns what tells one content of a file from the next, None when it can't be read."""
+    try:
+        status = path.stat()
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size
+
+
 async def _serve(node: SidecarNode) -> list[web.BaseRunner]:
     settings = node.settings
 
@@ -141,16 +191,20 @@
 async def _drain(node: SidecarNode) -> None:
     """Says that the node leaves, and waits until nobody is cut off by its end."""
     start_s = read_clocks().monotonic_s
+    ends_at_s = start_s + node.settings.stop_s - STOP_MARGIN_S
+    node.dispatcher.stop = Stop(start_s + LEAST_STOP_S, ends_at_s)
     node.leaving = True
     node.host.stopping = True
     for link in node.served:
         link.tell_load()
     _LOGGER.info("stopping", extra={"node": node.settings.node_id})
+    withdrawn = False
     while True:
         await asyncio.sleep(STOP_POLL_S)
-        elapsed_s = read_clocks().monotonic_s - start_s
+        now_s = read_clocks().monotonic_s
+        if not withdrawn and now_s >= ends_at_s - WITHDRAW_S:
+            withdrawn = True
+            node.withdraw()
         idle = not node.host.gate.load().busy and not node.dispatcher.running
-        if elapsed_s >= LEAST_STOP_S and idle:
-            return
-        if elapsed_s >= node.settings.stop_s - STOP_MARGIN_S:
+        if now_s >= ends_at_s or (idle and now_s - start_s >= LEAST_STOP_S):
             return
--- a/ibisrack/upstreams/connections.py
+++ b/ibisrack/upstreams/connections.py
@@ -18,6 +18,25 @@
 CONNECT_TIMEOUT_S = 1.0
 
 
+class Connection(ResponseHandler):
+    """A connection that remembers how it ended.
+
+    The library takes any end of a connection for the end of an answer without a length.
+
+    Attributes:
+      broke: Whether it ended with an error, such as a reset.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.broke = False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Notes how the connection ended; called by the event loop."""
+        self.broke = exc is not None
+        super().connection_lost(exc)
+
+
 def is_reusable(connection: ResponseHandler) -> bool:
     """Tells whether a connection is open and carries no unfinished or surplus answer."""
     return connection.is_connected() and not connection.should_close
@@ -135,7 +154,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: ResponseHandler(loop), self.host, self.port
+                    lambda: Connection(loop), self.host, self.port
                 )
         except OSError:  # TimeoutError is one of them.
             self.sizing.opening -= 1
