--- /dev/null
+++ b/ibisrack/calls/targets_test.py
@@ -0,0 +1,78 @@
+"""Tests of the order of calls by their targets."""
+
+from ibisrack.calls.admission import Admitted, Queued, Refused, Scheduler
+from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.ranks import Ticket
+from ibisrack.calls.targets import EarliestTarget, InTimeFirst
+from ibisrack.testing.fixtures import rank_rule
+from ibisrack.testing.functions import function_tests
+
+
+def scheduler(*ranks: str) -> Scheduler:
+    """Returns a scheduler with one slot whose calls take 0.1 s."""
+    made = Scheduler(1, InTimeFirst(), EarliestTarget())
+    rules = tuple(rank_rule(name, order=order) for order, name in enumerate(ranks))
+    made.configure(1, rules, 0.0)
+    for number, name in enumerate(ranks):
+        first = ticket(-1 - number, rank=name)
+        made.submit(first, 0.0)
+        made.finish(first, 0.1)
+    return made
+
+
+def ticket(number: int, at_s: float = 1.0, target_s: float = 0.5, rank: str = "a") -> Ticket:
+    """Returns a ticket whose caller waits for 4 s."""
+    return Ticket(f"c-{number}", number, rank, at_s, at_s + 4.0, at_s + target_s)
+
+
+def test_calls_in_time_go_before_calls_that_are_late():
+    """Guards against a queue that answers every call late in an overload."""
+    calls = scheduler("a")
+    assert isinstance(calls.submit(ticket(1), 1.0), Admitted)
+    late, fresh = ticket(2, target_s=-1.0), ticket(3)
+    assert isinstance(calls.submit(late, 1.0), Queued)
+    assert isinstance(calls.submit(fresh, 1.0), Queued)
+    assert calls.finish(ticket(1), 1.1) == [Admitted(fresh)]
+
+
+def test_a_call_that_cannot_be_in_time_is_refused_at_once():
+    """Guards against holding a call only to answer it late."""
+    calls = scheduler("a")
+    calls.submit(ticket(1), 1.0)
+    decisions = [calls.submit(ticket(number), 1.0) for number in range(2, 12)]
+    refused = [d for d in decisions if isinstance(d, Refused)]
+    assert refused and all(d.reason == Reason.TOO_BUSY for d in refused)
+    assert isinstance(decisions[0], Queued)
+
+
+def test_a_lower_rank_in_time_goes_before_a_late_higher_one():
+    """Guards against late urgent work that makes all other work late as well."""
+    calls = scheduler("a", "b")
+    calls.submit(ticket(1), 1.0)
+    calls.submit(ticket(2, target_s=-1.0), 1.0)
+    lower = ticket(3, rank="b")
+    calls.submit(lower, 1.0)
+    assert calls.finish(ticket(1), 1.1) == [Admitted(lower)]
+
+
+def test_long_targets_are_not_starved_by_short_ones():
+    """Guards against routes with long targets that never start in an overload."""
+    calls = scheduler("a")
+    calls.submit(ticket(1, at_s=1.0), 1.0)
+    long = ticket(2, at_s=1.0, target_s=1.0)
+    calls.submit(long, 1.0)
+    calls.submit(ticket(3, at_s=1.25, target_s=0.5), 1.25)
+    assert calls.finish(ticket(1), 1.3) == [Admitted(long)]
+
+
+def test_a_call_in_time_is_not_given_up_before_its_target():
+    """Guards against a refusal of a call whose whole time is as long as its target."""
+    calls = scheduler("a")
+    calls.submit(ticket(1), 1.0)
+    waiting = Ticket("c-2", 2, "a", 1.0, 2.0, 2.0)
+    calls.submit(waiting, 1.0)
+    assert calls.expire(1.9) == []
+    assert calls.expire(2.0) == [Refused(waiting, Reason.DEADLINE)]
+
+
+load_tests = function_tests(__name__)
--- /dev/null
+++ b/ibisrack/links/codec_test.py
@@ -0,0 +1,69 @@
+"""Tests of the encoding of messages between nodes."""
+
+from multidict import CIMultiDict
+
+from ibisrack.errors import MessageError
+from ibisrack.links.codec import LENGTH_BYTES, MAX_FRAME_BYTES, decode, encode, frame_size
+from ibisrack.links.messages import Answered, Entries, Load, Ping, Submit
+from ibisrack.testing.functions import function_tests
+
+SUBMIT = Submit(
+    number=7,
+    request_id="q",
+    attempt=1,
+    instance_id="i-1",
+    service="desk",
+    rank="priority-0",
+    repeatable=True,
+    left_ms=900,
+    target_ms=-5,
+    caller_service="docs",
+    method="GET",
+    host="desk.example",
+    target="/a%2F?b=\xe9",
+    headers=(("X", "\xe9"), ("X", "2")),
+    body=b"\x00\xff",
+)
+MESSAGES = (
+    SUBMIT,
+    Answered(7, 200, (("A", "b"),), b"x" * 9, True),
+    Load(1, 2, 3, 4.5, True, 6),
+    Ping(),
+    Entries(9, (("servers/i-1", b"{}", 4),)),
+)
+
+
+def test_every_message_comes_back_as_it_was():
+    """Guards against a field that the encoding loses or reorders."""
+    for message in MESSAGES:
+        frame = encode(message)
+        assert frame_size(frame[:LENGTH_BYTES]) == len(frame) - LENGTH_BYTES
+        assert decode(frame[LENGTH_BYTES:]) == message
+
+
+def test_header_names_of_the_http_library_are_encoded():
+    """Guards against an encoder that takes no subclass of str."""
+    headers = tuple(CIMultiDict({"Response-Signature": "s"}).items())
+    frame = encode(Answered(1, 200, headers, b""))
+    assert decode(frame[LENGTH_BYTES:]).headers == (("Response-Signature", "s"),)
+
+
+def test_bad_frames_are_refused_with_a_typed_error():
+    """Guards against a peer of another release that ends a link's task with a stray exception."""
+    frame = encode(SUBMIT)[LENGTH_BYTES:]
+    bad = [b"", b"\xff", frame[:-1], frame[:1], bytes((frame[0],)) + b"\x90", frame + b"\x00"]
+    for payload in bad:
+        try:
+            decode(payload)
+        except MessageError:
+            continue
+        raise AssertionError(payload)
+    for size in (0, MAX_FRAME_BYTES + 1):
+        try:
+            frame_size(size.to_bytes(LENGTH_BYTES, "big"))
+        except MessageError:
+            continue
+        raise AssertionError(size)
+
+
+load_tests = function_tests(__name__)
--- /dev/null
+++ b/ibisrack/platform/decoding_test.py
@@ -0,0 +1,153 @@
+"""Tests of decoding the platform's entries, times and settings file."""
+
+import json
+import tempfile
+from pathlib import Path
+
+from ibisrack.errors import MessageError, SettingsError
+from ibisrack.platform.durations import parse_duration_s
+from ibisrack.platform.entries import decode_configuration, decode_instance, instance_id
+from ibisrack.platform.settings_file import load_platform_settings
+from ibisrack.registry.messages import Entry
+from ibisrack.routing.model import Part, Repeats
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.sidecars import (
+    configuration_entry,
+    instance,
+    instance_entry,
+    route_resource,
+)
+
+SETTINGS = """
+self:
+  node: "sidecar-1"
+  ip: "10.1.0.38"
+  zone: "north"
+  app_addr: "10.1.0.38:8145"
+  service: "desk"
+network:
+  listen: {inbound: "10.1.0.38:8146", outbound: "10.1.0.38:8147", ready: "10.1.0.38:8141"}
+platform:
+  platform: {address: "10.200.1.7:8142", form: "read"}
+terms:
+  bounds: {grace: "6s", retry_budget_ratio: 0.3, budget_slack: 58, budget_window: "10s", odd: {}}
+"""
+
+
+def load(text: str):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.yaml"
+        path.write_text(text)
+        return load_platform_settings(str(path))
+
+
+def test_times_carry_their_unit():
+    """Guards against seconds that are taken for milliseconds."""
+    assert parse_duration_s("1500ms") == 1.5
+    assert parse_duration_s("2.5s") == 2.5
+    for bad in ("1500", "2m", "-1s", 3, None, "1e3s", "s"):
+        try:
+            parse_duration_s(bad)
+        except ValueError:
+            continue
+        raise AssertionError(bad)
+
+
+def test_an_instance_is_decoded_into_the_products_terms():
+    """Guards against a field that is read from the wrong place."""
+    listed = instance(born_ms=5, sequence=3)
+    assert decode_instance(Entry("servers/i-1", instance_entry(listed), 1)) == listed
+    assert instance_id("op/config") == ""
+
+
+def test_a_spoilt_entry_names_no_instance():
+    """Guards against another writer's entry that breaks the decoder."""
+    good = json.loads(instance_entry(instance()))
+    spoilt = [b"", b"\xff", b"[]", b"{}", b"nul"]
+    for path, value in (
+        (("address",), "10.0.0.1"),
+        (("address",), 7),
+        (("born",), 1.5),
+        (("info", "slots"), "6"),
+        (("info", "slots"), True),
+        (("info", "service"), ""),
+        (("status", "state"), "asleep"),
+        (("status", "state"), []),
+        (("status", "seq"), None),
+        (("status",), "ready"),
+    ):
+        changed = json.loads(json.dumps(good))
+        place = changed
+        for name in path[:-1]:
+            place = place[name]
+        place[path[-1]] = value
+        spoilt.append(json.dumps(changed).encode())
+    for content in spoilt:
+        try:
+            decode_instance(Entry("servers/i-1", content, 1))
+        except MessageError:
+            continue
+        raise AssertionError(content)
+
+
+def test_a_configuration_is_decoded_whole():
+    """Guards against kinds of routes that lose whether they may be repeated."""
+    split = [{"service": "desk", "weight": 9}, {"service": "docs", "weight": 1}]
+    routes = (
+        route_resource(),
+        route_resource("non_idempotent", prefix="/b/"),
+        route_resource("download", prefix="/c/", traffic_split=split),
+    )
+    content = configuration_entry(12, *routes, services=("desk", "docs"))
+    decoded = decode_configuration(Entry("op/config", content, 4))
+    assert decoded.version == 12
+    kinds = [route.repeats for route in decoded.routes]
+    assert kinds == [Repeats.ALLOWED, Repeats.FORBIDDEN, Repeats.ALLOWED]
+    assert decoded.routes[2].parts == (Part("desk", 9), Part("docs", 1))
+    assert decoded.routes[0].target_s == 0.5
+    assert decoded.limits.max_body_bytes == 1048576
+
+
+def test_a_malformed_configuration_is_refused():
+    """Guards against a configuration of which a part is put in force."""
+    bad = [
+        configuration_entry(12, route_resource(service="missing")),
+        configuration_entry(12, route_resource(kind="odd")),
+        configuration_entry(12, route_resource(timeout=5)),
+        configuration_entry(12, route_resource(prefix="a/")),
+        configuration_entry(12, route_resource())[:-20],
+        b"",
+        b"\xff",
+        b'{"version": "0000000c"}',
+        b'{"version": 12, "resources": []}',
+    ]
+    for content in bad:
+        try:
+            decode_configuration(Entry("op/config", content, 4))
+        except MessageError:
+            continue
+        raise AssertionError(content)
+
+
+def test_the_settings_file_is_read_and_unknown_fields_are_ignored():
+    """Guards against a start that fails on a field of a later release."""
+    settings = load(SETTINGS)
+    assert settings.calls.port == 8147
+    assert settings.links.port == 8146
+    assert settings.registry.host == "10.200.1.7"
+    assert (settings.stop_s, settings.retry_ratio, settings.retry_slack) == (6.0, 0.3, 58.0)
+
+
+def test_all_faults_of_the_settings_file_are_reported_at_once():
+    """Guards against a start that shows one fault after the other."""
+    text = SETTINGS.replace('zone: "north"', "zone: 7").replace('grace: "6s"', "grace: 6")
+    try:
+        load(text.replace("10.1.0.38:8147", "10.1.0.38"))
+    except SettingsError as error:
+        told = str(error)
+        assert all(word in told for word in ("zone", "grace", "outbound")), told
+    else:
+        raise AssertionError("the faults were not found")
+
+
+load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -165,6 +165,13 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def close(self) -> None:
+        """Ends the tasks and links of this node."""
+        for task in self._tasks:
+            task.cancel()
+        for served in tuple(self.served):
+            served.writer.transport.abort()
+
     def target_of(self, instance: Instance) -> Target:
         """Returns the node beside an instance."""
         if instance.host == self.settings.instance.host:
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -3,8 +3,8 @@
 import asyncio
 import logging
 import signal
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -94,33 +94,39 @@
       path: The settings file; it is read again on SIGHUP and when it has changed.
       load: Reads the settings file.
     """
-    node = assemble(settings)
-    stop = asyncio.Event()
+    stop, hangup = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    hangup = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, hangup.set)
+    async with serving(settings) as node:
+        node.spawn(keep_running("settings", partial(_reload, node, path, load, hangup)))
+        await stop.wait()
+        await drain(node)
+
+
+@asynccontextmanager
+async def serving(settings: SidecarSettings) -> AsyncIterator[SidecarNode]:
+    """Serves callers, peers and readiness checks until the context ends."""
+    node = assemble(settings)
     async with open_session() as session:
         store = StoreClient(session, settings.registry.host, settings.registry.port)
         follower = RegistryFollower(
             store, node.view, node.rng, on_entries=node.take, on_state=node.registry_state
         )
         node.learn_from(follower.learn)
-        runners = await _serve(node)
+        links, runners = await _listen(node)
         _LOGGER.info("started", extra={"node": settings.node_id, "service": settings.service})
-        tasks = [
-            loop.create_task(keep_running("registry", follower.follow)),
-            loop.create_task(keep_running("tick", node.tick)),
-            loop.create_task(keep_running("settings", partial(_reload, node, path, load, hangup))),
-        ]
-        await stop.wait()
-        await _drain(node)
-        _LOGGER.info("stopped", extra={"node": settings.node_id})
-        for task in tasks:
-            task.cancel()
-        for runner in runners:
-            await runner.cleanup()
+        node.spawn(keep_running("registry", follower.follow))
+        node.spawn(keep_running("tick", node.tick))
+        try:
+            yield node
+        finally:
+            _LOGGER.info("stopped", extra={"node": settings.node_id})
+            node.close()
+            links.close()
+            for runner in runners:
+                await runner.cleanup()
 
 
 async def _reload(
@@ -156,13 +162,13 @@
     return status.st_mtime_ns, status.st_size
 
 
-async def _serve(node: SidecarNode) -> list[web.BaseRunner]:
+async def _listen(node: SidecarNode) -> tuple[asyncio.Server, list[web.BaseRunner]]:
     settings = node.settings
 
     def open_link(writer: asyncio.StreamWriter) -> ServedLink:
         return ServedLink(node.host, node.load, node.entries_after, writer)
 
-    await asyncio.start_server(
+    links = await asyncio.start_server(
         partial(serve_link, node.hello, open_link, node.served),
         settings.links.host,
         settings.links.port,
@@ -185,10 +191,10 @@
         await runner.setup()
         await web.TCPSite(runner, address.host, address.port, backlog=BACKLOG).start()
         runners.append(runner)
-    return runners
+    return links, runners
 
 
-async def _drain(node: SidecarNode) -> None:
+async def drain(node: SidecarNode) -> None:
     """Says that the node leaves, and waits until nobody is cut off by its end."""
     start_s = read_clocks().monotonic_s
     ends_at_s = start_s + node.settings.stop_s - STOP_MARGIN_S
--- /dev/null
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -0,0 +1,267 @@
+"""Tests of whole sidecars against stand-ins of the store and of the instances."""
+
+import asyncio
+import json
+import socket
+import struct
+
+from aiohttp import web
+
+from ibisrack.calls.outcomes import Reason
+from ibisrack.instances.model import InstanceState
+from ibisrack.platform.headers import NOT_EXECUTED
+from ibisrack.sidecar.run import drain
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.sidecars import (
+    STANDARD_ROUTES,
+    configuration_entry,
+    eventually,
+    fleet,
+    route_resource,
+)
+
+
+async def test_a_request_reaches_the_instance_of_another_machine():
+    """Guards against a path that works only where the caller's own instance serves."""
+    async with fleet(3) as fleet_:
+        for other in (0, 1):
+            fleet_.list_instance(other, state=InstanceState.DRAINING, sequence=1)
+        await eventually(lambda: sum(i.ready for i in fleet_.nodes[0].directory.all()) == 1)
+        answer, body = await fleet_.ask(0, headers={"Caller-Service": "forged", "X-Own": "kept"})
+        seen = fleet_.instances[2].seen
+        assert (answer.status, body) == (200, b"done ")
+        assert answer.headers["Response-Signature"] == "signed.i-2"
+        assert seen.headers["Caller-Service"] == "desk"
+        assert seen.headers["X-Own"] == "kept"
+        assert 0 < int(seen.headers["Deadline-Ms"]) <= 2000
+
+
+async def test_the_path_is_forwarded_byte_for_byte():
+    """Guards against an HTTP library that normalises what the instance should get."""
+    async with fleet(1) as fleet_:
+        reader, writer = await asyncio.open_connection(
+            fleet_.nodes[0].settings.calls.host, fleet_.nodes[0].settings.calls.port
+        )
+        target = "/notices/../a%2Fb//c?x=%20;y"
+        head = f"GET {target} HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q\r\nDeadline-Ms: 900"
+        writer.write(f"{head}\r\nIbis-Hop: 1\r\nConnection: close\r\n\r\n".encode())
+        assert b" 200 " in await reader.readline()
+        writer.close()
+        assert fleet_.instances[0].seen._message.path == target
+        assert "Ibis-Hop" not in fleet_.instances[0].seen.headers
+
+
+async def test_smuggled_lengths_are_refused():
+    """Guards against a second request hidden in the body of the first."""
+    async with fleet(1) as fleet_:
+        calls = fleet_.nodes[0].settings.calls
+        reader, writer = await asyncio.open_connection(calls.host, calls.port)
+        writer.write(
+            b"POST /lodge/1 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q\r\n"
+            b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"0\r\n\r\nGET /notices/1 HTTP/1.1\r\nRequest-Id: s\r\nHost: desk.example\r\n\r\n"
+        )
+        assert b" 400 " in await reader.readline()
+        writer.close()
+        assert fleet_.instances[0].ran == []
+
+
+async def test_a_lodgement_whose_answer_is_lost_runs_once_and_is_not_refused():
+    """Guards against a repeat, or a 503, of a request that may have run."""
+
+    async def lose(instance, request):
+        await instance.run(request)
+        request.transport.abort()
+        return web.Response()
+
+    async with fleet(2) as fleet_:
+        for beside in fleet_.instances:
+            beside.behave = lose
+        answer, _ = await fleet_.ask(0, "/lodge/1", method="POST", data=b"x")
+        assert answer.status == 502
+        assert sum(len(beside.ran) for beside in fleet_.instances) == 1
+
+
+async def test_a_lookup_whose_answer_is_lost_runs_on_another_instance():
+    """Guards against failing a request that may be repeated."""
+
+    async def lose(instance, request):
+        await instance.run(request)
+        request.transport.abort()
+        return web.Response()
+
+    async with fleet(2) as fleet_:
+        fleet_.instances[0].behave = lose
+        statuses = [(await fleet_.ask(0, request_id=f"q-{n}"))[0].status for n in range(6)]
+        assert statuses == [200] * 6
+
+
+async def test_an_answer_without_a_signature_is_not_passed_on():
+    """Guards against bytes of a faulty instance that look like a success."""
+
+    async def unsigned(instance, request):
+        return web.Response(body=b"strange")
+
+    async with fleet(1) as fleet_:
+        fleet_.instances[0].behave = unsigned
+        answer, body = await fleet_.ask(0)
+        assert answer.status == 502
+        assert b"strange" not in body
+
+
+async def test_an_answer_without_a_length_that_is_reset_is_not_passed_on():
+    """Guards against a cut answer that is framed as complete."""
+
+    async def cut(instance, request):
+        head = "".join(f"{k}: {v}\r\n" for k, v in instance.headers(request).items())
+        request.transport.write(f"HTTP/1.1 200 OK\r\n{head}\r\nhalf".encode())
+        await asyncio.sleep(0.01)
+        connection = request.transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        request.transport.abort()
+        return web.Response()
+
+    async with fleet(1) as fleet_:
+        fleet_.instances[0].behave = cut
+        answer, _ = await fleet_.ask(0)
+        assert answer.status == 502
+
+
+async def test_a_refusal_by_the_instance_is_told_as_not_run():
+    """Guards against an unknown outcome where the instance says that nothing ran."""
+
+    async def shed(instance, request):
+        return web.Response(status=503, headers={NOT_EXECUTED: "1"})
+
+    async with fleet(1) as fleet_:
+        fleet_.instances[0].behave = shed
+        answer, _ = await fleet_.ask(0, "/lodge/1", method="POST")
+        assert answer.status == 503
+        assert float(answer.headers["Retry-After"]) > 0
+
+
+async def test_an_address_that_has_another_instance_runs_nothing():
+    """Guards against a request to whoever took over the address of an instance."""
+    async with fleet(1) as fleet_:
+        fleet_.instances[0].instance_id = "i-other"
+        answer, _ = await fleet_.ask(0)
+        assert answer.status == 503
+        assert fleet_.instances[0].ran == []
+
+
+async def test_a_caller_that_leaves_ends_the_work():
+    """Guards against instances that go on working for nobody."""
+    ended = asyncio.Event()
+
+    async def work(instance, request):
+        try:
+            await asyncio.sleep(5)
+        except asyncio.CancelledError:
+            ended.set()
+            raise
+        return web.Response()
+
+    async with fleet(2) as fleet_:
+        for beside in fleet_.instances:
+            beside.behave = work
+        call = asyncio.create_task(fleet_.ask(0))
+        await eventually(lambda: any(beside.seen for beside in fleet_.instances))
+        call.cancel()
+        async with asyncio.timeout(1):
+            await ended.wait()
+
+
+async def test_the_route_timeout_ends_the_wait():
+    """Guards against holding a request longer than the operator wants."""
+    async with fleet(1, (route_resource(timeout="100ms"),)) as fleet_:
+        fleet_.instances[0].work_s = 5
+        answer, _ = await fleet_.ask(0)
+        assert answer.status == 504
+
+
+async def test_a_change_of_the_configuration_reaches_every_node():
+    """Guards against a node that stays on an old version, or takes an older one."""
+    async with fleet(3) as fleet_:
+        added = (*STANDARD_ROUTES, route_resource(prefix="/new/"))
+        fleet_.store.put("op/config", configuration_entry(9, *added))
+        await eventually(lambda: all(n.configurations.version == 9 for n in fleet_.nodes))
+        assert (await fleet_.ask(2, "/new/1"))[0].status == 200
+        fleet_.store.put("op/config", configuration_entry(8, *STANDARD_ROUTES))
+        fleet_.store.put("op/config", b"cut sho")
+        await asyncio.sleep(0.4)
+        assert [n.configurations.version for n in fleet_.nodes] == [9, 9, 9]
+
+
+async def test_a_node_that_the_store_turns_away_learns_from_a_peer():
+    """Guards against an old configuration on a node whose own path to the store is cut."""
+    async with fleet(2) as fleet_:
+        answer, _ = await fleet_.ask(0)
+        link = fleet_.nodes[0].target_of(fleet_.nodes[0].directory.get("i-1"))
+        link.want()
+        await eventually(lambda: link.is_open)
+        ahead, behind = fleet_.nodes[1], fleet_.nodes[0]
+        # The peer sees a change that this node's own watch does not bring.
+        behind.view.revision, ahead.view.revision = 5, 900
+        entry = ahead.view.entries["op/config"]
+        content = json.loads(entry.content)
+        content["version"] = "0000000c"
+        changed = type(entry)(entry.key, json.dumps(content).encode(), 900)
+        ahead.view.entries["op/config"] = changed
+        await eventually(lambda: behind.configurations.version == 12)
+
+
+async def test_a_history_that_is_gone_is_read_anew():
+    """Guards against a watch that fails for ever after a compaction."""
+    async with fleet(1) as fleet_:
+        fleet_.store.failing_status = 503
+        fleet_.store.put("op/config", configuration_entry(5, *STANDARD_ROUTES))
+        fleet_.store.put("servers/i-spoilt", b"\xff not an entry")
+        fleet_.store.forget_history()
+        fleet_.store.failing_status = 0
+        await eventually(lambda: fleet_.nodes[0].configurations.version == 5)
+        assert [i.instance_id for i in fleet_.nodes[0].directory.all()] == ["i-0"]
+
+
+async def test_a_stop_lets_running_requests_end_and_refuses_none_that_ran():
+    """Guards against a planned stop that cuts requests off."""
+    async with fleet(2) as fleet_:
+        for beside in fleet_.instances:
+            beside.work_s = 0.3
+        call = asyncio.create_task(fleet_.ask(0))
+        await eventually(lambda: any(beside.ran for beside in fleet_.instances))
+        stopping = asyncio.create_task(drain(fleet_.nodes[0]))
+        answer, _ = await call
+        assert answer.status == 200
+        assert answer.headers["Connection"] == "close"
+        assert not fleet_.nodes[0].ready
+        later, _ = await fleet_.ask(0, request_id="q-2")
+        assert later.status == 200
+        assert "q-2" in fleet_.instances[1].ran
+        stopping.cancel()
+
+
+async def test_a_link_that_breaks_neither_loses_nor_repeats_a_lodgement():
+    """Guards against an unknown outcome after the reset of a connection between nodes."""
+    async with fleet(2) as fleet_:
+        fleet_.list_instance(0, state=InstanceState.DRAINING, sequence=1)
+        await eventually(lambda: not fleet_.nodes[0].directory.get("i-0").ready)
+        fleet_.instances[1].work_s = 0.3
+        call = asyncio.create_task(fleet_.ask(0, "/lodge/1", method="POST"))
+        await eventually(lambda: bool(fleet_.instances[1].ran))
+        for served in tuple(fleet_.nodes[1].served):
+            served.writer.transport.abort()
+        answer, _ = await call
+        assert answer.status == 200
+        assert fleet_.instances[1].ran == ["q-1"]
+
+
+async def test_requests_without_a_configuration_are_refused_not_unknown():
+    """Guards against a 404 from a node that knows no configuration yet."""
+    async with fleet(1) as fleet_:
+        fleet_.nodes[0].configurations.current = None
+        answer, body = await fleet_.ask(0)
+        assert answer.status == 503
+        assert Reason.NO_VERSION.value.encode() in body
+
+
+load_tests = function_tests(__name__)
--- /dev/null
+++ b/ibisrack/testing/sidecars.py
@@ -0,0 +1,199 @@
+"""Fixtures for sidecars: entries of the registry, and a small fleet on loopback addresses."""
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import attrs
+from aiohttp import ClientResponse, ClientSession
+
+from ibisrack.instances.model import Instance
+from ibisrack.routing.model import Part, Repeats, Route
+from ibisrack.settings.sidecar import Address, SidecarSettings
+from ibisrack.sidecar.node import SidecarNode
+from ibisrack.sidecar.run import serving
+from ibisrack.standins.instance import StandInInstance, serve_instance
+from ibisrack.standins.store import StandInStore, serve_store
+
+STEP_S = 0.01
+PATIENCE_S = 5.0
+
+
+def route(name: str = "r", **fields) -> Route:
+    """Returns a route with defaults for a test."""
+    defaults = {
+        "host": "desk.example",
+        "prefix": "/notices/",
+        "repeats": Repeats.ALLOWED,
+        "timeout_s": 2.0,
+        "target_s": 0.5,
+        "priority": 0,
+        "max_attempts": 2,
+        "parts": (Part("desk", 1),),
+    }
+    return Route(name=name, **{**defaults, **fields})
+
+
+def instance(instance_id: str = "i-1", **fields) -> Instance:
+    """Returns an instance with defaults for a test."""
+    defaults = {"service": "desk", "host": "10.0.0.1", "port": 80, "zone": "a", "slots": 2}
+    return Instance(instance_id=instance_id, **{**defaults, **fields})
+
+
+def instance_entry(listed: Instance) -> bytes:
+    """Returns the registry's value for an instance."""
+    body = {
+        "address": f"{listed.host}:{listed.port}",
+        "born": listed.born_ms,
+        "info": {
+            "service": listed.service,
+            "version": "v1",
+            "zone": listed.zone,
+            "slots": listed.slots,
+        },
+        "status": {"state": str(listed.state), "seq": listed.sequence, "cold_remaining": "0ms"},
+    }
+    return json.dumps(body).encode()
+
+
+def route_resource(kind: str = "idempotent", **spec) -> dict:
+    """Returns a route as the operator writes it."""
+    defaults = {
+        "host": "desk.example",
+        "prefix": "/notices/",
+        "kind": kind,
+        "timeout": "2000ms",
+        "target_latency": "500ms",
+        "priority": 0,
+        "service": "desk",
+        "max_attempts": 2,
+    }
+    name = f"r-{kind}-{spec.get('prefix', '')}"
+    return {"resource_type": "routes", "metadata": {"name": name}, "spec": {**defaults, **spec}}
+
+
+def configuration_entry(
+    version: int, *routes: dict, services: tuple[str, ...] = ("desk",)
+) -> bytes:
+    """Returns the registry's value for a configuration."""
+    options = {"health_path": "/healthz", "max_connections": 50, "protocol": "h1", "tls": False}
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1048576,
+        "header_timeout": "3000ms",
+        "idle_timeout": "15s",
+    }
+    resources = [
+        *routes,
+        *(
+            {"resource_type": "services", "metadata": {"name": n}, "spec": options}
+            for n in services
+        ),
+        {"resource_type": "limits", "metadata": {}, "spec": limits},
+    ]
+    return json.dumps({"version": f"{version:08x}", "resources": resources}).encode()
+
+
+STANDARD_ROUTES = (
+    route_resource(),
+    route_resource("non_idempotent", prefix="/lodge/"),
+)
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Sidecars with their instances and their store.
+
+    Attributes:
+      store: The store.
+      nodes: The sidecars.
+      instances: The instance beside each sidecar.
+      session: HTTP client of the callers.
+    """
+
+    store: StandInStore
+    nodes: list[SidecarNode]
+    instances: list[StandInInstance]
+    session: ClientSession
+
+    async def ask(
+        self,
+        node: int,
+        path: str = "/notices/7",
+        request_id: str = "q-1",
+        method: str = "GET",
+        deadline_ms: int = 2000,
+        **options,
+    ) -> tuple[ClientResponse, bytes]:
+        """Sends a request as a caller on a node's machine; returns the answer and its body."""
+        calls = self.nodes[node].settings.calls
+        headers = {
+            "Host": "desk.example",
+            "Request-Id": request_id,
+            "Deadline-Ms": str(deadline_ms),
+            **options.pop("headers", {}),
+        }
+        url = f"http://{calls.host}:{calls.port}{path}"
+        async with self.session.request(method, url, headers=headers, **options) as answer:
+            return answer, await answer.read()
+
+    def list_instance(self, number: int, **changes) -> None:
+        """Writes the entry of an instance."""
+        address = self.nodes[number].settings.instance
+        listed = instance(
+            self.instances[number].instance_id,
+            **{"host": address.host, "port": address.port, **changes},
+        )
+        self.store.put(f"servers/{listed.instance_id}", instance_entry(listed))
+
+
+async def eventually(condition: Callable[[], bool]) -> None:
+    """Waits until a condition holds; fails when it does not in time."""
+    async with asyncio.timeout(PATIENCE_S):
+        while not condition():
+            await asyncio.sleep(STEP_S)
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports that are free on the loopback addresses of a test."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind(("127.0.0.1", 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+@asynccontextmanager
+async def fleet(count: int, routes: tuple[dict, ...] = STANDARD_ROUTES) -> AsyncIterator[Fleet]:
+    """Runs sidecars on 127.0.0.1, 127.0.0.2 and so on, with the same ports on each."""
+    app, calls, links, ready = free_ports(4)
+    async with AsyncExitStack() as stack:
+        store, store_port = await stack.enter_async_context(serve_store("127.0.0.1"))
+        store.put("op/config", configuration_entry(1, *routes))
+        session = await stack.enter_async_context(ClientSession())
+        made = Fleet(store, [], [], session)
+        for number in range(count):
+            host = f"127.0.0.{number + 1}"
+            beside = StandInInstance(f"i-{number}")
+            await stack.enter_async_context(serve_instance(beside, host, app))
+            settings = SidecarSettings(
+                node_id=f"node-{number}",
+                service="desk",
+                zone="a",
+                instance=Address(host, app),
+                calls=Address(host, calls),
+                links=Address(host, links),
+                ready=Address(host, ready),
+                registry=Address("127.0.0.1", store_port),
+                retry_slack=100.0,
+            )
+            made.instances.append(beside)
+            made.nodes.append(await stack.enter_async_context(serving(settings)))
+            made.list_instance(number)
+        await eventually(lambda: all(len(node.directory.all()) == count for node in made.nodes))
+        yield made
