--- a/ibisrack/calls/targets.py
+++ b/ibisrack/calls/targets.py
@@ -14,7 +14,7 @@
 from ibisrack.calls.ranks import RankQueue, Ticket, expiry_s, pick, refusal, take
 
 # Part of the mean service time that must be left before the target for a call to count as in time.
-IN_TIME_MEANS = 0.7
+IN_TIME_MEANS = 1.4
 # Part of its whole time after which a call that still waits is refused; holding it longer would
 # leave its caller no time to come back.
 PATIENCE = 0.4
