--- a/ibisrack/calls/targets.py
+++ b/ibisrack/calls/targets.py
@@ -49,15 +49,12 @@
 @refusal.register
 def _(order: EarliestTarget, queue: RankQueue, ticket: Ticket, now_s: float) -> Reason | None:
     mean_s = queue.estimate.mean_s
-    if not in_time(ticket, mean_s, now_s):
-        late = sum(not in_time(other, mean_s, now_s) for other in queue.waiting.values())
-        return Reason.TOO_BUSY if late >= queue.slots * LATE_PER_SLOT else None
-    ahead = sum(
-        in_time(other, mean_s, now_s) and _urgency(other) <= _urgency(ticket)
-        for other in queue.waiting.values()
-    )
-    wait_s = queue.expected_wait_s(ahead)
-    return None if in_time(ticket, mean_s, now_s + wait_s) else Reason.TOO_BUSY
+    timely = [other for other in queue.waiting.values() if in_time(other, mean_s, now_s)]
+    ahead = sum(_urgency(other) <= _urgency(ticket) for other in timely)
+    if in_time(ticket, mean_s, now_s + queue.expected_wait_s(ahead)):
+        return None
+    late = len(queue.waiting) - len(timely)
+    return Reason.TOO_BUSY if late >= queue.slots * LATE_PER_SLOT else None
 
 
 @expiry_s.register
--- a/ibisrack/dispatch/attempts.py
+++ b/ibisrack/dispatch/attempts.py
@@ -33,6 +33,7 @@
       route: Its route.
       service: The service that was chosen for it.
       deadline_at_s: Monotonic time at which its answer is due.
+      target_at_s: Monotonic time until which its answer has its full value.
       budget: The node's retry budget.
       arrivals: Attempts that reached an instance.
       paid: Arrivals for whose repeat the budget was drawn on.
@@ -42,6 +43,7 @@
     route: Route
     service: str
     deadline_at_s: float
+    target_at_s: float
     budget: RepeatBudget
     arrivals: int = 0
     paid: int = 0
--- a/ibisrack/dispatch/budget.py
+++ b/ibisrack/dispatch/budget.py
@@ -10,7 +10,9 @@
 import attrs
 
 BUCKETS = 20  # Parts of a window in which arrivals are counted.
-MARGIN = 0.7  # Part of the budget that is used; nodes disagree on their number for a while.
+# Part of the budget that is used.  The calls that a repeated run makes count as repeats as well,
+# and no node sees them as such; nodes also disagree on their number for a while.
+MARGIN = 0.5
 
 
 @attrs.define
--- a/ibisrack/dispatch/decisions_test.py
+++ b/ibisrack/dispatch/decisions_test.py
@@ -21,7 +21,7 @@
 
 def attempts(repeats: Repeats = Repeats.ALLOWED, slack: float = 100.0, tries: int = 2) -> Attempts:
     budget = RepeatBudget(0.0, slack, 10.0)
-    return Attempts(route(repeats=repeats, max_attempts=tries), "desk", 100.0, budget)
+    return Attempts(route(repeats=repeats, max_attempts=tries), "desk", 100.0, 50.0, budget)
 
 
 def test_refusals_by_nodes_cost_no_budget():
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -15,6 +15,7 @@
 from ibisrack.dispatch.attempts import Attempts, Result
 from ibisrack.dispatch.budget import RepeatBudget
 from ibisrack.dispatch.choice import Views, choose
+from ibisrack.dispatch.patience import Patience
 from ibisrack.dispatch.request import Request
 from ibisrack.dispatch.verdicts import Failure, NoRoute, Refusal, Verdict
 from ibisrack.errors import NotRunError, UnknownOutcomeError
@@ -79,6 +80,7 @@
       rng: Source of jitter.
       views: What is known of the instances.
       splitter: Chooses among the services of a route.
+      patience: Tells how long callers have waited before they came.
       running: Requests that are being served.
       stop: When this process ends, None while that is not planned.
     """
@@ -91,6 +93,7 @@
     rng: Random
     views: Views = attrs.field(factory=Views)
     splitter: Splitter = attrs.field(factory=Splitter)
+    patience: Patience = attrs.field(factory=Patience)
     running: int = 0
     stop: Stop | None = None
 
@@ -113,7 +116,9 @@
         if self.stop is not None and self.stop.is_too_late(request.received_at_s, due_at_s):
             return Refusal(Reason.DRAINING, LEAST_RETRY_AFTER_S)
         service = self.splitter.service(route)
-        attempts = Attempts(route, service, due_at_s, self.budget)
+        began_at_s = self.patience.began_at_s(route, request)
+        target_at_s = began_at_s + route.target_s
+        attempts = Attempts(route, service, due_at_s, target_at_s, self.budget)
         self.budget.note(service, request.received_at_s)
         try:
             async with asyncio.timeout(due_at_s - read_clocks().monotonic_s):
@@ -172,7 +177,7 @@
             rank=route.rank,
             repeatable=route.repeatable,
             left_ms=left_ms,
-            target_ms=int((request.received_at_s + route.target_s - now_s) * 1000),
+            target_ms=int((attempts.target_at_s - now_s) * 1000),
             caller_service=request.caller_service,
             method=request.method,
             host=request.host,
--- a/ibisrack/hosting/host.py
+++ b/ibisrack/hosting/host.py
@@ -19,6 +19,7 @@
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Submit
+from ibisrack.routing.model import rank_name
 from ibisrack.rules.model import RankRule
 
 # The node that submitted a request ends it when its time is up.  The verdict of this node must
@@ -28,6 +29,9 @@
 # Guaranteed share of slot time for each rank below the most urgent one.
 LOWER_SHARE_PERCENT = 10
 MAX_QUEUE = 100
+# Part of the slots that the least urgent rank leaves to the others.  Its long calls would otherwise
+# hold every slot when a short urgent one arrives, often a call on which a running request waits.
+KEPT_FREE = 0.3
 
 
 class Upstream(Protocol):
@@ -79,21 +83,9 @@
     def configure(self, service: str, priorities: frozenset[int]) -> None:
         """Takes the ranks of a configuration and the slots of the listed instance."""
         instance = self.instance
-        ranks = tuple(
-            RankRule(
-                line=0,
-                requester="",
-                reason="",
-                service=service,
-                rank=f"priority-{priority}",
-                order=priority,
-                share_percent=0 if index == 0 else LOWER_SHARE_PERCENT,
-                max_queue=MAX_QUEUE,
-            )
-            for index, priority in enumerate(sorted(priorities))
-        )
-        now_s = read_clocks().monotonic_s
         slots = instance.slots if instance else self.gate.scheduler.slots
+        ranks = _rank_rules(service, sorted(priorities), slots)
+        now_s = read_clocks().monotonic_s
         self.gate.apply(self.gate.scheduler.configure(slots, ranks, now_s))
 
     async def run(self, submit: Submit) -> Answer:
@@ -190,5 +182,24 @@
         self.service_s += (service_s - self.service_s) * weight
 
 
+def _rank_rules(service: str, priorities: list[int], slots: int) -> tuple[RankRule, ...]:
+    """Returns a rank for each priority, the most urgent first."""
+    least_urgent = len(priorities) - 1
+    return tuple(
+        RankRule(
+            line=0,
+            requester="",
+            reason="",
+            service=service,
+            rank=rank_name(priority),
+            order=priority,
+            share_percent=LOWER_SHARE_PERCENT if index else 0,
+            max_slots=slots - round(slots * KEPT_FREE) if index == least_urgent and index else 0,
+            max_queue=MAX_QUEUE,
+        )
+        for index, priority in enumerate(priorities)
+    )
+
+
 async def _refuse(reason: Reason) -> Result:
     return NotRunError(reason)
