--- a/ibisrack/bin/common.py
+++ b/ibisrack/bin/common.py
@@ -2,7 +2,7 @@
 
 import logging
 import sys
-from typing import TypeVar
+from typing import TextIO, TypeVar
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -17,9 +17,19 @@
 EXIT_UNREACHABLE = 3
 
 
-def log_as_json(level: int = logging.INFO) -> None:
-    """Writes logs to standard error, one JSON object a line."""
-    handler = logging.StreamHandler(sys.stderr)
+def log_as_json(
+    level: int = logging.INFO, stream: TextIO | None = None, limit: logging.Filter | None = None
+) -> None:
+    """Writes logs, one JSON object a line.
+
+    Args:
+      level: Lowest level that is written.
+      stream: Where lines go; standard error by default.
+      limit: Decides about each line.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    if limit is not None:
+        handler.addFilter(limit)
     handler.setFormatter(JsonFormatter("%(asctime)s %(levelname)s %(name)s %(message)s"))
     logging.basicConfig(level=level, handlers=[handler], force=True)
     # The state machine library logs every step of a transition; the time line has them.
--- a/ibisrack/bin/ibis_sidecar.py
+++ b/ibisrack/bin/ibis_sidecar.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from ibisrack.bin.common import EXIT_USAGE, log_as_json
+from ibisrack.bin.limited import LineLimit
 from ibisrack.bin.loop import run_on_uvloop
 from ibisrack.errors import SettingsError
 from ibisrack.platform.settings_file import DEFAULT_PATH, PATH_VARIABLE, load_platform_settings
@@ -20,7 +21,7 @@
         for fault in error.faults:
             print(fault, file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    log_as_json()
+    log_as_json(stream=sys.stdout, limit=LineLimit())
     run_on_uvloop(run_sidecar(settings, Path(path), load_platform_settings))
 
 
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -148,15 +148,16 @@
 
     def _choose(self, attempts: Attempts, tried: set[str]) -> Instance | None:
         route, now_s = attempts.route, read_clocks().monotonic_s
-        candidates = [
-            instance
-            for instance in self.directory.of(attempts.service)
-            if instance.ready and instance.instance_id not in tried
-        ]
-        for instance in candidates:
+        candidates = []
+        for instance in self.directory.of(attempts.service):
+            if not instance.ready or instance.instance_id in tried:
+                continue
             load = self.target_of(instance).load
             if load is not None:
                 self.views.of(instance.instance_id).report(load)
+                if not load.takes_work:
+                    continue
+            candidates.append(instance)
         cost_s = self.views.zone_cost(route.name) * route.target_s
         return choose(candidates, self.views, self.zone, cost_s, self.rng, now_s)
 
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -210,7 +210,7 @@
         write_message(self._writer, Resume(submit.number, submit.request_id, submit.attempt))
 
     async def _closed(self) -> None:
-        writer, self._writer, self.life = self._writer, None, ""
+        writer, self._writer, self.life, self.load = self._writer, None, "", None
         if writer is not None:
             writer.transport.abort()
         else:  # The peer could not be reached: what may be repeated need not wait for it.
