Bound the queue of calls that will be late, and move decisions out of platform/

Calls that will be late now count as late.

platform/ held decisions of the product's own reader: budget, turns and reader move to versions/, the host list to membership/, unchanged.

--- a/ibisrack/calls/targets.py
+++ b/ibisrack/calls/targets.py
@@ -50,10 +50,15 @@
 def _(order: EarliestTarget, queue: RankQueue, ticket: Ticket, now_s: float) -> Reason | None:
     mean_s = queue.estimate.mean_s
     timely = [other for other in queue.waiting.values() if in_time(other, mean_s, now_s)]
-    ahead = sum(_urgency(other) <= _urgency(ticket) for other in timely)
-    if in_time(ticket, mean_s, now_s + queue.expected_wait_s(ahead)):
-        return None
     late = len(queue.waiting) - len(timely)
+    if in_time(ticket, mean_s, now_s):
+        ahead = sum(_urgency(other) <= _urgency(ticket) for other in timely)
+        wait_s = queue.expected_wait_s(ahead)
+        if in_time(ticket, mean_s, now_s + wait_s):
+            return None
+        # Of the calls ahead, those that start after this one's latest start will be late as well.
+        spare_s = ticket.target_at_s - mean_s * IN_TIME_MEANS - now_s
+        late += ahead - int(spare_s / wait_s * (ahead + 1))
     return Reason.TOO_BUSY if late >= queue.slots * LATE_PER_SLOT else None
 
 
--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -27,15 +27,15 @@
 from ibisrack.node.lifecycle import JOINING
 from ibisrack.node.state import NodeState, create_node
 from ibisrack.node.tasks import keep_running
-from ibisrack.platform.budget import ReadBudget
 from ibisrack.platform.client import RULES
-from ibisrack.platform.reader import PlatformReader
 from ibisrack.room.reporter import Reporter
 from ibisrack.room.source import FleetSource
 from ibisrack.room.status import ReportSchedule
 from ibisrack.settings.node import NodeSettings
 from ibisrack.upstreams.connections import PeerPools
 from ibisrack.upstreams.local import LocalUpstream, open_pool
+from ibisrack.versions.platform_reader import PlatformReader
+from ibisrack.versions.read_budget import ReadBudget
 
 TICK_S = 0.25
 PEER_CONNECTIONS = 100  # Most connections to one other node.
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -8,6 +8,7 @@
 from ibisrack.clocks import Instant
 from ibisrack.exchange.traffic import ExchangeTraffic
 from ibisrack.membership.departures import Departures
+from ibisrack.membership.hosts import HostsView
 from ibisrack.membership.links import choose_links
 from ibisrack.membership.news import NewsQueue
 from ibisrack.membership.readers import elect
@@ -17,7 +18,6 @@
 from ibisrack.node.joining import Joining, LinksView, Resuming, Step
 from ibisrack.node.lifecycle import JOINING, RESUMING, Lifecycle
 from ibisrack.node.observe import observe
-from ibisrack.platform.hosts import HostsView
 from ibisrack.room.counters import CallCounters
 from ibisrack.room.reports import RoomState
 from ibisrack.settings.node import NodeSettings
--- a/ibisrack/testing/spreading.py
+++ b/ibisrack/testing/spreading.py
@@ -13,10 +13,10 @@
 from ibisrack.membership.readers import elect
 from ibisrack.node.state import NodeState
 from ibisrack.platform.messages import PlatformValue
-from ibisrack.platform.reader import accept
 from ibisrack.testing.fixtures import bare_node
 from ibisrack.testing.stepped import SteppedFleet
 from ibisrack.versions.chunks import chunked
+from ibisrack.versions.platform_reader import accept
 from ibisrack.versions.store import VersionStore
 
 REGIONS = 3
--- a/ibisrack/testing/stepped.py
+++ b/ibisrack/testing/stepped.py
@@ -20,9 +20,9 @@
 from ibisrack.node.joining import Step
 from ibisrack.node.lifecycle import JOINING, SERVING
 from ibisrack.node.state import NodeState
-from ibisrack.platform.budget import ReadBudget
 from ibisrack.platform.messages import PlatformValue
-from ibisrack.platform.reader import accept, is_reader
+from ibisrack.versions.platform_reader import accept, is_reader
+from ibisrack.versions.read_budget import ReadBudget
 
 TICK_S = 0.25
 
--- a/ibisrack/platform/reader.py
+++ b/ibisrack/versions/platform_reader.py
@@ -12,14 +12,14 @@
 from ibisrack.errors import PlatformError, PlatformTimeoutError
 from ibisrack.node.lifecycle import JOINING, STARTING
 from ibisrack.node.state import NodeState
-from ibisrack.platform.budget import ReadBudget
 from ibisrack.platform.client import HOSTS, RULES, parse_hosts, watch, watch_revision
 from ibisrack.platform.messages import HostList, PlatformValue
-from ibisrack.platform.turns import wait_before_read_s
 from ibisrack.timeline.events import LowerRevisionIgnored, PlatformUnavailable
 from ibisrack.versions.chunks import chunked
 from ibisrack.versions.handlers import record_conflict, stage_version
+from ibisrack.versions.read_budget import ReadBudget
 from ibisrack.versions.store import Interest
+from ibisrack.versions.turns import wait_before_read_s
 
 ELECTION_CHECK_S = 1.0
 READ_WAIT_S = 0.0  # A plain read does not wait at the service.
--- a/ibisrack/platform/platform_test.py
+++ b/ibisrack/versions/platform_reader_test.py
@@ -12,19 +12,19 @@
 from ibisrack.clocks import Instant
 from ibisrack.errors import PlatformError, PlatformTimeoutError
 from ibisrack.membership.departures import Departures
+from ibisrack.membership.hosts import ABSENT_DEAD_S
 from ibisrack.membership.records import Liveness
 from ibisrack.node.state import NodeState
-from ibisrack.platform.budget import BACKOFF_LIMIT_S, READ_BURST, READS_PER_S, ReadBudget
 from ibisrack.platform.client import HOSTS, RULES
-from ibisrack.platform.hosts import ABSENT_DEAD_S
 from ibisrack.platform.messages import HostList, ListedHost
-from ibisrack.platform.reader import PlatformReader, accept, review_hosts
 from ibisrack.settings.node import PlatformSettings
 from ibisrack.settings.standins import StandinPlatformSettings
 from ibisrack.standins.platform import Faults, StandinPlatform, Value
 from ibisrack.testing.fixtures import PILBARA_RULES, bare_node, member
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.stepping import STEP_S, contact_seeds, fresh_fleet
+from ibisrack.versions.platform_reader import PlatformReader, accept, review_hosts
+from ibisrack.versions.read_budget import BACKOFF_LIMIT_S, READ_BURST, READS_PER_S, ReadBudget
 
 NOW = Instant(1000.0, 1)
 
--- a/ibisrack/platform/turns_test.py
+++ b/ibisrack/versions/turns_test.py
@@ -4,9 +4,9 @@
 from random import Random
 
 from ibisrack.membership.readers import elect
-from ibisrack.platform.turns import WAIT_LOW_S, reads_first, wait_before_read_s
 from ibisrack.testing.fixtures import member
 from ibisrack.testing.functions import function_tests
+from ibisrack.versions.turns import WAIT_LOW_S, reads_first, wait_before_read_s
 
 MEMBERS = [member(f"n{i}", zone=f"z{i % 12}") for i in range(60)]
 READERS = [m.node_id for zone in range(12) for m in elect(f"z{zone}", MEMBERS)]
