--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -45,7 +45,10 @@
 SPARE_CONNECTIONS = 2  # Beyond the slots, for connections that are being replaced.
 # Callers are moved away after two checks, one a second; requests come until then.
 LEAST_STOP_S = 2.5
-STOP_MARGIN_S = 0.4  # Before the process would be killed.
+STOP_MARGIN_S = 0.3  # Before the process would be killed.
+LAST_REQUESTS_S = (
+    0.3  # Requests that were sent before the listening sockets closed arrive within it.
+)
 WITHDRAW_S = 0.5  # Before the end, requests that still wait somewhere are refused.
 STOP_POLL_S = 0.05
 SETTINGS_POLL_S = 1.0  # The settings file may change without a signal.
@@ -128,6 +131,11 @@
         try:
             yield node
         finally:
+            for runner in runners:
+                for site in tuple(runner.sites):
+                    await site.stop()
+            if node.leaving:
+                await _serve_last_requests(node)
             _LOGGER.info("stopped", extra={"node": settings.node_id})
             node.close()
             links.close()
@@ -200,6 +208,13 @@
     return links, runners
 
 
+async def _serve_last_requests(node: SidecarNode) -> None:
+    """Serves the requests that were on their way when the node stopped listening."""
+    await asyncio.sleep(LAST_REQUESTS_S)
+    while node.dispatcher.running and read_clocks().monotonic_s < node.dispatcher.stop.ends_at_s:
+        await asyncio.sleep(STOP_POLL_S)
+
+
 async def drain(node: SidecarNode) -> None:
     """Says that the node leaves, and waits until nobody is cut off by its end."""
     start_s = read_clocks().monotonic_s
@@ -218,5 +233,5 @@
             withdrawn = True
             node.withdraw()
         idle = not node.host.gate.load().busy and not node.dispatcher.running
-        if now_s >= ends_at_s or (idle and now_s - start_s >= LEAST_STOP_S):
+        if now_s >= ends_at_s - LAST_REQUESTS_S or (idle and now_s - start_s >= LEAST_STOP_S):
             return
--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -8,6 +8,8 @@
 from aiohttp import web
 
 from ibisrack.calls.outcomes import Reason
+from ibisrack.clocks import read_clocks
+from ibisrack.dispatch.dispatcher import Stop
 from ibisrack.instances.model import InstanceState
 from ibisrack.platform.headers import NOT_EXECUTED
 from ibisrack.sidecar.run import drain
@@ -240,6 +242,29 @@
         stopping.cancel()
 
 
+async def test_a_request_that_comes_as_the_node_stops_listening_is_answered():
+    """Guards against a stop that is idle for a moment and ends while a request arrives."""
+    async with fleet(2) as fleet_:
+        for beside in fleet_.instances:
+            beside.work_s = 0.2
+        await fleet_.ask(0, request_id="q-0")
+        leaving = fleet_.nodes[0]
+        leaving.leaving = True
+        now_s = read_clocks().monotonic_s
+        leaving.dispatcher.stop = Stop(now_s + 5, now_s + 5)
+        calls = leaving.settings.calls
+        reader, writer = await asyncio.open_connection(calls.host, calls.port)
+        ending = asyncio.create_task(fleet_.end(0))
+        await asyncio.sleep(0.1)
+        writer.write(
+            b"GET /notices/1 HTTP/1.1\r\nHost: desk.example\r\n"
+            b"Request-Id: q-1\r\nDeadline-Ms: 2000\r\n\r\n"
+        )
+        assert b" 200 " in await reader.readline()
+        writer.close()
+        await ending
+
+
 async def test_a_link_that_breaks_neither_loses_nor_repeats_a_lodgement():
     """Guards against an unknown outcome after the reset of a connection between nodes."""
     async with fleet(2) as fleet_:
--- a/ibisrack/testing/sidecars.py
+++ b/ibisrack/testing/sidecars.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import attrs
@@ -117,6 +117,11 @@
     nodes: list[SidecarNode]
     instances: list[StandInInstance]
     session: ClientSession
+    _ends: list[Callable[[], Awaitable[None]]] = attrs.field(factory=list)
+
+    async def end(self, number: int) -> None:
+        """Ends a sidecar as the end of its process would."""
+        await self._ends[number]()
 
     async def ask(
         self,
@@ -193,7 +198,9 @@
                 retry_slack=100.0,
             )
             made.instances.append(beside)
-            made.nodes.append(await stack.enter_async_context(serving(settings)))
+            lifetime = await stack.enter_async_context(AsyncExitStack())
+            made.nodes.append(await lifetime.enter_async_context(serving(settings)))
+            made._ends.append(lifetime.aclose)
             made.list_instance(number)
         await eventually(lambda: all(len(node.directory.all()) == count for node in made.nodes))
         yield made
