--- a/ibisrack/dispatch/attempts.py
+++ b/ibisrack/dispatch/attempts.py
@@ -12,12 +12,11 @@
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.retry import Result, may_run
 from ibisrack.dispatch.budget import RepeatBudget
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.routing.model import Route
 
-Result = Answer | NotRunError | UnknownOutcomeError
-
 SERVER_FAULT = 500  # Lowest status with which an instance says that it failed.
 LEAST_LEFT_S = 0.02  # Another attempt with less time than this cannot be answered in time.
 
@@ -86,17 +85,6 @@
     return result.reason in ARRIVED
 
 
-@singledispatch
-def may_run(result: object) -> bool:
-    """Returns whether a request may have run in an attempt."""
-    return True
-
-
-@may_run.register
-def _(result: NotRunError) -> bool:
-    return False
-
-
 @singledispatch
 def may_repeat(result: object, route: Route) -> bool:
     """Returns whether the kind of a result allows another attempt."""
--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -15,6 +15,7 @@
 
 DEFAULT_SERVICE_S = 0.1
 COLD_FACTOR = 2.0  # An instance that has just started is expected to take this much longer.
+BUSY_WEIGHT = 0.3  # Part of a service time that a full instance costs before calls wait there.
 JITTER = 0.05  # Random part of a cost, so that nodes with the same view choose differently.
 SIZE_WEIGHT = 0.1  # Weight of the newest answer in the mean size of a route's answers.
 
@@ -67,7 +68,7 @@
             service_s *= COLD_FACTOR
         slots = max(1, slots)
         waiting = max(0.0, busy + 1 - slots)
-        return service_s * (1 + waiting / slots + 0.3 * busy / slots)
+        return service_s * (1 + waiting / slots + BUSY_WEIGHT * busy / slots)
 
 
 @attrs.define
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -11,8 +11,9 @@
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.retry import Result
 from ibisrack.clocks import read_clocks
-from ibisrack.dispatch.attempts import Attempts, Result
+from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import RepeatBudget
 from ibisrack.dispatch.choice import Views, choose
 from ibisrack.dispatch.patience import Patience
--- a/ibisrack/hosting/host.py
+++ b/ibisrack/hosting/host.py
@@ -13,9 +13,10 @@
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.retry import Result
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError, UnknownOutcomeError
-from ibisrack.hosting.runs import Key, Result, Run, RunLedger
+from ibisrack.hosting.runs import Key, Run, RunLedger
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Submit
@@ -29,6 +30,7 @@
 # Guaranteed share of slot time for each rank below the most urgent one.
 LOWER_SHARE_PERCENT = 10
 MAX_QUEUE = 100
+SERVICE_WEIGHT = 0.1  # Weight of the newest request in the mean time at the instance.
 # Part of the slots that the least urgent rank leaves to the others.  Its long calls would otherwise
 # hold every slot when a short urgent one arrives, often a call on which a running request waits.
 KEPT_FREE = 0.3
@@ -188,7 +190,7 @@
             raise NotRunError(Reason.NO_INSTANCE)
 
     def _learn(self, service_s: float) -> None:
-        weight = 0.1 if self.service_s else 1.0
+        weight = SERVICE_WEIGHT if self.service_s else 1.0
         self.service_s += (service_s - self.service_s) * weight
 
 
--- a/ibisrack/hosting/runs.py
+++ b/ibisrack/hosting/runs.py
@@ -10,8 +10,6 @@
 
 import attrs
 
-from ibisrack.calls.messages import Answer
-from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.links.messages import Submit
 
 KEPT_S = 2.0  # How long results are kept; a peer reconnects within a fraction of it.
@@ -19,7 +17,6 @@
 ORPHAN_S = 1.5  # Time for the peer to ask for a request again before it is cancelled.
 
 Key = tuple[str, int]
-Result = Answer | NotRunError | UnknownOutcomeError
 
 
 @attrs.define(eq=False)
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -46,11 +46,11 @@
 # Callers are moved away after two checks, one a second; requests come until then.
 LEAST_STOP_S = 2.5
 STOP_MARGIN_S = 0.3  # Before the process would be killed.
-LAST_REQUESTS_S = (
-    0.3  # Requests that were sent before the listening sockets closed arrive within it.
-)
+# Requests that were sent before the listening sockets closed arrive within this time.
+LAST_REQUESTS_S = 0.3
 WITHDRAW_S = 0.5  # Before the end, requests that still wait somewhere are refused.
 STOP_POLL_S = 0.05
+CLOSE_S = 0.1  # For the answers that are being written when the connections are closed.
 SETTINGS_POLL_S = 1.0  # The settings file may change without a signal.
 
 _LOGGER = logging.getLogger("ibisrack.sidecar")
@@ -201,7 +201,7 @@
         (callers, settings.calls),
         (ReadyServer(lambda: node.ready), settings.ready),
     ):
-        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
         await runner.setup()
         await web.TCPSite(runner, address.host, address.port, backlog=BACKLOG).start()
         runners.append(runner)
--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -23,6 +23,13 @@
 )
 
 
+async def lose(instance, request):
+    """Runs a request and breaks off instead of answering it."""
+    await instance.run(request)
+    request.transport.abort()
+    return web.Response()
+
+
 async def test_a_request_reaches_the_instance_of_another_machine():
     """Guards against a path that works only where the caller's own instance serves."""
     async with fleet(3) as fleet_:
@@ -71,11 +78,6 @@
 async def test_a_lodgement_whose_answer_is_lost_runs_once_and_is_not_refused():
     """Guards against a repeat, or a 503, of a request that may have run."""
 
-    async def lose(instance, request):
-        await instance.run(request)
-        request.transport.abort()
-        return web.Response()
-
     async with fleet(2) as fleet_:
         for beside in fleet_.instances:
             beside.behave = lose
@@ -87,11 +89,6 @@
 async def test_a_lookup_whose_answer_is_lost_runs_on_another_instance():
     """Guards against failing a request that may be repeated."""
 
-    async def lose(instance, request):
-        await instance.run(request)
-        request.transport.abort()
-        return web.Response()
-
     async with fleet(2) as fleet_:
         fleet_.instances[0].behave = lose
         statuses = [(await fleet_.ask(0, request_id=f"q-{n}"))[0].status for n in range(6)]
