--- a/bench/room_bench.py
+++ b/bench/room_bench.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from bench.measures import Measure
-from ibisrack.calls.tally import Tally
+from ibisrack.metrics.tally import Tally
 from ibisrack.node.observe import observe
 from ibisrack.room.assemble import Known, assemble
 from ibisrack.room.counters import CallCounters
--- a/ibisrack/bin/common.py
+++ b/ibisrack/bin/common.py
@@ -18,20 +18,27 @@
 
 
 def log_as_json(
-    level: int = logging.INFO, stream: TextIO | None = None, limit: logging.Filter | None = None
+    level: int = logging.INFO,
+    stream: TextIO | None = None,
+    limit: logging.Filter | None = None,
+    **fields: str,
 ) -> None:
     """Writes logs, one JSON object a line.
 
     Args:
-      level: Lowest level that is written.
+      level: Lowest level of the project's lines that is written; libraries write from INFO on.
       stream: Where lines go; standard error by default.
       limit: Decides about each line.
+      fields: Fields of every line.
     """
     handler = logging.StreamHandler(stream or sys.stderr)
     if limit is not None:
         handler.addFilter(limit)
-    handler.setFormatter(JsonFormatter("%(asctime)s %(levelname)s %(name)s %(message)s"))
-    logging.basicConfig(level=level, handlers=[handler], force=True)
+    handler.setFormatter(
+        JsonFormatter("%(levelname)s %(name)s %(message)s", static_fields=fields, timestamp=True)
+    )
+    logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
+    logging.getLogger("ibisrack").setLevel(level)
     # The state machine library logs every step of a transition; the time line has them.
     logging.getLogger("transitions").setLevel(logging.ERROR)
 
--- a/ibisrack/bin/ibis_sidecar.py
+++ b/ibisrack/bin/ibis_sidecar.py
@@ -1,28 +1,38 @@
 """The node on a platform that names its fleet in a metadata store."""
 
+import logging
 import os
 import sys
+from functools import partial
 from pathlib import Path
 
 from ibisrack.bin.common import EXIT_USAGE, log_as_json
-from ibisrack.bin.limited import LineLimit
+from ibisrack.bin.limited import LineLimit, PipeStream
 from ibisrack.bin.loop import run_on_uvloop
 from ibisrack.errors import SettingsError
-from ibisrack.platform.settings_file import DEFAULT_PATH, PATH_VARIABLE, load_platform_settings
+from ibisrack.platform.settings_file import (
+    DEFAULT_PATH,
+    METRICS_VARIABLE,
+    PATH_VARIABLE,
+    load_platform_settings,
+)
 from ibisrack.sidecar.run import run_sidecar
 
 
 def run() -> None:
     """Entry point of the ibis-sidecar command."""
     path = os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
+    load = partial(load_platform_settings, metrics_port=os.environ.get(METRICS_VARIABLE, ""))
     try:
-        settings = load_platform_settings(path)
+        settings = load(path)
     except SettingsError as error:
         for fault in error.faults:
             print(fault, file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    log_as_json(stream=sys.stdout, limit=LineLimit())
-    run_on_uvloop(run_sidecar(settings, Path(path), load_platform_settings))
+    limit = LineLimit()
+    stream = PipeStream.wrap(sys.stdout, limit)
+    log_as_json(logging.DEBUG, stream, limit, node=settings.node_id)
+    run_on_uvloop(run_sidecar(settings, Path(path), load))
 
 
 if __name__ == "__main__":
--- a/ibisrack/bin/limited_test.py
+++ b/ibisrack/bin/limited_test.py
@@ -1,8 +1,9 @@
 """Tests of the bound on the volume of logs."""
 
 import logging
+import os
 
-from ibisrack.bin.limited import LineLimit
+from ibisrack.bin.limited import LineLimit, PipeStream
 from ibisrack.testing.functions import function_tests
 
 
@@ -26,4 +27,30 @@
     assert limit.filter(line(logging.WARNING))
 
 
+def test_lines_about_served_requests_leave_room_for_the_others():
+    """Guards against failures that are left out because successes were written."""
+    limit = LineLimit(lines_per_s=0.0, burst=4.0)
+    assert [limit.filter(line(logging.DEBUG)) for _ in range(3)] == [True, True, False]
+    assert limit.filter(line())
+
+
+def test_a_pipe_that_nobody_reads_holds_nothing_up():
+    """Guards against a process that stops serving because its log is not read."""
+    reader, writer = os.pipe()
+    limit = LineLimit()
+    file = os.fdopen(writer, "w")
+    stream = PipeStream.wrap(file, limit)
+    for _ in range(2000):
+        stream.write("x" * 99 + "\n")
+    taken = os.read(reader, 1 << 20)
+    assert 0 < len(taken) < 200_000
+    stream.write("after\n")
+    os.set_blocking(reader, False)
+    # A line that was taken in part is completed first, so that no line is cut.
+    assert (taken + os.read(reader, 1 << 20)).endswith(b"x\nafter\n")
+    last = line()
+    assert limit.filter(last)
+    assert last.lines_left_out > 0
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/calls/connections.py
+++ b/ibisrack/calls/connections.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from ibisrack.calls.headers import OUTCOME, REASON
+from ibisrack.calls.http_connection import HttpConnection
 from ibisrack.calls.outcomes import Outcome, Reason
 from ibisrack.calls.server import CallServer
 
@@ -12,33 +13,22 @@
 MAX_HEADERS = 128
 
 
-class CallConnection(web.RequestHandler):
+class CallConnection(HttpConnection):
     """One connection of a caller or of another node."""
 
     __slots__ = ()
 
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Answers a request that could not be parsed, or that a programming error ended.
-
-        Only the former certainly did not run.
-        """
-        if status != HTTPStatus.BAD_REQUEST:
-            response = super().handle_error(request, status, exc, message)
-            response.headers[OUTCOME] = Outcome.UNKNOWN.value
-            return response
-        # The parser's message quotes the request; it is not repeated to the sender.
-        response = web.Response(
-            status=status,
+    def unreadable(self, status: int) -> web.Response:
+        """Returns the answer to a request that could not be parsed; it did not run."""
+        return web.Response(
+            status=HTTPStatus.BAD_REQUEST,
             text=f"{Outcome.NOT_RUN.value}: the request is not valid HTTP\n",
             headers={OUTCOME: Outcome.NOT_RUN.value, REASON: Reason.BAD_REQUEST.value},
         )
-        response.force_close()
+
+    def broken(self, response: web.StreamResponse) -> web.StreamResponse:
+        """Completes the answer to a request of unknown outcome."""
+        response.headers[OUTCOME] = Outcome.UNKNOWN.value
         return response
 
 
--- a/ibisrack/calls/retry.py
+++ b/ibisrack/calls/retry.py
@@ -11,7 +11,7 @@
 import attrs
 
 from ibisrack.calls.messages import Answer, Call
-from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.outcomes import Outcome, Reason
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 
 # Retries that a call earns.  A refusal deep in a chain may be tried again by the layer that met it
@@ -147,3 +147,24 @@
 @may_run.register
 def _(result: NotRunError) -> bool:
     return False
+
+
+@singledispatch
+def described(result: object) -> tuple[Outcome, str]:
+    """Returns what is known of a call's execution, and why."""
+    raise TypeError(f"unknown result {type(result).__name__}")
+
+
+@described.register
+def _(result: Answer) -> tuple[Outcome, str]:
+    return Outcome.DONE, str(result.status)
+
+
+@described.register
+def _(result: NotRunError) -> tuple[Outcome, str]:
+    return Outcome.NOT_RUN, str(result.reason)
+
+
+@described.register
+def _(result: UnknownOutcomeError) -> tuple[Outcome, str]:
+    return Outcome.UNKNOWN, str(result.reason)
--- a/ibisrack/calls/targets.py
+++ b/ibisrack/calls/targets.py
@@ -1,12 +1,14 @@
 """Order of waiting calls by the time at which their answers lose most of their value.
 
-A call that can still be answered in time goes before one that can't, whatever their ranks, unless
-a rank is short of its guaranteed share.  A queue that served its calls in the order of arrival
-would answer all of them late in an overload; this one answers as many in time as there are slots.
+A call that will be answered in time goes before one that may be, and that before one that can't,
+whatever their ranks, unless a rank is short of its guaranteed share.  A queue that served its calls
+in the order of arrival would answer all of them late in an overload; this one answers as many in
+time as there are slots.
 """
 
 from collections import OrderedDict
 from collections.abc import Sequence
+from enum import IntEnum
 
 import attrs
 
@@ -21,6 +23,8 @@
 # How much of a target counts in the order of calls in time.  With the whole of it, calls with long
 # targets would never start in an overload; with none, short ones would wait behind them.
 TARGET_WEIGHT = 0.3
+# With less than this part of the mean left, hardly any call is still answered in time.
+CHANCE_MEANS = 0.4
 LATE_PER_SLOT = 0.5  # Calls past their target that may wait at an instance, for each of its slots.
 
 
@@ -31,12 +35,28 @@
 
 @attrs.frozen
 class InTimeFirst:
-    """Serves ranks with calls in time by precedence, then the other ranks by precedence."""
+    """Serves the rank whose calls have the best prospect, by precedence among equals."""
+
+
+class Prospect(IntEnum):
+    """Whether a call that starts now will be answered within its target; the best is the least."""
+
+    IN_TIME = 0
+    POSSIBLE = 1
+    LATE = 2
+
+
+def prospect(ticket: Ticket, mean_s: float, now_s: float) -> Prospect:
+    """Returns the prospect of a call that starts now."""
+    left_s = ticket.target_at_s - now_s
+    if left_s >= mean_s * IN_TIME_MEANS:
+        return Prospect.IN_TIME
+    return Prospect.POSSIBLE if left_s >= mean_s * CHANCE_MEANS else Prospect.LATE
 
 
 def in_time(ticket: Ticket, mean_s: float, now_s: float) -> bool:
     """Tells whether a call that starts now is expected to meet its target."""
-    return ticket.target_at_s - now_s >= mean_s * IN_TIME_MEANS
+    return prospect(ticket, mean_s, now_s) is Prospect.IN_TIME
 
 
 @take.register
@@ -74,18 +94,20 @@
         queue.advance(now_s)
         if queue.account.is_owed(queue.estimate.mean_s):
             return queue
-    for queue in ready:
-        mean_s = queue.estimate.mean_s
-        if any(in_time(ticket, mean_s, now_s) for ticket in queue.waiting.values()):
-            return queue
-    return ready[0]
+    return min(ready, key=lambda queue: _best(queue, now_s))
+
+
+def _best(queue: RankQueue, now_s: float) -> Prospect:
+    mean_s = queue.estimate.mean_s
+    return min(prospect(ticket, mean_s, now_s) for ticket in queue.waiting.values())
 
 
-def _place(ticket: Ticket, queue: RankQueue, now_s: float) -> tuple[bool, float]:
+def _place(ticket: Ticket, queue: RankQueue, now_s: float) -> tuple[Prospect, float]:
     """Returns the place of a call in its queue, the lowest first."""
-    if in_time(ticket, queue.estimate.mean_s, now_s):
-        return False, _urgency(ticket)
-    return True, ticket.arrived_at_s
+    found = prospect(ticket, queue.estimate.mean_s, now_s)
+    if found is Prospect.POSSIBLE:  # The one with the most time left is the likeliest.
+        return found, -ticket.target_at_s
+    return found, _urgency(ticket) if found is Prospect.IN_TIME else ticket.arrived_at_s
 
 
 def _urgency(ticket: Ticket) -> float:
--- a/ibisrack/calls/targets_test.py
+++ b/ibisrack/calls/targets_test.py
@@ -35,6 +35,19 @@
     assert calls.finish(ticket(1), 1.1) == [Admitted(fresh)]
 
 
+def test_calls_that_may_still_be_in_time_go_before_hopeless_ones():
+    """Guards against slots for calls that can only be late while others still have a chance."""
+    calls = scheduler("a", "b")
+    calls.submit(ticket(1), 1.0)
+    hopeless = ticket(2, target_s=0.02)
+    less, more = ticket(3, target_s=0.25, rank="b"), ticket(4, target_s=0.3, rank="b")
+    for call in (hopeless, less, more):
+        assert isinstance(calls.submit(call, 1.0), Queued)
+    assert calls.finish(ticket(1), 1.2) == [Admitted(more)]
+    assert calls.finish(more, 1.205) == [Admitted(less)]
+    assert calls.finish(less, 1.3) == [Admitted(hopeless)]
+
+
 def test_a_call_that_cannot_be_in_time_is_refused_at_once():
     """Guards against holding a call only to answer it late."""
     calls = scheduler("a")
--- a/ibisrack/ctl/commands.py
+++ b/ibisrack/ctl/commands.py
@@ -119,6 +119,20 @@
     NEEDS_NODE: ClassVar[bool] = True
 
 
+@attrs.frozen
+class Follow(Command):
+    """Follows one request through the logs of several processes, in the order of their clocks.
+
+    REQUEST_ID is the identity that the caller gave, LOGS a file with log lines or a folder with one
+    file for each process.  The clocks of two machines may differ by more than the times between two
+    lines; lines of one process keep their order.  Exits with 1 when no line names the request.
+    """
+
+    NAME: ClassVar[str] = "follow"
+    request_id: str
+    logs: str
+
+
 @attrs.frozen
 class Drain(Command):
     """Stops one node gracefully: it refuses new work, finishes what it has, then exits.
@@ -139,5 +153,5 @@
 
 
 COMMANDS: dict[str, type[Command]] = {
-    cls.NAME: cls for cls in (Check, Diff, Explain, Fleet, Timeline, Drain, Version)
+    cls.NAME: cls for cls in (Check, Diff, Explain, Fleet, Timeline, Follow, Drain, Version)
 }
--- a/ibisrack/ctl/commands_test.py
+++ b/ibisrack/ctl/commands_test.py
@@ -54,6 +54,30 @@
     assert "--timeout_s" in _usage_error("version", "--timeout_s=0")
 
 
+def _line(at: str, node: str, message: str, request_id: str) -> str:
+    stamp = f"2026-12-04T10:00:{at}+00:00"
+    fields = {"timestamp": stamp, "node": node, "message": message, "request_id": request_id}
+    return json.dumps({**fields, "levelname": "INFO", "tried": ["i-1 200"]}) + "\n"
+
+
+def test_a_request_is_followed_through_the_logs_of_several_processes():
+    """Guards against a request of which only one node's part can be found."""
+    with tempfile.TemporaryDirectory() as folder:
+        Path(folder, "a.log").write_text(
+            "built\n" + _line("01.200", "a", "request served", "q") + _line("01.300", "a", "x", "p")
+        )
+        # The clock of this machine was set back between the two lines.
+        Path(folder, "b.log").write_text(
+            _line("01.150", "b", "submission ran", "q") + _line("00.100", "b", "peer left", "q")
+        )
+        code, text, _ = _run("follow", "q", folder)
+        assert code == 0
+        assert [line.split()[2] for line in text.splitlines()] == ["submission", "peer", "request"]
+        assert "tried=[" in text and "levelname" not in text
+        code, text, _ = _run("follow", "r", folder)
+        assert code == 1 and "no line names the request r" in text
+
+
 def test_help_of_every_command():
     for name, cls in COMMANDS.items():
         text = parse_command_line([name, "--help"])
--- a/ibisrack/ctl/main.py
+++ b/ibisrack/ctl/main.py
@@ -6,6 +6,7 @@
 # The commands register themselves when their modules are imported.
 import ibisrack.ctl.files
 import ibisrack.ctl.fleet
+import ibisrack.ctl.follow
 import ibisrack.ctl.nodes
 import ibisrack.ctl.timeline  # noqa: F401
 from ibisrack.admin.client import AdminError
--- a/ibisrack/ctl/timeline.py
+++ b/ibisrack/ctl/timeline.py
@@ -23,7 +23,7 @@
         timelines, errors = await _timelines(client, options)
     records = select(merge(timelines), options.events)
     traces = trace(records, options.events.call_id) if options.events.call_id else ()
-    lines = (*map(_event_line, records), *map(_trace_line, traces))
+    lines = (*map(event_line, records), *map(_trace_line, traces))
     data = [*records, *({"trace": found} for found in traces)]
     exit_code = EXIT_UNREACHABLE if errors else EXIT_OK
     return Result(lines, data, exit_code, errors, json_lines=True)
@@ -48,7 +48,8 @@
         return f"{member.node_id} did not answer: {error}"
 
 
-def _event_line(record: Record) -> str:
+def event_line(record: Record) -> str:
+    """Returns the line that shows an event."""
     stamp = f"{_utc(record.stamp.wall_ms)}+{record.stamp.counter}"
     fields = " ".join(f"{name}={_field(value)}" for name, value in record.event.items())
     return f"{stamp} {printable(record.node_id)} {printable(record.kind)} {fields}"
--- a/ibisrack/dispatch/attempts.py
+++ b/ibisrack/dispatch/attempts.py
@@ -37,6 +37,7 @@
       arrivals: Attempts that reached an instance.
       paid: Arrivals for whose repeat the budget was drawn on.
       may_have_run: The first result after which it may have run.
+      trail: The instances that were asked, each with its result, for the log.
     """
 
     route: Route
@@ -47,6 +48,7 @@
     arrivals: int = 0
     paid: int = 0
     may_have_run: Result | None = None
+    trail: list[str] = attrs.field(factory=list)
 
     def again(self, result: Result, now_s: float) -> bool:
         """Takes the result of an attempt and decides whether another one is made."""
--- a/ibisrack/dispatch/budget.py
+++ b/ibisrack/dispatch/budget.py
@@ -40,6 +40,12 @@
             self._sum -= self._buckets.popleft()[1]
         return self._sum
 
+    def resized(self, length_s: float, now_s: float) -> "Window":
+        """Returns a window of another length; what was counted counts as if it were new."""
+        window = Window(length_s)
+        window.add(now_s, self.total(now_s))
+        return window
+
     def _number(self, now_s: float) -> int:
         return math.floor(now_s / self.length_s * BUCKETS)
 
@@ -69,6 +75,14 @@
     nodes: int = 1
     _services: dict[str, ServiceBudget] = attrs.field(factory=dict)
 
+    def configure(self, ratio: float, slack: float, window_s: float, now_s: float) -> None:
+        """Takes other figures; what was spent lately stays spent."""
+        if window_s != self.window_s:
+            for budget in self._services.values():
+                budget.requests = Window(window_s)
+                budget.repeats = budget.repeats.resized(window_s, now_s)
+        self.ratio, self.slack, self.window_s = ratio, slack, window_s
+
     def note(self, service: str, now_s: float, repeated_share: float = 0.0) -> None:
         """Counts a request.
 
@@ -83,6 +97,10 @@
         if repeated_share:
             budget.repeats.add(now_s, repeated_share)
 
+    def spent(self, now_s: float) -> dict[str, float]:
+        """Returns the repeats of this node that count at present, by service."""
+        return {name: budget.repeats.total(now_s) for name, budget in self._services.items()}
+
     def spend(self, service: str, now_s: float) -> bool:
         """Takes one repeat; returns whether it is allowed."""
         budget = self._of(service)
--- a/ibisrack/dispatch/decisions_test.py
+++ b/ibisrack/dispatch/decisions_test.py
@@ -93,6 +93,15 @@
     assert budget.spend("docs", 12.0)
 
 
+def test_a_reload_that_changes_the_window_keeps_what_was_spent():
+    """Guards against a full budget after each change of the settings file."""
+    budget = RepeatBudget(ratio=0.0, slack=10.0 / MARGIN, window_s=10.0)
+    assert sum(budget.spend("desk", 1.0) for _ in range(20)) == 10
+    budget.configure(0.0, 10.0 / MARGIN, 5.0, 2.0)
+    assert not budget.spend("desk", 2.0)
+    assert budget.spend("desk", 8.0)
+
+
 def views(**loads: tuple[int, int, float]) -> Views:
     made = Views()
     for name, (busy, queued, service_ms) in loads.items():
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -1,7 +1,6 @@
 """Takes requests where they arrive: finds the route, chooses instances, sends and repeats."""
 
 import asyncio
-import logging
 from collections.abc import Callable
 from functools import singledispatch
 from random import Random
@@ -11,12 +10,13 @@
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
-from ibisrack.calls.retry import Result
+from ibisrack.calls.retry import Result, described
 from ibisrack.clocks import read_clocks
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import RepeatBudget
 from ibisrack.dispatch.choice import Views, choose
 from ibisrack.dispatch.patience import Patience
+from ibisrack.dispatch.records import RequestRecords
 from ibisrack.dispatch.request import Request
 from ibisrack.dispatch.verdicts import Failure, NoRoute, Refusal, Verdict
 from ibisrack.errors import NotRunError, UnknownOutcomeError
@@ -24,14 +24,13 @@
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Load, Submit
 from ibisrack.routing.holder import ConfigurationHolder
+from ibisrack.routing.model import Route
 from ibisrack.routing.splits import Splitter
 
 MAX_REFUSALS = 6  # Nodes that are asked for one request before the caller is told to come back.
 LEAST_RETRY_AFTER_S = 0.05
 NO_ROUTE_RETRY_AFTER_S = 0.3  # Until a node without a configuration has one.
 
-_LOGGER = logging.getLogger("ibisrack.dispatch")
-
 
 class Target(Protocol):
     """The node beside an instance: this one, or a peer over its link."""
@@ -80,6 +79,7 @@
       budget: Repeats that are allowed.
       repeated_share: Returns the share of repeats among the requests that run beside this node.
       rng: Source of jitter.
+      records: Writes down how requests ended.
       views: What is known of the instances.
       splitter: Chooses among the services of a route.
       patience: Tells how long callers have waited before they came.
@@ -94,6 +94,7 @@
     budget: RepeatBudget
     repeated_share: Callable[[], float]
     rng: Random
+    records: RequestRecords
     views: Views = attrs.field(factory=Views)
     splitter: Splitter = attrs.field(factory=Splitter)
     patience: Patience = attrs.field(factory=Patience)
@@ -109,12 +110,11 @@
             self.running -= 1
 
     async def _serve(self, request: Request) -> Verdict:
-        if self.configurations.current is None:
-            return Refusal(Reason.NO_VERSION, NO_ROUTE_RETRY_AFTER_S)
         version = self.configurations.version
-        route = self.configurations.table.find(request.host, request.path)
-        if route is None:
-            return NoRoute()
+        route = self._route(request)
+        if not isinstance(route, Route):
+            self.records.unrouted(request, version, route, read_clocks().monotonic_s)
+            return route
         due_at_s = min(request.deadline_at_s, request.received_at_s + route.timeout_s)
         if self.stop is not None and self.stop.is_too_late(request.received_at_s, due_at_s):
             return Refusal(Reason.DRAINING, LEAST_RETRY_AFTER_S)
@@ -128,11 +128,20 @@
                 result = await self._attempt_all(request, attempts)
         except TimeoutError:
             result = UnknownOutcomeError(Reason.DEADLINE)
+        except asyncio.CancelledError:
+            left = Failure(Reason.CANCELLED, False)
+            self.records.ended(request, attempts, version, left, read_clocks().monotonic_s)
+            raise
         verdict = to_verdict(result, self, attempts)
-        if not isinstance(verdict, Answer):
-            _log(request, attempts, version, verdict)
+        self.records.ended(request, attempts, version, verdict, read_clocks().monotonic_s)
         return verdict
 
+    def _route(self, request: Request) -> Route | Verdict:
+        """Returns the route of a request, or what its caller is told when there is none."""
+        if self.configurations.current is None:
+            return Refusal(Reason.NO_VERSION, NO_ROUTE_RETRY_AFTER_S)
+        return self.configurations.table.find(request.host, request.path) or NoRoute()
+
     async def _attempt_all(self, request: Request, attempts: Attempts) -> Result:
         """Makes attempts until one of them is final."""
         tried: set[str] = set()
@@ -143,6 +152,7 @@
                 break
             tried.add(instance.instance_id)
             result = await self._attempt(request, attempts, instance, len(tried))
+            attempts.trail.append(f"{instance.instance_id} {described(result)[1]}")
             if not attempts.again(result, read_clocks().monotonic_s):
                 break
         return attempts.verdict(result)
@@ -224,20 +234,3 @@
 @to_verdict.register
 def _(result: UnknownOutcomeError, dispatcher: Dispatcher, attempts: Attempts) -> Verdict:
     return Failure(str(result.reason), result.reason == Reason.DEADLINE)
-
-
-def _log(request: Request, attempts: Attempts, version: int, verdict: Verdict) -> None:
-    now_s = read_clocks().monotonic_s
-    _LOGGER.info(
-        "request not served",
-        extra={
-            "request_id": request.request_id,
-            "route": attempts.route.name,
-            "service": attempts.service,
-            "version": version,
-            "arrivals": attempts.arrivals,
-            "held_ms": round((now_s - request.received_at_s) * 1000),
-            "verdict": type(verdict).__name__,
-            "reason": getattr(verdict, "reason", ""),
-        },
-    )
--- a/ibisrack/hosting/host.py
+++ b/ibisrack/hosting/host.py
@@ -16,6 +16,7 @@
 from ibisrack.calls.retry import Result
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.hosting.records import Visit, VisitRecords
 from ibisrack.hosting.runs import Key, Run, RunLedger
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
@@ -57,7 +58,8 @@
       gate: Admits requests to its slots.
       upstream: Sends to it.
       directory: The known instances.
-      ledger: What became of submissions.
+      records: Writes down what became of submissions.
+      ledger: Submissions that run or ran lately.
       stopping: Whether this process is about to end.
       service_s: Mean time of a request at the instance.
       repeats: Running requests that had reached an instance before.
@@ -67,6 +69,7 @@
     gate: Gate
     upstream: Upstream
     directory: InstanceDirectory
+    records: VisitRecords
     ledger: RunLedger = attrs.field(factory=RunLedger)
     stopping: bool = False
     service_s: float = 0.0
@@ -103,13 +106,26 @@
           NotRunError: It did not run.
           UnknownOutcomeError: It may have run.
         """
-        start_s = read_clocks().monotonic_s
+        visit = Visit(submit, self.gate.load(), read_clocks().monotonic_s)
+        try:
+            answer = await self._run(submit, visit)
+        except (NotRunError, UnknownOutcomeError) as error:
+            self._record(visit, error)
+            raise
+        except asyncio.CancelledError:
+            self._record(visit, UnknownOutcomeError(Reason.CANCELLED))
+            raise
+        self._record(visit, answer)
+        return answer
+
+    async def _run(self, submit: Submit, visit: Visit) -> Answer:
+        start_s = visit.arrived_at_s
         deadline_at_s = start_s + submit.left_ms / 1000 - VERDICT_S
         self._check(submit)
         target_at_s = start_s + submit.target_ms / 1000
         async with self.gate.hold(submit.request_id, submit.rank, deadline_at_s, target_at_s):
             self._check(submit)
-            now_s = read_clocks().monotonic_s
+            now_s = visit.started_at_s = read_clocks().monotonic_s
             self.repeats += submit.repeated
             try:
                 answer = await self.upstream.send(submit, deadline_at_s + VERDICT_S - now_s)
@@ -189,6 +205,9 @@
         if instance.service != submit.service:
             raise NotRunError(Reason.NO_INSTANCE)
 
+    def _record(self, visit: Visit, result: Result) -> None:
+        self.records.ended(visit, result, self.service_s, read_clocks().monotonic_s)
+
     def _learn(self, service_s: float) -> None:
         weight = SERVICE_WEIGHT if self.service_s else 1.0
         self.service_s += (service_s - self.service_s) * weight
--- a/ibisrack/instances/directory.py
+++ b/ibisrack/instances/directory.py
@@ -25,6 +25,7 @@
     _instances: dict[str, Instance] = attrs.field(factory=dict)
     _lapsed: dict[str, float] = attrs.field(factory=dict)
     _by_service: dict[str, tuple[Instance, ...]] | None = None
+    _by_address: dict[tuple[str, int], Instance] | None = None
 
     def put(self, instance: Instance) -> bool:
         """Takes an entry; returns whether it changed what is believed."""
@@ -33,7 +34,7 @@
             return False
         self._lapsed.pop(instance.instance_id, None)
         self._instances[instance.instance_id] = instance
-        self._by_service = None
+        self._by_service = self._by_address = None
         return known != instance
 
     def remove(self, instance_id: str, now_s: float) -> bool:
@@ -89,13 +90,15 @@
 
     def at(self, host: str, port: int) -> Instance | None:
         """Returns the instance with an address; the one that started last when there are two."""
-        found = [i for i in self._instances.values() if i.host == host and i.port == port]
-        return max(found, key=lambda instance: (instance.ready, instance.born_ms), default=None)
+        if self._by_address is None:
+            oldest_first = sorted(self._instances.values(), key=lambda i: (i.ready, i.born_ms))
+            self._by_address = {(i.host, i.port): i for i in oldest_first}
+        return self._by_address.get((host, port))
 
     def _drop(self, instance_id: str) -> None:
         self._instances.pop(instance_id, None)
         self._lapsed.pop(instance_id, None)
-        self._by_service = None
+        self._by_service = self._by_address = None
 
 
 def _is_older(offered: Instance, known: Instance) -> bool:
--- a/ibisrack/links/frames.py
+++ b/ibisrack/links/frames.py
@@ -4,6 +4,7 @@
 import socket
 from typing import Any
 
+from ibisrack.errors import MessageError
 from ibisrack.links.codec import LENGTH_BYTES, decode, encode, frame_size
 
 # A peer or store without power answers nothing, so the operating system's own limits of minutes
@@ -13,6 +14,9 @@
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_MS = 2000
 
+# What reading raises when a link ends, breaks or carries something else than messages.
+BROKEN = (OSError, asyncio.IncompleteReadError, MessageError)
+
 
 def detect_silence(connection: socket.socket) -> None:
     """Lets the operating system end a connection whose other end is silent."""
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -1,6 +1,7 @@
 """The receiving end of a link: one task for each connection of a peer."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from functools import singledispatch
 from typing import Any
@@ -12,7 +13,7 @@
 from ibisrack.errors import MessageError, NotRunError, UnknownOutcomeError
 from ibisrack.hosting.host import Host
 from ibisrack.hosting.runs import Run
-from ibisrack.links.frames import detect_silence, read_message, write_message
+from ibisrack.links.frames import BROKEN, detect_silence, read_message, write_message
 from ibisrack.links.messages import (
     Answered,
     AskEntries,
@@ -31,7 +32,7 @@
 
 PART_BYTES = 64 * 1024  # Larger answers are sent in parts, so that they don't hold up others.
 
-_BROKEN = (OSError, asyncio.IncompleteReadError, MessageError)
+_LOGGER = logging.getLogger("ibisrack.links")
 
 
 @attrs.define(eq=False)
@@ -42,6 +43,8 @@
       host: Runs the requests.
       report: Returns this node's load.
       entries: Returns the registry's content that is newer than a revision, or None.
+      writer: Writes to the connection.
+      peer: IP number of the peer's machine.
       runs: Requests of this link that were not answered.
     """
 
@@ -49,6 +52,7 @@
     report: Callable[[], Load]
     entries: Callable[[int], Entries | None]
     writer: asyncio.StreamWriter
+    peer: str
     runs: dict[int, Run] = attrs.field(factory=dict)
     _reported: Load | None = None
 
@@ -57,8 +61,8 @@
         try:
             while True:
                 receive(await read_message(reader), self)
-        except _BROKEN:
-            pass
+        except BROKEN as error:
+            _LOGGER.info("peer left", extra={"peer": self.peer, "why": type(error).__name__})
         finally:
             for run in self.runs.values():
                 self.host.orphan(run)
@@ -98,7 +102,7 @@
 
 async def serve_link(
     own: Hello,
-    open_link: Callable[[asyncio.StreamWriter], ServedLink],
+    open_link: Callable[[asyncio.StreamWriter, str], ServedLink],
     links: set[ServedLink],
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
@@ -107,7 +111,7 @@
 
     Args:
       own: What this node says of itself.
-      open_link: Makes the link of a connection.
+      open_link: Makes the link of a connection from its writer and the IP number of the peer.
       links: The open links; this one is among them while it lasts.
       reader: Reads from the connection.
       writer: Writes to it.
@@ -115,13 +119,14 @@
     try:
         detect_silence(writer.get_extra_info("socket"))
         hello = await read_message(reader)
-    except _BROKEN:
+    except BROKEN:
         writer.transport.abort()
         return
     if not isinstance(hello, Hello):
         writer.transport.abort()
         return
-    link = open_link(writer)
+    link = open_link(writer, hello.node)
+    _LOGGER.info("peer joined", extra={"peer": hello.node, "life": hello.life})
     write_message(writer, own, link.report())
     links.add(link)
     try:
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import logging
 from collections.abc import Callable
 from contextlib import suppress
 from functools import singledispatch
@@ -18,7 +19,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import MessageError, NotRunError, UnknownOutcomeError
-from ibisrack.links.frames import detect_silence, read_message, write_message
+from ibisrack.links.frames import BROKEN, detect_silence, read_message, write_message
 from ibisrack.links.messages import (
     Answered,
     AskEntries,
@@ -37,10 +38,11 @@
 
 CONNECT_TIMEOUT_S = 0.3
 RECONNECT_PAUSE_S = 0.1
+BROKEN_PAUSE_S = 0.01  # Before the first connect after a link that worked broke.
 PING_AFTER_S = 0.25  # Silence of a peer that has requests before it is asked for a sign of life.
 SILENT_AFTER_S = 0.8  # Silence after which the link is replaced.
 
-_BROKEN = (OSError, asyncio.IncompleteReadError, MessageError)
+_LOGGER = logging.getLogger("ibisrack.links")
 
 
 @attrs.define(eq=False)
@@ -72,7 +74,8 @@
       port: TCP port of its links.
       load: Its last report, None before the first.
       heard_at_s: Monotonic time of the last message.
-      failed_at_s: Monotonic time of the last failed connect, -inf after a good one.
+      losses: Connections that broke after the peer had said hello.
+      failing: Whether the last connection broke and no other one has been opened since.
       life: Identity of the peer's process, empty while there is no link.
       learn_entries: Takes the registry's content that the peer sent.
     """
@@ -82,9 +85,9 @@
     port: int
     learn_entries: Callable[[Entries], None]
     load: Load | None = None
-    load_at_s: float = 0.0
     heard_at_s: float = 0.0
-    failed_at_s: float = float("-inf")
+    losses: int = 0
+    failing: bool = False
     life: str = ""
     pending: dict[int, Pending] = attrs.field(factory=dict)
     _writer: asyncio.StreamWriter | None = None
@@ -155,20 +158,31 @@
         """Keeps the link open while it is wanted: the task of this peer."""
         while True:
             await self._wanted.wait()
+            pause_s = RECONNECT_PAUSE_S
             try:
                 await self._converse()
-            except _BROKEN:
-                self.failed_at_s = read_clocks().monotonic_s
+            except BROKEN as error:
+                pause_s = BROKEN_PAUSE_S if self.is_open else RECONNECT_PAUSE_S
+                self._lost(error)
             finally:
                 await self._closed()
             if not self.pending:
                 self._wanted.clear()
-            await asyncio.sleep(RECONNECT_PAUSE_S if self.failed_recently() else 0)
-
-    def failed_recently(self, now_s: float | None = None, within_s: float = 1.0) -> bool:
-        """Tells whether the last connect failed not long ago."""
-        now_s = read_clocks().monotonic_s if now_s is None else now_s
-        return now_s - self.failed_at_s < within_s
+            await asyncio.sleep(pause_s)
+
+    def _lost(self, error: BaseException) -> None:
+        """Logs the end of a link; of connects that fail in a row, only the first."""
+        if self.is_open or not self.failing:
+            extra = {
+                "peer": self.host,
+                "was_open": self.is_open,
+                "unanswered": len(self.pending),
+                "silent_ms": round((read_clocks().monotonic_s - self.heard_at_s) * 1000),
+                "why": f"{type(error).__name__} {error}".strip(),
+            }
+            _LOGGER.warning("link lost", extra=extra)
+        self.losses += self.is_open
+        self.failing = True
 
     async def _converse(self) -> None:
         """Connects, says hello, asks for the results that are due and reads until the end."""
@@ -192,7 +206,9 @@
 
     async def _opened(self, writer: asyncio.StreamWriter, life: str) -> None:
         self._writer, self.life = writer, life
-        self.failed_at_s = float("-inf")
+        self.failing = False
+        extra = {"peer": self.host, "life": life, "unanswered": len(self.pending)}
+        _LOGGER.info("link open", extra=extra)
         self.heard_at_s = read_clocks().monotonic_s
         for pending in tuple(self.pending.values()):
             self._resume(pending)
@@ -252,7 +268,7 @@
 
 @receive.register
 def _(message: Load, link: PeerLink) -> None:
-    link.load, link.load_at_s = message, link.heard_at_s
+    link.load = message
 
 
 @receive.register
--- /dev/null
+++ b/ibisrack/metrics/exposition.py
@@ -0,0 +1,74 @@
+"""Hands counts to the metrics library.
+
+Requests touch plain integers only; the objects of the library are made once for each scrape, from
+the state that the slices keep anyway.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+from aioprometheus import Counter, Gauge, Registry
+from aioprometheus import Histogram as HistogramCollector
+from aioprometheus.collectors import POS_INF
+
+from ibisrack.metrics.tally import DURATION_BOUNDS_MS, Histogram
+
+Labels = Mapping[str, str]
+Sample = tuple[Labels, float]
+
+
+@attrs.frozen
+class Metric:
+    """A metric with its samples.
+
+    Attributes:
+      name: Name with its unit as a suffix.
+      help: One line for people.
+      is_counter: Whether the value only grows while the process lives.
+      samples: Values with their labels.
+    """
+
+    name: str
+    help: str
+    is_counter: bool
+    samples: tuple[Sample, ...]
+
+
+def single(value: float) -> tuple[Sample, ...]:
+    """Returns the only sample of a metric without labels."""
+    return (({}, value),)
+
+
+class DurationCollector(HistogramCollector):
+    """Hands over counts that were made without the library."""
+
+    def __init__(
+        self, name: str, help_text: str, durations: Mapping[str, Histogram], registry: Registry
+    ) -> None:
+        super().__init__(name, help_text, registry=registry)
+        self._durations = durations
+
+    def get_all(self) -> list[tuple[Labels, dict]]:
+        """Returns the cumulative counts in the form that the library formats."""
+        return [({"rank": rank}, _cumulative(h)) for rank, h in self._durations.items()]
+
+
+def _cumulative(histogram: Histogram) -> dict:
+    values: dict = {}
+    total = 0
+    bounds_s = (*(bound / 1000 for bound in DURATION_BOUNDS_MS), POS_INF)
+    for bound_s, count in zip(bounds_s, histogram.counts, strict=True):
+        total += count
+        values[float(bound_s)] = total
+    return {**values, "count": total, "sum": histogram.sum_ms / 1000}
+
+
+def to_registry(metrics: Iterable[Metric]) -> Registry:
+    """Returns a registry of the library with the values of metrics."""
+    registry = Registry()
+    for metric in metrics:
+        cls = Counter if metric.is_counter else Gauge
+        collector = cls(metric.name, metric.help, registry=registry)
+        for labels, value in metric.samples:
+            collector.set(dict(labels), value)
+    return registry
--- a/ibisrack/calls/tally.py
+++ b/ibisrack/metrics/tally.py
@@ -11,6 +11,8 @@
 
 from ibisrack.timeline.events import CallFinished, Event
 
+INGRESS = "ingress"  # Role of the node that took a call from its caller.
+OWNER = "owner"  # Role of the node beside the upstream.
 DURATION_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000, 30_000)
 
 
@@ -58,10 +60,14 @@
 
     @count.register
     def _(self, event: CallFinished) -> None:
-        key = (event.role, event.service, event.rank, event.outcome)
+        self.finish(event.role, event.service, event.rank, event.outcome, event.duration_ms)
+
+    def finish(self, role: str, service: str, rank: str, outcome: str, duration_ms: float) -> None:
+        """Counts a call that ended here."""
+        key = (role, service, rank, outcome)
         self.calls[key] = self.calls.get(key, 0) + 1
-        if event.role == "ingress":
-            self._histogram(event.rank).add(event.duration_ms)
+        if role == INGRESS:
+            self._histogram(rank).add(duration_ms)
 
     def _histogram(self, rank: str) -> Histogram:
         histogram = self.durations.get(rank)
--- a/ibisrack/node/metrics.py
+++ b/ibisrack/node/metrics.py
@@ -5,42 +5,15 @@
 """
 
 from collections import Counter as Count
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 
-import attrs
-from aioprometheus import Counter, Gauge, Registry
-from aioprometheus import Histogram as HistogramCollector
-from aioprometheus.collectors import POS_INF
+from aioprometheus import Registry
 
 from ibisrack.calls.gate import Gate
-from ibisrack.calls.tally import DURATION_BOUNDS_MS, Histogram
 from ibisrack.membership.records import Liveness
+from ibisrack.metrics.exposition import DurationCollector, Metric, single, to_registry
 from ibisrack.node.state import NodeState
 
-Labels = Mapping[str, str]
-Sample = tuple[Labels, float]
-
-
-@attrs.frozen
-class Metric:
-    """A metric with its samples.
-
-    Attributes:
-      name: Name with its unit as a suffix.
-      help: One line for people.
-      is_counter: Whether the value only grows while the process lives.
-      samples: Values with their labels.
-    """
-
-    name: str
-    help: str
-    is_counter: bool
-    samples: tuple[Sample, ...]
-
-
-def _single(value: float) -> tuple[Sample, ...]:
-    return (({}, value),)
-
 
 def call_metrics(node: NodeState) -> Iterator[Metric]:
     """Calls that ended here, by role, service, rank and outcome."""
@@ -54,9 +27,9 @@
 def load_metrics(gate: Gate) -> Iterator[Metric]:
     """Load of the upstream beside the node."""
     load = gate.load()
-    yield Metric("ibis_busy_slots", "Slots of the upstream in use.", False, _single(load.busy))
-    yield Metric("ibis_slots", "Slots of the upstream.", False, _single(load.slots))
-    yield Metric("ibis_queued_calls", "Calls that wait for a slot.", False, _single(load.queued))
+    yield Metric("ibis_busy_slots", "Slots of the upstream in use.", False, single(load.busy))
+    yield Metric("ibis_slots", "Slots of the upstream.", False, single(load.slots))
+    yield Metric("ibis_queued_calls", "Calls that wait for a slot.", False, single(load.queued))
 
 
 def version_metrics(node: NodeState) -> Iterator[Metric]:
@@ -64,8 +37,8 @@
     state = node.versions.state()
     revision = state.in_force.revision if state.in_force else 0
     refused = node.versions.refused.version_id.revision if node.versions.refused else 0
-    yield Metric("ibis_revision_in_force", "Revision in force, 0: none.", False, _single(revision))
-    yield Metric("ibis_refused_revision", "Highest one refused, 0: none.", False, _single(refused))
+    yield Metric("ibis_revision_in_force", "Revision in force, 0: none.", False, single(revision))
+    yield Metric("ibis_refused_revision", "Highest one refused, 0: none.", False, single(refused))
 
 
 def event_metrics(node: NodeState) -> Iterator[Metric]:
@@ -92,7 +65,7 @@
 def platform_metrics(node: NodeState) -> Iterator[Metric]:
     """Reads of the platform."""
     tally = node.tally
-    reads, failures = _single(tally.platform_reads), _single(tally.platform_failures)
+    reads, failures = single(tally.platform_reads), single(tally.platform_failures)
     yield Metric("ibis_platform_reads_total", "Reads of the platform started.", True, reads)
     yield Metric("ibis_platform_failures_total", "Reads that failed.", True, failures)
 
@@ -103,7 +76,7 @@
     samples = tuple(({"state": state.name.lower()}, counts[state]) for state in Liveness)
     yield Metric("ibis_members", "Known nodes, this one included.", False, samples)
     leaving = sum(record.leaving for record in node.members.all())
-    yield Metric("ibis_members_leaving", "Known nodes that are leaving.", False, _single(leaving))
+    yield Metric("ibis_members_leaving", "Known nodes that are leaving.", False, single(leaving))
 
 
 def all_metrics(node: NodeState, gate: Gate) -> Iterator[Metric]:
@@ -117,32 +90,6 @@
     yield from member_metrics(node)
 
 
-class DurationCollector(HistogramCollector):
-    """Hands over counts that were made without the library."""
-
-    def __init__(self, durations: Mapping[str, Histogram], registry: Registry) -> None:
-        super().__init__(
-            "ibis_call_duration_seconds",
-            "Time of calls that callers sent to this node, by rank.",
-            registry=registry,
-        )
-        self._durations = durations
-
-    def get_all(self) -> list[tuple[Labels, dict]]:
-        """Returns the cumulative counts in the form that the library formats."""
-        return [({"rank": rank}, _cumulative(h)) for rank, h in self._durations.items()]
-
-
-def _cumulative(histogram: Histogram) -> dict:
-    values: dict = {}
-    total = 0
-    bounds_s = (*(bound / 1000 for bound in DURATION_BOUNDS_MS), POS_INF)
-    for bound_s, count in zip(bounds_s, histogram.counts, strict=True):
-        total += count
-        values[float(bound_s)] = total
-    return {**values, "count": total, "sum": histogram.sum_ms / 1000}
-
-
 def collect(node: NodeState, gate: Gate) -> Registry:
     """Returns a registry with the present values.
 
@@ -150,11 +97,11 @@
       node: The node's state.
       gate: Admission to the upstream beside the node.
     """
-    registry = Registry()
-    for metric in all_metrics(node, gate):
-        cls = Counter if metric.is_counter else Gauge
-        collector = cls(metric.name, metric.help, registry=registry)
-        for labels, value in metric.samples:
-            collector.set(dict(labels), value)
-    DurationCollector(node.tally.durations, registry)
+    registry = to_registry(all_metrics(node, gate))
+    DurationCollector(
+        "ibis_call_duration_seconds",
+        "Time of calls that callers sent to this node, by rank.",
+        node.tally.durations,
+        registry,
+    )
     return registry
--- a/ibisrack/node/observe.py
+++ b/ibisrack/node/observe.py
@@ -3,7 +3,7 @@
 from functools import singledispatch
 
 from ibisrack.calls.outcomes import Outcome
-from ibisrack.calls.tally import Tally
+from ibisrack.metrics.tally import Tally
 from ibisrack.room.counters import CallCounters
 from ibisrack.timeline.events import CallFinished, Event
 
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from ibisrack.calls.tally import Tally
 from ibisrack.clocks import Instant
 from ibisrack.exchange.traffic import ExchangeTraffic
 from ibisrack.membership.departures import Departures
@@ -15,6 +14,7 @@
 from ibisrack.membership.records import MemberRecord
 from ibisrack.membership.suspicion import Suspicions
 from ibisrack.membership.table import MemberTable
+from ibisrack.metrics.tally import Tally
 from ibisrack.node.joining import Joining, LinksView, Resuming, Step
 from ibisrack.node.lifecycle import JOINING, RESUMING, Lifecycle
 from ibisrack.node.observe import observe
--- a/ibisrack/platform/front.py
+++ b/ibisrack/platform/front.py
@@ -1,12 +1,15 @@
 """The HTTP front end for callers on this machine, and the readiness check of the platform."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from functools import singledispatch
 from http import HTTPStatus
+from typing import Any
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestPayloadError
 
+from ibisrack.calls.http_connection import HttpConnection
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.relay import relayed
 from ibisrack.clocks import read_clocks
@@ -23,24 +26,61 @@
 Serve = Callable[[Request], Awaitable[Verdict]]
 
 
-class CallerConnection(web.RequestHandler):
-    """One connection of a caller."""
+class CallerConnection(HttpConnection):
+    """One connection of a caller.
 
-    __slots__ = ()
+    Attributes:
+      limits: Bounds of the time and size of a request's head, as they were when it was opened.
+    """
 
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Answers a request that is not valid HTTP, or that a programming error ended."""
-        if status != HTTPStatus.BAD_REQUEST:
-            return super().handle_error(request, status, exc, message)
-        response = web.Response(status=status, text="the request is not valid HTTP\n")
-        response.force_close()
-        return response
+    __slots__ = ("_head_bytes", "_head_timer", "limits")
+
+    def __init__(self, manager: web.Server, limits: Limits, **options: Any) -> None:
+        super().__init__(
+            manager,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=limits.idle_timeout_s,
+            max_line_size=limits.max_header_bytes,
+            max_field_size=limits.max_header_bytes,
+            max_headers=MAX_HEADERS,
+            **options,
+        )
+        self.limits = limits
+        self._head_bytes = 0
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes; a head that is too long, or not whole in time, ends the connection."""
+        super().data_received(data)
+        if self._waiter is None or self._waiter.done():  # A whole head came, or part of a body.
+            self._end_head()
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > self.limits.max_header_bytes:
+            self._refuse_head(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        elif self._head_timer is None:
+            self._head_timer = self._loop.call_later(
+                self.limits.header_timeout_s, self._refuse_head, HTTPStatus.REQUEST_TIMEOUT
+            )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends the connection."""
+        self._end_head()
+        super().connection_lost(exc)
+
+    def _end_head(self) -> None:
+        self._head_bytes = 0
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _refuse_head(self, status: HTTPStatus) -> None:
+        self._end_head()
+        if self.transport is not None:
+            head = f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Length: 0\r\n"
+            self.transport.write(f"{head}Connection: close\r\n\r\n".encode())
+        self.force_close()
 
 
 class CallerServer(web.Server):
@@ -68,17 +108,7 @@
 
     def __call__(self) -> web.RequestHandler:
         """Returns the protocol of a new connection."""
-        limits = self.limits()
-        return CallerConnection(
-            self,
-            loop=self._loop,
-            access_log=None,
-            auto_decompress=False,
-            keepalive_timeout=limits.idle_timeout_s,
-            max_line_size=limits.max_header_bytes,
-            max_field_size=limits.max_header_bytes,
-            max_headers=MAX_HEADERS,
-        )
+        return CallerConnection(self, self.limits(), loop=self._loop)
 
     async def _handle(self, message: web.BaseRequest) -> web.StreamResponse:
         received_at_s = read_clocks().monotonic_s
@@ -105,7 +135,10 @@
         request_id = headers.get(REQUEST_ID, "")
         if not request_id or not target.isascii() or not target.startswith("/"):
             raise RequestError(f"a request needs {REQUEST_ID} and a path")
-        body = await _read_body(message, self.limits().max_body_bytes)
+        limits = self.limits()
+        if _head_bytes(message) > limits.max_header_bytes:
+            raise RequestError(f"the head is larger than {limits.max_header_bytes} bytes", 431)
+        body = await _read_body(message, limits.max_body_bytes)
         forwarded = tuple(plain(relayed(headers), without=SET_BY_NODES).items())
         return Request(
             request_id=request_id,
@@ -160,6 +193,12 @@
     return web.Response(status=504 if verdict.late else 502, text=f"unknown: {verdict.reason}\n")
 
 
+def _head_bytes(message: web.BaseRequest) -> int:
+    """Returns the size of a request's head, without what separates its parts."""
+    fields = message._message.raw_headers
+    return len(message._message.path) + sum(len(name) + len(value) for name, value in fields)
+
+
 def _deadline_ms(text: str | None) -> int:
     if text is None:
         return NO_DEADLINE_MS
--- a/ibisrack/platform/settings_file.py
+++ b/ibisrack/platform/settings_file.py
@@ -12,11 +12,17 @@
 
 PATH_VARIABLE = "IBISRACK_NODE_FILE"
 DEFAULT_PATH = "/etc/ibisrack/settings.yaml"
+# The file names no port for metrics; the platform is told one in deploy/system.toml.
+METRICS_VARIABLE = "IBISRACK_METRICS_PORT"
 
 
-def load_platform_settings(path: str) -> SidecarSettings:
+def load_platform_settings(path: str, metrics_port: str = "") -> SidecarSettings:
     """Reads the settings file; fields that are not known are ignored.
 
+    Args:
+      path: The file.
+      metrics_port: Port for metrics on the address of the machine, empty to serve none.
+
     Raises:
       SettingsError: The file can't be read or has faults; all of them are in the error.
     """
@@ -37,6 +43,7 @@
         "links": reading.address("network.listen.inbound"),
         "ready": reading.address("network.listen.ready"),
         "registry": reading.address("platform.platform.address"),
+        "metrics": reading.own_port(metrics_port),
         "stop_s": reading.duration_s("terms.bounds.grace"),
         "retry_ratio": reading.at("terms.bounds.retry_budget_ratio"),
         "retry_slack": reading.at("terms.bounds.budget_slack"),
@@ -80,6 +87,15 @@
             return None
         return {"host": host, "port": int(port)}
 
+    def own_port(self, port: str) -> dict[str, Any] | None:
+        """Returns an address of this machine with a port that is not in the file."""
+        if not port:
+            return None
+        if not (port.isascii() and port.isdigit()):
+            self.faults.append(Fault(METRICS_VARIABLE, 0, "expected a port"))
+            return None
+        return {"host": str(self.at("self.ip")), "port": int(port)}
+
     def duration_s(self, path: str) -> float | None:
         value = self.at(path)
         if value is None:
--- a/ibisrack/registry/follower.py
+++ b/ibisrack/registry/follower.py
@@ -7,7 +7,9 @@
 
 import attrs
 
+from ibisrack.clocks import read_clocks
 from ibisrack.errors import HistoryGoneError, PlatformError
+from ibisrack.metrics.tally import Tally
 from ibisrack.registry.messages import Changes, Entry, Listing, Registry
 from ibisrack.registry.view import RegistryView
 
@@ -30,6 +32,7 @@
       registry: Reads the registry.
       view: What is known.
       rng: Source of jitter.
+      tally: Counts reads and failures.
       on_entries: Takes changed entries.
       on_state: Told whether the registry answers, at each change.
       answering: Whether it answers.
@@ -39,6 +42,7 @@
     registry: Registry
     view: RegistryView
     rng: Random
+    tally: Tally
     on_entries: Callable[[tuple[Entry, ...]], None]
     on_state: Callable[[bool], None]
     answering: bool = False
@@ -65,6 +69,7 @@
             self.on_entries(entries)
 
     async def _step(self) -> None:
+        self.tally.platform_reads += 1
         if self.needs_listing:
             listing = await self.registry.list_all()
             self.needs_listing = False
@@ -80,6 +85,7 @@
             await asyncio.sleep(COALESCE_S)
 
     def _back(self) -> None:
+        self.view.confirmed_at_s = read_clocks().monotonic_s
         if not self.answering:
             self.answering = True
             _LOGGER.info("registry answers", extra={"revision": self.view.revision})
@@ -87,6 +93,7 @@
 
     def _lost(self, error: str) -> None:
         self.failures += 1
+        self.tally.platform_failures += 1
         if self.answering or self.failures == 1:
             self.answering = False
             extra = {"revision": self.view.revision, "error": error}
--- a/ibisrack/registry/registry_test.py
+++ b/ibisrack/registry/registry_test.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from ibisrack.errors import HistoryGoneError, PlatformError
+from ibisrack.metrics.tally import Tally
 from ibisrack.registry.follower import WAIT_S, RegistryFollower
 from ibisrack.registry.messages import Changes, Entry, Listing
 from ibisrack.registry.view import RegistryView
@@ -63,7 +64,12 @@
 async def follow(*answers: object) -> tuple[ScriptedRegistry, list[bool]]:
     registry, states = ScriptedRegistry(*answers), []
     follower = RegistryFollower(
-        registry, RegistryView(), Random(1), on_entries=lambda _: None, on_state=states.append
+        registry,
+        RegistryView(),
+        Random(1),
+        Tally(),
+        on_entries=lambda _: None,
+        on_state=states.append,
     )
     task = asyncio.create_task(follower.follow())
     while registry.answers or len(registry.asked) <= len(answers):
--- a/ibisrack/registry/view.py
+++ b/ibisrack/registry/view.py
@@ -11,10 +11,12 @@
 
     Attributes:
       revision: Revision of the content, 0 before the first.
+      confirmed_at_s: Monotonic time at which the registry last answered.
       entries: The entries.
     """
 
     revision: int = 0
+    confirmed_at_s: float = 0.0
     entries: dict[str, Entry] = attrs.field(factory=dict)
 
     def apply(self, changes: Changes) -> tuple[Entry, ...]:
--- a/ibisrack/settings/sidecar.py
+++ b/ibisrack/settings/sidecar.py
@@ -28,6 +28,7 @@
       links: Address for other nodes; the port is the same on all machines.
       ready: Address on which readiness is asked for.
       registry: Address of the platform's registry.
+      metrics: Address of the metrics, None to serve none.
       stop_s: Time from the request to stop until the process is killed.
       retry_ratio: Arrivals beyond the first of each request, as a share of all requests.
       retry_slack: Arrivals beyond that share in each window, over all nodes.
@@ -42,6 +43,7 @@
     links: Address
     ready: Address
     registry: Address
+    metrics: Address | None = None
     stop_s: float = attrs.field(default=6.0, validator=in_range(0.5, 3600))
     retry_ratio: float = attrs.field(default=0.2, validator=in_range(0, 10))
     retry_slack: float = attrs.field(default=20.0, validator=in_range(0, 1e6))
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -20,6 +20,7 @@
 from ibisrack.links.incoming import ServedLink
 from ibisrack.links.messages import Entries, Hello, Load, Submit
 from ibisrack.links.outgoing import PeerLink
+from ibisrack.metrics.tally import Tally
 from ibisrack.registry.messages import Entry, Listing
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder, Verdict
@@ -83,6 +84,7 @@
       configurations: The configuration in force.
       view: The registry's content.
       host: The own instance.
+      tally: Counts for metrics.
       dispatcher: Serves callers; set once, after the other parts.
       served: Links on which peers send requests.
       peers: Links to the nodes of other instances by their IP number.
@@ -96,6 +98,7 @@
     configurations: ConfigurationHolder
     view: RegistryView
     host: Host
+    tally: Tally
     dispatcher: Dispatcher | None = None
     served: set[ServedLink] = attrs.field(factory=set)
     peers: dict[str, PeerLink] = attrs.field(factory=dict)
@@ -138,6 +141,7 @@
             calls=self.settings.calls,
             links=self.settings.links,
             ready=self.settings.ready,
+            metrics=self.settings.metrics,
             registry=self.settings.registry,
         )
         if kept != settings:
@@ -145,8 +149,12 @@
         _LOGGER.info("settings reloaded", extra={"changed": kept != self.settings})
         self.settings = kept
         self.dispatcher.zone = kept.zone
-        self.dispatcher.budget.ratio = kept.retry_ratio
-        self.dispatcher.budget.slack = kept.retry_slack
+        self.dispatcher.budget.configure(
+            kept.retry_ratio,
+            kept.retry_slack,
+            kept.retry_window_s,
+            read_clocks().monotonic_s,
+        )
         self._own_changed()
 
     def withdraw(self) -> None:
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -17,10 +17,13 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.dispatch.budget import RepeatBudget
 from ibisrack.dispatch.dispatcher import Dispatcher, Stop
+from ibisrack.dispatch.records import RequestRecords
 from ibisrack.errors import SettingsError
 from ibisrack.hosting.host import Host
+from ibisrack.hosting.records import VisitRecords
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.links.incoming import ServedLink, serve_link
+from ibisrack.metrics.tally import Tally
 from ibisrack.node.tasks import keep_running
 from ibisrack.platform.entries import (
     CONFIGURATION_KEY,
@@ -35,7 +38,8 @@
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.model import Limits
-from ibisrack.settings.sidecar import SidecarSettings
+from ibisrack.settings.sidecar import Address, SidecarSettings
+from ibisrack.sidecar.metrics import MetricsServer
 from ibisrack.sidecar.node import SidecarNode
 from ibisrack.upstreams.connections import ConnectionPool
 from ibisrack.upstreams.sizing import PoolSizing
@@ -72,12 +76,16 @@
     pool = ConnectionPool(
         settings.instance.host, settings.instance.port, PoolSizing(FIRST_CONNECTIONS)
     )
-    address = (settings.instance.host, settings.instance.port)
+    tally, view = Tally(), RegistryView()
     host = Host(
-        address, Gate(Scheduler(1, InTimeFirst(), EarliestTarget())), HttpUpstream(pool), directory
+        (settings.instance.host, settings.instance.port),
+        Gate(Scheduler(1, InTimeFirst(), EarliestTarget())),
+        HttpUpstream(pool),
+        directory,
+        VisitRecords(tally),
     )
     node = SidecarNode(
-        settings, PlatformEntries(), rng, directory, configurations, RegistryView(), host
+        settings, PlatformEntries(), rng, directory, configurations, view, host, tally
     )
     node.on_slots = lambda slots: pool.resize(slots + SPARE_CONNECTIONS, 0)
     budget = RepeatBudget(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
@@ -89,6 +97,7 @@
         budget,
         host.repeated_share,
         rng,
+        RequestRecords(tally, view),
     )
     return node
 
@@ -121,7 +130,12 @@
     async with open_session() as session:
         store = StoreClient(session, settings.registry.host, settings.registry.port)
         follower = RegistryFollower(
-            store, node.view, node.rng, on_entries=node.take, on_state=node.registry_state
+            store,
+            node.view,
+            node.rng,
+            node.tally,
+            on_entries=node.take,
+            on_state=node.registry_state,
         )
         node.learn_from(follower.learn)
         links, runners = await _listen(node)
@@ -179,8 +193,8 @@
 async def _listen(node: SidecarNode) -> tuple[asyncio.Server, list[web.BaseRunner]]:
     settings = node.settings
 
-    def open_link(writer: asyncio.StreamWriter) -> ServedLink:
-        return ServedLink(node.host, node.load, node.entries_after, writer)
+    def open_link(writer: asyncio.StreamWriter, peer: str) -> ServedLink:
+        return ServedLink(node.host, node.load, node.entries_after, writer, peer)
 
     links = await asyncio.start_server(
         partial(serve_link, node.hello, open_link, node.served),
@@ -201,13 +215,23 @@
         (callers, settings.calls),
         (ReadyServer(lambda: node.ready), settings.ready),
     ):
-        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
-        await runner.setup()
-        await web.TCPSite(runner, address.host, address.port, backlog=BACKLOG).start()
-        runners.append(runner)
+        runners.append(await _serve_http(server, address))
+    if settings.metrics is not None:
+        try:
+            runners.append(await _serve_http(MetricsServer(node), settings.metrics))
+        except OSError as error:  # Requests are served without metrics.
+            extra = {"port": settings.metrics.port, "error": str(error)}
+            _LOGGER.warning("metrics not served", extra=extra)
     return links, runners
 
 
+async def _serve_http(server: web.Server, address: Address) -> web.ServerRunner:
+    runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
+    await runner.setup()
+    await web.TCPSite(runner, address.host, address.port, backlog=BACKLOG).start()
+    return runner
+
+
 async def _serve_last_requests(node: SidecarNode) -> None:
     """Serves the requests that were on their way when the node stopped listening."""
     await asyncio.sleep(LAST_REQUESTS_S)
--- a/ibisrack/testing/sidecars.py
+++ b/ibisrack/testing/sidecars.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import json
+import logging
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import AsyncExitStack, asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 
 import attrs
 from aiohttp import ClientResponse, ClientSession
@@ -161,6 +162,35 @@
             await asyncio.sleep(STEP_S)
 
 
+class _Collector(logging.Handler):
+    """Keeps records."""
+
+    def __init__(self, records: list[logging.LogRecord]) -> None:
+        super().__init__()
+        self.records = records
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.records.append(record)
+
+
+@contextmanager
+def written_log() -> Iterator[list[logging.LogRecord]]:
+    """Collects what the project logs; the runner of the tests keeps it silent otherwise."""
+    logger, records = logging.getLogger("ibisrack"), []
+    handler, level = _Collector(records), logger.level
+    logging.disable(logging.NOTSET)
+    logger.addHandler(handler)
+    logger.setLevel(logging.DEBUG)
+    logger.propagate = False
+    try:
+        yield records
+    finally:
+        logger.propagate = True
+        logger.setLevel(level)
+        logger.removeHandler(handler)
+        logging.disable(logging.CRITICAL)
+
+
 def free_ports(count: int) -> list[int]:
     """Returns ports that are free on the loopback addresses of a test."""
     sockets = [socket.socket() for _ in range(count)]
@@ -176,7 +206,7 @@
 @asynccontextmanager
 async def fleet(count: int, routes: tuple[dict, ...] = STANDARD_ROUTES) -> AsyncIterator[Fleet]:
     """Runs sidecars on 127.0.0.1, 127.0.0.2 and so on, with the same ports on each."""
-    app, calls, links, ready = free_ports(4)
+    app, calls, links, ready, metrics = free_ports(5)
     async with AsyncExitStack() as stack:
         store, store_port = await stack.enter_async_context(serve_store("127.0.0.1"))
         store.put("op/config", configuration_entry(1, *routes))
@@ -195,6 +225,7 @@
                 links=Address(host, links),
                 ready=Address(host, ready),
                 registry=Address("127.0.0.1", store_port),
+                metrics=Address(host, metrics),
                 retry_slack=100.0,
             )
             made.instances.append(beside)
