Show a fleet in the platform's manner with make fleet

Six sidecar processes on loopback, stand-ins of store and instances: calls, a change, a kill, a stop, and one request followed through the logs.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := ibisrack bench
 
-.PHONY: demo test bench room format clean
+.PHONY: demo fleet test bench room format clean
 
 $(STAMP): requirements.txt requirements-dev.txt
 	python3.11 -m venv $(VENV)
@@ -13,6 +13,9 @@
 demo: $(STAMP)
 	$(PY) -m bench.demo
 
+fleet: $(STAMP)
+	$(PY) -m bench.sidecar_fleet
+
 test: $(STAMP)
 	$(VENV)/bin/black --check --quiet $(SOURCES)
 	$(VENV)/bin/ruff check --quiet $(SOURCES)
--- /dev/null
+++ b/bench/sidecar_fleet.py
@@ -0,0 +1,230 @@
+"""A small fleet in the platform's manner for newcomers: real sidecars on loopback addresses.
+
+The store and the instances are stand-ins in this process; each sidecar is a process of its own.
+"""
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import attrs
+import yaml
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from ibisrack.ctl.main import run_command_line
+from ibisrack.platform.settings_file import METRICS_VARIABLE, PATH_VARIABLE
+from ibisrack.standins.instance import StandInInstance, serve_instance
+from ibisrack.standins.store import StandInStore, serve_store
+from ibisrack.testing.sidecars import (
+    configuration_entry,
+    free_ports,
+    instance,
+    instance_entry,
+    route_resource,
+)
+
+SERVICES = ("desk", "desk", "desk", "docs", "docs", "docs")  # One sidecar for each.
+ZONES = ("north", "south")
+WORK_S = 0.02
+SLOTS = 4
+REQUESTS = 300
+FOLLOWED = "calm-7"  # Request that is looked up in the logs at the end.
+CALLERS = 16  # Requests at a time.
+READY_TIMEOUT_S = 20.0
+POLL_S = 0.05
+ROUTES = (
+    route_resource(),
+    route_resource("non_idempotent", prefix="/lodge/"),
+    route_resource(prefix="/docs/", service="docs"),
+)
+
+
+class FleetError(Exception):
+    """Something that the fleet shows is not so."""
+
+
+@attrs.define(eq=False)
+class Sidecar:
+    """A sidecar process with the stand-in beside it.
+
+    Attributes:
+      host: Its loopback address.
+      beside: The instance.
+      log: File with its log lines.
+      process: The process.
+    """
+
+    host: str
+    beside: StandInInstance
+    log: Path
+    process: asyncio.subprocess.Process
+
+
+@attrs.define(eq=False)
+class Ports:
+    """Ports, the same on every address."""
+
+    app: int
+    calls: int
+    links: int
+    ready: int
+    metrics: int
+
+
+def _settings(number: int, ports: Ports, store_port: int) -> dict:
+    host = f"127.0.0.{number + 1}"
+    return {
+        "self": {
+            "node": f"sidecar-{number}",
+            "service": SERVICES[number],
+            "zone": ZONES[number % len(ZONES)],
+            "ip": host,
+            "app_addr": f"{host}:{ports.app}",
+        },
+        "network": {
+            "listen": {
+                "inbound": f"{host}:{ports.links}",
+                "outbound": f"{host}:{ports.calls}",
+                "ready": f"{host}:{ports.ready}",
+            }
+        },
+        "platform": {"platform": {"address": f"127.0.0.1:{store_port}"}},
+        "terms": {"bounds": {"grace": "6s", "retry_budget_ratio": 0.2, "budget_slack": 60}},
+    }
+
+
+@asynccontextmanager
+async def _sidecar(
+    number: int, ports: Ports, store: StandInStore, store_port: int, folder: Path
+) -> AsyncIterator[Sidecar]:
+    settings = _settings(number, ports, store_port)
+    path = folder / f"sidecar-{number}.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    own, logs = settings["self"], folder / "logs"
+    logs.mkdir(exist_ok=True)
+    beside = StandInInstance(f"i-{number}", WORK_S)
+    listed = instance(
+        beside.instance_id,
+        service=own["service"],
+        host=own["ip"],
+        port=ports.app,
+        zone=own["zone"],
+        slots=SLOTS,
+    )
+    environment = {**os.environ, PATH_VARIABLE: str(path), METRICS_VARIABLE: str(ports.metrics)}
+    log = logs / f"sidecar-{number}.log"
+    async with serve_instance(beside, own["ip"], ports.app):
+        store.put(f"servers/{beside.instance_id}", instance_entry(listed))
+        with log.open("wb") as output:
+            process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "ibisrack.bin.ibis_sidecar"),
+                stdout=output,
+                stderr=output,
+                env=environment,
+            )
+        try:
+            yield Sidecar(own["ip"], beside, log, process)
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+
+async def _ready(session: ClientSession, sidecar: Sidecar, ports: Ports) -> None:
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while True:
+            try:
+                url = f"http://{sidecar.host}:{ports.ready}/-/readyz"
+                async with session.get(url, timeout=ClientTimeout(total=1)) as answer:
+                    if answer.status == 200:
+                        return
+            except (ClientError, OSError, TimeoutError):
+                pass
+            await asyncio.sleep(POLL_S)
+
+
+async def _ask(session: ClientSession, host: str, ports: Ports, path: str, request_id: str) -> int:
+    headers = {"Host": "desk.example", "Request-Id": request_id, "Deadline-Ms": "2000"}
+    url = f"http://{host}:{ports.calls}{path}"
+    async with session.get(url, headers=headers) as answer:
+        await answer.read()
+        return answer.status
+
+
+async def _ask_many(
+    session: ClientSession, sidecars: list[Sidecar], ports: Ports, name: str
+) -> None:
+    start_s, callers = time.monotonic(), asyncio.Semaphore(CALLERS)
+
+    async def ask(number: int) -> int:
+        path = "/docs/7" if number % 3 else "/notices/7"
+        host = sidecars[number % len(sidecars)].host
+        async with callers:
+            return await _ask(session, host, ports, path, f"{name}-{number}")
+
+    statuses = await asyncio.gather(*map(ask, range(REQUESTS)))
+    served = statuses.count(200)
+    print(f"{name}: {served} of {REQUESTS} served in {time.monotonic() - start_s:.2f} s")
+    if served != REQUESTS:
+        raise FleetError(f"{REQUESTS - served} requests were not served")
+
+
+async def _show(folder: Path) -> None:
+    ports = Ports(*free_ports(5))
+    async with AsyncExitStack() as stack:
+        store, store_port = await stack.enter_async_context(serve_store("127.0.0.1"))
+        store.put("op/config", configuration_entry(1, *ROUTES, services=("desk", "docs")))
+        session = await stack.enter_async_context(ClientSession())
+        sidecars = [
+            await stack.enter_async_context(_sidecar(n, ports, store, store_port, folder))
+            for n in range(len(SERVICES))
+        ]
+        for sidecar in sidecars:
+            await _ready(session, sidecar, ports)
+        print(f"{len(sidecars)} sidecars are ready")
+        await _ask_many(session, sidecars, ports, "calm")
+        await _change(session, sidecars, ports, store)
+        sidecars[0].process.kill()
+        await _ask_many(session, sidecars[1:], ports, "one-killed")
+        sidecars[3].process.send_signal(signal.SIGTERM)
+        await _ask_many(session, sidecars[1:3] + sidecars[4:], ports, "one-stopping")
+        code = await sidecars[3].process.wait()
+        print(f"the stopping sidecar ended with exit status {code}")
+
+
+async def _change(
+    session: ClientSession, sidecars: list[Sidecar], ports: Ports, store: StandInStore
+) -> None:
+    """Adds a route and waits until every sidecar serves it."""
+    added = (*ROUTES, route_resource(prefix="/new/"))
+    store.put("op/config", configuration_entry(2, *added, services=("desk", "docs")))
+    start_s = time.monotonic()
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        for sidecar in sidecars:
+            while await _ask(session, sidecar.host, ports, "/new/1", "new") != 200:
+                await asyncio.sleep(POLL_S)
+    print(f"version 2 in force on {len(sidecars)} in {time.monotonic() - start_s:.2f} s")
+
+
+def main() -> int:
+    """Runs the fleet; returns 0 when everything shown is so."""
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            asyncio.run(_show(Path(folder)))
+            print(f"\nibisctl follow {FOLLOWED} LOGS")
+            run_command_line(["follow", FOLLOWED, str(Path(folder, "logs"))])
+        except (FleetError, TimeoutError) as error:
+            print(f"fleet failed: {error}", file=sys.stderr)
+            return 1
+    print("\nfleet passed")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
