--- a/ibisrack/calls/admission.py
+++ b/ibisrack/calls/admission.py
@@ -16,6 +16,7 @@
     SharedPriority,
     Ticket,
     expiry_s,
+    limit_ranks,
     pick,
     refusal,
 )
@@ -130,6 +131,7 @@
             return Refused(ticket, Reason.NO_ROUTE)
         if ticket.deadline_at_s <= now_s:
             return Refused(ticket, Reason.DEADLINE)
+        limit_ranks(self.policy, tuple(self._queues.values()), now_s)
         # A free slot means that every waiting rank is at its own limit, so no call is overtaken.
         if not queue.waiting and queue.has_room and len(self._running) < self.usable_slots:
             return self._submit_to_slot(queue, ticket, now_s)
@@ -209,6 +211,7 @@
     def _dispatch(self, now_s: float) -> list[Decision]:
         """Fills the free slots from the queues."""
         decisions = self.expire(now_s)
+        limit_ranks(self.policy, tuple(self._queues.values()), now_s)
         while len(self._running) < self.usable_slots:
             ready = [queue for queue in self._queues.values() if queue.waiting and queue.has_room]
             if not ready:
--- a/ibisrack/calls/ranks.py
+++ b/ibisrack/calls/ranks.py
@@ -13,6 +13,7 @@
 from ibisrack.rules.model import RankRule
 
 GAP_WEIGHT = 0.1  # Weight of the newest interval between two starts.
+DEMAND_MEMORY_S = 5.0  # Time constant of the mean demand.
 
 
 @attrs.frozen
@@ -51,6 +52,8 @@
       waiting: Calls that wait, by ticket number.
       running: Number of calls that run.
       slots: Slots that the instance has for all ranks.
+      limit: Calls that may run at the same time beside the rule's own limit, 0 for no limit.
+      demand: Mean number of its calls that ran or waited lately.
       account: Credit of the guaranteed share.
       estimate: Service times.
     """
@@ -60,20 +63,31 @@
     waiting: OrderedDict[int, Ticket] = attrs.field(factory=OrderedDict)
     running: int = 0
     slots: int = 1
+    limit: int = 0
+    demand: float = 0.0
     account: ShareAccount = attrs.field(factory=ShareAccount)
     estimate: ServiceEstimate = attrs.field(factory=ServiceEstimate)
     _gap_s: float = 0.0
     _last_start_s: float = 0.0
+    _demand_at_s: float = -math.inf
+
+    @property
+    def most_running(self) -> int:
+        """Calls that may run at the same time by the rank's own limits, 0 for no limit."""
+        return min(filter(None, (self.rule.max_slots, self.limit)), default=0)
 
     @property
     def has_room(self) -> bool:
-        """Whether the rank's own limit lets one more call run."""
-        return not self.rule.max_slots or self.running < self.rule.max_slots
+        """Whether the rank's own limits let one more call run."""
+        return not self.most_running or self.running < self.most_running
 
     def advance(self, now_s: float) -> None:
         """Brings the account up to date; precedes every change of the calls."""
         waiting = bool(self.waiting) and self.has_room
         self.account.advance(waiting, self.estimate.mean_s, now_s)
+        weight = -math.expm1((self._demand_at_s - now_s) / DEMAND_MEMORY_S)
+        self.demand += (self.running + len(self.waiting) - self.demand) * weight
+        self._demand_at_s = now_s
 
     def add(self, ticket: Ticket, now_s: float) -> None:
         """Lets a call wait."""
@@ -122,7 +136,7 @@
         allow, nor longer than the guaranteed share does.
         """
         mean_s = self.estimate.mean_s
-        gap_s = max(self._gap_s, mean_s / min(self.slots, self.rule.max_slots or self.slots))
+        gap_s = max(self._gap_s, mean_s / min(self.slots, self.most_running or self.slots))
         if self.account.rate > 0:
             gap_s = min(gap_s, mean_s / self.account.rate)
         return ((len(self.waiting) if ahead is None else ahead) + 1) * gap_s
@@ -183,6 +197,17 @@
     raise TypeError(f"unknown policy {type(policy).__name__}")
 
 
+@singledispatch
+def limit_ranks(policy: object, queues: Sequence[RankQueue], now_s: float) -> None:
+    """Sets the limits of ranks that a policy adapts to the demand; most policies set none.
+
+    Args:
+      policy: The rule of choice.
+      queues: All ranks by precedence.
+      now_s: Present time.
+    """
+
+
 @pick.register
 def _(policy: SharedPriority, ready: Sequence[RankQueue], now_s: float) -> RankQueue:
     for queue in ready:
--- a/ibisrack/calls/targets.py
+++ b/ibisrack/calls/targets.py
@@ -6,6 +6,7 @@
 time as there are slots.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Sequence
 from enum import IntEnum
@@ -13,7 +14,15 @@
 import attrs
 
 from ibisrack.calls.outcomes import Reason
-from ibisrack.calls.ranks import RankQueue, Ticket, expiry_s, pick, refusal, take
+from ibisrack.calls.ranks import (
+    RankQueue,
+    Ticket,
+    expiry_s,
+    limit_ranks,
+    pick,
+    refusal,
+    take,
+)
 
 # Part of the mean service time that must be left before the target for a call to count as in time.
 IN_TIME_MEANS = 1.4
@@ -25,6 +34,8 @@
 TARGET_WEIGHT = 0.3
 # With less than this part of the mean left, hardly any call is still answered in time.
 CHANCE_MEANS = 0.4
+# Margin of the slots that are kept for a demand, in standard deviations of a Poisson number.
+MARGIN_DEVIATIONS = 2.0
 LATE_PER_SLOT = 0.5  # Calls past their target that may wait at an instance, for each of its slots.
 
 
@@ -35,7 +46,17 @@
 
 @attrs.frozen
 class InTimeFirst:
-    """Serves the rank whose calls have the best prospect, by precedence among equals."""
+    """Serves the rank whose calls have the best prospect, by precedence among equals.
+
+    The least urgent rank leaves slots to the others: as many as their calls held lately and a
+    margin for their variation.  Its calls may be long, and would otherwise hold every slot when a
+    short urgent one arrives, often a call on which a running request waits.
+
+    Attributes:
+      most_kept: Largest part of the slots that it leaves to the others.
+    """
+
+    most_kept: float = 0.0
 
 
 class Prospect(IntEnum):
@@ -97,6 +118,20 @@
     return min(ready, key=lambda queue: _best(queue, now_s))
 
 
+@limit_ranks.register
+def _(policy: InTimeFirst, queues: Sequence[RankQueue], now_s: float) -> None:
+    if not policy.most_kept or len(queues) < 2:
+        return
+    for queue in queues:
+        queue.advance(now_s)
+        queue.limit = 0
+    *others, least_urgent = queues
+    demand = sum(queue.demand for queue in others)
+    wanted = math.ceil(demand + MARGIN_DEVIATIONS * math.sqrt(demand))
+    kept = min(wanted, round(least_urgent.slots * policy.most_kept))
+    least_urgent.limit = max(1, least_urgent.slots - kept)
+
+
 def _best(queue: RankQueue, now_s: float) -> Prospect:
     mean_s = queue.estimate.mean_s
     return min(prospect(ticket, mean_s, now_s) for ticket in queue.waiting.values())
--- a/ibisrack/calls/targets_test.py
+++ b/ibisrack/calls/targets_test.py
@@ -48,6 +48,47 @@
     assert calls.finish(less, 1.3) == [Admitted(hopeless)]
 
 
+def reserving(slots: int, most_kept: float) -> Scheduler:
+    """Returns a scheduler whose lower rank leaves slots to the urgent one."""
+    made = Scheduler(slots, InTimeFirst(most_kept), EarliestTarget())
+    made.configure(slots, (rank_rule("a", order=0), rank_rule("b", order=1)), 0.0)
+    return made
+
+
+def started(calls: Scheduler, rank: str, first: int, count: int, at_s: float) -> int:
+    """Submits calls of a rank; returns how many started."""
+    made = [ticket(first + n, at_s, rank=rank) for n in range(count)]
+    return sum(isinstance(calls.submit(call, at_s), Admitted) for call in made)
+
+
+def test_long_calls_leave_slots_for_the_demand_of_urgent_ones():
+    """Guards against a few long calls that hold every slot when a short urgent one arrives."""
+    calls = reserving(6, 0.65)
+    for step in range(40):  # One urgent call runs at nearly every moment.
+        call = ticket(step, step * 0.5)
+        calls.submit(call, step * 0.5)
+        calls.finish(call, step * 0.5 + 0.49)
+    assert started(calls, "b", 100, 6, 20.0) == 3
+    assert started(calls, "a", 200, 3, 20.0) == 3
+
+
+def test_no_slot_is_kept_where_nothing_urgent_comes():
+    """Guards against idle slots of a service whose only work is the least urgent."""
+    assert started(reserving(6, 0.65), "b", 100, 6, 20.0) == 6
+
+
+def test_a_flood_of_urgent_calls_leaves_the_lower_rank_its_part():
+    """Guards against work that is never served while there is more urgent work."""
+    calls = reserving(6, 0.5)
+    for step in range(200):  # Each runs for 0.6 s, one comes every 0.1 s: six at a time.
+        at_s = step * 0.1
+        calls.submit(ticket(step, at_s), at_s)
+        calls.finish(ticket(step - 6), at_s)
+    for step in range(194, 200):
+        calls.finish(ticket(step), 19.9)
+    assert started(calls, "b", 5000, 6, 20.0) == 3
+
+
 def test_a_call_that_cannot_be_in_time_is_refused_at_once():
     """Guards against holding a call only to answer it late."""
     calls = scheduler("a")
--- a/ibisrack/hosting/host.py
+++ b/ibisrack/hosting/host.py
@@ -32,9 +32,6 @@
 LOWER_SHARE_PERCENT = 10
 MAX_QUEUE = 100
 SERVICE_WEIGHT = 0.1  # Weight of the newest request in the mean time at the instance.
-# Part of the slots that the least urgent rank leaves to the others.  Its long calls would otherwise
-# hold every slot when a short urgent one arrives, often a call on which a running request waits.
-KEPT_FREE = 0.3
 
 
 class Upstream(Protocol):
@@ -215,7 +212,6 @@
 
 def _rank_rules(service: str, priorities: list[int], slots: int) -> tuple[RankRule, ...]:
     """Returns a rank for each priority, the most urgent first."""
-    least_urgent = len(priorities) - 1
     return tuple(
         RankRule(
             line=0,
@@ -225,7 +221,7 @@
             rank=rank_name(priority),
             order=priority,
             share_percent=LOWER_SHARE_PERCENT if index else 0,
-            max_slots=slots - round(slots * KEPT_FREE) if index == least_urgent and index else 0,
+            max_slots=0,
             max_queue=MAX_QUEUE,
         )
         for index, priority in enumerate(priorities)
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -37,6 +37,9 @@
 )
 
 CONNECT_TIMEOUT_S = 0.3
+# Longest wait for a peer that could not be reached before: one that is back answers at once, and a
+# request for one that is not goes elsewhere.
+RETRIED_CONNECT_WAIT_S = 0.03
 RECONNECT_PAUSE_S = 0.1
 BROKEN_PAUSE_S = 0.01  # Before the first connect after a link that worked broke.
 PING_AFTER_S = 0.25  # Silence of a peer that has requests before it is asked for a sign of life.
@@ -243,8 +246,9 @@
           NotRunError: There is none in time.
         """
         self.want()
+        longest_s = RETRIED_CONNECT_WAIT_S if self.failing else CONNECT_TIMEOUT_S
         with suppress(TimeoutError):
-            async with asyncio.timeout(min(left_s, CONNECT_TIMEOUT_S)), self._changed:
+            async with asyncio.timeout(min(left_s, longest_s)), self._changed:
                 await self._changed.wait()
         if not self.is_open:
             raise NotRunError(Reason.UPSTREAM_UNREACHABLE)
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -55,6 +55,7 @@
 WITHDRAW_S = 0.5  # Before the end, requests that still wait somewhere are refused.
 STOP_POLL_S = 0.05
 CLOSE_S = 0.1  # For the answers that are being written when the connections are closed.
+MOST_KEPT = 0.65  # Part of the slots that the least urgent requests leave to others.
 SETTINGS_POLL_S = 1.0  # The settings file may change without a signal.
 
 _LOGGER = logging.getLogger("ibisrack.sidecar")
@@ -79,7 +80,7 @@
     tally, view = Tally(), RegistryView()
     host = Host(
         (settings.instance.host, settings.instance.port),
-        Gate(Scheduler(1, InTimeFirst(), EarliestTarget())),
+        Gate(Scheduler(1, InTimeFirst(MOST_KEPT), EarliestTarget())),
         HttpUpstream(pool),
         directory,
         VisitRecords(tally),
