--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -151,8 +151,9 @@
             if instance is None:
                 break
             tried.add(instance.instance_id)
+            attempts.trail.append(f"{instance.instance_id} no-answer")
             result = await self._attempt(request, attempts, instance, len(tried))
-            attempts.trail.append(f"{instance.instance_id} {described(result)[1]}")
+            attempts.trail[-1] = f"{instance.instance_id} {described(result)[1]}"
             if not attempts.again(result, read_clocks().monotonic_s):
                 break
         return attempts.verdict(result)
