--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -221,6 +221,22 @@
         assert [i.instance_id for i in fleet_.nodes[0].directory.all()] == ["i-0"]
 
 
+async def test_a_listing_that_breaks_off_changes_nothing():
+    """Guards against instances that are taken as gone because half a listing lacks them."""
+    async with fleet(2) as fleet_:
+        node = fleet_.nodes[0]
+        fleet_.store.failing_status = 503
+        await eventually(lambda: node.directory.out)
+        fleet_.store.put("op/config", configuration_entry(5, *STANDARD_ROUTES))
+        fleet_.store.forget_history()
+        fleet_.store.cut_pages = 4
+        fleet_.store.failing_status = 0
+        await eventually(lambda: fleet_.store.cut_pages == 0)
+        assert len(node.directory.all()) == 2
+        await eventually(lambda: node.configurations.version == 5)
+        assert (await fleet_.ask(0))[0].status == 200
+
+
 async def test_a_stop_lets_running_requests_end_and_refuses_none_that_ran():
     """Guards against a planned stop that cuts requests off."""
     async with fleet(2) as fleet_:
--- a/ibisrack/standins/store.py
+++ b/ibisrack/standins/store.py
@@ -23,12 +23,14 @@
       revision: Revision of the last change.
       failing_status: Status of every answer, 0 while the store works.
       silent: Whether it does not answer at all.
+      cut_pages: Pages of a listing that break off in the middle before one is whole.
       calls: Calls so far.
     """
 
     revision: int = 1
     failing_status: int = 0
     silent: bool = False
+    cut_pages: int = 0
     calls: int = 0
     _items: dict[str, tuple[bytes, int]] = attrs.field(factory=dict)
     _events: list[dict] = attrs.field(factory=list)
@@ -50,7 +52,7 @@
     def forget_history(self) -> None:
         """Drops the history; watches from before it get 410."""
         self._events.clear()
-        self._first_known = self.revision
+        self._first_known = self.revision + 1
 
     def application(self) -> web.Application:
         """Returns the HTTP application."""
@@ -70,7 +72,7 @@
             await asyncio.Event().wait()
         return web.Response(status=self.failing_status) if self.failing_status else None
 
-    async def _range(self, request: web.Request) -> web.Response:
+    async def _range(self, request: web.Request) -> web.StreamResponse:
         if failure := await self._fail():
             return failure
         prefix, after = request.query["prefix"], request.query.get("after", "")
@@ -78,6 +80,9 @@
         items = [_item(key, *self._items[key]) for key in keys[:PAGE_ITEMS]]
         more = len(keys) > PAGE_ITEMS
         body = {"items": items, "has_more": more, "current_rev": self.revision}
+        if self.cut_pages:
+            self.cut_pages -= 1
+            return await _cut_short(request, web.json_response(body).body)
         return web.json_response(body)
 
     async def _watch(self, request: web.Request) -> web.Response:
@@ -101,6 +106,15 @@
         return [e for e in self._events if e["revision"] > after and e["key"].startswith(prefix)]
 
 
+async def _cut_short(request: web.Request, body: bytes) -> web.StreamResponse:
+    """Sends half of a body and breaks off."""
+    answer = web.StreamResponse(headers={"Content-Length": str(len(body))})
+    await answer.prepare(request)
+    await answer.write(body[: len(body) // 2])
+    request.transport.close()
+    return answer
+
+
 def _item(key: str, value: bytes, revision: int) -> dict:
     encoded = base64.b64encode(value).decode()
     return {"key": key, "value": encoded, "revision": revision, "created": revision, "lease": 0}
