--- a/ibisrack/calls/gate.py
+++ b/ibisrack/calls/gate.py
@@ -56,7 +56,12 @@
 
     @asynccontextmanager
     async def hold(
-        self, call_id: str, rank: str, deadline_at_s: float, target_at_s: float = math.inf
+        self,
+        call_id: str,
+        rank: str,
+        deadline_at_s: float,
+        target_at_s: float = math.inf,
+        whole_target_s: float = math.inf,
     ) -> AsyncIterator[None]:
         """Holds a slot for the call with an id.
 
@@ -64,7 +69,15 @@
           NotRunError: The call was refused.
         """
         now_s = read_clocks().monotonic_s
-        ticket = Ticket(call_id, next(self._numbers), rank, now_s, deadline_at_s, target_at_s)
+        ticket = Ticket(
+            call_id,
+            next(self._numbers),
+            rank,
+            now_s,
+            deadline_at_s,
+            target_at_s,
+            whole_target_s,
+        )
         await self._enter(ticket, now_s)
         try:
             yield
--- a/ibisrack/calls/ranks.py
+++ b/ibisrack/calls/ranks.py
@@ -27,6 +27,7 @@
       arrived_at_s: Monotonic time of the arrival.
       deadline_at_s: Monotonic time at which the caller gives up.
       target_at_s: Monotonic time at which the answer loses most of its value.
+      whole_target_s: Time from the caller's first attempt to ``target_at_s``.
     """
 
     call_id: str
@@ -35,6 +36,7 @@
     arrived_at_s: float
     deadline_at_s: float
     target_at_s: float = math.inf
+    whole_target_s: float = math.inf
 
 
 @attrs.frozen
--- a/ibisrack/calls/targets.py
+++ b/ibisrack/calls/targets.py
@@ -3,7 +3,8 @@
 A call that will be answered in time goes before one that may be, and that before one that can't,
 whatever their ranks, unless a rank is short of its guaranteed share.  A queue that served its calls
 in the order of arrival would answer all of them late in an overload; this one answers as many in
-time as there are slots.
+time as there are slots.  A call that would start too late does not wait here at all: late calls that
+wait take the slots of calls in time, and their callers may find another instance.
 """
 
 import math
@@ -36,7 +37,9 @@
 CHANCE_MEANS = 0.4
 # Margin of the slots that are kept for a demand, in standard deviations of a Poisson number.
 MARGIN_DEVIATIONS = 2.0
-LATE_PER_SLOT = 0.5  # Calls past their target that may wait at an instance, for each of its slots.
+# An instance whose mean service time times this is above a target does not meet it; its calls are
+# judged by their deadlines instead.
+UNMET_MEANS = 0.7
 
 
 @attrs.frozen
@@ -69,7 +72,8 @@
 
 def prospect(ticket: Ticket, mean_s: float, now_s: float) -> Prospect:
     """Returns the prospect of a call that starts now."""
-    left_s = ticket.target_at_s - now_s
+    is_met = mean_s * UNMET_MEANS <= ticket.whole_target_s
+    left_s = (ticket.target_at_s if is_met else ticket.deadline_at_s) - now_s
     if left_s >= mean_s * IN_TIME_MEANS:
         return Prospect.IN_TIME
     return Prospect.POSSIBLE if left_s >= mean_s * CHANCE_MEANS else Prospect.LATE
@@ -90,17 +94,12 @@
 @refusal.register
 def _(order: EarliestTarget, queue: RankQueue, ticket: Ticket, now_s: float) -> Reason | None:
     mean_s = queue.estimate.mean_s
-    timely = [other for other in queue.waiting.values() if in_time(other, mean_s, now_s)]
-    late = len(queue.waiting) - len(timely)
-    if in_time(ticket, mean_s, now_s):
-        ahead = sum(_urgency(other) <= _urgency(ticket) for other in timely)
-        wait_s = queue.expected_wait_s(ahead)
-        if in_time(ticket, mean_s, now_s + wait_s):
-            return None
-        # Of the calls ahead, those that start after this one's latest start will be late as well.
-        spare_s = ticket.target_at_s - mean_s * IN_TIME_MEANS - now_s
-        late += ahead - int(spare_s / wait_s * (ahead + 1))
-    return Reason.TOO_BUSY if late >= queue.slots * LATE_PER_SLOT else None
+    ahead = sum(
+        in_time(other, mean_s, now_s) and _urgency(other) <= _urgency(ticket)
+        for other in queue.waiting.values()
+    )
+    is_timely = in_time(ticket, mean_s, now_s + queue.expected_wait_s(ahead))
+    return None if is_timely else Reason.TOO_BUSY
 
 
 @expiry_s.register
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -194,6 +194,7 @@
             repeatable=route.repeatable,
             left_ms=left_ms,
             target_ms=int((attempts.target_at_s - now_s) * 1000),
+            whole_target_ms=int(route.target_s * 1000),
             caller_service=request.caller_service,
             method=request.method,
             host=request.host,
--- a/ibisrack/hosting/host.py
+++ b/ibisrack/hosting/host.py
@@ -120,7 +120,13 @@
         deadline_at_s = start_s + submit.left_ms / 1000 - VERDICT_S
         self._check(submit)
         target_at_s = start_s + submit.target_ms / 1000
-        async with self.gate.hold(submit.request_id, submit.rank, deadline_at_s, target_at_s):
+        async with self.gate.hold(
+            submit.request_id,
+            submit.rank,
+            deadline_at_s,
+            target_at_s,
+            submit.whole_target_ms / 1000,
+        ):
             self._check(submit)
             now_s = visit.started_at_s = read_clocks().monotonic_s
             self.repeats += submit.repeated
--- a/ibisrack/links/codec_test.py
+++ b/ibisrack/links/codec_test.py
@@ -18,6 +18,7 @@
     repeatable=True,
     left_ms=900,
     target_ms=-5,
+    whole_target_ms=500,
     caller_service="docs",
     method="GET",
     host="desk.example",
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -31,6 +31,7 @@
       repeatable: Whether it may run more than once.
       left_ms: Time until its final answer is due.
       target_ms: Time until its answer loses most of its value; negative once that has passed.
+      whole_target_ms: The same at the caller's first attempt.
       caller_service: Service on whose machine it began.
       method: HTTP method.
       host: Host that the caller addressed.
@@ -49,6 +50,7 @@
     repeatable: bool
     left_ms: int
     target_ms: int
+    whole_target_ms: int
     caller_service: str
     method: str
     host: str
