Count a request from its head until its answer is written when a node ends

What is mended: the last wait of a stop counted requests that were being dispatched, so one whose body was still being read, or whose answer was still being written, was cut off, and it ended 0.3 s after the listening sockets closed whatever came meanwhile. A test of the first fails without the change.

--- a/ibisrack/platform/front.py
+++ b/ibisrack/platform/front.py
@@ -50,6 +50,11 @@
         self._head_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether a request has come that is not answered in full."""
+        return self._current_request is not None or bool(self._messages)
+
     def data_received(self, data: bytes) -> None:
         """Takes bytes; a head that is too long, or not whole in time, ends the connection."""
         super().data_received(data)
@@ -106,6 +111,11 @@
         self.caller_service = caller_service
         self.is_leaving = is_leaving
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether a connection has a request that is not answered in full."""
+        return any(connection.is_serving for connection in self.connections)
+
     def __call__(self) -> web.RequestHandler:
         """Returns the protocol of a new connection."""
         return CallerConnection(self, self.limits(), loop=self._loop)
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -139,7 +139,7 @@
             on_state=node.registry_state,
         )
         node.learn_from(follower.learn)
-        links, runners = await _listen(node)
+        links, callers, runners = await _listen(node)
         _LOGGER.info("started", extra={"node": settings.node_id, "service": settings.service})
         node.spawn(keep_running("registry", follower.follow))
         node.spawn(keep_running("tick", node.tick))
@@ -150,7 +150,7 @@
                 for site in tuple(runner.sites):
                     await site.stop()
             if node.leaving:
-                await _serve_last_requests(node)
+                await _serve_last_requests(node, callers)
             _LOGGER.info("stopped", extra={"node": settings.node_id})
             node.close()
             links.close()
@@ -191,7 +191,9 @@
     return status.st_mtime_ns, status.st_size
 
 
-async def _listen(node: SidecarNode) -> tuple[asyncio.Server, list[web.BaseRunner]]:
+async def _listen(
+    node: SidecarNode,
+) -> tuple[asyncio.Server, CallerServer, list[web.ServerRunner]]:
     settings = node.settings
 
     def open_link(writer: asyncio.StreamWriter, peer: str) -> ServedLink:
@@ -211,7 +213,7 @@
         caller_service=lambda: node.settings.service,
         is_leaving=lambda: node.leaving,
     )
-    runners: list[web.BaseRunner] = []
+    runners: list[web.ServerRunner] = []
     for server, address in (
         (callers, settings.calls),
         (ReadyServer(lambda: node.ready), settings.ready),
@@ -223,7 +225,7 @@
         except OSError as error:  # Requests are served without metrics.
             extra = {"port": settings.metrics.port, "error": str(error)}
             _LOGGER.warning("metrics not served", extra=extra)
-    return links, runners
+    return links, callers, runners
 
 
 async def _serve_http(server: web.Server, address: Address) -> web.ServerRunner:
@@ -233,10 +235,18 @@
     return runner
 
 
-async def _serve_last_requests(node: SidecarNode) -> None:
-    """Serves the requests that were on their way when the node stopped listening."""
-    await asyncio.sleep(LAST_REQUESTS_S)
-    while node.dispatcher.running and read_clocks().monotonic_s < node.dispatcher.stop.ends_at_s:
+async def _serve_last_requests(node: SidecarNode, callers: CallerServer) -> None:
+    """Serves the requests that were on their way when the node stopped listening.
+
+    A request counts from its head on, though its body is still being read, until its answer is
+    written.  One that comes meanwhile shows that more may follow: the time begins anew after it.
+    """
+    quiet_since_s = read_clocks().monotonic_s
+    while (now_s := read_clocks().monotonic_s) < node.dispatcher.stop.ends_at_s:
+        if callers.is_serving:
+            quiet_since_s = now_s
+        elif now_s - quiet_since_s >= LAST_REQUESTS_S:
+            return
         await asyncio.sleep(STOP_POLL_S)
 
 
--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -278,6 +278,29 @@
         await ending
 
 
+async def test_a_request_whose_body_is_slow_is_answered_before_the_end():
+    """Guards against a stop that takes a request in the middle of its body for no request."""
+    async with fleet(2) as fleet_:
+        await fleet_.ask(0, request_id="q-0")
+        leaving = fleet_.nodes[0]
+        leaving.leaving = True
+        now_s = read_clocks().monotonic_s
+        leaving.dispatcher.stop = Stop(now_s + 5, now_s + 5)
+        calls = leaving.settings.calls
+        reader, writer = await asyncio.open_connection(calls.host, calls.port)
+        writer.write(
+            b"POST /lodge/1 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q-1\r\n"
+            b"Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nlo"
+        )
+        ending = asyncio.create_task(fleet_.end(0))
+        await asyncio.sleep(0.8)
+        writer.write(b"ad")
+        assert b" 200 " in await reader.readline()
+        writer.close()
+        async with asyncio.timeout(2):
+            await ending
+
+
 async def test_a_link_that_breaks_neither_loses_nor_repeats_a_lodgement():
     """Guards against an unknown outcome after the reset of a connection between nodes."""
     async with fleet(2) as fleet_:
