--- a/ibisrack/calls/targets.py
+++ b/ibisrack/calls/targets.py
@@ -3,8 +3,8 @@
 A call that will be answered in time goes before one that may be, and that before one that can't,
 whatever their ranks, unless a rank is short of its guaranteed share.  A queue that served its calls
 in the order of arrival would answer all of them late in an overload; this one answers as many in
-time as there are slots.  A call that would start too late does not wait here at all: late calls that
-wait take the slots of calls in time, and their callers may find another instance.
+time as there are slots.  A call that would start too late does not wait here at all: late calls
+that wait take the slots of calls in time, and their callers may find another instance.
 """
 
 import math
