--- a/ibisrack/calls/targets.py
+++ b/ibisrack/calls/targets.py
@@ -1,17 +1,29 @@
 """Order of waiting calls by the time at which their answers lose most of their value.
 
-A call that can still be answered in time goes before one that can't, whatever their ranks, unless
-a rank is short of its guaranteed share.  A queue that served its calls in the order of arrival
-would answer all of them late in an overload; this one answers as many in time as there are slots.
+A call that will be answered in time goes before one that may be, and that before one that can't,
+whatever their ranks, unless a rank is short of its guaranteed share.  A queue that served its calls
+in the order of arrival would answer all of them late in an overload; this one answers as many in
+time as there are slots.  A call that would start too late does not wait here at all: late calls
+that wait take the slots of calls in time, and their callers may find another instance.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Sequence
+from enum import IntEnum
 
 import attrs
 
 from ibisrack.calls.outcomes import Reason
-from ibisrack.calls.ranks import RankQueue, Ticket, expiry_s, pick, refusal, take
+from ibisrack.calls.ranks import (
+    RankQueue,
+    Ticket,
+    expiry_s,
+    limit_ranks,
+    pick,
+    refusal,
+    take,
+)
 
 # Part of the mean service time that must be left before the target for a call to count as in time.
 IN_TIME_MEANS = 1.4
@@ -21,7 +33,13 @@
 # How much of a target counts in the order of calls in time.  With the whole of it, calls with long
 # targets would never start in an overload; with none, short ones would wait behind them.
 TARGET_WEIGHT = 0.3
-LATE_PER_SLOT = 0.5  # Calls past their target that may wait at an instance, for each of its slots.
+# With less than this part of the mean left, hardly any call is still answered in time.
+CHANCE_MEANS = 0.4
+# Margin of the slots that are kept for a demand, in standard deviations of a Poisson number.
+MARGIN_DEVIATIONS = 2.0
+# An instance whose mean service time times this is above a target does not meet it; its calls are
+# judged by their deadlines instead.
+UNMET_MEANS = 0.7
 
 
 @attrs.frozen
@@ -31,12 +49,39 @@
 
 @attrs.frozen
 class InTimeFirst:
-    """Serves ranks with calls in time by precedence, then the other ranks by precedence."""
+    """Serves the rank whose calls have the best prospect, by precedence among equals.
+
+    The least urgent rank leaves slots to the others: as many as their calls held lately and a
+    margin for their variation.  Its calls may be long, and would otherwise hold every slot when a
+    short urgent one arrives, often a call on which a running request waits.
+
+    Attributes:
+      most_kept: Largest part of the slots that it leaves to the others.
+    """
+
+    most_kept: float = 0.0
+
+
+class Prospect(IntEnum):
+    """Whether a call that starts now will be answered within its target; the best is the least."""
+
+    IN_TIME = 0
+    POSSIBLE = 1
+    LATE = 2
+
+
+def prospect(ticket: Ticket, mean_s: float, now_s: float) -> Prospect:
+    """Returns the prospect of a call that starts now."""
+    is_met = mean_s * UNMET_MEANS <= ticket.whole_target_s
+    left_s = (ticket.target_at_s if is_met else ticket.deadline_at_s) - now_s
+    if left_s >= mean_s * IN_TIME_MEANS:
+        return Prospect.IN_TIME
+    return Prospect.POSSIBLE if left_s >= mean_s * CHANCE_MEANS else Prospect.LATE
 
 
 def in_time(ticket: Ticket, mean_s: float, now_s: float) -> bool:
     """Tells whether a call that starts now is expected to meet its target."""
-    return ticket.target_at_s - now_s >= mean_s * IN_TIME_MEANS
+    return prospect(ticket, mean_s, now_s) is Prospect.IN_TIME
 
 
 @take.register
@@ -49,17 +94,12 @@
 @refusal.register
 def _(order: EarliestTarget, queue: RankQueue, ticket: Ticket, now_s: float) -> Reason | None:
     mean_s = queue.estimate.mean_s
-    timely = [other for other in queue.waiting.values() if in_time(other, mean_s, now_s)]
-    late = len(queue.waiting) - len(timely)
-    if in_time(ticket, mean_s, now_s):
-        ahead = sum(_urgency(other) <= _urgency(ticket) for other in timely)
-        wait_s = queue.expected_wait_s(ahead)
-        if in_time(ticket, mean_s, now_s + wait_s):
-            return None
-        # Of the calls ahead, those that start after this one's latest start will be late as well.
-        spare_s = ticket.target_at_s - mean_s * IN_TIME_MEANS - now_s
-        late += ahead - int(spare_s / wait_s * (ahead + 1))
-    return Reason.TOO_BUSY if late >= queue.slots * LATE_PER_SLOT else None
+    ahead = sum(
+        in_time(other, mean_s, now_s) and _urgency(other) <= _urgency(ticket)
+        for other in queue.waiting.values()
+    )
+    is_timely = in_time(ticket, mean_s, now_s + queue.expected_wait_s(ahead))
+    return None if is_timely else Reason.TOO_BUSY
 
 
 @expiry_s.register
@@ -74,18 +114,34 @@
         queue.advance(now_s)
         if queue.account.is_owed(queue.estimate.mean_s):
             return queue
-    for queue in ready:
-        mean_s = queue.estimate.mean_s
-        if any(in_time(ticket, mean_s, now_s) for ticket in queue.waiting.values()):
-            return queue
-    return ready[0]
+    return min(ready, key=lambda queue: _best(queue, now_s))
+
+
+@limit_ranks.register
+def _(policy: InTimeFirst, queues: Sequence[RankQueue], now_s: float) -> None:
+    if not policy.most_kept or len(queues) < 2:
+        return
+    for queue in queues:
+        queue.advance(now_s)
+        queue.limit = 0
+    *others, least_urgent = queues
+    demand = sum(queue.demand for queue in others)
+    wanted = math.ceil(demand + MARGIN_DEVIATIONS * math.sqrt(demand))
+    kept = min(wanted, round(least_urgent.slots * policy.most_kept))
+    least_urgent.limit = max(1, least_urgent.slots - kept)
+
+
+def _best(queue: RankQueue, now_s: float) -> Prospect:
+    mean_s = queue.estimate.mean_s
+    return min(prospect(ticket, mean_s, now_s) for ticket in queue.waiting.values())
 
 
-def _place(ticket: Ticket, queue: RankQueue, now_s: float) -> tuple[bool, float]:
+def _place(ticket: Ticket, queue: RankQueue, now_s: float) -> tuple[Prospect, float]:
     """Returns the place of a call in its queue, the lowest first."""
-    if in_time(ticket, queue.estimate.mean_s, now_s):
-        return False, _urgency(ticket)
-    return True, ticket.arrived_at_s
+    found = prospect(ticket, queue.estimate.mean_s, now_s)
+    if found is Prospect.POSSIBLE:  # The one with the most time left is the likeliest.
+        return found, -ticket.target_at_s
+    return found, _urgency(ticket) if found is Prospect.IN_TIME else ticket.arrived_at_s
 
 
 def _urgency(ticket: Ticket) -> float:
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -17,10 +17,13 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.dispatch.budget import RepeatBudget
 from ibisrack.dispatch.dispatcher import Dispatcher, Stop
+from ibisrack.dispatch.records import RequestRecords
 from ibisrack.errors import SettingsError
 from ibisrack.hosting.host import Host
+from ibisrack.hosting.records import VisitRecords
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.links.incoming import ServedLink, serve_link
+from ibisrack.metrics.tally import Tally
 from ibisrack.node.tasks import keep_running
 from ibisrack.platform.entries import (
     CONFIGURATION_KEY,
@@ -35,7 +38,8 @@
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.model import Limits
-from ibisrack.settings.sidecar import SidecarSettings
+from ibisrack.settings.sidecar import Address, SidecarSettings
+from ibisrack.sidecar.metrics import MetricsServer
 from ibisrack.sidecar.node import SidecarNode
 from ibisrack.upstreams.connections import ConnectionPool
 from ibisrack.upstreams.sizing import PoolSizing
@@ -51,6 +55,7 @@
 WITHDRAW_S = 0.5  # Before the end, requests that still wait somewhere are refused.
 STOP_POLL_S = 0.05
 CLOSE_S = 0.1  # For the answers that are being written when the connections are closed.
+MOST_KEPT = 0.65  # Part of the slots that the least urgent requests leave to others.
 SETTINGS_POLL_S = 1.0  # The settings file may change without a signal.
 
 _LOGGER = logging.getLogger("ibisrack.sidecar")
@@ -72,12 +77,16 @@
     pool = ConnectionPool(
         settings.instance.host, settings.instance.port, PoolSizing(FIRST_CONNECTIONS)
     )
-    address = (settings.instance.host, settings.instance.port)
+    tally, view = Tally(), RegistryView()
     host = Host(
-        address, Gate(Scheduler(1, InTimeFirst(), EarliestTarget())), HttpUpstream(pool), directory
+        (settings.instance.host, settings.instance.port),
+        Gate(Scheduler(1, InTimeFirst(MOST_KEPT), EarliestTarget())),
+        HttpUpstream(pool),
+        directory,
+        VisitRecords(tally),
     )
     node = SidecarNode(
-        settings, PlatformEntries(), rng, directory, configurations, RegistryView(), host
+        settings, PlatformEntries(), rng, directory, configurations, view, host, tally
     )
     node.on_slots = lambda slots: pool.resize(slots + SPARE_CONNECTIONS, 0)
     budget = RepeatBudget(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
@@ -89,6 +98,7 @@
         budget,
         host.repeated_share,
         rng,
+        RequestRecords(tally, view),
     )
     return node
 
@@ -121,10 +131,15 @@
     async with open_session() as session:
         store = StoreClient(session, settings.registry.host, settings.registry.port)
         follower = RegistryFollower(
-            store, node.view, node.rng, on_entries=node.take, on_state=node.registry_state
+            store,
+            node.view,
+            node.rng,
+            node.tally,
+            on_entries=node.take,
+            on_state=node.registry_state,
         )
         node.learn_from(follower.learn)
-        links, runners = await _listen(node)
+        links, callers, runners = await _listen(node)
         _LOGGER.info("started", extra={"node": settings.node_id, "service": settings.service})
         node.spawn(keep_running("registry", follower.follow))
         node.spawn(keep_running("tick", node.tick))
@@ -135,7 +150,7 @@
                 for site in tuple(runner.sites):
                     await site.stop()
             if node.leaving:
-                await _serve_last_requests(node)
+                await _serve_last_requests(node, callers)
             _LOGGER.info("stopped", extra={"node": settings.node_id})
             node.close()
             links.close()
@@ -176,11 +191,13 @@
     return status.st_mtime_ns, status.st_size
 
 
-async def _listen(node: SidecarNode) -> tuple[asyncio.Server, list[web.BaseRunner]]:
+async def _listen(
+    node: SidecarNode,
+) -> tuple[asyncio.Server, CallerServer, list[web.ServerRunner]]:
     settings = node.settings
 
-    def open_link(writer: asyncio.StreamWriter) -> ServedLink:
-        return ServedLink(node.host, node.load, node.entries_after, writer)
+    def open_link(writer: asyncio.StreamWriter, peer: str) -> ServedLink:
+        return ServedLink(node.host, node.load, node.entries_after, writer, peer)
 
     links = await asyncio.start_server(
         partial(serve_link, node.hello, open_link, node.served),
@@ -196,22 +213,40 @@
         caller_service=lambda: node.settings.service,
         is_leaving=lambda: node.leaving,
     )
-    runners: list[web.BaseRunner] = []
+    runners: list[web.ServerRunner] = []
     for server, address in (
         (callers, settings.calls),
         (ReadyServer(lambda: node.ready), settings.ready),
     ):
-        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
-        await runner.setup()
-        await web.TCPSite(runner, address.host, address.port, backlog=BACKLOG).start()
-        runners.append(runner)
-    return links, runners
+        runners.append(await _serve_http(server, address))
+    if settings.metrics is not None:
+        try:
+            runners.append(await _serve_http(MetricsServer(node), settings.metrics))
+        except OSError as error:  # Requests are served without metrics.
+            extra = {"port": settings.metrics.port, "error": str(error)}
+            _LOGGER.warning("metrics not served", extra=extra)
+    return links, callers, runners
+
 
+async def _serve_http(server: web.Server, address: Address) -> web.ServerRunner:
+    runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
+    await runner.setup()
+    await web.TCPSite(runner, address.host, address.port, backlog=BACKLOG).start()
+    return runner
 
-async def _serve_last_requests(node: SidecarNode) -> None:
-    """Serves the requests that were on their way when the node stopped listening."""
-    await asyncio.sleep(LAST_REQUESTS_S)
-    while node.dispatcher.running and read_clocks().monotonic_s < node.dispatcher.stop.ends_at_s:
+
+async def _serve_last_requests(node: SidecarNode, callers: CallerServer) -> None:
+    """Serves the requests that were on their way when the node stopped listening.
+
+    A request counts from its head on, though its body is still being read, until its answer is
+    written.  One that comes meanwhile shows that more may follow: the time begins anew after it.
+    """
+    quiet_since_s = read_clocks().monotonic_s
+    while (now_s := read_clocks().monotonic_s) < node.dispatcher.stop.ends_at_s:
+        if callers.is_serving:
+            quiet_since_s = now_s
+        elif now_s - quiet_since_s >= LAST_REQUESTS_S:
+            return
         await asyncio.sleep(STOP_POLL_S)
 
 
--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -221,6 +221,22 @@
         assert [i.instance_id for i in fleet_.nodes[0].directory.all()] == ["i-0"]
 
 
+async def test_a_listing_that_breaks_off_changes_nothing():
+    """Guards against instances that are taken as gone because half a listing lacks them."""
+    async with fleet(2) as fleet_:
+        node = fleet_.nodes[0]
+        fleet_.store.failing_status = 503
+        await eventually(lambda: node.directory.out)
+        fleet_.store.put("op/config", configuration_entry(5, *STANDARD_ROUTES))
+        fleet_.store.forget_history()
+        fleet_.store.cut_pages = 4
+        fleet_.store.failing_status = 0
+        await eventually(lambda: fleet_.store.cut_pages == 0)
+        assert len(node.directory.all()) == 2
+        await eventually(lambda: node.configurations.version == 5)
+        assert (await fleet_.ask(0))[0].status == 200
+
+
 async def test_a_stop_lets_running_requests_end_and_refuses_none_that_ran():
     """Guards against a planned stop that cuts requests off."""
     async with fleet(2) as fleet_:
@@ -262,6 +278,29 @@
         await ending
 
 
+async def test_a_request_whose_body_is_slow_is_answered_before_the_end():
+    """Guards against a stop that takes a request in the middle of its body for no request."""
+    async with fleet(2) as fleet_:
+        await fleet_.ask(0, request_id="q-0")
+        leaving = fleet_.nodes[0]
+        leaving.leaving = True
+        now_s = read_clocks().monotonic_s
+        leaving.dispatcher.stop = Stop(now_s + 5, now_s + 5)
+        calls = leaving.settings.calls
+        reader, writer = await asyncio.open_connection(calls.host, calls.port)
+        writer.write(
+            b"POST /lodge/1 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q-1\r\n"
+            b"Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nlo"
+        )
+        ending = asyncio.create_task(fleet_.end(0))
+        await asyncio.sleep(0.8)
+        writer.write(b"ad")
+        assert b" 200 " in await reader.readline()
+        writer.close()
+        async with asyncio.timeout(2):
+            await ending
+
+
 async def test_a_link_that_breaks_neither_loses_nor_repeats_a_lodgement():
     """Guards against an unknown outcome after the reset of a connection between nodes."""
     async with fleet(2) as fleet_:
