Serve repeated parts from one piece, and remove what nothing uses

Metrics that both kinds of nodes have, the verdict after several attempts, faults of settings at start and the fields of belief in log lines each stood twice. The module of entries is the decoder itself. Removed: a parameter that lost its use, Views.forget_except, which nothing called, attributes of bench/sidecar_fleet.

--- a/bench/sidecar_fleet.py
+++ b/bench/sidecar_fleet.py
@@ -51,18 +51,14 @@
 
 @attrs.define(eq=False)
 class Sidecar:
-    """A sidecar process with the stand-in beside it.
+    """A sidecar process.
 
     Attributes:
       host: Its loopback address.
-      beside: The instance.
-      log: File with its log lines.
       process: The process.
     """
 
     host: str
-    beside: StandInInstance
-    log: Path
     process: asyncio.subprocess.Process
 
 
@@ -118,10 +114,9 @@
         slots=SLOTS,
     )
     environment = {**os.environ, PATH_VARIABLE: str(path), METRICS_VARIABLE: str(ports.metrics)}
-    log = logs / f"sidecar-{number}.log"
     async with serve_instance(beside, own["ip"], ports.app):
         store.put(f"servers/{beside.instance_id}", instance_entry(listed))
-        with log.open("wb") as output:
+        with (logs / f"sidecar-{number}.log").open("wb") as output:
             process = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", "ibisrack.bin.ibis_sidecar"),
                 stdout=output,
@@ -129,7 +124,7 @@
                 env=environment,
             )
         try:
-            yield Sidecar(own["ip"], beside, log, process)
+            yield Sidecar(own["ip"], process)
         finally:
             if process.returncode is None:
                 process.kill()
--- a/ibisrack/bin/common.py
+++ b/ibisrack/bin/common.py
@@ -2,6 +2,8 @@
 
 import logging
 import sys
+from collections.abc import Callable
+from functools import partial
 from typing import TextIO, TypeVar
 
 from pythonjsonlogger.json import JsonFormatter
@@ -45,8 +47,13 @@
 
 def settings_or_exit(path: str, cls: type[T]) -> T:
     """Loads settings; prints every fault and exits when there are any."""
+    return loaded_or_exit(partial(load_settings, path, cls))
+
+
+def loaded_or_exit(load: Callable[[], T]) -> T:
+    """Returns what a function loads; prints every fault and exits when there are any."""
     try:
-        return load_settings(path, cls)
+        return load()
     except SettingsError as error:
         for fault in error.faults:
             print(fault, file=sys.stderr)
--- a/ibisrack/bin/ibis_sidecar.py
+++ b/ibisrack/bin/ibis_sidecar.py
@@ -6,10 +6,9 @@
 from functools import partial
 from pathlib import Path
 
-from ibisrack.bin.common import EXIT_USAGE, log_as_json
+from ibisrack.bin.common import loaded_or_exit, log_as_json
 from ibisrack.bin.limited import LineLimit, PipeStream
 from ibisrack.bin.loop import run_on_uvloop
-from ibisrack.errors import SettingsError
 from ibisrack.platform.settings_file import (
     DEFAULT_PATH,
     METRICS_VARIABLE,
@@ -23,12 +22,7 @@
     """Entry point of the ibis-sidecar command."""
     path = os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
     load = partial(load_platform_settings, metrics_port=os.environ.get(METRICS_VARIABLE, ""))
-    try:
-        settings = load(path)
-    except SettingsError as error:
-        for fault in error.faults:
-            print(fault, file=sys.stderr)
-        sys.exit(EXIT_USAGE)
+    settings = loaded_or_exit(partial(load, path))
     limit = LineLimit()
     stream = PipeStream.wrap(sys.stdout, limit)
     log_as_json(logging.DEBUG, stream, limit, node=settings.node_id)
--- a/ibisrack/calls/retry.py
+++ b/ibisrack/calls/retry.py
@@ -129,13 +129,8 @@
         return True
 
     def verdict(self, result: Result) -> Result:
-        """Returns what the caller is told after the last attempt.
-
-        A refusal of the last attempt does not undo an earlier one that may have run.
-        """
-        if self.may_have_run is not None and not may_run(result):
-            return self.may_have_run
-        return result
+        """Returns what the caller is told after the last attempt."""
+        return final(self.may_have_run, result)
 
 
 @singledispatch
@@ -149,6 +144,18 @@
     return False
 
 
+def final(may_have_run: Result | None, last: Result) -> Result:
+    """Returns what the caller is told of several attempts.
+
+    A refusal of the last attempt does not undo an earlier one that may have run.
+
+    Args:
+      may_have_run: The first result after which the call may have run.
+      last: The result of the last attempt.
+    """
+    return last if may_have_run is None or may_run(last) else may_have_run
+
+
 @singledispatch
 def described(result: object) -> tuple[Outcome, str]:
     """Returns what is known of a call's execution, and why."""
--- a/ibisrack/dispatch/attempts.py
+++ b/ibisrack/dispatch/attempts.py
@@ -12,7 +12,7 @@
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
-from ibisrack.calls.retry import Result, may_run
+from ibisrack.calls.retry import Result, final, may_run
 from ibisrack.dispatch.budget import RepeatBudget
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.routing.model import Route
@@ -67,13 +67,8 @@
         return True
 
     def verdict(self, result: Result) -> Result:
-        """Returns what the caller is told after the last attempt.
-
-        A refusal of the last attempt does not undo an earlier one that may have run.
-        """
-        if self.may_have_run is not None and not may_run(result):
-            return self.may_have_run
-        return result
+        """Returns what the caller is told after the last attempt."""
+        return final(self.may_have_run, result)
 
 
 @singledispatch
--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -86,12 +86,6 @@
             view = self.instances[instance_id] = InstanceView()
         return view
 
-    def forget_except(self, listed: Iterable[str]) -> None:
-        """Drops the views of instances that are gone."""
-        listed = frozenset(listed)
-        for instance_id in [i for i in self.instances if i not in listed]:
-            del self.instances[instance_id]
-
     def avoid(self, instance_id: str, reason: str, now_s: float) -> None:
         """Notes a failure or refusal."""
         view = self.of(instance_id)
--- a/ibisrack/dispatch/records.py
+++ b/ibisrack/dispatch/records.py
@@ -46,9 +46,7 @@
             "route": route.name,
             "service": attempts.service,
             "rank": rank,
-            "version": version,
-            "revision": self.view.revision,
-            "revision_age_ms": round((now_s - self.view.confirmed_at_s) * 1000),
+            **self._belief(version, now_s),
             "given_ms": round((request.deadline_at_s - request.received_at_s) * 1000),
             "held_ms": round(held_s * 1000),
             "arrivals": attempts.arrivals,
@@ -66,14 +64,20 @@
             "request_id": request.request_id,
             "host": request.host,
             "path": request.path,
-            "version": version,
-            "revision": self.view.revision,
-            "revision_age_ms": round((now_s - self.view.confirmed_at_s) * 1000),
+            **self._belief(version, now_s),
             "outcome": outcome,
             **_details(verdict),
         }
         _LOGGER.info("request without a route", extra=extra)
 
+    def _belief(self, version: int, now_s: float) -> dict[str, int]:
+        """Returns what the node knew when it decided, and the age of it."""
+        return {
+            "version": version,
+            "revision": self.view.revision,
+            "revision_age_ms": round((now_s - self.view.confirmed_at_s) * 1000),
+        }
+
 
 @singledispatch
 def outcome_of(verdict: object) -> Outcome:
--- a/ibisrack/hosting/host.py
+++ b/ibisrack/hosting/host.py
@@ -92,7 +92,7 @@
         """Takes the ranks of a configuration and the slots of the listed instance."""
         instance = self.instance
         slots = instance.slots if instance else self.gate.scheduler.slots
-        ranks = _rank_rules(service, sorted(priorities), slots)
+        ranks = _rank_rules(service, sorted(priorities))
         now_s = read_clocks().monotonic_s
         self.gate.apply(self.gate.scheduler.configure(slots, ranks, now_s))
 
@@ -216,7 +216,7 @@
         self.service_s += (service_s - self.service_s) * weight
 
 
-def _rank_rules(service: str, priorities: list[int], slots: int) -> tuple[RankRule, ...]:
+def _rank_rules(service: str, priorities: list[int]) -> tuple[RankRule, ...]:
     """Returns a rank for each priority, the most urgent first."""
     return tuple(
         RankRule(
@@ -227,7 +227,6 @@
             rank=rank_name(priority),
             order=priority,
             share_percent=LOWER_SHARE_PERCENT if index else 0,
-            max_slots=0,
             max_queue=MAX_QUEUE,
         )
         for index, priority in enumerate(priorities)
--- a/ibisrack/metrics/exposition.py
+++ b/ibisrack/metrics/exposition.py
@@ -4,14 +4,15 @@
 the state that the slices keep anyway.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 from aioprometheus import Counter, Gauge, Registry
 from aioprometheus import Histogram as HistogramCollector
 from aioprometheus.collectors import POS_INF
 
-from ibisrack.metrics.tally import DURATION_BOUNDS_MS, Histogram
+from ibisrack.calls.gate import Gate
+from ibisrack.metrics.tally import DURATION_BOUNDS_MS, Histogram, Tally
 
 Labels = Mapping[str, str]
 Sample = tuple[Labels, float]
@@ -39,13 +40,37 @@
     return (({}, value),)
 
 
+def call_metrics(tally: Tally) -> Iterator[Metric]:
+    """Calls that ended at a node, by role, service, rank and outcome."""
+    names = ("role", "service", "rank", "outcome")
+    samples = tuple((dict(zip(names, k, strict=True)), n) for k, n in tally.calls.items())
+    yield Metric("ibis_calls_total", "Calls that ended at this node.", True, samples)
+
+
+def load_metrics(gate: Gate) -> Iterator[Metric]:
+    """Load of the upstream beside a node."""
+    load = gate.load()
+    yield Metric("ibis_busy_slots", "Slots of the upstream in use.", False, single(load.busy))
+    yield Metric("ibis_slots", "Slots of the upstream.", False, single(load.slots))
+    yield Metric("ibis_queued_calls", "Calls that wait for a slot.", False, single(load.queued))
+
+
+def read_metrics(tally: Tally) -> Iterator[Metric]:
+    """Reads of the platform."""
+    reads, failures = single(tally.platform_reads), single(tally.platform_failures)
+    yield Metric("ibis_platform_reads_total", "Reads of the platform started.", True, reads)
+    yield Metric("ibis_platform_failures_total", "Reads that failed.", True, failures)
+
+
 class DurationCollector(HistogramCollector):
     """Hands over counts that were made without the library."""
 
-    def __init__(
-        self, name: str, help_text: str, durations: Mapping[str, Histogram], registry: Registry
-    ) -> None:
-        super().__init__(name, help_text, registry=registry)
+    def __init__(self, durations: Mapping[str, Histogram], registry: Registry) -> None:
+        super().__init__(
+            "ibis_call_duration_seconds",
+            "Time of calls that callers sent to this node, by rank.",
+            registry=registry,
+        )
         self._durations = durations
 
     def get_all(self) -> list[tuple[Labels, dict]]:
@@ -63,12 +88,18 @@
     return {**values, "count": total, "sum": histogram.sum_ms / 1000}
 
 
-def to_registry(metrics: Iterable[Metric]) -> Registry:
-    """Returns a registry of the library with the values of metrics."""
+def to_registry(metrics: Iterable[Metric], durations: Mapping[str, Histogram]) -> Registry:
+    """Returns a registry of the library with the values of metrics.
+
+    Args:
+      metrics: Counters and gauges.
+      durations: Times of calls that callers sent to the node, by rank.
+    """
     registry = Registry()
     for metric in metrics:
         cls = Counter if metric.is_counter else Gauge
         collector = cls(metric.name, metric.help, registry=registry)
         for labels, value in metric.samples:
             collector.set(dict(labels), value)
+    DurationCollector(durations, registry)
     return registry
--- a/ibisrack/node/metrics.py
+++ b/ibisrack/node/metrics.py
@@ -11,27 +11,17 @@
 
 from ibisrack.calls.gate import Gate
 from ibisrack.membership.records import Liveness
-from ibisrack.metrics.exposition import DurationCollector, Metric, single, to_registry
+from ibisrack.metrics.exposition import (
+    Metric,
+    call_metrics,
+    load_metrics,
+    read_metrics,
+    single,
+    to_registry,
+)
 from ibisrack.node.state import NodeState
 
 
-def call_metrics(node: NodeState) -> Iterator[Metric]:
-    """Calls that ended here, by role, service, rank and outcome."""
-    names = ("role", "service", "rank", "outcome")
-    samples = [
-        (dict(zip(names, key, strict=True)), count) for key, count in node.tally.calls.items()
-    ]
-    yield Metric("ibis_calls_total", "Calls that ended at this node.", True, tuple(samples))
-
-
-def load_metrics(gate: Gate) -> Iterator[Metric]:
-    """Load of the upstream beside the node."""
-    load = gate.load()
-    yield Metric("ibis_busy_slots", "Slots of the upstream in use.", False, single(load.busy))
-    yield Metric("ibis_slots", "Slots of the upstream.", False, single(load.slots))
-    yield Metric("ibis_queued_calls", "Calls that wait for a slot.", False, single(load.queued))
-
-
 def version_metrics(node: NodeState) -> Iterator[Metric]:
     """Versions in force, staged and refused."""
     state = node.versions.state()
@@ -62,14 +52,6 @@
     yield Metric("ibis_exchange_bytes_total", "Bytes of these frames.", True, sizes)
 
 
-def platform_metrics(node: NodeState) -> Iterator[Metric]:
-    """Reads of the platform."""
-    tally = node.tally
-    reads, failures = single(tally.platform_reads), single(tally.platform_failures)
-    yield Metric("ibis_platform_reads_total", "Reads of the platform started.", True, reads)
-    yield Metric("ibis_platform_failures_total", "Reads that failed.", True, failures)
-
-
 def member_metrics(node: NodeState) -> Iterator[Metric]:
     """Members by state."""
     counts = Count(record.liveness for record in node.members.all())
@@ -81,12 +63,12 @@
 
 def all_metrics(node: NodeState, gate: Gate) -> Iterator[Metric]:
     """Returns every metric but the histograms."""
-    yield from call_metrics(node)
+    yield from call_metrics(node.tally)
     yield from load_metrics(gate)
     yield from version_metrics(node)
     yield from event_metrics(node)
     yield from exchange_metrics(node)
-    yield from platform_metrics(node)
+    yield from read_metrics(node.tally)
     yield from member_metrics(node)
 
 
@@ -97,11 +79,4 @@
       node: The node's state.
       gate: Admission to the upstream beside the node.
     """
-    registry = to_registry(all_metrics(node, gate))
-    DurationCollector(
-        "ibis_call_duration_seconds",
-        "Time of calls that callers sent to this node, by rank.",
-        node.tally.durations,
-        registry,
-    )
-    return registry
+    return to_registry(all_metrics(node, gate), node.tally.durations)
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -6,7 +6,14 @@
 from aioprometheus import Registry, render
 
 from ibisrack.clocks import read_clocks
-from ibisrack.metrics.exposition import DurationCollector, Metric, single, to_registry
+from ibisrack.metrics.exposition import (
+    Metric,
+    call_metrics,
+    load_metrics,
+    read_metrics,
+    single,
+    to_registry,
+)
 from ibisrack.sidecar.node import SidecarNode
 
 PATH = "/metrics"
@@ -14,22 +21,18 @@
 
 def all_metrics(node: SidecarNode) -> Iterator[Metric]:
     """Returns every metric but the histogram."""
-    yield from _request_metrics(node)
+    yield from call_metrics(node.tally)
+    yield from load_metrics(node.host.gate)
+    yield from _budget_metrics(node)
     yield from _belief_metrics(node)
-    yield from _dependency_metrics(node)
+    yield from _link_metrics(node)
+    yield from read_metrics(node.tally)
 
 
-def _request_metrics(node: SidecarNode) -> Iterator[Metric]:
-    names = ("role", "service", "rank", "outcome")
-    calls = tuple((dict(zip(names, k, strict=True)), n) for k, n in node.tally.calls.items())
-    load = node.host.gate.load()
-    budget, now_s = node.dispatcher.budget, read_clocks().monotonic_s
-    spent = tuple(({"service": s}, n) for s, n in budget.spent(now_s).items())
-    yield Metric("ibis_calls_total", "Requests that ended at this node.", True, calls)
-    yield Metric("ibis_busy_slots", "Slots of the instance in use.", False, single(load.busy))
-    yield Metric("ibis_slots", "Slots of the instance.", False, single(load.slots))
-    yield Metric("ibis_queued_calls", "Requests that wait here.", False, single(load.queued))
-    yield Metric("ibis_repeats_in_window", "Repeats that count now.", False, spent)
+def _budget_metrics(node: SidecarNode) -> Iterator[Metric]:
+    spent = node.dispatcher.budget.spent(read_clocks().monotonic_s)
+    samples = tuple(({"service": service}, count) for service, count in spent.items())
+    yield Metric("ibis_repeats_in_window", "Repeats that count now.", False, samples)
 
 
 def _belief_metrics(node: SidecarNode) -> Iterator[Metric]:
@@ -47,26 +50,16 @@
     yield Metric("ibis_ready", "Whether callers may come.", False, single(float(node.ready)))
 
 
-def _dependency_metrics(node: SidecarNode) -> Iterator[Metric]:
+def _link_metrics(node: SidecarNode) -> Iterator[Metric]:
     open_links = sum(link.is_open for link in node.peers.values())
     lost = sum(link.losses for link in node.peers.values())
-    reads, failures = single(node.tally.platform_reads), single(node.tally.platform_failures)
     yield Metric("ibis_links_open", "Links to other nodes.", False, single(open_links))
     yield Metric("ibis_links_lost_total", "Links that broke.", True, single(lost))
-    yield Metric("ibis_platform_reads_total", "Reads of the registry started.", True, reads)
-    yield Metric("ibis_platform_failures_total", "Reads that failed.", True, failures)
 
 
 def collect(node: SidecarNode) -> Registry:
     """Returns a registry of the metrics library with the present values."""
-    registry = to_registry(all_metrics(node))
-    DurationCollector(
-        "ibis_call_duration_seconds",
-        "Time of requests that callers sent to this node, by rank.",
-        node.tally.durations,
-        registry,
-    )
-    return registry
+    return to_registry(all_metrics(node), node.tally.durations)
 
 
 class MetricsServer(web.Server):
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -39,15 +39,15 @@
 class EntryDecoder(Protocol):
     """Tells what the entries of the platform's registry say."""
 
-    configuration_key: str
+    CONFIGURATION_KEY: str
 
     def instance_id(self, key: str) -> str:
         """Returns the id of the instance that a key names, empty for other keys."""
 
-    def instance(self, entry: Entry) -> Instance:
+    def decode_instance(self, entry: Entry) -> Instance:
         """Decodes an instance; raises MessageError."""
 
-    def configuration(self, entry: Entry) -> Configuration:
+    def decode_configuration(self, entry: Entry) -> Configuration:
         """Decodes a configuration; raises MessageError."""
 
 
@@ -195,7 +195,7 @@
         """Takes changed entries of the registry."""
         now_s = read_clocks().monotonic_s
         for entry in entries:
-            if entry.key == self.decoder.configuration_key:
+            if entry.key == self.decoder.CONFIGURATION_KEY:
                 self._take_configuration(entry)
             elif instance_id := self.decoder.instance_id(entry.key):
                 self._take_instance(instance_id, entry, now_s)
@@ -237,7 +237,7 @@
             _LOGGER.warning("configuration removed; the one in force is kept")
             return
         try:
-            configuration = self.decoder.configuration(entry)
+            configuration = self.decoder.decode_configuration(entry)
         except MessageError as error:
             _LOGGER.warning("configuration refused", extra={"error": str(error)})
             return
@@ -255,7 +255,7 @@
             _LOGGER.info("instance not listed", extra=extra)
             return
         try:
-            instance = self.decoder.instance(entry)
+            instance = self.decoder.decode_instance(entry)
         except MessageError as error:
             _LOGGER.warning("entry ignored", extra={"error": str(error)})
             self.directory.remove(instance_id, now_s)
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -25,12 +25,7 @@
 from ibisrack.links.incoming import ServedLink, serve_link
 from ibisrack.metrics.tally import Tally
 from ibisrack.node.tasks import keep_running
-from ibisrack.platform.entries import (
-    CONFIGURATION_KEY,
-    decode_configuration,
-    decode_instance,
-    instance_id,
-)
+from ibisrack.platform import entries
 from ibisrack.platform.front import CallerServer, ReadyServer
 from ibisrack.platform.store import StoreClient, open_session
 from ibisrack.platform.upstream import HttpUpstream
@@ -61,15 +56,6 @@
 _LOGGER = logging.getLogger("ibisrack.sidecar")
 
 
-class PlatformEntries:
-    """Decodes the platform's entries; see ibisrack.sidecar.node.EntryDecoder."""
-
-    configuration_key = CONFIGURATION_KEY
-    instance_id = staticmethod(instance_id)
-    instance = staticmethod(decode_instance)
-    configuration = staticmethod(decode_configuration)
-
-
 def assemble(settings: SidecarSettings) -> SidecarNode:
     """Returns a node that has just started."""
     rng = Random(f"{settings.node_id} {read_clocks().wall_ms}")
@@ -85,9 +71,7 @@
         directory,
         VisitRecords(tally),
     )
-    node = SidecarNode(
-        settings, PlatformEntries(), rng, directory, configurations, view, host, tally
-    )
+    node = SidecarNode(settings, entries, rng, directory, configurations, view, host, tally)
     node.on_slots = lambda slots: pool.resize(slots + SPARE_CONNECTIONS, 0)
     budget = RepeatBudget(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
     node.dispatcher = Dispatcher(
--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -255,18 +255,22 @@
         stopping.cancel()
 
 
+async def connection_to_leaving(node):
+    """Lets a node be on its way to a planned end; returns a caller's connection to it."""
+    node.leaving = True
+    now_s = read_clocks().monotonic_s
+    node.dispatcher.stop = Stop(now_s + 5, now_s + 5)
+    calls = node.settings.calls
+    return await asyncio.open_connection(calls.host, calls.port)
+
+
 async def test_a_request_that_comes_as_the_node_stops_listening_is_answered():
     """Guards against a stop that is idle for a moment and ends while a request arrives."""
     async with fleet(2) as fleet_:
         for beside in fleet_.instances:
             beside.work_s = 0.2
         await fleet_.ask(0, request_id="q-0")
-        leaving = fleet_.nodes[0]
-        leaving.leaving = True
-        now_s = read_clocks().monotonic_s
-        leaving.dispatcher.stop = Stop(now_s + 5, now_s + 5)
-        calls = leaving.settings.calls
-        reader, writer = await asyncio.open_connection(calls.host, calls.port)
+        reader, writer = await connection_to_leaving(fleet_.nodes[0])
         ending = asyncio.create_task(fleet_.end(0))
         await asyncio.sleep(0.1)
         writer.write(
@@ -282,12 +286,7 @@
     """Guards against a stop that takes a request in the middle of its body for no request."""
     async with fleet(2) as fleet_:
         await fleet_.ask(0, request_id="q-0")
-        leaving = fleet_.nodes[0]
-        leaving.leaving = True
-        now_s = read_clocks().monotonic_s
-        leaving.dispatcher.stop = Stop(now_s + 5, now_s + 5)
-        calls = leaving.settings.calls
-        reader, writer = await asyncio.open_connection(calls.host, calls.port)
+        reader, writer = await connection_to_leaving(fleet_.nodes[0])
         writer.write(
             b"POST /lodge/1 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q-1\r\n"
             b"Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nlo"
