Count the parts of a large message as activity of the peer

A link whose peer sent nothing complete for 0.8 s was aborted, also while a large message was arriving over a slow link. The peer then sent it all again over the next link, and every request on the link was resumed or lost.

Each part that arrives now counts as activity.

--- a/ibisrack/links/frames.py
+++ b/ibisrack/links/frames.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from typing import Any
 
 from ibisrack.errors import MessageError
@@ -27,16 +28,29 @@
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-async def read_message(reader: asyncio.StreamReader) -> Any:
+async def read_message(
+    reader: asyncio.StreamReader, on_progress: Callable[[], None] = lambda: None
+) -> Any:
     """Reads one message.
 
+    Args:
+      reader: Reader of the connection.
+      on_progress: Called after each part; a large message takes seconds on a slow link.
+
     Raises:
       MessageError: The frame is malformed.
       asyncio.IncompleteReadError: The connection ended.
       OSError: The connection broke.
     """
     size = frame_size(await reader.readexactly(LENGTH_PREFIX_BYTES))
-    return decode(await reader.readexactly(size))
+    payload = bytearray()
+    while len(payload) < size:
+        part = await reader.read(size - len(payload))
+        if not part:
+            raise asyncio.IncompleteReadError(bytes(payload), size)
+        payload += part
+        on_progress()
+    return decode(bytes(payload))
 
 
 def write_message(writer: asyncio.StreamWriter, *messages: Any) -> None:
