Let a few nodes of each zone read the registry, and send the others differences

Cause: a version of the configuration has 274 KB, is sent as 365 KB by the store, and went to each of 58 sidecars, whose small links carry 437 KB/s. With a version a second the links were full; requests, answers and readiness checks waited behind it. A sidecar that lagged also requested the whole content from the peer with the highest revision, all the same one, every 0.5 s, even while the last transfer went on; the largest links sent 2.6 MB/s. Ruled out: processor (1 to 4% of a core on average), memory, the store's rate.

Change: two hosts of a zone read the registry, those with the fastest links; the others follow them over their links. A delta compresses each changed entry with the receiver's version as dictionary (zstandard). A node that hears of fewer than two peers that read reads the registry itself. A node that lags asks a random peer, of its own zone if possible, for the changes only. Changes to a removed key that arrive late are ignored. A poll of the registry now waits 1 s, since others rely on its end; far fewer nodes poll.

--- a/ibisrack/links/codec.py
+++ b/ibisrack/links/codec.py
@@ -16,6 +16,7 @@
     BodyPart,
     Cancel,
     Entries,
+    Follow,
     Hello,
     Load,
     OutcomeUnknown,
@@ -24,6 +25,7 @@
     RequestEntries,
     Resume,
     Submit,
+    Unfollow,
     Withdraw,
 )
 
@@ -45,6 +47,8 @@
     RequestEntries,
     Entries,
     Withdraw,
+    Follow,
+    Unfollow,
 )
 _TYPE_CODES = {cls: code for code, cls in enumerate(MESSAGE_TYPES)}
 
--- a/ibisrack/links/codec_test.py
+++ b/ibisrack/links/codec_test.py
@@ -29,9 +29,9 @@
 MESSAGES = (
     SUBMIT,
     Answered(7, 200, (("A", "b"),), b"x" * 9, True),
-    Load(1, 2, 3, 4.5, True, 6),
+    Load(1, 2, 3, 4.5, True, 6, False),
     Ping(),
-    Entries(9, (("servers/i-1", b"{}", 4),)),
+    Entries(9, ("servers/i-1",), (("servers/i-1", 4, 0, b"{}"),)),
 )
 
 
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -24,6 +24,7 @@
     BodyPart,
     Cancel,
     Entries,
+    Follow,
     Hello,
     Load,
     OutcomeUnknown,
@@ -32,11 +33,13 @@
     RequestEntries,
     Resume,
     Submit,
+    Unfollow,
     Withdraw,
 )
 
 # Larger bodies are sent in parts, so that they don't delay other answers.
 BODY_PART_BYTES = 64 * 1024
+MAX_UNSENT_BYTES = 64 * 1024  # With more unsent data, changes of the registry are not added.
 
 _LOGGER = logging.getLogger("ibisrack.links")
 
@@ -48,10 +51,12 @@
     Attributes:
       instance_runner: Runs the requests.
       current_load: Returns this node's load.
-      entries_after: Returns the registry's content if it is newer than a revision, otherwise None.
+      entries_after: Returns the registry's changes after a revision, None if there are none.
       writer: Writer of the connection.
       peer: IP number of the peer's host.
       runs: Unanswered requests of this link by their number.
+      followed_revision: Revision up to which the peer was sent the registry's changes, None while
+        it does not follow them here.
     """
 
     instance_runner: InstanceRunner
@@ -60,6 +65,7 @@
     writer: asyncio.StreamWriter
     peer: str
     runs: dict[int, Run] = attrs.field(factory=dict)
+    followed_revision: int | None = None
     _last_sent_load: Load | None = None
 
     async def serve(self, reader: asyncio.StreamReader) -> None:
@@ -94,6 +100,20 @@
             self._last_sent_load = load
             write_message(self.writer, load)
 
+    def send_followed_entries(self) -> None:
+        """Sends the changes of the registry to a peer that follows them.
+
+        While earlier changes wait to be sent, later ones are held back and sent together.
+        """
+        if self.followed_revision is None or self.writer.is_closing():
+            return
+        if self.writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            return
+        entries = self.entries_after(self.followed_revision)
+        if entries is not None:
+            self.followed_revision = entries.revision
+            write_message(self.writer, entries)
+
     def write_with_load(self, message: Any) -> None:
         """Writes a message, followed by the load if it has changed."""
         if self.writer.is_closing():
@@ -187,6 +207,17 @@
         write_message(link.writer, entries)
 
 
+@handle.register
+def _(message: Follow, link: IncomingLink) -> None:
+    link.followed_revision = message.revision
+    link.send_followed_entries()
+
+
+@handle.register
+def _(message: Unfollow, link: IncomingLink) -> None:
+    link.followed_revision = None
+
+
 @singledispatch
 async def _send_result(result: object, link: IncomingLink, number: int) -> None:
     raise TypeError(f"unexpected result type {type(result).__name__}")
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -13,10 +13,12 @@
     Attributes:
       host: IP number of the sender's host.
       process_epoch: Random id of the sender's process; a restarted process has a new one.
+      link_mbps: Bandwidth of the sender's host in Mbit/s.
     """
 
     host: str
     process_epoch: str
+    link_mbps: float
 
 
 @attrs.frozen
@@ -149,6 +151,7 @@
       service_ms: Mean service time of the instance.
       accepts_requests: Whether the node accepts submissions.
       revision: Registry revision that the sender has seen.
+      reads_registry: Whether the sender reads the registry itself and the registry answers.
     """
 
     busy: int
@@ -157,6 +160,7 @@
     service_ms: float
     accepts_requests: bool
     revision: int
+    reads_registry: bool
 
 
 @attrs.frozen
@@ -166,19 +170,34 @@
 
 @attrs.frozen
 class RequestEntries:
-    """Requests the registry's content if the receiver has seen a later revision."""
+    """Requests the changes of the registry after a revision, if the receiver has seen any."""
 
     revision: int
 
 
+@attrs.frozen
+class Follow:
+    """Requests the changes of the registry after a revision, now and until the link ends."""
+
+    revision: int
+
+
+@attrs.frozen
+class Unfollow:
+    """Ends a Follow."""
+
+
 @attrs.frozen
 class Entries:
-    """Content of the registry as the sender has seen it.
+    """Changes of the registry as the sender has seen them.
 
     Attributes:
-      revision: Revision of the content.
-      entries: Key, value and revision of every entry.
+      revision: Revision of the content after the changes.
+      keys: Keys of all entries at that revision.
+      changed: Key, revision, revision of the compression's base (0 for none) and compressed content
+        of every entry that changed after the requested revision.
     """
 
     revision: int
-    entries: tuple[tuple[str, bytes, int], ...]
+    keys: tuple[str, ...]
+    changed: tuple[tuple[str, int, int, bytes], ...]
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -30,6 +30,7 @@
     BodyPart,
     Cancel,
     Entries,
+    Follow,
     Hello,
     Load,
     OutcomeUnknown,
@@ -38,6 +39,7 @@
     RequestEntries,
     Resume,
     Submit,
+    Unfollow,
     Withdraw,
 )
 
@@ -49,6 +51,9 @@
 LINK_LOSS_PAUSE_S = 0.01  # Pause before the first reconnect after an open link broke.
 PING_AFTER_SILENCE_S = 0.25  # Silence of a peer with unanswered requests before it is pinged.
 ABORT_AFTER_SILENCE_S = 0.8  # Silence after which the link is aborted and opened again.
+PING_FOLLOWED_AFTER_SILENCE_S = 0.5  # Silence of a followed peer without requests before a ping.
+# A followed peer that was not heard for this long is not relied on for changes of the registry.
+MAX_DELIVERY_SILENCE_S = 1.2
 
 _LOGGER = logging.getLogger("ibisrack.links")
 
@@ -80,25 +85,29 @@
       own_hello: Hello of this node.
       host: IP number of the peer's host.
       port: TCP port on which the peer accepts links.
-      on_entries: Called with registry content from the peer.
+      on_entries: Called with this link and changes of the registry from the peer.
       load: Last load that the peer reported, None before the first.
       silent_since_s: Monotonic time of the last bytes from the peer, or of the first pending
         request if later.
       losses: Number of connections that broke after the peer's Hello.
       failing: Whether the last connection broke or could not be opened; cleared by the next Hello.
       peer_epoch: Epoch of the peer's process, empty while the link is not open.
+      peer_link_mbps: Bandwidth of the peer's host in Mbit/s, 0 before its first Hello.
+      following: Whether the peer was asked for the changes of the registry on this connection.
       pending: Unanswered requests by their number.
     """
 
     own_hello: Hello
     host: str
     port: int
-    on_entries: Callable[[Entries], None]
+    on_entries: Callable[["OutgoingLink", Entries], None]
     load: Load | None = None
     silent_since_s: float = 0.0
     losses: int = 0
     failing: bool = False
     peer_epoch: str = ""
+    peer_link_mbps: float = 0.0
+    following: bool = False
     pending: dict[int, PendingRequest] = attrs.field(factory=dict)
     _writer: asyncio.StreamWriter | None = None
     _numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
@@ -140,10 +149,31 @@
             self.pending.pop(submit.number, None)
 
     def request_entries(self, revision: int) -> None:
-        """Requests the registry's content if the peer has seen a later revision."""
+        """Requests the registry's changes if the peer has seen a later revision."""
         if self.is_open:
             write_message(self._writer, RequestEntries(revision))
 
+    def follow(self, revision: int) -> None:
+        """Requests the registry's changes after a revision, now and while the link is open."""
+        if self.is_open and not self.following:
+            self.following = True
+            write_message(self._writer, Follow(revision))
+
+    def unfollow(self) -> None:
+        """Ends the delivery of the registry's changes."""
+        if self.is_open and self.following:
+            write_message(self._writer, Unfollow())
+        self.following = False
+
+    def is_delivering(self, now_s: float) -> bool:
+        """Returns whether the peer reads the registry and was heard a short time ago."""
+        return (
+            self.is_open
+            and self.load is not None
+            and self.load.reads_registry
+            and now_s - self.silent_since_s < MAX_DELIVERY_SILENCE_S
+        )
+
     def withdraw(self) -> None:
         """Makes the peer refuse the pending requests that it has not started."""
         if self.is_open:
@@ -154,13 +184,24 @@
         self._open_requested.set()
 
     def check_silence(self, now_s: float) -> None:
-        """Pings a silent peer that has unanswered requests; aborts the link if it stays silent."""
-        if not self.pending or self._writer is None:
+        """Pings a silent peer that is followed or has unanswered requests.
+
+        A link with unanswered requests is aborted if the peer stays silent.
+        """
+        if self._writer is None:
             return
         silent_s = now_s - self.silent_since_s
+        if not self.pending:
+            if self.following and silent_s >= PING_FOLLOWED_AFTER_SILENCE_S:
+                self._ping(now_s)
+            return
         if silent_s >= ABORT_AFTER_SILENCE_S:
             self._writer.transport.abort()
-        elif silent_s >= PING_AFTER_SILENCE_S and now_s - self._pinged_at_s >= PING_AFTER_SILENCE_S:
+        elif silent_s >= PING_AFTER_SILENCE_S:
+            self._ping(now_s)
+
+    def _ping(self, now_s: float) -> None:
+        if now_s - self._pinged_at_s >= PING_AFTER_SILENCE_S:
             self._pinged_at_s = now_s
             write_message(self._writer, Ping())
 
@@ -208,6 +249,7 @@
         if not isinstance(hello, Hello):
             writer.transport.abort()
             raise MessageError("the first message of the peer is not a Hello")
+        self.peer_link_mbps = hello.link_mbps
         await self._handle_opened(writer, hello.process_epoch)
         while True:
             message = await read_message(reader, self._record_activity)
@@ -240,6 +282,7 @@
 
     async def _handle_closed(self) -> None:
         writer, self._writer, self.peer_epoch, self.load = self._writer, None, "", None
+        self.following = False
         if writer is not None:
             writer.transport.abort()
         else:  # The peer could not be reached; idempotent requests don't wait for it.
@@ -321,7 +364,7 @@
 
 @handle.register
 def _(message: Entries, link: OutgoingLink) -> None:
-    link.on_entries(message)
+    link.on_entries(link, message)
 
 
 def _build_answer(head: Answered, body: bytes) -> Answer:
--- a/ibisrack/links/outgoing_test.py
+++ b/ibisrack/links/outgoing_test.py
@@ -14,14 +14,19 @@
 from ibisrack.testing.functions import function_tests
 
 HOST = "127.0.0.1"
-HELLO = Hello("127.0.0.9", "own")
+HELLO = Hello("127.0.0.9", "own", 1000.0)
 
 
 @asynccontextmanager
 async def link_to(serve):
     """Runs an outgoing link to a peer whose connections are served by ``serve``."""
     server = await asyncio.start_server(serve, HOST, 0)
-    link = OutgoingLink(HELLO, HOST, server.sockets[0].getsockname()[1], lambda entries: None)
+    link = OutgoingLink(
+        HELLO,
+        HOST,
+        server.sockets[0].getsockname()[1],
+        lambda link, entries: None,
+    )
     task = asyncio.create_task(link.maintain())
     try:
         yield link
--- a/ibisrack/platform/settings_file.py
+++ b/ibisrack/platform/settings_file.py
@@ -44,6 +44,7 @@
         "ready": reader.address("network.listen.ready"),
         "registry": reader.address("platform.platform.address"),
         "metrics": reader.local_address(metrics_port),
+        "link_mbps": reader.get("self.limits.link_mbps"),
         "stop_s": reader.duration_s("terms.bounds.grace"),
         "retry_ratio": reader.get("terms.bounds.retry_budget_ratio"),
         "retry_slack": reader.get("terms.bounds.budget_slack"),
--- /dev/null
+++ b/ibisrack/registry/deltas_test.py
@@ -0,0 +1,81 @@
+"""Tests of the packing of changes for peers."""
+
+from ibisrack.errors import MessageError
+from ibisrack.registry.deltas import MissingBaseError, pack_changes, unpack_changes
+from ibisrack.registry.messages import Changes, Delta, Entry, Listing, PackedEntry
+from ibisrack.registry.view import RegistryView
+from ibisrack.testing.functions import function_tests
+
+CONFIGURATION = "op/config"
+
+
+def configuration(version: int) -> bytes:
+    """Returns a large content of which one line differs between versions."""
+    routes = [f"route {n} {n * 7919 % 1009:04d}" for n in range(5000)]
+    routes[version] += f" changed in {version}"
+    return f"version {version}\n{chr(10).join(routes)}".encode()
+
+
+def view_at(version: int) -> RegistryView:
+    """Returns a view at the revision ``version``, which it reached one version at a time."""
+    view = RegistryView()
+    view.replace(Listing(1, (Entry("a", b"1", 1), Entry(CONFIGURATION, configuration(1), 1))))
+    for revision in range(2, version + 1):
+        view.apply(Changes(revision, (Entry(CONFIGURATION, configuration(revision), revision),)))
+    return view
+
+
+def size(delta: Delta) -> int:
+    return sum(len(packed.packed) for packed in delta.changed)
+
+
+def expect_error(error_type: type, view: RegistryView, delta: Delta) -> None:
+    try:
+        unpack_changes(view, delta)
+    except error_type:
+        return
+    raise AssertionError("the delta was accepted")
+
+
+def test_a_peer_receives_only_what_changed():
+    """Guards against sending a whole configuration to each peer for each change of a route."""
+    ahead, behind = view_at(3), view_at(2)
+    delta = pack_changes(ahead, behind.revision)
+    assert size(delta) < len(configuration(3)) / 100
+    changed = behind.replace(unpack_changes(behind, delta))
+    assert changed == (Entry(CONFIGURATION, configuration(3), 3),)
+    assert (behind.revision, behind.entries) == (ahead.revision, ahead.entries)
+
+
+def test_a_peer_without_a_common_version_receives_the_whole_content():
+    """Guards against a new node, or one far behind, that can't use what a peer sends."""
+    ahead, empty = view_at(9), RegistryView()
+    empty.replace(unpack_changes(empty, pack_changes(ahead, 0)))
+    assert empty.entries == ahead.entries
+    far_behind = view_at(2)
+    far_behind.replace(unpack_changes(far_behind, pack_changes(ahead, 2)))
+    assert far_behind.entries == ahead.entries
+
+
+def test_removed_entries_are_removed_at_the_peer():
+    """Guards against instances that peers keep because a delta only lists what was written."""
+    ahead, behind = view_at(2), view_at(2)
+    ahead.apply(Changes(3, (Entry("a", None, 3),)))
+    assert behind.replace(unpack_changes(behind, pack_changes(ahead, 2))) == (Entry("a", None, 3),)
+
+
+def test_a_delta_that_does_not_fit_is_refused():
+    """Guards against a configuration that is put together from parts of two versions."""
+    delta = pack_changes(view_at(3), 2)
+    expect_error(MissingBaseError, RegistryView(), delta)
+    expect_error(MissingBaseError, view_at(1), delta)
+
+
+def test_malformed_content_is_refused():
+    """Guards against a peer's malformed bytes that end the process or use all its memory."""
+    for packed in (b"", b"junk", pack_changes(view_at(1), 0).changed[1].packed[:-9]):
+        delta = Delta(5, (CONFIGURATION,), (PackedEntry(CONFIGURATION, 5, 0, packed),))
+        expect_error(MessageError, RegistryView(), delta)
+
+
+load_tests = function_tests(__name__)
--- a/ibisrack/registry/follower.py
+++ b/ibisrack/registry/follower.py
@@ -1,7 +1,11 @@
-"""Follows the registry: one task lists it, waits for changes and recovers from failures."""
+"""Follows the registry: one task lists it, waits for changes and recovers from failures.
+
+While peers deliver the content, the task makes no calls.
+"""
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from random import Random
 
@@ -10,12 +14,17 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import BacklogError, HistoryGoneError, PlatformError
 from ibisrack.metrics.tally import Tally
-from ibisrack.registry.messages import Changes, Entry, Listing, Registry
+from ibisrack.registry.deltas import unpack_changes
+from ibisrack.registry.messages import Changes, Delta, Entry, Registry
 from ibisrack.registry.view import RegistryView
 
-# Maximum wait of a call for changes.  Long waits save calls, which are billed.  However, a registry
-# that drops its history may leave a waiting call without changes, which only the next call reveals.
-LONG_POLL_S = 3.0
+# Maximum wait of a call for changes.  Long waits save calls, which are billed.  However, peers rely
+# on this node, and only the end of the wait shows that a registry no longer responds, or that it
+# dropped its history and left the call without changes.
+LONG_POLL_S = 1.0
+# A registry that has not answered for this long is not relied on: a long poll and the transfer of a
+# large entry over a slow link fit in.
+MAX_ANSWER_AGE_S = 2.2
 RECOVERY_POLL_S = 0.001  # Wait of calls after a failure, so that a recovery is detected at once.
 CHANGE_BATCH_DELAY_S = 0.25  # Delay after changes, so that a burst of them takes fewer calls.
 BASE_RETRY_DELAY_S = 0.15
@@ -40,9 +49,11 @@
       tally: Counters of reads and failures.
       on_entries: Called with changed entries.
       on_state: Called with whether the registry answers, when this changes.
-      answering: Whether the registry currently answers.
+      answering: Whether the registry currently answers this node or the peers that it follows.
+      read_required: Whether this node reads the registry; cleared while peers deliver the content.
       needs_listing: Whether the next read is a full listing.
       failures: Number of consecutive failed reads.
+      answered_at_s: Monotonic time of the last answer to this node since it has to read.
     """
 
     registry: Registry
@@ -52,12 +63,15 @@
     on_entries: Callable[[tuple[Entry, ...]], None]
     on_state: Callable[[bool], None]
     answering: bool = False
+    read_required: asyncio.Event = attrs.field(factory=asyncio.Event)
     needs_listing: bool = True
     failures: int = 0
+    answered_at_s: float = -math.inf
 
     async def follow(self) -> None:
         """Follows the registry until it is cancelled."""
         while True:
+            await self.read_required.wait()
             try:
                 await self._read()
                 self.failures = 0
@@ -72,25 +86,42 @@
                 self._record_failure(str(error))
                 await asyncio.sleep(self._retry_delay_s())
 
-    def apply_peer_listing(self, listing: Listing) -> None:
-        """Applies the content of the registry that a peer sent."""
-        entries = self.view.replace(listing)
+    def is_reading(self, now_s: float) -> bool:
+        """Returns whether this node reads the registry itself and the registry answers."""
+        return self.answering and now_s - self.answered_at_s < MAX_ANSWER_AGE_S
+
+    def apply_peer_delta(self, delta: Delta) -> None:
+        """Applies the changes of the registry that a peer sent.
+
+        Raises:
+          MessageError: The delta does not fit the content that this node has, or is malformed.
+        """
+        entries = self.view.replace(unpack_changes(self.view, delta))
         if entries:
             self.on_entries(entries)
 
+    def set_delivered_by_peers(self, delivered: bool) -> None:
+        """Records whether peers that read the registry deliver its content to this node."""
+        if delivered:
+            self.read_required.clear()
+            self.answered_at_s = -math.inf
+            self._record_answer()
+        else:
+            self.read_required.set()
+
     async def _read(self) -> None:
         self.tally.platform_reads += 1
         if self.needs_listing:
             listing = await self.registry.list_all()
             self.needs_listing = False
-            self._record_answer()
+            self._record_own_answer()
             entries = self.view.replace(listing)
         else:
             wait_s = LONG_POLL_S if self.answering else RECOVERY_POLL_S
             changes: Changes = await self.registry.changes(
                 self.view.revision, wait_s, self._max_changes_bytes()
             )
-            self._record_answer()
+            self._record_own_answer()
             entries = self.view.apply(changes)
         if entries:
             self.on_entries(entries)
@@ -100,6 +131,11 @@
         content_bytes = self.view.content_bytes * BASE64_FACTOR
         return max(MIN_CHANGES_LIMIT_BYTES, round(content_bytes * MAX_CHANGES_FACTOR))
 
+    def _record_own_answer(self) -> None:
+        if self.read_required.is_set():
+            self.answered_at_s = read_clocks().monotonic_s
+        self._record_answer()
+
     def _record_answer(self) -> None:
         self.view.confirmed_at_s = read_clocks().monotonic_s
         if not self.answering:
--- a/ibisrack/registry/messages.py
+++ b/ibisrack/registry/messages.py
@@ -1,4 +1,4 @@
-"""Answers of the registry, and the interface through which a node reads it."""
+"""Content of the registry as nodes exchange it, and the interface through which a node reads it."""
 
 from typing import Protocol
 
@@ -46,6 +46,39 @@
     entries: tuple[Entry, ...]
 
 
+@attrs.frozen
+class PackedEntry:
+    """A compressed entry.
+
+    Attributes:
+      key: Key of the entry.
+      revision: Revision of its last change.
+      base_revision: Revision of the same entry whose content is the dictionary of the compression,
+        0 if the content was compressed without one.
+      packed: Compressed content.
+    """
+
+    key: str
+    revision: int
+    base_revision: int
+    packed: bytes
+
+
+@attrs.frozen
+class Delta:
+    """What turns the content of the registry at one revision into that at a later one.
+
+    Attributes:
+      revision: The later revision.
+      keys: Keys of all entries at that revision.
+      changed: Entries that changed after the earlier revision.
+    """
+
+    revision: int
+    keys: tuple[str, ...]
+    changed: tuple[PackedEntry, ...]
+
+
 class Registry(Protocol):
     """Client of the registry."""
 
--- a/ibisrack/registry/registry_test.py
+++ b/ibisrack/registry/registry_test.py
@@ -3,6 +3,7 @@
 import asyncio
 from random import Random
 
+from ibisrack.clocks import read_clocks
 from ibisrack.errors import BacklogError, HistoryGoneError, PlatformError
 from ibisrack.metrics.tally import Tally
 from ibisrack.registry.follower import LONG_POLL_S, RegistryFollower
@@ -71,6 +72,7 @@
         on_entries=lambda _: None,
         on_state=states.append,
     )
+    follower.set_delivered_by_peers(False)
     task = asyncio.create_task(follower.follow())
     while registry.answers or len(registry.calls) <= len(answers):
         await asyncio.sleep(0.01)
@@ -90,6 +92,33 @@
     assert registry.calls == ["list", (5, LONG_POLL_S), "list", (9, LONG_POLL_S)]
 
 
+async def test_no_calls_are_made_while_peers_deliver():
+    """Guards against every node of a large fleet reading every version from the registry."""
+    registry = ScriptedRegistry(Listing(5, ()), Changes(5, ()))
+    follower = RegistryFollower(
+        registry, RegistryView(), Random(1), Tally(), lambda _: None, lambda _: None
+    )
+    follower.set_delivered_by_peers(True)
+    task = asyncio.create_task(follower.follow())
+    await asyncio.sleep(0.02)
+    assert registry.calls == []
+    assert not follower.is_reading(read_clocks().monotonic_s)
+    follower.set_delivered_by_peers(False)
+    while not registry.calls:
+        await asyncio.sleep(0.01)
+    assert follower.is_reading(read_clocks().monotonic_s)
+    task.cancel()
+
+
+def test_a_late_write_of_a_removed_key_is_ignored():
+    """Guards against an instance that comes back because an old change arrives out of order."""
+    view = RegistryView()
+    view.apply(Changes(4, (entry("a", 4),)))
+    view.apply(Changes(6, (entry("a", 6, None),)))
+    assert view.apply(Changes(6, (entry("a", 5),))) == ()
+    assert "a" not in view.entries
+
+
 async def test_a_recovery_of_the_registry_is_detected_by_a_short_call():
     """Guards against detecting the end of an outage only after a full wait for changes."""
     registry, states = await follow(Listing(5, ()), PlatformError("503"), Changes(5, ()))
--- a/ibisrack/registry/view.py
+++ b/ibisrack/registry/view.py
@@ -4,6 +4,10 @@
 
 from ibisrack.registry.messages import Changes, Entry, Listing
 
+# Contents from this size on are kept for a few revisions more, as bases of deltas for peers.
+BASE_MIN_BYTES = 4096
+BASES_PER_ENTRY = 3
+
 
 @attrs.define
 class RegistryView:
@@ -18,6 +22,7 @@
     revision: int = 0
     confirmed_at_s: float = 0.0
     entries: dict[str, Entry] = attrs.field(factory=dict)
+    _earlier: dict[str, list[Entry]] = attrs.field(factory=dict)  # The latest first.
 
     @property
     def content_bytes(self) -> int:
@@ -26,7 +31,13 @@
 
     def apply(self, changes: Changes) -> tuple[Entry, ...]:
         """Applies changes; returns the entries that changed in this view."""
-        changed = tuple(entry for entry in changes.entries if self._apply_entry(entry))
+        changed = tuple(
+            entry
+            for entry in changes.entries
+            # The view is complete up to its revision: what it lacks had been removed.
+            if (entry.key in self.entries or entry.revision > self.revision)
+            and self._apply_entry(entry)
+        )
         self.revision = max(self.revision, changes.revision)
         return changed
 
@@ -43,22 +54,30 @@
             # A page of the listing may be older than a change that has already been applied.
             if self.entries[key].revision <= listing.revision:
                 changed.append(Entry(key, None, listing.revision))
-                del self.entries[key]
+                self._remove(key)
         self.revision = listing.revision
         return tuple(changed)
 
-    def newer_than(self, revision: int) -> Listing | None:
-        """Returns the content if it is newer than a revision, otherwise None."""
-        if self.revision <= revision:
-            return None
-        return Listing(self.revision, tuple(self.entries.values()))
+    def content_at(self, key: str, revision: int) -> Entry | None:
+        """Returns the entry as it was at a revision, None if that is not known."""
+        current = self.entries.get(key)
+        candidates = [current] if current is not None else []
+        candidates += self._earlier.get(key, ())
+        return next((entry for entry in candidates if entry.revision <= revision), None)
 
     def _apply_entry(self, entry: Entry) -> bool:
         known = self.entries.get(entry.key)
         if known is not None and entry.revision <= known.revision:
             return False
         if entry.content is None:
-            self.entries.pop(entry.key, None)
+            self._remove(entry.key)
             return known is not None
+        if known is not None and len(known.content) >= BASE_MIN_BYTES:
+            earlier = self._earlier.get(entry.key, [])
+            self._earlier[entry.key] = [known, *earlier][:BASES_PER_ENTRY]
         self.entries[entry.key] = entry
         return True
+
+    def _remove(self, key: str) -> None:
+        self.entries.pop(key, None)
+        self._earlier.pop(key, None)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -21,7 +21,10 @@
 from ibisrack.links.messages import Entries, Hello, Load, Submit
 from ibisrack.links.outgoing import OutgoingLink
 from ibisrack.metrics.tally import Tally
-from ibisrack.registry.messages import Entry, Listing
+from ibisrack.registry.deltas import MissingBaseError, pack_changes
+from ibisrack.registry.follower import RegistryFollower
+from ibisrack.registry.messages import Delta, Entry, PackedEntry
+from ibisrack.registry.sources import Candidate, candidate_hosts, choose_followed
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder, OfferResult
 from ibisrack.routing.model import Configuration
@@ -32,7 +35,10 @@
 # A node whose registry view has been behind a peer's for this long requests the missing entries
 # from the peer; the registry itself usually delivers them sooner.
 CATCH_UP_DELAY_S = 0.4
-CATCH_UP_INTERVAL_S = 0.5
+# Longer than the transfer of a whole configuration over the slowest links: a request that is
+# repeated earlier would delay the answer to the first one.
+CATCH_UP_INTERVAL_S = 2.0
+CANDIDATE_OPEN_INTERVAL_S = 1.0  # Interval of connection attempts to candidates for following.
 
 _LOGGER = logging.getLogger("ibisrack.sidecar")
 
@@ -92,6 +98,8 @@
       stopping: Whether the process is stopping.
       process_epoch: Random id of this run of the process, by which peers notice a restart.
       resize_pool: Adapts the connection pool to the number of slots of the instance.
+      follower: Reads the registry; set once, after the other parts.
+      followed_hosts: Hosts of the peers that deliver the registry's changes to this node.
     """
 
     settings: SidecarSettings
@@ -108,16 +116,19 @@
     stopping: bool = False
     process_epoch: str = attrs.field(factory=lambda: uuid.uuid4().hex)
     resize_pool: Callable[[int], None] = attrs.field(default=lambda slots: None)
-    _handle_peer_listing: Callable[[Listing], None] = attrs.field(default=lambda listing: None)
+    follower: RegistryFollower | None = None
+    followed_hosts: tuple[str, ...] = ()
     _behind_since_s: float | None = None
     _entries_requested_at_s: float = 0.0
     _load_reported_at_s: float = 0.0
+    _candidates_opened_at_s: float = 0.0
+    _packed_changes: dict[tuple[int, int], Entries] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
     def hello(self) -> Hello:
         """First message of this node on each of its links."""
-        return Hello(self.settings.links.host, self.process_epoch)
+        return Hello(self.settings.links.host, self.process_epoch, self.settings.link_mbps)
 
     @property
     def ready(self) -> bool:
@@ -134,6 +145,7 @@
             round(self.instance_runner.service_s * 1000, 1),
             self.instance_runner.accepts_requests,
             self.view.revision,
+            self.follower.is_reading(read_clocks().monotonic_s),
         )
 
     def reload(self, settings: SidecarSettings) -> None:
@@ -166,10 +178,6 @@
         for link in self.outgoing_links.values():
             link.withdraw()
 
-    def set_peer_listing_handler(self, handler: Callable[[Listing], None]) -> None:
-        """Sets the function that receives registry content sent by peers."""
-        self._handle_peer_listing = handler
-
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Starts a task that is cancelled when the node closes."""
         task = asyncio.get_running_loop().create_task(work)
@@ -187,12 +195,15 @@
         """Returns the destination of requests for an instance, creating its link if needed."""
         if instance.host == self.settings.instance.host:
             return LocalDestination(self.instance_runner, self.load)
-        link = self.outgoing_links.get(instance.host)
+        return self._link_to(instance.host)
+
+    def _link_to(self, host: str) -> OutgoingLink:
+        link = self.outgoing_links.get(host)
         if link is None:
             link = OutgoingLink(
-                self.hello, instance.host, self.settings.links.port, self._apply_peer_entries
+                self.hello, host, self.settings.links.port, self._apply_peer_entries
             )
-            self.outgoing_links[instance.host] = link
+            self.outgoing_links[host] = link
             self.spawn(link.maintain())
         return link
 
@@ -205,6 +216,8 @@
             elif instance_id := self.decoder.instance_id(entry.key):
                 self._apply_instance(instance_id, entry, now_s)
         self._update_own_instance()
+        for link in self.incoming_links:
+            link.send_followed_entries()
 
     def set_registry_state(self, answering: bool) -> None:
         """Records whether the registry answers."""
@@ -214,12 +227,16 @@
             self.directory.mark_registry_down()
 
     def entries_after(self, revision: int) -> Entries | None:
-        """Returns the registry's content if it is newer than a peer's revision, otherwise None."""
-        listing = self.view.newer_than(revision)
-        if listing is None:
+        """Returns the registry's changes after a revision, None if this node knows of none."""
+        if self.view.revision <= revision:
             return None
-        rows = tuple((e.key, e.content or b"", e.revision) for e in listing.entries)
-        return Entries(listing.revision, rows)
+        key = (self.view.revision, revision)
+        if key not in self._packed_changes:
+            delta = pack_changes(self.view, revision)
+            changed = tuple(attrs.astuple(packed) for packed in delta.changed)
+            # Most followers have the same revision, so the last result usually serves them all.
+            self._packed_changes = {key: Entries(delta.revision, delta.keys, changed)}
+        return self._packed_changes[key]
 
     async def tick(self) -> None:
         """Runs the periodic work: clean-up, silence checks, expiry, load reports and catch-up."""
@@ -234,7 +251,10 @@
                 self._load_reported_at_s = now_s
                 for link in self.incoming_links:
                     link.send_load_if_changed()
+            self._choose_followed_peers(now_s)
             self._request_missing_entries(now_s)
+            for link in self.incoming_links:
+                link.send_followed_entries()
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def _apply_configuration(self, entry: Entry) -> None:
@@ -295,12 +315,40 @@
                 self.instance_runner.refuse_waiting()
         self.dispatcher.budget.nodes = len({i.host for i in self.directory.all()})
 
-    def _apply_peer_entries(self, message: Entries) -> None:
-        entries = tuple(Entry(key, content, rev) for key, content, rev in message.entries)
-        self._handle_peer_listing(Listing(message.revision, entries))
+    def _apply_peer_entries(self, link: OutgoingLink, message: Entries) -> None:
+        if message.revision <= self.view.revision:
+            return
+        changed = tuple(PackedEntry(*row) for row in message.changed)
+        try:
+            self.follower.apply_peer_delta(Delta(message.revision, message.keys, changed))
+        except MissingBaseError as error:
+            extra = {"peer": link.host, "revision": message.revision, "error": str(error)}
+            _LOGGER.info("registry changes do not fit", extra=extra)
+            link.request_entries(0)
+
+    def _choose_followed_peers(self, now_s: float) -> None:
+        """Chooses the peers that deliver the registry's changes; with too few, reads it here."""
+        hosts = (i.host for i in self.directory.all() if i.zone == self.settings.zone)
+        own = Candidate(self.settings.instance.host, self.settings.link_mbps, delivering=False)
+        links = [self._link_to(host) for host in candidate_hosts(hosts) if host != own.host]
+        if now_s - self._candidates_opened_at_s >= CANDIDATE_OPEN_INTERVAL_S:
+            self._candidates_opened_at_s = now_s
+            for link in links:
+                link.request_open()
+        peers = [Candidate(x.host, x.peer_link_mbps, x.is_delivering(now_s)) for x in links]
+        followed = choose_followed(own, peers)
+        for link in self.outgoing_links.values():
+            if link.host in followed:
+                link.follow(self.view.revision)
+            else:
+                link.unfollow()
+        self.follower.set_delivered_by_peers(bool(followed))
+        if followed != self.followed_hosts:
+            _LOGGER.info("registry sources changed", extra={"peers": list(followed)})
+            self.followed_hosts = followed
 
     def _request_missing_entries(self, now_s: float) -> None:
-        """Requests entries from the peer with the latest registry revision if this node lags."""
+        """Requests entries from a peer with a later registry revision if this node lags."""
         ahead = [
             link
             for link in self.outgoing_links.values()
@@ -314,5 +362,9 @@
         is_due = now_s - self._behind_since_s >= CATCH_UP_DELAY_S
         if is_due and now_s - self._entries_requested_at_s >= CATCH_UP_INTERVAL_S:
             self._entries_requested_at_s = now_s
-            link = max(ahead, key=lambda link: link.load.revision)
-            link.request_entries(self.view.revision)
+            # A random one, so that the nodes that lag don't all ask the same peer.
+            local = [link for link in ahead if self._is_in_own_zone(link.host)]
+            self.rng.choice(local or ahead).request_entries(self.view.revision)
+
+    def _is_in_own_zone(self, host: str) -> bool:
+        return any(i.host == host and i.zone == self.settings.zone for i in self.directory.all())
--- /dev/null
+++ b/ibisrack/sidecar/registry_sources_test.py
@@ -0,0 +1,88 @@
+"""Tests of sidecars that follow the registry through peers of their zone."""
+
+import asyncio
+
+from ibisrack.registry.sources import FOLLOWED_PEERS
+from ibisrack.sidecar.node import SidecarNode
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.sidecars import (
+    STANDARD_ROUTES,
+    SidecarFleet,
+    configuration_entry,
+    route_resource,
+    run_sidecars,
+    wait_until,
+)
+
+LARGE_CONFIGURATION_ROUTES = 1000
+SIDECARS = 5
+
+
+def large_configuration(version: int) -> bytes:
+    """Returns a configuration of hundreds of kilobytes that differs in one route by version."""
+    unused = (route_resource(prefix=f"/unused-{n}/") for n in range(LARGE_CONFIGURATION_ROUTES))
+    changed = route_resource(prefix=f"/changed-{version}/")
+    return configuration_entry(version, *STANDARD_ROUTES, changed, *unused)
+
+
+def followers(fleet: SidecarFleet) -> list[SidecarNode]:
+    """Returns the nodes that follow the registry through peers."""
+    return [node for node in fleet.nodes if node.followed_hosts]
+
+
+async def wait_until_in_force(fleet: SidecarFleet, version: int) -> None:
+    await wait_until(lambda: all(n.configurations.version == version for n in fleet.nodes))
+
+
+async def wait_until_followed(fleet: SidecarFleet) -> None:
+    await wait_until(lambda: len(followers(fleet)) == SIDECARS - FOLLOWED_PEERS)
+
+
+async def test_a_version_is_read_by_few_nodes():
+    """Guards against a fleet that fills its links by reading each version at every node."""
+    async with run_sidecars(SIDECARS) as fleet:
+        fleet.store.put("op/config", large_configuration(2))
+        await wait_until_in_force(fleet, 2)
+        await wait_until_followed(fleet)
+        # A follower's last call for changes is still waiting.
+        await asyncio.sleep(1.2)
+        sent_before = fleet.store.sent_bytes
+        content = large_configuration(3)
+        fleet.store.put("op/config", content)
+        await wait_until_in_force(fleet, 3)
+        read_by = (fleet.store.sent_bytes - sent_before) / len(content)
+        assert read_by < FOLLOWED_PEERS * 4 / 3 + 0.5
+
+
+async def test_followers_take_over_when_their_peers_lose_the_registry():
+    """Guards against nodes that keep an old configuration because they rely on cut-off peers."""
+    async with run_sidecars(SIDECARS) as fleet:
+        await wait_until_followed(fleet)
+        for node in fleet.nodes:
+            if not node.followed_hosts:
+                node.follower.registry._base = "http://127.0.0.99:1"
+        fleet.store.put("op/config", configuration_entry(5, *STANDARD_ROUTES))
+        await wait_until_in_force(fleet, 5)
+
+
+async def test_followers_take_over_when_their_peers_are_lost():
+    """Guards against nodes that wait for changes from peers that have stopped."""
+    async with run_sidecars(SIDECARS) as fleet:
+        await wait_until_followed(fleet)
+        left = followers(fleet)
+        for number, node in enumerate(fleet.nodes):
+            if not node.followed_hosts:
+                await fleet.stop_sidecar(number)
+        fleet.store.put("op/config", configuration_entry(5, *STANDARD_ROUTES))
+        await wait_until(lambda: all(n.configurations.version == 5 for n in left))
+
+
+async def test_instance_changes_reach_followers():
+    """Guards against followers that send work to an instance that has left."""
+    async with run_sidecars(SIDECARS) as fleet:
+        await wait_until_followed(fleet)
+        fleet.store.delete("servers/i-4")
+        await wait_until(lambda: all(n.directory.get("i-4") is None for n in fleet.nodes))
+
+
+load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -130,7 +130,7 @@
             on_entries=node.apply_entries,
             on_state=node.set_registry_state,
         )
-        node.set_peer_listing_handler(follower.apply_peer_listing)
+        node.follower = follower
         links, callers, runners = await _listen(node)
         _LOGGER.info("started", extra={"node": settings.node_id, "service": settings.service})
         node.spawn(keep_running("registry", follower.follow))
