Register the refusals of the disciplines that the bench compares

Cause: pop_next got the queue and the time as arguments and refusal_reason became a function of the discipline, but EarliestDeadline and NewestFirst of the bench were left as they were, and no test ran them. policies_bench ended with TypeError once a queue filled up.

Change: both pop_next implementations take the queue, and both disciplines refuse by the rule of OldestFirst, as they did before refusals depended on the discipline.

--- a/bench/admission_policies.py
+++ b/bench/admission_policies.py
@@ -1,12 +1,18 @@
 """Admission policies that are not used in production, kept as baselines of the bench."""
 
-import heapq
-from collections import OrderedDict
 from collections.abc import Sequence
 
 import attrs
 
-from ibisrack.calls.ranks import RankQueue, Ticket, pop_next, select_rank
+from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.ranks import (
+    OldestFirst,
+    RankQueue,
+    Ticket,
+    pop_next,
+    refusal_reason,
+    select_rank,
+)
 
 
 @attrs.frozen
@@ -66,11 +72,18 @@
 
 
 @pop_next.register
-def _(discipline: EarliestDeadline, waiting: OrderedDict[int, Ticket]) -> Ticket:
-    number = heapq.nsmallest(1, waiting, key=lambda number: waiting[number].deadline_at_s)[0]
-    return waiting.pop(number)
+def _(discipline: EarliestDeadline, queue: RankQueue, now_s: float) -> Ticket:
+    first = min(queue.waiting.values(), key=lambda ticket: ticket.deadline_at_s)
+    return queue.waiting.pop(first.number)
 
 
 @pop_next.register
-def _(discipline: NewestFirst, waiting: OrderedDict[int, Ticket]) -> Ticket:
-    return waiting.popitem(last=True)[1]
+def _(discipline: NewestFirst, queue: RankQueue, now_s: float) -> Ticket:
+    return queue.waiting.popitem(last=True)[1]
+
+
+@refusal_reason.register(EarliestDeadline)
+@refusal_reason.register(NewestFirst)
+def _(discipline: object, queue: RankQueue, ticket: Ticket, now_s: float) -> Reason | None:
+    # All disciplines refuse by the same rule, so that a bench compares only their order.
+    return refusal_reason(OldestFirst(), queue, ticket, now_s)
