Remove InstanceDirectory.reconcile, which nothing calls

Cause: the view of the registry compares a full listing with its entries and passes on a removal for each missing one (RegistryView.replace), so the directory never sees a listing. The method had no caller and no test; test_a_listing_removes_missing_entries guards the same for the view, and the tests of InstanceDirectory.remove guard what follows from a removal.

--- a/ibisrack/instances/directory.py
+++ b/ibisrack/instances/directory.py
@@ -47,11 +47,6 @@
         self._drop(instance_id)
         return True
 
-    def reconcile(self, listed: frozenset[str], now_s: float) -> list[str]:
-        """Removes instances that are missing from a full listing; returns the removed ids."""
-        missing = [name for name in self._instances if name not in listed]
-        return [name for name in missing if self.remove(name, now_s)]
-
     def mark_registry_down(self) -> None:
         """Marks the registry as not answering."""
         self.registry_down = True
