Report malformed ports of settings as faults

Cause: str.isdigit also accepts characters such as "²", which int rejects, and int raises a ValueError for more than 4,300 digits. In the platform's settings file such a port ended the start with a ValueError; in JSON settings the fault showed the message of int, and digits of other scripts passed as a port.

Change: parse_decimal accepts ASCII digits up to a maximum and is used by both checks. A port above 65535 in the platform's settings file is now reported with the name of its field in that file.

Tests: both test_a_malformed_port_is_a_fault failed before the change.

--- /dev/null
+++ b/ibisrack/decimals_test.py
@@ -0,0 +1,34 @@
+"""Tests of parsing whole numbers."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibisrack.decimals import parse_decimal
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.fuzz import fuzz
+
+
+@fuzz(300)
+@given(st.integers(0, 2**70), st.integers(0, 2**70), st.integers(0, 30))
+def test_numbers_up_to_the_maximum_are_parsed(value, max_value, zeros):
+    """Guards against a number over its maximum, and against one that leading zeros change."""
+    parsed = parse_decimal("0" * zeros + str(value), max_value)
+    assert parsed == (value if value <= max_value else None)
+
+
+@fuzz(1000)
+@given(st.text("0123456789²٣+-_ .x", max_size=4))
+def test_only_ascii_digits_are_a_number(text):
+    """Guards against a ValueError for a text that looks like a number."""
+    is_number = text != "" and all(char in "0123456789" for char in text)
+    assert (parse_decimal(text, 9999) is not None) == is_number
+
+
+def test_digits_that_int_does_not_parse_are_malformed():
+    """Guards against digits of other scripts, signs, separators and very long numbers."""
+    for text in ("", "²", "٣", "+1", "-1", " 1", "1_0", "1.0", "9" * 5000):
+        assert parse_decimal(text, 65535) is None, text
+    assert parse_decimal("0" * 5000 + "7", 65535) == 7
+
+
+load_tests = function_tests(__name__)
--- a/ibisrack/platform/decoding_test.py
+++ b/ibisrack/platform/decoding_test.py
@@ -150,4 +150,16 @@
         raise AssertionError("the faults were not found")
 
 
+def test_a_malformed_port_is_a_fault():
+    """Guards against a startup that ends with a ValueError and names no field."""
+    for port in ("²", "٣", "9" * 5000, "65536", ""):
+        try:
+            load(SETTINGS.replace("10.1.0.38:8147", f"10.1.0.38:{port}"))
+        except SettingsError as error:
+            messages = {fault.path: fault.message for fault in error.faults}
+            assert messages["network.listen.outbound"] == "expected IP:PORT", messages
+        else:
+            raise AssertionError(port)
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/platform/settings_file.py
+++ b/ibisrack/platform/settings_file.py
@@ -5,8 +5,10 @@
 
 import yaml
 
+from ibisrack.decimals import parse_decimal
 from ibisrack.errors import Fault, SettingsError
 from ibisrack.platform.durations import parse_duration_s
+from ibisrack.settings.checks import MAX_PORT
 from ibisrack.settings.loader import parse_settings
 from ibisrack.settings.sidecar import SidecarSettings
 
@@ -81,11 +83,12 @@
         value = self.get(path)
         if value is None:
             return None
-        host, _, port = str(value).rpartition(":")
-        if not port.isdigit():
+        host, _, port_text = str(value).rpartition(":")
+        port = parse_decimal(port_text, MAX_PORT)
+        if port is None:
             self.faults.append(Fault(self._file, 0, "expected IP:PORT", path))
             return None
-        return {"host": host, "port": int(port)}
+        return {"host": host, "port": port}
 
     def local_address(self, port: str) -> dict[str, Any] | None:
         """Returns the host's address with a port that is not in the file, None if that is empty."""
--- a/ibisrack/settings/checks.py
+++ b/ibisrack/settings/checks.py
@@ -9,6 +9,10 @@
 
 import attrs
 
+from ibisrack.decimals import parse_decimal
+
+MAX_PORT = 65535
+
 
 def in_range(low: float, high: float) -> Any:
     """Returns a validator for a number from low to high, both included."""
@@ -35,7 +39,7 @@
 def _check_ip_port(value: str) -> None:
     host, _, port = value.rpartition(":")
     ipaddress.ip_address(host.strip("[]"))
-    if not (port.isdigit() and 0 < int(port) < 65536):
+    if not parse_decimal(port, MAX_PORT):
         raise ValueError(f"'{value}' does not end with a port number")
 
 
--- a/ibisrack/settings/loader_test.py
+++ b/ibisrack/settings/loader_test.py
@@ -52,6 +52,16 @@
     ]
 
 
+def test_a_malformed_port_is_a_fault():
+    """Guards against a port of other digits than ASCII, and a fault that names no port."""
+    for port in ("²", "٣", "9" * 5000, "0", "65536", "+80", ""):
+        value = f"http://10.0.0.1:{port}"
+        message = f"'10.0.0.1:{port}' does not end with a port number"
+        assert _faults({**GOOD, "upstream": {**GOOD["upstream"], "base_url": value}}) == [
+            ("$.upstream.base_url", message)
+        ]
+
+
 def test_unreadable_files_are_faults():
     """Guards against other exceptions for a missing file or a file that is not JSON."""
     for path, message in (("/nonexistent", "No such file"), ("Makefile", "not JSON")):
