Parse whole numbers of headers, queries and rules in one place

Cause: four modules checked digits, length and maximum each in its own way, and four settings modules spelled out the range of a port.

Change: they use parse_decimal and the validator port_number.

--- a/ibisrack/calls/headers.py
+++ b/ibisrack/calls/headers.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ibisrack.decimals import parse_decimal
 from ibisrack.errors import RequestError
 
 CALL_ID = "Ibis-Call-Id"
@@ -75,9 +76,10 @@
     text = headers.get(name)
     if text is None:
         return None
-    if not text.isascii() or not text.isdigit() or len(text) > 10 or int(text) > limit:
+    value = parse_decimal(text, limit)
+    if value is None:
         raise RequestError(f"{name} must be a whole number up to {limit}")
-    return int(text)
+    return value
 
 
 def read_context(headers: Mapping[str, str]) -> CallContext:
--- a/ibisrack/calls/messages.py
+++ b/ibisrack/calls/messages.py
@@ -5,8 +5,11 @@
 import attrs
 
 from ibisrack.calls.outcomes import Outcome
+from ibisrack.decimals import parse_decimal
 from ibisrack.rules.model import RouteRule
 
+MAX_LOAD_COUNT = 999_999
+
 
 @attrs.frozen
 class Call:
@@ -87,7 +90,7 @@
 
 def parse_load(text: str) -> LoadReport | None:
     """Parses a header value; returns None if it is malformed."""
-    parts = text.split(",")
-    if len(parts) != 3 or not all(p.isascii() and p.isdigit() and len(p) < 7 for p in parts):
+    counts = [parse_decimal(part, MAX_LOAD_COUNT) for part in text.split(",")]
+    if len(counts) != 3 or None in counts:
         return None
-    return LoadReport(*map(int, parts))
+    return LoadReport(*counts)
--- a/ibisrack/rules/grammar.py
+++ b/ibisrack/rules/grammar.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from ibisrack.decimals import parse_decimal
 from ibisrack.errors import Fault
 from ibisrack.rules.model import KEYWORDS, POSITIONAL, Rule
 
@@ -74,9 +75,10 @@
       ValueError: The text is not valid for the field; the message names the field.
     """
     if field.type is int:
-        if not text.isascii() or not text.isdigit() or int(text) > MAX_INTEGER:
+        value = parse_decimal(text, MAX_INTEGER)
+        if value is None:
             raise ValueError(f"{field.name} must be a whole number, is '{text}'")
-        return int(text)
+        return value
     if field.type is bool:
         if text not in ("yes", "no"):
             raise ValueError(f"{field.name} must be yes or no, is '{text}'")
--- a/ibisrack/settings/checks.py
+++ b/ibisrack/settings/checks.py
@@ -25,6 +25,9 @@
     return check
 
 
+port_number = in_range(1, MAX_PORT)
+
+
 def one_word(_: Any, __: attrs.Attribute, value: str) -> None:
     """Requires a text that is not empty and has no white space."""
     if not value or value.split() != [value]:
--- a/ibisrack/settings/node.py
+++ b/ibisrack/settings/node.py
@@ -2,9 +2,7 @@
 
 import attrs
 
-from ibisrack.settings.checks import in_range, ip_address, ip_ports, ip_url, one_word
-
-_PORT = in_range(1, 65535)
+from ibisrack.settings.checks import in_range, ip_address, ip_ports, ip_url, one_word, port_number
 
 
 @attrs.frozen
@@ -38,9 +36,9 @@
     """
 
     host: str = attrs.field(validator=ip_address)
-    call_port: int = attrs.field(validator=_PORT)
-    peer_port: int = attrs.field(validator=_PORT)
-    admin_port: int = attrs.field(validator=_PORT)
+    call_port: int = attrs.field(validator=port_number)
+    peer_port: int = attrs.field(validator=port_number)
+    admin_port: int = attrs.field(validator=port_number)
 
 
 @attrs.frozen
--- a/ibisrack/settings/room.py
+++ b/ibisrack/settings/room.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ibisrack.settings.checks import in_range, ip_address, ip_ports
+from ibisrack.settings.checks import in_range, ip_address, ip_ports, port_number
 
 
 def _at_least_one_ip_port(instance: object, field: attrs.Attribute, value: tuple[str, ...]) -> None:
@@ -22,7 +22,7 @@
     """
 
     host: str = attrs.field(validator=ip_address)
-    port: int = attrs.field(validator=in_range(1, 65535))
+    port: int = attrs.field(validator=port_number)
 
 
 @attrs.frozen
--- a/ibisrack/settings/sidecar.py
+++ b/ibisrack/settings/sidecar.py
@@ -2,9 +2,7 @@
 
 import attrs
 
-from ibisrack.settings.checks import in_range, ip_address, one_word
-
-_PORT = in_range(1, 65535)
+from ibisrack.settings.checks import in_range, ip_address, one_word, port_number
 
 
 @attrs.frozen
@@ -12,7 +10,7 @@
     """An IP address and a port."""
 
     host: str = attrs.field(validator=ip_address)
-    port: int = attrs.field(validator=_PORT)
+    port: int = attrs.field(validator=port_number)
 
 
 @attrs.frozen
--- a/ibisrack/settings/standins.py
+++ b/ibisrack/settings/standins.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ibisrack.settings.checks import in_range, ip_address, ip_ports, one_word
+from ibisrack.settings.checks import in_range, ip_address, ip_ports, one_word, port_number
 
 
 @attrs.frozen
@@ -16,7 +16,7 @@
     """
 
     host: str = attrs.field(validator=ip_address)
-    port: int = attrs.field(validator=in_range(1, 65535))
+    port: int = attrs.field(validator=port_number)
     reads_per_s: int = attrs.field(default=2000, validator=in_range(1, 1_000_000))
 
 
@@ -38,7 +38,7 @@
     """
 
     host: str = attrs.field(validator=ip_address)
-    port: int = attrs.field(validator=in_range(1, 65535))
+    port: int = attrs.field(validator=port_number)
     instance: str = attrs.field(validator=one_word)
     slots: int = attrs.field(default=6, validator=in_range(1, 10_000))
     work_ms: float = attrs.field(default=5.0, validator=in_range(0, 60_000))
--- a/ibisrack/timeline/query.py
+++ b/ibisrack/timeline/query.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from ibisrack.decimals import parse_decimal
 from ibisrack.errors import RequestError
 
 MAX_REVISION = 2**63 - 1
@@ -87,9 +88,10 @@
 
 
 def _parse_number(name: str, text: str) -> int:
-    if not text.isascii() or not text.isdigit() or len(text) > 19 or int(text) > MAX_REVISION:
+    value = parse_decimal(text, MAX_REVISION)
+    if value is None:
         raise RequestError(f"{name} must be a whole number")
-    return int(text)
+    return value
 
 
 def from_query(query: Mapping[str, str]) -> EventFilter:
