Define fill and setText of the wall screen once

Cause: room.js defined both functions twice, word for word; the second definition replaces the first, so an edit of the first would have had no effect.

--- a/ibisrack/room/page/room.js
+++ b/ibisrack/room/page/room.js
@@ -27,14 +27,6 @@
   document.getElementById(id).textContent = text;
 }
 
-function fill(id, children) {
-  document.getElementById(id).replaceChildren(...children);
-}
-
-function setText(id, text) {
-  document.getElementById(id).textContent = text;
-}
-
 function seconds(age) {
   return age === null ? "never" : `${Math.round(age)} s ago`;
 }
