Send all gossip of the nodes that the capacity bench measures

Cause: the bench marked each change as sent to one peer, but a change stays queued until it was sent to transmit_limit peers. memory_per_member_bytes therefore included the queue entry of each record, and the "idle" exchange ran between nodes with 1,300 changes to send.

Change: the records are marked as sent to as many peers as the limit.

The times of the idle exchange, 63, 66 and 78 us before and 45, 42 and 70 us after, vary too much between runs to attribute the difference.

--- a/bench/capacity_bench.py
+++ b/bench/capacity_bench.py
@@ -13,6 +13,7 @@
 from ibisrack.exchange.codec import decode_frame, encode_frame
 from ibisrack.exchange.dispatch import handle_messages, header_messages
 from ibisrack.membership.election import elect_readers
+from ibisrack.membership.gossip import transmit_limit
 from ibisrack.membership.messages import MembersUpdate
 from ibisrack.node.state import NodeState
 from ibisrack.testing.fixtures import bare_node, many_services_rules, member
@@ -52,11 +53,13 @@
 
 
 def _node_with_members(count: int, name: str = "own") -> NodeState:
+    """Returns a node that has sent all its member records to peers."""
     node = bare_node(name)
     for index in range(count):
         node.apply_record(_member(index), NOW)
-    for node_id in [m.node_id for m in node.members.all()]:
-        node.gossip.mark_sent("a", [node_id], 1)
+    node_ids = [record.node_id for record in node.members.all()]
+    for peer in range(transmit_limit(1)):
+        node.gossip.mark_sent(f"peer-{peer}", node_ids, 1)
     return node
 
 
