Test the encoding of every link message

Cause: the tests of the codec used 5 of 13 messages, written out by hand, so a new message or field was not covered until somebody added it.

Change: the messages are generated from MESSAGE_TYPES and the types of their fields. Every type is restored with the types of its fields; cut and extended frames, a wrong number of fields and a value of a wrong type are malformed; any bytes are a message or malformed; every message class has a type code. The former tests stay. A message without fields is exempt from the checks of malformed frames, because decode does not read its payload.

--- a/ibisrack/links/codec_test.py
+++ b/ibisrack/links/codec_test.py
@@ -1,11 +1,31 @@
 """Tests of encoding and decoding messages between nodes."""
 
+import inspect
+from collections.abc import Callable
+from functools import reduce
+from operator import or_
+from types import UnionType
+from typing import Any, Union, get_args, get_origin, get_type_hints
+
+import attrs
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
 from multidict import CIMultiDict
 
 from ibisrack.errors import MessageError
-from ibisrack.links.codec import LENGTH_PREFIX_BYTES, MAX_FRAME_BYTES, decode, encode, frame_size
+from ibisrack.links import messages as link_messages
+from ibisrack.links.codec import (
+    LENGTH_PREFIX_BYTES,
+    MAX_FRAME_BYTES,
+    MESSAGE_TYPES,
+    decode,
+    encode,
+    frame_size,
+)
 from ibisrack.links.messages import Answered, Entries, Load, Ping, Submit
 from ibisrack.testing.functions import function_tests
+from ibisrack.testing.fuzz import fuzz
 
 SUBMIT = Submit(
     number=7,
@@ -34,6 +54,131 @@
     Entries(9, (("servers/i-1", b"{}", 4),)),
 )
 
+# MessagePack holds integers of 64 bits; NaN is left out because it does not equal itself.
+_VALUES = {
+    bool: st.booleans(),
+    int: st.integers(-(2**63), 2**64 - 1),
+    float: st.floats(allow_nan=False),
+    str: st.text(max_size=40),
+    bytes: st.binary(max_size=40),
+}
+
+
+def values_of(kind: Any) -> st.SearchStrategy:
+    """Returns the strategy for the values of a field's type."""
+    items = get_args(kind)
+    if get_origin(kind) is tuple and items[-1] is Ellipsis:
+        return st.lists(values_of(items[0]), max_size=4).map(tuple)
+    if get_origin(kind) is tuple:
+        return st.tuples(*map(values_of, items))
+    if get_origin(kind) in (Union, UnionType):
+        return reduce(or_, map(values_of, items))
+    if attrs.has(kind):
+        return instances_of(kind)
+    return _VALUES[kind] if kind in _VALUES else st.from_type(kind)
+
+
+def instances_of(cls: type) -> st.SearchStrategy:
+    """Returns the strategy for the instances of a message class, from the types of its fields."""
+    hints = get_type_hints(cls)
+    return st.builds(
+        cls, **{field.name: values_of(hints[field.name]) for field in attrs.fields(cls)}
+    )
+
+
+def check_messages(check: Callable[[Any], None], cases: int) -> None:
+    """Calls a check with generated messages of every type, a number of cases for each."""
+    for cls in MESSAGE_TYPES:
+        fuzz(cases)(given(instances_of(cls))(check))()
+
+
+def payload_of(message: Any) -> bytes:
+    """Returns the frame of a message without its length prefix."""
+    return encode(message)[LENGTH_PREFIX_BYTES:]
+
+
+def assert_malformed(payload: bytes) -> None:
+    """Asserts that the payload of a frame is rejected with the error that a link handles."""
+    try:
+        message = decode(payload)
+    except MessageError:
+        return
+    raise AssertionError(f"{payload} was decoded to {message}")
+
+
+def test_every_message_class_has_a_type_code():
+    """Guards against a new message that raises a KeyError when it is sent first."""
+    assert len(set(MESSAGE_TYPES)) == len(MESSAGE_TYPES)
+    defined = {
+        cls
+        for _, cls in inspect.getmembers(link_messages, inspect.isclass)
+        if attrs.has(cls) and cls.__module__ == link_messages.__name__
+    }
+    parts = {
+        part for cls in defined for kind in get_type_hints(cls).values() for part in _parts(kind)
+    }
+    assert defined - parts <= set(MESSAGE_TYPES)
+
+
+def _parts(kind: Any) -> set[Any]:
+    """Returns the types that a field's type is made of."""
+    return {kind}.union(*(_parts(item) for item in get_args(kind)))
+
+
+def test_decoding_restores_every_generated_message():
+    """Guards against a field of any message that is lost, reordered or of another type."""
+
+    def check(message: Any) -> None:
+        frame = encode(message)
+        assert frame_size(frame[:LENGTH_PREFIX_BYTES]) == len(frame) - LENGTH_PREFIX_BYTES
+        decoded = decode(frame[LENGTH_PREFIX_BYTES:])
+        assert decoded == message
+        # Equality does not distinguish True from 1 and 1 from 1.0.
+        assert repr(decoded) == repr(message)
+
+    check_messages(check, 50)
+
+
+def test_a_cut_or_extended_frame_of_any_message_is_malformed():
+    """Guards against a message that is read from part of its frame."""
+
+    def check(message: Any) -> None:
+        payload = payload_of(message)
+        if not attrs.fields(type(message)):
+            return  # decode does not read the payload of a message without fields.
+        for size in range(len(payload)):
+            assert_malformed(payload[:size])
+        assert_malformed(payload + b"\x00")
+
+    check_messages(check, 10)
+
+
+def test_a_wrong_number_or_type_of_fields_is_malformed():
+    """Guards against accepting a message of a release with other fields."""
+
+    def check(message: Any) -> None:
+        payload = payload_of(message)
+        fields = msgspec.msgpack.decode(payload[1:])
+        if not fields:
+            return
+        no_type = msgspec.msgpack.Ext(1, b"")
+        replaced = [[*fields[:i], no_type, *fields[i + 1 :]] for i in range(len(fields))]
+        for values in (fields[:-1], [*fields, 0], *replaced):
+            assert_malformed(payload[:1] + msgspec.msgpack.encode(values))
+
+    check_messages(check, 10)
+
+
+@fuzz(1000)
+@given(st.integers(0, 255), st.binary(max_size=60))
+def test_any_bytes_are_a_message_or_malformed(code, content):
+    """Guards against an exception that ends a link's task because of what a peer sent."""
+    try:
+        message = decode(bytes((code,)) + content)
+    except MessageError:
+        return
+    assert type(message) is MESSAGE_TYPES[code]
+
 
 def test_decoding_restores_the_encoded_message():
     """Guards against an encoding that loses or reorders fields."""
