Split the simulated faults from the fleet that they act on

Change: fault_run.py has the fleet, its platform and its network, faults.py the faults and how they start, advance and end, fault_injection.py the runs with faults.

--- a/bench/versions_bench.py
+++ b/bench/versions_bench.py
@@ -8,7 +8,9 @@
 
 from bench.measures import Measure
 from ibisrack.node.lifecycle import SERVING
-from ibisrack.testing.fault_injection import FAULTS, FaultRun, run_with_faults
+from ibisrack.testing.fault_injection import run_with_faults
+from ibisrack.testing.fault_run import FaultRun
+from ibisrack.testing.faults import FAULTS
 
 MEASURES = (
     "regressions_applied",
--- a/ibisrack/testing/fault_injection_test.py
+++ b/ibisrack/testing/fault_injection_test.py
@@ -1,6 +1,7 @@
 """Tests of the invariants of versions with each fault, on a simulated fleet."""
 
-from ibisrack.testing.fault_injection import FAULTS, run_with_faults
+from ibisrack.testing.fault_injection import run_with_faults
+from ibisrack.testing.faults import FAULTS
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.stepped_fleet import all_serving
 
