Split transfer and confirmation from the version store

Change: versions/transfer.py has the reservation, versions/confirmation.py the confirmation, and the store keeps what needs both, such as the classification of an announced version. Callers address store.transfer and store.confirmation; the tests keep their assertions.

Tests of versions, node, membership and testing, among them the conformance test: 74 passed.

--- a/ibisrack/membership/maintenance.py
+++ b/ibisrack/membership/maintenance.py
@@ -37,7 +37,7 @@
     Returns:
       Whether the member table changed.
     """
-    node.versions.source_failed(peer_id)
+    node.versions.transfer.source_failed(peer_id)
     if node.links.record_failure(peer_id) < SUSPECT_AFTER_FAILURES:
         return False
     return mark_suspect(node, peer_id, now)
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -175,7 +175,7 @@
         if self.lifecycle.state == JOINING:
             # The member table is still filling, and newly learned peers have to confirm too.
             self.refresh_links()
-        if not self.versions.may_activate(now.monotonic_s, self.links.chosen):
+        if not self.versions.confirmation.is_complete(now.monotonic_s, self.links.chosen):
             return False
         activation = self.versions.activate()
         if activation is None:
@@ -188,8 +188,8 @@
 
     def needs_exchange(self, now: Instant) -> bool:
         """Returns whether the links should be queried for a version or for its confirmations."""
-        source = self.versions.needs_source(now.monotonic_s)
-        return self.versions.needs_confirmations(now.monotonic_s) or source
+        source = self.versions.transfer.needs_source(now.monotonic_s)
+        return self.versions.confirmation.needs_retry(now.monotonic_s) or source
 
     def tick(self, now: Instant) -> bool:
         """Advances the time and handles a pause of the process.
@@ -204,7 +204,7 @@
         self.record(PauseDetected(now.monotonic_s - last_s), now)
         self.links.reset()
         self.suspicions.restart(now.monotonic_s)
-        self.versions.restart_confirmation(now.monotonic_s)
+        self.versions.confirmation.restart(now.monotonic_s)
         self.resuming = Resuming(now.monotonic_s)
         if self.joining is not None:
             self.joining = attrs.evolve(self.joining, started_at_s=now.monotonic_s)
--- a/ibisrack/testing/stepped_fleet.py
+++ b/ibisrack/testing/stepped_fleet.py
@@ -259,7 +259,7 @@
             opener, peer = peer, opener
         stepped = self.nodes[opener]
         if stepped.running and stepped.restarts == envelope.opener_restarts:
-            stepped.node.versions.source_failed(peer)
+            stepped.node.versions.transfer.source_failed(peer)
             stepped.node.links.record_failure(peer)
 
     def _deliver(self, envelope: Envelope) -> None:
--- a/ibisrack/versions/conformance_test.py
+++ b/ibisrack/versions/conformance_test.py
@@ -54,7 +54,7 @@
         version.version_id.revision if version else 0
         for version in (versions.in_force, versions.staged)
     )
-    peers = versions.confirming_peers()
+    peers = versions.confirmation.holders
     holders = frozenset(NODES.index(peer) for peer in peers)
     reported = tuple(
         _reported(stepped, p) if mode in QUERYING_MODES else NOT_QUERIED for p in NODES
--- a/ibisrack/versions/handlers.py
+++ b/ibisrack/versions/handlers.py
@@ -57,7 +57,7 @@
 
 @handle.register
 def _(message: VersionState, node: NodeState, peer: Hello, now: Instant) -> tuple[Any, ...]:
-    node.versions.update_confirmation(peer.sender.node_id, message)
+    node.versions.confirmation.update(peer.sender.node_id, message)
     node.links.reported_versions[peer.sender.node_id] = message.highest
     peer_version = message.highest
     if peer_version is None:
@@ -103,10 +103,10 @@
     try:
         stage_version(node, ChunkedVersion(manifest, unpack(message.packed)), now)
     except MessageError:
-        node.versions.source_failed(peer.sender.node_id)
+        node.versions.transfer.source_failed(peer.sender.node_id)
         raise
-    node.versions.end_transfer(message.version_id)
+    node.versions.transfer.end(message.version_id)
     # The source holds the version, but its VersionState came before the version was staged here,
     # so it did not count as a confirmation.
-    node.versions.update_confirmation(peer.sender.node_id, VersionState(staged=message.version_id))
+    node.versions.confirmation.update(peer.sender.node_id, VersionState(staged=message.version_id))
     return (node.versions.state(),)
--- a/ibisrack/versions/store_test.py
+++ b/ibisrack/versions/store_test.py
@@ -92,13 +92,13 @@
     store = _store_at(5)
     _stage(store, 6, CHANGED, now_s=10.0)
     peer_state = VersionState(staged=store.staged.version_id)
-    assert not store.may_activate(10.1, LINKS)
-    store.update_confirmation("a", peer_state)
-    store.update_confirmation("a", peer_state)
-    assert not store.may_activate(10.2, LINKS)
-    assert store.may_activate(11.0, LINKS)
-    store.update_confirmation("b", peer_state)
-    assert store.may_activate(10.2, LINKS)
+    assert not store.confirmation.is_complete(10.1, LINKS)
+    store.confirmation.update("a", peer_state)
+    store.confirmation.update("a", peer_state)
+    assert not store.confirmation.is_complete(10.2, LINKS)
+    assert store.confirmation.is_complete(11.0, LINKS)
+    store.confirmation.update("b", peer_state)
+    assert store.confirmation.is_complete(10.2, LINKS)
 
 
 def test_dead_or_restarted_peer_does_not_confirm():
@@ -107,39 +107,39 @@
     _stage(store, 6, CHANGED, now_s=10.0)
     holds = VersionState(staged=store.staged.version_id)
     for peer_id in ("a", "b"):
-        store.update_confirmation(peer_id, holds)
-    assert store.may_activate(10.1, LINKS)
-    assert not store.may_activate(10.1, LINKS - {"b"})
-    store.update_confirmation("b", VersionState())
-    assert not store.may_activate(10.1, LINKS)
+        store.confirmation.update(peer_id, holds)
+    assert store.confirmation.is_complete(10.1, LINKS)
+    assert not store.confirmation.is_complete(10.1, LINKS - {"b"})
+    store.confirmation.update("b", VersionState())
+    assert not store.confirmation.is_complete(10.1, LINKS)
 
 
 def test_peer_with_other_content_or_outside_the_links_does_not_confirm():
     """Guards against counting peers that hold other content or are not queried after a restart."""
     store = _store_at(5)
     _stage(store, 6, CHANGED, now_s=10.0)
-    store.update_confirmation("a", VersionState(staged=VersionId(6, b"x" * 16)))
-    store.update_confirmation("b", VersionState(staged=store.staged.version_id))
-    store.update_confirmation("stranger", VersionState(staged=store.staged.version_id))
-    assert not store.may_activate(10.1, LINKS)
+    store.confirmation.update("a", VersionState(staged=VersionId(6, b"x" * 16)))
+    store.confirmation.update("b", VersionState(staged=store.staged.version_id))
+    store.confirmation.update("stranger", VersionState(staged=store.staged.version_id))
+    assert not store.confirmation.is_complete(10.1, LINKS)
 
 
 def test_linked_peers_are_queried_once_more_for_confirmations():
     """Guards against waiting the whole timeout although the linked peers hold the version."""
     store = _store_at(5)
-    assert not store.needs_confirmations(9.0)
+    assert not store.confirmation.needs_retry(9.0)
     _stage(store, 6, CHANGED, now_s=10.0)
-    assert not store.needs_confirmations(10.2)
-    assert store.needs_confirmations(10.25)
-    assert not store.needs_confirmations(10.3)
+    assert not store.confirmation.needs_retry(10.2)
+    assert store.confirmation.needs_retry(10.25)
+    assert not store.confirmation.needs_retry(10.3)
 
 
 def test_isolated_node_activates_after_the_timeout():
     """Guards against a node that never activates, or does so before it could find its peers."""
     store = _store_at(5)
     _stage(store, 6, CHANGED, now_s=10.0)
-    assert not store.may_activate(10.9, frozenset())
-    assert store.may_activate(11.0, frozenset())
+    assert not store.confirmation.is_complete(10.9, frozenset())
+    assert store.confirmation.is_complete(11.0, frozenset())
 
 
 def test_one_inserted_line_changes_few_chunks():
@@ -170,15 +170,15 @@
     manifest = chunk_version(6, CHANGED).manifest
     store.accept_offer(manifest, "a", 0.0)
     store.accept_offer(manifest, "b", 0.1)
-    assert not store.needs_source(0.2)
-    store.source_failed("b")
-    assert not store.needs_source(0.2)
-    store.source_failed("a")
-    assert store.needs_source(0.3)
-    assert not store.needs_source(0.4)
+    assert not store.transfer.needs_source(0.2)
+    store.transfer.source_failed("b")
+    assert not store.transfer.needs_source(0.2)
+    store.transfer.source_failed("a")
+    assert store.transfer.needs_source(0.3)
+    assert not store.transfer.needs_source(0.4)
     assert store.accept_offer(manifest, "b", 0.5) is not None
-    assert store.needs_source(2.6)
-    assert not store.needs_source(2.7)
+    assert store.transfer.needs_source(2.6)
+    assert not store.transfer.needs_source(2.7)
 
 
 def test_higher_revision_replaces_a_transfer():
@@ -193,7 +193,7 @@
     assert store.accept_offer(older, "c", 0.2) is None
     assert store.offered_manifest(older.version_id) is None
     assert store.offered_manifest(newer.version_id) == newer
-    store.end_transfer(older.version_id)
+    store.transfer.end(older.version_id)
     assert store.offered_manifest(newer.version_id) == newer
 
 
