Find the rank below its guaranteed share in one function

Cause: both policies that guarantee shares had the same loop, which also brings the credit of the ranks up to date.

--- a/ibisrack/calls/ranks.py
+++ b/ibisrack/calls/ranks.py
@@ -222,8 +222,13 @@
 
 @select_rank.register
 def _(policy: PriorityWithShares, ready: Sequence[RankQueue], now_s: float) -> RankQueue:
+    return first_below_share(ready, now_s) or ready[0]
+
+
+def first_below_share(ready: Sequence[RankQueue], now_s: float) -> RankQueue | None:
+    """Returns the most urgent rank that is below its guaranteed share, None if there is none."""
     for queue in ready:
         queue.advance(now_s)
         if queue.account.is_below_share(queue.estimate.mean_s):
             return queue
-    return ready[0]
+    return None
--- a/ibisrack/calls/targets.py
+++ b/ibisrack/calls/targets.py
@@ -18,6 +18,7 @@
 from ibisrack.calls.ranks import (
     RankQueue,
     Ticket,
+    first_below_share,
     pop_next,
     refusal_reason,
     select_rank,
@@ -118,11 +119,8 @@
 
 @select_rank.register
 def _(policy: InTimeFirst, ready: Sequence[RankQueue], now_s: float) -> RankQueue:
-    for queue in ready:
-        queue.advance(now_s)
-        if queue.account.is_below_share(queue.estimate.mean_s):
-            return queue
-    return min(ready, key=lambda queue: _best_timeliness(queue, now_s))
+    below_share = first_below_share(ready, now_s)
+    return below_share or min(ready, key=lambda queue: _best_timeliness(queue, now_s))
 
 
 @update_rank_limits.register
