--- a/bench/capacity_bench.py
+++ b/bench/capacity_bench.py
@@ -3,12 +3,12 @@
 docs/CAPACITY.md multiplies these by the sizes of the target deployment.
 """
 
-import time
 import tracemalloc
 from collections.abc import Callable
 
 import ibisrack.exchange.registry  # noqa: F401
 from bench.measures import Measure
+from bench.timing import mean_cpu_s
 from ibisrack.clocks import Instant
 from ibisrack.exchange.codec import decode_frame, encode_frame
 from ibisrack.exchange.dispatch import handle_messages, header_messages
@@ -74,14 +74,6 @@
     return after - before
 
 
-def _mean_cpu_s(action: Callable[[], object], repetitions: int) -> float:
-    """Returns the mean processor time of an action."""
-    start_s = time.process_time()
-    for _ in range(repetitions):
-        action()
-    return (time.process_time() - start_s) / repetitions
-
-
 def _idle_exchange_us(member_count: int) -> float:
     """Returns the processor time of both sides of an exchange without changes."""
     node, peer = _node_with_members(member_count), _node_with_members(member_count)
@@ -92,14 +84,14 @@
         answer = encode_frame((*header_messages(peer, NOW), *replies))
         handle_messages(decode_frame(answer), node, NOW)
 
-    return _mean_cpu_s(exchange, 200) * 1e6
+    return mean_cpu_s(exchange, 200) * 1e6
 
 
 def _member_update_us() -> float:
     records = tuple(_member(index) for index in range(FLEET_SIZE))
     frame = encode_frame((*header_messages(bare_node("peer"), NOW), MembersUpdate(records)))
     return (
-        _mean_cpu_s(lambda: handle_messages(decode_frame(frame), bare_node("own"), NOW), 3)
+        mean_cpu_s(lambda: handle_messages(decode_frame(frame), bare_node("own"), NOW), 3)
         * 1e6
         / FLEET_SIZE
     )
@@ -131,7 +123,7 @@
         stage_version(node, next(pending), NOW)
         node.versions.activate()
 
-    return _mean_cpu_s(change, len(versions)) * 1e3
+    return mean_cpu_s(change, len(versions)) * 1e3
 
 
 def run() -> list[Measure]:
@@ -157,16 +149,16 @@
             for size in (325, 650, 1300)
         ),
         Measure("member_update_cpu_us_per_record", _member_update_us(), "us"),
-        Measure("link_choice_cpu_ms_1300", _mean_cpu_s(node.refresh_links, 5) * 1e3, "ms"),
+        Measure("link_choice_cpu_ms_1300", mean_cpu_s(node.refresh_links, 5) * 1e3, "ms"),
         Measure(
             "reader_election_cpu_ms_1300",
-            _mean_cpu_s(lambda: elect_readers("zone-01", node.members.all()), 20) * 1e3,
+            mean_cpu_s(lambda: elect_readers("zone-01", node.members.all()), 20) * 1e3,
             "ms",
         ),
         Measure("stage_change_cpu_ms_250_services", _stage_change_ms(), "ms"),
         Measure(
             "stage_first_cpu_ms_250_services",
-            _mean_cpu_s(lambda: _activate_rules(bare_node("own"), 1, "first"), 5) * 1e3,
+            mean_cpu_s(lambda: _activate_rules(bare_node("own"), 1, "first"), 5) * 1e3,
             "ms",
         ),
     ]
--- a/bench/room_bench.py
+++ b/bench/room_bench.py
@@ -1,11 +1,9 @@
 """Cost of the operators' tools at the target size: screen view, time line query, call counting."""
 
-import time
-from collections.abc import Callable
-
 import msgspec
 
 from bench.measures import Measure
+from bench.timing import mean_s
 from ibisrack.metrics.tally import Tally
 from ibisrack.node.observe import observe
 from ibisrack.room.counters import CallCounters
@@ -26,13 +24,6 @@
 CALL_EVENT = CallFinished("c7", "ingress", "service", "r", 7, "Mei Tan", "done", "", "n2", 3, 4.5)
 
 
-def _mean_s(function: Callable[[], object], count: int) -> float:
-    start_s = time.perf_counter()
-    for _ in range(count):
-        function()
-    return (time.perf_counter() - start_s) / count
-
-
 def _zone_view(number: int) -> FleetZone:
     stragglers = tuple(
         Straggler(f"n{number}-{i}", "refused", 5, STRAGGLER_DETAIL) for i in range(20)
@@ -62,12 +53,12 @@
 def run() -> list[Measure]:
     """Measures each operation separately, in this process."""
     state, log = _polled_state(), _full_event_log()
-    view_ms = 1000 * _mean_s(lambda: screen_view(state, 15), 20)
+    view_ms = 1000 * mean_s(lambda: screen_view(state, 15), 20)
     view_bytes = len(msgspec.json.encode(screen_view(state, 15)))
     query = EventFilter(call_id="none")
-    query_ms = 1000 * _mean_s(lambda: select(log.entries(), query), 20)
+    query_ms = 1000 * mean_s(lambda: select(log.entries(), query), 20)
     tally, counters = Tally(), CallCounters()
-    observe_us = 1e6 * _mean_s(lambda: observe(CALL_EVENT, tally, counters, 1.0), 20_000)
+    observe_us = 1e6 * mean_s(lambda: observe(CALL_EVENT, tally, counters, 1.0), 20_000)
     return [
         # The process of a screen assembles two views per second.
         Measure("room_view_ms", view_ms, "ms", at_most=100.0),
