--- a/ibisrack/node/joining_test.py
+++ b/ibisrack/node/joining_test.py
@@ -3,7 +3,7 @@
 from ibisrack.clocks import Instant
 from ibisrack.node.joining import Joining, LinksView, Resuming, Step
 from ibisrack.node.lifecycle import JOINING, RESUMING, SERVING
-from ibisrack.node.state import PAUSE_THRESHOLD_S
+from ibisrack.node.state import PAUSE_THRESHOLD_S, NodeState
 from ibisrack.testing.fixtures import PILBARA_RULES, bare_node, member
 from ibisrack.testing.functions import function_tests
 from ibisrack.versions.chunks import VersionId, chunk_version
@@ -29,6 +29,14 @@
     return Instant(now_s, int(now_s * 1000))
 
 
+def _node_with_link() -> NodeState:
+    """Returns a node with revision 4 in force and one member to link to."""
+    node = bare_node("own")
+    node.apply_record(member("a"), _instant(0.0))
+    node.versions = _store(4)
+    return node
+
+
 def test_join_waits_for_every_link():
     """Guards against serving before the link that holds the highest revision has answered."""
     view = LinksView(reported_versions={"a": REVISION_4}, pending_links=frozenset("b"))
@@ -74,9 +82,7 @@
 
 def test_pause_is_detected_before_the_next_tick_and_ends_with_a_comparison():
     """Guards against serving calls with the revision from before the pause."""
-    node = bare_node("own")
-    node.apply_record(member("a"), _instant(0.0))
-    node.versions = _store(4)
+    node = _node_with_link()
     node.begin_join(_instant(0.0), first_read_delay_s=1.0, isolated_read_delay_s=1.0)
     node.tick(_instant(0.0))
     node.links.reported_versions["a"] = REVISION_4
@@ -93,9 +99,7 @@
 
 def test_pause_does_not_count_as_time_for_confirmations():
     """Guards against activating a version because the confirmation time passed during a pause."""
-    node = bare_node("own")
-    node.apply_record(member("a"), _instant(0.0))
-    node.versions = _store(4)
+    node = _node_with_link()
     node.tick(_instant(0.0))
     version = chunk_version(6, PILBARA_RULES + b"# note\n")
     node.versions.stage(version.manifest, version.chunks, 0.0)
@@ -108,9 +112,7 @@
 
 def test_pause_during_the_join_restarts_it():
     """Guards against a join timeout that passes during a pause, when no link can be queried."""
-    node = bare_node("own")
-    node.apply_record(member("a"), _instant(0.0))
-    node.versions = _store(4)
+    node = _node_with_link()
     node.begin_join(_instant(0.0), first_read_delay_s=1.0, isolated_read_delay_s=1.0)
     node.tick(_instant(0.0))
     node.tick(_instant(60.0))
