--- a/ibisrack/errors.py
+++ b/ibisrack/errors.py
@@ -85,8 +85,8 @@
         self.status = status
 
 
-class NotRunError(IbisError):
-    """A call was refused and is certain not to have run.
+class CallError(IbisError):
+    """A call ended without an answer.
 
     Attributes:
       reason: Reason code from ibisrack.calls.outcomes.
@@ -97,13 +97,9 @@
         self.reason = reason
 
 
-class UnknownOutcomeError(IbisError):
-    """A call may or may not have run.
+class NotRunError(CallError):
+    """A call was refused and is certain not to have run."""
 
-    Attributes:
-      reason: Reason code from ibisrack.calls.outcomes.
-    """
 
-    def __init__(self, reason: str) -> None:
-        super().__init__(reason)
-        self.reason = reason
+class UnknownOutcomeError(CallError):
+    """A call may or may not have run."""
