--- a/bench/keys_bench.py
+++ b/bench/keys_bench.py
@@ -16,6 +16,7 @@
     PeriodAffinity,
 )
 from bench.measures import Measure
+from ibisrack.calls.outcomes import Outcome
 
 SEEDS = range(4)
 
@@ -57,7 +58,7 @@
     return StrategyResult(
         executed_twice=sum(simulation.keys_executed_twice() for simulation in simulations),
         false_not_run=sum(simulation.false_not_run for simulation in simulations),
-        unknown_share=sum(s.final_outcomes.get("unknown", 0) for s in simulations) / reported,
+        unknown_share=sum(s.final_outcomes.get(Outcome.UNKNOWN, 0) for s in simulations) / reported,
     )
 
 
--- a/bench/keys_sim.py
+++ b/bench/keys_sim.py
@@ -11,20 +11,19 @@
 
 import attrs
 
-from ibisrack.calls.homes import HomeHistory, home_of, period_of
+from bench.keys_host import START_MS, Host
+from ibisrack.calls.homes import home_of, period_of
 from ibisrack.calls.keys import (
     JoinRunning,
     Key,
-    KeyStore,
     OutcomeUnknown,
     RefuseRequest,
     ReplayAnswer,
     RunNow,
 )
 from ibisrack.calls.messages import Answer
-from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.outcomes import Outcome, Reason
 
-START_MS = 1_700_000_000_000
 DURATION_S = 900.0
 KEYS_PER_S = 12
 INSTANCE_COUNT = 5
@@ -71,53 +70,12 @@
     """
 
 
-@attrs.define
-class Host:
-    """A host whose node accepts calls and is the home of keys.
-
-    Attributes:
-      node_id: Identity of the node.
-      clock_offset_ms: Difference of its wall clock from the simulated time.
-      started_s: Simulated time at which the host was added.
-      listed: Latest list of instances that the node knows.
-      revision: Revision of that list.
-      side: Side of a partition that the host is on, 0 or 1.
-      periods: Every list that the node has known, by its period.
-      key_store: Keys that the current process accepted.
-      history: Lists that the current process observed.
-    """
-
-    node_id: str
-    clock_offset_ms: int
-    started_s: float
-    listed: tuple[str, ...]
-    revision: int
-    side: int = 0
-    periods: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
-    key_store: KeyStore = attrs.field(init=False)
-    history: HomeHistory = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Starts the process."""
-        self.restart(self.started_s)
-
-    def restart(self, now_s: float) -> None:
-        """Starts a new process with an empty key store and history."""
-        self.key_store = KeyStore(self.wall_ms(now_s) + 2000)  # Plus the allowed clock skew.
-        self.history = HomeHistory(self.node_id)
-        self.apply_list(self.listed, self.revision, now_s)
-
-    def apply_list(self, listed: tuple[str, ...], revision: int, now_s: float) -> None:
-        """Applies a list of instances unless it is older than the known one."""
-        if revision < self.revision:
-            return
-        self.listed, self.revision = listed, revision
-        self.periods[period_of(listed)] = listed
-        self.history.observe(listed, self.wall_ms(now_s))
-
-    def wall_ms(self, now_s: float) -> int:
-        """Returns the time of the host's wall clock."""
-        return START_MS + int(now_s * 1000) + self.clock_offset_ms
+_REPORTED_OUTCOMES = {
+    JoinRunning: Outcome.UNKNOWN,
+    ReplayAnswer: Outcome.DONE,
+    OutcomeUnknown: Outcome.UNKNOWN,
+    RefuseRequest: Outcome.NOT_RUN,
+}
 
 
 @attrs.define
@@ -148,7 +106,7 @@
     revision: int = 0
     partitioned_until_s: float = 0.0
     executions: dict[str, int] = attrs.field(factory=dict)
-    final_outcomes: dict[str, int] = attrs.field(factory=dict)
+    final_outcomes: dict[Outcome, int] = attrs.field(factory=dict)
     false_not_run: int = 0
     _events: list = attrs.field(factory=list)
     _last_number: int = 0  # Given to an event or a host.
@@ -237,39 +195,31 @@
     def _attempt(self, now_s: float, key: Key, period: str, number: int) -> None:
         ingress = self.rng.choice(list(self.hosts.values()))
         outcome = self._call(ingress, key, period, now_s)
-        if outcome == "not-run" and self.executions.get(key.text):
+        if outcome == Outcome.NOT_RUN and self.executions.get(key.text):
             self.false_not_run += 1
         is_answer_lost = self.rng.random() < ANSWER_LOSS_PROBABILITY
-        if (is_answer_lost or outcome != "done") and number < MAX_ATTEMPTS:
+        if (is_answer_lost or outcome != Outcome.DONE) and number < MAX_ATTEMPTS:
             at_s = now_s + self.rng.expovariate(1 / MEAN_REPEAT_DELAY_S)
             self._schedule(at_s, self._attempt, key, period, number + 1)
         else:
             self.final_outcomes[outcome] = self.final_outcomes.get(outcome, 0) + 1
 
-    def _call(self, ingress: Host, key: Key, period: str, now_s: float) -> str:
+    def _call(self, ingress: Host, key: Key, period: str, now_s: float) -> Outcome:
         home = choose_home(self.strategy, self, ingress, key, period, now_s)
         if home is None or not self.reaches(ingress, home, now_s):
-            return "unknown"
+            return Outcome.UNKNOWN
         since_ms = home_since_ms(self.strategy, ingress, home, key)
         if since_ms is None:
-            return "unknown"
+            return Outcome.UNKNOWN
         decision = home.key_store.accept(key, b"", since_ms, home.wall_ms(now_s))
         if type(decision) is not RunNow:
             return _REPORTED_OUTCOMES[type(decision)]
         self.executions[key.text] = self.executions.get(key.text, 0) + 1
         if self.rng.random() < 0.1:
             home.key_store.record_unknown(key, Reason.CONNECTION_LOST, home.wall_ms(now_s))
-            return "unknown"
+            return Outcome.UNKNOWN
         home.key_store.record_done(key, ANSWER, home.wall_ms(now_s))
-        return "done"
-
-
-_REPORTED_OUTCOMES = {
-    JoinRunning: "unknown",
-    ReplayAnswer: "done",
-    OutcomeUnknown: "unknown",
-    RefuseRequest: "not-run",
-}
+        return Outcome.DONE
 
 
 @singledispatch
