Name the election of a reader and the delay between attempts as such

Cause: is_elected and elected did not say which election, although collectors are elected too; a step had a value other than its name; a delay was called a pause. None of these names leaves the process.

--- a/ibisrack/node/joining.py
+++ b/ibisrack/node/joining.py
@@ -19,7 +19,7 @@
 class Step(Enum):
     """Next step of a joining node."""
 
-    QUERY_LINKS = "ask"
+    QUERY_LINKS = "query-links"
     PULL = "pull"
     READ_PLATFORM = "read-platform"
     SERVE = "serve"
@@ -32,12 +32,12 @@
     Attributes:
       reported_versions: Highest version that each answering link reported, None if it has none.
       pending_links: Links that have neither answered nor failed.
-      elected: Whether this node reads the platform for its zone.
+      is_elected_reader: Whether this node reads the platform for its zone.
     """
 
     reported_versions: Mapping[str, VersionId | None]
     pending_links: frozenset[str] = frozenset()
-    elected: bool = False
+    is_elected_reader: bool = False
 
     @property
     def highest(self) -> VersionId | None:
@@ -97,7 +97,7 @@
             return Step.SERVE if _reached(versions, view.highest) else Step.PULL
         if versions.in_force is not None:
             return Step.SERVE
-        read_due = view.elected and waited_s >= self.first_read_delay_s
+        read_due = view.is_elected_reader and waited_s >= self.first_read_delay_s
         return Step.READ_PLATFORM if read_due else Step.QUERY_LINKS
 
     def _next_step_without_answers(self, versions: VersionStore, waited_s: float) -> Step:
--- a/ibisrack/node/joining_test.py
+++ b/ibisrack/node/joining_test.py
@@ -62,7 +62,7 @@
 def test_in_fleet_without_versions_only_elected_nodes_read():
     """Guards against all nodes of a restarted fleet reading the platform at once."""
     for elected, step in ((True, Step.READ_PLATFORM), (False, Step.QUERY_LINKS)):
-        view = LinksView(reported_versions={"a": None}, elected=elected)
+        view = LinksView(reported_versions={"a": None}, is_elected_reader=elected)
         assert JOIN.step(view, _store(), 101.9) is Step.QUERY_LINKS
         assert JOIN.step(view, _store(), 102.0) is step
 
--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -182,7 +182,7 @@
         self.links.chosen = frozenset(link.node_id for link in links)
         return links
 
-    def is_elected(self) -> bool:
+    def is_elected_reader(self) -> bool:
         """Returns whether the member table elects this node to read the platform for its zone."""
         own = self.members.own()
         return own.node_id in {m.node_id for m in elect_readers(own.zone, self.members.all())}
@@ -198,7 +198,7 @@
                 if peer in links.reported_versions
             },
             pending_links=links.chosen - links.reported_versions.keys() - links.failed.keys(),
-            elected=self.is_elected(),
+            is_elected_reader=self.is_elected_reader(),
         )
 
     def begin_join(
--- a/ibisrack/standins/caller.py
+++ b/ibisrack/standins/caller.py
@@ -22,7 +22,7 @@
 
 MAX_LATENCY_US = 120_000_000  # Upper bound of the latency histograms.
 CALL_TIMEOUT_S = 60.0
-RETRY_PAUSE_S = 0.05  # Between attempts of a call.
+RETRY_DELAY_S = 0.05  # Between attempts of a call.
 
 
 @attrs.frozen
@@ -118,7 +118,7 @@
             if result.outcome not in ("not-run", "not-sent"):
                 break
             if attempt + 1 < traffic.tries:
-                await asyncio.sleep(RETRY_PAUSE_S)
+                await asyncio.sleep(RETRY_DELAY_S)
         self._record_result(traffic, result)
         return result
 
--- a/ibisrack/versions/platform_reader.py
+++ b/ibisrack/versions/platform_reader.py
@@ -37,7 +37,7 @@
     A node that has not joined yet never does: it knows few peers and would elect itself, so the
     nodes of a fleet that restarts at once would all read at the same time.
     """
-    return node.lifecycle.state not in (STARTING, JOINING) and node.is_elected()
+    return node.lifecycle.state not in (STARTING, JOINING) and node.is_elected_reader()
 
 
 def accept_rules(node: NodeState, value: PlatformValue, now: Instant) -> None:
--- a/ibisrack/versions/platform_reader_test.py
+++ b/ibisrack/versions/platform_reader_test.py
@@ -123,7 +123,7 @@
     for step in range(round(3.5 / TIME_STEP_S)):
         passed_s = (step + 1) * TIME_STEP_S
         due = [n for n in fleet.running() if first_read_delay_s[n.members.own_id] <= passed_s]
-        readers |= {n.members.own_id for n in due if n.is_elected()}
+        readers |= {n.members.own_id for n in due if n.is_elected_reader()}
         if step == 0:
             contact_seeds(fleet, 12)
         fleet.step()
