--- a/bench/admission_bench.py
+++ b/bench/admission_bench.py
@@ -12,7 +12,7 @@
 from bench.admission_policies import FirstComeFirstServed
 from bench.admission_sim import (
     BULK_FLOOD,
-    CALM,
+    NORMAL_LOAD,
     PHASES,
     URGENT_FLOOD,
     AdmissionSimulation,
@@ -139,12 +139,14 @@
     for simulation in simulations:
         simulation.run()
     urgent, bulk = service.ranks[0].rank, service.ranks[-1].rank
-    calm, flood = (_pooled_stats(simulations, phase, urgent) for phase in (CALM, BULK_FLOOD))
+    normal, flood = (
+        _pooled_stats(simulations, phase, urgent) for phase in (NORMAL_LOAD, BULK_FLOOD)
+    )
     # Expected time until a slot becomes free while calls of the least urgent rank hold all slots.
     slot_wait_s = workloads[bulk].mean_s / service.rule.slots
     return ServiceResult(
-        p99_ratio=flood.p99_s() / calm.p99_s(),
-        floor_ratio=(calm.p99_s() + slot_wait_s) / calm.p99_s(),
+        p99_ratio=flood.p99_s() / normal.p99_s(),
+        floor_ratio=(normal.p99_s() + slot_wait_s) / normal.p99_s(),
         goodput=flood.completed / flood.offered,
         share_kept=min(_shares_kept(simulations, service)),
         busy=min(
--- a/bench/admission_sim.py
+++ b/bench/admission_sim.py
@@ -17,8 +17,8 @@
 from ibisrack.rules.model import RankRule
 from ibisrack.rules.ruleset import Service
 
-CALM, BULK_FLOOD, URGENT_FLOOD = "calm", "bulk-flood", "urgent-flood"
-PHASES = ((CALM, 60.0), (BULK_FLOOD, 60.0), (URGENT_FLOOD, 40.0))
+NORMAL_LOAD, BULK_FLOOD, URGENT_FLOOD = "normal-load", "bulk-flood", "urgent-flood"
+PHASES = ((NORMAL_LOAD, 60.0), (BULK_FLOOD, 60.0), (URGENT_FLOOD, 40.0))
 FLOOD_DEMAND = 5.0  # Demand of the flooding rank, relative to the instance's capacity.
 
 # Demand of the other ranks, relative to their guaranteed shares.
@@ -27,7 +27,7 @@
 # while calls wait: at 1.2, a lull of heavy-tailed demand counted as lost share (0.93 in one of 16
 # runs).
 SATURATING_DEMAND = 2.0
-CALM_BULK_DEMAND = 0.5  # Of the least urgent rank under normal load.
+NORMAL_BULK_DEMAND = 0.5  # Of the least urgent rank under normal load.
 
 LOGNORMAL_SIGMA = 1.0
 
@@ -145,7 +145,7 @@
             return SATURATING_DEMAND * share
         if is_urgent and self.urgent_demand:
             return self.urgent_demand
-        return (CALM_BULK_DEMAND if is_bulk else NORMAL_DEMAND) * share
+        return (NORMAL_BULK_DEMAND if is_bulk else NORMAL_DEMAND) * share
 
     def _schedule_rank(self, rank: str) -> None:
         rng = Random(f"{self.seed}-{self.service.rule.service}-{rank}")
--- a/bench/flood_bench.py
+++ b/bench/flood_bench.py
@@ -33,9 +33,9 @@
 PHASE_S = 10.0
 RAMP_UP_S = 3.0  # Start of a phase, excluded from the figures because queues are still filling.
 SAMPLE_INTERVAL_S = 0.1
-# Demand of a rank in the calm phase, and of the other ranks in the bulk flood, relative to the
+# Demand of a rank under normal load, and of the other ranks in the bulk flood, relative to the
 # capacity.
-CALM_DEMAND = 0.2
+NORMAL_DEMAND = 0.2
 # Demand of the other ranks in the urgent flood, relative to their shares.
 SATURATING_DEMAND = 2.0
 CALLER_PROCESSES = 3
@@ -195,7 +195,7 @@
     """Figures of one deployment.
 
     Attributes:
-      p99_ratio: 99th percentile of the urgent rank in the bulk flood, relative to the calm phase.
+      p99_ratio: 99th percentile of the urgent rank in the bulk flood, relative to normal load.
       share_kept: Lowest share kept by another rank in the urgent flood.
       busy: Lower mean fraction of busy slots of both floods.
       goodput: Fraction of the urgent calls that completed in the bulk flood.
@@ -211,13 +211,13 @@
     async with started_fleet(deployment) as fleet:
         service = FloodedService(fleet, deployment.services[0], parse_rule_set(deployment.rules))
         urgent, *others = service.ranks
-        calm_demands = {rank.rank: CALM_DEMAND for rank in service.ranks}
+        normal_demands = {rank.rank: NORMAL_DEMAND for rank in service.ranks}
         saturating_demands = {
             rank.rank: SATURATING_DEMAND * rank.share_percent / 100 for rank in others
         }
-        calm = await service.run_phase("calm", calm_demands)
+        normal = await service.run_phase("normal-load", normal_demands)
         bulk_flood = await service.run_phase(
-            "bulk", {**calm_demands, others[-1].rank: FLOOD_DEMAND}
+            "bulk", {**normal_demands, others[-1].rank: FLOOD_DEMAND}
         )
         urgent_flood = await service.run_phase(
             "urgent", {**saturating_demands, urgent.rank: FLOOD_DEMAND}
@@ -226,7 +226,7 @@
     work = urgent_flood.work_ratio(service.ranks, service.slots)
     print(f"# {deployment.name}: shares kept {shares}, work in all slot time {work:.3f}")
     return DeploymentResult(
-        p99_ratio=bulk_flood.p99_ms(urgent) / calm.p99_ms(urgent),
+        p99_ratio=bulk_flood.p99_ms(urgent) / normal.p99_ms(urgent),
         share_kept=min(shares.values()),
         busy=min(bulk_flood.busy, urgent_flood.busy),
         goodput=bulk_flood.goodput(urgent),
--- a/bench/sidecar_fleet.py
+++ b/bench/sidecar_fleet.py
@@ -34,7 +34,7 @@
 INSTANCE_WORK_S = 0.02
 INSTANCE_SLOTS = 4
 REQUESTS_PER_PHASE = 300
-FOLLOWED_REQUEST_ID = "calm-7"  # Looked up in the logs at the end.
+FOLLOWED_REQUEST_ID = "normal-7"  # Looked up in the logs at the end.
 MAX_CONCURRENT_REQUESTS = 16
 READY_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
@@ -197,7 +197,7 @@
         for sidecar in sidecars:
             await _wait_until_ready(session, sidecar, ports)
         print(f"{len(sidecars)} sidecars are ready")
-        await _send_requests(session, sidecars, ports, "calm")
+        await _send_requests(session, sidecars, ports, "normal")
         await _check_configuration_change(session, sidecars, ports, store)
         sidecars[0].process.kill()
         await _send_requests(session, sidecars[1:], ports, "one-killed")
