--- a/bench/control_bench.py
+++ b/bench/control_bench.py
@@ -15,8 +15,9 @@
 import psutil
 
 from bench.deployments import wide_deployment
-from bench.fleet import Fleet, Node, started_fleet
+from bench.fleet import Fleet, started_fleet
 from bench.measures import Measure
+from bench.processes import Node
 from bench.sockets import SocketCounter
 from ibisrack.testing.fixtures import many_services_rules
 
--- a/bench/control_faults_bench.py
+++ b/bench/control_faults_bench.py
@@ -11,8 +11,9 @@
 import attrs
 
 from bench.deployments import PILBARA
-from bench.fleet import Fleet, Node, started_fleet
+from bench.fleet import Fleet, started_fleet
 from bench.measures import Measure
+from bench.processes import Node
 from ibisrack.errors import RulesError
 from ibisrack.rules.ruleset import parse_rule_set
 from ibisrack.versions.chunks import digest_of
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -6,7 +6,8 @@
 import time
 
 from bench.deployments import PILBARA
-from bench.fleet import HOST, Fleet, Node, started_fleet
+from bench.fleet import Fleet, started_fleet
+from bench.processes import HOST, Node
 
 MAX_CONVERGENCE_S = 12.0
 MAX_LEAVING_NEW_WORK_S = 3.0  # Afterwards a leaving instance must get no new calls.
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -8,7 +8,8 @@
 
 from aiohttp import ClientError
 
-from bench.fleet import HOST, Fleet, Node
+from bench.fleet import Fleet
+from bench.processes import HOST, Node
 
 RESTART_DELAY_S = 0.7
 NODE_FREEZE_S = 2.6  # Longer than the gap after which a node detects a pause.
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,11 +1,7 @@
 """Starts a fleet of real processes on loopback for the demo and the benchmarks."""
 
 import asyncio
-import json
-import os
 import signal
-import socket
-import sys
 import tempfile
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -15,93 +11,10 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from bench.deployments import Deployment
+from bench.fleet_settings import node_settings, upstream_process
+from bench.processes import HOST, Node, Process, free_ports
 
-HOST = "127.0.0.1"
 READY_TIMEOUT_S = 60.0
-STOP_TIMEOUT_S = 10.0
-
-
-def free_ports(count: int) -> list[int]:
-    """Returns TCP ports that are free on loopback, outside the ephemeral range."""
-    ports: list[int] = []
-    candidate = 10_000 + (os.getpid() * 37) % 15_000
-    while len(ports) < count:
-        candidate = candidate + 1 if candidate < 32_000 else 10_000
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((HOST, candidate))
-            except OSError:
-                continue
-        ports.append(candidate)
-    return ports
-
-
-@attrs.define
-class Process:
-    """A process of the fleet, not yet started, running or ended.
-
-    Attributes:
-      name: Name of its settings file and its log file.
-      module: Python module that it runs.
-      settings: Content of its settings file.
-      handle: The child process, None before the first start.
-    """
-
-    name: str
-    module: str
-    settings: dict
-    handle: asyncio.subprocess.Process | None = None
-
-    async def start(self, folder: Path) -> None:
-        """Writes the settings file and starts the process."""
-        path = folder / f"{self.name}.json"
-        path.write_text(json.dumps(self.settings))
-        log = (folder / f"{self.name}.log").open("ab")
-        command = [sys.executable, "-m", self.module, f"--settings={path}"]
-        self.handle = await asyncio.create_subprocess_exec(*command, stdout=log, stderr=log)
-        log.close()
-
-    def signal(self, number: int) -> None:
-        """Sends a signal if the process is running."""
-        if self.handle and self.handle.returncode is None:
-            self.handle.send_signal(number)
-
-    async def kill(self) -> None:
-        """Kills the process and waits until it has exited."""
-        self.signal(signal.SIGKILL)
-        if self.handle:
-            await self.handle.wait()
-
-
-@attrs.define
-class Node(Process):
-    """A node process and the upstream behind it.
-
-    Attributes:
-      upstream: The upstream stand-in, None if the fleet runs without upstreams.
-    """
-
-    upstream: Process | None = None
-
-    @property
-    def node_id(self) -> str:
-        """Id of the node."""
-        return self.settings["identity"]["node_id"]
-
-    @property
-    def zone(self) -> str:
-        """Zone of the node."""
-        return self.settings["identity"]["zone"]
-
-    @property
-    def service(self) -> str:
-        """Service of the node's upstream."""
-        return self.settings["identity"]["service"]
-
-    def url(self, port_name: str) -> str:
-        """Returns the base URL of a port, call_port or admin_port."""
-        return f"http://{HOST}:{self.settings['listen'][port_name]}"
 
 
 @attrs.define
@@ -188,54 +101,6 @@
                     await asyncio.sleep(0.1)
 
 
-def _node_settings(deployment: Deployment, ports: list[int], platform_port: int) -> list[dict]:
-    zones = list(deployment.regions)
-    instances = [(plan, number) for plan in deployment.services for number in range(plan.instances)]
-    nodes = []
-    for index, (plan, number) in enumerate(instances):
-        zone = zones[index % len(zones)]
-        call, peer, admin, upstream = ports[4 * index : 4 * index + 4]
-        nodes.append(
-            {
-                "identity": {
-                    "node_id": f"{plan.service}-{number}",
-                    "service": plan.service,
-                    "zone": zone,
-                    "region": deployment.regions[zone],
-                },
-                "listen": {
-                    "host": HOST,
-                    "call_port": call,
-                    "peer_port": peer,
-                    "admin_port": admin,
-                },
-                "upstream": {"base_url": f"http://{HOST}:{upstream}"},
-                "platform": {"base_url": f"http://{HOST}:{platform_port}"},
-            }
-        )
-    return nodes
-
-
-def _add_seeds(nodes: list[dict]) -> None:
-    """Sets the seeds of every node to the first two nodes of each zone."""
-    by_zone: dict[str, list[str]] = {}
-    for node in nodes:
-        address = f"{HOST}:{node['listen']['peer_port']}"
-        by_zone.setdefault(node["identity"]["zone"], []).append(address)
-    seeds = [address for addresses in by_zone.values() for address in addresses[:2]]
-    for node in nodes:
-        node["exchange"] = {"seeds": seeds}
-
-
-def _upstream(settings: dict, slots: int, work_ms: float, extra_settings: dict) -> Process:
-    instance = settings["identity"]["node_id"]
-    port = int(settings["upstream"]["base_url"].rpartition(":")[2])
-    common = {"host": HOST, "port": port, "instance": instance, "slots": slots, "work_ms": work_ms}
-    return Process(
-        f"upstream-{instance}", "ibisrack.bin.ibis_standin_upstream", common | extra_settings
-    )
-
-
 @asynccontextmanager
 async def started_fleet(
     deployment: Deployment,
@@ -257,8 +122,7 @@
     platform = Process(
         "platform", "ibisrack.bin.ibis_standin_platform", {"host": HOST, "port": platform_port}
     )
-    settings = _node_settings(deployment, ports, platform_port)
-    _add_seeds(settings)
+    settings = node_settings(deployment, ports, platform_port)
     slots = {plan.service: plan.slots for plan in deployment.services}
     nodes = [
         Node(
@@ -266,7 +130,7 @@
             "ibisrack.bin.ibis_node",
             s,
             upstream=(
-                _upstream(s, slots[s["identity"]["service"]], work_ms, extra_settings)
+                upstream_process(s, slots[s["identity"]["service"]], work_ms, extra_settings)
                 if upstreams
                 else None
             ),
--- a/bench/latency_bench.py
+++ b/bench/latency_bench.py
@@ -12,8 +12,9 @@
 from hdrh.histogram import HdrHistogram
 
 from bench.deployments import PILBARA, Deployment, ServicePlan
-from bench.fleet import HOST, Fleet, Node, started_fleet
+from bench.fleet import Fleet, started_fleet
 from bench.measures import Measure
+from bench.processes import HOST, Node
 from ibisrack.settings.standins import CallerSettings
 from ibisrack.standins.caller import MAX_LATENCY_US, Caller
 
--- a/bench/screens.py
+++ b/bench/screens.py
@@ -12,7 +12,8 @@
 
 from bench.demo import INVALID_RULE_LINE
 from bench.deployments import PILBARA
-from bench.fleet import HOST, Fleet, Process, free_ports, started_fleet
+from bench.fleet import Fleet, started_fleet
+from bench.processes import HOST, Process, free_ports
 
 HEALTHY_SETTLE_S = 12.0
 # Suspecting nodes, declaring them dead and collecting all zone summaries take up to 15 s.
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -8,7 +8,8 @@
 import attrs
 import msgspec
 
-from bench.fleet import HOST, Fleet
+from bench.fleet import Fleet
+from bench.processes import HOST
 from ibisrack.standins.caller import CallResult
 
 CALLER_EXIT_TIMEOUT_S = 90.0  # Time for a caller to exit after the end of its traffic.
--- a/bench/watch.py
+++ b/bench/watch.py
@@ -4,7 +4,8 @@
 import signal
 
 from bench.deployments import PILBARA
-from bench.fleet import HOST, Fleet, free_ports, started_fleet
+from bench.fleet import Fleet, started_fleet
+from bench.processes import HOST, free_ports
 from bench.screens import caller_process, room_process
 
 DURATION_S = 600.0
