Split the model of the checker from the specification of versions

Change: protocol_model.py has the invariants, the canonical states and the model. The two scopes of the tests have 18,200 and 3,041 states as before; protocol_spec_test and conformance_test pass.

--- a/ibisrack/versions/protocol_spec_test.py
+++ b/ibisrack/versions/protocol_spec_test.py
@@ -4,7 +4,8 @@
 from minicheck import check_safety
 
 from ibisrack.testing.functions import function_tests
-from ibisrack.versions.protocol_spec import Guards, Scope, protocol
+from ibisrack.versions.protocol_model import protocol
+from ibisrack.versions.protocol_spec import Guards, Scope
 
 TWO_NODES = Scope(nodes=2, revisions=3, bad=2, crashes=2)
 THREE_NODES = Scope(nodes=3, revisions=3, bad=2, crashes=1, pauses=False, running=True)
