--- a/ibisrack/errors.py
+++ b/ibisrack/errors.py
@@ -85,8 +85,8 @@
         self.status = status
 
 
-class CallError(IbisError):
-    """A call ended without an answer.
+class NotRunError(IbisError):
+    """A call was refused and is certain not to have run.
 
     Attributes:
       reason: Reason code from ibisrack.calls.outcomes.
@@ -97,9 +97,13 @@
         self.reason = reason
 
 
-class NotRunError(CallError):
-    """A call was refused and is certain not to have run."""
+class UnknownOutcomeError(IbisError):
+    """A call may or may not have run.
 
+    Attributes:
+      reason: Reason code from ibisrack.calls.outcomes.
+    """
 
-class UnknownOutcomeError(CallError):
-    """A call may or may not have run."""
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
