--- a/ibisrack/calls/ranks.py
+++ b/ibisrack/calls/ranks.py
@@ -220,11 +220,6 @@
     """
 
 
-@select_rank.register
-def _(policy: PriorityWithShares, ready: Sequence[RankQueue], now_s: float) -> RankQueue:
-    return first_below_share(ready, now_s) or ready[0]
-
-
 def first_below_share(ready: Sequence[RankQueue], now_s: float) -> RankQueue | None:
     """Returns the most urgent rank that is below its guaranteed share, None if there is none."""
     for queue in ready:
@@ -232,3 +227,8 @@
         if queue.account.is_below_share(queue.estimate.mean_s):
             return queue
     return None
+
+
+@select_rank.register
+def _(policy: PriorityWithShares, ready: Sequence[RankQueue], now_s: float) -> RankQueue:
+    return first_below_share(ready, now_s) or ready[0]
--- a/ibisrack/decimals_test.py
+++ b/ibisrack/decimals_test.py
@@ -24,8 +24,8 @@
     assert (parse_decimal(text, 9999) is not None) == is_number
 
 
-def test_digits_that_int_does_not_parse_are_malformed():
-    """Guards against digits of other scripts, signs, separators and very long numbers."""
+def test_other_notations_and_very_long_numbers_are_malformed():
+    """Guards against notations that ``int`` accepts, and against its limit on digits."""
     for text in ("", "²", "٣", "+1", "-1", " 1", "1_0", "1.0", "9" * 5000):
         assert parse_decimal(text, 65535) is None, text
     assert parse_decimal("0" * 5000 + "7", 65535) == 7
