--- a/ibisrack/node/state.py
+++ b/ibisrack/node/state.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ibisrack.clocks import Instant
+from ibisrack.exchange.link_health import LinkHealth
 from ibisrack.exchange.traffic import ExchangeTraffic
 from ibisrack.membership.dead_members import DeadMembers
 from ibisrack.membership.election import elect_readers
@@ -30,53 +31,11 @@
     VersionActivated,
 )
 from ibisrack.timeline.log import EventLog
-from ibisrack.versions.chunks import VersionId
 from ibisrack.versions.store import VersionStore
 
 PAUSE_THRESHOLD_S = 2.0
 
 
-@attrs.define
-class LinkHealth:
-    """Results of the exchanges over this node's links.
-
-    Attributes:
-      answered: Links whose last exchange was answered.
-      failed: Links whose last exchange failed, with the number of consecutive failures.
-      chosen: Node ids of the current links.
-      reported_versions: Highest version that each peer reported since the last reset().
-    """
-
-    answered: set[str] = attrs.field(factory=set)
-    failed: dict[str, int] = attrs.field(factory=dict)
-    chosen: frozenset[str] = frozenset()
-    reported_versions: dict[str, VersionId | None] = attrs.field(factory=dict)
-
-    def record_success(self, node_id: str) -> None:
-        """Records an answered exchange."""
-        self.answered.add(node_id)
-        self.failed.pop(node_id, None)
-
-    def record_failure(self, node_id: str) -> int:
-        """Records a failed exchange and returns the number of consecutive failures."""
-        self.answered.discard(node_id)
-        self.failed[node_id] = self.failed.get(node_id, 0) + 1
-        self.reported_versions.pop(node_id, None)
-        return self.failed[node_id]
-
-    def forget_peer(self, node_id: str) -> None:
-        """Forgets a peer that is no longer a link."""
-        self.answered.discard(node_id)
-        self.failed.pop(node_id, None)
-        self.reported_versions.pop(node_id, None)
-
-    def reset(self) -> None:
-        """Discards all results; those from before a pause are out of date."""
-        self.answered.clear()
-        self.failed.clear()
-        self.reported_versions.clear()
-
-
 @attrs.define
 class NodeState:
     """The state of all slices of a node; does no I/O.
@@ -175,7 +134,7 @@
         if self.lifecycle.state == JOINING:
             # The member table is still filling, and newly learned peers have to confirm too.
             self.refresh_links()
-        if not self.versions.may_activate(now.monotonic_s, self.links.chosen):
+        if not self.versions.confirmation.is_complete(now.monotonic_s, self.links.chosen):
             return False
         activation = self.versions.activate()
         if activation is None:
@@ -188,8 +147,8 @@
 
     def needs_exchange(self, now: Instant) -> bool:
         """Returns whether the links should be queried for a version or for its confirmations."""
-        source = self.versions.needs_source(now.monotonic_s)
-        return self.versions.needs_confirmations(now.monotonic_s) or source
+        source = self.versions.transfer.needs_source(now.monotonic_s)
+        return self.versions.confirmation.needs_retry(now.monotonic_s) or source
 
     def tick(self, now: Instant) -> bool:
         """Advances the time and handles a pause of the process.
@@ -204,7 +163,7 @@
         self.record(PauseDetected(now.monotonic_s - last_s), now)
         self.links.reset()
         self.suspicions.restart(now.monotonic_s)
-        self.versions.restart_confirmation(now.monotonic_s)
+        self.versions.confirmation.restart(now.monotonic_s)
         self.resuming = Resuming(now.monotonic_s)
         if self.joining is not None:
             self.joining = attrs.evolve(self.joining, started_at_s=now.monotonic_s)
@@ -223,7 +182,7 @@
         self.links.chosen = frozenset(link.node_id for link in links)
         return links
 
-    def is_elected(self) -> bool:
+    def is_elected_reader(self) -> bool:
         """Returns whether the member table elects this node to read the platform for its zone."""
         own = self.members.own()
         return own.node_id in {m.node_id for m in elect_readers(own.zone, self.members.all())}
@@ -239,7 +198,7 @@
                 if peer in links.reported_versions
             },
             pending_links=links.chosen - links.reported_versions.keys() - links.failed.keys(),
-            elected=self.is_elected(),
+            is_elected_reader=self.is_elected_reader(),
         )
 
     def begin_join(
--- a/ibisrack/settings/checks.py
+++ b/ibisrack/settings/checks.py
@@ -9,6 +9,10 @@
 
 import attrs
 
+from ibisrack.decimals import parse_decimal
+
+MAX_PORT = 65535
+
 
 def in_range(low: float, high: float) -> Any:
     """Returns a validator for a number from low to high, both included."""
@@ -21,6 +25,9 @@
     return check
 
 
+port_number = in_range(1, MAX_PORT)
+
+
 def one_word(_: Any, __: attrs.Attribute, value: str) -> None:
     """Requires a text that is not empty and has no white space."""
     if not value or value.split() != [value]:
@@ -35,7 +42,7 @@
 def _check_ip_port(value: str) -> None:
     host, _, port = value.rpartition(":")
     ipaddress.ip_address(host.strip("[]"))
-    if not (port.isdigit() and 0 < int(port) < 65536):
+    if not parse_decimal(port, MAX_PORT):
         raise ValueError(f"'{value}' does not end with a port number")
 
 
