Never drop log lines at start, stop, reload and a dependency's return

Cause: LineRateFilter exempted only warnings, so under load the token bucket dropped "stopping" and "registry answers" like lines about requests.

Change: the filter has a set of exempt messages, which take no token; ibis_sidecar passes LIFECYCLE_MESSAGES. A second test checks that each of these messages is really logged, so that a renamed line is noticed.

Result: test_lifecycle_lines_are_never_dropped fails without the exemption ("stopping" takes the only token) and passes with it.

--- a/ibisrack/bin/ibis_sidecar.py
+++ b/ibisrack/bin/ibis_sidecar.py
@@ -17,13 +17,28 @@
 )
 from ibisrack.sidecar.run import run_sidecar
 
+# Start, stop, reload, and dependencies that are back.  Their loss is logged as a warning, which is
+# never dropped.
+LIFECYCLE_MESSAGES = frozenset(
+    (
+        "started",
+        "stopping",
+        "stopped",
+        "settings reloaded",
+        "configuration in force",
+        "registry answers",
+        "registry history gone",
+        "link open",
+    )
+)
+
 
 def run() -> None:
     """Entry point of the ibis-sidecar command."""
     path = os.environ.get(SETTINGS_PATH_VARIABLE, DEFAULT_SETTINGS_PATH)
     load = partial(load_platform_settings, metrics_port=os.environ.get(METRICS_PORT_VARIABLE, ""))
     settings = load_or_exit(partial(load, path))
-    line_filter = LineRateFilter()
+    line_filter = LineRateFilter(exempt_messages=LIFECYCLE_MESSAGES)
     stream = NonBlockingPipe.wrap(sys.stdout, line_filter)
     log_as_json(logging.DEBUG, stream, line_filter, node=settings.node_id)
     run_on_uvloop(run_sidecar(settings, Path(path), load))
--- a/ibisrack/bin/log_limits.py
+++ b/ibisrack/bin/log_limits.py
@@ -16,10 +16,21 @@
     """Passes all warnings and errors, and other lines up to a rate (token bucket).
 
     DEBUG lines, one for each served request, are dropped first.
+
+    Args:
+      lines_per_s: Rate of the token bucket.
+      burst: Size of the token bucket.
+      exempt_messages: Messages of lines that are never dropped and take no token.
     """
 
-    def __init__(self, lines_per_s: float = LINES_PER_S, burst: float = BURST_LINES) -> None:
+    def __init__(
+        self,
+        lines_per_s: float = LINES_PER_S,
+        burst: float = BURST_LINES,
+        exempt_messages: frozenset[str] = frozenset(),
+    ) -> None:
         super().__init__()
+        self._exempt_messages = exempt_messages
         self._rate, self._burst = lines_per_s, burst
         self._tokens, self._refilled_at_s = burst, time.monotonic()
         self._dropped = 0
@@ -30,7 +41,8 @@
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Returns whether to write a line; it then carries the number of lines dropped before."""
-        if record.levelno < logging.WARNING and not self._take_token(record.levelno):
+        exempt = record.levelno >= logging.WARNING or str(record.msg) in self._exempt_messages
+        if not exempt and not self._take_token(record.levelno):
             self._dropped += 1
             return False
         if self._dropped:
--- a/ibisrack/bin/log_limits_test.py
+++ b/ibisrack/bin/log_limits_test.py
@@ -7,8 +7,8 @@
 from ibisrack.testing.functions import function_tests
 
 
-def log_record(level: int = logging.INFO) -> logging.LogRecord:
-    return logging.LogRecord("ibisrack", level, "", 0, "request not served", None, None)
+def log_record(level: int = logging.INFO, message: str = "request not served") -> logging.LogRecord:
+    return logging.LogRecord("ibisrack", level, "", 0, message, None, None)
 
 
 def test_lines_beyond_the_burst_are_dropped_and_counted():
@@ -27,6 +27,19 @@
     assert line_filter.filter(log_record(logging.WARNING))
 
 
+def test_lifecycle_lines_are_never_dropped():
+    """Guards against a busy node's log that does not show its stop or a dependency's return."""
+    line_filter = LineRateFilter(
+        lines_per_s=0.0, burst=1.0, exempt_messages=frozenset(("stopping",))
+    )
+    assert line_filter.filter(log_record(message="stopping"))
+    assert line_filter.filter(log_record())
+    assert not line_filter.filter(log_record())
+    stopping = log_record(message="stopping")
+    assert line_filter.filter(stopping)
+    assert stopping.lines_left_out == 1
+
+
 def test_debug_lines_use_only_their_share_of_the_burst():
     """Guards against dropped lines about failures because lines about successes used the burst."""
     line_filter = LineRateFilter(lines_per_s=0.0, burst=4.0)
--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -1,5 +1,6 @@
 """Tests of the log lines and metrics of a sidecar."""
 
+import asyncio
 import logging
 import re
 from contextlib import suppress
@@ -8,11 +9,13 @@
 import attrs
 from aiohttp import web
 
+from ibisrack.bin.ibis_sidecar import LIFECYCLE_MESSAGES
 from ibisrack.errors import NotRunError
 from ibisrack.instances.model import InstanceState
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.platform.headers import NOT_EXECUTED
 from ibisrack.sidecar.metrics import PATH, all_metrics
+from ibisrack.sidecar.run import drain
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import (
     STANDARD_ROUTES,
@@ -91,6 +94,25 @@
     assert matching_records(log, "registry answers")
 
 
+async def test_lifecycle_messages_are_logged():
+    """Guards against a renamed line that the limit on the volume of the log drops again."""
+    with capture_log() as log:
+        async with run_sidecars(2) as fleet_:
+            fleet_.register_instance(0, state=InstanceState.DRAINING, sequence=1)
+            await wait_until(lambda: not fleet_.nodes[0].directory.get("i-0").ready)
+            await fleet_.send_request(0)
+            fleet_.nodes[0].reload(fleet_.nodes[0].settings)
+            fleet_.store.error_status = 503
+            fleet_.store.put("servers/i-new", b"{}")
+            fleet_.store.drop_history()
+            fleet_.store.error_status = 0
+            await wait_until(lambda: bool(matching_records(log, "registry history gone")))
+            stopping = asyncio.create_task(drain(fleet_.nodes[0]))
+            await wait_until(lambda: fleet_.nodes[0].stopping)
+            stopping.cancel()
+    assert {record.getMessage() for record in log} >= LIFECYCLE_MESSAGES
+
+
 async def test_fields_listed_in_operations_page_are_logged():
     """Guards against an operations page that names log fields which are never logged."""
 
