Log and count requests that a stopping node refuses at their arrival

Cause: Dispatcher._serve returned the refusal before it had an Attempts object, which the recorder needs, so neither log nor counters showed it.

Change: the attempts are set up first, and every reply to a routed request passes the recorder.

Result: test_request_refused_because_the_stop_would_cut_it_off_is_logged_and_counted fails before (no line) and passes after.

--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -119,26 +119,36 @@
         if not isinstance(route, Route):
             self.recorder.record_unrouted(request, version, route, read_clocks().monotonic_s)
             return route
+        attempts = self._start_attempts(request, route)
+        try:
+            reply = await self._reply(request, attempts)
+        except asyncio.CancelledError:
+            cancelled = Failure(Reason.CANCELLED, False)
+            self.recorder.record(request, attempts, version, cancelled, read_clocks().monotonic_s)
+            raise
+        self.recorder.record(request, attempts, version, reply, read_clocks().monotonic_s)
+        return reply
+
+    def _start_attempts(self, request: Request, route: Route) -> Attempts:
+        """Selects the service of a request and determines its deadline and target."""
         due_at_s = min(request.deadline_at_s, request.received_at_s + route.timeout_s)
-        if self.stop is not None and self.stop.would_cut_off(request.received_at_s, due_at_s):
-            return Refusal(Reason.DRAINING, MIN_RETRY_AFTER_S)
         service = self.splitter.next_service(route)
         first_attempt_at_s = self.first_attempts.first_attempt_at_s(route, request)
         target_at_s = first_attempt_at_s + route.target_s
-        attempts = Attempts(route, service, due_at_s, target_at_s, self.budget)
-        self.budget.record_request(service, request.received_at_s, self.retry_share())
+        return Attempts(route, service, due_at_s, target_at_s, self.budget)
+
+    async def _reply(self, request: Request, attempts: Attempts) -> Reply:
+        """Refuses a request that the planned stop might cut off, otherwise makes its attempts."""
+        due_at_s = attempts.deadline_at_s
+        if self.stop is not None and self.stop.would_cut_off(request.received_at_s, due_at_s):
+            return Refusal(Reason.DRAINING, MIN_RETRY_AFTER_S)
+        self.budget.record_request(attempts.service, request.received_at_s, self.retry_share())
         try:
             async with asyncio.timeout(due_at_s - read_clocks().monotonic_s):
                 result = await self._attempt_all(request, attempts)
         except TimeoutError:
             result = UnknownOutcomeError(Reason.DEADLINE)
-        except asyncio.CancelledError:
-            cancelled = Failure(Reason.CANCELLED, False)
-            self.recorder.record(request, attempts, version, cancelled, read_clocks().monotonic_s)
-            raise
-        reply = to_reply(result, self, attempts)
-        self.recorder.record(request, attempts, version, reply, read_clocks().monotonic_s)
-        return reply
+        return to_reply(result, self, attempts)
 
     def _route(self, request: Request) -> Route | Reply:
         """Returns the route of a request, or the reply for its caller if there is none."""
--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -10,9 +10,12 @@
 from aiohttp import web
 
 from ibisrack.bin.ibis_sidecar import LIFECYCLE_MESSAGES
+from ibisrack.clocks import read_clocks
+from ibisrack.dispatch.dispatcher import PlannedStop
 from ibisrack.errors import NotRunError
 from ibisrack.instances.model import InstanceState
 from ibisrack.links.codec_test import SUBMIT
+from ibisrack.metrics.tally import INGRESS
 from ibisrack.platform.headers import NOT_EXECUTED
 from ibisrack.sidecar.metrics import PATH, all_metrics
 from ibisrack.sidecar.run import drain
@@ -74,6 +77,19 @@
     assert (submission.outcome, submission.detail) == ("not-run", "shed-by-upstream")
 
 
+async def test_request_refused_because_the_stop_would_cut_it_off_is_logged_and_counted():
+    """Guards against a refusal of a stopping node that neither log nor counters show."""
+    with capture_log() as log:
+        async with run_sidecars(1) as fleet_:
+            node, now_s = fleet_.nodes[0], read_clocks().monotonic_s
+            node.dispatcher.stop = PlannedStop(accepts_until_s=now_s, ends_at_s=now_s + 1)
+            answer, _ = await fleet_.send_request(0, request_id="q-9")
+    assert answer.status == 503
+    (refused,) = matching_records(log, "request not served", request_id="q-9")
+    assert (refused.outcome, refused.reason, refused.tried) == ("not-run", "draining", [])
+    assert node.tally.calls[(INGRESS, "desk", "priority-0", "not-run")] == 1
+
+
 async def test_lost_links_and_registry_changes_are_logged():
     """Guards against a lost link, or a change of the fleet, that the log doesn't show."""
     with capture_log() as log:
