--- a/ibisrack/dispatch/decisions_test.py
+++ b/ibisrack/dispatch/decisions_test.py
@@ -1,4 +1,4 @@
-"""Tests of instance selection, retries, the retry budget and planned stops."""
+"""Tests of instance selection, retries and the retry budget."""
 
 from random import Random
 
@@ -7,7 +7,6 @@
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import USABLE_SHARE, ServiceRetryBudgets
 from ibisrack.dispatch.choice import InstanceViews, choose_instance
-from ibisrack.dispatch.dispatcher import PlannedStop
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.links.messages import Load
 from ibisrack.routing.model import Repeats
@@ -161,12 +160,4 @@
     assert selected(instance_views, x="a", y="a") == "y"
 
 
-def test_a_planned_stop_refuses_only_requests_that_it_would_cut_off():
-    """Guards against a request that is cut off by the stop, and against needless refusals."""
-    stop = PlannedStop(accepts_until_s=2.5, ends_at_s=5.6)
-    assert not stop.would_cut_off(2.0, 10.0)
-    assert stop.would_cut_off(2.6, 10.0)
-    assert not stop.would_cut_off(2.6, 4.0)
-
-
 load_tests = function_tests(__name__)
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -26,6 +26,7 @@
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.model import Route
 from ibisrack.routing.splits import Splitter
+from ibisrack.stopping.plan import PlannedStop
 
 MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
 MIN_RETRY_AFTER_S = 0.05
@@ -53,24 +54,6 @@
         """
 
 
-@attrs.frozen
-class PlannedStop:
-    """A planned stop of the process.
-
-    Attributes:
-      accepts_until_s: Monotonic time until which every request is accepted, so that callers have
-        time to move to other nodes.
-      ends_at_s: Monotonic time at which the process ends.
-    """
-
-    accepts_until_s: float
-    ends_at_s: float
-
-    def would_cut_off(self, now_s: float, due_at_s: float) -> bool:
-        """Returns whether the stop might cut off a request that arrives now."""
-        return now_s > self.accepts_until_s and due_at_s > self.ends_at_s
-
-
 @attrs.define(eq=False)
 class Dispatcher:
     """Serves requests of the callers on this host.
--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -11,14 +11,14 @@
 
 from ibisrack.bin.ibis_sidecar import LIFECYCLE_MESSAGES
 from ibisrack.clocks import read_clocks
-from ibisrack.dispatch.dispatcher import PlannedStop
 from ibisrack.errors import NotRunError
 from ibisrack.instances.model import InstanceState
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.metrics.tally import INGRESS
 from ibisrack.platform.headers import NOT_EXECUTED
 from ibisrack.sidecar.metrics import PATH, all_metrics
-from ibisrack.sidecar.run import drain
+from ibisrack.sidecar.stopping import drain
+from ibisrack.stopping.plan import PlannedStop
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import (
     STANDARD_ROUTES,
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -16,7 +16,7 @@
 from ibisrack.calls.targets import EarliestTarget, InTimeFirst
 from ibisrack.clocks import read_clocks
 from ibisrack.dispatch.budget import ServiceRetryBudgets
-from ibisrack.dispatch.dispatcher import Dispatcher, PlannedStop
+from ibisrack.dispatch.dispatcher import Dispatcher
 from ibisrack.dispatch.recorder import RequestRecorder
 from ibisrack.errors import SettingsError
 from ibisrack.hosting.recorder import SubmissionRecorder
@@ -36,21 +36,13 @@
 from ibisrack.settings.sidecar import Address, SidecarSettings
 from ibisrack.sidecar.metrics import MetricsServer
 from ibisrack.sidecar.node import SidecarNode
+from ibisrack.sidecar.stopping import drain, serve_late_requests
 from ibisrack.upstreams.connections import ConnectionPool
 from ibisrack.upstreams.sizing import PoolSizing
 
 BACKLOG = 1024
 INITIAL_MAX_CONNECTIONS = 4  # Size of the pool until the registry lists the instance's slots.
 SPARE_CONNECTIONS = 2  # Pool size above the slots, for connections that are being replaced.
-# Callers are moved to other nodes after two failed readiness checks, one a second; until then
-# requests keep arriving.
-MIN_STOP_S = 2.5
-STOP_MARGIN_S = 0.3  # The planned end is this long before the process would be killed.
-# Requests that were sent before the listening sockets closed arrive within this time.
-ARRIVAL_WINDOW_S = 0.3
-# This long before the planned end, requests that still wait here or at peers are refused.
-WITHDRAW_LEAD_S = 0.5
-STOP_POLL_S = 0.05
 SHUTDOWN_TIMEOUT_S = 0.1  # Time for answers that are being written when the connections are closed.
 MAX_RESERVED_SHARE = 0.65  # Largest fraction of the slots reserved from the least urgent rank.
 SETTINGS_POLL_S = 1.0  # The settings file may change without a SIGHUP.
@@ -142,7 +134,7 @@
                 for site in tuple(runner.sites):
                     await site.stop()
             if node.stopping:
-                await _serve_late_requests(node, callers)
+                await serve_late_requests(node, callers)
             _LOGGER.info("stopped", extra={"node": settings.node_id})
             node.close()
             links.close()
@@ -225,41 +217,3 @@
     await runner.setup()
     await web.TCPSite(runner, address.host, address.port, backlog=BACKLOG).start()
     return runner
-
-
-async def _serve_late_requests(node: SidecarNode, callers: CallerServer) -> None:
-    """Serves the requests that were in transit when the node stopped listening.
-
-    A request counts from the arrival of its head, even while its body is still being read, until
-    its answer is written.  More may follow a request that arrives here, so the arrival window
-    starts again when it ends.
-    """
-    idle_since_s = read_clocks().monotonic_s
-    while (now_s := read_clocks().monotonic_s) < node.dispatcher.stop.ends_at_s:
-        if callers.is_serving:
-            idle_since_s = now_s
-        elif now_s - idle_since_s >= ARRIVAL_WINDOW_S:
-            return
-        await asyncio.sleep(STOP_POLL_S)
-
-
-async def drain(node: SidecarNode) -> None:
-    """Announces the planned stop and waits for running requests while the stop time lasts."""
-    start_s = read_clocks().monotonic_s
-    ends_at_s = start_s + node.settings.stop_s - STOP_MARGIN_S
-    node.dispatcher.stop = PlannedStop(start_s + MIN_STOP_S, ends_at_s)
-    node.stopping = True
-    node.instance_runner.stopping = True
-    for link in node.incoming_links:
-        link.send_load_if_changed()
-    _LOGGER.info("stopping", extra={"node": node.settings.node_id})
-    withdrawn = False
-    while True:
-        await asyncio.sleep(STOP_POLL_S)
-        now_s = read_clocks().monotonic_s
-        if not withdrawn and now_s >= ends_at_s - WITHDRAW_LEAD_S:
-            withdrawn = True
-            node.withdraw_waiting_requests()
-        idle = not node.instance_runner.gate.load().busy and not node.dispatcher.running
-        if now_s >= ends_at_s - ARRIVAL_WINDOW_S or (idle and now_s - start_s >= MIN_STOP_S):
-            return
--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -9,10 +9,10 @@
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
-from ibisrack.dispatch.dispatcher import PlannedStop
 from ibisrack.instances.model import InstanceState
 from ibisrack.platform.headers import NOT_EXECUTED
-from ibisrack.sidecar.run import drain
+from ibisrack.sidecar.stopping import drain
+from ibisrack.stopping.plan import PlannedStop
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import (
     STANDARD_ROUTES,
--- /dev/null
+++ b/ibisrack/sidecar/stopping.py
@@ -0,0 +1,59 @@
+"""Planned stop of a sidecar: announces it, and serves what has begun before the process ends."""
+
+import asyncio
+import logging
+
+from ibisrack.clocks import read_clocks
+from ibisrack.platform.http_server import CallerServer
+from ibisrack.sidecar.node import SidecarNode
+from ibisrack.stopping.plan import PlannedStop
+
+# Callers are moved to other nodes after two failed readiness checks, one a second; until then
+# requests keep arriving.
+MIN_STOP_S = 2.5
+STOP_MARGIN_S = 0.3  # The planned end is this long before the process would be killed.
+# Requests that were sent before the listening sockets closed arrive within this time.
+ARRIVAL_WINDOW_S = 0.3
+# This long before the planned end, requests that still wait here or at peers are refused.
+WITHDRAW_LEAD_S = 0.5
+STOP_POLL_S = 0.05
+
+_LOGGER = logging.getLogger("ibisrack.sidecar")
+
+
+async def drain(node: SidecarNode) -> None:
+    """Announces the planned stop and waits for running requests while the stop time lasts."""
+    start_s = read_clocks().monotonic_s
+    ends_at_s = start_s + node.settings.stop_s - STOP_MARGIN_S
+    node.dispatcher.stop = PlannedStop(start_s + MIN_STOP_S, ends_at_s)
+    node.stopping = True
+    node.instance_runner.stopping = True
+    for link in node.incoming_links:
+        link.send_load_if_changed()
+    _LOGGER.info("stopping", extra={"node": node.settings.node_id})
+    withdrawn = False
+    while True:
+        await asyncio.sleep(STOP_POLL_S)
+        now_s = read_clocks().monotonic_s
+        if not withdrawn and now_s >= ends_at_s - WITHDRAW_LEAD_S:
+            withdrawn = True
+            node.withdraw_waiting_requests()
+        idle = not node.instance_runner.gate.load().busy and not node.dispatcher.running
+        if now_s >= ends_at_s - ARRIVAL_WINDOW_S or (idle and now_s - start_s >= MIN_STOP_S):
+            return
+
+
+async def serve_late_requests(node: SidecarNode, callers: CallerServer) -> None:
+    """Serves the requests that were in transit when the node stopped listening.
+
+    A request counts from the arrival of its head, even while its body is still being read, until
+    its answer is written.  More may follow a request that arrives here, so the arrival window
+    starts again when it ends.
+    """
+    idle_since_s = read_clocks().monotonic_s
+    while (now_s := read_clocks().monotonic_s) < node.dispatcher.stop.ends_at_s:
+        if callers.is_serving:
+            idle_since_s = now_s
+        elif now_s - idle_since_s >= ARRIVAL_WINDOW_S:
+            return
+        await asyncio.sleep(STOP_POLL_S)
--- /dev/null
+++ b/ibisrack/stopping/plan_test.py
@@ -0,0 +1,15 @@
+"""Tests of the decisions of a planned stop."""
+
+from ibisrack.stopping.plan import PlannedStop
+from ibisrack.testing.functions import function_tests
+
+
+def test_a_planned_stop_refuses_only_requests_that_it_would_cut_off():
+    """Guards against a request that is cut off by the stop, and against needless refusals."""
+    stop = PlannedStop(accepts_until_s=2.5, ends_at_s=5.6)
+    assert not stop.would_cut_off(2.0, 10.0)
+    assert stop.would_cut_off(2.6, 10.0)
+    assert not stop.would_cut_off(2.6, 4.0)
+
+
+load_tests = function_tests(__name__)
