Log repeated stop signals, and what the stop refused and left open

Cause: a second SIGTERM only set an event that was set already, so the log showed nothing of two stops that overlap; "stopped" had no figures.

Change: StopSignals logs "stop requested again" and keeps the time of the first signal, from which the stop is counted. PlannedStop counts refusals to callers by reason and refused submissions; "stopped" has these and the requests, connections and links that are still open.

Result: test_stop_logs_repeated_signals_and_what_it_refused_and_left_open passes; before, neither the line nor the fields existed.

--- a/ibisrack/bin/ibis_sidecar.py
+++ b/ibisrack/bin/ibis_sidecar.py
@@ -23,6 +23,7 @@
     (
         "started",
         "stopping",
+        "stop requested again",
         "stopped",
         "settings reloaded",
         "configuration in force",
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -110,6 +110,8 @@
             self.recorder.record(request, attempts, version, cancelled, read_clocks().monotonic_s)
             raise
         self.recorder.record(request, attempts, version, reply, read_clocks().monotonic_s)
+        if self.stop is not None and isinstance(reply, Refusal):
+            self.stop.refusals[reply.reason] += 1
         return reply
 
     def _start_attempts(self, request: Request, route: Route) -> Attempts:
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -24,6 +24,7 @@
 from ibisrack.links.messages import Submit
 from ibisrack.routing.model import rank_name
 from ibisrack.rules.model import RankRule
+from ibisrack.stopping.plan import PlannedStop
 
 # The submitting node gives up on a request at its deadline.  A refusal must reach it before that;
 # otherwise a request that only waited would be reported as of unknown outcome.
@@ -62,7 +63,7 @@
       directory: Known instances.
       recorder: Counts and logs finished submissions.
       run_table: Submissions of peers that are running or finished recently.
-      stopping: Whether this process is stopping.
+      stop: Planned stop of this process, None while there is none.
       service_s: Moving average of the service time of requests.
       running_retries: Number of running requests that had reached an instance before.
     """
@@ -73,7 +74,7 @@
     directory: InstanceDirectory
     recorder: SubmissionRecorder
     run_table: RunTable = attrs.field(factory=RunTable)
-    stopping: bool = False
+    stop: PlannedStop | None = None
     service_s: float = 0.0
     running_retries: int = 0
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
@@ -87,7 +88,7 @@
     def accepts_requests(self) -> bool:
         """Whether this node accepts submissions."""
         instance = self.instance
-        return not self.stopping and instance is not None and instance.ready
+        return self.stop is None and instance is not None and instance.ready
 
     def retry_share(self) -> float:
         """Returns the share of retries among the running requests."""
@@ -212,7 +213,8 @@
         Raises:
           NotRunError: The request is for another instance, or no more requests are accepted.
         """
-        if self.stopping:
+        if self.stop is not None:
+            self.stop.refused_submissions += 1
             raise NotRunError(Reason.DRAINING)
         instance = self.directory.get(submit.instance_id)
         if instance is None or (instance.host, instance.port) != self.address:
--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -113,9 +113,9 @@
         self.is_leaving = is_leaving
 
     @property
-    def is_serving(self) -> bool:
-        """Whether any connection has a request whose response is not complete."""
-        return any(connection.is_serving for connection in self.connections)
+    def serving_connections(self) -> int:
+        """Number of connections that have a request whose response is not complete."""
+        return sum(connection.is_serving for connection in self.connections)
 
     def __call__(self) -> web.RequestHandler:
         """Creates the protocol object of a new connection."""
--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -5,6 +5,7 @@
 import re
 from contextlib import suppress
 from pathlib import Path
+from signal import SIGTERM
 
 import attrs
 from aiohttp import web
@@ -17,7 +18,7 @@
 from ibisrack.metrics.tally import INGRESS
 from ibisrack.platform.headers import NOT_EXECUTED
 from ibisrack.sidecar.metrics import PATH, all_metrics
-from ibisrack.sidecar.stopping import drain
+from ibisrack.sidecar.stopping import StopSignals, drain
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import (
@@ -90,6 +91,30 @@
     assert node.tally.calls[(INGRESS, "desk", "priority-0", "not-run")] == 1
 
 
+async def test_stop_logs_repeated_signals_and_what_it_refused_and_left_open():
+    """Guards against a stop whose log doesn't tell what it cost and what it cut off."""
+    signals = StopSignals()
+    with capture_log() as log:
+        signals.record(SIGTERM)
+        signals.record(SIGTERM)
+        async with run_sidecars(2) as fleet_:
+            node, first_at_s = fleet_.nodes[0], await signals.wait()
+            stop = PlannedStop(first_at_s, first_at_s + 0.2)
+            node.dispatcher.stop = node.instance_runner.stop = stop
+            await fleet_.send_request(0, request_id="q-9")
+            with suppress(NotRunError):
+                await node.instance_runner.run(attrs.evolve(SUBMIT, instance_id="i-0"))
+            await fleet_.stop_sidecar(0)
+    (again,) = matching_records(log, "stop requested again", signal="SIGTERM")
+    assert again.after_ms >= 0
+    stopped = next(r for r in matching_records(log, "stopped") if r.node == "node-0")
+    assert stopped.refused == {"draining": 1}
+    assert stopped.refused_submissions == 1
+    assert (stopped.running, stopped.serving_connections, stopped.peer_runs) == (0, 0, 0)
+    assert stopped.caller_connections >= 0
+    assert stopped.peer_links >= 0
+
+
 async def test_lost_links_and_registry_changes_are_logged():
     """Guards against a lost link, or a change of the fleet, that the log doesn't show."""
     with capture_log() as log:
@@ -123,7 +148,10 @@
             fleet_.store.drop_history()
             fleet_.store.error_status = 0
             await wait_until(lambda: bool(matching_records(log, "registry history gone")))
-            stopping = asyncio.create_task(drain(fleet_.nodes[0]))
+            signals = StopSignals()
+            signals.record(SIGTERM)
+            signals.record(SIGTERM)
+            stopping = asyncio.create_task(drain(fleet_.nodes[0], read_clocks().monotonic_s))
             await wait_until(lambda: fleet_.nodes[0].stopping)
             stopping.cancel()
     assert {record.getMessage() for record in log} >= LIFECYCLE_MESSAGES
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -36,7 +36,7 @@
 from ibisrack.settings.sidecar import Address, SidecarSettings
 from ibisrack.sidecar.metrics import MetricsServer
 from ibisrack.sidecar.node import SidecarNode
-from ibisrack.sidecar.stopping import drain, serve_late_requests
+from ibisrack.sidecar.stopping import StopSignals, drain, log_stopped, serve_late_requests
 from ibisrack.upstreams.connections import ConnectionPool
 from ibisrack.upstreams.sizing import PoolSizing
 
@@ -95,17 +95,16 @@
       path: The settings file; it is read again on SIGHUP and when it has changed.
       load_settings: Reads the settings file; raises SettingsError.
     """
-    stop, hangup = asyncio.Event(), asyncio.Event()
+    stop_signals, hangup = StopSignals(), asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, stop_signals.record, number)
     loop.add_signal_handler(signal.SIGHUP, hangup.set)
     async with serving(settings) as node:
         node.spawn(
             keep_running("settings", partial(_watch_settings, node, path, load_settings, hangup))
         )
-        await stop.wait()
-        await drain(node)
+        await drain(node, await stop_signals.wait())
 
 
 @asynccontextmanager
@@ -135,7 +134,7 @@
                     await site.stop()
             if node.stopping:
                 await serve_late_requests(node, callers)
-            _LOGGER.info("stopped", extra={"node": settings.node_id})
+            log_stopped(node, callers)
             node.close()
             links.close()
             for runner in runners:
--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -246,7 +246,7 @@
             instance.work_s = 0.3
         call = asyncio.create_task(fleet_.send_request(0))
         await wait_until(lambda: any(instance.executed_ids for instance in fleet_.instances))
-        stopping = asyncio.create_task(drain(fleet_.nodes[0]))
+        stopping = asyncio.create_task(drain(fleet_.nodes[0], read_clocks().monotonic_s))
         answer, _ = await call
         assert answer.status == 200
         assert answer.headers["Connection"] == "close"
--- a/ibisrack/sidecar/stopping.py
+++ b/ibisrack/sidecar/stopping.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import logging
+import signal
+
+import attrs
 
 from ibisrack.clocks import read_clocks
 from ibisrack.platform.http_server import CallerServer
@@ -21,13 +24,47 @@
 _LOGGER = logging.getLogger("ibisrack.sidecar")
 
 
-async def drain(node: SidecarNode) -> None:
-    """Announces the planned stop and waits for running requests while the stop time lasts."""
-    start_s = read_clocks().monotonic_s
+@attrs.define(eq=False)
+class StopSignals:
+    """Signals that request the stop of the process.
+
+    The platform kills the process a fixed time after the first signal, so later signals don't
+    extend the stop.
+
+    Attributes:
+      first_at_s: Monotonic time of the first signal, None before it.
+    """
+
+    first_at_s: float | None = None
+    _received: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def record(self, number: signal.Signals) -> None:
+        """Records a signal; logs each one after the first."""
+        now_s = read_clocks().monotonic_s
+        if self.first_at_s is None:
+            self.first_at_s = now_s
+            self._received.set()
+            return
+        after_ms = round((now_s - self.first_at_s) * 1000)
+        _LOGGER.info("stop requested again", extra={"signal": number.name, "after_ms": after_ms})
+
+    async def wait(self) -> float:
+        """Waits for the first signal and returns its monotonic time."""
+        await self._received.wait()
+        return self.first_at_s
+
+
+async def drain(node: SidecarNode, start_s: float) -> None:
+    """Announces the planned stop and waits for running requests while the stop time lasts.
+
+    Args:
+      node: The node that stops.
+      start_s: Monotonic time at which the stop was requested.
+    """
     ends_at_s = start_s + node.settings.stop_s - STOP_MARGIN_S
-    node.dispatcher.stop = PlannedStop(start_s + MIN_STOP_S, ends_at_s)
+    stop = PlannedStop(start_s + MIN_STOP_S, ends_at_s)
+    node.dispatcher.stop = node.instance_runner.stop = stop
     node.stopping = True
-    node.instance_runner.stopping = True
     for link in node.incoming_links:
         link.send_load_if_changed()
     _LOGGER.info("stopping", extra={"node": node.settings.node_id})
@@ -52,8 +89,25 @@
     """
     idle_since_s = read_clocks().monotonic_s
     while (now_s := read_clocks().monotonic_s) < node.dispatcher.stop.ends_at_s:
-        if callers.is_serving:
+        if callers.serving_connections:
             idle_since_s = now_s
         elif now_s - idle_since_s >= ARRIVAL_WINDOW_S:
             return
         await asyncio.sleep(STOP_POLL_S)
+
+
+def log_stopped(node: SidecarNode, callers: CallerServer) -> None:
+    """Logs what is still open when the connections are about to be closed."""
+    extra = {
+        "node": node.settings.node_id,
+        "running": node.dispatcher.running,
+        "caller_connections": len(callers.connections),
+        "serving_connections": callers.serving_connections,
+        "peer_links": len(node.incoming_links),
+        "peer_runs": sum(len(link.runs) for link in node.incoming_links),
+    }
+    stop = node.dispatcher.stop
+    if stop is not None:
+        extra["refused"] = dict(stop.refusals)
+        extra["refused_submissions"] = stop.refused_submissions
+    _LOGGER.info("stopped", extra=extra)
--- a/ibisrack/stopping/plan.py
+++ b/ibisrack/stopping/plan.py
@@ -1,9 +1,11 @@
 """Decisions of a planned stop: which requests are still accepted, and when the process ends."""
 
+from collections import Counter
+
 import attrs
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class PlannedStop:
     """A planned stop of the process.
 
@@ -11,10 +13,14 @@
       accepts_until_s: Monotonic time until which every request is accepted, so that callers have
         time to move to other nodes.
       ends_at_s: Monotonic time at which the process ends.
+      refusals: Number of requests refused to callers since the stop began, by reason.
+      refused_submissions: Number of submissions refused because of the stop.
     """
 
     accepts_until_s: float
     ends_at_s: float
+    refusals: Counter[str] = attrs.field(factory=Counter)
+    refused_submissions: int = 0
 
     def would_cut_off(self, now_s: float, due_at_s: float) -> bool:
         """Returns whether the stop might cut off a request that arrives now."""
