Close the links to peers after the connections of the callers

Cause: a stopping node closed its links 0.2 s before it closed the callers' connections, so an answer that a peer delivered in between was lost and the caller's connection ended without one.

Change: the callers' runner is cleaned up first. The comment at STOP_MARGIN_S says what the time before the kill is for; the figures are as before.

--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -36,14 +36,19 @@
 from ibisrack.settings.sidecar import Address, SidecarSettings
 from ibisrack.sidecar.metrics import MetricsServer
 from ibisrack.sidecar.node import SidecarNode
-from ibisrack.sidecar.stopping import StopSignals, drain, log_stopped, serve_late_requests
+from ibisrack.sidecar.stopping import (
+    SHUTDOWN_TIMEOUT_S,
+    StopSignals,
+    drain,
+    log_stopped,
+    serve_late_requests,
+)
 from ibisrack.upstreams.connections import ConnectionPool
 from ibisrack.upstreams.sizing import PoolSizing
 
 BACKLOG = 1024
 INITIAL_MAX_CONNECTIONS = 4  # Size of the pool until the registry lists the instance's slots.
 SPARE_CONNECTIONS = 2  # Pool size above the slots, for connections that are being replaced.
-SHUTDOWN_TIMEOUT_S = 0.1  # Time for answers that are being written when the connections are closed.
 MAX_RESERVED_SHARE = 0.65  # Largest fraction of the slots reserved from the least urgent rank.
 SETTINGS_POLL_S = 1.0  # The settings file may change without a SIGHUP.
 
@@ -135,10 +140,12 @@
             if node.stopping:
                 await serve_late_requests(node, callers)
             log_stopped(node, callers)
-            node.close()
-            links.close()
+            # Answers may still arrive from peers until the callers' connections are closed, so
+            # the callers' runner, the first one, is cleaned up before the links are closed.
             for runner in runners:
                 await runner.cleanup()
+            node.close()
+            links.close()
 
 
 async def _watch_settings(
--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -16,6 +16,7 @@
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import (
     STANDARD_ROUTES,
+    capture_log,
     configuration_entry,
     route_resource,
     run_sidecars,
@@ -302,6 +303,33 @@
             await ending
 
 
+async def test_answer_that_a_peer_sends_while_callers_are_disconnected_is_delivered():
+    """Guards against links to peers that are closed before the connections of the callers."""
+    finish = asyncio.Event()
+
+    async def work(instance, request):
+        await finish.wait()
+        return await instance.run(request)
+
+    with capture_log() as log:
+        async with run_sidecars(2) as fleet_:
+            node = fleet_.nodes[0]
+            fleet_.register_instance(0, state=InstanceState.DRAINING, sequence=1)
+            await wait_until(lambda: not node.directory.get("i-0").ready)
+            fleet_.instances[1].custom_handler = work
+            call = asyncio.create_task(fleet_.send_request(0, "/lodge/1", method="POST"))
+            await wait_until(lambda: fleet_.instances[1].last_request is not None)
+            node.stopping = True
+            now_s = read_clocks().monotonic_s
+            node.dispatcher.stop = PlannedStop(now_s, now_s)
+            ending = asyncio.create_task(fleet_.stop_sidecar(0))
+            await wait_until(lambda: any(record.getMessage() == "stopped" for record in log))
+            finish.set()
+            answer, _ = await call
+            await ending
+    assert answer.status == 200
+
+
 async def test_broken_link_neither_loses_nor_repeats_a_non_idempotent_request():
     """Guards against an unknown outcome, or a second run, after a link between nodes broke."""
     async with run_sidecars(2) as fleet_:
--- a/ibisrack/sidecar/stopping.py
+++ b/ibisrack/sidecar/stopping.py
@@ -14,7 +14,11 @@
 # Callers are moved to other nodes after two failed readiness checks, one a second; until then
 # requests keep arriving.
 MIN_STOP_S = 2.5
-STOP_MARGIN_S = 0.3  # The planned end is this long before the process would be killed.
+# The planned end is this long before the process would be killed.  Closing the connections takes up
+# to twice SHUTDOWN_TIMEOUT_S of it (aiohttp waits for the handler, then for its cancellation); in
+# that time answers are still delivered.  The rest is for the end of the process.
+STOP_MARGIN_S = 0.3
+SHUTDOWN_TIMEOUT_S = 0.1  # Time for answers that are being written when the connections are closed.
 # Requests that were sent before the listening sockets closed arrive within this time.
 ARRIVAL_WINDOW_S = 0.3
 # This long before the planned end, requests that still wait here or at peers are refused.
