Count a connection as serving until its answer has left the process

Cause: aiohttp clears _current_request when the handler returns, before the answer is written, so a stop took a caller that reads slowly for idle; what the process had not sent was dropped when it ended.

Change: a connection serves until the request is no longer in progress and the send buffer of its transport is empty.

--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -53,7 +53,7 @@
     @property
     def is_serving(self) -> bool:
         """Whether a request has arrived whose response is not complete."""
-        return self._current_request is not None or bool(self._messages)
+        return self._request_in_progress or bool(self._messages)
 
     def data_received(self, data: bytes) -> None:
         """Parses data; closes the connection if a head is too large or not complete in time."""
@@ -115,7 +115,10 @@
     @property
     def serving_connections(self) -> int:
         """Number of connections that have a request whose response is not complete."""
-        return sum(connection.is_serving for connection in self.connections)
+        return sum(
+            connection.is_serving or transport.get_write_buffer_size() > 0
+            for connection, transport in self._connections.items()
+        )
 
     def __call__(self) -> web.RequestHandler:
         """Creates the protocol object of a new connection."""
--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -23,6 +23,8 @@
     wait_until,
 )
 
+LARGE_BODY_BYTES = 16 * 1024 * 1024  # More than the send buffers of a loopback connection hold.
+
 
 async def run_without_answer(instance, request):
     """Runs a request and aborts the connection instead of answering it."""
@@ -303,6 +305,31 @@
             await ending
 
 
+async def test_answer_that_the_caller_reads_slowly_is_written_before_the_end():
+    """Guards against a process that ends while an answer waits in its send buffer."""
+
+    async def send_large(instance, request):
+        return web.Response(body=b"x" * LARGE_BODY_BYTES, headers=instance.headers(request))
+
+    async with run_sidecars(1) as fleet_:
+        fleet_.instances[0].custom_handler = send_large
+        reader, writer = await connect_to_stopping_node(fleet_.nodes[0])
+        writer.write(
+            b"GET /notices/1 HTTP/1.1\r\nHost: desk.example\r\n"
+            b"Request-Id: q-1\r\nDeadline-Ms: 4000\r\n\r\n"
+        )
+        await wait_until(lambda: fleet_.instances[0].last_request is not None)
+        await wait_until(lambda: not fleet_.nodes[0].dispatcher.running)
+        ending = asyncio.create_task(fleet_.stop_sidecar(0))
+        await asyncio.sleep(0.8)
+        assert not ending.done()  # The process would end and drop what it has not sent.
+        answer = await reader.read()
+        assert answer.partition(b"\r\n\r\n")[2] == b"x" * LARGE_BODY_BYTES
+        writer.close()
+        async with asyncio.timeout(2):
+            await ending
+
+
 async def test_answer_that_a_peer_sends_while_callers_are_disconnected_is_delivered():
     """Guards against links to peers that are closed before the connections of the callers."""
     finish = asyncio.Event()
