Keep the links open until answers for peers have left the process

Cause: once no caller of its own waited, a stopping node ended although answers for peers were still in the send buffers of their links; the peers answered 502 for them.

Change: the stop also waits, up to the planned end, for the runs of open links and for their send buffers.

--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -124,6 +124,14 @@
         """Whether callers may send requests to this node."""
         return not self.stopping and self.configurations.current is not None
 
+    @property
+    def is_serving_peers(self) -> bool:
+        """Whether any peer waits for a result, or for the rest of one."""
+        return any(
+            link.runs or link.writer.transport.get_write_buffer_size() > 0
+            for link in self.incoming_links
+        )
+
     def load(self) -> Load:
         """Returns the current load of the instance beside this node."""
         load = self.instance_runner.gate.load()
--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -5,11 +5,15 @@
 import socket
 import struct
 
+import attrs
 from aiohttp import web
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
 from ibisrack.instances.model import InstanceState
+from ibisrack.links.codec_test import SUBMIT
+from ibisrack.links.frames import read_message, write_message
+from ibisrack.links.messages import Answered, BodyPart, Hello
 from ibisrack.platform.headers import NOT_EXECUTED
 from ibisrack.sidecar.stopping import drain
 from ibisrack.stopping.plan import PlannedStop
@@ -330,6 +334,37 @@
             await ending
 
 
+async def test_answer_that_a_peer_reads_slowly_is_written_before_the_end():
+    """Guards against a process that ends while an answer for a peer waits in its send buffer."""
+
+    async def send_large(instance, request):
+        return web.Response(body=b"x" * LARGE_BODY_BYTES, headers=instance.headers(request))
+
+    async with run_sidecars(1) as fleet_:
+        node = fleet_.nodes[0]
+        fleet_.instances[0].custom_handler = send_large
+        reader, writer = await asyncio.open_connection(
+            node.settings.links.host, node.settings.links.port
+        )
+        submit = attrs.evolve(SUBMIT, instance_id="i-0", target="/notices/1", headers=(), body=b"")
+        write_message(writer, Hello("127.0.0.9", "epoch"), submit)
+        await wait_until(lambda: fleet_.instances[0].last_request is not None)
+        await wait_until(lambda: not node.instance_runner.gate.load().busy)
+        now_s = read_clocks().monotonic_s
+        node.stopping, node.dispatcher.stop = True, PlannedStop(now_s, now_s + 5)
+        ending = asyncio.create_task(fleet_.stop_sidecar(0))
+        await asyncio.sleep(0.8)
+        assert not ending.done()
+        received_bytes = 0
+        while received_bytes < LARGE_BODY_BYTES:
+            message = await read_message(reader)
+            if isinstance(message, Answered | BodyPart):
+                received_bytes += len(message.body)
+        writer.close()
+        async with asyncio.timeout(2):
+            await ending
+
+
 async def test_answer_that_a_peer_sends_while_callers_are_disconnected_is_delivered():
     """Guards against links to peers that are closed before the connections of the callers."""
     finish = asyncio.Event()
--- a/ibisrack/sidecar/stopping.py
+++ b/ibisrack/sidecar/stopping.py
@@ -88,12 +88,12 @@
     """Serves the requests that were in transit when the node stopped listening.
 
     A request counts from the arrival of its head, even while its body is still being read, until
-    its answer is written.  More may follow a request that arrives here, so the arrival window
+    its answer is written, and so does a request of a peer.  More may follow a request that arrives here, so the arrival window
     starts again when it ends.
     """
     idle_since_s = read_clocks().monotonic_s
     while (now_s := read_clocks().monotonic_s) < node.dispatcher.stop.ends_at_s:
-        if callers.serving_connections:
+        if callers.serving_connections or node.is_serving_peers:
             idle_since_s = now_s
         elif now_s - idle_since_s >= ARRIVAL_WINDOW_S:
             return
