Use the instance beside a stopping node until callers have moved away

Cause: from SIGTERM on a node refused every submission, also those of its own callers, and those that waited were refused only when a slot came free. The instance goes on running, so each stop took it out for 2.5 s more than needed.

Change: for the first 2.5 s submissions that are due before the planned end are run. Then the node refuses all, returns those that wait to their nodes, which retry them elsewhere at no cost, and sends its load on all links at once. The check after waiting for a slot is only whether the stop still accepts.

--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -88,7 +88,7 @@
     def accepts_requests(self) -> bool:
         """Whether this node accepts submissions."""
         instance = self.instance
-        return self.stop is None and instance is not None and instance.ready
+        return not self._is_closed() and instance is not None and instance.ready
 
     def retry_share(self) -> float:
         """Returns the share of retries among the running requests."""
@@ -129,6 +129,7 @@
     async def _run(self, submit: Submit, trace: SubmissionTrace) -> Answer:
         start_s = trace.arrived_at_s
         deadline_at_s = start_s + submit.remaining_ms / 1000 - REPLY_MARGIN_S
+        self._check_ends_in_time(start_s, deadline_at_s + REPLY_MARGIN_S)
         self._check_accepted(submit)
         target_at_s = start_s + submit.remaining_target_ms / 1000
         async with self.gate.hold_slot(
@@ -207,13 +208,27 @@
         finally:
             run.ended_at_s = read_clocks().monotonic_s
 
+    def _is_closed(self) -> bool:
+        """Returns whether the planned stop accepts no more submissions at all."""
+        return self.stop is not None and read_clocks().monotonic_s > self.stop.accepts_until_s
+
+    def _check_ends_in_time(self, now_s: float, due_at_s: float) -> None:
+        """Checks that the planned stop can't cut off a submission that arrives now.
+
+        Raises:
+          NotRunError: The submission is due after the end, or no more are accepted.
+        """
+        if self.stop is not None and not self.stop.accepts_submission(now_s, due_at_s):
+            self.stop.refused_submissions += 1
+            raise NotRunError(Reason.DRAINING)
+
     def _check_accepted(self, submit: Submit) -> None:
         """Checks that a request may be sent to the instance.
 
         Raises:
           NotRunError: The request is for another instance, or no more requests are accepted.
         """
-        if self.stop is not None:
+        if self._is_closed():
             self.stop.refused_submissions += 1
             raise NotRunError(Reason.DRAINING)
         instance = self.directory.get(submit.instance_id)
--- a/ibisrack/sidecar/stopping.py
+++ b/ibisrack/sidecar/stopping.py
@@ -66,30 +66,42 @@
       start_s: Monotonic time at which the stop was requested.
     """
     ends_at_s = start_s + node.settings.stop_s - STOP_MARGIN_S
-    stop = PlannedStop(start_s + MIN_STOP_S, ends_at_s)
-    node.dispatcher.stop = node.instance_runner.stop = stop
+    accepts_until_s = min(start_s + MIN_STOP_S, ends_at_s - ARRIVAL_WINDOW_S)
+    node.dispatcher.stop = node.instance_runner.stop = PlannedStop(accepts_until_s, ends_at_s)
     node.stopping = True
-    for link in node.incoming_links:
-        link.send_load_if_changed()
     _LOGGER.info("stopping", extra={"node": node.settings.node_id})
+    await asyncio.sleep(accepts_until_s - read_clocks().monotonic_s)
+    await asyncio.sleep(STOP_POLL_S)  # The loop's timers may fire slightly early.
+    _close_to_submissions(node)
     withdrawn = False
     while True:
-        await asyncio.sleep(STOP_POLL_S)
         now_s = read_clocks().monotonic_s
         if not withdrawn and now_s >= ends_at_s - WITHDRAW_LEAD_S:
             withdrawn = True
             node.withdraw_waiting_requests()
         idle = not node.instance_runner.gate.load().busy and not node.dispatcher.running
-        if now_s >= ends_at_s - ARRIVAL_WINDOW_S or (idle and now_s - start_s >= MIN_STOP_S):
+        if idle or now_s >= ends_at_s - ARRIVAL_WINDOW_S:
             return
+        await asyncio.sleep(STOP_POLL_S)
+
+
+def _close_to_submissions(node: SidecarNode) -> None:
+    """Returns waiting submissions to their nodes, and tells all peers to send no more.
+
+    The submissions have not started, so their nodes send them to other instances at no cost.
+    """
+    node.dispatcher.stop.refused_submissions += node.instance_runner.gate.load().queued
+    node.instance_runner.refuse_waiting()
+    for link in node.incoming_links:
+        link.send_load_if_changed()
 
 
 async def serve_late_requests(node: SidecarNode, callers: CallerServer) -> None:
     """Serves the requests that were in transit when the node stopped listening.
 
     A request counts from the arrival of its head, even while its body is still being read, until
-    its answer is written, and so does a request of a peer.  More may follow a request that arrives here, so the arrival window
-    starts again when it ends.
+    its answer is written, and so does a request of a peer.  More may follow a request that arrives
+    here, so the arrival window starts again when it ends.
     """
     idle_since_s = read_clocks().monotonic_s
     while (now_s := read_clocks().monotonic_s) < node.dispatcher.stop.ends_at_s:
