Refuse requests that would start too late, whenever they begin to wait

Cause: a stop withdrew waiting requests once, 0.5 s before its end. Requests that were between two attempts, or whose bodies ended after that, waited at peers until the connections were closed; others started so late that the end cut off their runs. What waited for the own instance on behalf of peers was refused as withdrawn, which their nodes don't retry, and so were requests that would have been answered or refused in time.

Change: the dispatcher knows its open attempts and withdraws, at each poll up to the end, those that are due after the end; it starts no new attempt for such a request. The lead is twice the mean service time of the instance, within 0.5 to 1.5 s. Runs that have started continue, as before.

Result: test_request_that_would_start_too_late_is_refused_before_the_end fails before (connection closed without an answer) and passes after; the leads are in plan_test.

--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -53,6 +53,24 @@
           UnknownOutcomeError: The request may have run.
         """
 
+    def withdraw(self, submit: Submit) -> None:
+        """Makes the node refuse a request that has not started; a running one continues."""
+
+
+@attrs.frozen(eq=False)
+class OpenAttempt:
+    """An attempt without a result.
+
+    Attributes:
+      destination: Node to which the request was sent.
+      submit: The submission.
+      due_at_s: Monotonic time at which the answer is due.
+    """
+
+    destination: Destination
+    submit: Submit
+    due_at_s: float
+
 
 @attrs.define(eq=False)
 class Dispatcher:
@@ -71,6 +89,7 @@
       splitter: Selects among the services of a route.
       first_attempts: Estimates when the caller of a retried request first sent it.
       running: Number of requests being served.
+      open_attempts: Attempts without a result.
       stop: Planned stop of this process, None while there is none.
     """
 
@@ -86,6 +105,7 @@
     splitter: Splitter = attrs.field(factory=Splitter)
     first_attempts: FirstAttemptEstimator = attrs.field(factory=FirstAttemptEstimator)
     running: int = 0
+    open_attempts: set[OpenAttempt] = attrs.field(factory=set)
     stop: PlannedStop | None = None
 
     async def serve(self, request: Request) -> Reply:
@@ -96,6 +116,15 @@
         finally:
             self.running -= 1
 
+    def withdraw_waiting(self, now_s: float) -> None:
+        """Withdraws the waiting requests that the planned stop might cut off if they started.
+
+        Only the node beside an instance knows whether a request has started, so all are withdrawn.
+        """
+        for attempt in tuple(self.open_attempts):
+            if self._is_too_late(attempt.destination, attempt.due_at_s, now_s):
+                attempt.destination.withdraw(attempt.submit)
+
     async def _serve(self, request: Request) -> Reply:
         version = self.configurations.version
         route = self._route(request)
@@ -182,6 +211,8 @@
         remaining_ms = int((attempts.deadline_at_s - now_s) * 1000)
         if remaining_ms <= 0:
             return NotRunError(Reason.DEADLINE)
+        if self._is_too_late(destination, attempts.deadline_at_s, now_s):
+            return NotRunError(Reason.WITHDRAWN)
         submit = Submit(
             number=destination.next_number(),
             request_id=request.request_id,
@@ -201,6 +232,8 @@
             headers=request.headers,
             body=request.body,
         )
+        open_attempt = OpenAttempt(destination, submit, attempts.deadline_at_s)
+        self.open_attempts.add(open_attempt)
         view.in_flight += 1
         view.sent_since_report += 1
         try:
@@ -213,9 +246,17 @@
             return error
         finally:
             view.in_flight -= 1
+            self.open_attempts.discard(open_attempt)
         self.views.record_answer_size(route.name, len(answer.body))
         return answer
 
+    def _is_too_late(self, destination: Destination, due_at_s: float, now_s: float) -> bool:
+        """Returns whether the planned stop might cut off a request that starts at a node now."""
+        if self.stop is None:
+            return False
+        service_s = destination.load.service_ms / 1000 if destination.load else 0.0
+        return self.stop.is_too_late_to_start(now_s, due_at_s, service_s)
+
     def retry_after_s(self, attempts: Attempts) -> float:
         """Returns the time after which a refused caller may retry."""
         return max(MIN_RETRY_AFTER_S, attempts.route.target_s / 4)
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -143,10 +143,10 @@
         if self.is_open:
             write_message(self._writer, RequestEntries(revision))
 
-    def withdraw(self) -> None:
-        """Makes the peer refuse the pending requests that it has not started."""
-        if self.is_open:
-            write_message(self._writer, *(Withdraw(number) for number in self.pending))
+    def withdraw(self, submit: Submit) -> None:
+        """Makes the peer refuse a pending request if it has not started."""
+        if self.is_open and submit.number in self.pending:
+            write_message(self._writer, Withdraw(submit.number))
 
     def request_open(self) -> None:
         """Signals the task of this link to connect."""
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -72,6 +72,10 @@
         """Runs a request on the instance beside this node."""
         return await self.instance_runner.run(submit)
 
+    def withdraw(self, submit: Submit) -> None:
+        """Refuses a request if it waits for a slot."""
+        self.instance_runner.gate.refuse(submit.request_id, Reason.WITHDRAWN)
+
 
 @attrs.define(eq=False)
 class SidecarNode:
@@ -168,12 +172,6 @@
         )
         self._update_own_instance()
 
-    def withdraw_waiting_requests(self) -> None:
-        """Makes this node and its peers refuse the requests from here that have not started."""
-        self.instance_runner.gate.refuse_waiting(Reason.WITHDRAWN)
-        for link in self.outgoing_links.values():
-            link.withdraw()
-
     def set_peer_listing_handler(self, handler: Callable[[Listing], None]) -> None:
         """Sets the function that receives registry content sent by peers."""
         self._handle_peer_listing = handler
--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -356,6 +356,40 @@
             await ending
 
 
+async def test_request_that_would_start_too_late_is_refused_before_the_end():
+    """Guards against a connection that ends without an answer, for a request that never started.
+
+    The request arrives after the first requests were withdrawn, and waits at a peer.
+    """
+    finish = asyncio.Event()
+
+    async def work(instance, request):
+        await finish.wait()
+        return await instance.run(request)
+
+    async with run_sidecars(2) as fleet_:
+        node, peer = fleet_.nodes
+        fleet_.instances[1].custom_handler = work
+        fleet_.register_instance(0, state=InstanceState.DRAINING, sequence=1)
+        await wait_until(lambda: not any(n.directory.get("i-0").ready for n in fleet_.nodes))
+        calls = [asyncio.create_task(fleet_.send_request(1, request_id=f"p-{n}")) for n in (0, 1)]
+        await wait_until(lambda: peer.instance_runner.gate.load().busy == 2)
+        reader, writer = await connect_to_stopping_node(node)
+        node.dispatcher.stop.ends_at_s = read_clocks().monotonic_s + 0.45
+        ending = asyncio.create_task(fleet_.stop_sidecar(0))
+        await asyncio.sleep(0.1)
+        writer.write(
+            b"POST /lodge/1 HTTP/1.1\r\nHost: desk.example\r\n"
+            b"Request-Id: q-1\r\nDeadline-Ms: 1900\r\nContent-Length: 0\r\n\r\n"
+        )
+        assert b" 503 " in await reader.readline()
+        writer.close()
+        await ending
+        finish.set()
+        assert [(await call)[0].status for call in calls] == [200, 200]
+        assert fleet_.instances[1].executed_ids == ["p-0", "p-1"]
+
+
 async def test_answer_that_the_caller_reads_slowly_is_written_before_the_end():
     """Guards against a process that ends while an answer waits in its send buffer."""
 
--- a/ibisrack/sidecar/stopping.py
+++ b/ibisrack/sidecar/stopping.py
@@ -21,8 +21,6 @@
 SHUTDOWN_TIMEOUT_S = 0.1  # Time for answers that are being written when the connections are closed.
 # Requests that were sent before the listening sockets closed arrive within this time.
 ARRIVAL_WINDOW_S = 0.3
-# This long before the planned end, requests that still wait here or at peers are refused.
-WITHDRAW_LEAD_S = 0.5
 STOP_POLL_S = 0.05
 
 _LOGGER = logging.getLogger("ibisrack.sidecar")
@@ -73,12 +71,9 @@
     await asyncio.sleep(accepts_until_s - read_clocks().monotonic_s)
     await asyncio.sleep(STOP_POLL_S)  # The loop's timers may fire slightly early.
     _close_to_submissions(node)
-    withdrawn = False
     while True:
         now_s = read_clocks().monotonic_s
-        if not withdrawn and now_s >= ends_at_s - WITHDRAW_LEAD_S:
-            withdrawn = True
-            node.withdraw_waiting_requests()
+        node.dispatcher.withdraw_waiting(now_s)
         idle = not node.instance_runner.gate.load().busy and not node.dispatcher.running
         if idle or now_s >= ends_at_s - ARRIVAL_WINDOW_S:
             return
@@ -105,6 +100,7 @@
     """
     idle_since_s = read_clocks().monotonic_s
     while (now_s := read_clocks().monotonic_s) < node.dispatcher.stop.ends_at_s:
+        node.dispatcher.withdraw_waiting(now_s)
         if callers.serving_connections or node.is_serving_peers:
             idle_since_s = now_s
         elif now_s - idle_since_s >= ARRIVAL_WINDOW_S:
--- a/ibisrack/stopping/plan.py
+++ b/ibisrack/stopping/plan.py
@@ -4,6 +4,12 @@
 
 import attrs
 
+# A request that starts later than twice the mean service time of its instance before the planned
+# end is likely to be cut off by it.  The mean is of all kinds of requests, hence the limits.
+START_LEAD_FACTOR = 2.0
+MIN_START_LEAD_S = 0.5
+MAX_START_LEAD_S = 1.5
+
 
 @attrs.define(eq=False)
 class PlannedStop:
@@ -35,3 +41,14 @@
     def would_cut_off(self, now_s: float, due_at_s: float) -> bool:
         """Returns whether the stop might cut off a request that arrives now."""
         return now_s > self.accepts_until_s and due_at_s > self.ends_at_s
+
+    def is_too_late_to_start(self, now_s: float, due_at_s: float, service_s: float) -> bool:
+        """Returns whether the stop might cut off a request that starts now or later.
+
+        Args:
+          now_s: Current time.
+          due_at_s: Monotonic time at which the answer is due.
+          service_s: Mean service time of the instance, 0 if it is not known.
+        """
+        lead_s = min(MAX_START_LEAD_S, max(MIN_START_LEAD_S, START_LEAD_FACTOR * service_s))
+        return due_at_s > self.ends_at_s and now_s >= self.ends_at_s - lead_s
--- a/ibisrack/stopping/plan_test.py
+++ b/ibisrack/stopping/plan_test.py
@@ -20,4 +20,14 @@
     assert not stop.accepts_submission(2.6, 3.0)
 
 
+def test_requests_are_withdrawn_before_their_runs_would_be_cut_off():
+    """Guards against a start so late that the end cuts off the run, and against early refusals."""
+    stop = PlannedStop(accepts_until_s=2.5, ends_at_s=5.6)
+    assert not stop.is_too_late_to_start(5.0, 9.0, service_s=0.1)
+    assert stop.is_too_late_to_start(5.2, 9.0, service_s=0.1)
+    assert stop.is_too_late_to_start(4.5, 9.0, service_s=0.6)
+    assert not stop.is_too_late_to_start(4.0, 9.0, service_s=30.0)
+    assert not stop.is_too_late_to_start(5.2, 5.5, service_s=0.6)
+
+
 load_tests = function_tests(__name__)
