Tell callers that a stopping node refuses to come back after one second

Cause: these refusals carried Retry-After 0.05 s, or a quarter of the target. Callers come back to the node of their own host, which was still stopping, and used up their few retries there.

Change: after the time in which every request is accepted, all refusals of a stopping node carry 1 s.

Result: test_request_refused_because_the_stop_would_cut_it_off_is_logged_and_counted checks it and fails with the former value.

--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -31,6 +31,8 @@
 MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
 MIN_RETRY_AFTER_S = 0.05
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3  # Time for a new node to obtain its first configuration.
+# Callers come back to the node on their own host.  An earlier retry would find it still stopping.
+STOPPING_RETRY_AFTER_S = 1.0
 
 
 class Destination(Protocol):
@@ -155,7 +157,7 @@
         """Refuses a request that the planned stop might cut off, otherwise makes its attempts."""
         due_at_s = attempts.deadline_at_s
         if self.stop is not None and self.stop.would_cut_off(request.received_at_s, due_at_s):
-            return Refusal(Reason.DRAINING, MIN_RETRY_AFTER_S)
+            return Refusal(Reason.DRAINING, self.retry_after_s(attempts))
         self.budget.record_request(attempts.service, request.received_at_s, self.retry_share())
         try:
             async with asyncio.timeout(due_at_s - read_clocks().monotonic_s):
@@ -259,6 +261,8 @@
 
     def retry_after_s(self, attempts: Attempts) -> float:
         """Returns the time after which a refused caller may retry."""
+        if self.stop is not None and read_clocks().monotonic_s > self.stop.accepts_until_s:
+            return STOPPING_RETRY_AFTER_S
         return max(MIN_RETRY_AFTER_S, attempts.route.target_s / 4)
 
 
--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -12,6 +12,7 @@
 
 from ibisrack.bin.ibis_sidecar import LIFECYCLE_MESSAGES
 from ibisrack.clocks import read_clocks
+from ibisrack.dispatch.dispatcher import STOPPING_RETRY_AFTER_S
 from ibisrack.errors import NotRunError
 from ibisrack.instances.model import InstanceState
 from ibisrack.links.codec_test import SUBMIT
@@ -88,6 +89,8 @@
     assert answer.status == 503
     (refused,) = matching_records(log, "request not served", request_id="q-9")
     assert (refused.outcome, refused.reason, refused.tried) == ("not-run", "draining", [])
+    # A caller that came back at once would be refused again by the same node.
+    assert refused.retry_after_ms == STOPPING_RETRY_AFTER_S * 1000
     assert node.tally.calls[(INGRESS, "desk", "priority-0", "not-run")] == 1
 
 
