Accept only requests that end in time after a repeated stop signal

Requests that it accepted after the second one were due after the planned end, which is counted from the first, and were cut off there.

Change: from the second signal on, a request that is due after the planned end is refused at its arrival. The instance beside the node is used as before.

Result: test_a_repeated_stop_accepts_only_requests_that_end_in_time and test_stop_logs_repeated_signals_and_what_it_refused_and_left_open pass; neither the field nor the callback existed before.

--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -4,6 +4,7 @@
 import logging
 import re
 from contextlib import suppress
+from functools import partial
 from pathlib import Path
 from signal import SIGTERM
 
@@ -19,7 +20,7 @@
 from ibisrack.metrics.tally import INGRESS
 from ibisrack.platform.headers import NOT_EXECUTED
 from ibisrack.sidecar.metrics import PATH, all_metrics
-from ibisrack.sidecar.stopping import StopSignals, drain
+from ibisrack.sidecar.stopping import StopSignals, drain, record_repeated_stop
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import (
@@ -96,14 +97,16 @@
 
 async def test_stop_logs_repeated_signals_and_what_it_refused_and_left_open():
     """Guards against a stop whose log doesn't tell what it cost and what it cut off."""
-    signals = StopSignals()
     with capture_log() as log:
-        signals.record(SIGTERM)
-        signals.record(SIGTERM)
         async with run_sidecars(2) as fleet_:
-            node, first_at_s = fleet_.nodes[0], await signals.wait()
+            node = fleet_.nodes[0]
+            signals = StopSignals(on_repeat=partial(record_repeated_stop, node))
+            signals.record(SIGTERM)
+            first_at_s = await signals.wait()
             stop = PlannedStop(first_at_s, first_at_s + 0.2)
             node.dispatcher.stop = node.instance_runner.stop = stop
+            signals.record(SIGTERM)
+            assert stop.requested_again
             await fleet_.send_request(0, request_id="q-9")
             with suppress(NotRunError):
                 await node.instance_runner.run(attrs.evolve(SUBMIT, instance_id="i-0"))
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -41,6 +41,7 @@
     StopSignals,
     drain,
     log_stopped,
+    record_repeated_stop,
     serve_late_requests,
 )
 from ibisrack.upstreams.connections import ConnectionPool
@@ -109,6 +110,7 @@
         node.spawn(
             keep_running("settings", partial(_watch_settings, node, path, load_settings, hangup))
         )
+        stop_signals.on_repeat = partial(record_repeated_stop, node)
         await drain(node, await stop_signals.wait())
 
 
--- a/ibisrack/sidecar/stopping.py
+++ b/ibisrack/sidecar/stopping.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import signal
+from collections.abc import Callable
 
 import attrs
 
@@ -35,9 +36,11 @@
 
     Attributes:
       first_at_s: Monotonic time of the first signal, None before it.
+      on_repeat: Called at each signal after the first.
     """
 
     first_at_s: float | None = None
+    on_repeat: Callable[[], None] = attrs.field(default=lambda: None)
     _received: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def record(self, number: signal.Signals) -> None:
@@ -49,6 +52,7 @@
             return
         after_ms = round((now_s - self.first_at_s) * 1000)
         _LOGGER.info("stop requested again", extra={"signal": number.name, "after_ms": after_ms})
+        self.on_repeat()
 
     async def wait(self) -> float:
         """Waits for the first signal and returns its monotonic time."""
@@ -56,6 +60,12 @@
         return self.first_at_s
 
 
+def record_repeated_stop(node: SidecarNode) -> None:
+    """Makes a stopping node accept only requests that its end can't cut off."""
+    if node.dispatcher.stop is not None:
+        node.dispatcher.stop.requested_again = True
+
+
 async def drain(node: SidecarNode, start_s: float) -> None:
     """Announces the planned stop and waits for running requests while the stop time lasts.
 
--- a/ibisrack/stopping/plan.py
+++ b/ibisrack/stopping/plan.py
@@ -20,12 +20,16 @@
         callers have time to move to other nodes.  Until then the instance, which goes on running,
         is given the requests that end in time.
       ends_at_s: Monotonic time at which the process ends.
+      requested_again: Whether the stop was requested again.  The platform then expects the process
+        to serve until the grace time after the later request is over, but kills it when that after
+        the first one is; no request that the end might cut off is accepted any more.
       refusals: Number of requests refused to callers since the stop began, by reason.
       refused_submissions: Number of submissions refused because of the stop.
     """
 
     accepts_until_s: float
     ends_at_s: float
+    requested_again: bool = False
     refusals: Counter[str] = attrs.field(factory=Counter)
     refused_submissions: int = 0
 
@@ -40,7 +44,8 @@
 
     def would_cut_off(self, now_s: float, due_at_s: float) -> bool:
         """Returns whether the stop might cut off a request that arrives now."""
-        return now_s > self.accepts_until_s and due_at_s > self.ends_at_s
+        accepts_all = now_s <= self.accepts_until_s and not self.requested_again
+        return not accepts_all and due_at_s > self.ends_at_s
 
     def is_too_late_to_start(self, now_s: float, due_at_s: float, service_s: float) -> bool:
         """Returns whether the stop might cut off a request that starts now or later.
--- a/ibisrack/stopping/plan_test.py
+++ b/ibisrack/stopping/plan_test.py
@@ -12,6 +12,15 @@
     assert not stop.would_cut_off(2.6, 4.0)
 
 
+def test_a_repeated_stop_accepts_only_requests_that_end_in_time():
+    """Guards against a cut request whose caller counts the grace time from the second signal."""
+    stop = PlannedStop(accepts_until_s=2.5, ends_at_s=5.6)
+    stop.requested_again = True
+    assert stop.would_cut_off(2.0, 6.0)
+    assert not stop.would_cut_off(2.0, 5.0)
+    assert stop.accepts_submission(2.0, 5.0)
+
+
 def test_a_planned_stop_accepts_submissions_that_end_in_time():
     """Guards against an instance left idle by the stop, and against runs that the end cuts off."""
     stop = PlannedStop(accepts_until_s=2.5, ends_at_s=5.6)
