--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -1,9 +1,11 @@
 """Tests of whole sidecars against stand-ins of the registry and of the instances."""
 
 import asyncio
+import itertools
 import json
 import socket
 import struct
+from contextlib import suppress
 
 import attrs
 from aiohttp import web
@@ -19,6 +21,7 @@
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import (
+    POLL_INTERVAL_S,
     STANDARD_ROUTES,
     capture_log,
     configuration_entry,
@@ -27,6 +30,8 @@
     wait_until,
 )
 
+STOP_TEST_SKIPPED_S = 2.2  # Start of the stop, in which every request is accepted.
+LOSS_SLACK_S = 0.25  # A request that crosses the end of its connection is open for less.
 LARGE_BODY_BYTES = 16 * 1024 * 1024  # More than the send buffers of a loopback connection hold.
 
 
@@ -390,6 +395,55 @@
         assert fleet_.instances[1].executed_ids == ["p-0", "p-1"]
 
 
+async def send_until_stopped(node, name, unanswered, statuses):
+    """Sends requests on new connections, one after the other, until the node doesn't listen.
+
+    Adds the status line of each request to statuses, and to unanswered the id of each one whose
+    connection ends without an answer, with the time that it was open.
+    """
+    calls = node.settings.calls
+    for number in itertools.count():
+        try:
+            reader, writer = await asyncio.open_connection(calls.host, calls.port)
+        except OSError:
+            return
+        sent_at_s, request_id = read_clocks().monotonic_s, f"{name}-{number}"
+        writer.write(
+            b"POST /lodge/1 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: %s\r\n"
+            b"Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n" % request_id.encode()
+        )
+        status_line = b""
+        with suppress(OSError):
+            status_line = await reader.readline()
+        writer.close()
+        statuses.append(status_line)
+        if not status_line:
+            unanswered[request_id] = read_clocks().monotonic_s - sent_at_s
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+async def test_requests_sent_during_a_whole_stop_are_answered_or_refused():
+    """Guards against requests that a stop drops: passed on to an instance, or read and held."""
+    unanswered, statuses = {}, []
+    async with run_sidecars(2) as fleet_:
+        node = fleet_.nodes[0]
+        for instance in fleet_.instances:
+            instance.work_s = 0.15
+        callers = [
+            asyncio.create_task(send_until_stopped(node, f"c-{n}", unanswered, statuses))
+            for n in range(8)
+        ]
+        await wait_until(lambda: len(statuses) >= 8)
+        await drain(node, read_clocks().monotonic_s - STOP_TEST_SKIPPED_S)
+        await fleet_.stop_sidecar(0)
+        await asyncio.gather(*callers)
+        executed_ids = {name for instance in fleet_.instances for name in instance.executed_ids}
+    answered = [status for status in statuses if status]
+    assert {status.split()[1] for status in answered} <= {b"200", b"503"}
+    assert not executed_ids & set(unanswered)
+    assert all(open_s < LOSS_SLACK_S for open_s in unanswered.values())
+
+
 async def test_answer_that_the_caller_reads_slowly_is_written_before_the_end():
     """Guards against a process that ends while an answer waits in its send buffer."""
 
