--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -26,10 +26,13 @@
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.model import Route
 from ibisrack.routing.splits import Splitter
+from ibisrack.stopping.plan import PlannedStop
 
 MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
 MIN_RETRY_AFTER_S = 0.05
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3  # Time for a new node to obtain its first configuration.
+# Callers come back to the node on their own host.  An earlier retry would find it still stopping.
+STOPPING_RETRY_AFTER_S = 1.0
 
 
 class Destination(Protocol):
@@ -52,23 +55,23 @@
           UnknownOutcomeError: The request may have run.
         """
 
+    def withdraw(self, submit: Submit) -> None:
+        """Makes the node refuse a request that has not started; a running one continues."""
 
-@attrs.frozen
-class PlannedStop:
-    """A planned stop of the process.
+
+@attrs.frozen(eq=False)
+class OpenAttempt:
+    """An attempt without a result.
 
     Attributes:
-      accepts_until_s: Monotonic time until which every request is accepted, so that callers have
-        time to move to other nodes.
-      ends_at_s: Monotonic time at which the process ends.
+      destination: Node to which the request was sent.
+      submit: The submission.
+      due_at_s: Monotonic time at which the answer is due.
     """
 
-    accepts_until_s: float
-    ends_at_s: float
-
-    def would_cut_off(self, now_s: float, due_at_s: float) -> bool:
-        """Returns whether the stop might cut off a request that arrives now."""
-        return now_s > self.accepts_until_s and due_at_s > self.ends_at_s
+    destination: Destination
+    submit: Submit
+    due_at_s: float
 
 
 @attrs.define(eq=False)
@@ -88,6 +91,7 @@
       splitter: Selects among the services of a route.
       first_attempts: Estimates when the caller of a retried request first sent it.
       running: Number of requests being served.
+      open_attempts: Attempts without a result.
       stop: Planned stop of this process, None while there is none.
     """
 
@@ -103,6 +107,7 @@
     splitter: Splitter = attrs.field(factory=Splitter)
     first_attempts: FirstAttemptEstimator = attrs.field(factory=FirstAttemptEstimator)
     running: int = 0
+    open_attempts: set[OpenAttempt] = attrs.field(factory=set)
     stop: PlannedStop | None = None
 
     async def serve(self, request: Request) -> Reply:
@@ -113,32 +118,53 @@
         finally:
             self.running -= 1
 
+    def withdraw_waiting(self, now_s: float) -> None:
+        """Withdraws the waiting requests that the planned stop might cut off if they started.
+
+        Only the node beside an instance knows whether a request has started, so all are withdrawn.
+        """
+        for attempt in tuple(self.open_attempts):
+            if self._is_too_late(attempt.destination, attempt.due_at_s, now_s):
+                attempt.destination.withdraw(attempt.submit)
+
     async def _serve(self, request: Request) -> Reply:
         version = self.configurations.version
         route = self._route(request)
         if not isinstance(route, Route):
             self.recorder.record_unrouted(request, version, route, read_clocks().monotonic_s)
             return route
+        attempts = self._start_attempts(request, route)
+        try:
+            reply = await self._reply(request, attempts)
+        except asyncio.CancelledError:
+            cancelled = Failure(Reason.CANCELLED, False)
+            self.recorder.record(request, attempts, version, cancelled, read_clocks().monotonic_s)
+            raise
+        self.recorder.record(request, attempts, version, reply, read_clocks().monotonic_s)
+        if self.stop is not None and isinstance(reply, Refusal):
+            self.stop.refusals[reply.reason] += 1
+        return reply
+
+    def _start_attempts(self, request: Request, route: Route) -> Attempts:
+        """Selects the service of a request and determines its deadline and target."""
         due_at_s = min(request.deadline_at_s, request.received_at_s + route.timeout_s)
-        if self.stop is not None and self.stop.would_cut_off(request.received_at_s, due_at_s):
-            return Refusal(Reason.DRAINING, MIN_RETRY_AFTER_S)
         service = self.splitter.next_service(route)
         first_attempt_at_s = self.first_attempts.first_attempt_at_s(route, request)
         target_at_s = first_attempt_at_s + route.target_s
-        attempts = Attempts(route, service, due_at_s, target_at_s, self.budget)
-        self.budget.record_request(service, request.received_at_s, self.retry_share())
+        return Attempts(route, service, due_at_s, target_at_s, self.budget)
+
+    async def _reply(self, request: Request, attempts: Attempts) -> Reply:
+        """Refuses a request that the planned stop might cut off, otherwise makes its attempts."""
+        due_at_s = attempts.deadline_at_s
+        if self.stop is not None and self.stop.would_cut_off(request.received_at_s, due_at_s):
+            return Refusal(Reason.DRAINING, self.retry_after_s(attempts))
+        self.budget.record_request(attempts.service, request.received_at_s, self.retry_share())
         try:
             async with asyncio.timeout(due_at_s - read_clocks().monotonic_s):
                 result = await self._attempt_all(request, attempts)
         except TimeoutError:
             result = UnknownOutcomeError(Reason.DEADLINE)
-        except asyncio.CancelledError:
-            cancelled = Failure(Reason.CANCELLED, False)
-            self.recorder.record(request, attempts, version, cancelled, read_clocks().monotonic_s)
-            raise
-        reply = to_reply(result, self, attempts)
-        self.recorder.record(request, attempts, version, reply, read_clocks().monotonic_s)
-        return reply
+        return to_reply(result, self, attempts)
 
     def _route(self, request: Request) -> Route | Reply:
         """Returns the route of a request, or the reply for its caller if there is none."""
@@ -187,6 +213,8 @@
         remaining_ms = int((attempts.deadline_at_s - now_s) * 1000)
         if remaining_ms <= 0:
             return NotRunError(Reason.DEADLINE)
+        if self._is_too_late(destination, attempts.deadline_at_s, now_s):
+            return NotRunError(Reason.WITHDRAWN)
         submit = Submit(
             number=destination.next_number(),
             request_id=request.request_id,
@@ -206,6 +234,8 @@
             headers=request.headers,
             body=request.body,
         )
+        open_attempt = OpenAttempt(destination, submit, attempts.deadline_at_s)
+        self.open_attempts.add(open_attempt)
         view.in_flight += 1
         view.sent_since_report += 1
         try:
@@ -218,11 +248,21 @@
             return error
         finally:
             view.in_flight -= 1
+            self.open_attempts.discard(open_attempt)
         self.views.record_answer_size(route.name, len(answer.body))
         return answer
 
+    def _is_too_late(self, destination: Destination, due_at_s: float, now_s: float) -> bool:
+        """Returns whether the planned stop might cut off a request that starts at a node now."""
+        if self.stop is None:
+            return False
+        service_s = destination.load.service_ms / 1000 if destination.load else 0.0
+        return self.stop.is_too_late_to_start(now_s, due_at_s, service_s)
+
     def retry_after_s(self, attempts: Attempts) -> float:
         """Returns the time after which a refused caller may retry."""
+        if self.stop is not None and read_clocks().monotonic_s > self.stop.accepts_until_s:
+            return STOPPING_RETRY_AFTER_S
         return max(MIN_RETRY_AFTER_S, attempts.route.target_s / 4)
 
 
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -78,6 +78,10 @@
         """Runs a request on the instance beside this node."""
         return await self.instance_runner.run(submit)
 
+    def withdraw(self, submit: Submit) -> None:
+        """Refuses a request if it waits for a slot."""
+        self.instance_runner.gate.refuse(submit.request_id, Reason.WITHDRAWN)
+
 
 @attrs.define(eq=False)
 class SidecarNode:
@@ -135,6 +139,14 @@
         """Whether callers may send requests to this node."""
         return not self.stopping and self.configurations.current is not None
 
+    @property
+    def is_serving_peers(self) -> bool:
+        """Whether any peer waits for a result, or for the rest of one."""
+        return any(
+            link.runs or link.writer.transport.get_write_buffer_size() > 0
+            for link in self.incoming_links
+        )
+
     def load(self) -> Load:
         """Returns the current load of the instance beside this node."""
         load = self.instance_runner.gate.load()
@@ -172,12 +184,6 @@
         )
         self._update_own_instance()
 
-    def withdraw_waiting_requests(self) -> None:
-        """Makes this node and its peers refuse the requests from here that have not started."""
-        self.instance_runner.gate.refuse_waiting(Reason.WITHDRAWN)
-        for link in self.outgoing_links.values():
-            link.withdraw()
-
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Starts a task that is cancelled when the node closes."""
         task = asyncio.get_running_loop().create_task(work)
--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -1,18 +1,27 @@
 """Tests of the log lines and metrics of a sidecar."""
 
+import asyncio
 import logging
 import re
 from contextlib import suppress
+from functools import partial
 from pathlib import Path
+from signal import SIGTERM
 
 import attrs
 from aiohttp import web
 
+from ibisrack.bin.ibis_sidecar import LIFECYCLE_MESSAGES
+from ibisrack.clocks import read_clocks
+from ibisrack.dispatch.dispatcher import STOPPING_RETRY_AFTER_S
 from ibisrack.errors import NotRunError
 from ibisrack.instances.model import InstanceState
 from ibisrack.links.codec_test import SUBMIT
+from ibisrack.metrics.tally import INGRESS
 from ibisrack.platform.headers import NOT_EXECUTED
 from ibisrack.sidecar.metrics import PATH, all_metrics
+from ibisrack.sidecar.stopping import StopSignals, drain, record_repeated_stop
+from ibisrack.stopping.plan import PlannedStop
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import (
     STANDARD_ROUTES,
@@ -71,6 +80,47 @@
     assert (submission.outcome, submission.detail) == ("not-run", "shed-by-upstream")
 
 
+async def test_request_refused_because_the_stop_would_cut_it_off_is_logged_and_counted():
+    """Guards against a refusal of a stopping node that neither log nor counters show."""
+    with capture_log() as log:
+        async with run_sidecars(1) as fleet_:
+            node, now_s = fleet_.nodes[0], read_clocks().monotonic_s
+            node.dispatcher.stop = PlannedStop(accepts_until_s=now_s, ends_at_s=now_s + 1)
+            answer, _ = await fleet_.send_request(0, request_id="q-9")
+    assert answer.status == 503
+    (refused,) = matching_records(log, "request not served", request_id="q-9")
+    assert (refused.outcome, refused.reason, refused.tried) == ("not-run", "draining", [])
+    # A caller that came back at once would be refused again by the same node.
+    assert refused.retry_after_ms == STOPPING_RETRY_AFTER_S * 1000
+    assert node.tally.calls[(INGRESS, "desk", "priority-0", "not-run")] == 1
+
+
+async def test_stop_logs_repeated_signals_and_what_it_refused_and_left_open():
+    """Guards against a stop whose log doesn't tell what it cost and what it cut off."""
+    with capture_log() as log:
+        async with run_sidecars(2) as fleet_:
+            node = fleet_.nodes[0]
+            signals = StopSignals(on_repeat=partial(record_repeated_stop, node))
+            signals.record(SIGTERM)
+            first_at_s = await signals.wait()
+            stop = PlannedStop(first_at_s, first_at_s + 0.2)
+            node.dispatcher.stop = node.instance_runner.stop = stop
+            signals.record(SIGTERM)
+            assert stop.requested_again
+            await fleet_.send_request(0, request_id="q-9")
+            with suppress(NotRunError):
+                await node.instance_runner.run(attrs.evolve(SUBMIT, instance_id="i-0"))
+            await fleet_.stop_sidecar(0)
+    (again,) = matching_records(log, "stop requested again", signal="SIGTERM")
+    assert again.after_ms >= 0
+    stopped = next(r for r in matching_records(log, "stopped") if r.node == "node-0")
+    assert stopped.refused == {"draining": 1}
+    assert stopped.refused_submissions == 1
+    assert (stopped.running, stopped.serving_connections, stopped.peer_runs) == (0, 0, 0)
+    assert stopped.caller_connections >= 0
+    assert stopped.peer_links >= 0
+
+
 async def test_lost_links_and_registry_changes_are_logged():
     """Guards against a lost link, or a change of the fleet, that the log doesn't show."""
     with capture_log() as log:
@@ -91,6 +141,28 @@
     assert matching_records(log, "registry answers")
 
 
+async def test_lifecycle_messages_are_logged():
+    """Guards against a renamed line that the limit on the volume of the log drops again."""
+    with capture_log() as log:
+        async with run_sidecars(2) as fleet_:
+            fleet_.register_instance(0, state=InstanceState.DRAINING, sequence=1)
+            await wait_until(lambda: not fleet_.nodes[0].directory.get("i-0").ready)
+            await fleet_.send_request(0)
+            fleet_.nodes[0].reload(fleet_.nodes[0].settings)
+            fleet_.store.error_status = 503
+            fleet_.store.put("servers/i-new", b"{}")
+            fleet_.store.drop_history()
+            fleet_.store.error_status = 0
+            await wait_until(lambda: bool(matching_records(log, "registry history gone")))
+            signals = StopSignals()
+            signals.record(SIGTERM)
+            signals.record(SIGTERM)
+            stopping = asyncio.create_task(drain(fleet_.nodes[0], read_clocks().monotonic_s))
+            await wait_until(lambda: fleet_.nodes[0].stopping)
+            stopping.cancel()
+    assert {record.getMessage() for record in log} >= LIFECYCLE_MESSAGES
+
+
 async def test_fields_listed_in_operations_page_are_logged():
     """Guards against an operations page that names log fields which are never logged."""
 
