Tell lost peers from lost instances, and log runs without a link

connection-lost stood for an instance that dropped its connection, for a peer that restarted and for a peer that could not be reached. The latter two are now peer-restarted and peer-unreachable. submission ran and submission refused say whether a link waited for the result and for how long none did, and an orphaned run that is cancelled has a line of its own.

No change of decisions.

--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -27,6 +27,8 @@
     SHED = "shed-by-upstream"
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
     CONNECTION_LOST = "connection-lost"
+    PEER_RESTARTED = "peer-restarted"
+    PEER_UNREACHABLE = "peer-unreachable"
     KEY_TOO_OLD = "key-too-old"
     KEY_HOME_UNREACHABLE = "key-home-unreachable"
     KEY_HOME_CHANGED = "key-home-changed"
--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -7,7 +7,7 @@
 from ibisrack.calls.messages import LoadReport
 from ibisrack.calls.outcomes import Outcome
 from ibisrack.calls.retry import Result, outcome_and_reason
-from ibisrack.links.messages import Submit
+from ibisrack.hosting.runs import Run
 from ibisrack.metrics.tally import OWNER, Tally
 
 _LOGGER = logging.getLogger("ibisrack.hosting")
@@ -18,21 +18,19 @@
     """Times of a submission at this node, and the load on its arrival.
 
     Attributes:
-      submit: The submission.
+      run: Run of the submission.
       load: Load of the instance when the submission arrived.
       arrived_at_s: Monotonic time of arrival.
-      started_at_s: Monotonic time at which it was sent to the instance, None until then.
     """
 
-    submit: Submit
+    run: Run
     load: LoadReport
     arrived_at_s: float
-    started_at_s: float | None = None
 
 
 @attrs.define(eq=False)
 class SubmissionRecorder:
-    """Counts and logs finished submissions.
+    """Counts and logs finished submissions, and logs the cancelled ones that no peer resumed.
 
     Attributes:
       tally: Counters of submissions for metrics.
@@ -51,13 +49,13 @@
           service_s: Moving average of the service time of requests.
           now_s: Current time.
         """
-        submit, total_s = trace.submit, now_s - trace.arrived_at_s
+        run, submit, total_s = trace.run, trace.run.submit, now_s - trace.arrived_at_s
         outcome, detail = outcome_and_reason(result)
         self.tally.count_call(OWNER, submit.service, submit.rank, str(outcome), total_s * 1000)
         level = logging.DEBUG if outcome is Outcome.DONE else logging.INFO
         if not _LOGGER.isEnabledFor(level):
             return
-        started_at_s = now_s if trace.started_at_s is None else trace.started_at_s
+        started_at_s = now_s if run.started_at_s is None else run.started_at_s
         extra = {
             "request_id": submit.request_id,
             "attempt": submit.attempt,
@@ -73,6 +71,22 @@
             "ran_ms": round((now_s - started_at_s) * 1000),
             "outcome": str(outcome),
             "detail": detail,
+            "linked_at_end": run.orphaned_at_s is None,
+            "orphaned_ms": round(run.orphaned_s(now_s) * 1000),
         }
-        ran = trace.started_at_s is not None
-        _LOGGER.log(level, "submission ran" if ran else "submission refused", extra=extra)
+        if run.started_at_s is None:
+            _LOGGER.log(level, "submission refused", extra=extra)
+        else:
+            extra["linked_at_start"] = run.linked_at_start
+            _LOGGER.log(level, "submission ran", extra=extra)
+
+    def record_orphan_cancelled(self, run: Run, now_s: float) -> None:
+        """Logs that a run is cancelled because no peer resumed it in time."""
+        extra = {
+            "request_id": run.submit.request_id,
+            "attempt": run.submit.attempt,
+            "instance": run.submit.instance_id,
+            "started": run.started_at_s is not None,
+            "orphaned_ms": round(run.orphaned_s(now_s) * 1000),
+        }
+        _LOGGER.info("orphaned run cancelled", extra=extra)
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -113,9 +113,12 @@
           NotRunError: The request did not run.
           UnknownOutcomeError: The request may have run.
         """
-        trace = SubmissionTrace(submit, self.gate.load(), read_clocks().monotonic_s)
+        return await self._run_recorded(Run(submit))
+
+    async def _run_recorded(self, run: Run) -> Answer:
+        trace = SubmissionTrace(run, self.gate.load(), read_clocks().monotonic_s)
         try:
-            answer = await self._run(submit, trace)
+            answer = await self._run(run, trace.arrived_at_s)
         except (NotRunError, UnknownOutcomeError) as error:
             self._record(trace, error)
             raise
@@ -125,11 +128,11 @@
         self._record(trace, answer)
         return answer
 
-    async def _run(self, submit: Submit, trace: SubmissionTrace) -> Answer:
-        start_s = trace.arrived_at_s
-        deadline_at_s = start_s + submit.remaining_ms / 1000 - REPLY_MARGIN_S
+    async def _run(self, run: Run, arrived_at_s: float) -> Answer:
+        submit = run.submit
+        deadline_at_s = arrived_at_s + submit.remaining_ms / 1000 - REPLY_MARGIN_S
         self._check_accepted(submit)
-        target_at_s = start_s + submit.remaining_target_ms / 1000
+        target_at_s = arrived_at_s + submit.remaining_target_ms / 1000
         async with self.gate.hold_slot(
             submit.request_id,
             submit.rank,
@@ -138,7 +141,8 @@
             submit.initial_target_ms / 1000,
         ):
             self._check_accepted(submit)
-            now_s = trace.started_at_s = read_clocks().monotonic_s
+            now_s = read_clocks().monotonic_s
+            run.mark_started(now_s)
             self.running_retries += submit.is_retry
             try:
                 answer = await self.upstream.send(submit, deadline_at_s + REPLY_MARGIN_S - now_s)
@@ -159,9 +163,10 @@
 
     def resume(self, key: SubmissionKey) -> Run | None:
         """Returns the run that a peer resumes over a new link, None if it never arrived."""
-        run = self.run_table.find_or_refuse(key, read_clocks().monotonic_s)
+        now_s = read_clocks().monotonic_s
+        run = self.run_table.find_or_refuse(key, now_s)
         if run is not None:
-            run.orphaned_at_s = None
+            run.mark_linked(now_s)
         return run
 
     def mark_orphaned(self, run: Run) -> None:
@@ -190,6 +195,7 @@
     def clean_up(self, now_s: float) -> None:
         """Cancels expired orphans, drops old results and refuses requests past their deadline."""
         for run in self.run_table.expired_orphans(now_s):
+            self.recorder.record_orphan_cancelled(run, now_s)
             self.cancel(run)
         self.run_table.drop_expired(now_s)
         self.gate.expire()
@@ -200,7 +206,7 @@
 
     async def _finish(self, run: Run) -> Result:
         try:
-            return await self.run(run.submit)
+            return await self._run_recorded(run)
         except (NotRunError, UnknownOutcomeError) as error:
             return error
         finally:
--- a/ibisrack/hosting/runs.py
+++ b/ibisrack/hosting/runs.py
@@ -28,16 +28,36 @@
       submit: The submission.
       task: Task that runs it.
       delivery_link: Link that delivers the result.
+      started_at_s: Monotonic time at which it was sent to the instance, None until then.
+      linked_at_start: Whether a link, or a local caller, waited for the result at that time.
       orphaned_at_s: Monotonic time at which its link was lost, None while a link waits for it.
+      earlier_orphaned_s: Total time of earlier periods without a link.
       ended_at_s: Monotonic time at which it finished, None while it runs.
     """
 
     submit: Submit
     task: asyncio.Task | None = None
     delivery_link: Any = None
+    started_at_s: float | None = None
+    linked_at_start: bool = False
     orphaned_at_s: float | None = None
+    earlier_orphaned_s: float = 0.0
     ended_at_s: float | None = None
 
+    def mark_started(self, now_s: float) -> None:
+        """Records that the request is sent to the instance."""
+        self.started_at_s, self.linked_at_start = now_s, self.orphaned_at_s is None
+
+    def mark_linked(self, now_s: float) -> None:
+        """Records that a link waits for the result again."""
+        self.earlier_orphaned_s = self.orphaned_s(now_s)
+        self.orphaned_at_s = None
+
+    def orphaned_s(self, now_s: float) -> float:
+        """Returns the total time during which no link waited for the result."""
+        current_s = 0.0 if self.orphaned_at_s is None else now_s - self.orphaned_at_s
+        return self.earlier_orphaned_s + current_s
+
 
 @attrs.define
 class RunTable:
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -229,7 +229,7 @@
         pending.answer_head = None
         if pending.peer_epoch != self.peer_epoch:
             # The process that received the request has ended, so its outcome can't be known.
-            complete(pending, UnknownOutcomeError(Reason.CONNECTION_LOST))
+            complete(pending, UnknownOutcomeError(Reason.PEER_RESTARTED))
             return
         submit = pending.submit
         write_message(self._writer, Resume(submit.number, submit.request_id, submit.attempt))
@@ -241,7 +241,7 @@
         else:  # The peer could not be reached; idempotent requests don't wait for it.
             for pending in tuple(self.pending.values()):
                 if pending.submit.idempotent:
-                    complete(pending, UnknownOutcomeError(Reason.CONNECTION_LOST))
+                    complete(pending, UnknownOutcomeError(Reason.PEER_UNREACHABLE))
         async with self._state_changed:
             self._state_changed.notify_all()
 
