Show by tests how a request is lost with its link

A link falls silent while a request waits at the peer: the sender answers its caller 502 and the peer runs the request later. Also: a run gets a slot without a link, an abandoned run goes on, and the late end of an old link makes a run an orphan although it was resumed over a new one.

--- a/ibisrack/hosting/runner_test.py
+++ b/ibisrack/hosting/runner_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from unittest.mock import Mock
 
 import attrs
 from multidict import CIMultiDict
@@ -10,11 +11,13 @@
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.messages import Answer
 from ibisrack.clocks import read_clocks
+from ibisrack.errors import NotRunError
 from ibisrack.hosting.recorder import SubmissionRecorder
 from ibisrack.hosting.runner import InstanceRunner
 from ibisrack.hosting.runs import ORPHAN_TIMEOUT_S
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.links.codec_test import SUBMIT
+from ibisrack.links.incoming import IncomingLink
 from ibisrack.links.messages import Submit
 from ibisrack.metrics.tally import Tally
 from ibisrack.testing.functions import function_tests
@@ -60,6 +63,11 @@
     yield runner, upstream
 
 
+def link_of(runner: InstanceRunner) -> IncomingLink:
+    """Returns an incoming link whose connection leads nowhere."""
+    return IncomingLink(runner, lambda: None, lambda revision: None, Mock(), "10.0.0.2")
+
+
 async def test_cancelled_orphan_is_logged_with_the_time_without_a_link():
     """Guards against a run that ends without a line that says that nobody waited for it."""
     with capture_log() as log:
@@ -78,4 +86,41 @@
     )
 
 
+async def test_waiting_run_without_a_link_gets_no_slot():
+    """Guards against a run whose sender may have answered its caller already."""
+    async with run_instance() as (runner, upstream):
+        first, second = runner.start(FIRST), runner.start(SECOND)
+        await wait_until(lambda: runner.gate.load().queued == 1)
+        runner.mark_orphaned(second)
+        upstream.released.set()
+        await runner.result(first)
+        result = await runner.result(second)
+        assert upstream.sent_ids == ["first"]
+        assert isinstance(result, NotRunError)
+
+
+async def test_waiting_run_whose_link_stays_away_is_refused():
+    """Guards against an unknown outcome of a request that only waited."""
+    async with run_instance() as (runner, upstream):
+        runner.start(FIRST)
+        second = runner.start(SECOND)
+        await wait_until(lambda: runner.gate.load().queued == 1)
+        runner.mark_orphaned(second)
+        runner.clean_up(read_clocks().monotonic_s + ORPHAN_TIMEOUT_S)
+        assert isinstance(await runner.result(second), NotRunError)
+
+
+async def test_end_of_an_old_link_does_not_orphan_a_run_of_the_new_one():
+    """Guards against cancelling a run for which a link waits."""
+    async with run_instance() as (runner, upstream):
+        run = runner.start(FIRST)
+        old, new = link_of(runner), link_of(runner)
+        old.attach(1, run)
+        new.attach(1, runner.resume(FIRST.key))
+        ended = asyncio.StreamReader()
+        ended.feed_eof()
+        await old.serve(ended)
+        assert run.orphaned_at_s is None
+
+
 load_tests = function_tests(__name__)
--- /dev/null
+++ b/ibisrack/sidecar/lost_link_test.py
@@ -0,0 +1,100 @@
+"""Tests of whole sidecars whose link is lost while a request is at the peer."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from ibisrack.instances.model import InstanceState
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.sidecars import route_resource, run_sidecars, wait_until
+from ibisrack.testing.tcp_proxy import run_proxy
+
+CUT_S = 0.6  # Longer than a failed connection attempt, shorter than the wait for the slot.
+ROUTES = (
+    route_resource(timeout="4s", target_latency="3s"),
+    route_resource("non_idempotent", prefix="/lodge/", timeout="4s", target_latency="3s"),
+)
+
+
+@asynccontextmanager
+async def run_linked_sidecars(count: int = 2, slots: int = 1):
+    """Yields sidecars and the proxy on the link from the first to the second one.
+
+    Only the instances beside the others are ready.
+    """
+    async with run_sidecars(count, ROUTES) as fleet_:
+        fleet_.register_instance(0, state=InstanceState.DRAINING, sequence=1)
+        for number in range(1, count):
+            fleet_.register_instance(number, slots=slots, sequence=1)
+        nodes = fleet_.nodes
+        await wait_until(lambda: all(not node.directory.get("i-0").ready for node in nodes))
+        await wait_until(
+            lambda: all(n.instance_runner.gate.load().slots == slots for n in nodes[1:])
+        )
+        peer = nodes[1].settings.links
+        async with run_proxy(peer.host, peer.port) as proxy:
+            link = nodes[0].destination_of(nodes[0].directory.get("i-1"))
+            link.port = proxy.port
+            yield fleet_, proxy
+
+
+async def occupy_slot(fleet_, number: int, work_s: float) -> asyncio.Task:
+    """Starts a request of a sidecar's own caller that occupies the slot of the instance."""
+    fleet_.instances[number].work_s = work_s
+    busy = asyncio.create_task(fleet_.send_request(number, request_id="busy", deadline_ms=4000))
+    await wait_until(lambda: "busy" in fleet_.instances[number].executed_ids)
+    fleet_.instances[number].work_s = 0.0
+    return busy
+
+
+def start_request(fleet_, path: str = "/notices/7") -> asyncio.Task:
+    """Starts a request of a caller of the first sidecar."""
+    return asyncio.create_task(fleet_.send_request(0, path, request_id="q-1", deadline_ms=4000))
+
+
+async def test_request_that_waits_at_a_silent_peer_is_answered_when_the_peer_is_back():
+    """Guards against a 502 for a request that the peer goes on holding and later runs."""
+    async with run_linked_sidecars() as (fleet_, proxy):
+        busy = await occupy_slot(fleet_, 1, work_s=1.2)
+        call = start_request(fleet_)
+        await wait_until(lambda: fleet_.nodes[1].instance_runner.gate.load().queued == 1)
+        proxy.cut()
+        await asyncio.sleep(CUT_S)
+        proxy.flowing.set()
+        answer, _ = await call
+        await busy
+        assert answer.status == 200
+        assert fleet_.instances[1].executed_ids == ["busy", "q-1"]
+
+
+async def test_request_whose_link_is_lost_when_its_turn_comes_is_refused():
+    """Guards against a run whose answer nobody can take, and against a 502 for one that waited."""
+    async with run_linked_sidecars() as (fleet_, proxy):
+        busy = await occupy_slot(fleet_, 1, work_s=0.3)
+        call = start_request(fleet_, "/lodge/7")
+        await wait_until(lambda: fleet_.nodes[1].instance_runner.gate.load().queued == 1)
+        proxy.cut()
+        await busy
+        await asyncio.sleep(0.1)
+        proxy.flowing.set()
+        answer, _ = await call
+        assert answer.status == 503
+        assert fleet_.instances[1].executed_ids == ["busy"]
+
+
+async def test_abandoned_request_is_cancelled_over_the_next_link():
+    """Guards against an instance at work for a caller that left while the link was lost."""
+    async with run_linked_sidecars() as (fleet_, proxy):
+        fleet_.instances[1].work_s = 3.0
+        call = start_request(fleet_, "/lodge/7")
+        await wait_until(lambda: bool(fleet_.instances[1].executed_ids))
+        proxy.cut()
+        await asyncio.sleep(0.1)
+        call.cancel()
+        await asyncio.sleep(0.1)
+        proxy.flowing.set()
+        load = fleet_.nodes[1].instance_runner.gate.load
+        async with asyncio.timeout(1.5):
+            await wait_until(lambda: not load().busy)
+
+
+load_tests = function_tests(__name__)
