A link that ends late no longer orphans runs of the next link

Cause: the end of a connection marked all its runs, also those that the peer had resumed over a newer link meanwhile; an idempotent one was cancelled 1.5 s later although a link waited for it. Only runs that the ended link still delivers are marked.

Measured: test_end_of_an_old_link_does_not_orphan_a_run_of_the_new_one fails without the change and passes with it.

--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -71,7 +71,9 @@
             _LOGGER.info("peer left", extra={"peer": self.peer, "why": type(error).__name__})
         finally:
             for run in self.runs.values():
-                self.instance_runner.mark_orphaned(run)
+                # The peer may have resumed it over a newer link before this one ended here.
+                if run.delivery_link is self:
+                    self.instance_runner.mark_orphaned(run)
             self.writer.transport.abort()
 
     def attach(self, number: int, run: Run) -> None:
