A waiting request whose link is lost gets no slot

Cause: an orphaned run kept its place in the queue and was sent to the instance when its turn came, although nobody could take the answer and the sender might have answered its caller. A peer that resumes it learns that it did not run and may send it to another instance. Refused in the scheduler, before a slot is taken, so that the estimates of service times do not count it.

--- a/ibisrack/calls/admission.py
+++ b/ibisrack/calls/admission.py
@@ -70,11 +70,13 @@
       slots: Maximum number of concurrent calls that the rules set.
       policy: Selects the rank whose call starts next; see ``select_rank``.
       discipline: Selects the call within a rank; see ``pop_next``.
+      orphans: Ids of calls whose sender can't be reached; they are refused when their turn comes.
     """
 
     slots: int
     policy: object = PriorityWithShares()
     discipline: object = OldestFirst()
+    orphans: set[str] = attrs.field(factory=set)
     _slot_limit: int | None = None
     _queues: dict[str, RankQueue] = attrs.field(factory=dict)
     _ranks: tuple[RankRule, ...] = ()
@@ -238,8 +240,13 @@
         return decisions
 
     def _start_next(self, queue: RankQueue, now_s: float) -> Decision:
-        """Starts the next call of a rank, or refuses it if it would probably miss its deadline."""
+        """Starts the next call of a rank, or refuses it.
+
+        It is refused if it would probably miss its deadline, or if its sender can't be reached.
+        """
         ticket = queue.pop_next(self.discipline, now_s)
+        if ticket.call_id in self.orphans:
+            return Refused(ticket, Reason.LINK_LOST)
         if ticket.deadline_at_s - now_s < queue.reserve_s(ticket):
             return Refused(ticket, Reason.DEADLINE)
         queue.record_queue_start(now_s)
--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -28,6 +28,7 @@
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
     CONNECTION_LOST = "connection-lost"
     PEER_RESTARTED = "peer-restarted"
+    LINK_LOST = "link-lost"
     PEER_UNREACHABLE = "peer-unreachable"
     KEY_TOO_OLD = "key-too-old"
     KEY_HOME_UNREACHABLE = "key-home-unreachable"
--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -86,7 +86,6 @@
             "request_id": run.submit.request_id,
             "attempt": run.submit.attempt,
             "instance": run.submit.instance_id,
-            "started": run.started_at_s is not None,
             "orphaned_ms": round(run.orphaned_s(now_s) * 1000),
         }
         _LOGGER.info("orphaned run cancelled", extra=extra)
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -141,6 +141,8 @@
             submit.initial_target_ms / 1000,
         ):
             self._check_accepted(submit)
+            if run.orphaned_at_s is not None:
+                raise NotRunError(Reason.LINK_LOST)
             now_s = read_clocks().monotonic_s
             run.mark_started(now_s)
             self.running_retries += submit.is_retry
@@ -167,11 +169,14 @@
         run = self.run_table.find_or_refuse(key, now_s)
         if run is not None:
             run.mark_linked(now_s)
+            self.gate.scheduler.orphans.discard(run.submit.request_id)
         return run
 
     def mark_orphaned(self, run: Run) -> None:
-        """Marks a run whose link is lost."""
+        """Marks a run whose link is lost; it gets no slot, because nobody can take its answer."""
         run.orphaned_at_s = read_clocks().monotonic_s
+        if run.ended_at_s is None:
+            self.gate.scheduler.orphans.add(run.submit.request_id)
 
     def cancel(self, run: Run) -> None:
         """Cancels a run for which no peer waits."""
@@ -193,10 +198,9 @@
         return task
 
     def clean_up(self, now_s: float) -> None:
-        """Cancels expired orphans, drops old results and refuses requests past their deadline."""
+        """Ends expired orphans, drops old results and refuses requests past their deadline."""
         for run in self.run_table.expired_orphans(now_s):
-            self.recorder.record_orphan_cancelled(run, now_s)
-            self.cancel(run)
+            self._end_orphan(run, now_s)
         self.run_table.drop_expired(now_s)
         self.gate.expire()
 
@@ -204,6 +208,14 @@
         """Refuses all queued requests because the instance accepts no more requests."""
         self.gate.refuse_waiting(Reason.DRAINING)
 
+    def _end_orphan(self, run: Run, now_s: float) -> None:
+        """Refuses an orphan that waits; cancels one at which the instance is at work."""
+        if run.started_at_s is None:
+            self.gate.refuse(run.submit.request_id, Reason.LINK_LOST)
+            return
+        self.recorder.record_orphan_cancelled(run, now_s)
+        self.cancel(run)
+
     async def _finish(self, run: Run) -> Result:
         try:
             return await self._run_recorded(run)
@@ -211,6 +223,7 @@
             return error
         finally:
             run.ended_at_s = read_clocks().monotonic_s
+            self.gate.scheduler.orphans.discard(run.submit.request_id)
 
     def _check_accepted(self, submit: Submit) -> None:
         """Checks that a request may be sent to the instance.
--- a/ibisrack/hosting/runs.py
+++ b/ibisrack/hosting/runs.py
@@ -86,12 +86,15 @@
         return run
 
     def expired_orphans(self, now_s: float) -> list[Run]:
-        """Returns the unfinished runs of idempotent requests that no peer resumed in time."""
+        """Returns the unfinished runs that no peer resumed in time.
+
+        A request that may run only once is among them only while it waits.
+        """
         return [
             run
             for run in self.runs.values()
             if run.ended_at_s is None
-            and run.submit.idempotent
+            and (run.submit.idempotent or run.started_at_s is None)
             and run.orphaned_at_s is not None
             and now_s - run.orphaned_at_s >= ORPHAN_TIMEOUT_S
         ]
