Cancel abandoned requests over the next link too

Cause: a Cancel was written only to the link of that moment. While the link was lost, or the connection was dead without being known as such, the peer never learned that the caller had gone: it queued the request and ran it, one that may run only once even to its end. An abandoned request is now remembered until its deadline; the peer gets a Resume and a Cancel for it over each new link, and the link is opened for it. Both messages exist already, so that a peer of another build understands them. A cancelled run sends no result any more.

--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -167,6 +167,7 @@
 def _(message: Cancel, link: IncomingLink) -> None:
     run = link.runs.pop(message.number, None)
     if run is not None:
+        run.delivery_link = None
         link.instance_runner.cancel(run)
 
 
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -17,6 +17,7 @@
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.retry import Result
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import MessageError, NotRunError, UnknownOutcomeError
 from ibisrack.links.frames import (
@@ -40,6 +41,7 @@
     Submit,
     Withdraw,
 )
+from ibisrack.links.pending import AbandonedRequest, PendingRequest, abandoned
 
 CONNECT_TIMEOUT_S = 0.3
 # Maximum time that a request waits for a peer whose last connection failed.  A peer that is back
@@ -53,25 +55,6 @@
 _LOGGER = logging.getLogger("ibisrack.links")
 
 
-@attrs.define(eq=False)
-class PendingRequest:
-    """Request that the peer has not answered completely.
-
-    Attributes:
-      submit: The submission that was sent.
-      future: Receives the result.
-      peer_epoch: Epoch of the peer's process that received the submission.
-      body_parts: Parts received so far of an answer's body.
-      answer_head: First message of that answer, None before its arrival.
-    """
-
-    submit: Submit
-    future: asyncio.Future
-    peer_epoch: str
-    body_parts: list[bytes] = attrs.field(factory=list)
-    answer_head: Answered | None = None
-
-
 @attrs.define(eq=False)
 class OutgoingLink:
     """Link to one peer.
@@ -104,6 +87,7 @@
     _open_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
     _state_changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
     _pinged_at_s: float = 0.0
+    _abandoned: list[AbandonedRequest] = attrs.field(factory=list)
 
     @property
     def is_open(self) -> bool:
@@ -123,20 +107,48 @@
         """
         if not self.is_open:
             await self._wait_until_open(submit.remaining_ms / 1000)
-        future = asyncio.get_running_loop().create_future()
-        self.pending[submit.number] = PendingRequest(submit, future, self.peer_epoch)
+        pending = PendingRequest(
+            submit,
+            asyncio.get_running_loop().create_future(),
+            self.peer_epoch,
+            read_clocks().monotonic_s + submit.remaining_ms / 1000,
+        )
+        self.pending[submit.number] = pending
         if len(self.pending) == 1:
             # A peer without requests may be silent, so silence counts from the first pending one.
             self.silent_since_s = max(self.silent_since_s, read_clocks().monotonic_s)
         write_message(self._writer, submit)
+        return await self.result(pending)
+
+    async def result(self, pending: PendingRequest) -> Answer:
+        """Waits for the result of a pending request, which is abandoned if the wait is cancelled.
+
+        Raises: see ``run``.
+        """
         try:
-            return await future
+            return await pending.future
         except asyncio.CancelledError:
-            if self._writer is not None:
-                write_message(self._writer, Cancel(submit.number))
+            self.abandon(pending)
             raise
-        finally:
-            self.pending.pop(submit.number, None)
+
+    def abandon(self, pending: PendingRequest) -> None:
+        """Cancels a request for whose result nobody waits, also over the next link."""
+        if self.pending.pop(pending.submit.number, None) is None:
+            return
+        pending.future.cancel()
+        self._drop_expired_abandoned()
+        self._abandoned.append(abandoned(pending))
+        if self._writer is None:
+            self.request_open()
+        else:
+            write_message(self._writer, Cancel(pending.submit.number))
+
+    def complete(self, pending: PendingRequest, result: Result) -> None:
+        """Passes the result of a pending request to its waiter."""
+        self.pending.pop(pending.submit.number, None)
+        if pending.future.done():
+            return
+        _set_result(result, pending.future)
 
     def request_entries(self, revision: int) -> None:
         """Requests the registry's content if the peer has seen a later revision."""
@@ -164,7 +176,7 @@
             write_message(self._writer, Ping())
 
     async def maintain(self) -> None:
-        """Connects when requested and reconnects while requests are pending; never returns."""
+        """Connects when requested and reconnects while the peer holds requests; never returns."""
         while True:
             await self._open_requested.wait()
             pause_s = CONNECT_RETRY_PAUSE_S
@@ -175,7 +187,8 @@
                 self._record_failure(error)
             finally:
                 await self._handle_closed()
-            if not self.pending:
+            self._drop_expired_abandoned()
+            if not self.pending and not self._abandoned:
                 self._open_requested.clear()
             await asyncio.sleep(pause_s)
 
@@ -219,6 +232,7 @@
         extra = {"peer": self.host, "life": peer_epoch, "unanswered": len(self.pending)}
         _LOGGER.info("link open", extra=extra)
         self.silent_since_s = read_clocks().monotonic_s
+        self._cancel_abandoned()
         for pending in tuple(self.pending.values()):
             self._resume(pending)
         async with self._state_changed:
@@ -229,11 +243,26 @@
         pending.answer_head = None
         if pending.peer_epoch != self.peer_epoch:
             # The process that received the request has ended, so its outcome can't be known.
-            complete(pending, UnknownOutcomeError(Reason.PEER_RESTARTED))
+            self.complete(pending, UnknownOutcomeError(Reason.PEER_RESTARTED))
             return
         submit = pending.submit
         write_message(self._writer, Resume(submit.number, submit.request_id, submit.attempt))
 
+    def _cancel_abandoned(self) -> None:
+        """Cancels, over a new link, the requests whose cancellation the peer may not know.
+
+        A Resume comes first, because the peer knows a request only by its number on each link.
+        """
+        self._drop_expired_abandoned()
+        for request in self._abandoned:
+            if request.peer_epoch == self.peer_epoch:
+                resume = Resume(request.number, request.request_id, request.attempt)
+                write_message(self._writer, resume, Cancel(request.number))
+
+    def _drop_expired_abandoned(self) -> None:
+        now_s = read_clocks().monotonic_s
+        self._abandoned = [r for r in self._abandoned if r.deadline_at_s > now_s]
+
     async def _handle_closed(self) -> None:
         writer, self._writer, self.peer_epoch, self.load = self._writer, None, "", None
         if writer is not None:
@@ -241,7 +270,7 @@
         else:  # The peer could not be reached; idempotent requests don't wait for it.
             for pending in tuple(self.pending.values()):
                 if pending.submit.idempotent:
-                    complete(pending, UnknownOutcomeError(Reason.PEER_UNREACHABLE))
+                    self.complete(pending, UnknownOutcomeError(Reason.PEER_UNREACHABLE))
         async with self._state_changed:
             self._state_changed.notify_all()
 
@@ -260,14 +289,20 @@
             raise NotRunError(Reason.UPSTREAM_UNREACHABLE)
 
 
-def complete(pending: PendingRequest, result: Answer | Exception) -> None:
-    """Passes the result of a pending request to its waiter."""
-    if pending.future.done():
-        return
-    if isinstance(result, Exception):
-        pending.future.set_exception(result)
-    else:
-        pending.future.set_result(result)
+@singledispatch
+def _set_result(result: object, future: asyncio.Future) -> None:
+    raise TypeError(f"unexpected result type {type(result).__name__}")
+
+
+@_set_result.register
+def _(result: Answer, future: asyncio.Future) -> None:
+    future.set_result(result)
+
+
+@_set_result.register
+def _(result: Exception, future: asyncio.Future) -> None:
+    future.set_exception(result)
+    future.exception()  # Nobody may wait any more, which asyncio would report as an error.
 
 
 @singledispatch
@@ -290,7 +325,7 @@
         pending.answer_head = message
         pending.body_parts = [message.body]
         return
-    complete(pending, _build_answer(message, message.body))
+    link.complete(pending, _build_answer(message, message.body))
 
 
 @handle.register
@@ -300,19 +335,19 @@
         return
     pending.body_parts.append(message.body)
     if not message.more:
-        complete(pending, _build_answer(pending.answer_head, b"".join(pending.body_parts)))
+        link.complete(pending, _build_answer(pending.answer_head, b"".join(pending.body_parts)))
 
 
 @handle.register
 def _(message: Refused, link: OutgoingLink) -> None:
     if pending := link.pending.get(message.number):
-        complete(pending, NotRunError(message.reason))
+        link.complete(pending, NotRunError(message.reason))
 
 
 @handle.register
 def _(message: OutcomeUnknown, link: OutgoingLink) -> None:
     if pending := link.pending.get(message.number):
-        complete(pending, UnknownOutcomeError(message.reason))
+        link.complete(pending, UnknownOutcomeError(message.reason))
 
 
 @handle.register
