A lost peer ends a request only when that is final

Cause: one failed connection attempt after a lost link ended every idempotent request there as of unknown outcome.

Now silence alone ends nothing. If attempts, budget and instances allow it, another instance is tried; the attempt at the lost peer stays open meanwhile, and its answer counts if no other instance answers. Otherwise the request is resumed until its own deadline. A new process epoch or a refused connection is final (peer-restarted, peer-stopped). When a stop withdraws what waits, requests at unreachable peers end. The retry is charged before the peer is left, once.

--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -29,6 +29,7 @@
     CONNECTION_LOST = "connection-lost"
     PEER_RESTARTED = "peer-restarted"
     LINK_LOST = "link-lost"
+    PEER_STOPPED = "peer-stopped"
     PEER_UNREACHABLE = "peer-unreachable"
     KEY_TOO_OLD = "key-too-old"
     KEY_HOME_UNREACHABLE = "key-home-unreachable"
--- a/ibisrack/dispatch/attempts.py
+++ b/ibisrack/dispatch/attempts.py
@@ -4,6 +4,9 @@
 budget and does not count towards the route's attempts.  An attempt that the instance itself refused
 or failed did reach it: its retry does both.  After a failure the request may have run, so only
 idempotent requests are retried.
+
+While the peer with an attempt can't be reached, another instance may be tried, but the attempt
+stays open: it may be running, and its answer counts if no other instance answers.
 """
 
 from functools import singledispatch
@@ -14,7 +17,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.retry import Result, may_have_executed, reported_result
 from ibisrack.dispatch.budget import ServiceRetryBudgets
-from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.routing.model import Route
 
 FIRST_SERVER_ERROR_STATUS = 500  # Lowest HTTP status that reports a failure of the instance.
@@ -36,7 +39,8 @@
       budget: Retry budgets of the node.
       arrivals: Number of attempts that reached an instance.
       charged_arrivals: Number of arrivals whose retry was charged to the budget.
-      first_possible_run: First result after which the request may have run, None if there is none.
+      possible_runs: Results after which the request may have run, in their order.
+      open_attempts: Attempts whose peers can't be reached.
       attempt_log: Instance and result of each attempt, for the log.
     """
 
@@ -47,28 +51,51 @@
     budget: ServiceRetryBudgets
     arrivals: int = 0
     charged_arrivals: int = 0
-    first_possible_run: Result | None = None
+    possible_runs: list[Result] = attrs.field(factory=list)
+    open_attempts: list[PeerLostError] = attrs.field(factory=list)
     attempt_log: list[str] = attrs.field(factory=list)
 
     def should_retry(self, result: Result, now_s: float) -> bool:
         """Records the result of an attempt and returns whether to make another one."""
         if reached_instance(result):
             self.arrivals += 1
-        if may_have_executed(result) and self.first_possible_run is None:
-            self.first_possible_run = result
+        if may_have_executed(result):
+            self.possible_runs.append(result)
         if self.deadline_at_s - now_s < MIN_ATTEMPT_S or not allows_retry(result, self.route):
             return False
-        if self.arrivals >= self.route.max_attempts:
+        return self._charge_retry(self.arrivals, now_s)
+
+    def may_leave(self, now_s: float) -> bool:
+        """Returns whether to try another instance while the peer of the last attempt is lost.
+
+        The retry is charged, as if the attempt had reached its instance.
+        """
+        if self.deadline_at_s - now_s < MIN_ATTEMPT_S or not self.route.idempotent:
             return False
-        if self.charged_arrivals < self.arrivals:
-            if not self.budget.spend(self.service, now_s):
-                return False
-            self.charged_arrivals = self.arrivals
-        return True
+        return self._charge_retry(self.arrivals + 1, now_s)
+
+    def record_refusal(self, lost: PeerLostError) -> None:
+        """Records that an open attempt has turned out not to have run."""
+        self.possible_runs.remove(lost)
+
+    def abandon_open_attempts(self) -> None:
+        """Cancels the attempts whose peers can't be reached."""
+        for lost in self.open_attempts:
+            lost.attempt.abandon()
 
     def final_result(self, result: Result) -> Result:
         """Returns the result for the caller, given the result of the last attempt."""
-        return reported_result(self.first_possible_run, result)
+        return reported_result(self.possible_runs[0] if self.possible_runs else None, result)
+
+    def _charge_retry(self, arrivals: int, now_s: float) -> bool:
+        """Charges the retry after a number of arrivals once; returns whether it is allowed."""
+        if arrivals >= self.route.max_attempts:
+            return False
+        if self.charged_arrivals < arrivals:
+            if not self.budget.spend(self.service, now_s):
+                return False
+            self.charged_arrivals = arrivals
+        return True
 
 
 @singledispatch
--- a/ibisrack/dispatch/decisions_test.py
+++ b/ibisrack/dispatch/decisions_test.py
@@ -8,7 +8,7 @@
 from ibisrack.dispatch.budget import USABLE_SHARE, ServiceRetryBudgets
 from ibisrack.dispatch.choice import InstanceViews, choose_instance
 from ibisrack.dispatch.dispatcher import PlannedStop
-from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.links.messages import Load
 from ibisrack.routing.model import Repeats
 from ibisrack.testing.functions import function_tests
@@ -63,6 +63,31 @@
     assert request_attempts.should_retry(REFUSED_BY_NODE, 1.0)
 
 
+def test_leaving_a_lost_peer_is_charged_once():
+    """Guards against charging the budget both for the loss of a peer and for the retry after it."""
+    request_attempts = attempts(slack=1.0 / USABLE_SHARE)
+    assert request_attempts.may_leave(1.0)
+    assert request_attempts.should_retry(UNKNOWN_OUTCOME, 1.0)
+    assert not attempts(slack=0.0).may_leave(1.0)
+
+
+def test_a_lost_peer_is_not_left_if_no_other_instance_may_run_the_request():
+    """Guards against a second run, and against giving up an attempt that may still be answered."""
+    assert not attempts(Repeats.FORBIDDEN).may_leave(1.0)
+    assert not attempts(max_attempts=1).may_leave(1.0)
+    assert not attempts().may_leave(99.99)
+
+
+def test_an_open_attempt_that_did_not_run_leaves_a_refusal():
+    """Guards against a 502 for a request of which every attempt is known not to have run."""
+    request_attempts = attempts()
+    lost = PeerLostError(Reason.PEER_UNREACHABLE, None)
+    request_attempts.should_retry(lost, 1.0)
+    assert request_attempts.final_result(REFUSED_BY_NODE) is lost
+    request_attempts.record_refusal(lost)
+    assert request_attempts.final_result(REFUSED_BY_NODE) is REFUSED_BY_NODE
+
+
 def test_a_server_error_is_retried_only_on_a_route_that_allows_repeats():
     """Guards against returning a 500 although a retry is allowed, and against a forbidden retry."""
     server_error = Answer(500, {}, b"")
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -2,14 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
-from functools import singledispatch
+from functools import partial, singledispatch
 from random import Random
 from typing import Protocol
 
 import attrs
 
 from ibisrack.calls.messages import Answer
-from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.outcomes import Outcome, Reason
 from ibisrack.calls.retry import Result, outcome_and_reason
 from ibisrack.clocks import read_clocks
 from ibisrack.dispatch.attempts import Attempts
@@ -19,7 +19,7 @@
 from ibisrack.dispatch.recorder import RequestRecorder
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
-from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Load, Submit
@@ -44,11 +44,16 @@
     def next_number(self) -> int:
         """Returns the number of a new request on the link."""
 
-    async def run(self, submit: Submit) -> Answer:
+    async def run(self, submit: Submit, may_leave: Callable[[], bool]) -> Answer:
         """Runs a request on the instance and returns its answer.
 
+        Args:
+          submit: The request.
+          may_leave: Returns whether another instance is tried while the node can't be reached.
+
         Raises:
           NotRunError: The request did not run.
+          PeerLostError: The node can't be reached and another instance is to be tried.
           UnknownOutcomeError: The request may have run.
         """
 
@@ -129,7 +134,7 @@
         self.budget.record_request(service, request.received_at_s, self.retry_share())
         try:
             async with asyncio.timeout(due_at_s - read_clocks().monotonic_s):
-                result = await self._attempt_all(request, attempts)
+                result = await self._run_attempts(request, attempts)
         except TimeoutError:
             result = UnknownOutcomeError(Reason.DEADLINE)
         except asyncio.CancelledError:
@@ -146,8 +151,27 @@
             return Refusal(Reason.NO_VERSION, NO_CONFIGURATION_RETRY_AFTER_S)
         return self.configurations.table.find(request.host, request.path) or NoRoute()
 
+    async def _run_attempts(self, request: Request, attempts: Attempts) -> Result:
+        """Returns the result for the caller; no attempt is left open."""
+        try:
+            result = await self._attempt_all(request, attempts)
+            if outcome_and_reason(result)[0] is not Outcome.DONE and attempts.open_attempts:
+                result = await self._await_open_attempts(attempts)
+            return result
+        finally:
+            attempts.abandon_open_attempts()
+
+    async def _await_open_attempts(self, attempts: Attempts) -> Result:
+        """Returns the first answer to the open attempts, or their last result if there is none."""
+        tasks = [asyncio.create_task(_resolve(lost, attempts)) for lost in attempts.open_attempts]
+        for finished in asyncio.as_completed(tasks):
+            result = await finished
+            if outcome_and_reason(result)[0] is Outcome.DONE:
+                break
+        return attempts.final_result(result)
+
     async def _attempt_all(self, request: Request, attempts: Attempts) -> Result:
-        """Tries instances until no retry is allowed; returns the result for the caller."""
+        """Tries instances until no retry is allowed; returns the result of all closed attempts."""
         tried: set[str] = set()
         result: Result = NotRunError(Reason.NO_INSTANCE)
         while len(tried) < MAX_INSTANCES_TRIED:
@@ -156,12 +180,19 @@
                 break
             tried.add(instance.instance_id)
             attempts.attempt_log.append(f"{instance.instance_id} no-answer")
-            result = await self._attempt(request, attempts, instance, len(tried))
+            may_leave = partial(self._may_leave, attempts, tried)
+            result = await self._attempt(request, attempts, instance, len(tried), may_leave)
             attempts.attempt_log[-1] = f"{instance.instance_id} {outcome_and_reason(result)[1]}"
             if not attempts.should_retry(result, read_clocks().monotonic_s):
                 break
         return attempts.final_result(result)
 
+    def _may_leave(self, attempts: Attempts, tried: set[str]) -> bool:
+        """Returns whether to try another instance while the node of the last one is lost."""
+        if len(tried) >= MAX_INSTANCES_TRIED or self._choose(attempts, tried) is None:
+            return False
+        return attempts.may_leave(read_clocks().monotonic_s)
+
     def _choose(self, attempts: Attempts, tried: set[str]) -> Instance | None:
         route, now_s = attempts.route, read_clocks().monotonic_s
         candidates = []
@@ -178,7 +209,12 @@
         return choose_instance(candidates, self.views, self.zone, cost_s, self.rng, now_s)
 
     async def _attempt(
-        self, request: Request, attempts: Attempts, instance: Instance, number: int
+        self,
+        request: Request,
+        attempts: Attempts,
+        instance: Instance,
+        number: int,
+        may_leave: Callable[[], bool],
     ) -> Result:
         """Sends the request to an instance and updates the view of the instance."""
         name, route = instance.instance_id, attempts.route
@@ -209,7 +245,11 @@
         view.in_flight += 1
         view.sent_since_report += 1
         try:
-            answer = await destination.run(submit)
+            answer = await destination.run(submit, may_leave)
+        except PeerLostError as error:
+            self.views.record_failure(name, read_clocks().monotonic_s)
+            attempts.open_attempts.append(error)
+            return error
         except NotRunError as error:
             self.views.record_refusal(name, error.reason, read_clocks().monotonic_s)
             return error
@@ -226,6 +266,20 @@
         return max(MIN_RETRY_AFTER_S, attempts.route.target_s / 4)
 
 
+async def _resolve(lost: PeerLostError, attempts: Attempts) -> Result:
+    """Returns the result of an open attempt."""
+    try:
+        result = await lost.attempt.result()
+    except NotRunError as error:
+        attempts.record_refusal(lost)
+        result = error
+    except UnknownOutcomeError as error:
+        result = error
+    detail = outcome_and_reason(result)[1]
+    attempts.attempt_log.append(f"{lost.attempt.instance_id} {detail}")
+    return result
+
+
 @singledispatch
 def to_reply(result: object, dispatcher: Dispatcher, attempts: Attempts) -> Reply:
     """Converts the result of a request into the reply for its caller."""
--- a/ibisrack/errors.py
+++ b/ibisrack/errors.py
@@ -107,3 +107,16 @@
     def __init__(self, reason: str) -> None:
         super().__init__(reason)
         self.reason = reason
+
+
+class PeerLostError(UnknownOutcomeError):
+    """The peer that holds a request can't be reached; its result may still arrive.
+
+    Attributes:
+      reason: Reason code from ibisrack.calls.outcomes.
+      attempt: The attempt, whose result can still be awaited.
+    """
+
+    def __init__(self, reason: str, attempt: object) -> None:
+        super().__init__(reason)
+        self.attempt = attempt
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -1,7 +1,8 @@
 """Outgoing links: one task for each peer, which connects, reads answers and reconnects.
 
 When a link breaks, its unanswered requests are resumed over the next link: the peer returns the
-result, continues to run the request, or refuses it for good.
+result, continues to run the request, or refuses it for good.  Until then their outcome is open: a
+peer that can't be reached may still run them.  Only the end of its process makes the outcome final.
 """
 
 import asyncio
@@ -19,7 +20,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.retry import Result
 from ibisrack.clocks import read_clocks
-from ibisrack.errors import MessageError, NotRunError, UnknownOutcomeError
+from ibisrack.errors import MessageError, NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.links.frames import (
     LINK_ERRORS,
     enable_dead_peer_detection,
@@ -98,12 +99,17 @@
         """Returns the number for a new request."""
         return next(self._numbers)
 
-    async def run(self, submit: Submit) -> Answer:
+    async def run(self, submit: Submit, may_leave: Callable[[], bool]) -> Answer:
         """Runs a request at the peer.
 
+        Args:
+          submit: The request.
+          may_leave: Returns whether another instance is tried while the peer can't be reached.
+
         Raises:
           NotRunError: The request did not run.
-          UnknownOutcomeError: The request may have run.
+          PeerLostError: The peer can't be reached and another instance is to be tried.
+          UnknownOutcomeError: The request may have run, and its result can't arrive any more.
         """
         if not self.is_open:
             await self._wait_until_open(submit.remaining_ms / 1000)
@@ -111,6 +117,7 @@
             submit,
             asyncio.get_running_loop().create_future(),
             self.peer_epoch,
+            may_leave,
             read_clocks().monotonic_s + submit.remaining_ms / 1000,
         )
         self.pending[submit.number] = pending
@@ -156,9 +163,15 @@
             write_message(self._writer, RequestEntries(revision))
 
     def withdraw(self) -> None:
-        """Makes the peer refuse the pending requests that it has not started."""
+        """Makes the peer refuse the pending requests that it has not started.
+
+        This node is about to stop.  If the link is not open, the requests end here: the peer would
+        hardly be back before the stop.
+        """
         if self.is_open:
             write_message(self._writer, *(Withdraw(number) for number in self.pending))
+        else:
+            self._fail_pending(Reason.PEER_UNREACHABLE)
 
     def request_open(self) -> None:
         """Signals the task of this link to connect."""
@@ -182,9 +195,14 @@
             pause_s = CONNECT_RETRY_PAUSE_S
             try:
                 await self._run_connection()
+            except ConnectionRefusedError as error:  # No process listens there any more.
+                self._record_failure(error)
+                self._fail_pending(Reason.PEER_STOPPED)
             except LINK_ERRORS as error:
                 pause_s = LINK_LOSS_PAUSE_S if self.is_open else CONNECT_RETRY_PAUSE_S
                 self._record_failure(error)
+                if not self.is_open:
+                    self._leave_peer()
             finally:
                 await self._handle_closed()
             self._drop_expired_abandoned()
@@ -248,6 +266,21 @@
         submit = pending.submit
         write_message(self._writer, Resume(submit.number, submit.request_id, submit.attempt))
 
+    def _leave_peer(self) -> None:
+        """Lets the senders of pending requests try other instances; the requests stay pending."""
+        for pending in tuple(self.pending.values()):
+            if pending.left or pending.future.done() or not pending.may_leave():
+                continue
+            pending.left = True
+            waiter, pending.future = pending.future, asyncio.get_running_loop().create_future()
+            attempt = OutstandingAttempt(self, pending)
+            waiter.set_exception(PeerLostError(Reason.PEER_UNREACHABLE, attempt))
+
+    def _fail_pending(self, reason: Reason) -> None:
+        """Ends all pending requests with an unknown outcome."""
+        for pending in tuple(self.pending.values()):
+            self.complete(pending, UnknownOutcomeError(reason))
+
     def _cancel_abandoned(self) -> None:
         """Cancels, over a new link, the requests whose cancellation the peer may not know.
 
@@ -267,10 +300,6 @@
         writer, self._writer, self.peer_epoch, self.load = self._writer, None, "", None
         if writer is not None:
             writer.transport.abort()
-        else:  # The peer could not be reached; idempotent requests don't wait for it.
-            for pending in tuple(self.pending.values()):
-                if pending.submit.idempotent:
-                    self.complete(pending, UnknownOutcomeError(Reason.PEER_UNREACHABLE))
         async with self._state_changed:
             self._state_changed.notify_all()
 
@@ -289,6 +318,32 @@
             raise NotRunError(Reason.UPSTREAM_UNREACHABLE)
 
 
+@attrs.frozen(eq=False)
+class OutstandingAttempt:
+    """Attempt at a peer that can't be reached, while its sender tries another instance.
+
+    Attributes:
+      link: Link to the peer.
+      pending: The request.
+    """
+
+    link: OutgoingLink
+    pending: PendingRequest
+
+    @property
+    def instance_id(self) -> str:
+        """Instance to which the request was sent."""
+        return self.pending.submit.instance_id
+
+    async def result(self) -> Answer:
+        """Waits for the result; see ``OutgoingLink.run``."""
+        return await self.link.result(self.pending)
+
+    def abandon(self) -> None:
+        """Cancels the request at the peer."""
+        self.link.abandon(self.pending)
+
+
 @singledispatch
 def _set_result(result: object, future: asyncio.Future) -> None:
     raise TypeError(f"unexpected result type {type(result).__name__}")
--- a/ibisrack/links/outgoing_test.py
+++ b/ibisrack/links/outgoing_test.py
@@ -1,12 +1,14 @@
 """Tests of outgoing links."""
 
 import asyncio
+import socket
 from contextlib import asynccontextmanager
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
-from ibisrack.errors import NotRunError
+from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.links.codec_test import SUBMIT
+from ibisrack.links.frames import write_message
 from ibisrack.links.messages import Hello
 from ibisrack.links.outgoing import CONNECT_TIMEOUT_S, OutgoingLink
 from ibisrack.testing.functions import function_tests
@@ -39,7 +41,7 @@
     """Returns the reason of a refused request and the seconds until it was refused."""
     start_s = read_clocks().monotonic_s
     try:
-        await link.run(SUBMIT)
+        await link.run(SUBMIT, lambda: False)
     except NotRunError as error:
         return error.reason, read_clocks().monotonic_s - start_s
     raise AssertionError("the request was sent")
@@ -58,4 +60,61 @@
         assert took_s < CONNECT_TIMEOUT_S / 2
 
 
+async def failure_of(call: asyncio.Task) -> str:
+    """Returns the reason of a request of unknown outcome, which ends at once."""
+    try:
+        async with asyncio.timeout(0.5):
+            await call
+    except UnknownOutcomeError as error:
+        return error.reason
+    raise AssertionError("the request was answered")
+
+
+@asynccontextmanager
+async def submitted_request():
+    """Yields a link, its request and a peer's connection, which the peer has accepted."""
+    epochs, connections = iter("abc"), asyncio.Queue()
+
+    async def accept(reader, writer):
+        write_message(writer, Hello(HOST, next(epochs)))
+        connections.put_nowait(writer)
+        await reader.read()
+
+    async with link_to(accept) as link:
+        call = asyncio.create_task(link.run(SUBMIT, lambda: False))
+        writer = await connections.get()
+        while not link.pending:
+            await asyncio.sleep(0.01)
+        yield link, call, writer
+
+
+async def test_request_at_a_process_that_restarted_ends_at_once():
+    """Guards against waiting for a result that the process has taken with it."""
+    async with submitted_request() as (link, call, writer):
+        writer.transport.abort()
+        assert await failure_of(call) == Reason.PEER_RESTARTED
+
+
+async def test_request_at_a_process_that_no_longer_listens_ends_at_once():
+    """Guards against waiting for a result until the deadline after the peer's process ended."""
+    async with submitted_request() as (link, call, writer):
+        with socket.socket() as unused:
+            unused.bind((HOST, 0))
+            link.port = unused.getsockname()[1]
+            writer.transport.abort()
+            assert await failure_of(call) == Reason.PEER_STOPPED
+
+
+async def test_request_at_an_unreachable_peer_ends_when_this_node_stops():
+    """Guards against a caller whose connection a stop closes while its request is pending."""
+    async with submitted_request() as (link, call, writer):
+        link.port = 0  # A connection to port 0 fails, but not because a process ended.
+        writer.transport.abort()
+        while not link.failing or link.is_open:
+            await asyncio.sleep(0.01)
+        assert not call.done()
+        link.withdraw()
+        assert await failure_of(call) == Reason.PEER_UNREACHABLE
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/links/pending.py
+++ b/ibisrack/links/pending.py
@@ -1,6 +1,7 @@
 """Requests that were sent to a peer, and what is known of them while they have no result."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 
@@ -15,7 +16,9 @@
       submit: The submission that was sent.
       future: Receives the result.
       peer_epoch: Epoch of the peer's process that received the submission.
+      may_leave: Returns whether its sender tries another instance while the peer can't be reached.
       deadline_at_s: Monotonic time after which the peer does not run it.
+      left: Whether its sender tries another instance.
       body_parts: Parts received so far of an answer's body.
       answer_head: First message of that answer, None before its arrival.
     """
@@ -23,7 +26,9 @@
     submit: Submit
     future: asyncio.Future
     peer_epoch: str
+    may_leave: Callable[[], bool]
     deadline_at_s: float
+    left: bool = False
     body_parts: list[bytes] = attrs.field(factory=list)
     answer_head: Answered | None = None
 
--- a/ibisrack/sidecar/lost_link_test.py
+++ b/ibisrack/sidecar/lost_link_test.py
@@ -3,7 +3,11 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+from aiohttp import web
+
+from ibisrack.clocks import read_clocks
 from ibisrack.instances.model import InstanceState
+from ibisrack.platform.headers import NOT_EXECUTED
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import route_resource, run_sidecars, wait_until
 from ibisrack.testing.tcp_proxy import run_proxy
@@ -97,4 +101,45 @@
             await wait_until(lambda: not load().busy)
 
 
+async def run_at_first_peer(fleet_, work_s: float) -> asyncio.Task:
+    """Starts a request that the first peer's instance runs although another one is ready."""
+    fleet_.instances[1].work_s = work_s
+    views = fleet_.nodes[0].dispatcher.views
+    views.of("i-2").avoid_until_s = read_clocks().monotonic_s + 0.2
+    call = start_request(fleet_)
+    await wait_until(lambda: bool(fleet_.instances[1].executed_ids))
+    return call
+
+
+async def test_lost_request_that_no_other_instance_takes_is_answered_by_the_first():
+    """Guards against a failure in place of the answer of an instance that is at work."""
+
+    async def shed(instance, request):
+        return web.Response(status=503, headers={NOT_EXECUTED: "1"})
+
+    async with run_linked_sidecars(3) as (fleet_, proxy):
+        fleet_.instances[2].custom_handler = shed
+        call = await run_at_first_peer(fleet_, work_s=1.0)
+        proxy.cut()
+        await asyncio.sleep(CUT_S)
+        proxy.flowing.set()
+        answer, _ = await call
+        assert answer.status == 200
+        assert answer.headers["Response-Signature"] == "signed.i-1"
+
+
+async def test_lost_request_that_another_instance_answers_is_cancelled_at_the_first():
+    """Guards against an instance at work on a request that another one has answered."""
+    async with run_linked_sidecars(3) as (fleet_, proxy):
+        call = await run_at_first_peer(fleet_, work_s=3.0)
+        proxy.cut()
+        answer, _ = await call
+        assert answer.status == 200
+        assert answer.headers["Response-Signature"] == "signed.i-2"
+        proxy.flowing.set()
+        load = fleet_.nodes[1].instance_runner.gate.load
+        async with asyncio.timeout(0.7):  # Before the run would be cancelled as an orphan.
+            await wait_until(lambda: not load().busy)
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -68,8 +68,8 @@
         """Returns 0; local requests need no distinct numbers."""
         return 0
 
-    async def run(self, submit: Submit) -> Answer:
-        """Runs a request on the instance beside this node."""
+    async def run(self, submit: Submit, may_leave: Callable[[], bool]) -> Answer:
+        """Runs a request on the instance beside this node, which is always reachable."""
         return await self.instance_runner.run(submit)
 
 
