Show by tests how a request that has run is refused

A resume after the result was dropped, and a second arrival of a submission, are answered never-received, which promises that the request did not run.

--- a/ibisrack/hosting/runner_test.py
+++ b/ibisrack/hosting/runner_test.py
@@ -10,15 +10,17 @@
 from ibisrack.calls.admission import Scheduler
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.messages import Answer
+from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
-from ibisrack.errors import NotRunError
+from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.hosting.recorder import SubmissionRecorder
 from ibisrack.hosting.runner import InstanceRunner
-from ibisrack.hosting.runs import ORPHAN_TIMEOUT_S
+from ibisrack.hosting.runs import ORPHAN_TIMEOUT_S, RESULT_TTL_S
 from ibisrack.instances.directory import InstanceDirectory
+from ibisrack.links.codec import LENGTH_PREFIX_BYTES, decode
 from ibisrack.links.codec_test import SUBMIT
-from ibisrack.links.incoming import IncomingLink
-from ibisrack.links.messages import Submit
+from ibisrack.links.incoming import IncomingLink, handle
+from ibisrack.links.messages import OutcomeUnknown, Resume, Submit
 from ibisrack.metrics.tally import Tally
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import capture_log, instance, wait_until
@@ -65,7 +67,9 @@
 
 def link_of(runner: InstanceRunner) -> IncomingLink:
     """Returns an incoming link whose connection leads nowhere."""
-    return IncomingLink(runner, lambda: None, lambda revision: None, Mock(), "10.0.0.2")
+    writer = Mock()
+    writer.is_closing.return_value = False
+    return IncomingLink(runner, lambda: None, lambda revision: None, writer, "10.0.0.2")
 
 
 async def test_cancelled_orphan_is_logged_with_the_time_without_a_link():
@@ -122,4 +126,29 @@
         assert run.orphaned_at_s is None
 
 
+async def test_run_whose_result_is_no_longer_kept_is_not_reported_as_not_run():
+    """Guards against a 503 for a request that has run."""
+    async with run_instance() as (runner, upstream):
+        upstream.released.set()
+        run = runner.start(FIRST)
+        await runner.result(run)
+        runner.clean_up(run.ended_at_s + RESULT_TTL_S)
+        link = link_of(runner)
+        handle(Resume(1, *FIRST.key), link)
+        await asyncio.sleep(0)
+        (frame,) = link.writer.write.call_args.args
+        assert decode(frame[LENGTH_PREFIX_BYTES:]) == OutcomeUnknown(1, Reason.ANSWER_NOT_KEPT)
+
+
+async def test_second_arrival_of_a_submission_is_not_reported_as_not_run():
+    """Guards against a refusal of a request that is running or has run."""
+    async with run_instance() as (runner, upstream):
+        runner.start(FIRST)
+        again = runner.start(FIRST)
+        assert isinstance(await runner.result(again), UnknownOutcomeError)
+        upstream.released.set()
+        await wait_until(lambda: not runner.gate.load().busy)
+        assert upstream.sent_ids == ["first"]
+
+
 load_tests = function_tests(__name__)
