Remember runs whose result is no longer kept

A second arrival of a submission was refused the same way while the first one ran or after it had run.

A dropped run is remembered for 60 s, as long as refusals: whether it ended as not run or may have run (answer-not-kept). A second arrival has an unknown outcome (already-received); it neither runs again nor gets the answer of the first one.

runs_test: the table returns typed results in place of None; what is checked is the same, and the kind of the result besides.

--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -40,6 +40,7 @@
     WRONG_ANSWER = "answer-of-another-call"
     UNDELIMITED_ANSWER = "answer-without-length"
     NEVER_RECEIVED = "never-received"
+    ALREADY_RECEIVED = "already-received"
     CANCELLED = "cancelled"
     MISDIRECTED = "misdirected"
     WITHDRAWN = "withdrawn"
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from functools import singledispatch
 from typing import Protocol
 
 import attrs
@@ -154,23 +155,17 @@
             return answer
 
     def start(self, submit: Submit) -> Run:
-        """Starts the submission of a peer; one that is not accepted is refused at once."""
-        run = self.run_table.add(submit)
-        if run is None:
-            run = Run(submit)
-            run.task = self.spawn(_refuse(Reason.NEVER_RECEIVED))
-            return run
-        run.task = self.spawn(self._finish(run))
-        return run
-
-    def resume(self, key: SubmissionKey) -> Run | None:
-        """Returns the run that a peer resumes over a new link, None if it never arrived."""
+        """Starts the submission of a peer; one that must not run again ends at once."""
+        return _start_added(self.run_table.add(submit), submit, self)
+
+    def resume(self, key: SubmissionKey) -> Run | NotRunError | UnknownOutcomeError:
+        """Returns the run that a peer resumes over a new link, or its result if it is not here."""
         now_s = read_clocks().monotonic_s
-        run = self.run_table.find_or_refuse(key, now_s)
-        if run is not None:
-            run.mark_linked(now_s)
-            self.gate.scheduler.orphans.discard(run.submit.request_id)
-        return run
+        found = self.run_table.find_or_refuse(key, now_s)
+        if key in self.run_table.runs:
+            found.mark_linked(now_s)
+            self.gate.scheduler.orphans.discard(found.submit.request_id)
+        return found
 
     def mark_orphaned(self, run: Run) -> None:
         """Marks a run whose link is lost; it gets no slot, because nobody can take its answer."""
@@ -216,10 +211,14 @@
         self.recorder.record_orphan_cancelled(run, now_s)
         self.cancel(run)
 
-    async def _finish(self, run: Run) -> Result:
+    async def finish(self, run: Run) -> Result:
+        """Runs a submission to its end and returns its result."""
         try:
             return await self._run_recorded(run)
-        except (NotRunError, UnknownOutcomeError) as error:
+        except NotRunError as error:
+            run.refusal = error.reason
+            return error
+        except UnknownOutcomeError as error:
             return error
         finally:
             run.ended_at_s = read_clocks().monotonic_s
@@ -266,5 +265,22 @@
     )
 
 
-async def _refuse(reason: Reason) -> Result:
-    return NotRunError(reason)
+@singledispatch
+def _start_added(added: object, submit: Submit, runner: InstanceRunner) -> Run:
+    """Starts the task of a submission, given what the table of runs returned for it."""
+    raise TypeError(f"unexpected {type(added).__name__}")
+
+
+@_start_added.register
+def _(added: Run, submit: Submit, runner: InstanceRunner) -> Run:
+    added.task = runner.spawn(runner.finish(added))
+    return added
+
+
+@_start_added.register(NotRunError | UnknownOutcomeError)
+def _(added: NotRunError | UnknownOutcomeError, submit: Submit, runner: InstanceRunner) -> Run:
+    return Run(submit, runner.spawn(_return(added)))
+
+
+async def _return(result: Result) -> Result:
+    return result
--- a/ibisrack/hosting/runs.py
+++ b/ibisrack/hosting/runs.py
@@ -1,8 +1,9 @@
 """Runs of the requests that peers submitted to this node.
 
-A result is kept for a short time, so that a peer whose link broke can still fetch it.  If a peer
-resumes a submission that never arrived, the submission is refused from then on, because it may
-still be in transit on the broken connection.
+A result is kept for a short time, so that a peer whose link broke can still fetch it.  After that
+the table still knows that there was a run, and answers with an unknown outcome.  If a peer resumes
+a submission that never arrived, the submission is refused from then on, because it may still be in
+transit on the broken connection.
 """
 
 import asyncio
@@ -10,10 +11,13 @@
 
 import attrs
 
+from ibisrack.calls.outcomes import Reason
+from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.links.messages import Submit
 
 RESULT_TTL_S = 2.0  # How long results are kept; peers reconnect within a fraction of it.
-# How long refused submissions are remembered; longer than any connection lasts.
+# How long refused submissions and dropped results are remembered; longer than a submission waits
+# on a connection.
 REFUSAL_TTL_S = 60.0
 ORPHAN_TIMEOUT_S = 1.5  # Time for a peer to resume a request before it is cancelled.
 
@@ -33,6 +37,7 @@
       orphaned_at_s: Monotonic time at which its link was lost, None while a link waits for it.
       earlier_orphaned_s: Total time of earlier periods without a link.
       ended_at_s: Monotonic time at which it finished, None while it runs.
+      refusal: Reason if it ended as not run, otherwise None.
     """
 
     submit: Submit
@@ -43,6 +48,7 @@
     orphaned_at_s: float | None = None
     earlier_orphaned_s: float = 0.0
     ended_at_s: float | None = None
+    refusal: str | None = None
 
     def mark_started(self, now_s: float) -> None:
         """Records that the request is sent to the instance."""
@@ -59,31 +65,62 @@
         return self.earlier_orphaned_s + current_s
 
 
+@attrs.frozen
+class DroppedRun:
+    """What is remembered of a run whose result is no longer kept.
+
+    Attributes:
+      refusal: Reason if it ended as not run, otherwise None.
+      until_s: Monotonic time until which it is remembered.
+    """
+
+    refusal: str | None
+    until_s: float
+
+    def result(self) -> NotRunError | UnknownOutcomeError:
+        """Returns the result for a peer that resumes the submission."""
+        if self.refusal is None:
+            return UnknownOutcomeError(Reason.ANSWER_NOT_KEPT)
+        return NotRunError(self.refusal)
+
+
 @attrs.define
 class RunTable:
     """Current and recent runs on this node.
 
     Attributes:
       runs: Runs by the key of their submission.
+      dropped: Runs whose result is no longer kept, by key.
       refused_until_s: Monotonic time until which each refused submission is remembered, by key.
     """
 
     runs: dict[SubmissionKey, Run] = attrs.field(factory=dict)
+    dropped: dict[SubmissionKey, DroppedRun] = attrs.field(factory=dict)
     refused_until_s: dict[SubmissionKey, float] = attrs.field(factory=dict)
 
-    def add(self, submit: Submit) -> Run | None:
-        """Adds the run of a submission; returns None if it is refused or already known."""
-        if submit.key in self.refused_until_s or submit.key in self.runs:
-            return None
+    def add(self, submit: Submit) -> Run | NotRunError | UnknownOutcomeError:
+        """Adds the run of a submission, or returns the result of one that must not run again."""
+        if submit.key in self.refused_until_s:
+            return NotRunError(Reason.NEVER_RECEIVED)
+        if submit.key in self.runs or submit.key in self.dropped:
+            # The first arrival may have run, and its answer may belong to another request.
+            return UnknownOutcomeError(Reason.ALREADY_RECEIVED)
         run = self.runs[submit.key] = Run(submit)
         return run
 
-    def find_or_refuse(self, key: SubmissionKey, now_s: float) -> Run | None:
-        """Returns a run; if there is none, its submission is refused from now on."""
-        run = self.runs.get(key)
-        if run is None:
-            self.refused_until_s[key] = now_s + REFUSAL_TTL_S
-        return run
+    def find_or_refuse(
+        self, key: SubmissionKey, now_s: float
+    ) -> Run | NotRunError | UnknownOutcomeError:
+        """Returns a run, or the result of one that is not here any more.
+
+        A submission that never arrived is refused from now on.
+        """
+        if key in self.runs:
+            return self.runs[key]
+        if key in self.dropped:
+            return self.dropped[key].result()
+        self.refused_until_s[key] = now_s + REFUSAL_TTL_S
+        return NotRunError(Reason.NEVER_RECEIVED)
 
     def expired_orphans(self, now_s: float) -> list[Run]:
         """Returns the unfinished runs that no peer resumed in time.
@@ -100,13 +137,22 @@
         ]
 
     def drop_expired(self, now_s: float) -> None:
-        """Drops results and refusals whose retention time has passed."""
+        """Drops results, refusals and the memory of dropped results after their time."""
         old = [
             key
             for key, run in self.runs.items()
             if run.ended_at_s is not None and now_s - run.ended_at_s >= RESULT_TTL_S
         ]
         for key in old:
-            del self.runs[key]
+            self.dropped[key] = DroppedRun(self.runs.pop(key).refusal, now_s + REFUSAL_TTL_S)
         for key in [key for key, until_s in self.refused_until_s.items() if until_s <= now_s]:
             del self.refused_until_s[key]
+        self._forget_dropped(now_s)
+
+    def _forget_dropped(self, now_s: float) -> None:
+        """Removes the oldest dropped runs; they are in the order of their times."""
+        while self.dropped:
+            key = next(iter(self.dropped))
+            if self.dropped[key].until_s > now_s:
+                return
+            del self.dropped[key]
--- a/ibisrack/hosting/runs_test.py
+++ b/ibisrack/hosting/runs_test.py
@@ -2,7 +2,9 @@
 
 import attrs
 
-from ibisrack.hosting.runs import ORPHAN_TIMEOUT_S, REFUSAL_TTL_S, RESULT_TTL_S, RunTable
+from ibisrack.calls.outcomes import Reason
+from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.hosting.runs import ORPHAN_TIMEOUT_S, REFUSAL_TTL_S, RESULT_TTL_S, Run, RunTable
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.testing.functions import function_tests
 
@@ -10,20 +12,35 @@
 def test_a_submission_that_was_resumed_before_it_arrived_is_refused():
     """Guards against a request that runs after its sender received a final refusal."""
     run_table = RunTable()
-    assert run_table.find_or_refuse(SUBMIT.key, 1.0) is None
-    assert run_table.add(SUBMIT) is None
+    assert isinstance(run_table.find_or_refuse(SUBMIT.key, 1.0), NotRunError)
+    assert isinstance(run_table.add(SUBMIT), NotRunError)
     run_table.drop_expired(1.0 + REFUSAL_TTL_S)
-    assert run_table.add(SUBMIT) is not None
+    assert isinstance(run_table.add(SUBMIT), Run)
 
 
 def test_a_submission_is_added_once():
     """Guards against a second run of the same submission."""
     run_table = RunTable()
     run = run_table.add(SUBMIT)
-    assert run_table.add(SUBMIT) is None
+    assert isinstance(run_table.add(SUBMIT), UnknownOutcomeError)
     assert run_table.find_or_refuse(SUBMIT.key, 1.0) is run
 
 
+def test_dropped_results_are_remembered_as_long_as_refusals():
+    """Guards against a statement about a run that the table no longer knows, and against a leak."""
+    run_table = RunTable()
+    lodgement = attrs.evolve(SUBMIT, request_id="lodge")
+    ran, refused = run_table.add(SUBMIT), run_table.add(lodgement)
+    ran.ended_at_s = refused.ended_at_s = 5.0
+    refused.refusal = Reason.TOO_BUSY
+    run_table.drop_expired(5.0 + RESULT_TTL_S)
+    assert isinstance(run_table.find_or_refuse(SUBMIT.key, 9.0), UnknownOutcomeError)
+    assert isinstance(run_table.find_or_refuse(lodgement.key, 9.0), NotRunError)
+    assert isinstance(run_table.add(SUBMIT), UnknownOutcomeError)
+    run_table.drop_expired(5.0 + RESULT_TTL_S + REFUSAL_TTL_S)
+    assert not run_table.dropped
+
+
 def test_results_are_kept_for_a_limited_time():
     """Guards against dropping a result before its sender has reconnected, and against a leak."""
     run_table = RunTable()
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -156,11 +156,8 @@
 
 @handle.register
 def _(message: Resume, link: IncomingLink) -> None:
-    run = link.instance_runner.resume((message.request_id, message.attempt))
-    if run is None:
-        link.write_with_load(Refused(message.number, Reason.NEVER_RECEIVED))
-    else:
-        link.attach(message.number, run)
+    found = link.instance_runner.resume((message.request_id, message.attempt))
+    _deliver_resumed(found, link, message.number)
 
 
 @handle.register
@@ -191,18 +188,34 @@
 
 
 @singledispatch
-async def _send_result(result: object, link: IncomingLink, number: int) -> None:
-    raise TypeError(f"unexpected result type {type(result).__name__}")
+def _deliver_resumed(found: object, link: IncomingLink, number: int) -> None:
+    """Delivers a run that the peer resumed, now or when it ends, or the result that remains."""
+    raise TypeError(f"unexpected {type(found).__name__}")
 
 
-@_send_result.register
-async def _(result: NotRunError, link: IncomingLink, number: int) -> None:
-    link.write_with_load(Refused(number, str(result.reason)))
+@_deliver_resumed.register
+def _(found: Run, link: IncomingLink, number: int) -> None:
+    link.attach(number, found)
 
 
-@_send_result.register
-async def _(result: UnknownOutcomeError, link: IncomingLink, number: int) -> None:
-    link.write_with_load(OutcomeUnknown(number, str(result.reason)))
+@_deliver_resumed.register
+def _(found: NotRunError, link: IncomingLink, number: int) -> None:
+    link.write_with_load(Refused(number, str(found.reason)))
+
+
+@_deliver_resumed.register
+def _(found: UnknownOutcomeError, link: IncomingLink, number: int) -> None:
+    link.write_with_load(OutcomeUnknown(number, str(found.reason)))
+
+
+@singledispatch
+async def _send_result(result: object, link: IncomingLink, number: int) -> None:
+    raise TypeError(f"unexpected result type {type(result).__name__}")
+
+
+@_send_result.register(NotRunError | UnknownOutcomeError)
+async def _(result: NotRunError | UnknownOutcomeError, link: IncomingLink, number: int) -> None:
+    _deliver_resumed(result, link, number)
 
 
 @_send_result.register
