Count time on the way towards a submission's deadline

Cause: a node counted the remaining time of a submission from its arrival, so time in buffers, on a congested link, in a busy event loop or in the wait for the link lengthened it: the request could run after its caller was answered, and the instance got more time than was left.

Submit and Hello state their time of sending on the sender's clock. Arrival minus sending is the clocks' offset plus the time on the way; by what this exceeds the smallest such difference of the last 30 to 60 s, the message was late at least. The remaining times are shortened by that. The bound is never above the true time, but for the drift of the clocks (30 ms at most); it misses a delay that all messages of a window share, and that of the first Hello, which a connect limits to 0.3 s.

--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -241,6 +241,7 @@
             target=request.target,
             headers=request.headers,
             body=request.body,
+            sent_at_ms=int(now_s * 1000),
         )
         view.in_flight += 1
         view.sent_since_report += 1
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -10,6 +10,7 @@
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
+from ibisrack.clocks import read_clocks
 from ibisrack.errors import MessageError, NotRunError, UnknownOutcomeError
 from ibisrack.hosting.runner import InstanceRunner
 from ibisrack.hosting.runs import Run
@@ -34,6 +35,7 @@
     Submit,
     Withdraw,
 )
+from ibisrack.links.transit import TransitEstimate
 
 # Larger bodies are sent in parts, so that they don't delay other answers.
 BODY_PART_BYTES = 64 * 1024
@@ -52,6 +54,7 @@
       writer: Writer of the connection.
       peer: IP number of the peer's host.
       runs: Unanswered requests of this link by their number.
+      transit: Time that the peer's messages were on their way.
     """
 
     instance_runner: InstanceRunner
@@ -60,6 +63,7 @@
     writer: asyncio.StreamWriter
     peer: str
     runs: dict[int, Run] = attrs.field(factory=dict)
+    transit: TransitEstimate = attrs.field(factory=TransitEstimate)
     _last_sent_load: Load | None = None
 
     async def serve(self, reader: asyncio.StreamReader) -> None:
@@ -76,6 +80,13 @@
                     self.instance_runner.mark_orphaned(run)
             self.writer.transport.abort()
 
+    def min_delay_ms(self, message: Hello | Submit) -> int:
+        """Returns how long a message that arrives now was on its way at least."""
+        if not message.sent_at_ms:
+            return 0
+        now_s = read_clocks().monotonic_s
+        return int(self.transit.min_delay_s(message.sent_at_ms / 1000, now_s) * 1000)
+
     def attach(self, number: int, run: Run) -> None:
         """Makes this link deliver the result of a run."""
         run.delivery_link = self
@@ -134,6 +145,7 @@
         writer.transport.abort()
         return
     link = create_link(writer, hello.host)
+    link.min_delay_ms(hello)
     _LOGGER.info("peer joined", extra={"peer": hello.host, "life": hello.process_epoch})
     write_message(writer, own_hello, link.current_load())
     open_links.add(link)
@@ -151,7 +163,8 @@
 
 @handle.register
 def _(message: Submit, link: IncomingLink) -> None:
-    link.attach(message.number, link.instance_runner.start(message))
+    submit = _shortened(message, link.min_delay_ms(message))
+    link.attach(submit.number, link.instance_runner.start(submit))
 
 
 @handle.register
@@ -187,6 +200,17 @@
         write_message(link.writer, entries)
 
 
+def _shortened(submit: Submit, delay_ms: int) -> Submit:
+    """Returns a submission whose remaining times do not include its time on the way."""
+    if not delay_ms:
+        return submit
+    return attrs.evolve(
+        submit,
+        remaining_ms=submit.remaining_ms - delay_ms,
+        remaining_target_ms=submit.remaining_target_ms - delay_ms,
+    )
+
+
 @singledispatch
 def _deliver_resumed(found: object, link: IncomingLink, number: int) -> None:
     """Delivers a run that the peer resumed, now or when it ends, or the result that remains."""
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -1,6 +1,7 @@
 """Messages between nodes.
 
-Times are sent as durations, because the clocks of two hosts differ.
+Times are sent as durations, because the clocks of two hosts differ.  Times of sending, on the
+sender's clock, show only how much longer a message was on its way than others.
 """
 
 import attrs
@@ -13,10 +14,12 @@
     Attributes:
       host: IP number of the sender's host.
       process_epoch: Random id of the sender's process; a restarted process has a new one.
+      sent_at_ms: Time of sending on the sender's monotonic clock, 0 if it is not stated.
     """
 
     host: str
     process_epoch: str
+    sent_at_ms: int = 0
 
 
 @attrs.frozen
@@ -42,6 +45,8 @@
       target: Path and query, exactly as received.
       headers: Other headers to forward.
       body: Complete body.
+      sent_at_ms: Time on the sender's monotonic clock from which the remaining times count, 0 if it
+        is not stated.
     """
 
     number: int
@@ -61,6 +66,7 @@
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    sent_at_ms: int = 0
 
     @property
     def key(self) -> tuple[str, int]:
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -230,7 +230,8 @@
             reader, writer = await asyncio.open_connection(self.host, self.port)
             try:
                 enable_dead_peer_detection(writer.get_extra_info("socket"))
-                write_message(writer, self.own_hello)
+                now_ms = int(read_clocks().monotonic_s * 1000)
+                write_message(writer, attrs.evolve(self.own_hello, sent_at_ms=now_ms))
                 hello = await read_message(reader)
             except BaseException:
                 writer.transport.abort()
