--- a/ibisrack/sidecar/lost_link_test.py
+++ b/ibisrack/sidecar/lost_link_test.py
@@ -6,7 +6,9 @@
 from aiohttp import web
 
 from ibisrack.clocks import read_clocks
+from ibisrack.hosting.runs import RESULT_TTL_S
 from ibisrack.instances.model import InstanceState
+from ibisrack.links.outgoing import ABORT_AFTER_SILENCE_S
 from ibisrack.platform.headers import NOT_EXECUTED
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import route_resource, run_sidecars, wait_until
@@ -142,4 +144,18 @@
             await wait_until(lambda: not load().busy)
 
 
+async def test_answer_that_was_sent_into_a_dead_connection_is_delivered_over_the_next_link():
+    """Guards against a lost answer, or a second run, if only the sender notices the loss."""
+    async with run_linked_sidecars() as (fleet_, proxy):
+        fleet_.instances[1].work_s = 0.3
+        call = start_request(fleet_, "/lodge/7")
+        await wait_until(lambda: bool(fleet_.instances[1].executed_ids))
+        proxy.fall_silent()
+        await asyncio.sleep(ABORT_AFTER_SILENCE_S + RESULT_TTL_S)
+        proxy.flowing.set()
+        answer, _ = await call
+        assert answer.status == 200
+        assert fleet_.instances[1].executed_ids == ["q-1"]
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/testing/tcp_proxy.py
+++ b/ibisrack/testing/tcp_proxy.py
@@ -41,7 +41,8 @@
         """Forwards one connection until either side ends it."""
         self._tasks.add(asyncio.current_task())
         self._writers.add(writer)
-        try:
+        # asyncio would report the cancellation of a connection's task as an error.
+        with suppress(asyncio.CancelledError):
             await self.flowing.wait()
             target_reader, target_writer = await asyncio.open_connection(
                 self.host, self.target_port
@@ -50,9 +51,8 @@
             back = asyncio.create_task(self._forward(target_reader, writer))
             self._tasks.add(back)
             await self._forward(reader, target_writer)
-        finally:
-            self._tasks.discard(asyncio.current_task())
-            self._writers.discard(writer)
+        self._tasks.discard(asyncio.current_task())
+        self._writers.discard(writer)
 
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(OSError):
