Withdraw waiting requests over a link that is being reopened

The withdrawal is now repeated on the next link, and requests end only when the next attempt to reach the peer fails.

--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -88,6 +88,7 @@
     _open_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
     _state_changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
     _pinged_at_s: float = 0.0
+    _withdrawing: bool = False
     _abandoned: list[AbandonedRequest] = attrs.field(factory=list)
 
     @property
@@ -165,13 +166,15 @@
     def withdraw(self) -> None:
         """Makes the peer refuse the pending requests that it has not started.
 
-        This node is about to stop.  If the link is not open, the requests end here: the peer would
-        hardly be back before the stop.
+        This node is about to stop.  If the link is not open, one more attempt to open it decides:
+        the peer would hardly be back later, and the requests end here.
         """
+        self._withdrawing = True
         if self.is_open:
-            write_message(self._writer, *(Withdraw(number) for number in self.pending))
-        else:
-            self._fail_pending(Reason.PEER_UNREACHABLE)
+            self._write_withdrawals()
+
+    def _write_withdrawals(self) -> None:
+        write_message(self._writer, *(Withdraw(number) for number in self.pending))
 
     def request_open(self) -> None:
         """Signals the task of this link to connect."""
@@ -201,7 +204,9 @@
             except LINK_ERRORS as error:
                 pause_s = LINK_LOSS_PAUSE_S if self.is_open else CONNECT_RETRY_PAUSE_S
                 self._record_failure(error)
-                if not self.is_open:
+                if not self.is_open and self._withdrawing:
+                    self._fail_pending(Reason.PEER_UNREACHABLE)
+                elif not self.is_open:
                     self._leave_peer()
             finally:
                 await self._handle_closed()
@@ -254,6 +259,8 @@
         self._cancel_abandoned()
         for pending in tuple(self.pending.values()):
             self._resume(pending)
+        if self._withdrawing:
+            self._write_withdrawals()
         async with self._state_changed:
             self._state_changed.notify_all()
 
