Move abandoned requests out of the outgoing link

Their list, its deadlines and the messages that cancel them are in links/pending.py; the line of an opened link says how many there are.

Measured: outgoing, lost_link and transit tests, 13 passed.

--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -42,7 +42,7 @@
     Submit,
     Withdraw,
 )
-from ibisrack.links.pending import AbandonedRequest, PendingRequest, abandoned
+from ibisrack.links.pending import AbandonedRequests, PendingRequest
 
 CONNECT_TIMEOUT_S = 0.3
 # Maximum time that a request waits for a peer whose last connection failed.  A peer that is back
@@ -89,7 +89,7 @@
     _state_changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
     _pinged_at_s: float = 0.0
     _withdrawing: bool = False
-    _abandoned: list[AbandonedRequest] = attrs.field(factory=list)
+    _abandoned: AbandonedRequests = attrs.field(factory=AbandonedRequests)
 
     @property
     def is_open(self) -> bool:
@@ -144,8 +144,7 @@
         if self.pending.pop(pending.submit.number, None) is None:
             return
         pending.future.cancel()
-        self._drop_expired_abandoned()
-        self._abandoned.append(abandoned(pending))
+        self._abandoned.add(pending, read_clocks().monotonic_s)
         if self._writer is None:
             self.request_open()
         else:
@@ -210,7 +209,7 @@
                     self._leave_peer()
             finally:
                 await self._handle_closed()
-            self._drop_expired_abandoned()
+            self._abandoned.drop_expired(read_clocks().monotonic_s)
             if not self.pending and not self._abandoned:
                 self._open_requested.clear()
             await asyncio.sleep(pause_s)
@@ -253,10 +252,16 @@
     async def _handle_opened(self, writer: asyncio.StreamWriter, peer_epoch: str) -> None:
         self._writer, self.peer_epoch = writer, peer_epoch
         self.failing = False
-        extra = {"peer": self.host, "life": peer_epoch, "unanswered": len(self.pending)}
-        _LOGGER.info("link open", extra=extra)
         self.silent_since_s = read_clocks().monotonic_s
-        self._cancel_abandoned()
+        self._abandoned.drop_expired(self.silent_since_s)
+        extra = {
+            "peer": self.host,
+            "life": peer_epoch,
+            "unanswered": len(self.pending),
+            "abandoned": len(self._abandoned),
+        }
+        _LOGGER.info("link open", extra=extra)
+        write_message(writer, *self._abandoned.cancellations(peer_epoch))
         for pending in tuple(self.pending.values()):
             self._resume(pending)
         if self._withdrawing:
@@ -289,21 +294,6 @@
         for pending in tuple(self.pending.values()):
             self.complete(pending, UnknownOutcomeError(reason))
 
-    def _cancel_abandoned(self) -> None:
-        """Cancels, over a new link, the requests whose cancellation the peer may not know.
-
-        A Resume comes first, because the peer knows a request only by its number on each link.
-        """
-        self._drop_expired_abandoned()
-        for request in self._abandoned:
-            if request.peer_epoch == self.peer_epoch:
-                resume = Resume(request.number, request.request_id, request.attempt)
-                write_message(self._writer, resume, Cancel(request.number))
-
-    def _drop_expired_abandoned(self) -> None:
-        now_s = read_clocks().monotonic_s
-        self._abandoned = [r for r in self._abandoned if r.deadline_at_s > now_s]
-
     async def _handle_closed(self) -> None:
         writer, self._writer, self.peer_epoch, self.load = self._writer, None, "", None
         if writer is not None:
--- a/ibisrack/links/pending.py
+++ b/ibisrack/links/pending.py
@@ -1,11 +1,11 @@
 """Requests that were sent to a peer, and what is known of them while they have no result."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 
-from ibisrack.links.messages import Answered, Submit
+from ibisrack.links.messages import Answered, Cancel, Resume, Submit
 
 
 @attrs.define(eq=False)
@@ -52,13 +52,41 @@
     deadline_at_s: float
 
 
-def abandoned(pending: PendingRequest) -> AbandonedRequest:
-    """Returns what is kept of a request that was given up."""
-    submit = pending.submit
-    return AbandonedRequest(
-        submit.number,
-        submit.request_id,
-        submit.attempt,
-        pending.peer_epoch,
-        pending.deadline_at_s,
-    )
+@attrs.define
+class AbandonedRequests:
+    """Abandoned requests at one peer, until their deadlines."""
+
+    _requests: list[AbandonedRequest] = attrs.field(factory=list)
+
+    def __len__(self) -> int:
+        """Returns the number of abandoned requests."""
+        return len(self._requests)
+
+    def add(self, pending: PendingRequest, now_s: float) -> None:
+        """Adds a request that was given up."""
+        self.drop_expired(now_s)
+        submit = pending.submit
+        self._requests.append(
+            AbandonedRequest(
+                submit.number,
+                submit.request_id,
+                submit.attempt,
+                pending.peer_epoch,
+                pending.deadline_at_s,
+            )
+        )
+
+    def drop_expired(self, now_s: float) -> None:
+        """Drops the requests whose deadline has passed."""
+        self._requests = [r for r in self._requests if r.deadline_at_s > now_s]
+
+    def cancellations(self, peer_epoch: str) -> Iterator[Resume | Cancel]:
+        """Yields the messages that cancel, over a new link, what a process of the peer may hold.
+
+        A Resume precedes each Cancel, because the peer knows a request only by its number on the
+        link.
+        """
+        for request in self._requests:
+            if request.peer_epoch == peer_epoch:
+                yield Resume(request.number, request.request_id, request.attempt)
+                yield Cancel(request.number)
