Drop the body of a finished submission

Results are kept longer than before; the request's own headers and body, up to the limit of the configuration, were kept with them although only the key is used.

Measured: runner and runs tests pass.

--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -224,6 +224,8 @@
             return error
         finally:
             run.ended_at_s = read_clocks().monotonic_s
+            # Only the key is needed from here on; bodies can be as large as the limits allow.
+            run.submit = attrs.evolve(run.submit, headers=(), body=b"")
             self.gate.scheduler.orphans.discard(run.submit.request_id)
 
     def _check_accepted(self, submit: Submit) -> None:
--- a/ibisrack/hosting/runner_test.py
+++ b/ibisrack/hosting/runner_test.py
@@ -140,6 +140,16 @@
         assert decode(frame[LENGTH_PREFIX_BYTES:]) == OutcomeUnknown(1, Reason.ANSWER_NOT_KEPT)
 
 
+async def test_body_of_a_request_is_not_kept_with_its_result():
+    """Guards against memory that grows with the bodies of finished requests."""
+    async with run_instance() as (runner, upstream):
+        upstream.released.set()
+        run = runner.start(FIRST)
+        await runner.result(run)
+        assert run.submit.body == b""
+        assert run.submit.key == FIRST.key
+
+
 async def test_second_arrival_of_a_submission_is_not_reported_as_not_run():
     """Guards against a refusal of a request that is running or has run."""
     async with run_instance() as (runner, upstream):
