Remember abandoned requests for 2 s past their deadline

A request that is given up at its deadline while the link is lost was forgotten at once, so that the peer was not told; an open link would have carried the Cancel.

--- a/ibisrack/links/pending.py
+++ b/ibisrack/links/pending.py
@@ -7,6 +7,10 @@
 
 from ibisrack.links.messages import Answered, Cancel, Resume, Submit
 
+# A request that is abandoned at its deadline may still run: an instance can be late to stop.  A
+# link whose peer is alive is usually back within this time.
+MIN_ABANDONED_S = 2.0
+
 
 @attrs.define(eq=False)
 class PendingRequest:
@@ -42,19 +46,19 @@
       request_id: Id from the caller.
       attempt: Number of the submission.
       peer_epoch: Epoch of the peer's process that received the submission.
-      deadline_at_s: Monotonic time after which the peer does not run it.
+      until_s: Monotonic time until which it is remembered.
     """
 
     number: int
     request_id: str
     attempt: int
     peer_epoch: str
-    deadline_at_s: float
+    until_s: float
 
 
 @attrs.define
 class AbandonedRequests:
-    """Abandoned requests at one peer, until their deadlines."""
+    """Abandoned requests at one peer, until the peer does not run them any more."""
 
     _requests: list[AbandonedRequest] = attrs.field(factory=list)
 
@@ -72,13 +76,13 @@
                 submit.request_id,
                 submit.attempt,
                 pending.peer_epoch,
-                pending.deadline_at_s,
+                max(pending.deadline_at_s, now_s + MIN_ABANDONED_S),
             )
         )
 
     def drop_expired(self, now_s: float) -> None:
-        """Drops the requests whose deadline has passed."""
-        self._requests = [r for r in self._requests if r.deadline_at_s > now_s]
+        """Drops the requests whose time has passed."""
+        self._requests = [r for r in self._requests if r.until_s > now_s]
 
     def cancellations(self, peer_epoch: str) -> Iterator[Resume | Cancel]:
         """Yields the messages that cancel, over a new link, what a process of the peer may hold.
