--- a/ibisrack/clocks.py
+++ b/ibisrack/clocks.py
@@ -22,3 +22,8 @@
 def read_clocks() -> Instant:
     """Returns the current instant."""
     return Instant(time.monotonic(), int(time.time() * 1000))
+
+
+def read_uptime_ms() -> int:
+    """Returns the milliseconds since the host started, the times of its suspension included."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -2,27 +2,26 @@
 
 import asyncio
 from collections.abc import Callable
-from functools import singledispatch
+from functools import partial, singledispatch
 from random import Random
-from typing import Protocol
 
 import attrs
 
-from ibisrack.calls.messages import Answer
-from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.outcomes import Outcome, Reason
 from ibisrack.calls.retry import Result, outcome_and_reason
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_clocks, read_uptime_ms
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import ServiceRetryBudgets
 from ibisrack.dispatch.choice import InstanceViews, choose_instance
+from ibisrack.dispatch.destination import Destination, OpenAttempt
 from ibisrack.dispatch.first_attempts import FirstAttemptEstimator
 from ibisrack.dispatch.recorder import RequestRecorder
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
-from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
-from ibisrack.links.messages import Load, Submit
+from ibisrack.links.messages import Submit
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.model import Route
 from ibisrack.routing.splits import Splitter
@@ -35,45 +34,6 @@
 STOPPING_RETRY_AFTER_S = 1.0
 
 
-class Destination(Protocol):
-    """The node beside an instance: this node itself, or a peer reached over its link.
-
-    Attributes:
-      load: Last reported load, None before the first report.
-    """
-
-    load: Load | None
-
-    def next_number(self) -> int:
-        """Returns the number of a new request on the link."""
-
-    async def run(self, submit: Submit) -> Answer:
-        """Runs a request on the instance and returns its answer.
-
-        Raises:
-          NotRunError: The request did not run.
-          UnknownOutcomeError: The request may have run.
-        """
-
-    def withdraw(self, submit: Submit) -> None:
-        """Makes the node refuse a request that has not started; a running one continues."""
-
-
-@attrs.frozen(eq=False)
-class OpenAttempt:
-    """An attempt without a result.
-
-    Attributes:
-      destination: Node to which the request was sent.
-      submit: The submission.
-      due_at_s: Monotonic time at which the answer is due.
-    """
-
-    destination: Destination
-    submit: Submit
-    due_at_s: float
-
-
 @attrs.define(eq=False)
 class Dispatcher:
     """Serves requests of the callers on this host.
@@ -91,7 +51,7 @@
       splitter: Selects among the services of a route.
       first_attempts: Estimates when the caller of a retried request first sent it.
       running: Number of requests being served.
-      open_attempts: Attempts without a result.
+      open_attempts: Attempts of the requests being served.
       stop: Planned stop of this process, None while there is none.
     """
 
@@ -161,7 +121,7 @@
         self.budget.record_request(attempts.service, request.received_at_s, self.retry_share())
         try:
             async with asyncio.timeout(due_at_s - read_clocks().monotonic_s):
-                result = await self._attempt_all(request, attempts)
+                result = await self._run_attempts(request, attempts)
         except TimeoutError:
             result = UnknownOutcomeError(Reason.DEADLINE)
         return to_reply(result, self, attempts)
@@ -172,8 +132,28 @@
             return Refusal(Reason.NO_VERSION, NO_CONFIGURATION_RETRY_AFTER_S)
         return self.configurations.table.find(request.host, request.path) or NoRoute()
 
+    async def _run_attempts(self, request: Request, attempts: Attempts) -> Result:
+        """Returns the result for the caller; no attempt is left open."""
+        try:
+            result = await self._attempt_all(request, attempts)
+            if outcome_and_reason(result)[0] is not Outcome.DONE and attempts.lost_attempts:
+                result = await self._await_lost_attempts(attempts)
+            return result
+        finally:
+            attempts.abandon_lost_attempts()
+            self.open_attempts.difference_update(attempts.sent)
+
+    async def _await_lost_attempts(self, attempts: Attempts) -> Result:
+        """Returns the first answer to the lost attempts, or their last result if there is none."""
+        tasks = [asyncio.create_task(_resolve(lost, attempts)) for lost in attempts.lost_attempts]
+        for finished in asyncio.as_completed(tasks):
+            result = await finished
+            if outcome_and_reason(result)[0] is Outcome.DONE:
+                break
+        return attempts.final_result(result)
+
     async def _attempt_all(self, request: Request, attempts: Attempts) -> Result:
-        """Tries instances until no retry is allowed; returns the result for the caller."""
+        """Tries instances until no retry is allowed; returns the result of all closed attempts."""
         tried: set[str] = set()
         result: Result = NotRunError(Reason.NO_INSTANCE)
         while len(tried) < MAX_INSTANCES_TRIED:
@@ -182,12 +162,19 @@
                 break
             tried.add(instance.instance_id)
             attempts.attempt_log.append(f"{instance.instance_id} no-answer")
-            result = await self._attempt(request, attempts, instance, len(tried))
+            may_leave = partial(self._may_leave, attempts, tried)
+            result = await self._attempt(request, attempts, instance, len(tried), may_leave)
             attempts.attempt_log[-1] = f"{instance.instance_id} {outcome_and_reason(result)[1]}"
             if not attempts.should_retry(result, read_clocks().monotonic_s):
                 break
         return attempts.final_result(result)
 
+    def _may_leave(self, attempts: Attempts, tried: set[str]) -> bool:
+        """Returns whether to try another instance while the node of the last one is lost."""
+        if len(tried) >= MAX_INSTANCES_TRIED or self._choose(attempts, tried) is None:
+            return False
+        return attempts.may_leave(read_clocks().monotonic_s)
+
     def _choose(self, attempts: Attempts, tried: set[str]) -> Instance | None:
         route, now_s = attempts.route, read_clocks().monotonic_s
         candidates = []
@@ -204,7 +191,12 @@
         return choose_instance(candidates, self.views, self.zone, cost_s, self.rng, now_s)
 
     async def _attempt(
-        self, request: Request, attempts: Attempts, instance: Instance, number: int
+        self,
+        request: Request,
+        attempts: Attempts,
+        instance: Instance,
+        number: int,
+        may_leave: Callable[[], bool],
     ) -> Result:
         """Sends the request to an instance and updates the view of the instance."""
         name, route = instance.instance_id, attempts.route
@@ -233,13 +225,19 @@
             target=request.target,
             headers=request.headers,
             body=request.body,
+            sent_at_ms=read_uptime_ms(),
         )
         open_attempt = OpenAttempt(destination, submit, attempts.deadline_at_s)
+        attempts.sent.append(open_attempt)
         self.open_attempts.add(open_attempt)
         view.in_flight += 1
         view.sent_since_report += 1
         try:
-            answer = await destination.run(submit)
+            answer = await destination.run(submit, may_leave)
+        except PeerLostError as error:
+            self.views.record_failure(name, read_clocks().monotonic_s)
+            attempts.lost_attempts.append(error)
+            return error
         except NotRunError as error:
             self.views.record_refusal(name, error.reason, read_clocks().monotonic_s)
             return error
@@ -248,7 +246,6 @@
             return error
         finally:
             view.in_flight -= 1
-            self.open_attempts.discard(open_attempt)
         self.views.record_answer_size(route.name, len(answer.body))
         return answer
 
@@ -266,6 +263,20 @@
         return max(MIN_RETRY_AFTER_S, attempts.route.target_s / 4)
 
 
+async def _resolve(lost: PeerLostError, attempts: Attempts) -> Result:
+    """Returns the result of a lost attempt."""
+    try:
+        result = await lost.attempt.result()
+    except NotRunError as error:
+        attempts.record_refusal(lost)
+        result = error
+    except UnknownOutcomeError as error:
+        result = error
+    detail = outcome_and_reason(result)[1]
+    attempts.attempt_log.append(f"{lost.attempt.instance_id} {detail}")
+    return result
+
+
 @singledispatch
 def to_reply(result: object, dispatcher: Dispatcher, attempts: Attempts) -> Reply:
     """Converts the result of a request into the reply for its caller."""
--- /dev/null
+++ b/ibisrack/hosting/runner_test.py
@@ -0,0 +1,164 @@
+"""Tests of the runs at the node beside an instance, with a link that is lost meanwhile."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from unittest.mock import Mock
+
+import attrs
+from multidict import CIMultiDict
+
+from ibisrack.calls.admission import Scheduler
+from ibisrack.calls.gate import Gate
+from ibisrack.calls.messages import Answer
+from ibisrack.calls.outcomes import Reason
+from ibisrack.clocks import read_clocks
+from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.hosting.recorder import SubmissionRecorder
+from ibisrack.hosting.runner import InstanceRunner
+from ibisrack.hosting.runs import ORPHAN_TIMEOUT_S, RESULT_TTL_S
+from ibisrack.instances.directory import InstanceDirectory
+from ibisrack.links.codec import LENGTH_PREFIX_BYTES, decode
+from ibisrack.links.codec_test import SUBMIT
+from ibisrack.links.incoming import IncomingLink, handle
+from ibisrack.links.messages import OutcomeUnknown, Resume, Submit
+from ibisrack.metrics.tally import Tally
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.sidecars import capture_log, instance, wait_until
+
+FIRST = attrs.evolve(SUBMIT, request_id="first", remaining_target_ms=800, initial_target_ms=800)
+SECOND = attrs.evolve(FIRST, request_id="second")
+
+
+@attrs.define(eq=False)
+class HeldUpstream:
+    """An instance that answers no request before it is released.
+
+    Attributes:
+      sent_ids: Ids of the requests that were sent to it.
+      released: Whether requests are answered.
+    """
+
+    sent_ids: list[str] = attrs.field(factory=list)
+    released: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def send(self, submit: Submit, remaining_s: float) -> Answer:
+        """Holds a request until the release, then answers it."""
+        self.sent_ids.append(submit.request_id)
+        await self.released.wait()
+        return Answer(200, CIMultiDict(), b"")
+
+
+@asynccontextmanager
+async def run_instance(slots: int = 1):
+    """Yields the runner of an instance with one slot, and its upstream."""
+    directory, upstream = InstanceDirectory(), HeldUpstream()
+    listed = instance("i-1", slots=slots)
+    directory.put(listed)
+    runner = InstanceRunner(
+        (listed.host, listed.port),
+        Gate(Scheduler(slots)),
+        upstream,
+        directory,
+        SubmissionRecorder(Tally()),
+    )
+    runner.configure(listed.service, frozenset((0,)))
+    yield runner, upstream
+
+
+def link_of(runner: InstanceRunner) -> IncomingLink:
+    """Returns an incoming link whose connection leads nowhere."""
+    writer = Mock()
+    writer.is_closing.return_value = False
+    return IncomingLink(runner, lambda: None, lambda revision: None, writer, "10.0.0.2")
+
+
+async def test_cancelled_orphan_is_logged_with_the_time_without_a_link():
+    """Guards against a run that ends without a line that says that nobody waited for it."""
+    with capture_log() as log:
+        async with run_instance() as (runner, upstream):
+            run = runner.start(FIRST)
+            await wait_until(lambda: bool(upstream.sent_ids))
+            runner.mark_orphaned(run)
+            runner.clean_up(read_clocks().monotonic_s + ORPHAN_TIMEOUT_S)
+            await runner.result(run)
+    lines = {record.getMessage(): record for record in log}
+    assert lines["orphaned run cancelled"].orphaned_ms >= ORPHAN_TIMEOUT_S * 1000
+    assert (lines["submission ran"].linked_at_start, lines["submission ran"].linked_at_end) == (
+        True,
+        False,
+    )
+
+
+async def test_waiting_run_without_a_link_gets_no_slot():
+    """Guards against a run whose sender may have answered its caller already."""
+    async with run_instance() as (runner, upstream):
+        first, second = runner.start(FIRST), runner.start(SECOND)
+        await wait_until(lambda: runner.gate.load().queued == 1)
+        runner.mark_orphaned(second)
+        upstream.released.set()
+        await runner.result(first)
+        result = await runner.result(second)
+        assert upstream.sent_ids == ["first"]
+        assert isinstance(result, NotRunError)
+
+
+async def test_waiting_run_whose_link_stays_away_is_refused():
+    """Guards against an unknown outcome of a request that only waited."""
+    async with run_instance() as (runner, upstream):
+        runner.start(FIRST)
+        second = runner.start(SECOND)
+        await wait_until(lambda: runner.gate.load().queued == 1)
+        runner.mark_orphaned(second)
+        runner.clean_up(read_clocks().monotonic_s + ORPHAN_TIMEOUT_S)
+        assert isinstance(await runner.result(second), NotRunError)
+
+
+async def test_end_of_an_old_link_does_not_orphan_a_run_of_the_new_one():
+    """Guards against cancelling a run for which a link waits."""
+    async with run_instance() as (runner, upstream):
+        run = runner.start(FIRST)
+        old, new = link_of(runner), link_of(runner)
+        old.attach(1, run)
+        new.attach(1, runner.resume(FIRST.key))
+        ended = asyncio.StreamReader()
+        ended.feed_eof()
+        await old.serve(ended)
+        assert run.orphaned_at_s is None
+
+
+async def test_run_whose_result_is_no_longer_kept_is_not_reported_as_not_run():
+    """Guards against a 503 for a request that has run."""
+    async with run_instance() as (runner, upstream):
+        upstream.released.set()
+        run = runner.start(FIRST)
+        await runner.result(run)
+        runner.clean_up(run.ended_at_s + RESULT_TTL_S)
+        link = link_of(runner)
+        handle(Resume(1, *FIRST.key), link)
+        await asyncio.sleep(0)
+        (frame,) = link.writer.write.call_args.args
+        assert decode(frame[LENGTH_PREFIX_BYTES:]) == OutcomeUnknown(1, Reason.ANSWER_NOT_KEPT)
+
+
+async def test_body_of_a_request_is_not_kept_with_its_result():
+    """Guards against memory that grows with the bodies of finished requests."""
+    async with run_instance() as (runner, upstream):
+        upstream.released.set()
+        run = runner.start(FIRST)
+        await runner.result(run)
+        assert run.submit.body == b""
+        assert run.submit.key == FIRST.key
+
+
+async def test_second_arrival_of_a_submission_is_not_reported_as_not_run():
+    """Guards against a refusal of a request that is running or has run."""
+    async with run_instance() as (runner, upstream):
+        runner.start(FIRST)
+        again = runner.start(FIRST)
+        assert isinstance(await runner.result(again), UnknownOutcomeError)
+        upstream.released.set()
+        await wait_until(lambda: not runner.gate.load().busy)
+        assert upstream.sent_ids == ["first"]
+
+
+load_tests = function_tests(__name__)
--- a/ibisrack/links/frames.py
+++ b/ibisrack/links/frames.py
@@ -29,13 +29,13 @@
 
 
 async def read_message(
-    reader: asyncio.StreamReader, on_progress: Callable[[], None] = lambda: None
+    reader: asyncio.StreamReader, on_data: Callable[[], None] = lambda: None
 ) -> Any:
     """Reads one message.
 
     Args:
       reader: Reader of the connection.
-      on_progress: Called after each part; a large message takes seconds on a slow link.
+      on_data: Called whenever a part of the message has arrived.
 
     Raises:
       MessageError: The frame is malformed.
@@ -43,14 +43,25 @@
       OSError: The connection broke.
     """
     size = frame_size(await reader.readexactly(LENGTH_PREFIX_BYTES))
-    payload = bytearray()
+    payload = await reader.read(size)
+    on_data()
+    if len(payload) < size:
+        payload = await _read_rest(reader, payload, size, on_data)
+    return decode(payload)
+
+
+async def _read_rest(
+    reader: asyncio.StreamReader, start: bytes, size: int, on_data: Callable[[], None]
+) -> bytes:
+    """Reads a payload whose start has arrived; raises asyncio.IncompleteReadError at its end."""
+    payload = bytearray(start)
     while len(payload) < size:
         part = await reader.read(size - len(payload))
         if not part:
             raise asyncio.IncompleteReadError(bytes(payload), size)
+        on_data()
         payload += part
-        on_progress()
-    return decode(bytes(payload))
+    return bytes(payload)
 
 
 def write_message(writer: asyncio.StreamWriter, *messages: Any) -> None:
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -10,6 +10,7 @@
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
+from ibisrack.clocks import read_uptime_ms
 from ibisrack.errors import MessageError, NotRunError, UnknownOutcomeError
 from ibisrack.hosting.runner import InstanceRunner
 from ibisrack.hosting.runs import Run
@@ -36,6 +37,7 @@
     Unfollow,
     Withdraw,
 )
+from ibisrack.links.transit import TransitEstimate
 
 # Larger bodies are sent in parts, so that they don't delay other answers.
 BODY_PART_BYTES = 64 * 1024
@@ -57,6 +59,7 @@
       runs: Unanswered requests of this link by their number.
       followed_revision: Revision up to which the peer was sent the registry's changes, None while
         it does not follow them here.
+      transit: Time that the peer's messages were on their way.
     """
 
     instance_runner: InstanceRunner
@@ -66,6 +69,7 @@
     peer: str
     runs: dict[int, Run] = attrs.field(factory=dict)
     followed_revision: int | None = None
+    transit: TransitEstimate = attrs.field(factory=TransitEstimate)
     _last_sent_load: Load | None = None
 
     async def serve(self, reader: asyncio.StreamReader) -> None:
@@ -77,9 +81,19 @@
             _LOGGER.info("peer left", extra={"peer": self.peer, "why": type(error).__name__})
         finally:
             for run in self.runs.values():
-                self.instance_runner.mark_orphaned(run)
+                # The peer may have resumed it over a newer link before this one ended here.
+                if run.delivery_link is self:
+                    self.instance_runner.mark_orphaned(run)
             self.writer.transport.abort()
 
+    def min_delay_ms(self, message: Hello | Submit) -> int:
+        """Returns how long a message that arrives now was on its way at least."""
+        if not message.sent_at_ms:
+            return 0
+        return int(
+            self.transit.min_delay_s(message.sent_at_ms / 1000, read_uptime_ms() / 1000) * 1000
+        )
+
     def attach(self, number: int, run: Run) -> None:
         """Makes this link deliver the result of a run."""
         run.delivery_link = self
@@ -152,6 +166,7 @@
         writer.transport.abort()
         return
     link = create_link(writer, hello.host)
+    link.min_delay_ms(hello)
     _LOGGER.info("peer joined", extra={"peer": hello.host, "life": hello.process_epoch})
     write_message(writer, own_hello, link.current_load())
     open_links.add(link)
@@ -169,22 +184,21 @@
 
 @handle.register
 def _(message: Submit, link: IncomingLink) -> None:
-    link.attach(message.number, link.instance_runner.start(message))
+    submit = _shortened(message, link.min_delay_ms(message))
+    link.attach(submit.number, link.instance_runner.start(submit))
 
 
 @handle.register
 def _(message: Resume, link: IncomingLink) -> None:
-    run = link.instance_runner.resume((message.request_id, message.attempt))
-    if run is None:
-        link.write_with_load(Refused(message.number, Reason.NEVER_RECEIVED))
-    else:
-        link.attach(message.number, run)
+    found = link.instance_runner.resume((message.request_id, message.attempt))
+    _deliver_resumed(found, link, message.number)
 
 
 @handle.register
 def _(message: Cancel, link: IncomingLink) -> None:
     run = link.runs.pop(message.number, None)
     if run is not None:
+        run.delivery_link = None
         link.instance_runner.cancel(run)
 
 
@@ -218,19 +232,46 @@
     link.followed_revision = None
 
 
+def _shortened(submit: Submit, delay_ms: int) -> Submit:
+    """Returns a submission whose remaining times do not include its time on the way."""
+    if not delay_ms:
+        return submit
+    return attrs.evolve(
+        submit,
+        remaining_ms=submit.remaining_ms - delay_ms,
+        remaining_target_ms=submit.remaining_target_ms - delay_ms,
+    )
+
+
 @singledispatch
-async def _send_result(result: object, link: IncomingLink, number: int) -> None:
-    raise TypeError(f"unexpected result type {type(result).__name__}")
+def _deliver_resumed(found: object, link: IncomingLink, number: int) -> None:
+    """Delivers a run that the peer resumed, now or when it ends, or the result that remains."""
+    raise TypeError(f"unexpected {type(found).__name__}")
 
 
-@_send_result.register
-async def _(result: NotRunError, link: IncomingLink, number: int) -> None:
-    link.write_with_load(Refused(number, str(result.reason)))
+@_deliver_resumed.register
+def _(found: Run, link: IncomingLink, number: int) -> None:
+    link.attach(number, found)
 
 
-@_send_result.register
-async def _(result: UnknownOutcomeError, link: IncomingLink, number: int) -> None:
-    link.write_with_load(OutcomeUnknown(number, str(result.reason)))
+@_deliver_resumed.register
+def _(found: NotRunError, link: IncomingLink, number: int) -> None:
+    link.write_with_load(Refused(number, str(found.reason)))
+
+
+@_deliver_resumed.register
+def _(found: UnknownOutcomeError, link: IncomingLink, number: int) -> None:
+    link.write_with_load(OutcomeUnknown(number, str(found.reason)))
+
+
+@singledispatch
+async def _send_result(result: object, link: IncomingLink, number: int) -> None:
+    raise TypeError(f"unexpected result type {type(result).__name__}")
+
+
+@_send_result.register(NotRunError | UnknownOutcomeError)
+async def _(result: NotRunError | UnknownOutcomeError, link: IncomingLink, number: int) -> None:
+    _deliver_resumed(result, link, number)
 
 
 @_send_result.register
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -1,7 +1,8 @@
 """Outgoing links: one task for each peer, which connects, reads answers and reconnects.
 
 When a link breaks, its unanswered requests are resumed over the next link: the peer returns the
-result, continues to run the request, or refuses it for good.
+result, continues to run the request, or refuses it for good.  Until then their outcome is open: a
+peer that can't be reached may still run them.  Only the end of its process makes the outcome final.
 """
 
 import asyncio
@@ -17,8 +18,9 @@
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
-from ibisrack.clocks import read_clocks
-from ibisrack.errors import MessageError, NotRunError, UnknownOutcomeError
+from ibisrack.calls.retry import Result
+from ibisrack.clocks import read_clocks, read_uptime_ms
+from ibisrack.errors import MessageError, NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.links.frames import (
     LINK_ERRORS,
     enable_dead_peer_detection,
@@ -42,6 +44,7 @@
     Unfollow,
     Withdraw,
 )
+from ibisrack.links.pending import AbandonedRequests, PendingRequest
 
 CONNECT_TIMEOUT_S = 0.3
 # Maximum time that a request waits for a peer whose last connection failed.  A peer that is back
@@ -58,25 +61,6 @@
 _LOGGER = logging.getLogger("ibisrack.links")
 
 
-@attrs.define(eq=False)
-class PendingRequest:
-    """Request that the peer has not answered completely.
-
-    Attributes:
-      submit: The submission that was sent.
-      future: Receives the result.
-      peer_epoch: Epoch of the peer's process that received the submission.
-      body_parts: Parts received so far of an answer's body.
-      answer_head: First message of that answer, None before its arrival.
-    """
-
-    submit: Submit
-    future: asyncio.Future
-    peer_epoch: str
-    body_parts: list[bytes] = attrs.field(factory=list)
-    answer_head: Answered | None = None
-
-
 @attrs.define(eq=False)
 class OutgoingLink:
     """Link to one peer.
@@ -87,8 +71,8 @@
       port: TCP port on which the peer accepts links.
       on_entries: Called with this link and changes of the registry from the peer.
       load: Last load that the peer reported, None before the first.
-      silent_since_s: Monotonic time of the last bytes from the peer, or of the first pending
-        request if later.
+      silent_since_s: Monotonic time of the last received bytes, or of the first pending request if
+        later.
       losses: Number of connections that broke after the peer's Hello.
       failing: Whether the last connection broke or could not be opened; cleared by the next Hello.
       peer_epoch: Epoch of the peer's process, empty while the link is not open.
@@ -114,6 +98,7 @@
     _open_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
     _state_changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
     _pinged_at_s: float = 0.0
+    _abandoned: AbandonedRequests = attrs.field(factory=AbandonedRequests)
 
     @property
     def is_open(self) -> bool:
@@ -124,29 +109,62 @@
         """Returns the number for a new request."""
         return next(self._numbers)
 
-    async def run(self, submit: Submit) -> Answer:
+    async def run(self, submit: Submit, may_leave: Callable[[], bool]) -> Answer:
         """Runs a request at the peer.
 
+        Args:
+          submit: The request.
+          may_leave: Returns whether another instance is tried while the peer can't be reached.
+
         Raises:
           NotRunError: The request did not run.
-          UnknownOutcomeError: The request may have run.
+          PeerLostError: The peer can't be reached and another instance is to be tried.
+          UnknownOutcomeError: The request may have run, and its result can't arrive any more.
         """
         if not self.is_open:
             await self._wait_until_open(submit.remaining_ms / 1000)
-        future = asyncio.get_running_loop().create_future()
-        self.pending[submit.number] = PendingRequest(submit, future, self.peer_epoch)
+        pending = PendingRequest(
+            submit,
+            asyncio.get_running_loop().create_future(),
+            self.peer_epoch,
+            may_leave,
+            read_clocks().monotonic_s + submit.remaining_ms / 1000,
+        )
+        self.pending[submit.number] = pending
         if len(self.pending) == 1:
             # A peer without requests may be silent, so silence counts from the first pending one.
             self.silent_since_s = max(self.silent_since_s, read_clocks().monotonic_s)
         write_message(self._writer, submit)
+        return await self.result(pending)
+
+    async def result(self, pending: PendingRequest) -> Answer:
+        """Waits for the result of a pending request, which is abandoned if the wait is cancelled.
+
+        Raises: see ``run``.
+        """
         try:
-            return await future
+            return await pending.future
         except asyncio.CancelledError:
-            if self._writer is not None:
-                write_message(self._writer, Cancel(submit.number))
+            self.abandon(pending)
             raise
-        finally:
-            self.pending.pop(submit.number, None)
+
+    def abandon(self, pending: PendingRequest) -> None:
+        """Cancels a request for whose result nobody waits, also over the next link."""
+        if self.pending.pop(pending.submit.number, None) is None:
+            return
+        pending.future.cancel()
+        self._abandoned.add(pending, read_clocks().monotonic_s)
+        if self._writer is None:
+            self.request_open()
+        else:
+            write_message(self._writer, Cancel(pending.submit.number))
+
+    def complete(self, pending: PendingRequest, result: Result) -> None:
+        """Passes the result of a pending request to its waiter."""
+        self.pending.pop(pending.submit.number, None)
+        if pending.future.done():
+            return
+        _set_result(result, pending.future)
 
     def request_entries(self, revision: int) -> None:
         """Requests the registry's changes if the peer has seen a later revision."""
@@ -175,8 +193,16 @@
         )
 
     def withdraw(self, submit: Submit) -> None:
-        """Makes the peer refuse a pending request if it has not started."""
-        if self.is_open and submit.number in self.pending:
+        """Makes the peer refuse a pending request if it has not started.
+
+        This node is about to stop.  If the link is not open, one more attempt to open it decides:
+        the peer would hardly be back later, and the request ends here.
+        """
+        pending = self.pending.get(submit.number)
+        if pending is None:
+            return
+        pending.withdrawn = True
+        if self.is_open:
             write_message(self._writer, Withdraw(submit.number))
 
     def request_open(self) -> None:
@@ -206,18 +232,25 @@
             write_message(self._writer, Ping())
 
     async def maintain(self) -> None:
-        """Connects when requested and reconnects while requests are pending; never returns."""
+        """Connects when requested and reconnects while the peer holds requests; never returns."""
         while True:
             await self._open_requested.wait()
             pause_s = CONNECT_RETRY_PAUSE_S
             try:
                 await self._run_connection()
+            except ConnectionRefusedError as error:  # No process listens there any more.
+                self._record_failure(error)
+                self._fail_pending(Reason.PEER_STOPPED)
             except LINK_ERRORS as error:
                 pause_s = LINK_LOSS_PAUSE_S if self.is_open else CONNECT_RETRY_PAUSE_S
                 self._record_failure(error)
+                if not self.is_open:
+                    self._fail_withdrawn()
+                    self._leave_peer()
             finally:
                 await self._handle_closed()
-            if not self.pending:
+            self._abandoned.drop_expired(read_clocks().monotonic_s)
+            if not self.pending and not self._abandoned:
                 self._open_requested.clear()
             await asyncio.sleep(pause_s)
 
@@ -241,7 +274,7 @@
             reader, writer = await asyncio.open_connection(self.host, self.port)
             try:
                 enable_dead_peer_detection(writer.get_extra_info("socket"))
-                write_message(writer, self.own_hello)
+                write_message(writer, attrs.evolve(self.own_hello, sent_at_ms=read_uptime_ms()))
                 hello = await read_message(reader)
             except BaseException:
                 writer.transport.abort()
@@ -252,19 +285,25 @@
         self.peer_link_mbps = hello.link_mbps
         await self._handle_opened(writer, hello.process_epoch)
         while True:
-            message = await read_message(reader, self._record_activity)
-            self._record_activity()
-            handle(message, self)
+            handle(await read_message(reader, self._record_data), self)
 
-    def _record_activity(self) -> None:
+    def _record_data(self) -> None:
+        """Records that bytes of the peer arrived, also of a message that is not complete yet."""
         self.silent_since_s = read_clocks().monotonic_s
 
     async def _handle_opened(self, writer: asyncio.StreamWriter, peer_epoch: str) -> None:
         self._writer, self.peer_epoch = writer, peer_epoch
         self.failing = False
-        extra = {"peer": self.host, "life": peer_epoch, "unanswered": len(self.pending)}
-        _LOGGER.info("link open", extra=extra)
         self.silent_since_s = read_clocks().monotonic_s
+        self._abandoned.drop_expired(self.silent_since_s)
+        extra = {
+            "peer": self.host,
+            "life": peer_epoch,
+            "unanswered": len(self.pending),
+            "abandoned": len(self._abandoned),
+        }
+        _LOGGER.info("link open", extra=extra)
+        write_message(writer, *self._abandoned.cancellations(peer_epoch))
         for pending in tuple(self.pending.values()):
             self._resume(pending)
         async with self._state_changed:
@@ -275,20 +314,39 @@
         pending.answer_head = None
         if pending.peer_epoch != self.peer_epoch:
             # The process that received the request has ended, so its outcome can't be known.
-            complete(pending, UnknownOutcomeError(Reason.CONNECTION_LOST))
+            self.complete(pending, UnknownOutcomeError(Reason.PEER_RESTARTED))
             return
         submit = pending.submit
         write_message(self._writer, Resume(submit.number, submit.request_id, submit.attempt))
+        if pending.withdrawn:
+            write_message(self._writer, Withdraw(submit.number))
+
+    def _leave_peer(self) -> None:
+        """Lets the senders of pending requests try other instances; the requests stay pending."""
+        for pending in tuple(self.pending.values()):
+            if pending.left or pending.future.done() or not pending.may_leave():
+                continue
+            pending.left = True
+            waiter, pending.future = pending.future, asyncio.get_running_loop().create_future()
+            attempt = OutstandingAttempt(self, pending)
+            waiter.set_exception(PeerLostError(Reason.PEER_UNREACHABLE, attempt))
+
+    def _fail_pending(self, reason: Reason) -> None:
+        """Ends all pending requests with an unknown outcome."""
+        for pending in tuple(self.pending.values()):
+            self.complete(pending, UnknownOutcomeError(reason))
+
+    def _fail_withdrawn(self) -> None:
+        """Ends the withdrawn requests, whose outcome this node can't learn before it stops."""
+        for pending in tuple(self.pending.values()):
+            if pending.withdrawn:
+                self.complete(pending, UnknownOutcomeError(Reason.PEER_UNREACHABLE))
 
     async def _handle_closed(self) -> None:
         writer, self._writer, self.peer_epoch, self.load = self._writer, None, "", None
         self.following = False
         if writer is not None:
             writer.transport.abort()
-        else:  # The peer could not be reached; idempotent requests don't wait for it.
-            for pending in tuple(self.pending.values()):
-                if pending.submit.idempotent:
-                    complete(pending, UnknownOutcomeError(Reason.CONNECTION_LOST))
         async with self._state_changed:
             self._state_changed.notify_all()
 
@@ -307,14 +365,46 @@
             raise NotRunError(Reason.UPSTREAM_UNREACHABLE)
 
 
-def complete(pending: PendingRequest, result: Answer | Exception) -> None:
-    """Passes the result of a pending request to its waiter."""
-    if pending.future.done():
-        return
-    if isinstance(result, Exception):
-        pending.future.set_exception(result)
-    else:
-        pending.future.set_result(result)
+@attrs.frozen(eq=False)
+class OutstandingAttempt:
+    """Attempt at a peer that can't be reached, while its sender tries another instance.
+
+    Attributes:
+      link: Link to the peer.
+      pending: The request.
+    """
+
+    link: OutgoingLink
+    pending: PendingRequest
+
+    @property
+    def instance_id(self) -> str:
+        """Instance to which the request was sent."""
+        return self.pending.submit.instance_id
+
+    async def result(self) -> Answer:
+        """Waits for the result; see ``OutgoingLink.run``."""
+        return await self.link.result(self.pending)
+
+    def abandon(self) -> None:
+        """Cancels the request at the peer."""
+        self.link.abandon(self.pending)
+
+
+@singledispatch
+def _set_result(result: object, future: asyncio.Future) -> None:
+    raise TypeError(f"unexpected result type {type(result).__name__}")
+
+
+@_set_result.register
+def _(result: Answer, future: asyncio.Future) -> None:
+    future.set_result(result)
+
+
+@_set_result.register
+def _(result: Exception, future: asyncio.Future) -> None:
+    future.set_exception(result)
+    future.exception()  # Nobody may wait any more, which asyncio would report as an error.
 
 
 @singledispatch
@@ -337,7 +427,7 @@
         pending.answer_head = message
         pending.body_parts = [message.body]
         return
-    complete(pending, _build_answer(message, message.body))
+    link.complete(pending, _build_answer(message, message.body))
 
 
 @handle.register
@@ -347,19 +437,19 @@
         return
     pending.body_parts.append(message.body)
     if not message.more:
-        complete(pending, _build_answer(pending.answer_head, b"".join(pending.body_parts)))
+        link.complete(pending, _build_answer(pending.answer_head, b"".join(pending.body_parts)))
 
 
 @handle.register
 def _(message: Refused, link: OutgoingLink) -> None:
     if pending := link.pending.get(message.number):
-        complete(pending, NotRunError(message.reason))
+        link.complete(pending, NotRunError(message.reason))
 
 
 @handle.register
 def _(message: OutcomeUnknown, link: OutgoingLink) -> None:
     if pending := link.pending.get(message.number):
-        complete(pending, UnknownOutcomeError(message.reason))
+        link.complete(pending, UnknownOutcomeError(message.reason))
 
 
 @handle.register
--- a/ibisrack/links/outgoing_test.py
+++ b/ibisrack/links/outgoing_test.py
@@ -1,19 +1,27 @@
 """Tests of outgoing links."""
 
 import asyncio
-from contextlib import asynccontextmanager
+import socket
+from contextlib import asynccontextmanager, suppress
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
-from ibisrack.errors import NotRunError
+from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.links.codec import encode
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.links.frames import write_message
 from ibisrack.links.messages import Answered, Hello
-from ibisrack.links.outgoing import ABORT_AFTER_SILENCE_S, CONNECT_TIMEOUT_S, OutgoingLink
+from ibisrack.links.outgoing import (
+    ABORT_AFTER_SILENCE_S,
+    CONNECT_RETRY_PAUSE_S,
+    CONNECT_TIMEOUT_S,
+    OutgoingLink,
+)
 from ibisrack.testing.functions import function_tests
 
 HOST = "127.0.0.1"
+READ_LIMIT_BYTES = 64 * 1024  # Default buffer limit of a stream reader.
+SLICE_BYTES = 16 * 1024
 HELLO = Hello("127.0.0.9", "own", 1000.0)
 
 
@@ -45,7 +53,7 @@
     """Returns the reason of a refused request and the seconds until it was refused."""
     start_s = read_clocks().monotonic_s
     try:
-        await link.run(SUBMIT)
+        await link.run(SUBMIT, lambda: False)
     except NotRunError as error:
         return error.reason, read_clocks().monotonic_s - start_s
     raise AssertionError("the request was sent")
@@ -64,26 +72,82 @@
         assert took_s < CONNECT_TIMEOUT_S / 2
 
 
-async def serve_slow_frame(reader, writer):
-    """Says Hello and sends the frame of an answer with a pause after each part."""
-    frame = encode(Answered(SUBMIT.number, 200, (), bytes(80_000)))
-    write_message(writer, HELLO)
-    await reader.read(100)
-    for start in range(0, len(frame), 10_000):
-        writer.write(frame[start : start + 10_000])
-        await asyncio.sleep(ABORT_AFTER_SILENCE_S / 4)
-
-
-async def test_large_message_on_a_slow_link_is_not_silence():
-    """Guards against aborting a link, and losing its requests, while a large message arrives."""
-    async with link_to(serve_slow_frame) as link:
-        answer = asyncio.create_task(link.run(SUBMIT))
-        async with asyncio.timeout(5):
-            while not answer.done():
-                link.check_silence(read_clocks().monotonic_s)
-                await asyncio.sleep(0.05)
-        assert len((await answer).body) == 80_000
-        assert link.losses == 0
+async def failure_of(call: asyncio.Task) -> str:
+    """Returns the reason of a request of unknown outcome, which ends at once."""
+    try:
+        async with asyncio.timeout(2 * (CONNECT_TIMEOUT_S + CONNECT_RETRY_PAUSE_S)):
+            await call
+    except UnknownOutcomeError as error:
+        return error.reason
+    raise AssertionError("the request was answered")
+
+
+@asynccontextmanager
+async def submitted_request(later_epochs: str = ""):
+    """Yields a link, its request and the peer's connection, which the peer has accepted.
+
+    Args:
+      later_epochs: Process epochs of the peer on its next connections; then it sends no Hello.
+    """
+    epochs, connections = iter(f"a{later_epochs}"), asyncio.Queue()
+
+    async def accept(reader, writer):
+        if epoch := next(epochs, ""):
+            write_message(writer, Hello(HOST, epoch, 1000.0))
+        connections.put_nowait(writer)
+        with suppress(asyncio.CancelledError):
+            await reader.read()
+        writer.close()
+
+    async with link_to(accept) as link:
+        call = asyncio.create_task(link.run(SUBMIT, lambda: False))
+        writer = await connections.get()
+        while not link.pending:
+            await asyncio.sleep(0.01)
+        yield link, call, writer
+
+
+async def test_request_at_a_process_that_restarted_ends_at_once():
+    """Guards against waiting for a result that the process has taken with it."""
+    async with submitted_request(later_epochs="b") as (link, call, writer):
+        writer.transport.abort()
+        assert await failure_of(call) == Reason.PEER_RESTARTED
+
+
+async def test_request_at_a_process_that_no_longer_listens_ends_at_once():
+    """Guards against waiting for a result until the deadline after the peer's process ended."""
+    async with submitted_request() as (link, call, writer):
+        with socket.socket() as unused:
+            unused.bind((HOST, 0))
+            link.port = unused.getsockname()[1]
+            writer.transport.abort()
+            assert await failure_of(call) == Reason.PEER_STOPPED
+
+
+async def test_request_at_an_unreachable_peer_ends_when_this_node_stops():
+    """Guards against a caller whose connection a stop closes while its request is pending."""
+    async with submitted_request() as (link, call, writer):
+        writer.transport.abort()
+        await asyncio.sleep(CONNECT_TIMEOUT_S * 1.5)
+        assert link.failing
+        assert not call.done()
+        link.withdraw(SUBMIT)
+        assert await failure_of(call) == Reason.PEER_UNREACHABLE
+
+
+async def test_peer_that_sends_a_large_answer_slowly_is_not_silent():
+    """Guards against aborting a congested link again and again while an answer arrives."""
+    async with submitted_request() as (link, call, writer):
+        frame = encode(Answered(SUBMIT.number, 200, (), bytes(2 * READ_LIMIT_BYTES)))
+        slices = [frame[start : start + SLICE_BYTES] for start in range(0, len(frame), SLICE_BYTES)]
+        pause_s = ABORT_AFTER_SILENCE_S * 1.5 / len(slices)
+        for part in slices:
+            writer.write(part)
+            await asyncio.sleep(pause_s)
+            link.check_silence(read_clocks().monotonic_s)
+        async with asyncio.timeout(1):
+            assert (await call).status == 200
+        assert not link.losses
 
 
 load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -12,7 +12,8 @@
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
-from ibisrack.dispatch.dispatcher import Destination, Dispatcher
+from ibisrack.dispatch.destination import Destination
+from ibisrack.dispatch.dispatcher import Dispatcher
 from ibisrack.errors import MessageError
 from ibisrack.hosting.runner import InstanceRunner
 from ibisrack.instances.directory import InstanceDirectory
@@ -74,8 +75,8 @@
         """Returns 0; local requests need no distinct numbers."""
         return 0
 
-    async def run(self, submit: Submit) -> Answer:
-        """Runs a request on the instance beside this node."""
+    async def run(self, submit: Submit, may_leave: Callable[[], bool]) -> Answer:
+        """Runs a request on the instance beside this node, which is always reachable."""
         return await self.instance_runner.run(submit)
 
     def withdraw(self, submit: Submit) -> None:
