--- /dev/null
+++ b/ibisrack/platform/upstream_test.py
@@ -0,0 +1,194 @@
+"""Tests of requests to an instance that sends bytes without end, against scripted instances."""
+
+import asyncio
+import tracemalloc
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from ibisrack.calls.messages import Answer
+from ibisrack.calls.outcomes import Reason
+from ibisrack.errors import UnknownOutcomeError
+from ibisrack.links.messages import Submit
+from ibisrack.platform.upstream import HttpUpstream
+from ibisrack.testing.data_path import create_loopback_pool
+from ibisrack.testing.endless import (
+    BODY_LENGTH,
+    EndlessBytes,
+    EndlessServer,
+    answer_head,
+    endless_server,
+    whole_answer,
+)
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.sidecars import wait_until
+
+REMAINING_S = 0.5
+# A request ends by its deadline; the rest allows for a busy machine.
+GUARD_S = REMAINING_S + 8.0
+REQUEST_ID = "q-1"
+# A machine of 128 MB must survive an instance that fills every slot with endless answers.
+MACHINE_BYTES = 128 * 1024 * 1024
+SLOTS = 4
+
+CHUNKED = answer_head(REQUEST_ID, "Transfer-Encoding: chunked")
+LARGE_CHUNK = b"2000\r\n" + b"x" * 0x2000 + b"\r\n"
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+STALE = whole_answer("q-0")
+
+
+def _submit(target: str = "/endless") -> Submit:
+    return Submit(
+        number=1,
+        request_id=REQUEST_ID,
+        attempt=1,
+        is_retry=False,
+        instance_id="i-1",
+        service="desk",
+        rank="p0",
+        idempotent=True,
+        remaining_ms=int(REMAINING_S * 1000),
+        remaining_target_ms=100,
+        initial_target_ms=100,
+        caller_service="desk",
+        method="GET",
+        host="desk.example",
+        target=target,
+        headers=(),
+        body=b"",
+    )
+
+
+@asynccontextmanager
+async def _instance(
+    start: bytes, repeated: bytes, dripping: bool = False
+) -> AsyncIterator[tuple[EndlessServer, HttpUpstream]]:
+    async with endless_server(EndlessBytes(start, repeated, dripping)) as server:
+        upstream = HttpUpstream(create_loopback_pool(server.port, limit=2 * SLOTS))
+        yield server, upstream
+        upstream.pool.close()
+
+
+async def _send(upstream: HttpUpstream, target: str = "/endless") -> Answer | UnknownOutcomeError:
+    """Returns the answer, or the error that says that the outcome is unknown."""
+    try:
+        async with asyncio.timeout(GUARD_S):
+            return await upstream.send(_submit(target), REMAINING_S)
+    except UnknownOutcomeError as error:
+        return error
+
+
+async def _reason_for(start: bytes, repeated: bytes, dripping: bool = False) -> str:
+    """Returns why the outcome is unknown, after the checks that apply to all endless bytes."""
+    async with _instance(start, repeated, dripping) as (server, upstream):
+        result = await _send(upstream)
+        assert isinstance(result, UnknownOutcomeError), result
+        await wait_until(lambda: server.closed_connections == 1)
+        assert server.written_bytes < MACHINE_BYTES / 2
+        sizing = upstream.pool.sizing
+        assert (sizing.busy, sizing.idle) == (0, 0)
+        assert (await _send(upstream, "/healthy")).status == 200
+        return result.reason
+
+
+async def test_head_without_end_is_cut_off():
+    """Guards against a head that is buffered until the deadline."""
+    line = b"HTTP/1.1 200 OK\r\nX-A: "
+    assert await _reason_for(line, b"a") == Reason.CONNECTION_LOST
+    assert await _reason_for(b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n") == Reason.CONNECTION_LOST
+
+
+async def test_bytes_that_are_no_answer_are_cut_off():
+    """Guards against waiting for the end of what can't become an answer."""
+    assert await _reason_for(b"", b"\x00\xffnoise") == Reason.CONNECTION_LOST
+    assert await _reason_for(b"", b"HTTP") == Reason.CONNECTION_LOST
+
+
+async def test_chunked_body_without_end_is_cut_off():
+    """Guards against a body that takes half of the memory of a small machine."""
+    assert await _reason_for(CHUNKED, LARGE_CHUNK) == Reason.TOO_LARGE
+
+
+async def test_chunked_body_of_tiny_chunks_is_cut_off():
+    """Guards against chunks that cost far more memory than the bytes in them."""
+    assert await _reason_for(CHUNKED, b"1\r\nx\r\n") in (Reason.TOO_LARGE, Reason.DEADLINE)
+
+
+async def test_body_without_length_and_end_is_cut_off():
+    """Guards against waiting for the close of a connection that is never closed."""
+    assert await _reason_for(answer_head(REQUEST_ID), b"x") == Reason.TOO_LARGE
+
+
+async def test_declared_length_beyond_the_limit_is_refused_unread():
+    """Guards against reading a body that is known not to fit."""
+    head = answer_head(REQUEST_ID, f"Content-Length: {1 << 40}")
+    async with _instance(head, b"x") as (server, upstream):
+        result = await _send(upstream)
+        assert isinstance(result, UnknownOutcomeError) and result.reason == Reason.TOO_LARGE
+        await wait_until(lambda: server.closed_connections == 1)
+        assert server.written_bytes < MACHINE_BYTES / 8
+
+
+async def test_interim_answers_without_end_are_cut_off():
+    """Guards against a slot held until the deadline by answers of status 100."""
+    assert await _reason_for(b"", INTERIM) == Reason.CONNECTION_LOST
+
+
+async def test_stale_answers_without_end_are_cut_off():
+    """Guards against a queue of answers to other requests, and against a stale endless body."""
+    reasons = (Reason.WRONG_ANSWER, Reason.CONNECTION_LOST)
+    assert await _reason_for(b"", STALE) in reasons
+    stale_head = answer_head("q-0", "Transfer-Encoding: chunked")
+    assert await _reason_for(stale_head, LARGE_CHUNK) in (*reasons, Reason.TOO_LARGE)
+
+
+async def test_complete_answer_counts_whatever_follows():
+    """Guards against a complete answer that is lost, or a connection that is used again."""
+    for surplus in (b"x", b"\x00\xffnoise", STALE, whole_answer(REQUEST_ID), INTERIM):
+        async with _instance(whole_answer(REQUEST_ID), surplus) as (server, upstream):
+            result = await _send(upstream)
+            assert isinstance(result, Answer), (surplus[:20], result)
+            assert result.body == b"x" * BODY_LENGTH
+            await wait_until(lambda server=server: server.closed_connections == 1)
+            assert upstream.pool.sizing.busy == 0
+            assert (await _send(upstream, "/healthy")).status == 200
+            assert server.scripted.connections == 2
+
+
+async def test_surplus_bytes_on_an_idle_connection_close_it():
+    """Guards against answers that pile up unread while a connection is idle."""
+    async with _instance(whole_answer(REQUEST_ID), STALE, dripping=True) as (server, upstream):
+        assert (await _send(upstream)).status == 200
+        await wait_until(lambda: server.closed_connections == 1)
+
+
+async def test_dripping_bytes_end_at_the_deadline():
+    """Guards against a request that outlives its deadline because bytes still arrive."""
+    for start, repeated in (
+        (b"HTTP/1.1 200 OK\r\nX-A: ", b"a"),
+        (CHUNKED, b"1\r\nx\r\n"),
+        (answer_head(REQUEST_ID), b"x"),
+        (answer_head(REQUEST_ID, "Content-Length: 100000"), b"x"),
+    ):
+        assert await _reason_for(start, repeated, dripping=True) == Reason.DEADLINE
+    reason = await _reason_for(b"", INTERIM, dripping=True)
+    assert reason in (Reason.CONNECTION_LOST, Reason.DEADLINE)
+
+
+async def test_all_slots_together_stay_within_the_machine():
+    """Guards against endless bodies that fit one by one but not in all slots at once."""
+    async with _instance(CHUNKED, LARGE_CHUNK) as (server, upstream):
+        tracemalloc.start()
+        endless = [asyncio.create_task(_send(upstream)) for _ in range(SLOTS)]
+        await wait_until(lambda: server.written_bytes > 0)
+        assert (await _send(upstream, "/healthy")).status == 200
+        for result in await asyncio.gather(*endless):
+            assert isinstance(result, UnknownOutcomeError), result
+            assert result.reason in (Reason.TOO_LARGE, Reason.DEADLINE)
+        await wait_until(lambda: server.closed_connections == SLOTS)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert peak_bytes < MACHINE_BYTES / 2, peak_bytes
+        assert upstream.pool.sizing.busy == 0
+
+
+load_tests = function_tests(__name__)
