Keep a complete answer when malformed bytes follow it in the same packet

Cause: the HTTP library parses a received packet as a whole; if it ends in bytes that are no answer, the library raises an error and drops the complete answers before them. The request then ended as connection-lost although its instance had answered, and a request that is not idempotent could not be repeated.

Change: a connection passes a packet on in segments that end with a head, with a declared length or with the last chunk of a body.

--- a/ibisrack/upstreams/connections.py
+++ b/ibisrack/upstreams/connections.py
@@ -9,19 +9,26 @@
 from collections import deque
 
 import attrs
+from aiohttp import StreamReader
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import EMPTY_BODY_STATUS_CODES
+from aiohttp.http import RawResponseMessage
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError
 from ibisrack.upstreams.sizing import PoolSizing
 
 CONNECT_TIMEOUT_S = 1.0
+_SEPARATOR = b"\r\n\r\n"  # Ends a head, and the last chunk of a body with its trailers.
 
 
 class Connection(ResponseHandler):
-    """Connection that records whether it ended with an error.
+    """Connection that keeps complete answers apart from the bytes that follow them.
 
-    The library treats any end of a connection as the end of an answer without a length.
+    The library parses a packet as a whole and drops the complete answers in it if malformed bytes
+    follow.  This class passes a packet on in segments, none of which extends over the end of a head
+    or of a body.  The library also treats any end of a connection as the end of an answer without a
+    length, so the class records how the connection ended.
 
     Attributes:
       failed: Whether the connection ended with an error, such as a reset.
@@ -30,12 +37,64 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.failed = False
+        self._received = b""  # Unparsed bytes, after the last few parsed ones.
+        self._parsed_bytes = 0  # Number of bytes at the start of _received that are parsed.
+        self._overlap_bytes = 0  # Number of parsed bytes that may begin a separator.
+        self._due_bytes = 0  # Rest of a body with a declared length.
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Records how the connection ended; called by the event loop."""
         self.failed = exc is not None
         super().connection_lost(exc)
 
+    def data_received(self, data: bytes) -> None:
+        """Parses data; empty data continues after the reader of a body caught up."""
+        if not data or self._parser is None:
+            super().data_received(data)
+        else:
+            self._received += data
+        while self._has_unparsed and not self._reading_paused and self._exception is None:
+            super().data_received(self._take_segment())
+        self._drop_parsed()
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """Queues an answer whose head was parsed; called by the library."""
+        self._due_bytes = 0 if self._skip_payload else _declared_bytes(data[0])
+        super().feed_data(data, size)
+
+    @property
+    def _has_unparsed(self) -> bool:
+        return self._parsed_bytes < len(self._received)
+
+    def _take_segment(self) -> bytes:
+        """Returns the unparsed bytes up to the next possible end of a head or body."""
+        start, end = self._parsed_bytes, len(self._received)
+        self._overlap_bytes = 0
+        if self._due_bytes:
+            end = min(start + self._due_bytes, end)
+            self._due_bytes -= end - start
+        else:
+            position = self._received.find(_SEPARATOR, max(0, start - len(_SEPARATOR) + 1))
+            if position >= 0:
+                end = position + len(_SEPARATOR)
+            else:
+                self._overlap_bytes = min(end, len(_SEPARATOR) - 1)
+        self._parsed_bytes = end
+        return self._received[start:end]
+
+    def _drop_parsed(self) -> None:
+        """Drops parsed bytes, except for those that may begin a separator."""
+        dropped_bytes = self._parsed_bytes - self._overlap_bytes
+        self._received = self._received[dropped_bytes:]
+        self._parsed_bytes = self._overlap_bytes
+
+
+def _declared_bytes(message: RawResponseMessage) -> int:
+    """Returns the declared length of an answer's body, 0 if there is none."""
+    if message.chunked or message.code < 200 or message.code in EMPTY_BODY_STATUS_CODES:
+        return 0
+    return int(message.headers.get("Content-Length", 0))
+
 
 def is_reusable(connection: ResponseHandler) -> bool:
     """Returns whether a connection is open, with no unfinished or unexpected answer."""
