--- a/ibisrack/upstreams/connections.py
+++ b/ibisrack/upstreams/connections.py
@@ -7,9 +7,10 @@
 
 import asyncio
 from collections import deque
+from typing import Any
 
 import attrs
-from aiohttp import StreamReader
+from aiohttp import ServerDisconnectedError, StreamReader
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import EMPTY_BODY_STATUS_CODES
 from aiohttp.http import RawResponseMessage
@@ -19,6 +20,9 @@
 from ibisrack.upstreams.sizing import PoolSizing
 
 CONNECT_TIMEOUT_S = 1.0
+# Answers of any status that a server may send for one request: interim ones, late ones to earlier
+# requests, and the one that counts.  A server that sends more is taken to send them without end.
+MAX_ANSWERS_PER_REQUEST = 32
 _SEPARATOR = b"\r\n\r\n"  # Ends a head, and the last chunk of a body with its trailers.
 
 
@@ -27,8 +31,9 @@
 
     The library parses a packet as a whole and drops the complete answers in it if malformed bytes
     follow.  This class passes a packet on in segments, none of which extends over the end of a head
-    or of a body.  The library also treats any end of a connection as the end of an answer without a
-    length, so the class records how the connection ended.
+    or of a body, and closes the connection when there are too many answers.  The library also
+    treats any end of a connection as the end of an answer without a length, so the class records
+    how the connection ended.
 
     Attributes:
       failed: Whether the connection ended with an error, such as a reset.
@@ -41,6 +46,12 @@
         self._parsed_bytes = 0  # Number of bytes at the start of _received that are parsed.
         self._overlap_bytes = 0  # Number of parsed bytes that may begin a separator.
         self._due_bytes = 0  # Rest of a body with a declared length.
+        self._answers = 0  # Number of answers since the request was sent.
+
+    def set_response_params(self, **options: Any) -> None:
+        """Prepares for the answers to a request; called before the request is written."""
+        self._answers = 0
+        super().set_response_params(**options)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Records how the connection ended; called by the event loop."""
@@ -60,7 +71,18 @@
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """Queues an answer whose head was parsed; called by the library."""
         self._due_bytes = 0 if self._skip_payload else _declared_bytes(data[0])
+        self._answers += 1
         super().feed_data(data, size)
+        if self._answers >= MAX_ANSWERS_PER_REQUEST:
+            self.fail()
+
+    def fail(self) -> None:
+        """Closes the connection at once; its reader gets an error after what is queued."""
+        self.set_exception(ServerDisconnectedError("closed because of its answers"))
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(self._exception)
+        if self.transport is not None:
+            self.transport.abort()
 
     @property
     def _has_unparsed(self) -> bool:
