Close an idle connection on which bytes arrive

Cause: an answer that arrived on an idle connection was queued there until the connection was taken again, and its sender saw no close.

Change: the pool marks idle connections; anything that arrives before the next request ends them. The test's server now pauses before each surplus answer, and the test allows fewer than ten of them; with that it fails on the commit before this one.

--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -159,6 +159,7 @@
     async with _instance(whole_answer(REQUEST_ID), STALE, dripping=True) as (server, upstream):
         assert (await _send(upstream)).status == 200
         await wait_until(lambda: server.closed_connections == 1)
+        assert server.written_bytes < 10 * len(STALE)
 
 
 async def test_dripping_bytes_end_at_the_deadline():
--- a/ibisrack/testing/endless.py
+++ b/ibisrack/testing/endless.py
@@ -31,7 +31,7 @@
     Attributes:
       start: Sent once.
       repeated: Sent again and again until the receiver closes the connection.
-      dripping: Whether the server pauses between two repetitions.
+      dripping: Whether the server pauses before each repetition.
     """
 
     start: bytes
@@ -45,10 +45,10 @@
         if not self.dripping:
             block *= max(1, BLOCK_BYTES // len(self.repeated))
         while True:
-            writer.write(block)
-            await writer.drain()
             if self.dripping:
                 await asyncio.sleep(DRIP_INTERVAL_S)
+            writer.write(block)
+            await writer.drain()
 
 
 @attrs.define(eq=False)
--- a/ibisrack/upstreams/connections.py
+++ b/ibisrack/upstreams/connections.py
@@ -47,10 +47,12 @@
         self._overlap_bytes = 0  # Number of parsed bytes that may begin a separator.
         self._due_bytes = 0  # Rest of a body with a declared length.
         self._answers = 0  # Number of answers since the request was sent.
+        self._idle = False
 
     def set_response_params(self, **options: Any) -> None:
         """Prepares for the answers to a request; called before the request is written."""
         self._answers = 0
+        self._idle = False
         super().set_response_params(**options)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -58,8 +60,15 @@
         self.failed = exc is not None
         super().connection_lost(exc)
 
+    def mark_idle(self) -> None:
+        """Closes the connection if anything arrives before the next request."""
+        self._idle = True
+
     def data_received(self, data: bytes) -> None:
         """Parses data; empty data continues after the reader of a body caught up."""
+        if self._idle:
+            self.fail()
+            return
         if not data or self._parser is None:
             super().data_received(data)
         else:
@@ -118,7 +127,7 @@
     return int(message.headers.get("Content-Length", 0))
 
 
-def is_reusable(connection: ResponseHandler) -> bool:
+def is_reusable(connection: Connection) -> bool:
     """Returns whether a connection is open, with no unfinished or unexpected answer."""
     return connection.is_connected() and not connection.should_close
 
@@ -136,12 +145,12 @@
     host: str
     port: int
     sizing: PoolSizing
-    _idle: list[ResponseHandler] = attrs.field(factory=list)
+    _idle: list[Connection] = attrs.field(factory=list)
     _waiters: deque[asyncio.Future] = attrs.field(factory=deque)
     _opening: set[asyncio.Task] = attrs.field(factory=set)
     _closed: bool = False
 
-    def take_idle(self) -> ResponseHandler | None:
+    def take_idle(self) -> Connection | None:
         """Returns the most recently used idle connection, None if there is none."""
         while self._idle:
             connection = self._idle.pop()
@@ -152,7 +161,7 @@
             connection.abort()
         return None
 
-    async def acquire(self) -> ResponseHandler:
+    async def acquire(self) -> Connection:
         """Returns an idle connection or waits for one.
 
         Raises:
@@ -170,7 +179,7 @@
             self._abandon_wait(future)
             raise
 
-    def release(self, connection: ResponseHandler) -> None:
+    def release(self, connection: Connection) -> None:
         """Returns a connection to the pool; aborts one with an unfinished answer."""
         self.sizing.busy -= 1
         if self._closed or not is_reusable(connection):
@@ -180,7 +189,7 @@
         self._close_surplus()
         self._open_needed()
 
-    def discard(self, connection: ResponseHandler) -> None:
+    def discard(self, connection: Connection) -> None:
         """Aborts a connection that must not be used again."""
         connection.abort()
         self.release(connection)
@@ -207,7 +216,7 @@
             self._idle.pop().close()
         self.sizing.idle = 0
 
-    def _assign(self, connection: ResponseHandler) -> None:
+    def _assign(self, connection: Connection) -> None:
         """Assigns a connection to the longest-waiting call, or keeps it idle."""
         while self._waiters:
             future = self._waiters.popleft()
@@ -217,6 +226,7 @@
                 self.sizing.waiting = len(self._waiters)
                 return
         self.sizing.waiting = 0
+        connection.mark_idle()
         self._idle.append(connection)
         self.sizing.idle += 1
 
