End a request at its instance soon after its deadline

Cause: nothing but its sender ended a request. A request whose link was lost and that is not idempotent is never cancelled, so an instance that sends a byte now and then held the slot without end.

Change: a request ends 0.25 s after its deadline, with an unknown outcome and a closed connection. The grace leaves the end to the sender whenever that can cancel, so that an instance that only takes long isn't counted as failing.

--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -1,5 +1,7 @@
 """Sends requests to the local instance over HTTP and validates its answers."""
 
+import asyncio
+
 import attrs
 from aiohttp import ClientError, StreamReader
 from aiohttp.http import RawResponseMessage
@@ -23,6 +25,9 @@
 
 MISDIRECTED = 421  # HTTP status: another instance now listens at the address.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# The node that sent the request gives it up at its deadline.  This node ends a request later, and
+# so only if that node could not cancel it; the instance is then not counted as failing.
+DEADLINE_GRACE_S = 0.25
 MAX_STALE_ANSWERS = 4  # Answers to earlier requests that are skipped before the request fails.
 
 _CONNECTION_ERRORS = (ClientError, HttpProcessingError, OSError)
@@ -44,10 +49,11 @@
         remaining_ms = int(remaining_s * 1000)
         if remaining_ms <= 0:
             raise NotRunError(Reason.DEADLINE)
+        ends_at_s = asyncio.get_running_loop().time() + remaining_s + DEADLINE_GRACE_S
         connection = self.pool.take_idle()
         # Compared with None because a connection without unread answers is falsy.
         if connection is None:
-            connection = await self.pool.acquire()
+            connection = await self._acquire(ends_at_s)
         try:
             connection.set_response_params(
                 skip_payload=submit.method == "HEAD",
@@ -55,7 +61,11 @@
                 auto_decompress=False,
             )
             connection.transport.write(_encode_request(submit, remaining_ms))
-            answer = await self._read_answer(connection, submit)
+            async with asyncio.timeout_at(ends_at_s):
+                answer = await self._read_answer(connection, submit)
+        except TimeoutError as error:
+            self.pool.discard(connection)
+            raise UnknownOutcomeError(Reason.DEADLINE) from error
         except _CONNECTION_ERRORS as error:
             self.pool.discard(connection)
             raise UnknownOutcomeError(Reason.CONNECTION_LOST) from error
@@ -65,6 +75,13 @@
         self.pool.release(connection)
         return answer
 
+    async def _acquire(self, ends_at_s: float) -> Connection:
+        try:
+            async with asyncio.timeout_at(ends_at_s):
+                return await self.pool.acquire()
+        except TimeoutError as error:
+            raise NotRunError(Reason.DEADLINE) from error
+
     async def _read_answer(self, connection: Connection, submit: Submit) -> Answer:
         message, body = await self._read_matching_answer(connection, submit)
         headers = message.headers
