Bound the answers being read by a quarter of the machine's memory

Cause: each answer could take 64 MiB, in as many slots as the instance has, whatever the memory of the machine. A declared length was not looked at before the body was read.

Change: self.limits.memory_mb of the platform's settings (128 MB if absent) gives a limit for the bodies of all answers being read. When it is reached, the largest is given up with an unknown outcome, so that one endless body doesn't make the others fail or wait. A body whose declared length can't fit is refused unread.

--- a/ibisrack/platform/decoding_test.py
+++ b/ibisrack/platform/decoding_test.py
@@ -138,6 +138,14 @@
     assert (settings.stop_s, settings.retry_ratio, settings.retry_slack) == (6.0, 0.3, 58.0)
 
 
+def test_memory_limit_of_the_machine_is_read():
+    """Guards against a machine whose limit on answers does not follow from its memory."""
+    limits = "self:\n  limits: {cores: 1, memory_mb: 300}"
+    assert load(SETTINGS.replace("self:", limits)).memory_mb == 300
+    for absent in (SETTINGS, SETTINGS.replace("self:", limits.replace("300", "0"))):
+        assert load(absent).memory_mb == 128
+
+
 def test_all_faults_of_the_settings_file_are_reported_together():
     """Guards against reporting only the first fault at each start."""
     text = SETTINGS.replace('zone: "north"', "zone: 7").replace('grace: "6s"', "grace: 6")
--- a/ibisrack/platform/settings_file.py
+++ b/ibisrack/platform/settings_file.py
@@ -44,6 +44,7 @@
         "ready": reader.address("network.listen.ready"),
         "registry": reader.address("platform.platform.address"),
         "metrics": reader.local_address(metrics_port),
+        "memory_mb": reader.limit("self.limits.memory_mb"),
         "stop_s": reader.duration_s("terms.bounds.grace"),
         "retry_ratio": reader.get("terms.bounds.retry_budget_ratio"),
         "retry_slack": reader.get("terms.bounds.budget_slack"),
@@ -96,6 +97,11 @@
             return None
         return {"host": str(self.get("self.ip")), "port": int(port)}
 
+    def limit(self, path: str) -> int | float | None:
+        """Returns a limit, None unless it is a positive number."""
+        value = self.get(path)
+        return value if type(value) in (int, float) and value > 0 else None
+
     def duration_s(self, path: str) -> float | None:
         value = self.get(path)
         if value is None:
--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import attrs
-from aiohttp import ClientError, StreamReader
+from aiohttp import ClientError
 from aiohttp.http import RawResponseMessage
 from aiohttp.http_exceptions import HttpProcessingError
 
@@ -21,13 +21,14 @@
     SIGNATURE,
     as_latin1,
 )
-from ibisrack.upstreams.connections import Connection, ConnectionPool
+from ibisrack.upstreams.answer_memory import AnswerMemory
+from ibisrack.upstreams.connections import Connection, ConnectionPool, declared_bytes
 
 MISDIRECTED = 421  # HTTP status: another instance now listens at the address.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # The node that sent the request gives it up at its deadline.  This node ends a request later, and
 # so only if that node could not cancel it; the instance is then not counted as failing.
 DEADLINE_GRACE_S = 0.25
+READ_BUFFER_BYTES = 64 * 1024  # The library stops reading at twice this size for a connection.
 MAX_STALE_ANSWERS = 4  # Answers to earlier requests that are skipped before the request fails.
 
 _CONNECTION_ERRORS = (ClientError, HttpProcessingError, OSError)
@@ -40,9 +41,11 @@
 
     Attributes:
       pool: Connections to the instance.
+      memory: Memory for the answers that are being read.
     """
 
     pool: ConnectionPool
+    memory: AnswerMemory
 
     async def send(self, submit: Submit, remaining_s: float) -> Answer:
         """Sends a request; see ibisrack.hosting.runner.Upstream."""
@@ -59,6 +62,7 @@
                 skip_payload=submit.method == "HEAD",
                 read_until_eof=True,
                 auto_decompress=False,
+                read_bufsize=READ_BUFFER_BYTES,
             )
             connection.transport.write(_encode_request(submit, remaining_ms))
             async with asyncio.timeout_at(ends_at_s):
@@ -104,7 +108,9 @@
             message, content = await connection.read()
             if message.code < 200:
                 continue
-            body = await _read_body(content)
+            if declared_bytes(message) > self.memory.max_answer_bytes:
+                raise UnknownOutcomeError(Reason.TOO_LARGE)
+            body = await self.memory.read_body(connection, content)
             if connection.failed:
                 # An answer without a length is complete only after a clean close.
                 raise UnknownOutcomeError(Reason.CONNECTION_LOST)
@@ -117,17 +123,6 @@
                 raise UnknownOutcomeError(Reason.WRONG_ANSWER)
 
 
-async def _read_body(content: StreamReader) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    while part := await content.readany():
-        parts.append(part)
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise UnknownOutcomeError(Reason.TOO_LARGE)
-    return b"".join(parts)
-
-
 def _encode_request(submit: Submit, remaining_ms: int) -> bytes:
     lines = [f"{submit.method} {submit.target} HTTP/1.1", f"Host: {submit.host}"]
     lines += [f"{name}: {value}" for name, value in submit.headers]
--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -21,6 +21,7 @@
 )
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import wait_until
+from ibisrack.upstreams.answer_memory import create_answer_memory
 
 REMAINING_S = 0.5
 # A request ends by its deadline; the rest allows for a busy machine.
@@ -63,7 +64,9 @@
     start: bytes, repeated: bytes, dripping: bool = False
 ) -> AsyncIterator[tuple[EndlessServer, HttpUpstream]]:
     async with endless_server(EndlessBytes(start, repeated, dripping)) as server:
-        upstream = HttpUpstream(create_loopback_pool(server.port, limit=2 * SLOTS))
+        upstream = HttpUpstream(
+            create_loopback_pool(server.port, limit=2 * SLOTS), create_answer_memory(128)
+        )
         yield server, upstream
         upstream.pool.close()
 
--- a/ibisrack/settings/sidecar.py
+++ b/ibisrack/settings/sidecar.py
@@ -29,6 +29,7 @@
       ready: Address to listen on for readiness checks.
       registry: Address of the platform's metadata store, which holds the registry.
       metrics: Address to serve metrics on, or None to serve none.
+      memory_mb: Memory of the host in MB; a process that exceeds it is killed.
       stop_s: Seconds from the request to stop until the platform kills the process.
       retry_ratio: Allowed arrivals at instances beyond the first of each request, as a share of all
         requests.
@@ -45,6 +46,7 @@
     ready: Address
     registry: Address
     metrics: Address | None = None
+    memory_mb: float = attrs.field(default=128.0, validator=in_range(1, 1e7))
     stop_s: float = attrs.field(default=6.0, validator=in_range(0.5, 3600))
     retry_ratio: float = attrs.field(default=0.2, validator=in_range(0, 10))
     retry_slack: float = attrs.field(default=20.0, validator=in_range(0, 1e6))
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -36,6 +36,7 @@
 from ibisrack.settings.sidecar import Address, SidecarSettings
 from ibisrack.sidecar.metrics import MetricsServer
 from ibisrack.sidecar.node import SidecarNode
+from ibisrack.upstreams.answer_memory import create_answer_memory
 from ibisrack.upstreams.connections import ConnectionPool
 from ibisrack.upstreams.sizing import PoolSizing
 
@@ -69,7 +70,7 @@
     instance_runner = InstanceRunner(
         (settings.instance.host, settings.instance.port),
         Gate(Scheduler(1, InTimeFirst(MAX_RESERVED_SHARE), EarliestTarget())),
-        HttpUpstream(pool),
+        HttpUpstream(pool, create_answer_memory(settings.memory_mb)),
         directory,
         SubmissionRecorder(tally),
     )
--- /dev/null
+++ b/ibisrack/testing/connections.py
@@ -0,0 +1,43 @@
+"""Fixtures for connections without a network: a transport that records whether it was closed."""
+
+import asyncio
+
+from ibisrack.upstreams.connections import Connection
+
+
+class RecordingTransport(asyncio.Transport):
+    """Transport that discards what is written.
+
+    Attributes:
+      closed: Whether it was closed or aborted.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.closed = False
+
+    def is_closing(self) -> bool:
+        """Returns whether the transport is closed."""
+        return self.closed
+
+    def close(self) -> None:
+        """Records the close."""
+        self.closed = True
+
+    abort = close
+
+    def write(self, data: bytes) -> None:
+        """Discards the data."""
+
+    def pause_reading(self) -> None:
+        """Does nothing: tests pass received data to the connection themselves."""
+
+    resume_reading = pause_reading
+
+
+def create_waiting_connection() -> Connection:
+    """Returns a connection on which a request was sent."""
+    connection = Connection(asyncio.get_running_loop())
+    connection.connection_made(RecordingTransport())
+    connection.set_response_params(read_until_eof=True, auto_decompress=False)
+    return connection
--- a/ibisrack/upstreams/connections.py
+++ b/ibisrack/upstreams/connections.py
@@ -79,7 +79,7 @@
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """Queues an answer whose head was parsed; called by the library."""
-        self._due_bytes = 0 if self._skip_payload else _declared_bytes(data[0])
+        self._due_bytes = 0 if self._skip_payload else declared_bytes(data[0])
         self._answers += 1
         super().feed_data(data, size)
         if self._answers >= MAX_ANSWERS_PER_REQUEST:
@@ -120,7 +120,7 @@
         self._parsed_bytes = self._overlap_bytes
 
 
-def _declared_bytes(message: RawResponseMessage) -> int:
+def declared_bytes(message: RawResponseMessage) -> int:
     """Returns the declared length of an answer's body, 0 if there is none."""
     if message.chunked or message.code < 200 or message.code in EMPTY_BODY_STATUS_CODES:
         return 0
--- a/ibisrack/upstreams/connections_test.py
+++ b/ibisrack/upstreams/connections_test.py
@@ -1,10 +1,8 @@
 """Tests of what a connection makes of received bytes, without a network."""
 
-import asyncio
-
+from ibisrack.testing.connections import create_waiting_connection
 from ibisrack.testing.endless import BODY_LENGTH, whole_answer
 from ibisrack.testing.functions import function_tests
-from ibisrack.upstreams.connections import Connection
 
 ANSWER = whole_answer("q-1")
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nxxxxx\r\n0\r\n\r\n"
@@ -14,40 +12,10 @@
 MANY = 1000
 
 
-class _Transport(asyncio.Transport):
-    """Transport that only records whether it was closed."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.closed = False
-
-    def is_closing(self) -> bool:
-        return self.closed
-
-    def close(self) -> None:
-        self.closed = True
-
-    abort = close
-
-    def pause_reading(self) -> None:
-        pass
-
-    def resume_reading(self) -> None:
-        pass
-
-
-def _connection() -> Connection:
-    """Returns a connection on which a request was sent."""
-    connection = Connection(asyncio.get_running_loop())
-    connection.connection_made(_Transport())
-    connection.set_response_params(read_until_eof=True, auto_decompress=False)
-    return connection
-
-
 async def test_complete_answer_survives_noise_in_the_same_packet():
     """Guards against a complete answer that is lost because the bytes after it are malformed."""
     for answer in (ANSWER, CHUNKED):
-        connection = _connection()
+        connection = create_waiting_connection()
         connection.data_received(answer + NOISE)
         message, content = await connection.read()
         assert message.code == 200
@@ -59,7 +27,7 @@
     """Guards against an end of a body that is missed because two packets share it."""
     for answer in (ANSWER, CHUNKED):
         for split in range(1, len(answer)):
-            connection = _connection()
+            connection = create_waiting_connection()
             connection.data_received(answer[:split])
             connection.data_received(answer[split:] + NOISE)
             _, content = await connection.read()
@@ -68,7 +36,7 @@
 
 async def test_late_answer_and_answer_in_one_packet_are_both_read():
     """Guards against an answer that is dropped because a late answer precedes it."""
-    connection = _connection()
+    connection = create_waiting_connection()
     connection.data_received(INTERIM + CHUNKED + ANSWER)
     codes = []
     for _ in range(3):
@@ -79,17 +47,17 @@
     assert not connection.should_close
 
 
-async def test_interim_answers_without_end_close_the_connection():
+async def test_interim_answers_without_end_close_thecreate_waiting_connection():
     """Guards against a pause of the event loop and a queue that grows with each packet."""
-    connection = _connection()
+    connection = create_waiting_connection()
     connection.data_received(INTERIM * MANY)
     assert connection.transport.closed and connection.should_close
     assert len(connection) < MANY / 10
 
 
-async def test_answers_without_end_close_the_connection():
+async def test_answers_without_end_close_thecreate_waiting_connection():
     """Guards against answers that pile up behind the one that the request waits for."""
-    connection = _connection()
+    connection = create_waiting_connection()
     connection.data_received(ANSWER * MANY)
     assert connection.transport.closed
     assert len(connection) < MANY / 10
