Close a connection whose answer is mostly the framing of its chunks

Cause: chunks of one byte cost as much time as large ones. Such a body without end kept the processor busy until the deadline, in pauses of the event loop of 46 ms (one request) and 367 ms (eight).

Change: the heads and the framing for one request may take 64 KiB, and as many bytes again as the bodies have. A packet is parsed in pieces of 16 KiB, so that the limit is looked at within a packet. The test of tiny chunks now asks for the early end alone, where it allowed the deadline before.

--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -113,7 +113,7 @@
 
 async def test_chunked_body_of_tiny_chunks_is_cut_off():
     """Guards against chunks that cost far more memory than the bytes in them."""
-    assert await _reason_for(CHUNKED, b"1\r\nx\r\n") in (Reason.TOO_LARGE, Reason.DEADLINE)
+    assert await _reason_for(CHUNKED, b"1\r\nx\r\n") == Reason.CONNECTION_LOST
 
 
 async def test_body_without_length_and_end_is_cut_off():
--- a/ibisrack/upstreams/connections.py
+++ b/ibisrack/upstreams/connections.py
@@ -14,6 +14,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import EMPTY_BODY_STATUS_CODES
 from aiohttp.http import RawResponseMessage
+from aiohttp.streams import EMPTY_PAYLOAD
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError
@@ -23,6 +24,10 @@
 # Answers of any status that a server may send for one request: interim ones, late ones to earlier
 # requests, and the one that counts.  A server that sends more is taken to send them without end.
 MAX_ANSWERS_PER_REQUEST = 32
+# Heads and the framing of chunks may take this many bytes for one request, and as many again as the
+# bodies have.  Only chunks of a few bytes need more, and each costs as much time as a large one.
+MAX_FRAMING_BYTES = 64 * 1024
+MAX_SEGMENT_BYTES = 16 * 1024  # Of a packet that may hold framing; the limits are checked after it.
 _SEPARATOR = b"\r\n\r\n"  # Ends a head, and the last chunk of a body with its trailers.
 
 
@@ -47,11 +52,17 @@
         self._overlap_bytes = 0  # Number of parsed bytes that may begin a separator.
         self._due_bytes = 0  # Rest of a body with a declared length.
         self._answers = 0  # Number of answers since the request was sent.
+        self._parsed_since_request_bytes = 0
+        self._content = EMPTY_PAYLOAD  # Body of the last answer.
+        self._earlier_body_bytes = 0  # Length of the bodies before it, since the request was sent.
         self._idle = False
 
     def set_response_params(self, **options: Any) -> None:
         """Prepares for the answers to a request; called before the request is written."""
         self._answers = 0
+        self._parsed_since_request_bytes = 0
+        self._content = EMPTY_PAYLOAD
+        self._earlier_body_bytes = 0
         self._idle = False
         super().set_response_params(**options)
 
@@ -74,13 +85,19 @@
         else:
             self._received += data
         while self._has_unparsed and not self._reading_paused and self._exception is None:
-            super().data_received(self._take_segment())
+            segment = self._take_segment()
+            self._parsed_since_request_bytes += len(segment)
+            super().data_received(segment)
+            if self._framing_bytes() > MAX_FRAMING_BYTES:
+                self.fail()
         self._drop_parsed()
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """Queues an answer whose head was parsed; called by the library."""
         self._due_bytes = 0 if self._skip_payload else declared_bytes(data[0])
         self._answers += 1
+        self._earlier_body_bytes += self._content.total_bytes
+        self._content = data[1]
         super().feed_data(data, size)
         if self._answers >= MAX_ANSWERS_PER_REQUEST:
             self.fail()
@@ -93,6 +110,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _framing_bytes(self) -> int:
+        """Returns how much longer the answers to a request are than twice their bodies."""
+        body_bytes = self._earlier_body_bytes + self._content.total_bytes
+        return self._parsed_since_request_bytes - 2 * body_bytes
+
     @property
     def _has_unparsed(self) -> bool:
         return self._parsed_bytes < len(self._received)
@@ -105,7 +127,8 @@
             end = min(start + self._due_bytes, end)
             self._due_bytes -= end - start
         else:
-            position = self._received.find(_SEPARATOR, max(0, start - len(_SEPARATOR) + 1))
+            end = min(start + MAX_SEGMENT_BYTES, end)
+            position = self._received.find(_SEPARATOR, max(0, start - len(_SEPARATOR) + 1), end)
             if position >= 0:
                 end = position + len(_SEPARATOR)
             else:
--- a/ibisrack/upstreams/connections_test.py
+++ b/ibisrack/upstreams/connections_test.py
@@ -3,6 +3,7 @@
 from ibisrack.testing.connections import create_waiting_connection
 from ibisrack.testing.endless import BODY_LENGTH, whole_answer
 from ibisrack.testing.functions import function_tests
+from ibisrack.upstreams.connections import Connection
 
 ANSWER = whole_answer("q-1")
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nxxxxx\r\n0\r\n\r\n"
@@ -10,6 +11,7 @@
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Far more interim answers than any server sends for one request.
 MANY = 1000
+CHUNKS_PER_PACKET = 1000
 
 
 async def test_complete_answer_survives_noise_in_the_same_packet():
@@ -65,4 +67,33 @@
     assert await content.read() == b"x" * BODY_LENGTH
 
 
+async def _body_of_chunks(chunk: bytes, chunks: int) -> tuple[Connection, int]:
+    """Delivers a chunked body in packets; returns the connection and the length that was read."""
+    connection = create_waiting_connection()
+    connection.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    _, content = await connection.read()
+    packet = chunk * CHUNKS_PER_PACKET
+    length = 0
+    for _ in range(chunks // CHUNKS_PER_PACKET):
+        connection.data_received(packet)
+        if connection.transport.closed:
+            break
+        length += len(content.read_nowait())
+    return connection, length
+
+
+async def test_chunks_that_are_mostly_framing_close_the_connection():
+    """Guards against bytes that cost far more processor time than a body of their size."""
+    connection, _ = await _body_of_chunks(b"1\r\nx\r\n", 100 * CHUNKS_PER_PACKET)
+    assert connection.transport.closed
+
+
+async def test_body_of_short_chunks_is_read():
+    """Guards against a limit on framing that cuts off an answer written in short pieces."""
+    chunks = 100 * CHUNKS_PER_PACKET
+    connection, length = await _body_of_chunks(b"10\r\n" + b"x" * 16 + b"\r\n", chunks)
+    assert not connection.transport.closed
+    assert length == chunks * 16
+
+
 load_tests = function_tests(__name__)
