Keep a complete answer when its connection is reset afterwards

Cause: a reset made every answer on the connection incomplete if it arrived before the reader ran, although only an answer without a length needs a clean close. An instance that sends bytes after its answer and closes resets the connection.

Change: the check applies to answers without a length or chunks; the rule for them moves from calls/transport.py to upstreams/connections.py, for both users.

--- a/ibisrack/calls/transport.py
+++ b/ibisrack/calls/transport.py
@@ -14,11 +14,10 @@
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError, UnknownOutcomeError
-from ibisrack.upstreams.connections import ConnectionPool
+from ibisrack.upstreams.connections import ConnectionPool, has_verifiable_end
 
 MAX_BUFFERED_ANSWER_BYTES = 256 * 1024  # Larger answers are streamed.
 _TRANSPORT_ERRORS = (ClientError, HttpProcessingError, OSError)
-_NO_BODY_STATUSES = frozenset({204, 304})
 
 
 async def send(
@@ -87,7 +86,7 @@
         message, content = await connection.read()
     if message.headers.get(CALL_ID, call.call_id) != call.call_id:
         raise UnknownOutcomeError(Reason.WRONG_ANSWER)
-    if not _has_verifiable_end(message, call.method):
+    if not has_verifiable_end(message, call.method):
         raise UnknownOutcomeError(Reason.UNDELIMITED_ANSWER)
     body = await _read_buffered(message, content)
     rest = None
@@ -96,16 +95,6 @@
     return Answer(message.code, message.headers, body, rest=rest)
 
 
-def _has_verifiable_end(message: RawResponseMessage, method: str) -> bool:
-    """Returns whether a truncated answer can be told from a complete one.
-
-    An answer without a length ends with its connection, as does an answer whose sender crashes.
-    """
-    if method == "HEAD" or message.code in _NO_BODY_STATUSES:
-        return True
-    return message.chunked or "Content-Length" in message.headers
-
-
 async def _read_buffered(message: RawResponseMessage, content: StreamReader) -> bytes:
     length = message.headers.get("Content-Length")
     if length is not None and int(length) <= MAX_BUFFERED_ANSWER_BYTES:
--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -22,7 +22,12 @@
     as_latin1,
 )
 from ibisrack.upstreams.answer_memory import AnswerMemory
-from ibisrack.upstreams.connections import Connection, ConnectionPool, declared_bytes
+from ibisrack.upstreams.connections import (
+    Connection,
+    ConnectionPool,
+    declared_bytes,
+    has_verifiable_end,
+)
 
 MISDIRECTED = 421  # HTTP status: another instance now listens at the address.
 # The node that sent the request gives it up at its deadline.  This node ends a request later, and
@@ -111,8 +116,8 @@
             if declared_bytes(message) > self.memory.max_answer_bytes:
                 raise UnknownOutcomeError(Reason.TOO_LARGE)
             body = await self.memory.read_body(connection, content)
-            if connection.failed:
-                # An answer without a length is complete only after a clean close.
+            if connection.failed and not has_verifiable_end(message, submit.method):
+                # Such an answer is complete only after a clean close.
                 raise UnknownOutcomeError(Reason.CONNECTION_LOST)
             answered_id = message.headers.get(REQUEST_ID, submit.request_id)
             if answered_id == submit.request_id:
--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -10,6 +10,7 @@
 from ibisrack.errors import UnknownOutcomeError
 from ibisrack.links.messages import Submit
 from ibisrack.platform.upstream import HttpUpstream
+from ibisrack.testing.connections import RecordingTransport, create_waiting_connection
 from ibisrack.testing.data_path import create_loopback_pool
 from ibisrack.testing.endless import (
     BODY_LENGTH,
@@ -22,6 +23,7 @@
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import wait_until
 from ibisrack.upstreams.answer_memory import create_answer_memory
+from ibisrack.upstreams.connections import Connection
 
 REMAINING_S = 0.5
 # A request ends by its deadline; the rest allows for a busy machine.
@@ -178,6 +180,39 @@
     assert reason in (Reason.CONNECTION_LOST, Reason.DEADLINE)
 
 
+class _ResettingTransport(RecordingTransport):
+    """Transport that delivers a whole answer and a reset when a request is written."""
+
+    def __init__(self, connection: Connection, answer: bytes) -> None:
+        super().__init__()
+        self._connection = connection
+        self._answer = answer
+
+    def write(self, data: bytes) -> None:
+        self._connection.data_received(self._answer)
+        self._connection.connection_lost(ConnectionResetError())
+
+
+async def _result_before_reset(answer: bytes) -> Answer | UnknownOutcomeError:
+    upstream = HttpUpstream(create_loopback_pool(1), create_answer_memory(128))
+    connection = create_waiting_connection()
+    connection.connection_made(_ResettingTransport(connection, answer))
+    connection.mark_idle()
+    upstream.pool._idle.append(connection)
+    upstream.pool.sizing.idle = 1
+    return await _send(upstream)
+
+
+async def test_complete_answer_counts_when_its_connection_is_reset_afterwards():
+    """Guards against a whole answer that is thrown away, and a cut one that is taken as whole."""
+    result = await _result_before_reset(whole_answer(REQUEST_ID))
+    assert isinstance(result, Answer), result
+    chunks = b"5\r\nxxxxx\r\n0\r\n\r\n"
+    assert isinstance(await _result_before_reset(CHUNKED + chunks), Answer)
+    for cut in (answer_head(REQUEST_ID) + b"xxxxx", CHUNKED + chunks[:-2]):
+        assert isinstance(await _result_before_reset(cut), UnknownOutcomeError)
+
+
 async def test_all_slots_together_stay_within_the_machine():
     """Guards against endless bodies that fit one by one but not in all slots at once."""
     async with _instance(CHUNKED, LARGE_CHUNK) as (server, upstream):
--- a/ibisrack/upstreams/connections.py
+++ b/ibisrack/upstreams/connections.py
@@ -150,6 +150,16 @@
     return int(message.headers.get("Content-Length", 0))
 
 
+def has_verifiable_end(message: RawResponseMessage, method: str) -> bool:
+    """Returns whether a truncated answer can be told from a complete one.
+
+    An answer without a length ends with its connection, as does an answer whose sender crashes.
+    """
+    if method == "HEAD" or message.code in EMPTY_BODY_STATUS_CODES:
+        return True
+    return message.chunked or "Content-Length" in message.headers
+
+
 def is_reusable(connection: Connection) -> bool:
     """Returns whether a connection is open, with no unfinished or unexpected answer."""
     return connection.is_connected() and not connection.should_close
