Close a connection whose answer switches the protocol

Cause: the answer 101 counted as an interim one, and what followed it was never parsed, so the request waited until its deadline.

Change: no request asks for a switch, so the connection ends itself.

--- a/ibisrack/upstreams/connections.py
+++ b/ibisrack/upstreams/connections.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import deque
+from http import HTTPStatus
 from typing import Any
 
 import attrs
@@ -99,7 +100,10 @@
         self._earlier_body_bytes += self._content.total_bytes
         self._content = data[1]
         super().feed_data(data, size)
-        if self._answers >= MAX_ANSWERS_PER_REQUEST:
+        is_protocol_switch = (
+            data[0].code == HTTPStatus.SWITCHING_PROTOCOLS
+        )  # No request asks for it.
+        if self._answers >= MAX_ANSWERS_PER_REQUEST or is_protocol_switch:
             self.fail()
 
     def fail(self) -> None:
--- a/ibisrack/upstreams/connections_test.py
+++ b/ibisrack/upstreams/connections_test.py
@@ -57,6 +57,14 @@
     assert len(connection) < MANY / 10
 
 
+async def test_switch_of_the_protocol_closes_the_connection():
+    """Guards against a request that waits for its answer in another protocol."""
+    connection = create_waiting_connection()
+    head = b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n"
+    connection.data_received(head + NOISE * MANY)
+    assert connection.transport.closed
+
+
 async def test_answers_without_end_close_thecreate_waiting_connection():
     """Guards against answers that pile up behind the one that the request waits for."""
     connection = create_waiting_connection()
