Report the expired deadline of a streamed answer as such

Cause: the reader of an answer's rest reported both an expired deadline and a broken connection as connection-lost.

Change: an expired deadline has its own reason, as before the first part of the body.

--- a/ibisrack/calls/transport.py
+++ b/ibisrack/calls/transport.py
@@ -132,7 +132,9 @@
         try:
             async with asyncio.timeout_at(self.deadline_at_s):
                 part = await self.content.readany()
-        except (TimeoutError, *_TRANSPORT_ERRORS) as error:
+        except TimeoutError as error:
+            raise UnknownOutcomeError(Reason.DEADLINE) from error
+        except _TRANSPORT_ERRORS as error:
             raise UnknownOutcomeError(Reason.CONNECTION_LOST) from error
         if not part:
             raise StopAsyncIteration
--- a/ibisrack/calls/transport_test.py
+++ b/ibisrack/calls/transport_test.py
@@ -105,6 +105,29 @@
             assert pool.sizing.busy == 0
 
 
+async def test_streamed_answer_past_its_deadline_is_late():
+    """Guards against an expired deadline that is reported as a broken connection."""
+
+    async def script(state: ScriptedServer, reader, writer) -> None:
+        await state.read_request(reader)
+        size = MAX_BUFFERED_ANSWER_BYTES * 2
+        writer.write(_answer(b"x" * size)[:-1])
+        await reader.read()
+
+    async with scripted_server(script) as upstream:
+        pool = create_loopback_pool(upstream.port)
+        answer = await send(pool, create_approval_call(), HOP_HEADERS, 0.2)
+        try:
+            async for _ in answer.rest:
+                pass
+        except UnknownOutcomeError as error:
+            assert error.reason == Reason.DEADLINE
+        else:
+            raise AssertionError("the truncated answer looks complete")
+        answer.rest.close()
+        assert pool.sizing.busy == 0
+
+
 async def test_connection_is_reused_only_after_a_complete_answer():
     """Guards against a new connection for each call, and against reuse of one with unread parts."""
     async with scripted_server(_answer_script(_answer(b"whole"), answers=3)) as upstream:
