Record calls that end with 400, 404 or 413

Cause: calls refused for their form, their size or for want of a route left no CallFinished event, so the timeline and the metrics did not show them.

Change: each of them is recorded as not run; of a call whose headers are malformed the id stays empty.

--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -32,6 +32,7 @@
 
 MAX_BODY_BYTES = 1024 * 1024
 _PLAIN_TEXT = "text/plain; charset=utf-8"
+_UNREADABLE_CONTEXT = CallContext("")  # Of a call whose headers are malformed.
 
 
 @attrs.define
@@ -51,11 +52,13 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serves one request."""
         start = read_clocks()
+        context = _UNREADABLE_CONTEXT
         try:
             context = read_context(request.headers)
             body = await _read_body(request)
         except RequestError as error:
             reason = Reason.TOO_LARGE if error.status == 413 else Reason.BAD_REQUEST
+            self._record_finished(context, None, Outcome.NOT_RUN, reason, "", start)
             return self._error_response("", error.status, Outcome.NOT_RUN, reason, str(error))
         call: Call | None = None
         try:
@@ -66,6 +69,7 @@
         except RequestError as error:
             outcome = outcome_before_key_lookup(error, context)
             reason = Reason.NO_ROUTE if call is None else Reason.BAD_REQUEST
+            self._record_finished(context, call, outcome, reason, "", start)
             return self._error_response(context.call_id, error.status, outcome, reason, str(error))
         except NotRunError as error:
             outcome = Outcome.NOT_RUN if call else outcome_before_key_lookup(error, context)
--- a/ibisrack/calls/server_test.py
+++ b/ibisrack/calls/server_test.py
@@ -100,6 +100,28 @@
         assert not upstream.request_heads
 
 
+async def test_requests_without_a_route_or_a_valid_form_are_recorded():
+    """Guards against refused calls that the timeline and the metrics don't show."""
+    close = b"Connection: close\r\n"
+    host = b" HTTP/1.1\r\nHost: notice-desk\r\n"
+    length = f"Content-Length: {MAX_BODY_BYTES + 1}\r\n".encode()
+    requests = (
+        b"GET /nothing" + host + b"Ibis-Call-Id: c-404\r\n" + close + b"\r\n",
+        b"POST /notices" + host + b"Ibis-Call-Id: c-413\r\n" + length + close + b"\r\n",
+        b"GET /approvals" + host + b"Ibis-Call-Id: c-400\r\nIbis-Depth: x\r\n" + close + b"\r\n",
+    )
+    async with serving_node(1) as (owner, address):
+        for request in requests:
+            await _send_raw(address, request)
+        events = [entry.event for entry in owner.node.log.call_entries]
+    assert [(event.call_id, event.reason) for event in events] == [
+        ("c-404", "no-route"),
+        ("c-413", "body-too-large"),
+        ("", "bad-request"),  # No header is used of a request whose headers are malformed.
+    ]
+    assert all((event.service, event.outcome) == ("", "not-run") for event in events)
+
+
 async def test_shed_call_is_not_run_but_a_forwarded_refusal_is_an_answer():
     """Guards against a false not-run for a call that ran and was refused by another service."""
     for extra, status, outcome in (
