Check the size of a frame between nodes by its type before buffering it

Cause: any frame could take 96 MiB before it was decoded, also one of a type that is never long, or of no known type.

Change: the type code is read with the length. Only submissions and registry content may be long; other messages have at most 1 MiB.

--- a/ibisrack/links/codec.py
+++ b/ibisrack/links/codec.py
@@ -28,7 +28,9 @@
 )
 
 LENGTH_PREFIX_BYTES = 4
+FRAME_HEAD_BYTES = LENGTH_PREFIX_BYTES + 1
 MAX_FRAME_BYTES = 96 * 1024 * 1024  # Fits a body of the largest size that a configuration allows.
+MAX_SHORT_FRAME_BYTES = 1024 * 1024  # Fits a part of an answer with all its headers.
 
 # The type code of a message is its index here.
 MESSAGE_TYPES: tuple[type, ...] = (
@@ -46,6 +48,7 @@
     Entries,
     Withdraw,
 )
+_LONG_MESSAGE_TYPES = frozenset((Submit, Entries))
 _TYPE_CODES = {cls: code for code, cls in enumerate(MESSAGE_TYPES)}
 
 
@@ -99,13 +102,19 @@
         raise MessageError(f"malformed {cls.__name__} message: {error}") from error
 
 
-def frame_size(prefix: bytes) -> int:
-    """Returns the size of the frame that follows a length prefix.
+def frame_size(head: bytes) -> int:
+    """Returns the size of a frame without its length prefix.
+
+    Args:
+      head: The first FRAME_HEAD_BYTES of the frame.
 
     Raises:
-      MessageError: The size is zero or over ``MAX_FRAME_BYTES``.
+      MessageError: The type code is unknown, or the size is out of range for the type.
     """
-    size = int.from_bytes(prefix, "big")
-    if not 0 < size <= MAX_FRAME_BYTES:
+    size, code = int.from_bytes(head[:LENGTH_PREFIX_BYTES], "big"), head[LENGTH_PREFIX_BYTES]
+    if code >= len(MESSAGE_TYPES):
+        raise MessageError(f"unknown type code {code}")
+    is_long = MESSAGE_TYPES[code] in _LONG_MESSAGE_TYPES
+    if not 0 < size <= (MAX_FRAME_BYTES if is_long else MAX_SHORT_FRAME_BYTES):
         raise MessageError(f"frame size of {size} bytes is out of range")
     return size
--- a/ibisrack/links/codec_test.py
+++ b/ibisrack/links/codec_test.py
@@ -3,8 +3,17 @@
 from multidict import CIMultiDict
 
 from ibisrack.errors import MessageError
-from ibisrack.links.codec import LENGTH_PREFIX_BYTES, MAX_FRAME_BYTES, decode, encode, frame_size
-from ibisrack.links.messages import Answered, Entries, Load, Ping, Submit
+from ibisrack.links.codec import (
+    FRAME_HEAD_BYTES,
+    LENGTH_PREFIX_BYTES,
+    MAX_FRAME_BYTES,
+    MAX_SHORT_FRAME_BYTES,
+    MESSAGE_TYPES,
+    decode,
+    encode,
+    frame_size,
+)
+from ibisrack.links.messages import Answered, Entries, Hello, Load, Ping, Submit
 from ibisrack.testing.functions import function_tests
 
 SUBMIT = Submit(
@@ -39,7 +48,7 @@
     """Guards against an encoding that loses or reorders fields."""
     for message in MESSAGES:
         frame = encode(message)
-        assert frame_size(frame[:LENGTH_PREFIX_BYTES]) == len(frame) - LENGTH_PREFIX_BYTES
+        assert frame_size(frame[:FRAME_HEAD_BYTES]) == len(frame) - LENGTH_PREFIX_BYTES
         assert decode(frame[LENGTH_PREFIX_BYTES:]) == message
 
 
@@ -60,12 +69,29 @@
         except MessageError:
             continue
         raise AssertionError(payload)
-    for size in (0, MAX_FRAME_BYTES + 1):
+
+
+def _head(size: int, code: int) -> bytes:
+    return size.to_bytes(LENGTH_PREFIX_BYTES, "big") + bytes((code,))
+
+
+def test_frames_that_can_not_be_messages_are_refused_by_their_head():
+    """Guards against memory for bytes that are no message, or for a message that is never long."""
+    submit, hello = MESSAGE_TYPES.index(Submit), MESSAGE_TYPES.index(Hello)
+    assert frame_size(_head(MAX_FRAME_BYTES, submit)) == MAX_FRAME_BYTES
+    refused = (
+        _head(0, hello),
+        _head(MAX_FRAME_BYTES + 1, submit),
+        _head(MAX_SHORT_FRAME_BYTES + 1, hello),
+        _head(100, len(MESSAGE_TYPES)),
+        b"GET /",
+    )
+    for head in refused:
         try:
-            frame_size(size.to_bytes(LENGTH_PREFIX_BYTES, "big"))
+            frame_size(head)
         except MessageError:
             continue
-        raise AssertionError(size)
+        raise AssertionError(head)
 
 
 load_tests = function_tests(__name__)
--- a/ibisrack/links/frames.py
+++ b/ibisrack/links/frames.py
@@ -5,7 +5,13 @@
 from typing import Any
 
 from ibisrack.errors import MessageError
-from ibisrack.links.codec import LENGTH_PREFIX_BYTES, decode, encode, frame_size
+from ibisrack.links.codec import (
+    FRAME_HEAD_BYTES,
+    LENGTH_PREFIX_BYTES,
+    decode,
+    encode,
+    frame_size,
+)
 
 # A peer or registry that lost power sends nothing; with the operating system's own limits, requests
 # to it would hang for minutes.
@@ -35,8 +41,9 @@
       asyncio.IncompleteReadError: The connection ended.
       OSError: The connection broke.
     """
-    size = frame_size(await reader.readexactly(LENGTH_PREFIX_BYTES))
-    return decode(await reader.readexactly(size))
+    head = await reader.readexactly(FRAME_HEAD_BYTES)
+    rest_bytes = frame_size(head) - (FRAME_HEAD_BYTES - LENGTH_PREFIX_BYTES)
+    return decode(head[LENGTH_PREFIX_BYTES:] + await reader.readexactly(rest_bytes))
 
 
 def write_message(writer: asyncio.StreamWriter, *messages: Any) -> None:
