Let every connection stop reading at 128 KiB of unread body

Cause: only requests of the sidecar set the library's buffer; an answer that ibis-node passes on slowly held up to 512 KiB.

Change: the connection sets the buffer for both.

--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -33,7 +33,6 @@
 # The node that sent the request gives it up at its deadline.  This node ends a request later, and
 # so only if that node could not cancel it; the instance is then not counted as failing.
 DEADLINE_GRACE_S = 0.25
-READ_BUFFER_BYTES = 64 * 1024  # The library stops reading at twice this size for a connection.
 MAX_STALE_ANSWERS = 4  # Answers to earlier requests that are skipped before the request fails.
 
 _CONNECTION_ERRORS = (ClientError, HttpProcessingError, OSError)
@@ -67,7 +66,6 @@
                 skip_payload=submit.method == "HEAD",
                 read_until_eof=True,
                 auto_decompress=False,
-                read_bufsize=READ_BUFFER_BYTES,
             )
             connection.transport.write(_encode_request(submit, remaining_ms))
             async with asyncio.timeout_at(ends_at_s):
--- a/ibisrack/testing/connections.py
+++ b/ibisrack/testing/connections.py
@@ -10,11 +10,13 @@
 
     Attributes:
       closed: Whether it was closed or aborted.
+      paused: Whether the connection wants no more data.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.closed = False
+        self.paused = False
 
     def is_closing(self) -> bool:
         """Returns whether the transport is closed."""
@@ -30,9 +32,12 @@
         """Discards the data."""
 
     def pause_reading(self) -> None:
-        """Does nothing: tests pass received data to the connection themselves."""
+        """Records the pause; tests pass received data to the connection themselves."""
+        self.paused = True
 
-    resume_reading = pause_reading
+    def resume_reading(self) -> None:
+        """Records the end of the pause."""
+        self.paused = False
 
 
 def create_waiting_connection() -> Connection:
--- a/ibisrack/upstreams/connections.py
+++ b/ibisrack/upstreams/connections.py
@@ -29,6 +29,7 @@
 # bodies have.  Only chunks of a few bytes need more, and each costs as much time as a large one.
 MAX_FRAMING_BYTES = 64 * 1024
 MAX_SEGMENT_BYTES = 16 * 1024  # Of a packet that may hold framing; the limits are checked after it.
+READ_BUFFER_BYTES = 64 * 1024  # The library stops reading at twice this size for a connection.
 _SEPARATOR = b"\r\n\r\n"  # Ends a head, and the last chunk of a body with its trailers.
 
 
@@ -65,7 +66,7 @@
         self._content = EMPTY_PAYLOAD
         self._earlier_body_bytes = 0
         self._idle = False
-        super().set_response_params(**options)
+        super().set_response_params(**{"read_bufsize": READ_BUFFER_BYTES, **options})
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Records how the connection ended; called by the event loop."""
--- a/ibisrack/upstreams/connections_test.py
+++ b/ibisrack/upstreams/connections_test.py
@@ -12,6 +12,8 @@
 # Far more interim answers than any server sends for one request.
 MANY = 1000
 CHUNKS_PER_PACKET = 1000
+PACKET_BYTES = 16 * 1024
+MAX_UNREAD_BYTES = 160 * 1024
 
 
 async def test_complete_answer_survives_noise_in_the_same_packet():
@@ -104,4 +106,18 @@
     assert length == chunks * 16
 
 
+async def test_unread_body_stops_the_reading():
+    """Guards against a quarter of a megabyte and more for each answer that is passed on slowly."""
+    connection = create_waiting_connection()
+    connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 10000000\r\n\r\n")
+    received = 0
+    while not connection.transport.paused:
+        received += PACKET_BYTES
+        connection.data_received(b"x" * PACKET_BYTES)
+    assert received <= MAX_UNREAD_BYTES
+    _, content = await connection.read()
+    assert len(content.read_nowait()) == received
+    assert not connection.transport.paused
+
+
 load_tests = function_tests(__name__)
