--- a/ibisrack/calls/transport.py
+++ b/ibisrack/calls/transport.py
@@ -5,7 +5,6 @@
 
 import attrs
 from aiohttp import ClientError, StreamReader
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage, StreamWriter
 from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDict
@@ -14,7 +13,8 @@
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError, UnknownOutcomeError
-from ibisrack.upstreams.connections import ConnectionPool, has_verifiable_end
+from ibisrack.upstreams.connection import Connection, has_verifiable_end
+from ibisrack.upstreams.connections import ConnectionPool
 
 MAX_BUFFERED_ANSWER_BYTES = 256 * 1024  # Larger answers are streamed.
 _TRANSPORT_ERRORS = (ClientError, HttpProcessingError, OSError)
@@ -58,7 +58,7 @@
     return answer
 
 
-async def _acquire(pool: ConnectionPool, deadline_at_s: float) -> ResponseHandler:
+async def _acquire(pool: ConnectionPool, deadline_at_s: float) -> Connection:
     try:
         async with asyncio.timeout_at(deadline_at_s):
             return await pool.acquire()
@@ -66,7 +66,7 @@
         raise NotRunError(Reason.DEADLINE) from error
 
 
-async def _write(connection: ResponseHandler, call: Call, hop_headers: Mapping[str, str]) -> None:
+async def _write(connection: Connection, call: Call, hop_headers: Mapping[str, str]) -> None:
     """Writes head and body; from here on the receiver may run the call."""
     headers = CIMultiDict(call.headers)
     headers.update(hop_headers)
@@ -79,7 +79,7 @@
 
 
 async def _read(
-    pool: ConnectionPool, connection: ResponseHandler, call: Call, deadline_at_s: float
+    pool: ConnectionPool, connection: Connection, call: Call, deadline_at_s: float
 ) -> Answer:
     message, content = await connection.read()
     while message.code < 200:
@@ -118,7 +118,7 @@
     """
 
     pool: ConnectionPool
-    connection: ResponseHandler
+    connection: Connection
     content: StreamReader
     deadline_at_s: float
     closed: bool = False
--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -22,12 +22,8 @@
     as_latin1,
 )
 from ibisrack.upstreams.answer_memory import AnswerMemory
-from ibisrack.upstreams.connections import (
-    Connection,
-    ConnectionPool,
-    declared_bytes,
-    has_verifiable_end,
-)
+from ibisrack.upstreams.connection import Connection, declared_bytes, has_verifiable_end
+from ibisrack.upstreams.connections import ConnectionPool
 
 MISDIRECTED = 421  # HTTP status: another instance now listens at the address.
 # The node that sent the request gives it up at its deadline.  This node ends a request later, and
--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -23,7 +23,7 @@
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import wait_until
 from ibisrack.upstreams.answer_memory import create_answer_memory
-from ibisrack.upstreams.connections import Connection
+from ibisrack.upstreams.connection import Connection
 
 REMAINING_S = 0.5
 # A request ends by its deadline; the rest allows for a busy machine.
--- a/ibisrack/testing/connections.py
+++ b/ibisrack/testing/connections.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ibisrack.upstreams.connections import Connection
+from ibisrack.upstreams.connection import Connection
 
 
 class RecordingTransport(asyncio.Transport):
--- a/ibisrack/upstreams/answer_memory.py
+++ b/ibisrack/upstreams/answer_memory.py
@@ -11,7 +11,7 @@
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import UnknownOutcomeError
-from ibisrack.upstreams.connections import Connection
+from ibisrack.upstreams.connection import Connection
 
 # Share of the machine's memory for the answers being read.  The process rests at 45 MB, and joining
 # the parts of an answer takes its size once more, so a machine of 128 MB has room for a quarter.
--- a/ibisrack/upstreams/answer_memory_test.py
+++ b/ibisrack/upstreams/answer_memory_test.py
@@ -7,7 +7,7 @@
 from ibisrack.testing.connections import create_waiting_connection
 from ibisrack.testing.functions import function_tests
 from ibisrack.upstreams.answer_memory import AnswerMemory
-from ibisrack.upstreams.connections import Connection
+from ibisrack.upstreams.connection import Connection
 
 LIMIT_BYTES = 1000
 GUARD_S = 5.0
--- a/ibisrack/upstreams/connections_test.py
+++ b/ibisrack/upstreams/connection_test.py
@@ -3,7 +3,7 @@
 from ibisrack.testing.connections import create_waiting_connection
 from ibisrack.testing.endless import BODY_LENGTH, whole_answer
 from ibisrack.testing.functions import function_tests
-from ibisrack.upstreams.connections import Connection
+from ibisrack.upstreams.connection import Connection
 
 ANSWER = whole_answer("q-1")
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nxxxxx\r\n0\r\n\r\n"
--- a/ibisrack/upstreams/connector.py
+++ b/ibisrack/upstreams/connector.py
@@ -5,7 +5,7 @@
 
 from aiohttp import TCPConnector
 
-from ibisrack.upstreams.connections import Connection
+from ibisrack.upstreams.connection import Connection
 
 
 class BoundedConnector(TCPConnector):
