--- a/ibisrack/calls/transport.py
+++ b/ibisrack/calls/transport.py
@@ -5,7 +5,6 @@
 
 import attrs
 from aiohttp import ClientError, StreamReader
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage, StreamWriter
 from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDict
@@ -14,11 +13,11 @@
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.upstreams.connection import Connection, has_verifiable_end
 from ibisrack.upstreams.connections import ConnectionPool
 
 MAX_BUFFERED_ANSWER_BYTES = 256 * 1024  # Larger answers are streamed.
 _TRANSPORT_ERRORS = (ClientError, HttpProcessingError, OSError)
-_NO_BODY_STATUSES = frozenset({204, 304})
 
 
 async def send(
@@ -59,7 +58,7 @@
     return answer
 
 
-async def _acquire(pool: ConnectionPool, deadline_at_s: float) -> ResponseHandler:
+async def _acquire(pool: ConnectionPool, deadline_at_s: float) -> Connection:
     try:
         async with asyncio.timeout_at(deadline_at_s):
             return await pool.acquire()
@@ -67,7 +66,7 @@
         raise NotRunError(Reason.DEADLINE) from error
 
 
-async def _write(connection: ResponseHandler, call: Call, hop_headers: Mapping[str, str]) -> None:
+async def _write(connection: Connection, call: Call, hop_headers: Mapping[str, str]) -> None:
     """Writes head and body; from here on the receiver may run the call."""
     headers = CIMultiDict(call.headers)
     headers.update(hop_headers)
@@ -80,14 +79,14 @@
 
 
 async def _read(
-    pool: ConnectionPool, connection: ResponseHandler, call: Call, deadline_at_s: float
+    pool: ConnectionPool, connection: Connection, call: Call, deadline_at_s: float
 ) -> Answer:
     message, content = await connection.read()
     while message.code < 200:
         message, content = await connection.read()
     if message.headers.get(CALL_ID, call.call_id) != call.call_id:
         raise UnknownOutcomeError(Reason.WRONG_ANSWER)
-    if not _has_verifiable_end(message, call.method):
+    if not has_verifiable_end(message, call.method):
         raise UnknownOutcomeError(Reason.UNDELIMITED_ANSWER)
     body = await _read_buffered(message, content)
     rest = None
@@ -96,16 +95,6 @@
     return Answer(message.code, message.headers, body, rest=rest)
 
 
-def _has_verifiable_end(message: RawResponseMessage, method: str) -> bool:
-    """Returns whether a truncated answer can be told from a complete one.
-
-    An answer without a length ends with its connection, as does an answer whose sender crashes.
-    """
-    if method == "HEAD" or message.code in _NO_BODY_STATUSES:
-        return True
-    return message.chunked or "Content-Length" in message.headers
-
-
 async def _read_buffered(message: RawResponseMessage, content: StreamReader) -> bytes:
     length = message.headers.get("Content-Length")
     if length is not None and int(length) <= MAX_BUFFERED_ANSWER_BYTES:
@@ -129,7 +118,7 @@
     """
 
     pool: ConnectionPool
-    connection: ResponseHandler
+    connection: Connection
     content: StreamReader
     deadline_at_s: float
     closed: bool = False
@@ -143,7 +132,9 @@
         try:
             async with asyncio.timeout_at(self.deadline_at_s):
                 part = await self.content.readany()
-        except (TimeoutError, *_TRANSPORT_ERRORS) as error:
+        except TimeoutError as error:
+            raise UnknownOutcomeError(Reason.DEADLINE) from error
+        except _TRANSPORT_ERRORS as error:
             raise UnknownOutcomeError(Reason.CONNECTION_LOST) from error
         if not part:
             raise StopAsyncIteration
--- a/ibisrack/links/frames.py
+++ b/ibisrack/links/frames.py
@@ -6,7 +6,13 @@
 from typing import Any
 
 from ibisrack.errors import MessageError
-from ibisrack.links.codec import LENGTH_PREFIX_BYTES, decode, encode, frame_size
+from ibisrack.links.codec import (
+    FRAME_HEAD_BYTES,
+    LENGTH_PREFIX_BYTES,
+    decode,
+    encode,
+    frame_size,
+)
 
 # A peer or registry that lost power sends nothing; with the operating system's own limits, requests
 # to it would hang for minutes.
@@ -42,8 +48,9 @@
       asyncio.IncompleteReadError: The connection ended.
       OSError: The connection broke.
     """
-    size = frame_size(await reader.readexactly(LENGTH_PREFIX_BYTES))
-    payload = await reader.read(size)
+    head = await reader.readexactly(FRAME_HEAD_BYTES)
+    size, start = frame_size(head), head[LENGTH_PREFIX_BYTES:]
+    payload = start + await reader.read(size - len(start))
     on_data()
     if len(payload) < size:
         payload = await _read_rest(reader, payload, size, on_data)
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -44,6 +44,7 @@
     record_repeated_stop,
     serve_late_requests,
 )
+from ibisrack.upstreams.answer_memory import create_answer_memory
 from ibisrack.upstreams.connections import ConnectionPool
 from ibisrack.upstreams.sizing import PoolSizing
 
@@ -67,7 +68,7 @@
     instance_runner = InstanceRunner(
         (settings.instance.host, settings.instance.port),
         Gate(Scheduler(1, InTimeFirst(MAX_RESERVED_SHARE), EarliestTarget())),
-        HttpUpstream(pool),
+        HttpUpstream(pool, create_answer_memory(settings.memory_mb)),
         directory,
         SubmissionRecorder(tally),
     )
