--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from functools import singledispatch
 from typing import Protocol
 
 import attrs
@@ -114,9 +115,12 @@
           NotRunError: The request did not run.
           UnknownOutcomeError: The request may have run.
         """
-        trace = SubmissionTrace(submit, self.gate.load(), read_clocks().monotonic_s)
+        return await self._run_recorded(Run(submit))
+
+    async def _run_recorded(self, run: Run) -> Answer:
+        trace = SubmissionTrace(run, self.gate.load(), read_clocks().monotonic_s)
         try:
-            answer = await self._run(submit, trace)
+            answer = await self._run(run, trace.arrived_at_s)
         except (NotRunError, UnknownOutcomeError) as error:
             self._record(trace, error)
             raise
@@ -126,12 +130,13 @@
         self._record(trace, answer)
         return answer
 
-    async def _run(self, submit: Submit, trace: SubmissionTrace) -> Answer:
-        start_s = trace.arrived_at_s
-        deadline_at_s = start_s + submit.remaining_ms / 1000 - REPLY_MARGIN_S
-        self._check_ends_in_time(start_s, deadline_at_s + REPLY_MARGIN_S)
+    async def _run(self, run: Run, arrived_at_s: float) -> Answer:
+        submit = run.submit
+        run.deadline_at_s = arrived_at_s + submit.remaining_ms / 1000
+        deadline_at_s = run.deadline_at_s - REPLY_MARGIN_S
+        self._check_ends_in_time(arrived_at_s, run.deadline_at_s)
         self._check_accepted(submit)
-        target_at_s = start_s + submit.remaining_target_ms / 1000
+        target_at_s = arrived_at_s + submit.remaining_target_ms / 1000
         async with self.gate.hold_slot(
             submit.request_id,
             submit.rank,
@@ -140,35 +145,37 @@
             submit.initial_target_ms / 1000,
         ):
             self._check_accepted(submit)
-            now_s = trace.started_at_s = read_clocks().monotonic_s
+            if run.orphaned_at_s is not None:
+                raise NotRunError(Reason.LINK_LOST)
+            now_s = read_clocks().monotonic_s
+            run.mark_started(now_s)
             self.running_retries += submit.is_retry
             try:
-                answer = await self.upstream.send(submit, deadline_at_s + REPLY_MARGIN_S - now_s)
+                answer = await self.upstream.send(submit, run.deadline_at_s - now_s)
             finally:
                 self.running_retries -= submit.is_retry
             self._update_service_time(read_clocks().monotonic_s - now_s)
+            run.answer_bytes = len(answer.body)
             return answer
 
     def start(self, submit: Submit) -> Run:
-        """Starts the submission of a peer; one that is not accepted is refused at once."""
-        run = self.run_table.add(submit)
-        if run is None:
-            run = Run(submit)
-            run.task = self.spawn(_refuse(Reason.NEVER_RECEIVED))
-            return run
-        run.task = self.spawn(self._finish(run))
-        return run
-
-    def resume(self, key: SubmissionKey) -> Run | None:
-        """Returns the run that a peer resumes over a new link, None if it never arrived."""
-        run = self.run_table.find_or_refuse(key, read_clocks().monotonic_s)
-        if run is not None:
-            run.orphaned_at_s = None
-        return run
+        """Starts the submission of a peer; one that must not run again ends at once."""
+        return _start_added(self.run_table.add(submit), submit, self)
+
+    def resume(self, key: SubmissionKey) -> Run | NotRunError | UnknownOutcomeError:
+        """Returns the run that a peer resumes over a new link, or its result if it is not here."""
+        now_s = read_clocks().monotonic_s
+        found = self.run_table.find_or_refuse(key, now_s)
+        if key in self.run_table.runs:
+            found.mark_linked(now_s)
+            self.gate.scheduler.orphans.discard(found.submit.request_id)
+        return found
 
     def mark_orphaned(self, run: Run) -> None:
-        """Marks a run whose link is lost."""
+        """Marks a run whose link is lost; it gets no slot, because nobody can take its answer."""
         run.orphaned_at_s = read_clocks().monotonic_s
+        if run.ended_at_s is None:
+            self.gate.scheduler.orphans.add(run.submit.request_id)
 
     def cancel(self, run: Run) -> None:
         """Cancels a run for which no peer waits."""
@@ -190,9 +197,9 @@
         return task
 
     def clean_up(self, now_s: float) -> None:
-        """Cancels expired orphans, drops old results and refuses requests past their deadline."""
+        """Ends expired orphans, drops old results and refuses requests past their deadline."""
         for run in self.run_table.expired_orphans(now_s):
-            self.cancel(run)
+            self._end_orphan(run, now_s)
         self.run_table.drop_expired(now_s)
         self.gate.expire()
 
@@ -200,13 +207,28 @@
         """Refuses all queued requests because the instance accepts no more requests."""
         self.gate.refuse_waiting(Reason.DRAINING)
 
-    async def _finish(self, run: Run) -> Result:
+    def _end_orphan(self, run: Run, now_s: float) -> None:
+        """Refuses an orphan that waits; cancels one at which the instance is at work."""
+        if run.started_at_s is None:
+            self.gate.refuse(run.submit.request_id, Reason.LINK_LOST)
+            return
+        self.recorder.record_orphan_cancelled(run, now_s)
+        self.cancel(run)
+
+    async def finish(self, run: Run) -> Result:
+        """Runs a submission to its end and returns its result."""
         try:
-            return await self.run(run.submit)
-        except (NotRunError, UnknownOutcomeError) as error:
+            return await self._run_recorded(run)
+        except NotRunError as error:
+            run.refusal = error.reason
+            return error
+        except UnknownOutcomeError as error:
             return error
         finally:
             run.ended_at_s = read_clocks().monotonic_s
+            # Only the key is needed from here on; bodies can be as large as the limits allow.
+            run.submit = attrs.evolve(run.submit, headers=(), body=b"")
+            self.gate.scheduler.orphans.discard(run.submit.request_id)
 
     def _is_closed(self) -> bool:
         """Returns whether the planned stop accepts no more submissions at all."""
@@ -264,5 +286,22 @@
     )
 
 
-async def _refuse(reason: Reason) -> Result:
-    return NotRunError(reason)
+@singledispatch
+def _start_added(added: object, submit: Submit, runner: InstanceRunner) -> Run:
+    """Starts the task of a submission, given what the table of runs returned for it."""
+    raise TypeError(f"unexpected {type(added).__name__}")
+
+
+@_start_added.register
+def _(added: Run, submit: Submit, runner: InstanceRunner) -> Run:
+    added.task = runner.spawn(runner.finish(added))
+    return added
+
+
+@_start_added.register(NotRunError | UnknownOutcomeError)
+def _(added: NotRunError | UnknownOutcomeError, submit: Submit, runner: InstanceRunner) -> Run:
+    return Run(submit, runner.spawn(_return(added)))
+
+
+async def _return(result: Result) -> Result:
+    return result
--- a/ibisrack/links/frames.py
+++ b/ibisrack/links/frames.py
@@ -6,7 +6,13 @@
 from typing import Any
 
 from ibisrack.errors import MessageError
-from ibisrack.links.codec import LENGTH_PREFIX_BYTES, decode, encode, frame_size
+from ibisrack.links.codec import (
+    FRAME_HEAD_BYTES,
+    LENGTH_PREFIX_BYTES,
+    decode,
+    encode,
+    frame_size,
+)
 
 # A peer or registry that lost power sends nothing; with the operating system's own limits, requests
 # to it would hang for minutes.
@@ -29,28 +35,40 @@
 
 
 async def read_message(
-    reader: asyncio.StreamReader, on_progress: Callable[[], None] = lambda: None
+    reader: asyncio.StreamReader, on_data: Callable[[], None] = lambda: None
 ) -> Any:
     """Reads one message.
 
     Args:
       reader: Reader of the connection.
-      on_progress: Called after each part; a large message takes seconds on a slow link.
+      on_data: Called whenever a part of the message has arrived.
 
     Raises:
       MessageError: The frame is malformed.
       asyncio.IncompleteReadError: The connection ended.
       OSError: The connection broke.
     """
-    size = frame_size(await reader.readexactly(LENGTH_PREFIX_BYTES))
-    payload = bytearray()
+    head = await reader.readexactly(FRAME_HEAD_BYTES)
+    size, start = frame_size(head), head[LENGTH_PREFIX_BYTES:]
+    payload = start + await reader.read(size - len(start))
+    on_data()
+    if len(payload) < size:
+        payload = await _read_rest(reader, payload, size, on_data)
+    return decode(payload)
+
+
+async def _read_rest(
+    reader: asyncio.StreamReader, start: bytes, size: int, on_data: Callable[[], None]
+) -> bytes:
+    """Reads a payload whose start has arrived; raises asyncio.IncompleteReadError at its end."""
+    payload = bytearray(start)
     while len(payload) < size:
         part = await reader.read(size - len(payload))
         if not part:
             raise asyncio.IncompleteReadError(bytes(payload), size)
+        on_data()
         payload += part
-        on_progress()
-    return decode(bytes(payload))
+    return bytes(payload)
 
 
 def write_message(writer: asyncio.StreamWriter, *messages: Any) -> None:
--- a/ibisrack/platform/store_client.py
+++ b/ibisrack/platform/store_client.py
@@ -6,11 +6,12 @@
 from typing import Any
 
 import msgspec
-from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout, TCPConnector
+from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
 
 from ibisrack.errors import BacklogError, HistoryGoneError, PlatformError, PlatformTimeoutError
 from ibisrack.links.frames import enable_dead_peer_detection
 from ibisrack.registry.messages import Changes, Entry, Listing
+from ibisrack.upstreams.connector import BoundedConnector
 
 # Maximum time without a byte of the answer, in addition to the requested wait of a watch.
 RESPONSE_TIMEOUT_S = 1.5
@@ -33,7 +34,7 @@
         enable_dead_peer_detection(connection)
         return connection
 
-    return ClientSession(connector=TCPConnector(socket_factory=create_socket))
+    return ClientSession(connector=BoundedConnector(socket_factory=create_socket))
 
 
 class StoreClient:
--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -1,7 +1,9 @@
 """Sends requests to the local instance over HTTP and validates its answers."""
 
+import asyncio
+
 import attrs
-from aiohttp import ClientError, StreamReader
+from aiohttp import ClientError
 from aiohttp.http import RawResponseMessage
 from aiohttp.http_exceptions import HttpProcessingError
 
@@ -19,10 +21,14 @@
     SIGNATURE,
     as_latin1,
 )
-from ibisrack.upstreams.connections import Connection, ConnectionPool
+from ibisrack.upstreams.answer_memory import AnswerMemory
+from ibisrack.upstreams.connection import Connection, declared_bytes, has_verifiable_end
+from ibisrack.upstreams.connections import ConnectionPool
 
 MISDIRECTED = 421  # HTTP status: another instance now listens at the address.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# The node that sent the request gives it up at its deadline.  This node ends a request later, and
+# so only if that node could not cancel it; the instance is then not counted as failing.
+DEADLINE_GRACE_S = 0.25
 MAX_STALE_ANSWERS = 4  # Answers to earlier requests that are skipped before the request fails.
 
 _CONNECTION_ERRORS = (ClientError, HttpProcessingError, OSError)
@@ -35,19 +41,22 @@
 
     Attributes:
       pool: Connections to the instance.
+      memory: Memory for the answers that are being read.
     """
 
     pool: ConnectionPool
+    memory: AnswerMemory
 
     async def send(self, submit: Submit, remaining_s: float) -> Answer:
         """Sends a request; see ibisrack.hosting.runner.Upstream."""
         remaining_ms = int(remaining_s * 1000)
         if remaining_ms <= 0:
             raise NotRunError(Reason.DEADLINE)
+        ends_at_s = asyncio.get_running_loop().time() + remaining_s + DEADLINE_GRACE_S
         connection = self.pool.take_idle()
         # Compared with None because a connection without unread answers is falsy.
         if connection is None:
-            connection = await self.pool.acquire()
+            connection = await self._acquire(ends_at_s)
         try:
             connection.set_response_params(
                 skip_payload=submit.method == "HEAD",
@@ -55,7 +64,11 @@
                 auto_decompress=False,
             )
             connection.transport.write(_encode_request(submit, remaining_ms))
-            answer = await self._read_answer(connection, submit)
+            async with asyncio.timeout_at(ends_at_s):
+                answer = await self._read_answer(connection, submit)
+        except TimeoutError as error:
+            self.pool.discard(connection)
+            raise UnknownOutcomeError(Reason.DEADLINE) from error
         except _CONNECTION_ERRORS as error:
             self.pool.discard(connection)
             raise UnknownOutcomeError(Reason.CONNECTION_LOST) from error
@@ -65,6 +78,13 @@
         self.pool.release(connection)
         return answer
 
+    async def _acquire(self, ends_at_s: float) -> Connection:
+        try:
+            async with asyncio.timeout_at(ends_at_s):
+                return await self.pool.acquire()
+        except TimeoutError as error:
+            raise NotRunError(Reason.DEADLINE) from error
+
     async def _read_answer(self, connection: Connection, submit: Submit) -> Answer:
         message, body = await self._read_matching_answer(connection, submit)
         headers = message.headers
@@ -87,9 +107,11 @@
             message, content = await connection.read()
             if message.code < 200:
                 continue
-            body = await _read_body(content)
-            if connection.failed:
-                # An answer without a length is complete only after a clean close.
+            if declared_bytes(message) > self.memory.max_answer_bytes:
+                raise UnknownOutcomeError(Reason.TOO_LARGE)
+            body = await self.memory.read_body(connection, content)
+            if connection.failed and not has_verifiable_end(message, submit.method):
+                # Such an answer is complete only after a clean close.
                 raise UnknownOutcomeError(Reason.CONNECTION_LOST)
             answered_id = message.headers.get(REQUEST_ID, submit.request_id)
             if answered_id == submit.request_id:
@@ -100,17 +122,6 @@
                 raise UnknownOutcomeError(Reason.WRONG_ANSWER)
 
 
-async def _read_body(content: StreamReader) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    while part := await content.readany():
-        parts.append(part)
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise UnknownOutcomeError(Reason.TOO_LARGE)
-    return b"".join(parts)
-
-
 def _encode_request(submit: Submit, remaining_ms: int) -> bytes:
     lines = [f"{submit.method} {submit.target} HTTP/1.1", f"Host: {submit.host}"]
     lines += [f"{name}: {value}" for name, value in submit.headers]
--- a/ibisrack/upstreams/connections.py
+++ b/ibisrack/upstreams/connections.py
@@ -9,35 +9,16 @@
 from collections import deque
 
 import attrs
-from aiohttp.client_proto import ResponseHandler
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError
+from ibisrack.upstreams.connection import Connection
 from ibisrack.upstreams.sizing import PoolSizing
 
 CONNECT_TIMEOUT_S = 1.0
 
 
-class Connection(ResponseHandler):
-    """Connection that records whether it ended with an error.
-
-    The library treats any end of a connection as the end of an answer without a length.
-
-    Attributes:
-      failed: Whether the connection ended with an error, such as a reset.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop)
-        self.failed = False
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Records how the connection ended; called by the event loop."""
-        self.failed = exc is not None
-        super().connection_lost(exc)
-
-
-def is_reusable(connection: ResponseHandler) -> bool:
+def is_reusable(connection: Connection) -> bool:
     """Returns whether a connection is open, with no unfinished or unexpected answer."""
     return connection.is_connected() and not connection.should_close
 
@@ -55,12 +36,12 @@
     host: str
     port: int
     sizing: PoolSizing
-    _idle: list[ResponseHandler] = attrs.field(factory=list)
+    _idle: list[Connection] = attrs.field(factory=list)
     _waiters: deque[asyncio.Future] = attrs.field(factory=deque)
     _opening: set[asyncio.Task] = attrs.field(factory=set)
     _closed: bool = False
 
-    def take_idle(self) -> ResponseHandler | None:
+    def take_idle(self) -> Connection | None:
         """Returns the most recently used idle connection, None if there is none."""
         while self._idle:
             connection = self._idle.pop()
@@ -71,7 +52,7 @@
             connection.abort()
         return None
 
-    async def acquire(self) -> ResponseHandler:
+    async def acquire(self) -> Connection:
         """Returns an idle connection or waits for one.
 
         Raises:
@@ -89,7 +70,7 @@
             self._abandon_wait(future)
             raise
 
-    def release(self, connection: ResponseHandler) -> None:
+    def release(self, connection: Connection) -> None:
         """Returns a connection to the pool; aborts one with an unfinished answer."""
         self.sizing.busy -= 1
         if self._closed or not is_reusable(connection):
@@ -99,7 +80,7 @@
         self._close_surplus()
         self._open_needed()
 
-    def discard(self, connection: ResponseHandler) -> None:
+    def discard(self, connection: Connection) -> None:
         """Aborts a connection that must not be used again."""
         connection.abort()
         self.release(connection)
@@ -126,7 +107,7 @@
             self._idle.pop().close()
         self.sizing.idle = 0
 
-    def _assign(self, connection: ResponseHandler) -> None:
+    def _assign(self, connection: Connection) -> None:
         """Assigns a connection to the longest-waiting call, or keeps it idle."""
         while self._waiters:
             future = self._waiters.popleft()
@@ -136,6 +117,7 @@
                 self.sizing.waiting = len(self._waiters)
                 return
         self.sizing.waiting = 0
+        connection.mark_idle()
         self._idle.append(connection)
         self.sizing.idle += 1
 
