--- a/bench/sidecar_fleet.py
+++ b/bench/sidecar_fleet.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import os
 import signal
 import sys
 import tempfile
@@ -13,12 +12,16 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
-import attrs
-import yaml
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientSession
 
+from bench.sidecars import (
+    POLL_INTERVAL_S,
+    READY_TIMEOUT_S,
+    Placement,
+    Ports,
+    SidecarProcess,
+)
 from ibisrack.ctl.main import run_command_line
-from ibisrack.platform.settings_file import METRICS_PORT_VARIABLE, SETTINGS_PATH_VARIABLE
 from ibisrack.standins.instance import StandInInstance, serve_instance
 from ibisrack.standins.store import StandInStore, serve_store
 from ibisrack.testing.sidecars import (
@@ -36,8 +39,6 @@
 REQUESTS_PER_PHASE = 300
 FOLLOWED_REQUEST_ID = "calm-7"  # Looked up in the logs at the end.
 MAX_CONCURRENT_REQUESTS = 16
-READY_TIMEOUT_S = 20.0
-POLL_INTERVAL_S = 0.05
 ROUTES = (
     route_resource(),
     route_resource("non_idempotent", prefix="/lodge/"),
@@ -49,111 +50,38 @@
     """A check of the fleet failed."""
 
 
-@attrs.define(eq=False)
-class Sidecar:
-    """A sidecar process.
-
-    Attributes:
-      host: Its loopback address.
-      process: The child process.
-    """
-
-    host: str
-    process: asyncio.subprocess.Process
-
-
-@attrs.define(eq=False)
-class Ports:
-    """Ports of a sidecar and its instance, the same on every loopback address.
-
-    Attributes:
-      app: Port of the instance.
-      calls: Port for requests from callers on the same host.
-      links: Port for links from other sidecars.
-      ready: Port of the readiness endpoint.
-      metrics: Port of the metrics.
-    """
-
-    app: int
-    calls: int
-    links: int
-    ready: int
-    metrics: int
-
-
-def _settings(number: int, ports: Ports, store_port: int) -> dict:
-    host = f"127.0.0.{number + 1}"
-    return {
-        "self": {
-            "node": f"sidecar-{number}",
-            "service": SERVICES[number],
-            "zone": ZONES[number % len(ZONES)],
-            "ip": host,
-            "app_addr": f"{host}:{ports.app}",
-        },
-        "network": {
-            "listen": {
-                "inbound": f"{host}:{ports.links}",
-                "outbound": f"{host}:{ports.calls}",
-                "ready": f"{host}:{ports.ready}",
-            }
-        },
-        "platform": {"platform": {"address": f"127.0.0.1:{store_port}"}},
-        "terms": {"bounds": {"grace": "6s", "retry_budget_ratio": 0.2, "budget_slack": 60}},
-    }
-
-
 @asynccontextmanager
 async def _sidecar(
     number: int, ports: Ports, store: StandInStore, store_port: int, folder: Path
-) -> AsyncIterator[Sidecar]:
-    settings = _settings(number, ports, store_port)
-    path = folder / f"sidecar-{number}.yaml"
-    path.write_text(yaml.safe_dump(settings))
-    identity, logs = settings["self"], folder / "logs"
-    logs.mkdir(exist_ok=True)
+) -> AsyncIterator[SidecarProcess]:
+    host = f"127.0.0.{number + 1}"
+    placement = Placement(
+        name=f"sidecar-{number}",
+        service=SERVICES[number],
+        zone=ZONES[number % len(ZONES)],
+        host=host,
+        links_host=host,
+        store=f"127.0.0.1:{store_port}",
+        ports=ports,
+    )
     stand_in = StandInInstance(f"i-{number}", INSTANCE_WORK_S)
     registered = instance(
         stand_in.instance_id,
-        service=identity["service"],
-        host=identity["ip"],
+        service=placement.service,
+        host=host,
         port=ports.app,
-        zone=identity["zone"],
+        zone=placement.zone,
         slots=INSTANCE_SLOTS,
     )
-    environment = {
-        **os.environ,
-        SETTINGS_PATH_VARIABLE: str(path),
-        METRICS_PORT_VARIABLE: str(ports.metrics),
-    }
-    async with serve_instance(stand_in, identity["ip"], ports.app):
+    sidecar = SidecarProcess(placement, folder)
+    sidecar.write_settings(placement.settings())
+    async with serve_instance(stand_in, host, ports.app):
         store.put(f"servers/{stand_in.instance_id}", instance_entry(registered))
-        with (logs / f"sidecar-{number}.log").open("wb") as output:
-            process = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "ibisrack.bin.ibis_sidecar"),
-                stdout=output,
-                stderr=output,
-                env=environment,
-            )
+        await sidecar.start()
         try:
-            yield Sidecar(identity["ip"], process)
+            yield sidecar
         finally:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
-
-
-async def _wait_until_ready(session: ClientSession, sidecar: Sidecar, ports: Ports) -> None:
-    async with asyncio.timeout(READY_TIMEOUT_S):
-        while True:
-            try:
-                url = f"http://{sidecar.host}:{ports.ready}/-/readyz"
-                async with session.get(url, timeout=ClientTimeout(total=1)) as response:
-                    if response.status == 200:
-                        return
-            except (ClientError, OSError, TimeoutError):
-                pass
-            await asyncio.sleep(POLL_INTERVAL_S)
+            await sidecar.kill()
 
 
 async def _send_request(
@@ -167,7 +95,7 @@
 
 
 async def _send_requests(
-    session: ClientSession, sidecars: list[Sidecar], ports: Ports, name: str
+    session: ClientSession, sidecars: list[SidecarProcess], ports: Ports, name: str
 ) -> None:
     start_s, concurrency = time.monotonic(), asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
 
@@ -195,20 +123,20 @@
             for n in range(len(SERVICES))
         ]
         for sidecar in sidecars:
-            await _wait_until_ready(session, sidecar, ports)
+            await sidecar.wait_until_ready(session)
         print(f"{len(sidecars)} sidecars are ready")
         await _send_requests(session, sidecars, ports, "calm")
         await _check_configuration_change(session, sidecars, ports, store)
         sidecars[0].process.kill()
         await _send_requests(session, sidecars[1:], ports, "one-killed")
-        sidecars[3].process.send_signal(signal.SIGTERM)
+        sidecars[3].signal(signal.SIGTERM)
         await _send_requests(session, sidecars[1:3] + sidecars[4:], ports, "one-stopping")
         code = await sidecars[3].process.wait()
         print(f"the stopping sidecar ended with exit status {code}")
 
 
 async def _check_configuration_change(
-    session: ClientSession, sidecars: list[Sidecar], ports: Ports, store: StandInStore
+    session: ClientSession, sidecars: list[SidecarProcess], ports: Ports, store: StandInStore
 ) -> None:
     """Publishes a version with a new route and waits until every sidecar serves the route."""
     routes = (*ROUTES, route_resource(prefix="/new/"))
