bench: a randomized fault soak of real sidecars

Separate processes on loopback, a proxy between them and to the store, seeded faults in overlapping series, and checks of the promises from what callers, instances and the operator see.

--- /dev/null
+++ b/bench/soak/fleet.py
@@ -0,0 +1,199 @@
+"""The processes, instances, store and network of a soak, on loopback addresses."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import attrs
+from aiohttp import ClientSession
+
+from bench.fleet import free_ports
+from bench.sidecars import Placement, Ports, SidecarProcess
+from bench.soak.history import History, UnexpectedExit
+from bench.soak.instances import SLOTS, SoakInstance
+from bench.soak.proxy import Network, proxied_links, proxied_store
+from ibisrack.instances.model import InstanceState
+from ibisrack.standins.instance import StandInInstance, serve_instance
+from ibisrack.standins.store import StandInStore, serve_store
+from ibisrack.testing.sidecars import (
+    configuration_entry,
+    instance,
+    instance_entry,
+    route_resource,
+)
+
+SERVICES = ("desk", "docs")
+ZONES = ("north", "south", "west")
+ROUTE_TIMEOUT_S = 2.5
+STORE_HOST = "127.0.3.1"
+# Exit statuses after SIGTERM or SIGKILL; a process that is still starting has no handler.
+STOPPED_STATUSES = frozenset((0, -9, -15))
+
+
+def version_prefix(version: int) -> str:
+    """Returns the path prefix of the route that a version of the configuration adds."""
+    return f"/since/{version}/"
+
+
+def configuration(version: int) -> bytes:
+    """Returns the registry entry of a version, which keeps the routes of the earlier ones."""
+    options = {"timeout": f"{ROUTE_TIMEOUT_S:g}s"}
+    routes = (
+        route_resource(prefix="/notices/", **options),
+        route_resource("non_idempotent", prefix="/lodge/", **options),
+        route_resource(prefix="/docs/", service="docs", priority=1, **options),
+        route_resource("download", prefix="/scans/", service="docs", priority=2, **options),
+        *(route_resource(prefix=version_prefix(v), **options) for v in range(1, version + 1)),
+    )
+    # Versions on the wire increase in uneven steps.
+    return configuration_entry(version * 3 + version % 2, *routes, services=SERVICES)
+
+
+@attrs.define(eq=False)
+class Member:
+    """A host of the fleet: its sidecar process and its instance.
+
+    Attributes:
+      number: Number of the sidecar, from 1.
+      sidecar: The process.
+      instance: The instance.
+      history: Receives unexpected ends of the process.
+      incarnation: Number of starts of the process so far.
+      responded: Whether this incarnation has answered a request.
+      stopped: Whether this incarnation was told to end.
+    """
+
+    number: int
+    sidecar: SidecarProcess
+    instance: SoakInstance
+    history: History
+    incarnation: int = 0
+    responded: bool = False
+    stopped: bool = False
+    _lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    _watchers: set[asyncio.Task] = attrs.field(factory=set)
+
+    async def start(self) -> None:
+        """Starts the process unless it is running."""
+        async with self._lock:
+            if self.sidecar.running:
+                return
+            self.incarnation += 1
+            self.responded = self.stopped = False
+            await self.sidecar.start()
+            watcher = asyncio.create_task(self._watch(self.sidecar.process))
+            self._watchers.add(watcher)
+            watcher.add_done_callback(self._watchers.discard)
+
+    def end(self, number: int) -> None:
+        """Sends a signal that ends the process."""
+        if self.sidecar.running:
+            self.stopped = True
+            self.sidecar.signal(number)
+
+    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+        status = await process.wait()
+        if not self.stopped or status not in STOPPED_STATUSES:
+            self.history.exits.append(UnexpectedExit(self.number, status, time.monotonic()))
+
+
+@attrs.define(eq=False)
+class SoakFleet:
+    """A running fleet.
+
+    Attributes:
+      seed: Seed of the run.
+      history: Receives all observations.
+      network: Paths between the sidecars and to the store.
+      store: The registry's store.
+      members: Hosts by number.
+      session: HTTP session for readiness checks and probes.
+      version: Latest version of the configuration.
+      ending: Whether callers are to stop.
+    """
+
+    seed: int
+    history: History
+    network: Network
+    store: StandInStore
+    members: dict[int, Member]
+    session: ClientSession
+    version: int = 0
+    ending: bool = False
+
+    def publish(self) -> None:
+        """Writes the next version of the configuration to the store."""
+        self.version += 1
+        self.store.put("op/config", configuration(self.version))
+        self.history.versions[self.version] = time.monotonic()
+
+    def register(self, member: Member, state: InstanceState = InstanceState.READY) -> None:
+        """Writes the registry entry of a member's instance."""
+        stand_in, placement = member.instance.stand_in, member.sidecar.placement
+        entry = instance(
+            stand_in.instance_id,
+            service=placement.service,
+            host=placement.host,
+            port=placement.ports.app,
+            zone=placement.zone,
+            slots=SLOTS,
+            state=state,
+            sequence=int(state is InstanceState.DRAINING),
+        )
+        self.store.put(f"servers/{stand_in.instance_id}", instance_entry(entry))
+
+
+@asynccontextmanager
+async def started_fleet(seed: int, sidecars: int, folder: Path) -> AsyncIterator[SoakFleet]:
+    """Starts a fleet, waits until every sidecar is ready, and ends its processes on exit."""
+    history, network = History(), Network()
+    ports = Ports(*free_ports(5))
+    async with AsyncExitStack() as stack:
+        store, store_port = await stack.enter_async_context(serve_store(STORE_HOST))
+        session = await stack.enter_async_context(ClientSession())
+        members = {}
+        for number in range(1, sidecars + 1):
+            placement = Placement(
+                name=f"sidecar-{number}",
+                service=SERVICES[number % len(SERVICES)],
+                zone=ZONES[number % len(ZONES)],
+                host=f"127.0.0.{number}",
+                links_host=f"127.0.1.{number}",
+                store=f"127.0.2.{number}:{store_port}",
+                ports=ports,
+            )
+            stand_in = StandInInstance(f"i-{number}")
+            soak_instance = SoakInstance(number, history, stand_in)
+            stand_in.custom_handler = soak_instance.handle
+            sidecar = SidecarProcess(placement, folder)
+            sidecar.write_settings(placement.settings())
+            members[number] = Member(number, sidecar, soak_instance, history)
+        numbers = {m.sidecar.placement.links_host: m.number for m in members.values()}
+        fleet = SoakFleet(seed, history, network, store, members, session)
+        fleet.publish()
+        for member in members.values():
+            host = member.sidecar.host
+            links = (member.sidecar.placement.links_host, ports.links)
+            stand_in = member.instance.stand_in
+            await stack.enter_async_context(serve_instance(stand_in, host, ports.app))
+            await stack.enter_async_context(
+                proxied_links(network, member.number, host, links, numbers)
+            )
+            await stack.enter_async_context(
+                proxied_store(
+                    network, member.number, f"127.0.2.{member.number}", (STORE_HOST, store_port)
+                )
+            )
+            fleet.register(member)
+            stack.push_async_callback(_end, member)
+            await member.start()
+        for member in members.values():
+            await member.sidecar.wait_until_ready(session)
+        yield fleet
+
+
+async def _end(member: Member) -> None:
+    member.stopped = True
+    await member.sidecar.kill()
--- /dev/null
+++ b/bench/soak/instances.py
@@ -0,0 +1,87 @@
+"""The application instances of a soak: each answers with its own signature and records its runs."""
+
+import asyncio
+import hashlib
+import time
+
+import attrs
+from aiohttp import web
+
+from bench.soak.history import History, Run
+from ibisrack.platform.headers import INSTANCE_ID, NOT_EXECUTED, REQUEST_ID, SIGNATURE
+from ibisrack.standins.instance import StandInInstance
+
+SLOTS = 4
+QUEUE = 4  # Requests beyond the slots that an instance accepts before it refuses more.
+
+
+def digest(content: bytes) -> str:
+    """Returns a short digest."""
+    return hashlib.blake2b(content, digest_size=8).hexdigest()
+
+
+@attrs.frozen
+class Work:
+    """What a request asks of an instance; the last part of its path.
+
+    Attributes:
+      duration_ms: Duration in milliseconds.
+      answer_bytes: Size of the answer's body.
+      status: HTTP status of the answer.
+    """
+
+    duration_ms: int
+    answer_bytes: int
+    status: int
+
+    def encode(self) -> str:
+        """Returns the text for the path."""
+        return f"{self.duration_ms}-{self.answer_bytes}-{self.status}"
+
+    @classmethod
+    def decode(cls, path: str) -> "Work":
+        """Returns the work that a path asks for."""
+        return cls(*map(int, path.rpartition("/")[2].split("-")))
+
+
+@attrs.define(eq=False)
+class SoakInstance:
+    """An instance beside a sidecar.
+
+    Attributes:
+      node: Number of the sidecar.
+      history: Receives the executions.
+      stand_in: The stand-in that serves it.
+      busy: Number of running requests.
+    """
+
+    node: int
+    history: History
+    stand_in: StandInInstance
+    busy: int = 0
+
+    async def handle(self, stand_in: StandInInstance, request: web.BaseRequest) -> web.Response:
+        """Runs a request, or refuses it if the instance is full."""
+        body = await request.read()
+        if self.busy >= SLOTS + QUEUE:
+            headers = {NOT_EXECUTED: "1", INSTANCE_ID: stand_in.instance_id}
+            return web.Response(status=503, headers=headers)
+        request_id, path = request.headers[REQUEST_ID], request.path
+        run = Run(request_id, stand_in.instance_id, self.node, path, digest(body), time.monotonic())
+        self.history.runs.append(run)
+        work = Work.decode(path)
+        self.busy += 1
+        try:
+            await asyncio.sleep(work.duration_ms / 1000)
+        finally:
+            self.busy -= 1
+        return _answer(run, work)
+
+
+def _answer(run: Run, work: Work) -> web.Response:
+    line = f"{run.request_id} {run.instance_id} {run.path}\n".encode()
+    body = (line * (work.answer_bytes // len(line) + 1))[: max(len(line), work.answer_bytes)]
+    run.status, run.body_digest = work.status, digest(body)
+    run.signature = f"{run.instance_id}.{run.body_digest}"
+    headers = {REQUEST_ID: run.request_id, SIGNATURE: run.signature}
+    return web.Response(status=work.status, body=body, headers=headers)
--- /dev/null
+++ b/bench/soak/proxy.py
@@ -0,0 +1,193 @@
+"""Loopback proxy between sidecars, and between sidecars and the store, that impairs connections.
+
+A sidecar dials the IP number of a peer's host and its own links port.  The proxy listens there, and
+the peer's process accepts links on another loopback address with the same port.
+"""
+
+import asyncio
+import socket
+import struct
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
+
+import attrs
+
+from ibisrack.links.frames import LINK_ERRORS, read_message, write_message
+
+STORE = 0  # The store's number among the ends of paths; sidecars are numbered from 1.
+CHUNK_BYTES = 64 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a time of 0.
+
+Ends = tuple[int, int]
+
+
+@attrs.define(eq=False)
+class Path:
+    """One direction between two ends, shared by their connections.
+
+    Attributes:
+      delay_s: Additional time in transit.
+      blocks: Number of faults that hold back the traffic.
+      changed: Set at the next change of blocks, which replaces it by a new event.
+    """
+
+    delay_s: float = 0.0
+    blocks: int = 0
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def block(self, change: int) -> None:
+        """Adds to the number of faults that hold back the traffic."""
+        self.blocks += change
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def pass_through(self) -> None:
+        """Waits for as long as something that is sent now is in transit."""
+        sent_at_s = time.monotonic()
+        while True:
+            remaining_s = sent_at_s + self.delay_s - time.monotonic()
+            if self.blocks:
+                await self.changed.wait()
+            elif remaining_s > 0:
+                await asyncio.sleep(remaining_s)
+            else:
+                return
+
+
+@attrs.define(eq=False)
+class Network:
+    """All paths and the open connections on them."""
+
+    _paths: dict[Ends, Path] = attrs.field(factory=dict)
+    _writers: dict[Ends, set[asyncio.StreamWriter]] = attrs.field(factory=dict)
+
+    def path(self, source: int, target: int) -> Path:
+        """Returns the path from one end to another."""
+        return self._paths.setdefault((source, target), Path())
+
+    def reset(self, source: int, target: int) -> None:
+        """Resets the open connections from one end to another on both sides."""
+        for writer in tuple(self._writers.get((source, target), ())):
+            _reset(writer)
+
+    async def relay(
+        self,
+        ends: Ends,
+        address: tuple[str, int],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        first_message: object = None,
+    ) -> None:
+        """Connects to the target and relays a connection until one side of it ends.
+
+        Args:
+          ends: Numbers of the source and the target.
+          address: Address of the target.
+          reader: Reader of the source's connection.
+          writer: Writer of the source's connection.
+          first_message: Message of the source that was read before, None without one.
+        """
+        forth, back = self.path(*ends), self.path(*reversed(ends))
+        open_writers = self._writers.setdefault(ends, set())
+        open_writers.add(writer)
+        try:
+            await forth.pass_through()
+            target_reader, target_writer = await asyncio.open_connection(*address)
+        except OSError:
+            await back.pass_through()
+            open_writers.discard(writer)
+            _reset(writer)
+            return
+        open_writers.add(target_writer)
+        if first_message is not None:
+            write_message(target_writer, first_message)
+        try:
+            await asyncio.gather(
+                _pump(forth, reader, target_writer), _pump(back, target_reader, writer)
+            )
+        finally:
+            open_writers.difference_update((writer, target_writer))
+
+
+async def _pump(path: Path, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Copies one direction of a connection, and its end, with the path's impairments."""
+    try:
+        while data := await reader.read(CHUNK_BYTES):
+            await path.pass_through()
+            writer.write(data)
+            await writer.drain()
+    except OSError:
+        await path.pass_through()
+        _reset(writer)
+    else:
+        await path.pass_through()
+        writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info("socket")
+    if connection is not None and not writer.is_closing():
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
+async def _relay_link(
+    network: Network,
+    target: int,
+    address: tuple[str, int],
+    numbers: dict[str, int],
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Relays a link between sidecars; its first message names the sidecar that dials."""
+    try:
+        hello = await read_message(reader)
+    except LINK_ERRORS:
+        writer.transport.abort()
+        return
+    ends = (numbers[hello.host], target)
+    await network.relay(ends, address, reader, writer, first_message=hello)
+
+
+async def _relay_store(
+    network: Network,
+    source: int,
+    address: tuple[str, int],
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    await network.relay((source, STORE), address, reader, writer)
+
+
+@asynccontextmanager
+async def proxied_links(
+    network: Network,
+    target: int,
+    host: str,
+    address: tuple[str, int],
+    numbers: dict[str, int],
+) -> AsyncIterator[None]:
+    """Relays the links of other sidecars to one sidecar.
+
+    Args:
+      network: The paths.
+      target: Number of the sidecar.
+      host: Its IP number as peers know it.
+      address: Address on which its process accepts links.
+      numbers: Number of each sidecar by the host in its Hello.
+    """
+    handler = partial(_relay_link, network, target, address, numbers)
+    async with await asyncio.start_server(handler, host, address[1]):
+        yield
+
+
+@asynccontextmanager
+async def proxied_store(
+    network: Network, source: int, host: str, address: tuple[str, int]
+) -> AsyncIterator[None]:
+    """Relays the connections of one sidecar, which dials this host, to the store's address."""
+    handler = partial(_relay_store, network, source, address)
+    async with await asyncio.start_server(handler, host, address[1]):
+        yield
