--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := ibisrack bench
 
-.PHONY: demo fleet test bench room format clean
+.PHONY: demo fleet test bench soak room format clean
 
 $(STAMP): requirements.txt requirements-dev.txt
 	python3.11 -m venv $(VENV)
@@ -24,6 +24,9 @@
 bench: $(STAMP)
 	$(PY) -m bench.runner $(if $(ONLY),--only=$(ONLY))
 
+soak: $(STAMP)
+	$(PY) -m bench.soak.runner $(if $(SEEDS),--seeds=$(SEEDS)) $(if $(SIDECARS),--sidecars=$(SIDECARS))
+
 room: $(STAMP)
 	$(PY) -m bench.watch
 
--- /dev/null
+++ b/bench/soak/checks_test.py
@@ -0,0 +1,172 @@
+"""Tests of the soak's checks on made-up histories, each with one broken promise."""
+
+import attrs
+
+from bench.sidecars import GRACE_S
+from bench.soak.checks import CONFIG_APPLY_S, DRAIN_S, RECOVER_S, STABLE_WINDOW_S, find_violations
+from bench.soak.history import (
+    Disturbance,
+    Drain,
+    Failure,
+    History,
+    Kind,
+    Outcome,
+    Recovery,
+    Request,
+    Run,
+    UnexpectedExit,
+    VersionProbe,
+)
+from ibisrack.testing.functions import function_tests
+
+REQUEST = Request("q", 1, "/lodge/1", False, "sent", 10.0, 2.5)
+RUN = Run("q", "i-2", 2, "/lodge/1", "sent", 10.1, 200, "signed", "answered")
+OUTCOME = Outcome("q", 10.4, None, 200, "q", "signed", "answered")
+REFUSED = attrs.evolve(OUTCOME, status=503, signature="", body_digest="not run")
+FAILED = attrs.evolve(REFUSED, status=502)
+CLOSED = Outcome("q", 10.4, Failure.CLOSED)
+
+
+def history_of(outcome: Outcome = OUTCOME, *runs: Run, **fields) -> History:
+    """Returns the history of one request."""
+    return History({"q": REQUEST}, [outcome], list(runs), **fields)
+
+
+def broken(history: History) -> list[tuple[str, str]]:
+    """Returns the violations as pairs of promise and subject."""
+    return [(v.promise, v.subject) for v in find_violations(history)]
+
+
+def disturbance(kind: Kind, node: int, started_at_s: float, ended_at_s: float) -> Disturbance:
+    """Returns a disturbance of one sidecar."""
+    return Disturbance(kind, "fault", frozenset((node,)), started_at_s, ended_at_s)
+
+
+def test_undisturbed_history_is_clean():
+    """Guards against checks that report a request which was served, refused or not connected."""
+    not_connected = Outcome("q", 10.4, Failure.NOT_CONNECTED)
+    assert broken(history_of(OUTCOME, RUN)) == []
+    assert broken(history_of(REFUSED)) == []
+    assert broken(history_of(not_connected)) == []
+
+
+def test_second_run_of_a_non_idempotent_request_is_found():
+    """Guards against a soak that misses duplicate executions, also on the same instance."""
+    assert broken(history_of(OUTCOME, RUN, RUN)) == [("non_idempotent_runs_twice", "q")]
+    history = history_of(OUTCOME, RUN, RUN)
+    history.requests["q"] = attrs.evolve(REQUEST, idempotent=True)
+    assert broken(history) == []
+
+
+def test_run_of_a_refused_request_is_found():
+    """Guards against a refusal that is taken as true although the request ran, or runs later."""
+    later = attrs.evolve(RUN, started_at_s=14.0)
+    for status in (408, 421, 429, 503):
+        refused = attrs.evolve(REFUSED, status=status)
+        assert ("refused_but_ran", "q") in broken(history_of(refused, RUN))
+        assert ("refused_but_ran", "q") in broken(history_of(refused, later))
+
+
+def test_answer_that_is_not_the_instances_own_is_found():
+    """Guards against accepting a truncated, mixed-up, unsigned or re-labelled answer."""
+    for field, value in (
+        ("body_digest", "truncated"),
+        ("signature", "of another answer"),
+        ("signature", ""),
+        ("echoed_id", "other"),
+        ("status", 500),
+    ):
+        wrong = attrs.evolve(OUTCOME, **{field: value})
+        assert ("wrong_answer", "q") in broken(history_of(wrong, RUN)), field
+    assert ("wrong_answer", "q") in broken(history_of(OUTCOME))
+
+
+def test_run_of_a_request_in_another_form_is_found():
+    """Guards against a request that no caller sent, or whose path or body was changed."""
+    for field, value in (("path", "/lodge/2"), ("request_digest", "x"), ("request_id", "s")):
+        changed = attrs.evolve(RUN, **{field: value})
+        assert ("unsent_request_ran", changed.request_id) in broken(history_of(OUTCOME, changed))
+
+
+def test_request_cut_in_a_planned_stop_is_found():
+    """Guards against a stop, or a failure of the store, that excuses a lost answer."""
+    for kind in (Kind.PLANNED, Kind.STORE):
+        stop = disturbance(kind, 1, 9.0, 12.0)
+        for outcome in (CLOSED, FAILED, attrs.evolve(CLOSED, failure=Failure.CUT)):
+            history = history_of(outcome, RUN, disturbances=[stop])
+            assert broken(history) == [("cut_without_fault", "q")], outcome
+
+
+def test_read_request_that_is_closed_without_a_run_is_found():
+    """Guards against a connection that is closed long after its request arrived."""
+    assert broken(history_of(CLOSED)) == [("cut_without_fault", "q")]
+    assert broken(history_of(attrs.evolve(CLOSED, at_s=10.1))) == []
+
+
+def test_cut_is_excused_only_by_a_fault_of_its_sidecars_or_its_limit():
+    """Guards against a check that a fault elsewhere, or one that ended long ago, turns off."""
+    late = attrs.evolve(FAILED, at_s=REQUEST.sent_at_s + REQUEST.limit_s)
+    assert broken(history_of(late, RUN)) == []
+    for node, ended_at_s, excused in (
+        (1, 9.0, True),
+        (2, 9.0, True),
+        (3, 9.0, False),
+        (1, 9.9 - STABLE_WINDOW_S, False),
+    ):
+        fault = disturbance(Kind.UNPLANNED, node, 5.0, ended_at_s)
+        assert (broken(history_of(FAILED, RUN, disturbances=[fault])) == []) is excused
+
+
+def test_only_the_last_sixth_of_the_grace_excuses_a_cut():
+    """Guards against excusing requests that a stop cuts off earlier."""
+    for started_at_s, excused in ((10.3 - GRACE_S * 5 / 6, True), (10.5 - GRACE_S * 5 / 6, False)):
+        stop = disturbance(Kind.PLANNED, 1, started_at_s, 12.0)
+        request = attrs.evolve(REQUEST, sent_at_s=started_at_s + 2.9, limit_s=9.0)
+        history = history_of(FAILED, RUN, disturbances=[stop])
+        history.requests["q"] = request
+        assert (broken(history) == []) is excused
+
+
+def test_new_work_of_a_draining_instance_is_found():
+    """Guards against requests for an instance that has left."""
+    for started_at_s, found in ((10.1, True), (9.1, False)):
+        drain = Drain("i-2", 2, 9.0 - DRAIN_S, 11.0)
+        run = attrs.evolve(RUN, started_at_s=started_at_s)
+        expected = [("draining_instance_got_work", "q")] if found else []
+        assert broken(history_of(OUTCOME, run, drains=[drain])) == expected
+
+
+def test_return_to_an_older_version_is_found():
+    """Guards against a sidecar that loses a route again; a new process starts from nothing."""
+    applied = VersionProbe(1, 1, 3, 5.0, 5.1, 200)
+    lost = VersionProbe(1, 1, 3, 5.5, 5.6, 404)
+    assert broken(History(versions={3: 4.9}, probes=[applied, lost])) == [
+        ("version_went_back", "sidecar-1:v3")
+    ]
+    restarted = attrs.evolve(lost, incarnation=2)
+    assert broken(History(versions={3: 4.9}, probes=[applied, restarted])) == []
+
+
+def test_late_version_is_found():
+    """Guards against a sidecar that keeps an old version while nothing disturbs it."""
+    late = VersionProbe(1, 1, 3, 5.1 + CONFIG_APPLY_S, 8.0, 404)
+    late_promise = [("version_late", "sidecar-1:v3")]
+    assert broken(History(versions={3: 5.0}, probes=[late])) == late_promise
+    outage = disturbance(Kind.STORE, 1, 5.0, 6.0)
+    assert broken(History(versions={3: 5.0}, probes=[late], disturbances=[outage])) == []
+
+
+def test_missing_recovery_is_found():
+    """Guards against a sidecar that never serves again, or too late."""
+    for serves_after_s in (None, RECOVER_S + 0.1):
+        history = History(recoveries=[Recovery(1, 1.0), Recovery(2, serves_after_s)])
+        assert broken(history) == [("not_recovered", "sidecar-2")]
+
+
+def test_process_that_ends_by_itself_is_found():
+    """Guards against a crash that a restart hides."""
+    history = History(exits=[UnexpectedExit(1, 1, 5.0)])
+    assert broken(history) == [("process_ended_by_itself", "sidecar-1:status1")]
+
+
+load_tests = function_tests(__name__)
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,34 +1,35 @@
-"""The faults that a soak can inject; plan.py chooses them and injection.py carries them out."""
+"""The faults that a soak can inject; injection.py carries them out."""
+
+from functools import singledispatch
 
 import attrs
 
+from bench.soak.history import Kind
+from bench.soak.proxy import STORE, Ends
+
 
 @attrs.frozen
-class DelayLink:
-    """Delays everything that one sidecar sends another, and the answers."""
+class DelayPaths:
+    """Delays all that is sent between pairs of ends, in both directions."""
 
-    source: int
-    target: int
+    ends: tuple[Ends, ...]
     delay_s: float
     duration_s: float
 
 
 @attrs.frozen
-class BlockLink:
-    """Holds back what travels on a link: towards the target only, or in both directions."""
+class BlockPaths:
+    """Holds back what is sent on paths, each from one end to another."""
 
-    source: int
-    target: int
-    both_ways: bool
+    ends: tuple[Ends, ...]
     duration_s: float
 
 
 @attrs.frozen
 class ResetLink:
-    """Resets the connections of a link some times in succession."""
+    """Resets the connections between two sidecars some times in succession."""
 
-    source: int
-    target: int
+    ends: Ends
     count: int
     interval_s: float
 
@@ -67,23 +68,6 @@
     duration_s: float
 
 
-@attrs.frozen
-class DelayStore:
-    """Delays the traffic of some sidecars with the store."""
-
-    nodes: tuple[int, ...]
-    delay_s: float
-    duration_s: float
-
-
-@attrs.frozen
-class BlockStore:
-    """Cuts some sidecars off from the store."""
-
-    nodes: tuple[int, ...]
-    duration_s: float
-
-
 @attrs.frozen
 class ForgetHistory:
     """Makes the store drop its history, so that watches have to start anew."""
@@ -115,15 +99,13 @@
 
 
 Fault = (
-    DelayLink
-    | BlockLink
+    DelayPaths
+    | BlockPaths
     | ResetLink
     | StopProcess
     | PauseProcess
     | KillProcess
     | FailStore
-    | DelayStore
-    | BlockStore
     | ForgetHistory
     | ChangeConfiguration
     | HangUp
@@ -131,9 +113,50 @@
 )
 
 
-@attrs.frozen
-class TimedFault:
-    """A fault and its start, in seconds after the start of the run."""
+@singledispatch
+def kind_of(fault: Fault) -> Kind:
+    """Returns the kind of disturbance that a fault is."""
+    return Kind.PLANNED
+
+
+@kind_of.register(DelayPaths)
+@kind_of.register(BlockPaths)
+def _(fault) -> Kind:
+    return Kind.STORE if STORE in affected_ends(fault) else Kind.UNPLANNED
+
+
+@kind_of.register(ResetLink)
+@kind_of.register(PauseProcess)
+@kind_of.register(KillProcess)
+def _(fault) -> Kind:
+    return Kind.UNPLANNED
+
+
+@kind_of.register(FailStore)
+@kind_of.register(ForgetHistory)
+def _(fault) -> Kind:
+    return Kind.STORE
+
+
+@singledispatch
+def affected_ends(fault: Fault) -> frozenset[int] | None:
+    """Returns the sidecars, and the store, that a fault affects; None for all sidecars."""
+    return frozenset((fault.node,))
+
+
+@affected_ends.register(DelayPaths)
+@affected_ends.register(BlockPaths)
+def _(fault) -> frozenset[int]:
+    return frozenset(end for ends in fault.ends for end in ends)
+
+
+@affected_ends.register
+def _(fault: ResetLink) -> frozenset[int]:
+    return frozenset(fault.ends)
+
 
-    at_s: float
-    fault: Fault
+@affected_ends.register(FailStore)
+@affected_ends.register(ForgetHistory)
+@affected_ends.register(ChangeConfiguration)
+def _(fault) -> None:
+    return None
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -13,7 +13,7 @@
 from bench.sidecars import Placement, Ports, SidecarProcess
 from bench.soak.history import History, UnexpectedExit
 from bench.soak.instances import SLOTS, SoakInstance
-from bench.soak.proxy import Network, proxied_links, proxied_store
+from bench.soak.proxy import Network
 from ibisrack.instances.model import InstanceState
 from ibisrack.standins.instance import StandInInstance, serve_instance
 from ibisrack.standins.store import StandInStore, serve_store
@@ -148,12 +148,14 @@
 @asynccontextmanager
 async def started_fleet(seed: int, sidecars: int, folder: Path) -> AsyncIterator[SoakFleet]:
     """Starts a fleet, waits until every sidecar is ready, and ends its processes on exit."""
-    history, network = History(), Network()
+    history = History()
+    network = Network({f"127.0.1.{number}": number for number in range(1, sidecars + 1)})
     ports = Ports(*free_ports(5))
     async with AsyncExitStack() as stack:
         store, store_port = await stack.enter_async_context(serve_store(STORE_HOST))
         session = await stack.enter_async_context(ClientSession())
-        members = {}
+        fleet = SoakFleet(seed, history, network, store, {}, session)
+        fleet.publish()
         for number in range(1, sidecars + 1):
             placement = Placement(
                 name=f"sidecar-{number}",
@@ -169,27 +171,17 @@
             stand_in.custom_handler = soak_instance.handle
             sidecar = SidecarProcess(placement, folder)
             sidecar.write_settings(placement.settings())
-            members[number] = Member(number, sidecar, soak_instance, history)
-        numbers = {m.sidecar.placement.links_host: m.number for m in members.values()}
-        fleet = SoakFleet(seed, history, network, store, members, session)
-        fleet.publish()
-        for member in members.values():
-            host = member.sidecar.host
-            links = (member.sidecar.placement.links_host, ports.links)
-            stand_in = member.instance.stand_in
-            await stack.enter_async_context(serve_instance(stand_in, host, ports.app))
-            await stack.enter_async_context(
-                proxied_links(network, member.number, host, links, numbers)
-            )
-            await stack.enter_async_context(
-                proxied_store(
-                    network, member.number, f"127.0.2.{member.number}", (STORE_HOST, store_port)
-                )
-            )
+            member = fleet.members[number] = Member(number, sidecar, soak_instance, history)
+            for server in (
+                serve_instance(stand_in, placement.host, ports.app),
+                network.relayed_links(number, placement.host, (placement.links_host, ports.links)),
+                network.relayed_store(number, f"127.0.2.{number}", (STORE_HOST, store_port)),
+            ):
+                await stack.enter_async_context(server)
             fleet.register(member)
             stack.push_async_callback(_end, member)
             await member.start()
-        for member in members.values():
+        for member in fleet.members.values():
             await member.sidecar.wait_until_ready(session)
         yield fleet
 
--- a/bench/soak/injection.py
+++ b/bench/soak/injection.py
@@ -9,11 +9,9 @@
 from bench.sidecars import GRACE_S
 from bench.soak.checks import DRAIN_MARGIN_S, DRAIN_S
 from bench.soak.faults import (
-    BlockLink,
-    BlockStore,
+    BlockPaths,
     ChangeConfiguration,
-    DelayLink,
-    DelayStore,
+    DelayPaths,
     FailStore,
     Fault,
     ForgetHistory,
@@ -23,11 +21,12 @@
     ReplaceInstance,
     ResetLink,
     StopProcess,
-    TimedFault,
+    affected_ends,
+    kind_of,
 )
 from bench.soak.fleet import Member, SoakFleet
-from bench.soak.history import Drain, Kind
-from bench.soak.proxy import STORE, Path
+from bench.soak.history import Drain
+from bench.soak.plan import TimedFault
 from ibisrack.instances.model import InstanceState
 
 RESTART_TIMEOUT_S = 10.0
@@ -44,54 +43,11 @@
 
 async def _inject_at(timed: TimedFault, fleet: SoakFleet) -> None:
     await asyncio.sleep(timed.at_s)
-    kind, nodes = disturbed(timed.fault, fleet)
-    with fleet.history.disturbance(kind, repr(timed.fault), *nodes):
+    nodes = affected_ends(timed.fault) or fleet.members
+    with fleet.history.disturbance(kind_of(timed.fault), repr(timed.fault), *nodes):
         await inject(timed.fault, fleet)
 
 
-@singledispatch
-def disturbed(fault: Fault, fleet: SoakFleet) -> tuple[Kind, tuple[int, ...]]:
-    """Returns the kind of disturbance that a fault is, and the sidecars that it affects."""
-    raise TypeError(f"unknown fault {type(fault).__name__}")
-
-
-@disturbed.register(DelayLink)
-@disturbed.register(BlockLink)
-@disturbed.register(ResetLink)
-def _(fault, fleet: SoakFleet) -> tuple[Kind, tuple[int, ...]]:
-    return Kind.UNPLANNED, (fault.source, fault.target)
-
-
-@disturbed.register(PauseProcess)
-@disturbed.register(KillProcess)
-def _(fault, fleet: SoakFleet) -> tuple[Kind, tuple[int, ...]]:
-    return Kind.UNPLANNED, (fault.node,)
-
-
-@disturbed.register(StopProcess)
-@disturbed.register(HangUp)
-@disturbed.register(ReplaceInstance)
-def _(fault, fleet: SoakFleet) -> tuple[Kind, tuple[int, ...]]:
-    return Kind.PLANNED, (fault.node,)
-
-
-@disturbed.register
-def _(fault: ChangeConfiguration, fleet: SoakFleet) -> tuple[Kind, tuple[int, ...]]:
-    return Kind.PLANNED, tuple(fleet.members)
-
-
-@disturbed.register(DelayStore)
-@disturbed.register(BlockStore)
-def _(fault, fleet: SoakFleet) -> tuple[Kind, tuple[int, ...]]:
-    return Kind.STORE, fault.nodes
-
-
-@disturbed.register(FailStore)
-@disturbed.register(ForgetHistory)
-def _(fault, fleet: SoakFleet) -> tuple[Kind, tuple[int, ...]]:
-    return Kind.STORE, tuple(fleet.members)
-
-
 @singledispatch
 async def inject(fault: Fault, fleet: SoakFleet) -> None:
     """Carries out a fault and waits until it has ended."""
@@ -99,20 +55,29 @@
 
 
 @inject.register
-async def _(fault: DelayLink, fleet: SoakFleet) -> None:
-    await _delay(_both_ways(fleet, fault.source, fault.target), fault.delay_s, fault.duration_s)
+async def _(fault: DelayPaths, fleet: SoakFleet) -> None:
+    paths = [fleet.network.path(*e) for ends in fault.ends for e in (ends, ends[::-1])]
+    for path in paths:
+        path.delay_s += fault.delay_s
+    await asyncio.sleep(fault.duration_s)
+    for path in paths:
+        path.delay_s -= fault.delay_s
 
 
 @inject.register
-async def _(fault: BlockLink, fleet: SoakFleet) -> None:
-    paths = _both_ways(fleet, fault.source, fault.target)
-    await _block(paths if fault.both_ways else paths[:1], fault.duration_s)
+async def _(fault: BlockPaths, fleet: SoakFleet) -> None:
+    paths = [fleet.network.path(*ends) for ends in fault.ends]
+    for path in paths:
+        path.block(1)
+    await asyncio.sleep(fault.duration_s)
+    for path in paths:
+        path.block(-1)
 
 
 @inject.register
 async def _(fault: ResetLink, fleet: SoakFleet) -> None:
     for _ in range(fault.count):
-        fleet.network.reset(fault.source, fault.target)
+        fleet.network.reset(fault.ends)
         await asyncio.sleep(fault.interval_s)
 
 
@@ -157,18 +122,6 @@
     store.error_status, store.silent = 0, False
 
 
-@inject.register
-async def _(fault: DelayStore, fleet: SoakFleet) -> None:
-    paths = tuple(fleet.network.path(node, STORE) for node in fault.nodes)
-    await _delay(paths, fault.delay_s, fault.duration_s)
-
-
-@inject.register
-async def _(fault: BlockStore, fleet: SoakFleet) -> None:
-    paths = tuple(path for node in fault.nodes for path in _both_ways(fleet, node, STORE))
-    await _block(paths, fault.duration_s)
-
-
 @inject.register
 async def _(fault: ForgetHistory, fleet: SoakFleet) -> None:
     fleet.store.drop_history()
@@ -185,8 +138,7 @@
 async def _(fault: HangUp, fleet: SoakFleet) -> None:
     member = fleet.members[fault.node]
     for number in range(fault.count):
-        settings = member.sidecar.placement.settings(retry_slack=60 + number)
-        member.sidecar.write_settings(settings)
+        member.sidecar.write_settings(member.sidecar.placement.settings(60 + number))
         # SIGHUP ends a process that has not yet set its handler.
         if member.responded:
             member.sidecar.signal(signal.SIGHUP)
@@ -195,8 +147,8 @@
 
 @inject.register
 async def _(fault: ReplaceInstance, fleet: SoakFleet) -> None:
-    member = fleet.members[fault.node]
-    stand_in, history = member.instance.stand_in, fleet.history
+    member, history = fleet.members[fault.node], fleet.history
+    stand_in = member.instance.stand_in
     old_id = stand_in.instance_id
     fleet.register(member, InstanceState.DRAINING)
     acknowledged_at_s = time.monotonic()
@@ -220,23 +172,3 @@
         async with asyncio.timeout(RESTART_TIMEOUT_S):
             while member.sidecar.running and not await member.sidecar.is_ready(fleet.session):
                 await asyncio.sleep(IDLE_POLL_S)
-
-
-def _both_ways(fleet: SoakFleet, source: int, target: int) -> tuple[Path, Path]:
-    return fleet.network.path(source, target), fleet.network.path(target, source)
-
-
-async def _delay(paths: tuple[Path, ...], delay_s: float, duration_s: float) -> None:
-    for path in paths:
-        path.delay_s += delay_s
-    await asyncio.sleep(duration_s)
-    for path in paths:
-        path.delay_s -= delay_s
-
-
-async def _block(paths: tuple[Path, ...], duration_s: float) -> None:
-    for path in paths:
-        path.block(1)
-    await asyncio.sleep(duration_s)
-    for path in paths:
-        path.block(-1)
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -1,18 +1,14 @@
-"""Chooses the faults of a run from its seed: bursts of faults that overlap.
-
-Planned work comes in series: stops one after another, beside series of configuration changes and of
-changed settings.
-"""
+"""Chooses the faults of a run from its seed: bursts of faults that overlap."""
 
 from collections.abc import Callable
 from random import Random
 
+import attrs
+
 from bench.soak.faults import (
-    BlockLink,
-    BlockStore,
+    BlockPaths,
     ChangeConfiguration,
-    DelayLink,
-    DelayStore,
+    DelayPaths,
     FailStore,
     Fault,
     ForgetHistory,
@@ -22,26 +18,32 @@
     ReplaceInstance,
     ResetLink,
     StopProcess,
-    TimedFault,
 )
+from bench.soak.proxy import STORE, Ends
 
 FIRST_BURST_S = 1.0
 PAUSE_BETWEEN_BURSTS_S = (1.0, 3.5)
 BURST_S = 2.0  # The faults of a burst start within this time.
-MAX_FAULT_S = 4.0
+DURATION_S = (0.2, 4.0)
 
+Choice = Callable[[Random, range], Fault]
 
-def _pair(rng: Random, nodes: range) -> tuple[int, int]:
-    source, target = rng.sample(nodes, 2)
-    return source, target
 
+@attrs.frozen
+class TimedFault:
+    """A fault and its start, in seconds after the start of the run."""
+
+    at_s: float
+    fault: Fault
 
-def _some(rng: Random, nodes: range) -> tuple[int, ...]:
-    return tuple(rng.sample(nodes, rng.randint(1, len(nodes))))
 
+def _pair(rng: Random, nodes: range) -> Ends:
+    source, target = rng.sample(nodes, 2)
+    return source, target
 
-def _duration_s(rng: Random) -> float:
-    return rng.uniform(0.2, MAX_FAULT_S)
+
+def _store_ends(rng: Random, nodes: range) -> tuple[Ends, ...]:
+    return tuple((node, STORE) for node in rng.sample(nodes, rng.randint(1, len(nodes))))
 
 
 def _stop(rng: Random, nodes: range) -> Fault:
@@ -49,79 +51,54 @@
     return StopProcess(rng.choice(nodes), signals, rng.uniform(0.0, 1.5), rng.uniform(0.0, 1.0))
 
 
-def _hang_up(rng: Random, nodes: range) -> Fault:
-    return HangUp(rng.choice(nodes), rng.randint(1, 4), rng.uniform(0.02, 0.6))
-
-
 def _change_configuration(rng: Random, nodes: range) -> Fault:
     return ChangeConfiguration(rng.randint(1, 4), rng.uniform(0.05, 1.1))
 
 
-def _replace_instance(rng: Random, nodes: range) -> Fault:
-    return ReplaceInstance(rng.choice(nodes), rng.uniform(0.5, 2.0))
-
-
-def _kill(rng: Random, nodes: range) -> Fault:
-    return KillProcess(rng.choice(nodes), rng.uniform(0.0, 1.5))
-
-
-def _pause(rng: Random, nodes: range) -> Fault:
-    return PauseProcess(rng.choice(nodes), _duration_s(rng))
-
-
-def _delay_link(rng: Random, nodes: range) -> Fault:
-    return DelayLink(*_pair(rng, nodes), rng.uniform(0.02, 1.0), _duration_s(rng))
-
-
 def _block_link(rng: Random, nodes: range) -> Fault:
-    return BlockLink(*_pair(rng, nodes), rng.random() < 0.5, _duration_s(rng))
-
-
-def _reset_link(rng: Random, nodes: range) -> Fault:
-    return ResetLink(*_pair(rng, nodes), rng.randint(1, 5), rng.uniform(0.01, 0.4))
-
-
-def _fail_store(rng: Random, nodes: range) -> Fault:
-    return FailStore(rng.choice((0, 429, 503)), _duration_s(rng))
-
-
-def _delay_store(rng: Random, nodes: range) -> Fault:
-    return DelayStore(_some(rng, nodes), rng.uniform(0.1, 2.0), _duration_s(rng))
+    ends = _pair(rng, nodes)
+    both_ways = rng.random() < 0.5
+    return BlockPaths((ends, ends[::-1]) if both_ways else (ends,), rng.uniform(*DURATION_S))
 
 
 def _block_store(rng: Random, nodes: range) -> Fault:
-    return BlockStore(_some(rng, nodes), _duration_s(rng))
-
+    ends = _store_ends(rng, nodes)
+    return BlockPaths((*ends, *(e[::-1] for e in ends)), rng.uniform(*DURATION_S))
 
-def _forget_history(rng: Random, nodes: range) -> Fault:
-    return ForgetHistory()
 
-
-Choice = Callable[[Random, range], Fault]
 PLANNED: tuple[Choice, ...] = (
     _stop,
     _stop,
-    _hang_up,
+    lambda rng, nodes: HangUp(rng.choice(nodes), rng.randint(1, 4), rng.uniform(0.02, 0.6)),
     _change_configuration,
     _change_configuration,
-    _replace_instance,
+    lambda rng, nodes: ReplaceInstance(rng.choice(nodes), rng.uniform(0.5, 2.0)),
+)
+STORE_FAULTS: tuple[Choice, ...] = (
+    lambda rng, nodes: FailStore(rng.choice((0, 429, 503)), rng.uniform(*DURATION_S)),
+    lambda rng, nodes: DelayPaths(
+        _store_ends(rng, nodes), rng.uniform(0.1, 2.0), rng.uniform(*DURATION_S)
+    ),
+    _block_store,
+    lambda rng, nodes: ForgetHistory(),
 )
-STORE: tuple[Choice, ...] = (_fail_store, _delay_store, _block_store, _forget_history)
 UNPLANNED: tuple[Choice, ...] = (
-    _kill,
-    _pause,
-    _delay_link,
+    lambda rng, nodes: KillProcess(rng.choice(nodes), rng.uniform(0.0, 1.5)),
+    lambda rng, nodes: PauseProcess(rng.choice(nodes), rng.uniform(*DURATION_S)),
+    lambda rng, nodes: DelayPaths(
+        (_pair(rng, nodes),), rng.uniform(0.02, 1.0), rng.uniform(*DURATION_S)
+    ),
     _block_link,
     _block_link,
-    _reset_link,
+    lambda rng, nodes: ResetLink(_pair(rng, nodes), rng.randint(1, 5), rng.uniform(0.01, 0.4)),
 )
 BURSTS: tuple[tuple[Choice, ...], ...] = (
     PLANNED,
-    PLANNED + STORE,
-    PLANNED + STORE,
+    PLANNED + STORE_FAULTS,
+    PLANNED + STORE_FAULTS,
     PLANNED + UNPLANNED,
     UNPLANNED,
-    PLANNED + STORE + UNPLANNED,
+    PLANNED + STORE_FAULTS + UNPLANNED,
 )
 
 
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -8,9 +8,8 @@
 import socket
 import struct
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from functools import partial
 
 import attrs
 
@@ -58,8 +57,13 @@
 
 @attrs.define(eq=False)
 class Network:
-    """All paths and the open connections on them."""
+    """All paths and the open connections on them.
 
+    Attributes:
+      numbers: Number of each sidecar by the host in its Hello.
+    """
+
+    numbers: dict[str, int]
     _paths: dict[Ends, Path] = attrs.field(factory=dict)
     _writers: dict[Ends, set[asyncio.StreamWriter]] = attrs.field(factory=dict)
 
@@ -67,48 +71,67 @@
         """Returns the path from one end to another."""
         return self._paths.setdefault((source, target), Path())
 
-    def reset(self, source: int, target: int) -> None:
+    def reset(self, ends: Ends) -> None:
         """Resets the open connections from one end to another on both sides."""
-        for writer in tuple(self._writers.get((source, target), ())):
+        for writer in tuple(self._writers.get(ends, ())):
             _reset(writer)
 
-    async def relay(
+    @asynccontextmanager
+    async def relayed_links(
+        self, target: int, host: str, address: tuple[str, int]
+    ) -> AsyncIterator[None]:
+        """Relays links that peers open to a sidecar's host to the address of its process."""
+
+        async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                hello = await read_message(reader)  # Names the sidecar that dials.
+            except LINK_ERRORS:
+                writer.transport.abort()
+                return
+            ends = (self.numbers[hello.host], target)
+            await self._relay(ends, address, reader, writer, lambda w: write_message(w, hello))
+
+        async with await asyncio.start_server(relay, host, address[1]):
+            yield
+
+    @asynccontextmanager
+    async def relayed_store(
+        self, source: int, host: str, address: tuple[str, int]
+    ) -> AsyncIterator[None]:
+        """Relays connections that a sidecar opens to this host to the store's address."""
+
+        async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self._relay((source, STORE), address, reader, writer, lambda w: None)
+
+        async with await asyncio.start_server(relay, host, address[1]):
+            yield
+
+    async def _relay(
         self,
         ends: Ends,
         address: tuple[str, int],
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        first_message: object = None,
+        begin: Callable[[asyncio.StreamWriter], None],
     ) -> None:
-        """Connects to the target and relays a connection until one side of it ends.
-
-        Args:
-          ends: Numbers of the source and the target.
-          address: Address of the target.
-          reader: Reader of the source's connection.
-          writer: Writer of the source's connection.
-          first_message: Message of the source that was read before, None without one.
-        """
+        """Connects to the target, begins the connection and relays it until it ends."""
         forth, back = self.path(*ends), self.path(*reversed(ends))
         open_writers = self._writers.setdefault(ends, set())
         open_writers.add(writer)
         try:
             await forth.pass_through()
             target_reader, target_writer = await asyncio.open_connection(*address)
-        except OSError:
-            await back.pass_through()
-            open_writers.discard(writer)
-            _reset(writer)
-            return
-        open_writers.add(target_writer)
-        if first_message is not None:
-            write_message(target_writer, first_message)
-        try:
+            open_writers.add(target_writer)
+            begin(target_writer)
             await asyncio.gather(
                 _pump(forth, reader, target_writer), _pump(back, target_reader, writer)
             )
+            open_writers.discard(target_writer)
+        except OSError:  # The target refuses connections.
+            await back.pass_through()
+            _reset(writer)
         finally:
-            open_writers.difference_update((writer, target_writer))
+            open_writers.discard(writer)
 
 
 async def _pump(path: Path, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -131,63 +154,3 @@
     if connection is not None and not writer.is_closing():
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     writer.transport.abort()
-
-
-async def _relay_link(
-    network: Network,
-    target: int,
-    address: tuple[str, int],
-    numbers: dict[str, int],
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> None:
-    """Relays a link between sidecars; its first message names the sidecar that dials."""
-    try:
-        hello = await read_message(reader)
-    except LINK_ERRORS:
-        writer.transport.abort()
-        return
-    ends = (numbers[hello.host], target)
-    await network.relay(ends, address, reader, writer, first_message=hello)
-
-
-async def _relay_store(
-    network: Network,
-    source: int,
-    address: tuple[str, int],
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> None:
-    await network.relay((source, STORE), address, reader, writer)
-
-
-@asynccontextmanager
-async def proxied_links(
-    network: Network,
-    target: int,
-    host: str,
-    address: tuple[str, int],
-    numbers: dict[str, int],
-) -> AsyncIterator[None]:
-    """Relays the links of other sidecars to one sidecar.
-
-    Args:
-      network: The paths.
-      target: Number of the sidecar.
-      host: Its IP number as peers know it.
-      address: Address on which its process accepts links.
-      numbers: Number of each sidecar by the host in its Hello.
-    """
-    handler = partial(_relay_link, network, target, address, numbers)
-    async with await asyncio.start_server(handler, host, address[1]):
-        yield
-
-
-@asynccontextmanager
-async def proxied_store(
-    network: Network, source: int, host: str, address: tuple[str, int]
-) -> AsyncIterator[None]:
-    """Relays the connections of one sidecar, which dials this host, to the store's address."""
-    handler = partial(_relay_store, network, source, address)
-    async with await asyncio.start_server(handler, host, address[1]):
-        yield
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import shutil
+import signal
 import sys
 import time
 from collections import Counter
@@ -17,17 +18,19 @@
 
 from bench.soak.callers import record_recovery, run_callers
 from bench.soak.checks import RECOVER_S, Violation, find_violations
-from bench.soak.faults import TimedFault
 from bench.soak.fleet import started_fleet
 from bench.soak.history import History, Outcome
 from bench.soak.injection import inject_all
-from bench.soak.plan import make_plan
+from bench.soak.plan import TimedFault, make_plan
+from bench.soak.regressions import REGRESSIONS
 
 SETTLE_S = 3.0  # Time in which a refused request could still run after the last answer.
 MAX_EXTRA_S = 75.0  # Longest time of a run beyond that in which faults start.
 LAG_POLL_S = 0.05
 
-_SEEDS = flags.DEFINE_list("seeds", ["1"], "Seeds to run, one after another.")
+_SEEDS = flags.DEFINE_list(
+    "seeds", [], "Seeds to run, one after another; empty for the regression cases."
+)
 _DURATION_S = flags.DEFINE_float("duration_s", 30.0, "Time in which faults start, in seconds.")
 _SIDECARS = flags.DEFINE_integer("sidecars", 6, "Number of sidecars.", lower_bound=2)
 _FOLDER = flags.DEFINE_string("folder", "build/soak", "Folder of the logs of failed seeds.")
@@ -150,12 +153,26 @@
     (result.settings.folder / "result.txt").write_text(result.format_line() + "\n")
 
 
+def _settings_to_run() -> list[SoakSettings]:
+    folder = Path(_FOLDER.value)
+    if not _SEEDS.value:
+        return [
+            SoakSettings(r.seed, r.duration_s, r.sidecars, folder / f"seed-{r.seed}")
+            for r in REGRESSIONS
+        ]
+    return [
+        SoakSettings(seed, _DURATION_S.value, _SIDECARS.value, folder / f"seed-{seed}")
+        for seed in map(int, _SEEDS.value)
+    ]
+
+
 def main(argv: list[str]) -> None:
     """Runs the seeds of the flags."""
+    # SIGTERM ends a run like Ctrl-C, which ends its processes too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     broken = False
-    for seed in map(int, _SEEDS.value):
-        folder = Path(_FOLDER.value) / f"seed-{seed}"
-        result = run_seed(SoakSettings(seed, _DURATION_S.value, _SIDECARS.value, folder))
+    for settings in _settings_to_run():
+        result = run_seed(settings)
         print(result.format_line(), flush=True)
         broken = broken or bool(result.violations)
     sys.exit(1 if broken else 0)
