--- a/bench/soak/regressions.py
+++ b/bench/soak/regressions.py
@@ -20,12 +20,21 @@
     cause: str
 
 
+RESULT_DROPPED = (
+    "a result is dropped after 2 s; the resume of a peer that was paused longer is then answered as"
+    " never received, so a request that ran is reported as not run"
+)
+WRITE_AFTER_CLOSE = (
+    "uvloop raises RuntimeError for a write to a closed transport; a submission or a cancellation"
+    " that meets a link at its loss ends in aiohttp's own 500 without Request-Id"
+)
+
 REGRESSIONS = (
-    Regression(
-        seed=1,
-        sidecars=6,
-        duration_s=25.0,
-        cause="a result is dropped after 2 s; the resume of a peer that was paused longer is then"
-        " answered as never received, so a request that ran is reported as not run",
-    ),
+    Regression(1, 6, 25.0, RESULT_DROPPED),
+    Regression(106, 4, 25.0, RESULT_DROPPED),
+    Regression(3, 6, 25.0, WRITE_AFTER_CLOSE),
+    Regression(5, 6, 25.0, WRITE_AFTER_CLOSE),
+    Regression(7, 6, 25.0, WRITE_AFTER_CLOSE),
+    Regression(13, 6, 25.0, WRITE_AFTER_CLOSE),
+    Regression(102, 4, 25.0, WRITE_AFTER_CLOSE),
 )
