--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -20,7 +20,7 @@
 
 from bench.soak.fleet import ROUTE_TIMEOUT_S, Member, SoakFleet, version_prefix
 from bench.soak.history import Failure, Outcome, Recovery, Request, VersionProbe
-from bench.soak.instances import Work, digest
+from bench.soak.instances import BREAK_OFF, Work, digest
 from ibisrack.platform.headers import DEADLINE_MS, REQUEST_ID, SIGNATURE
 
 HOST = "desk.example"
@@ -29,7 +29,8 @@
 DEADLINES_S = (0.5, 1.5, 3.0, 3.0, 3.0)
 EXTRA_WAIT_S = 0.5  # A caller gives up this long after its deadline.
 LEAVE_PERCENT = 2  # Requests whose caller leaves early.
-FAILURE_PERCENT = 1  # Requests that the instance answers with status 500.
+# Statuses of the instance's answers with their weights.
+STATUS_WEIGHTS = {200: 97, 500: 1, BREAK_OFF: 2}
 KEPT_PER_SIDECAR = 2  # Callers that keep their connection; one more opens a new one each time.
 PROBE_INTERVAL_S = 0.25
 RECOVERY_POLL_S = 0.1
@@ -59,10 +60,10 @@
 
 TRAFFIC = (
     Traffic("GET", "/notices/", True, 30, (2, 40), 200),
-    Traffic("POST", "/lodge/", False, 30, (5, 80), 200),
-    Traffic("POST", "/lodge/", False, 4, (300, 2000), 200),
+    Traffic("POST", "/lodge/", False, 25, (5, 80), 200),
+    Traffic("POST", "/lodge/", False, 10, (300, 2000), 200),
     Traffic("GET", "/docs/", True, 25, (2, 60), 3000),
-    Traffic("GET", "/docs/", True, 4, (300, 2000), 3000),
+    Traffic("GET", "/docs/", True, 6, (300, 2000), 3000),
     Traffic("GET", "/scans/", True, 7, (20, 150), 300_000),
 )
 
@@ -100,7 +101,7 @@
         work = Work(
             rng.randint(*traffic.work_ms),
             rng.randint(0, traffic.answer_bytes),
-            500 if rng.randrange(100) < FAILURE_PERCENT else 200,
+            rng.choices(tuple(STATUS_WEIGHTS), tuple(STATUS_WEIGHTS.values()))[0],
         )
         body = rng.randbytes(rng.randint(1, 2000)) if traffic.method == "POST" else b""
         deadline_s = rng.choice(DEADLINES_S)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -98,6 +98,8 @@
     taken_s = outcome.at_s - request.sent_at_s
     if not (closed or replaced) or taken_s >= request.limit_s - LIMIT_MARGIN_S:
         return False
+    if any(run.broke_off for run in runs):
+        return False
     if outcome.status == 503 or not (runs or (closed and taken_s > LOSS_SLACK_S)):
         return False
     nodes = frozenset((request.node, *(run.node for run in runs)))
--- a/bench/soak/checks_test.py
+++ b/bench/soak/checks_test.py
@@ -103,10 +103,11 @@
     assert broken(history_of(attrs.evolve(CLOSED, at_s=10.1))) == []
 
 
-def test_cut_is_excused_only_by_a_fault_of_its_sidecars_or_its_limit():
+def test_cut_is_excused_only_by_its_instance_its_limit_or_a_fault_of_its_sidecars():
     """Guards against a check that a fault elsewhere, or one that ended long ago, turns off."""
     late = attrs.evolve(FAILED, at_s=REQUEST.sent_at_s + REQUEST.limit_s)
     assert broken(history_of(late, RUN)) == []
+    assert broken(history_of(FAILED, attrs.evolve(RUN, broke_off=True))) == []
     for node, ended_at_s, excused in (
         (1, 9.0, True),
         (2, 9.0, True),
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -85,6 +85,7 @@
       status: HTTP status of its answer, 0 before the answer.
       signature: Response-Signature of its answer.
       body_digest: Digest of the answer's body.
+      broke_off: Whether the instance dropped the connection instead of answering.
     """
 
     request_id: str
@@ -96,6 +97,7 @@
     status: int = 0
     signature: str = ""
     body_digest: str = ""
+    broke_off: bool = False
 
 
 @attrs.frozen
--- a/bench/soak/instances.py
+++ b/bench/soak/instances.py
@@ -12,6 +12,7 @@
 from ibisrack.standins.instance import StandInInstance
 
 SLOTS = 4
+BREAK_OFF = 0  # In place of a status: the instance drops the connection after the work.
 QUEUE = 4  # Requests beyond the slots that an instance accepts before it refuses more.
 
 
@@ -27,7 +28,7 @@
     Attributes:
       duration_ms: Duration in milliseconds.
       answer_bytes: Size of the answer's body.
-      status: HTTP status of the answer.
+      status: HTTP status of the answer, or BREAK_OFF.
     """
 
     duration_ms: int
@@ -75,6 +76,10 @@
             await asyncio.sleep(work.duration_ms / 1000)
         finally:
             self.busy -= 1
+        if work.status == BREAK_OFF:
+            run.broke_off = True
+            request.transport.abort()
+            return web.Response()
         return _answer(run, work)
 
 
