--- a/bench/soak/regressions.py
+++ b/bench/soak/regressions.py
@@ -22,7 +22,7 @@
 
 RESULT_DROPPED = (
     "a result is dropped after 2 s; the resume of a peer that was paused or cut off longer is then"
-    " answered as never received, so a request that ran is reported as not run, or runs again elsewhere"
+    " answered as never received; a request that ran is reported as not run or runs again elsewhere"
 )
 WRITE_AFTER_CLOSE = (
     "uvloop raises RuntimeError for a write to a closed transport; a submission or a cancellation"
@@ -31,10 +31,12 @@
 
 REGRESSIONS = (
     Regression(1, 6, 25.0, RESULT_DROPPED),
+    Regression(2, 6, 30.0, RESULT_DROPPED),
     Regression(16, 6, 25.0, RESULT_DROPPED),
     Regression(106, 4, 25.0, RESULT_DROPPED),
     Regression(116, 4, 25.0, RESULT_DROPPED),
     Regression(118, 4, 25.0, RESULT_DROPPED),
+    Regression(122, 4, 25.0, RESULT_DROPPED),
     Regression(3, 6, 25.0, WRITE_AFTER_CLOSE),
     Regression(5, 6, 25.0, WRITE_AFTER_CLOSE),
     Regression(7, 6, 25.0, WRITE_AFTER_CLOSE),
