soak: version probes never send a request twice themselves

They shared a session that sends a GET again when its connection breaks; a run of the first one and a refusal of the second would have looked like a broken promise.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -190,12 +190,13 @@
 
 async def _probe_versions(fleet: SoakFleet, member: Member) -> None:
     """Asks a sidecar in turn for the routes that the latest versions have added."""
-    prober = Caller(fleet, member, f"{member.number}.p", Random(0), fleet.session)
-    while not fleet.ending:
-        oldest = max(1, fleet.version - PROBED_VERSIONS + 1)
-        for version in range(oldest, fleet.version + 1):
-            await _probe(prober, version)
-        await asyncio.sleep(PROBE_INTERVAL_S)
+    async with open_session(keeps_connection=True) as session:
+        prober = Caller(fleet, member, f"{member.number}.p", Random(0), session)
+        while not fleet.ending:
+            oldest = max(1, fleet.version - PROBED_VERSIONS + 1)
+            for version in range(oldest, fleet.version + 1):
+                await _probe(prober, version)
+            await asyncio.sleep(PROBE_INTERVAL_S)
 
 
 async def _probe(prober: Caller, version: int) -> None:
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -109,7 +109,7 @@
       network: Paths between the sidecars and to the store.
       store: The registry's store.
       members: Hosts by number.
-      session: HTTP session for readiness checks and probes.
+      session: HTTP session for readiness checks.
       version: Latest version of the configuration.
       ending: Whether callers are to stop.
     """
