--- /dev/null
+++ b/bench/soak/faults.py
@@ -0,0 +1,162 @@
+"""The faults that a soak can inject; injection.py carries them out."""
+
+from functools import singledispatch
+
+import attrs
+
+from bench.soak.history import Kind
+from bench.soak.proxy import STORE, Ends
+
+
+@attrs.frozen
+class DelayPaths:
+    """Delays all that is sent between pairs of ends, in both directions."""
+
+    ends: tuple[Ends, ...]
+    delay_s: float
+    duration_s: float
+
+
+@attrs.frozen
+class BlockPaths:
+    """Holds back what is sent on paths, each from one end to another."""
+
+    ends: tuple[Ends, ...]
+    duration_s: float
+
+
+@attrs.frozen
+class ResetLink:
+    """Resets the connections between two sidecars some times in succession."""
+
+    ends: Ends
+    count: int
+    interval_s: float
+
+
+@attrs.frozen
+class StopProcess:
+    """Sends SIGTERM once or more, and starts the process again after its end."""
+
+    node: int
+    signals: int
+    interval_s: float
+    restart_after_s: float
+
+
+@attrs.frozen
+class PauseProcess:
+    """Pauses a process with SIGSTOP and SIGCONT."""
+
+    node: int
+    duration_s: float
+
+
+@attrs.frozen
+class KillProcess:
+    """Kills a process and starts it again."""
+
+    node: int
+    restart_after_s: float
+
+
+@attrs.frozen
+class FailStore:
+    """Makes the store answer with an error status, or with nothing if the status is 0."""
+
+    status: int
+    duration_s: float
+
+
+@attrs.frozen
+class ForgetHistory:
+    """Makes the store drop its history, so that watches have to start anew."""
+
+
+@attrs.frozen
+class ChangeConfiguration:
+    """Publishes versions of the configuration in succession."""
+
+    count: int
+    interval_s: float
+
+
+@attrs.frozen
+class HangUp:
+    """Changes the settings file and sends SIGHUP, some times in succession."""
+
+    node: int
+    count: int
+    interval_s: float
+
+
+@attrs.frozen
+class ReplaceInstance:
+    """Drains an instance and starts another one at its address."""
+
+    node: int
+    extra_life_s: float
+
+
+Fault = (
+    DelayPaths
+    | BlockPaths
+    | ResetLink
+    | StopProcess
+    | PauseProcess
+    | KillProcess
+    | FailStore
+    | ForgetHistory
+    | ChangeConfiguration
+    | HangUp
+    | ReplaceInstance
+)
+
+
+@singledispatch
+def kind_of(fault: Fault) -> Kind:
+    """Returns the kind of disturbance that a fault is."""
+    return Kind.PLANNED
+
+
+@kind_of.register(DelayPaths)
+@kind_of.register(BlockPaths)
+def _(fault) -> Kind:
+    return Kind.STORE if STORE in affected_ends(fault) else Kind.UNPLANNED
+
+
+@kind_of.register(ResetLink)
+@kind_of.register(PauseProcess)
+@kind_of.register(KillProcess)
+def _(fault) -> Kind:
+    return Kind.UNPLANNED
+
+
+@kind_of.register(FailStore)
+@kind_of.register(ForgetHistory)
+def _(fault) -> Kind:
+    return Kind.STORE
+
+
+@singledispatch
+def affected_ends(fault: Fault) -> frozenset[int] | None:
+    """Returns the sidecars, and the store, that a fault affects; None for all sidecars."""
+    return frozenset((fault.node,))
+
+
+@affected_ends.register(DelayPaths)
+@affected_ends.register(BlockPaths)
+def _(fault) -> frozenset[int]:
+    return frozenset(end for ends in fault.ends for end in ends)
+
+
+@affected_ends.register
+def _(fault: ResetLink) -> frozenset[int]:
+    return frozenset(fault.ends)
+
+
+@affected_ends.register(FailStore)
+@affected_ends.register(ForgetHistory)
+@affected_ends.register(ChangeConfiguration)
+def _(fault) -> None:
+    return None
--- /dev/null
+++ b/bench/soak/regressions.py
@@ -0,0 +1,45 @@
+"""Seeds that broke a promise once; ``make soak`` without SEEDS runs them all again."""
+
+import attrs
+
+
+@attrs.frozen
+class Regression:
+    """A run that broke a promise.
+
+    Attributes:
+      seed: Its seed.
+      sidecars: Its number of sidecars.
+      duration_s: Its time of faults.
+      cause: What was found, or that it is open.
+    """
+
+    seed: int
+    sidecars: int
+    duration_s: float
+    cause: str
+
+
+RESULT_DROPPED = (
+    "a result is dropped after 2 s; the resume of a peer that was paused or cut off longer is then"
+    " answered as never received; a request that ran is reported as not run or runs again elsewhere"
+)
+WRITE_AFTER_CLOSE = (
+    "uvloop raises RuntimeError for a write to a closed transport; a submission or a cancellation"
+    " that meets a link at its loss ends in aiohttp's own 500 without Request-Id"
+)
+
+REGRESSIONS = (
+    Regression(1, 6, 25.0, RESULT_DROPPED),
+    Regression(2, 6, 30.0, RESULT_DROPPED),
+    Regression(16, 6, 25.0, RESULT_DROPPED),
+    Regression(106, 4, 25.0, RESULT_DROPPED),
+    Regression(116, 4, 25.0, RESULT_DROPPED),
+    Regression(118, 4, 25.0, RESULT_DROPPED),
+    Regression(122, 4, 25.0, RESULT_DROPPED),
+    Regression(3, 6, 25.0, WRITE_AFTER_CLOSE),
+    Regression(5, 6, 25.0, WRITE_AFTER_CLOSE),
+    Regression(7, 6, 25.0, WRITE_AFTER_CLOSE),
+    Regression(13, 6, 25.0, WRITE_AFTER_CLOSE),
+    Regression(102, 4, 25.0, WRITE_AFTER_CLOSE),
+)
