--- a/ibisrack/links/frames.py
+++ b/ibisrack/links/frames.py
@@ -72,5 +72,7 @@
 
 
 def write_message(writer: asyncio.StreamWriter, *messages: Any) -> None:
-    """Writes messages in one call; the transport drops data for a closed connection."""
-    writer.write(b"".join(map(encode, messages)))
+    """Writes messages in one call; they are dropped if the connection is closed."""
+    # uvloop raises RuntimeError for a write to a closed transport.
+    if not writer.is_closing():
+        writer.write(b"".join(map(encode, messages)))
