--- a/bench/soak/regressions.py
+++ b/bench/soak/regressions.py
@@ -37,6 +37,7 @@
     Regression(116, 4, 25.0, RESULT_DROPPED),
     Regression(118, 4, 25.0, RESULT_DROPPED),
     Regression(122, 4, 25.0, RESULT_DROPPED),
+    Regression(127, 4, 25.0, RESULT_DROPPED),
     Regression(3, 6, 25.0, WRITE_AFTER_CLOSE),
     Regression(5, 6, 25.0, WRITE_AFTER_CLOSE),
     Regression(7, 6, 25.0, WRITE_AFTER_CLOSE),
