Refuse a request as not run when its connection ends before the write

Cause: a connection can end, or receive bytes, between its assignment and the request. Writing to one without a transport raised an AttributeError, which no caller handles: the sender of the request got no answer. Bytes from before the request were read as its answer.

Change: the connection is checked once more before the request is written; nothing was sent on one that can't be used, so the request has not run.

--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -23,7 +23,7 @@
 )
 from ibisrack.upstreams.answer_memory import AnswerMemory
 from ibisrack.upstreams.connection import Connection, declared_bytes, has_verifiable_end
-from ibisrack.upstreams.connections import ConnectionPool
+from ibisrack.upstreams.connections import ConnectionPool, is_reusable
 
 MISDIRECTED = 421  # HTTP status: another instance now listens at the address.
 # The node that sent the request gives it up at its deadline.  This node ends a request later, and
@@ -57,6 +57,9 @@
         # Compared with None because a connection without unread answers is falsy.
         if connection is None:
             connection = await self._acquire(ends_at_s)
+        if not is_reusable(connection):  # It ended, or bytes arrived, after it was assigned.
+            self.pool.discard(connection)
+            raise NotRunError(Reason.UPSTREAM_UNREACHABLE)
         try:
             connection.set_response_params(
                 skip_payload=submit.method == "HEAD",
--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -7,7 +7,7 @@
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
-from ibisrack.errors import UnknownOutcomeError
+from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.links.messages import Submit
 from ibisrack.platform.upstream import HttpUpstream
 from ibisrack.testing.connections import RecordingTransport, create_waiting_connection
@@ -24,6 +24,8 @@
 from ibisrack.testing.sidecars import wait_until
 from ibisrack.upstreams.answer_memory import create_answer_memory
 from ibisrack.upstreams.connection import Connection
+from ibisrack.upstreams.connections import ConnectionPool
+from ibisrack.upstreams.sizing import PoolSizing
 
 REMAINING_S = 0.5
 # A request ends by its deadline; the rest allows for a busy machine.
@@ -203,6 +205,28 @@
     return await _send(upstream)
 
 
+class _PoolOfLostConnections(ConnectionPool):
+    """Pool whose connection ends between its assignment and the request."""
+
+    def take_idle(self) -> Connection:
+        self.sizing.busy += 1
+        connection = create_waiting_connection()
+        connection.connection_lost(None)
+        return connection
+
+
+async def test_request_on_a_connection_that_is_gone_has_not_run():
+    """Guards against an internal error that leaves the sender of a request without an answer."""
+    pool = _PoolOfLostConnections("127.0.0.1", 1, PoolSizing(1))
+    try:
+        await HttpUpstream(pool, create_answer_memory(128)).send(_submit(), REMAINING_S)
+    except NotRunError as error:
+        assert error.reason == Reason.UPSTREAM_UNREACHABLE
+    else:
+        raise AssertionError("the request was answered")
+    assert pool.sizing.busy == 0
+
+
 async def test_complete_answer_counts_when_its_connection_is_reset_afterwards():
     """Guards against a whole answer that is thrown away, and a cut one that is taken as whole."""
     result = await _result_before_reset(whole_answer(REQUEST_ID))
