--- /dev/null
+++ b/bench/soak/injection.py
@@ -0,0 +1,174 @@
+"""Carries out faults on a fleet; each is recorded with its time and the sidecars it affects."""
+
+import asyncio
+import signal
+import time
+from contextlib import suppress
+from functools import singledispatch
+
+from bench.sidecars import GRACE_S
+from bench.soak.checks import DRAIN_MARGIN_S, DRAIN_S
+from bench.soak.faults import (
+    BlockPaths,
+    ChangeConfiguration,
+    DelayPaths,
+    FailStore,
+    Fault,
+    ForgetHistory,
+    HangUp,
+    KillProcess,
+    PauseProcess,
+    ReplaceInstance,
+    ResetLink,
+    StopProcess,
+    affected_ends,
+    kind_of,
+)
+from bench.soak.fleet import Member, SoakFleet
+from bench.soak.history import Drain
+from bench.soak.plan import TimedFault
+from ibisrack.instances.model import InstanceState
+
+RESTART_TIMEOUT_S = 10.0
+IDLE_TIMEOUT_S = 3.0  # Longer than any request lasts.
+IDLE_POLL_S = 0.02
+
+
+async def inject_all(fleet: SoakFleet, plan: list[TimedFault]) -> None:
+    """Injects all faults of a plan and waits until they have ended."""
+    async with asyncio.TaskGroup() as group:
+        for timed in plan:
+            group.create_task(_inject_at(timed, fleet))
+
+
+async def _inject_at(timed: TimedFault, fleet: SoakFleet) -> None:
+    await asyncio.sleep(timed.at_s)
+    nodes = affected_ends(timed.fault) or fleet.members
+    with fleet.history.disturbance(kind_of(timed.fault), repr(timed.fault), *nodes):
+        await inject(timed.fault, fleet)
+
+
+@singledispatch
+async def inject(fault: Fault, fleet: SoakFleet) -> None:
+    """Carries out a fault and waits until it has ended."""
+    raise TypeError(f"unknown fault {type(fault).__name__}")
+
+
+@inject.register
+async def _(fault: DelayPaths, fleet: SoakFleet) -> None:
+    paths = [fleet.network.path(*e) for ends in fault.ends for e in (ends, ends[::-1])]
+    for path in paths:
+        path.delay_s += fault.delay_s
+    await asyncio.sleep(fault.duration_s)
+    for path in paths:
+        path.delay_s -= fault.delay_s
+
+
+@inject.register
+async def _(fault: BlockPaths, fleet: SoakFleet) -> None:
+    paths = [fleet.network.path(*ends) for ends in fault.ends]
+    for path in paths:
+        path.block(1)
+    await asyncio.sleep(fault.duration_s)
+    for path in paths:
+        path.block(-1)
+
+
+@inject.register
+async def _(fault: ResetLink, fleet: SoakFleet) -> None:
+    for _ in range(fault.count):
+        fleet.network.reset(fault.ends)
+        await asyncio.sleep(fault.interval_s)
+
+
+@inject.register
+async def _(fault: StopProcess, fleet: SoakFleet) -> None:
+    member = fleet.members[fault.node]
+    process = member.sidecar.process
+    ending = asyncio.create_task(process.wait())
+    kill_at_s = time.monotonic() + GRACE_S
+    for _ in range(fault.signals):
+        if process is member.sidecar.process:
+            member.end(signal.SIGTERM)
+        await asyncio.wait((ending,), timeout=fault.interval_s)
+    await asyncio.wait((ending,), timeout=kill_at_s - time.monotonic())
+    if not ending.done() and process is member.sidecar.process:
+        member.end(signal.SIGKILL)
+    await ending
+    await _restart(fleet, member, fault.restart_after_s)
+
+
+@inject.register
+async def _(fault: KillProcess, fleet: SoakFleet) -> None:
+    member = fleet.members[fault.node]
+    member.end(signal.SIGKILL)
+    await member.sidecar.process.wait()
+    await _restart(fleet, member, fault.restart_after_s)
+
+
+@inject.register
+async def _(fault: PauseProcess, fleet: SoakFleet) -> None:
+    sidecar = fleet.members[fault.node].sidecar
+    sidecar.signal(signal.SIGSTOP)
+    await asyncio.sleep(fault.duration_s)
+    sidecar.signal(signal.SIGCONT)
+
+
+@inject.register
+async def _(fault: FailStore, fleet: SoakFleet) -> None:
+    store = fleet.store
+    store.error_status, store.silent = fault.status, fault.status == 0
+    await asyncio.sleep(fault.duration_s)
+    store.error_status, store.silent = 0, False
+
+
+@inject.register
+async def _(fault: ForgetHistory, fleet: SoakFleet) -> None:
+    fleet.store.drop_history()
+
+
+@inject.register
+async def _(fault: ChangeConfiguration, fleet: SoakFleet) -> None:
+    for _ in range(fault.count):
+        fleet.publish()
+        await asyncio.sleep(fault.interval_s)
+
+
+@inject.register
+async def _(fault: HangUp, fleet: SoakFleet) -> None:
+    member = fleet.members[fault.node]
+    for number in range(fault.count):
+        member.sidecar.write_settings(member.sidecar.placement.settings(60 + number))
+        # SIGHUP ends a process that has not yet set its handler.
+        if member.responded:
+            member.sidecar.signal(signal.SIGHUP)
+        await asyncio.sleep(fault.interval_s)
+
+
+@inject.register
+async def _(fault: ReplaceInstance, fleet: SoakFleet) -> None:
+    member, history = fleet.members[fault.node], fleet.history
+    stand_in = member.instance.stand_in
+    old_id = stand_in.instance_id
+    fleet.register(member, InstanceState.DRAINING)
+    acknowledged_at_s = time.monotonic()
+    await asyncio.sleep(DRAIN_S + DRAIN_MARGIN_S + fault.extra_life_s)
+    with suppress(TimeoutError):
+        async with asyncio.timeout(IDLE_TIMEOUT_S):
+            while member.instance.busy:
+                await asyncio.sleep(IDLE_POLL_S)
+    if stand_in.instance_id != old_id:
+        return  # A replacement that began earlier has ended it.
+    stand_in.instance_id = f"{old_id.partition('+')[0]}+{len(history.drains)}"
+    history.drains.append(Drain(old_id, member.number, acknowledged_at_s, time.monotonic()))
+    fleet.store.delete(f"servers/{old_id}")
+    fleet.register(member)
+
+
+async def _restart(fleet: SoakFleet, member: Member, after_s: float) -> None:
+    await asyncio.sleep(after_s)
+    await member.start()
+    with suppress(TimeoutError):
+        async with asyncio.timeout(RESTART_TIMEOUT_S):
+            while member.sidecar.running and not await member.sidecar.is_ready(fleet.session):
+                await asyncio.sleep(IDLE_POLL_S)
