Forget a run that is cancelled before its task begins

A submission and its cancellation that arrive in one packet left the run, with its body, in the table of runs for good: a task that is cancelled before its first step runs no finally clause. Found by review; the new test fails without the change. The end of a run is recorded when its task is done. A run that was resumed over a newer link no longer stays in the list of the old link, which delayed a stop.

--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections.abc import Coroutine
-from functools import singledispatch
+from functools import partial, singledispatch
 from typing import Protocol
 
 import attrs
@@ -224,11 +224,13 @@
             return error
         except UnknownOutcomeError as error:
             return error
-        finally:
-            run.ended_at_s = read_clocks().monotonic_s
-            # Only the key is needed from here on; bodies can be as large as the limits allow.
-            run.submit = attrs.evolve(run.submit, headers=(), body=b"")
-            self.gate.scheduler.orphans.discard(run.submit.request_id)
+
+    def record_end(self, run: Run, task: asyncio.Task) -> None:
+        """Records that the task of a run ended; a cancelled task may not even have begun."""
+        run.ended_at_s = read_clocks().monotonic_s
+        # Only the key is needed from here on; bodies can be as large as the limits allow.
+        run.submit = attrs.evolve(run.submit, headers=(), body=b"")
+        self.gate.scheduler.orphans.discard(run.submit.request_id)
 
     def _is_closed(self) -> bool:
         """Returns whether the planned stop accepts no more submissions at all."""
@@ -295,6 +297,7 @@
 @_start_added.register
 def _(added: Run, submit: Submit, runner: InstanceRunner) -> Run:
     added.task = runner.spawn(runner.finish(added))
+    added.task.add_done_callback(partial(runner.record_end, added))
     return added
 
 
--- a/ibisrack/hosting/runner_test.py
+++ b/ibisrack/hosting/runner_test.py
@@ -161,4 +161,16 @@
         assert upstream.sent_ids == ["first"]
 
 
+async def test_run_that_is_cancelled_before_it_begins_is_forgotten():
+    """Guards against runs, with their bodies, that stay in memory when a cancel comes at once."""
+    async with run_instance() as (runner, _):
+        run = runner.start(attrs.evolve(FIRST, body=b"large"))
+        runner.cancel(run)
+        await runner.result(run)
+        await asyncio.sleep(0)
+        assert not run.submit.body
+        runner.clean_up(read_clocks().monotonic_s + RESULT_TTL_S + 1)
+        assert not runner.run_table.runs
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -102,9 +102,9 @@
 
     async def _deliver(self, number: int, run: Run) -> None:
         result = await self.instance_runner.result(run)
+        self.runs.pop(number, None)
         if run.delivery_link is not self:
             return
-        self.runs.pop(number, None)
         await _send_result(result, self, number)
 
     def send_load_if_changed(self) -> None:
