Keep one loss of a reader, or a frozen one, from making a whole zone read

Nodes now count the candidates that are available, not those that read already, so one other host takes over; a node reads itself only if nobody has delivered for 1 s. A reader whose reads fail also follows others, and tells them at once; a stopping node is no candidate.

A frozen peer counted as heard as long as short requests to it followed each other, since each restarted the measure of silence. Silence now counts from the last byte, and an unanswered ping ends the link.

The tasks of links are restarted after an unexpected exception.

test_stop_of_a_reader_does_not_make_all_others_read and test_silent_peer_is_noticed_while_short_requests_follow_each_other guard against the first two. The stand-in of the store no longer counts answers to callers that are gone. The three faults share lines of links/outgoing.py and stand in one commit for that reason.

--- a/ibisrack/dispatch/decisions_test.py
+++ b/ibisrack/dispatch/decisions_test.py
@@ -131,7 +131,7 @@
 def views(**loads: tuple[int, int, float]) -> InstanceViews:
     instance_views = InstanceViews()
     for name, (busy, queued, service_ms) in loads.items():
-        instance_views.of(name).update_load(Load(busy, queued, 2, service_ms, True, 1, True))
+        instance_views.of(name).update_load(Load(busy, queued, 2, service_ms, True, 1, True, True))
     return instance_views
 
 
--- a/ibisrack/dispatch/destination.py
+++ b/ibisrack/dispatch/destination.py
@@ -34,8 +34,13 @@
           UnknownOutcomeError: The request may have run.
         """
 
-    def withdraw(self, submit: Submit) -> None:
-        """Makes the node refuse a request that has not started; a running one continues."""
+    def withdraw(self, submit: Submit, is_final: bool) -> None:
+        """Makes the node refuse a request that has not started; a running one continues.
+
+        Args:
+          submit: The request.
+          is_final: Whether the request ends with an unknown outcome if the node can't be reached.
+        """
 
 
 @attrs.frozen(eq=False)
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -85,7 +85,7 @@
         """
         for attempt in tuple(self.open_attempts):
             if self._is_too_late(attempt.destination, attempt.due_at_s, now_s):
-                attempt.destination.withdraw(attempt.submit)
+                attempt.destination.withdraw(attempt.submit, self.stop.is_final(now_s))
 
     async def _serve(self, request: Request) -> Reply:
         version = self.configurations.version
--- a/ibisrack/links/codec_test.py
+++ b/ibisrack/links/codec_test.py
@@ -51,7 +51,7 @@
 MESSAGES = (
     SUBMIT,
     Answered(7, 200, (("A", "b"),), b"x" * 9, True),
-    Load(1, 2, 3, 4.5, True, 6, False),
+    Load(1, 2, 3, 4.5, True, 6, False, True),
     Ping(),
     Entries(9, ("servers/i-1",), (("servers/i-1", 4, 0, b"{}"),)),
 )
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -158,6 +158,7 @@
       accepts_requests: Whether the node accepts submissions.
       revision: Registry revision that the sender has seen.
       reads_registry: Whether the sender reads the registry itself and the registry answers.
+      may_read_registry: Whether the sender can read the registry, as far as it knows.
     """
 
     busy: int
@@ -167,6 +168,7 @@
     accepts_requests: bool
     revision: int
     reads_registry: bool
+    may_read_registry: bool
 
 
 @attrs.frozen
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -45,6 +45,7 @@
     Withdraw,
 )
 from ibisrack.links.pending import AbandonedRequests, PendingRequest
+from ibisrack.registry.sources import Candidate
 
 CONNECT_TIMEOUT_S = 0.3
 # Maximum time that a request waits for a peer whose last connection failed.  A peer that is back
@@ -52,11 +53,12 @@
 FAILING_CONNECT_WAIT_S = 0.03
 CONNECT_RETRY_PAUSE_S = 0.1  # Pause after a failed connection attempt.
 LINK_LOSS_PAUSE_S = 0.01  # Pause before the first reconnect after an open link broke.
-PING_AFTER_SILENCE_S = 0.25  # Silence of a peer with unanswered requests before it is pinged.
-ABORT_AFTER_SILENCE_S = 0.8  # Silence after which the link is aborted and opened again.
-PING_FOLLOWED_AFTER_SILENCE_S = 0.5  # Silence of a followed peer without requests before a ping.
-# A followed peer that was not heard for this long is not relied on for changes of the registry.
-MAX_DELIVERY_SILENCE_S = 1.2
+# Silence of a peer that is followed or has unanswered requests before it is pinged.
+PING_AFTER_SILENCE_S = 0.25
+PING_TIMEOUT_S = 0.55  # Time without any answer to a ping until the link is opened again.
+ABORT_AFTER_SILENCE_S = PING_AFTER_SILENCE_S + PING_TIMEOUT_S
+# A peer that has not answered a ping for this long is not relied on for changes of the registry.
+MAX_DELIVERY_SILENCE_S = 0.9
 
 _LOGGER = logging.getLogger("ibisrack.links")
 
@@ -71,8 +73,7 @@
       port: TCP port on which the peer accepts links.
       on_entries: Called with this link and changes of the registry from the peer.
       load: Last load that the peer reported, None before the first.
-      silent_since_s: Monotonic time of the last received bytes, or of the first pending request if
-        later.
+      heard_at_s: Monotonic time of the last bytes from the peer.
       losses: Number of connections that broke after the peer's Hello.
       failing: Whether the last connection broke or could not be opened; cleared by the next Hello.
       peer_epoch: Epoch of the peer's process, empty while the link is not open.
@@ -86,7 +87,7 @@
     port: int
     on_entries: Callable[["OutgoingLink", Entries], None]
     load: Load | None = None
-    silent_since_s: float = 0.0
+    heard_at_s: float = 0.0
     losses: int = 0
     failing: bool = False
     peer_epoch: str = ""
@@ -131,9 +132,6 @@
             read_clocks().monotonic_s + submit.remaining_ms / 1000,
         )
         self.pending[submit.number] = pending
-        if len(self.pending) == 1:
-            # A peer without requests may be silent, so silence counts from the first pending one.
-            self.silent_since_s = max(self.silent_since_s, read_clocks().monotonic_s)
         write_message(self._writer, submit)
         return await self.result(pending)
 
@@ -183,27 +181,38 @@
             write_message(self._writer, Unfollow())
         self.following = False
 
-    def is_delivering(self, now_s: float) -> bool:
-        """Returns whether the peer reads the registry and was heard a short time ago."""
-        return (
-            self.is_open
-            and self.load is not None
-            and self.load.reads_registry
-            and now_s - self.silent_since_s < MAX_DELIVERY_SILENCE_S
+    def candidate(self, now_s: float) -> Candidate:
+        """Returns the peer as a source of the registry's changes."""
+        # Only a peer that is followed or has requests is pinged; others count while their link is
+        # open.
+        is_silent = (
+            self._pinged_at_s > self.heard_at_s
+            and now_s - self._pinged_at_s >= MAX_DELIVERY_SILENCE_S
+        )
+        is_usable = self.load is not None and not is_silent
+        return Candidate(
+            self.host,
+            self.peer_link_mbps,
+            available=is_usable and self.load.may_read_registry,
+            delivering=is_usable and self.load.reads_registry,
         )
 
-    def withdraw(self, submit: Submit) -> None:
+    def withdraw(self, submit: Submit, is_final: bool) -> None:
         """Makes the peer refuse a pending request if it has not started.
 
-        This node is about to stop.  If the link is not open, one more attempt to open it decides:
-        the peer would hardly be back later, and the request ends here.
+        Args:
+          submit: The request.
+          is_final: Whether the request ends here if the link is not open, because this node stops
+            before the result could arrive.
         """
         pending = self.pending.get(submit.number)
         if pending is None:
             return
-        pending.withdrawn = True
-        if self.is_open:
+        if self.is_open and not pending.withdrawn:
             write_message(self._writer, Withdraw(submit.number))
+        pending.withdrawn = True
+        if is_final and not self.is_open:
+            self.complete(pending, UnknownOutcomeError(Reason.PEER_UNREACHABLE))
 
     def request_open(self) -> None:
         """Signals the task of this link to connect."""
@@ -212,22 +221,14 @@
     def check_silence(self, now_s: float) -> None:
         """Pings a silent peer that is followed or has unanswered requests.
 
-        A link with unanswered requests is aborted if the peer stays silent.
+        A link with unanswered requests is aborted if the peer does not answer the ping.
         """
-        if self._writer is None:
-            return
-        silent_s = now_s - self.silent_since_s
-        if not self.pending:
-            if self.following and silent_s >= PING_FOLLOWED_AFTER_SILENCE_S:
-                self._ping(now_s)
+        if self._writer is None or not (self.pending or self.following):
             return
-        if silent_s >= ABORT_AFTER_SILENCE_S:
-            self._writer.transport.abort()
-        elif silent_s >= PING_AFTER_SILENCE_S:
-            self._ping(now_s)
-
-    def _ping(self, now_s: float) -> None:
-        if now_s - self._pinged_at_s >= PING_AFTER_SILENCE_S:
+        if self._pinged_at_s > self.heard_at_s:
+            if self.pending and now_s - self._pinged_at_s >= PING_TIMEOUT_S:
+                self._writer.transport.abort()
+        elif now_s - self.heard_at_s >= PING_AFTER_SILENCE_S:
             self._pinged_at_s = now_s
             write_message(self._writer, Ping())
 
@@ -245,7 +246,6 @@
                 pause_s = LINK_LOSS_PAUSE_S if self.is_open else CONNECT_RETRY_PAUSE_S
                 self._record_failure(error)
                 if not self.is_open:
-                    self._fail_withdrawn()
                     self._leave_peer()
             finally:
                 await self._handle_closed()
@@ -261,7 +261,7 @@
                 "peer": self.host,
                 "was_open": self.is_open,
                 "unanswered": len(self.pending),
-                "silent_ms": round((read_clocks().monotonic_s - self.silent_since_s) * 1000),
+                "silent_ms": round((read_clocks().monotonic_s - self.heard_at_s) * 1000),
                 "why": f"{type(error).__name__} {error}".strip(),
             }
             _LOGGER.warning("link lost", extra=extra)
@@ -289,13 +289,13 @@
 
     def _record_data(self) -> None:
         """Records that bytes of the peer arrived, also of a message that is not complete yet."""
-        self.silent_since_s = read_clocks().monotonic_s
+        self.heard_at_s = read_clocks().monotonic_s
 
     async def _handle_opened(self, writer: asyncio.StreamWriter, peer_epoch: str) -> None:
         self._writer, self.peer_epoch = writer, peer_epoch
         self.failing = False
-        self.silent_since_s = read_clocks().monotonic_s
-        self._abandoned.drop_expired(self.silent_since_s)
+        self.heard_at_s = read_clocks().monotonic_s
+        self._abandoned.drop_expired(self.heard_at_s)
         extra = {
             "peer": self.host,
             "life": peer_epoch,
@@ -336,12 +336,6 @@
         for pending in tuple(self.pending.values()):
             self.complete(pending, UnknownOutcomeError(reason))
 
-    def _fail_withdrawn(self) -> None:
-        """Ends the withdrawn requests, whose outcome this node can't learn before it stops."""
-        for pending in tuple(self.pending.values()):
-            if pending.withdrawn:
-                self.complete(pending, UnknownOutcomeError(Reason.PEER_UNREACHABLE))
-
     async def _handle_closed(self) -> None:
         writer, self._writer, self.peer_epoch, self.load = self._writer, None, "", None
         self.following = False
--- a/ibisrack/links/outgoing_test.py
+++ b/ibisrack/links/outgoing_test.py
@@ -4,13 +4,15 @@
 import socket
 from contextlib import asynccontextmanager, suppress
 
+import attrs
+
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.links.codec import encode
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.links.frames import write_message
-from ibisrack.links.messages import Answered, Hello
+from ibisrack.links.messages import Answered, Hello, Load
 from ibisrack.links.outgoing import (
     ABORT_AFTER_SILENCE_S,
     CONNECT_RETRY_PAUSE_S,
@@ -23,6 +25,7 @@
 READ_LIMIT_BYTES = 64 * 1024  # Default buffer limit of a stream reader.
 SLICE_BYTES = 16 * 1024
 HELLO = Hello("127.0.0.9", "own", 1000.0)
+LOAD = Load(0, 0, 1, 1.0, True, 1, False, True)
 
 
 @asynccontextmanager
@@ -131,10 +134,31 @@
         await asyncio.sleep(CONNECT_TIMEOUT_S * 1.5)
         assert link.failing
         assert not call.done()
-        link.withdraw(SUBMIT)
+        link.withdraw(SUBMIT, is_final=False)
+        await asyncio.sleep(CONNECT_TIMEOUT_S * 1.5)
+        assert not call.done()
+        link.withdraw(SUBMIT, is_final=True)
         assert await failure_of(call) == Reason.PEER_UNREACHABLE
 
 
+async def test_silent_peer_is_noticed_while_short_requests_follow_each_other():
+    """Guards against relying on a frozen peer because each new request restarts the wait."""
+    async with submitted_request() as (link, call, writer):
+        call.cancel()
+        link.load = attrs.evolve(LOAD, reads_registry=True)
+        number = 100
+        async with asyncio.timeout(4 * ABORT_AFTER_SILENCE_S):
+            while not link.losses:
+                number += 1
+                submit = attrs.evolve(SUBMIT, number=number, request_id=str(number))
+                short_call = asyncio.create_task(link.run(submit, lambda: False))
+                await asyncio.sleep(0.1)
+                link.check_silence(read_clocks().monotonic_s)
+                short_call.cancel()
+                await asyncio.sleep(0)
+        assert not link.candidate(read_clocks().monotonic_s).delivering
+
+
 async def test_peer_that_sends_a_large_answer_slowly_is_not_silent():
     """Guards against aborting a congested link again and again while an answer arrives."""
     async with submitted_request() as (link, call, writer):
--- a/ibisrack/registry/follower.py
+++ b/ibisrack/registry/follower.py
@@ -23,8 +23,8 @@
 # dropped its history and left the call without changes.
 LONG_POLL_S = 1.0
 # A registry that has not answered for this long is not relied on: a long poll and the transfer of a
-# large entry over a slow link fit in.
-MAX_ANSWER_AGE_S = 2.2
+# large entry over a congested link fit in.
+MAX_ANSWER_AGE_S = 3.0
 RECOVERY_POLL_S = 0.001  # Wait of calls after a failure, so that a recovery is detected at once.
 CHANGE_BATCH_DELAY_S = 0.25  # Delay after changes, so that a burst of them takes fewer calls.
 BASE_RETRY_DELAY_S = 0.15
@@ -90,6 +90,11 @@
         """Returns whether this node reads the registry itself and the registry answers."""
         return self.answering and now_s - self.answered_at_s < MAX_ANSWER_AGE_S
 
+    @property
+    def may_read(self) -> bool:
+        """Whether the registry answers this node, as far as it knows."""
+        return self.answering or not self.read_required.is_set()
+
     def apply_peer_delta(self, delta: Delta) -> None:
         """Applies the changes of the registry that a peer sent.
 
@@ -117,7 +122,9 @@
             self._record_own_answer()
             entries = self.view.replace(listing)
         else:
-            wait_s = LONG_POLL_S if self.answering else RECOVERY_POLL_S
+            # The first answer tells peers at once that this node reads.
+            is_first = self.answered_at_s == -math.inf
+            wait_s = LONG_POLL_S if self.answering and not is_first else RECOVERY_POLL_S
             changes: Changes = await self.registry.changes(
                 self.view.revision, wait_s, self._max_changes_bytes()
             )
@@ -144,8 +151,10 @@
             self.on_state(True)
 
     def _record_failure(self, error: str) -> None:
-        self.failures += 1
         self.tally.platform_failures += 1
+        if not self.read_required.is_set():
+            return  # Peers deliver the content, and tell when they can't.
+        self.failures += 1
         if self.answering or self.failures == 1:
             self.answering = False
             extra = {"revision": self.view.revision, "error": error}
--- a/ibisrack/registry/sources.py
+++ b/ibisrack/registry/sources.py
@@ -1,8 +1,8 @@
 """Decides whether a node reads the registry itself or follows peers of its zone that do.
 
 A large configuration takes most of a second on a small host's link.  A few hosts of each zone read
-it from the registry and send the others the difference to the version that these have.  A node that
-does not hear from enough of them reads the registry itself.
+it from the registry and send the others the difference to the version that these have.  A node to
+which nobody delivers reads the registry itself.
 """
 
 import zlib
@@ -12,6 +12,8 @@
 import attrs
 
 FOLLOWED_PEERS = 2  # Two, so that the loss of one does not interrupt the delivery.
+# Time in which the next candidates begin to read after the readers of a zone are lost.
+TAKEOVER_S = 1.0
 # Hosts of a zone among which the readers are; bounds the links that a node opens to find them.
 MAX_CANDIDATES = 24
 
@@ -23,11 +25,14 @@
     Attributes:
       host: IP number of the host.
       link_mbps: Bandwidth of the host in Mbit/s, 0 if it is not known.
+      available: Whether its node was heard a short time ago, does not stop, and either follows
+        peers or reads the registry with success.
       delivering: Whether its node reads the registry and was heard a short time ago.
     """
 
     host: str
     link_mbps: float
+    available: bool
     delivering: bool
 
     @property
@@ -45,18 +50,36 @@
     return by_hash[:MAX_CANDIDATES]
 
 
-def choose_followed(own: Candidate, peers: Iterable[Candidate]) -> tuple[str, ...]:
-    """Returns the hosts of the peers to follow; empty if the node has to read the registry.
+@attrs.frozen
+class Sources:
+    """Where a node gets the registry's changes from.
+
+    Attributes:
+      reads: Whether it reads the registry itself.
+      followed: Hosts of the peers that it follows, the best first.
+    """
+
+    reads: bool
+    followed: tuple[str, ...] = ()
+
+
+def choose_sources(own: Candidate, peers: Iterable[Candidate], undelivered_s: float) -> Sources:
+    """Returns the sources of a node.
+
+    The available hosts that come first read, so that the loss of a reader makes one other host read
+    and not the whole zone.  A reader whose own reads fail also follows the peers that deliver.
 
     Args:
       own: This node's host.
       peers: The other candidates of the zone.
+      undelivered_s: Time for which no peer has delivered.
     """
-    ahead = [peer for peer in peers if peer.delivering and peer.rank < own.rank]
-    if len(ahead) < FOLLOWED_PEERS:
-        return ()
-    best = sorted(ahead, key=attrgetter("rank"))[:FOLLOWED_PEERS]
-    return tuple(peer.host for peer in best)
+    peers = sorted(peers, key=attrgetter("rank"))
+    delivering = tuple(peer.host for peer in peers if peer.delivering)[:FOLLOWED_PEERS]
+    ahead = sum(peer.available and peer.rank < own.rank for peer in peers)
+    if ahead < FOLLOWED_PEERS or undelivered_s >= TAKEOVER_S:
+        return Sources(True, () if own.available else delivering)
+    return Sources(False, delivering)
 
 
 def _host_hash(host: str) -> int:
--- a/ibisrack/registry/sources_test.py
+++ b/ibisrack/registry/sources_test.py
@@ -1,53 +1,82 @@
 """Tests of the choice between reading the registry and following peers."""
 
+import attrs
+
 from ibisrack.registry.sources import (
     FOLLOWED_PEERS,
     MAX_CANDIDATES,
+    TAKEOVER_S,
     Candidate,
+    Sources,
     candidate_hosts,
-    choose_followed,
+    choose_sources,
 )
 from ibisrack.testing.functions import function_tests
 
+HOSTS = [f"10.0.0.{n}" for n in range(12)]
+
+
+def zone(delivering: set[str], lost: set[str] = frozenset(), fast: set[str] = frozenset()):
+    """Returns twelve candidates, of which some deliver and some are not available."""
+    return [Candidate(h, 70.0 if h in fast else 3.5, h not in lost, h in delivering) for h in HOSTS]
+
 
-def zone(delivering: set[str], fast: tuple[str, ...] = ()) -> list[Candidate]:
-    """Returns twelve candidates."""
-    hosts = [f"10.0.0.{n}" for n in range(12)]
-    return [Candidate(h, 70.0 if h in fast else 3.5, h in delivering) for h in hosts]
+def sources(host: str, candidates: list[Candidate], undelivered_s: float = 0.0) -> Sources:
+    """Returns the sources of a host, which sees itself as available."""
+    own = attrs.evolve(next(c for c in candidates if c.host == host), available=True)
+    return choose_sources(own, [c for c in candidates if c.host != host], undelivered_s)
 
 
-def followed(host: str, candidates: list[Candidate]) -> tuple[str, ...]:
-    """Returns the peers that a host follows."""
-    own = next(c for c in candidates if c.host == host)
-    return choose_followed(own, [c for c in candidates if c.host != host])
+def readers(candidates: list[Candidate], undelivered_s: float = 0.0) -> set[str]:
+    """Returns the available hosts that read."""
+    available = [c.host for c in candidates if c.available]
+    return {host for host in available if sources(host, candidates, undelivered_s).reads}
 
 
-def test_few_hosts_of_a_zone_read_when_all_know_each_other():
+def test_few_hosts_of_a_zone_read():
     """Guards against a fleet whose reads of the registry grow with its size."""
-    hosts = {c.host for c in zone(set())}
-    assert sum(not followed(host, zone(hosts)) for host in hosts) == FOLLOWED_PEERS
+    first = readers(zone(set()))
+    assert len(first) == FOLLOWED_PEERS
+    assert readers(zone(first)) == first
+    assert all(set(sources(h, zone(first)).followed) == first for h in HOSTS if h not in first)
 
 
 def test_hosts_with_fast_links_read():
     """Guards against transfers of a large configuration that delay requests on a slow link."""
-    fast = ("10.0.0.3", "10.0.0.8")
-    candidates = zone({c.host for c in zone(set())}, fast)
-    assert set(followed("10.0.0.1", candidates)) == set(fast)
-    assert followed("10.0.0.3", candidates) == ()
+    fast = {"10.0.0.3", "10.0.0.8"}
+    assert readers(zone(set(), fast=fast)) == fast
 
 
-def test_a_host_reads_when_too_few_peers_deliver():
-    """Guards against a host that relies on peers that lost the registry or are silent."""
-    candidates = zone({"10.0.0.3"}, ("10.0.0.3", "10.0.0.8"))
-    assert followed("10.0.0.1", candidates) == ()
+def test_loss_of_a_reader_makes_one_other_host_read():
+    """Guards against a zone of which every host reads at once when one reader stops."""
+    first = sorted(readers(zone(set())))
+    candidates = zone({first[1]}, lost={first[0]})
+    now = readers(candidates)
+    assert len(now) == FOLLOWED_PEERS
+    assert first[1] in now
+    followers = [h for h in HOSTS if h not in now and h != first[0]]
+    assert all(sources(host, candidates).followed == (first[1],) for host in followers)
 
 
-def test_followers_take_over_from_lost_readers_in_order():
+def test_loss_of_all_readers_makes_as_many_others_read():
     """Guards against a zone in which nobody, or everybody, reads after its readers are lost."""
-    hosts = {c.host for c in zone(set())}
-    readers = {host for host in hosts if not followed(host, zone(hosts))}
-    rest = hosts - readers
-    assert sum(not followed(host, zone(rest)) for host in rest) == FOLLOWED_PEERS
+    first = readers(zone(set()))
+    candidates = zone(set(), lost=first)
+    assert len(readers(candidates)) == FOLLOWED_PEERS
+    assert not readers(candidates) & first
+
+
+def test_a_host_reads_when_nobody_delivers_for_long():
+    """Guards against a host that waits for peers that seem available and never deliver."""
+    assert readers(zone(set()), TAKEOVER_S) == set(HOSTS)
+
+
+def test_a_reader_whose_reads_fail_follows_others():
+    """Guards against an old configuration on a host that alone is cut off from the registry."""
+    first = sorted(readers(zone(set())))
+    peers = [c for c in zone({first[1]}) if c.host != first[0]]
+    own = Candidate(first[0], 3.5, available=False, delivering=False)
+    assert choose_sources(own, peers, 0.0) == Sources(True, (first[1],))
 
 
 def test_all_nodes_choose_the_same_candidates():
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -22,10 +22,11 @@
 from ibisrack.links.messages import Entries, Hello, Load, Submit
 from ibisrack.links.outgoing import OutgoingLink
 from ibisrack.metrics.tally import Tally
+from ibisrack.node.tasks import keep_running
 from ibisrack.registry.deltas import MissingBaseError, pack_changes
 from ibisrack.registry.follower import RegistryFollower
 from ibisrack.registry.messages import Delta, Entry, PackedEntry
-from ibisrack.registry.sources import Candidate, candidate_hosts, choose_followed
+from ibisrack.registry.sources import Candidate, Sources, candidate_hosts, choose_sources
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder, OfferResult
 from ibisrack.routing.model import Configuration
@@ -79,7 +80,7 @@
         """Runs a request on the instance beside this node, which is always reachable."""
         return await self.instance_runner.run(submit)
 
-    def withdraw(self, submit: Submit) -> None:
+    def withdraw(self, submit: Submit, is_final: bool) -> None:
         """Refuses a request if it waits for a slot."""
         self.instance_runner.gate.refuse(submit.request_id, Reason.WITHDRAWN)
 
@@ -104,7 +105,7 @@
       process_epoch: Random id of this run of the process, by which peers notice a restart.
       resize_pool: Adapts the connection pool to the number of slots of the instance.
       follower: Reads the registry; set once, after the other parts.
-      followed_hosts: Hosts of the peers that deliver the registry's changes to this node.
+      sources: Where this node gets the registry's changes from.
     """
 
     settings: SidecarSettings
@@ -122,11 +123,13 @@
     process_epoch: str = attrs.field(factory=lambda: uuid.uuid4().hex)
     resize_pool: Callable[[int], None] = attrs.field(default=lambda slots: None)
     follower: RegistryFollower | None = None
-    followed_hosts: tuple[str, ...] = ()
+    sources: Sources = Sources(reads=True)
     _behind_since_s: float | None = None
     _entries_requested_at_s: float = 0.0
     _load_reported_at_s: float = 0.0
     _candidates_opened_at_s: float = 0.0
+    _delivered_at_s: float = 0.0
+    _reported_as_reader: bool = False
     _packed_changes: dict[tuple[int, int], Entries] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
@@ -159,6 +162,7 @@
             self.instance_runner.accepts_requests,
             self.view.revision,
             self.follower.is_reading(read_clocks().monotonic_s),
+            self.follower.may_read and not self.stopping,
         )
 
     def reload(self, settings: SidecarSettings) -> None:
@@ -211,7 +215,7 @@
                 self.hello, host, self.settings.links.port, self._apply_peer_entries
             )
             self.outgoing_links[host] = link
-            self.spawn(link.maintain())
+            self.spawn(keep_running("link", link.maintain))
         return link
 
     def apply_entries(self, entries: tuple[Entry, ...]) -> None:
@@ -258,7 +262,7 @@
                 self._load_reported_at_s = now_s
                 for link in self.incoming_links:
                     link.send_load_if_changed()
-            self._choose_followed_peers(now_s)
+            self._choose_sources(now_s)
             self._request_missing_entries(now_s)
             for link in self.incoming_links:
                 link.send_followed_entries()
@@ -333,26 +337,38 @@
             _LOGGER.info("registry changes do not fit", extra=extra)
             link.request_entries(0)
 
-    def _choose_followed_peers(self, now_s: float) -> None:
-        """Chooses the peers that deliver the registry's changes; with too few, reads it here."""
+    def _choose_sources(self, now_s: float) -> None:
+        """Chooses whether to read the registry, and the peers that deliver its changes."""
         hosts = (i.host for i in self.directory.all() if i.zone == self.settings.zone)
-        own = Candidate(self.settings.instance.host, self.settings.link_mbps, delivering=False)
+        own = Candidate(
+            self.settings.instance.host,
+            self.settings.link_mbps,
+            self.follower.may_read,
+            self.follower.is_reading(now_s),
+        )
         links = [self._link_to(host) for host in candidate_hosts(hosts) if host != own.host]
         if now_s - self._candidates_opened_at_s >= CANDIDATE_OPEN_INTERVAL_S:
             self._candidates_opened_at_s = now_s
             for link in links:
                 link.request_open()
-        peers = [Candidate(x.host, x.peer_link_mbps, x.is_delivering(now_s)) for x in links]
-        followed = choose_followed(own, peers)
+        peers = [link.candidate(now_s) for link in links]
+        if any(peer.delivering for peer in peers):
+            self._delivered_at_s = now_s
+        sources = choose_sources(own, peers, now_s - self._delivered_at_s)
         for link in self.outgoing_links.values():
-            if link.host in followed:
+            if link.host in sources.followed:
                 link.follow(self.view.revision)
             else:
                 link.unfollow()
-        self.follower.set_delivered_by_peers(bool(followed))
-        if followed != self.followed_hosts:
-            _LOGGER.info("registry sources changed", extra={"peers": list(followed)})
-            self.followed_hosts = followed
+        self.follower.set_delivered_by_peers(not sources.reads)
+        if sources != self.sources:
+            extra = {"reads": sources.reads, "peers": list(sources.followed)}
+            _LOGGER.info("registry sources changed", extra=extra)
+            self.sources = sources
+        if self.follower.is_reading(now_s) != self._reported_as_reader:
+            self._reported_as_reader = not self._reported_as_reader
+            for link in self.incoming_links:
+                link.send_load_if_changed()
 
     def _request_missing_entries(self, now_s: float) -> None:
         """Requests entries from a peer with a later registry revision if this node lags."""
--- a/ibisrack/sidecar/registry_sources_test.py
+++ b/ibisrack/sidecar/registry_sources_test.py
@@ -27,7 +27,7 @@
 
 def followers(fleet: SidecarFleet) -> list[SidecarNode]:
     """Returns the nodes that follow the registry through peers."""
-    return [node for node in fleet.nodes if node.followed_hosts]
+    return [node for node in fleet.nodes if not node.sources.reads]
 
 
 async def wait_until_in_force(fleet: SidecarFleet, version: int) -> None:
@@ -51,7 +51,25 @@
         fleet.store.put("op/config", content)
         await wait_until_in_force(fleet, 3)
         read_by = (fleet.store.sent_bytes - sent_before) / len(content)
-        assert read_by < FOLLOWED_PEERS * 4 / 3 + 0.5
+        assert read_by < FOLLOWED_PEERS * 4 / 3 + 0.5, read_by
+
+
+async def test_stop_of_a_reader_does_not_make_all_others_read():
+    """Guards against a zone that fills its links whenever one of its readers stops."""
+    async with run_sidecars(SIDECARS) as fleet:
+        fleet.store.put("op/config", large_configuration(2))
+        await wait_until_in_force(fleet, 2)
+        await wait_until_followed(fleet)
+        await asyncio.sleep(1.2)  # A follower's last call for changes is still waiting.
+        reader = next(n for n, node in enumerate(fleet.nodes) if node.sources.reads)
+        await fleet.stop_sidecar(reader)
+        sent_before = fleet.store.sent_bytes
+        content = large_configuration(3)
+        fleet.store.put("op/config", content)
+        left = [node for n, node in enumerate(fleet.nodes) if n != reader]
+        await wait_until(lambda: all(n.configurations.version == 3 for n in left))
+        read_by = (fleet.store.sent_bytes - sent_before) / len(content)
+        assert read_by < FOLLOWED_PEERS * 4 / 3 + 0.5, read_by
 
 
 async def test_followers_take_over_when_their_peers_lose_the_registry():
@@ -59,7 +77,7 @@
     async with run_sidecars(SIDECARS) as fleet:
         await wait_until_followed(fleet)
         for node in fleet.nodes:
-            if not node.followed_hosts:
+            if node.sources.reads:
                 node.follower.registry._base = "http://127.0.0.99:1"
         fleet.store.put("op/config", configuration_entry(5, *STANDARD_ROUTES))
         await wait_until_in_force(fleet, 5)
@@ -71,7 +89,7 @@
         await wait_until_followed(fleet)
         left = followers(fleet)
         for number, node in enumerate(fleet.nodes):
-            if not node.followed_hosts:
+            if node.sources.reads:
                 await fleet.stop_sidecar(number)
         fleet.store.put("op/config", configuration_entry(5, *STANDARD_ROUTES))
         await wait_until(lambda: all(n.configurations.version == 5 for n in left))
--- a/ibisrack/standins/store.py
+++ b/ibisrack/standins/store.py
@@ -131,7 +131,9 @@
 async def serve_store(host: str, port: int = 0) -> AsyncIterator[tuple[StandInStore, int]]:
     """Serves a store and yields it with its port; port 0 picks a free one."""
     store = StandInStore()
-    runner = web.AppRunner(store.application(), access_log=None, shutdown_timeout=0.1)
+    runner = web.AppRunner(
+        store.application(), access_log=None, shutdown_timeout=0.1, handler_cancellation=True
+    )
     await runner.setup()
     await web.TCPSite(runner, host, port).start()
     try:
--- a/ibisrack/stopping/plan.py
+++ b/ibisrack/stopping/plan.py
@@ -9,6 +9,9 @@
 START_LEAD_FACTOR = 2.0
 MIN_START_LEAD_S = 0.5
 MAX_START_LEAD_S = 1.5
+# This long before the planned end, a result that can't arrive any more is given up, so that the
+# answer to the caller is written before its connection is closed.
+FINAL_LEAD_S = 0.2
 
 
 @attrs.define(eq=False)
@@ -57,3 +60,7 @@
         """
         lead_s = min(MAX_START_LEAD_S, max(MIN_START_LEAD_S, START_LEAD_FACTOR * service_s))
         return due_at_s > self.ends_at_s and now_s >= self.ends_at_s - lead_s
+
+    def is_final(self, now_s: float) -> bool:
+        """Returns whether it is too late for a result over a link that is not open."""
+        return now_s >= self.ends_at_s - FINAL_LEAD_S
