Take the ports of fixtures from below those of outgoing connections

test_the_size_limit_applies_to_the_whole_head failed once in a full run (471 passed, 1 failed): address already in use.

--- a/ibisrack/testing/sidecars.py
+++ b/ibisrack/testing/sidecars.py
@@ -3,9 +3,10 @@
 import asyncio
 import json
 import logging
+import random
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager, suppress
 
 import attrs
 from aiohttp import ClientResponse, ClientSession
@@ -20,6 +21,7 @@
 
 POLL_INTERVAL_S = 0.01
 CONDITION_TIMEOUT_S = 5.0
+FIXTURE_PORTS = range(10_000, 32_000)
 
 
 def route(name: str = "r", **fields) -> Route:
@@ -215,15 +217,19 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns TCP ports free on 127.0.0.1; a test uses them on all its loopback addresses."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for probe in sockets:
-            probe.bind(("127.0.0.1", 0))
-        return [probe.getsockname()[1] for probe in sockets]
-    finally:
-        for probe in sockets:
-            probe.close()
+    """Returns TCP ports free on 127.0.0.1; a test uses them on all its loopback addresses.
+
+    They are below the ports that the system gives to outgoing connections, one of which could
+    otherwise take a port before its server listens.
+    """
+    ports: list[int] = []
+    for port in random.sample(FIXTURE_PORTS, len(FIXTURE_PORTS)):
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            ports.append(port)
+        if len(ports) == count:
+            break
+    return ports
 
 
 @asynccontextmanager
