--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -165,6 +165,11 @@
             self.follower.may_read and not self.stopping,
         )
 
+    def report_load(self) -> None:
+        """Sends the load, if it has changed, to all peers that send requests to this node."""
+        for link in self.incoming_links:
+            link.send_load_if_changed()
+
     def reload(self, settings: SidecarSettings) -> None:
         """Applies changed settings; changed addresses take effect only after a restart."""
         kept = attrs.evolve(
@@ -260,8 +265,7 @@
                 _LOGGER.info("instance gone", extra={"instance": instance_id, "why": "lapsed"})
             if now_s - self._load_reported_at_s >= LOAD_REPORT_INTERVAL_S:
                 self._load_reported_at_s = now_s
-                for link in self.incoming_links:
-                    link.send_load_if_changed()
+                self.report_load()
             self._choose_sources(now_s)
             self._request_missing_entries(now_s)
             for link in self.incoming_links:
@@ -367,8 +371,7 @@
             self.sources = sources
         if self.follower.is_reading(now_s) != self._reported_as_reader:
             self._reported_as_reader = not self._reported_as_reader
-            for link in self.incoming_links:
-                link.send_load_if_changed()
+            self.report_load()
 
     def _request_missing_entries(self, now_s: float) -> None:
         """Requests entries from a peer with a later registry revision if this node lags."""
--- a/ibisrack/sidecar/stopping.py
+++ b/ibisrack/sidecar/stopping.py
@@ -97,8 +97,7 @@
     """
     node.dispatcher.stop.refused_submissions += node.instance_runner.gate.load().queued
     node.instance_runner.refuse_waiting()
-    for link in node.incoming_links:
-        link.send_load_if_changed()
+    node.report_load()
 
 
 async def serve_late_requests(node: SidecarNode, callers: CallerServer) -> None:
