Read and log the limit and the leaving that an instance states in its answers

The logs could not tell whether a node knew of a limit when it sent a request on. The node beside an instance now reads Server-Limit and Server-Leaving from answers that are the instance's own, logs the begin, the end and larger changes of a limit, names it in each submission's line, and serves it as a metric. Nothing acts on it yet. The stand-in instance can state both.

--- /dev/null
+++ b/ibisrack/hosting/notices_test.py
@@ -0,0 +1,25 @@
+"""Tests of what an instance says of itself in its answers."""
+
+from ibisrack.hosting.notices import InstanceNotices, Notice
+from ibisrack.testing.functions import function_tests
+
+
+def test_answer_that_was_overtaken_does_not_end_a_limit():
+    """Guards against a limit that ends because an answer from before it arrives late."""
+    notices = InstanceNotices()
+    notices.observe(Notice("i-1", 1.0, limit_per_s=9.0), 1.3)
+    notices.observe(Notice("i-1", 1.2), 1.4)
+    assert notices.limit_per_s == 9.0
+    notices.observe(Notice("i-1", 1.35), 1.5)
+    assert notices.limit_per_s is None
+
+
+def test_answer_of_another_instance_ends_a_limit():
+    """Guards against holding a new instance to the limit of the one before it."""
+    notices = InstanceNotices()
+    notices.observe(Notice("i-1", 1.0, limit_per_s=9.0), 1.3)
+    notices.observe(Notice("i-2", 1.2), 1.4)
+    assert notices.limit_per_s is None
+
+
+load_tests = function_tests(__name__)
--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -10,21 +10,26 @@
 from ibisrack.hosting.runs import Run
 from ibisrack.metrics.tally import OWNER, Tally
 
+# Relative change from which a limit is logged again; an instance may name another one each time.
+LOGGED_LIMIT_CHANGE = 0.1
+
 _LOGGER = logging.getLogger("ibisrack.hosting")
 
 
 @attrs.define(eq=False)
 class SubmissionTrace:
-    """Times of a submission at this node, and the load on its arrival.
+    """Times of a submission at this node, and the load and the limit on its arrival.
 
     Attributes:
       run: Run of the submission.
       load: Load of the instance when the submission arrived.
+      limit_per_s: Requests a second that the instance then took, None for no limit.
       arrived_at_s: Monotonic time of arrival.
     """
 
     run: Run
     load: LoadReport
+    limit_per_s: float | None
     arrived_at_s: float
 
 
@@ -37,6 +42,7 @@
     """
 
     tally: Tally
+    _logged_limit_per_s: float | None = None
 
     def record(
         self, trace: SubmissionTrace, result: Result, service_s: float, now_s: float
@@ -66,6 +72,7 @@
             "busy": trace.load.busy,
             "queued": trace.load.queued,
             "slots": trace.load.slots,
+            "limit_per_s": trace.limit_per_s,
             "service_ms": round(service_s * 1000),
             "waited_ms": round((started_at_s - trace.arrived_at_s) * 1000),
             "ran_ms": round((now_s - started_at_s) * 1000),
@@ -80,6 +87,30 @@
             extra["linked_at_start"] = run.linked_at_start
             _LOGGER.log(level, "submission ran", extra=extra)
 
+    def record_limit(
+        self, instance_id: str, before_per_s: float | None, limit_per_s: float | None
+    ) -> None:
+        """Logs that an instance names a limit, another one, or none any more.
+
+        Args:
+          instance_id: The instance.
+          before_per_s: Limit before its last answer, None for none.
+          limit_per_s: Limit after it, None for none.
+        """
+        if limit_per_s is None:
+            if before_per_s is not None:
+                self._logged_limit_per_s = None
+                extra = {"instance": instance_id, "limit_per_s": before_per_s}
+                _LOGGER.info("instance limit ended", extra=extra)
+            return
+        logged_per_s = self._logged_limit_per_s
+        if logged_per_s is None or (
+            abs(limit_per_s - logged_per_s) > LOGGED_LIMIT_CHANGE * logged_per_s
+        ):
+            self._logged_limit_per_s = limit_per_s
+            extra = {"instance": instance_id, "limit_per_s": limit_per_s, "before": logged_per_s}
+            _LOGGER.info("instance limit named", extra=extra)
+
     def record_orphan_cancelled(self, run: Run, now_s: float) -> None:
         """Logs that a run is cancelled because no peer resumed it in time."""
         extra = {
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -18,6 +18,7 @@
 from ibisrack.calls.retry import Result
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.hosting.notices import InstanceNotices, Notice
 from ibisrack.hosting.recorder import SubmissionRecorder, SubmissionTrace
 from ibisrack.hosting.runs import Run, RunTable, SubmissionKey
 from ibisrack.instances.directory import InstanceDirectory
@@ -67,6 +68,7 @@
       stop: Planned stop of this process, None while there is none.
       service_s: Moving average of the service time of requests.
       running_retries: Number of running requests that had reached an instance before.
+      notices: What the instance says of itself in its answers.
     """
 
     address: tuple[str, int]
@@ -78,6 +80,7 @@
     stop: PlannedStop | None = None
     service_s: float = 0.0
     running_retries: int = 0
+    notices: InstanceNotices = attrs.field(factory=InstanceNotices)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
@@ -108,6 +111,12 @@
         now_s = read_clocks().monotonic_s
         self.gate.apply(self.gate.scheduler.configure(slots, ranks, now_s))
 
+    def observe_notice(self, notice: Notice) -> None:
+        """Applies what an answer says of the instance."""
+        before_per_s = self.notices.limit_per_s
+        self.notices.observe(notice, read_clocks().monotonic_s)
+        self.recorder.record_limit(notice.instance_id, before_per_s, self.notices.limit_per_s)
+
     async def run(self, submit: Submit) -> Answer:
         """Runs a request on the instance and returns its answer.
 
@@ -118,7 +127,9 @@
         return await self._run_recorded(Run(submit))
 
     async def _run_recorded(self, run: Run) -> Answer:
-        trace = SubmissionTrace(run, self.gate.load(), read_clocks().monotonic_s)
+        trace = SubmissionTrace(
+            run, self.gate.load(), self.notices.limit_per_s, read_clocks().monotonic_s
+        )
         try:
             answer = await self._run(run, trace.arrived_at_s)
         except (NotRunError, UnknownOutcomeError) as error:
--- a/ibisrack/platform/headers.py
+++ b/ibisrack/platform/headers.py
@@ -13,6 +13,10 @@
 NOT_EXECUTED = "Not-Executed"
 # In a response: proves that the instance produced it.
 SIGNATURE = "Response-Signature"
+# In a response: requests a second that the instance takes from all nodes together.
+LIMIT = "Server-Limit"
+# In a response: the instance is about to end.
+LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
 
 # Nodes set these on each request to an instance and drop the values that the caller sent.
--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -1,6 +1,8 @@
 """Sends requests to the local instance over HTTP and validates its answers."""
 
 import asyncio
+import math
+from collections.abc import Callable, Mapping
 
 import attrs
 from aiohttp import ClientError
@@ -10,12 +12,16 @@
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.relay import forwardable_headers
+from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.hosting.notices import Notice
 from ibisrack.links.messages import Submit
 from ibisrack.platform.headers import (
     CALLER_SERVICE,
     DEADLINE_MS,
     EXPECTED_INSTANCE,
+    LEAVING,
+    LIMIT,
     NOT_EXECUTED,
     REQUEST_ID,
     SIGNATURE,
@@ -42,10 +48,12 @@
     Attributes:
       pool: Connections to the instance.
       memory: Memory for the answers that are being read.
+      on_notice: Called with what each answer says of the instance.
     """
 
     pool: ConnectionPool
     memory: AnswerMemory
+    on_notice: Callable[[Notice], None] = attrs.field(default=lambda notice: None)
 
     async def send(self, submit: Submit, remaining_s: float) -> Answer:
         """Sends a request; see ibisrack.hosting.runner.Upstream."""
@@ -89,8 +97,12 @@
             raise NotRunError(Reason.DEADLINE) from error
 
     async def _read_answer(self, connection: Connection, submit: Submit) -> Answer:
+        requested_at_s = read_clocks().monotonic_s
         message, body = await self._read_matching_answer(connection, submit)
         headers = message.headers
+        is_from_instance = SIGNATURE in headers or NOT_EXECUTED in headers
+        if is_from_instance and message.code != MISDIRECTED:
+            self.on_notice(_read_notice(headers, submit.instance_id, requested_at_s))
         if NOT_EXECUTED in headers:
             if message.code == MISDIRECTED:
                 raise NotRunError(Reason.MISDIRECTED)
@@ -125,6 +137,22 @@
                 raise UnknownOutcomeError(Reason.WRONG_ANSWER)
 
 
+def _read_notice(headers: Mapping[str, str], instance_id: str, requested_at_s: float) -> Notice:
+    """Returns what the headers of an answer say of the instance."""
+    return Notice(
+        instance_id, requested_at_s, _parse_limit(headers.get(LIMIT)), headers.get(LEAVING) == "1"
+    )
+
+
+def _parse_limit(text: str | None) -> float | None:
+    """Returns a limit in requests per second, None without one or if it is malformed."""
+    try:
+        limit_per_s = float(text or "nan")
+    except ValueError:
+        return None
+    return limit_per_s if math.isfinite(limit_per_s) and limit_per_s >= 0 else None
+
+
 def _encode_request(submit: Submit, remaining_ms: int) -> bytes:
     lines = [f"{submit.method} {submit.target} HTTP/1.1", f"Host: {submit.host}"]
     lines += [f"{name}: {value}" for name, value in submit.headers]
--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -3,11 +3,12 @@
 import asyncio
 import tracemalloc
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.hosting.notices import Notice
 from ibisrack.links.messages import Submit
 from ibisrack.platform.upstream import HttpUpstream
 from ibisrack.testing.connections import RecordingTransport, create_waiting_connection
@@ -237,6 +238,32 @@
         assert isinstance(await _result_before_reset(cut), UnknownOutcomeError)
 
 
+async def _notices_of(answer: bytes) -> list[Notice]:
+    """Returns what the upstream reads about an instance that sends an answer."""
+    notices: list[Notice] = []
+    async with _instance(answer, b"") as (_, upstream):
+        upstream.on_notice = notices.append
+        with suppress(NotRunError, UnknownOutcomeError):
+            await upstream.send(_submit(), REMAINING_S)
+    return notices
+
+
+async def test_limit_and_leaving_are_read_from_answers_of_the_instance_alone():
+    """Guards against a limit of another instance, or one made of bytes that are no number."""
+    end = "Content-Length: 0"
+    (notice,) = await _notices_of(answer_head(REQUEST_ID, "Server-Limit: 51.7", end))
+    assert (notice.instance_id, notice.limit_per_s, notice.leaving) == ("i-1", 51.7, False)
+    (notice,) = await _notices_of(answer_head(REQUEST_ID, "Server-Leaving: 1", end))
+    assert (notice.limit_per_s, notice.leaving) == (None, True)
+    for malformed in ("", "x", "nan", "inf", "-1"):
+        (notice,) = await _notices_of(answer_head(REQUEST_ID, f"Server-Limit: {malformed}", end))
+        assert notice.limit_per_s is None
+    for status in ("421 Misdirected Request", "503 Service Unavailable"):
+        head = answer_head(REQUEST_ID, "Server-Limit: 5", end).replace(b"200 OK", status.encode())
+        head = head.replace(b"Response-Signature: s\r\n", b"")
+        assert await _notices_of(head) == []
+
+
 async def test_all_slots_together_stay_within_the_machine():
     """Guards against endless bodies that fit one by one but not in all slots at once."""
     async with _instance(CHUNKED, LARGE_CHUNK) as (server, upstream):
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -23,12 +23,20 @@
     """Returns all metrics except the histogram."""
     yield from call_metrics(node.tally)
     yield from load_metrics(node.instance_runner.gate)
+    yield from _limit_metrics(node)
     yield from _budget_metrics(node)
     yield from _registry_metrics(node)
     yield from _link_metrics(node)
     yield from platform_read_metrics(node.tally)
 
 
+def _limit_metrics(node: SidecarNode) -> Iterator[Metric]:
+    limit_per_s = node.instance_runner.notices.limit_per_s
+    # An instance without a limit has no sample.
+    samples = () if limit_per_s is None else unlabelled(limit_per_s)
+    yield Metric("ibis_instance_limit_per_second", "Limit that the instance names.", False, samples)
+
+
 def _budget_metrics(node: SidecarNode) -> Iterator[Metric]:
     retries_in_window = node.dispatcher.budget.retries_in_window(read_clocks().monotonic_s)
     samples = tuple(({"service": service}, count) for service, count in retries_in_window.items())
--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -121,6 +121,21 @@
     assert stopped.peer_links >= 0
 
 
+async def test_limit_of_an_instance_is_logged_when_it_begins_and_when_it_ends():
+    """Guards against refusals under a limit of which the log says nothing."""
+    with capture_log() as log:
+        async with run_sidecars(1) as fleet_:
+            for limit_per_s in (80.0, 79.0, None):
+                fleet_.instances[0].limit_per_s = limit_per_s
+                await fleet_.send_request(0, request_id=f"q-{limit_per_s}")
+    (named,) = matching_records(log, "instance limit named")
+    (ended,) = matching_records(log, "instance limit ended")
+    assert (named.instance, named.limit_per_s) == ("i-0", 80.0)
+    assert (ended.instance, ended.limit_per_s) == ("i-0", 79.0)
+    (ran,) = matching_records(log, "submission ran", request_id="q-79.0")
+    assert ran.limit_per_s == 80.0
+
+
 async def test_lost_links_and_registry_changes_are_logged():
     """Guards against a lost link, or a change of the fleet, that the log doesn't show."""
     with capture_log() as log:
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -65,13 +65,15 @@
         settings.instance.host, settings.instance.port, PoolSizing(INITIAL_MAX_CONNECTIONS)
     )
     tally, view = Tally(), RegistryView()
+    upstream = HttpUpstream(pool, create_answer_memory(settings.memory_mb))
     instance_runner = InstanceRunner(
         (settings.instance.host, settings.instance.port),
         Gate(Scheduler(1, InTimeFirst(MAX_RESERVED_SHARE), EarliestTarget())),
-        HttpUpstream(pool, create_answer_memory(settings.memory_mb)),
+        upstream,
         directory,
         SubmissionRecorder(tally),
     )
+    upstream.on_notice = instance_runner.observe_notice
     node = SidecarNode(
         settings, entries, rng, directory, configurations, view, instance_runner, tally
     )
--- a/ibisrack/standins/instance.py
+++ b/ibisrack/standins/instance.py
@@ -7,7 +7,14 @@
 import attrs
 from aiohttp import web
 
-from ibisrack.platform.headers import EXPECTED_INSTANCE, INSTANCE_ID, REQUEST_ID, SIGNATURE
+from ibisrack.platform.headers import (
+    EXPECTED_INSTANCE,
+    INSTANCE_ID,
+    LEAVING,
+    LIMIT,
+    REQUEST_ID,
+    SIGNATURE,
+)
 
 Handler = Callable[["StandInInstance", web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -19,6 +26,8 @@
     Attributes:
       instance_id: Identity of the instance; a restarted instance has a new one.
       work_s: Duration of a request in seconds.
+      limit_per_s: Requests a second that it names in its answers as its limit, None for none.
+      leaving: Whether it says in its answers that it is about to end.
       custom_handler: Replaces ``run`` if set.
       executed_ids: Ids of the requests that ran.
       last_request: The request received last, for tests; None before the first.
@@ -26,6 +35,8 @@
 
     instance_id: str
     work_s: float = 0.0
+    limit_per_s: float | None = None
+    leaving: bool = False
     custom_handler: Handler | None = None
     executed_ids: list[str] = attrs.field(factory=list)
     last_request: web.BaseRequest | None = None
@@ -48,7 +59,15 @@
 
     def headers(self, request: web.BaseRequest) -> dict[str, str]:
         """Returns the headers of a valid response."""
-        return {REQUEST_ID: request.headers[REQUEST_ID], SIGNATURE: f"signed.{self.instance_id}"}
+        headers = {
+            REQUEST_ID: request.headers[REQUEST_ID],
+            SIGNATURE: f"signed.{self.instance_id}",
+        }
+        if self.limit_per_s is not None:
+            headers[LIMIT] = f"{self.limit_per_s:g}"
+        if self.leaving:
+            headers[LEAVING] = "1"
+        return headers
 
 
 @asynccontextmanager
