Pace the requests to an instance by the limit that it names

Cause: nothing read the limit. Change: a request reaches an instance only through the node beside it, so this node holds the limit exactly, with no share to agree on: a token bucket in front of the scheduler's slots, half a second deep. What waits for a token is counted in the expected wait, so a request that would be late is refused at once as not run, and its sender tries another instance at no cost.

--- a/ibisrack/calls/admission.py
+++ b/ibisrack/calls/admission.py
@@ -9,6 +9,7 @@
 import attrs
 
 from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.pace import Pace
 from ibisrack.calls.ranks import (
     OldestFirst,
     PriorityWithShares,
@@ -70,12 +71,14 @@
       slots: Maximum number of concurrent calls that the rules set.
       policy: Selects the rank whose call starts next; see ``select_rank``.
       discipline: Selects the call within a rank; see ``pop_next``.
+      pace: Limit on the starts a second, which the upstream states.
       orphans: Ids of calls whose sender can't be reached; they are refused when their turn comes.
     """
 
     slots: int
     policy: object = PriorityWithShares()
     discipline: object = OldestFirst()
+    pace: Pace = attrs.field(factory=Pace)
     orphans: set[str] = attrs.field(factory=set)
     _slot_limit: int | None = None
     _queues: dict[str, RankQueue] = attrs.field(factory=dict)
@@ -124,6 +127,27 @@
         self._update_shares(now_s)
         return self._fill_free_slots(now_s)
 
+    def limit_rate(self, rate_per_s: float | None, now_s: float) -> list[Decision]:
+        """Limits the starts a second; returns decisions about waiting calls.
+
+        Args:
+          rate_per_s: Starts a second, None for no limit.
+          now_s: Current monotonic time.
+        """
+        self.pace.set_rate(rate_per_s, now_s)
+        self._update_shares(now_s)
+        return self._fill_free_slots(now_s)
+
+    def start_waiting(self, now_s: float) -> list[Decision]:
+        """Starts waiting calls that the pace allows now."""
+        return self._fill_free_slots(now_s)
+
+    def paced_delay_s(self, now_s: float) -> float | None:
+        """Returns the time until a waiting call may start, None if it waits for a slot."""
+        if not self._has_free_slot or not self._ready_queues():
+            return None
+        return self.pace.delay_s(now_s)
+
     @property
     def usable_slots(self) -> int:
         """Maximum number of concurrent calls, including the limit set by ``limit_slots``."""
@@ -147,9 +171,9 @@
         if ticket.deadline_at_s <= now_s:
             return Refused(ticket, Reason.DEADLINE)
         update_rank_limits(self.policy, tuple(self._queues.values()), now_s)
-        # While a slot is free, all ranks with waiting calls are at their own limits, so starting
-        # this call overtakes none that could run.
-        if not queue.waiting and queue.is_below_limit and len(self._running) < self.usable_slots:
+        # While a start is possible, all ranks with waiting calls are at their own limits, so
+        # starting this call overtakes none that could run.
+        if not queue.waiting and queue.is_below_limit and self._may_start(now_s):
             return self._submit_to_free_slot(queue, ticket, now_s)
         if len(queue.waiting) >= queue.rule.max_queue:
             return Refused(ticket, Reason.QUEUE_FULL)
@@ -209,6 +233,18 @@
             percent = queue.rule.share_percent if queue.is_configured else 0
             queue.account.rate = percent / 100 * self.usable_slots
             queue.slots = self.usable_slots
+            queue.paced_interval_s = 1 / self.pace.rate_per_s if self.pace.rate_per_s else 0.0
+
+    @property
+    def _has_free_slot(self) -> bool:
+        return len(self._running) < self.usable_slots
+
+    def _may_start(self, now_s: float) -> bool:
+        return self._has_free_slot and self.pace.allows_start(now_s)
+
+    def _ready_queues(self) -> list[RankQueue]:
+        """Returns the ranks of which a waiting call could run, most urgent first."""
+        return [q for q in self._queues.values() if q.waiting and q.is_below_limit]
 
     def _submit_to_free_slot(self, queue: RankQueue, ticket: Ticket, now_s: float) -> Decision:
         """Starts a call unless it is expected to miss its deadline.
@@ -222,6 +258,7 @@
 
     def _start(self, queue: RankQueue, ticket: Ticket, now_s: float) -> Admitted:
         charged_s = queue.start(now_s)
+        self.pace.record_start(now_s)
         self._running[ticket.number] = _RunningCall(queue, now_s, charged_s)
         return Admitted(ticket)
 
@@ -229,10 +266,8 @@
         """Refuses expired calls and starts waiting calls in the free slots."""
         decisions = self.expire(now_s)
         update_rank_limits(self.policy, tuple(self._queues.values()), now_s)
-        while len(self._running) < self.usable_slots:
-            ready = [
-                queue for queue in self._queues.values() if queue.waiting and queue.is_below_limit
-            ]
+        while self._may_start(now_s):
+            ready = self._ready_queues()
             if not ready:
                 break
             queue = select_rank(self.policy, ready, now_s)
--- a/ibisrack/calls/admission_test.py
+++ b/ibisrack/calls/admission_test.py
@@ -18,7 +18,9 @@
     rank_rule("bulk", order=3, share_percent=15, max_slots=2, max_queue=6),
 )
 STEP = st.tuples(
-    st.sampled_from(["submit", "submit", "finish", "cancel", "expire", "limit", "configure"]),
+    st.sampled_from(
+        ["submit", "submit", "finish", "cancel", "expire", "limit", "pace", "configure"]
+    ),
     st.integers(0, 7),
     st.sampled_from([0.0, 0.01, 0.3]),
 )
@@ -60,6 +62,8 @@
 
     def step(self, name: str, index: int) -> None:
         rank = RANKS[index % 3]
+        if self.scheduler.pace.rate_per_s:  # The gate's timer starts the calls that became due.
+            self.apply(self.scheduler.start_waiting(self.now_s))
         if name == "submit":
             self.submit(rank.rank, 0.2 + index / 10)
         elif name == "finish" and self.running:
@@ -72,6 +76,8 @@
             self.apply(self.scheduler.expire(self.now_s))
         elif name == "limit":
             self.apply(self.scheduler.limit_slots(index, self.now_s))
+        elif name == "pace":
+            self.apply(self.scheduler.limit_rate((None, 1, 3, 9)[index % 4], self.now_s))
         elif name == "configure":
             ranks = RANKS if index % 2 else RANKS[:2]
             self.apply(self.scheduler.configure(1 + index, ranks, self.now_s))
@@ -80,6 +86,8 @@
         """Returns whether a slot is free although a waiting call could run in it."""
         if len(self.running) >= self.scheduler.usable_slots:
             return False
+        if not self.scheduler.pace.allows_start(self.now_s):
+            return False
         running = [ticket.rank for ticket in self.running.values()]
         ranks = {ticket.rank for ticket in self.waiting.values()}
         limits = {rule.rank: rule.max_slots or 99 for rule in RANKS}
--- a/ibisrack/calls/gate.py
+++ b/ibisrack/calls/gate.py
@@ -28,6 +28,7 @@
 
     scheduler: Scheduler
     _waiting: dict[int, asyncio.Future] = attrs.field(factory=dict)
+    _paced_start: asyncio.TimerHandle | None = None
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
     def load(self) -> LoadReport:
@@ -44,6 +45,13 @@
         """Limits the slots while the upstream is cold or sheds load."""
         self.apply(self.scheduler.limit_slots(limit, read_clocks().monotonic_s))
 
+    def limit_rate(self, rate_per_s: float | None) -> None:
+        """Limits the starts a second while the upstream states a limit; None ends it."""
+        if self._paced_start is not None:
+            self._paced_start.cancel()
+            self._paced_start = None
+        self.apply(self.scheduler.limit_rate(rate_per_s, read_clocks().monotonic_s))
+
     @asynccontextmanager
     async def slot(self, call: Call) -> AsyncIterator[None]:
         """Holds a slot for a call.
@@ -103,6 +111,19 @@
             future = self._waiting.pop(decision.ticket.number, None)
             if future is not None and not future.done():
                 _resolve(decision, future)
+        self._schedule_paced_start()
+
+    def _schedule_paced_start(self) -> None:
+        """Sets a timer for the next waiting call, if no end of another one starts it."""
+        if self._paced_start is not None:
+            return
+        delay_s = self.scheduler.paced_delay_s(read_clocks().monotonic_s)
+        if delay_s is not None:
+            self._paced_start = asyncio.get_running_loop().call_later(delay_s, self._start_paced)
+
+    def _start_paced(self) -> None:
+        self._paced_start = None
+        self.apply(self.scheduler.start_waiting(read_clocks().monotonic_s))
 
     async def _acquire(self, ticket: Ticket, now_s: float) -> None:
         decision = self.scheduler.submit(ticket, now_s)
@@ -111,6 +132,7 @@
         if future.done():
             return future.result()
         self._waiting[ticket.number] = future
+        self._schedule_paced_start()
         await self._await_decision(ticket, future, ticket.deadline_at_s - now_s)
 
     async def _await_decision(
--- a/ibisrack/calls/ranks.py
+++ b/ibisrack/calls/ranks.py
@@ -59,6 +59,8 @@
       slots: Usable slots of the instance, for all ranks together.
       policy_limit: Maximum number of concurrent calls that the policy sets in addition to the
         rule's ``max_slots``, 0 for no limit.
+      paced_interval_s: Shortest mean time between two starts, of all ranks together, that a limit
+        on starts allows, 0 without one.
       demand: Exponentially weighted mean number of running and waiting calls.
       account: Credit towards the guaranteed share.
       estimate: Estimated service times.
@@ -70,6 +72,7 @@
     running: int = 0
     slots: int = 1
     policy_limit: int = 0
+    paced_interval_s: float = 0.0
     demand: float = 0.0
     account: ShareAccount = attrs.field(factory=ShareAccount)
     estimate: ServiceEstimate = attrs.field(factory=ServiceEstimate)
@@ -138,7 +141,8 @@
         """Returns the expected wait of a call that joins the queue now.
 
         The wait follows from the measured interval between starts.  The interval is bounded below
-        by the rate that all slots of the rank allow, and above by the rate of its guaranteed share.
+        by the rate that all slots of the rank and the pace of starts allow, and above by the rate
+        of its guaranteed share of the slots.
 
         Args:
           ahead: Number of waiting calls that are served before it; all of them by default.
@@ -149,6 +153,7 @@
         )
         if self.account.rate > 0:
             interval_s = min(interval_s, mean_s / self.account.rate)
+        interval_s = max(interval_s, self.paced_interval_s)
         return ((len(self.waiting) if ahead is None else ahead) + 1) * interval_s
 
     def reserve_s(self, ticket: Ticket) -> float:
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -106,6 +106,10 @@
           priorities: Priorities of the routes that use the service.
         """
         instance = self.instance
+        if instance is not None and instance.instance_id != self.notices.instance_id:
+            before_per_s = self.notices.limit_per_s
+            self.notices.forget()
+            self._apply_limit(instance.instance_id, before_per_s)
         slots = instance.slots if instance else self.gate.scheduler.slots
         ranks = _rank_rules(service, sorted(priorities))
         now_s = read_clocks().monotonic_s
@@ -115,7 +119,14 @@
         """Applies what an answer says of the instance."""
         before_per_s = self.notices.limit_per_s
         self.notices.observe(notice, read_clocks().monotonic_s)
-        self.recorder.record_limit(notice.instance_id, before_per_s, self.notices.limit_per_s)
+        self._apply_limit(notice.instance_id, before_per_s)
+
+    def _apply_limit(self, instance_id: str, before_per_s: float | None) -> None:
+        """Paces the requests by the limit of the instance if it differs from the one before."""
+        limit_per_s = self.notices.limit_per_s
+        if limit_per_s != before_per_s:
+            self.gate.limit_rate(limit_per_s)
+            self.recorder.record_limit(instance_id, before_per_s, limit_per_s)
 
     async def run(self, submit: Submit) -> Answer:
         """Runs a request on the instance and returns its answer.
--- /dev/null
+++ b/ibisrack/sidecar/limits_test.py
@@ -0,0 +1,77 @@
+"""Tests of instances that name a limit in their answers, in a small fleet."""
+
+import asyncio
+
+from ibisrack.clocks import read_clocks
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.sidecars import SidecarFleet, run_sidecars, wait_until
+
+LIMIT_PER_S = 10.0
+# The users' promise: an instance gets at most this multiple of what its limit allows.
+ALLOWED_FACTOR = 1.5
+ALLOWED_REQUESTS = 5
+ROUNDS = 40
+ROUND_S = 0.05
+
+
+async def send_rounds(fleet: SidecarFleet, requests: int) -> tuple[list[int], float]:
+    """Sends rounds of requests from all nodes; returns the statuses and the time it took."""
+    started_at_s = read_clocks().monotonic_s
+    calls = []
+    for round_number in range(ROUNDS):
+        calls += [
+            asyncio.create_task(
+                fleet.send_request(n % len(fleet.nodes), request_id=f"q-{round_number}-{n}")
+            )
+            for n in range(requests)
+        ]
+        await asyncio.sleep(ROUND_S)
+    answers = await asyncio.gather(*calls)
+    return [answer.status for answer, _ in answers], read_clocks().monotonic_s - started_at_s
+
+
+async def learn_limits(fleet: SidecarFleet, numbers: tuple[int, ...]) -> None:
+    """Makes instances name a limit, and waits until the nodes beside them know it."""
+    for number in numbers:
+        fleet.instances[number].limit_per_s = LIMIT_PER_S
+        while not fleet.nodes[number].instance_runner.notices.limit_per_s:
+            await fleet.send_request(number, request_id=f"first-{number}")
+    for instance in fleet.instances:
+        instance.executed_ids.clear()
+
+
+async def test_instance_gets_no_more_requests_than_its_limit_allows():
+    """Guards against an instance in need that gets the requests of all nodes at the old rate."""
+    async with run_sidecars(2) as fleet:
+        await learn_limits(fleet, (0,))
+        statuses, elapsed_s = await send_rounds(fleet, 6)
+        limited, other = (len(i.executed_ids) for i in fleet.instances)
+    assert limited <= ALLOWED_FACTOR * LIMIT_PER_S * elapsed_s + ALLOWED_REQUESTS
+    assert statuses.count(200) == len(statuses)
+    assert other > limited > 0
+
+
+async def test_requests_beyond_all_limits_are_refused_as_not_run():
+    """Guards against requests that wait for a limited service until their deadline."""
+    async with run_sidecars(2) as fleet:
+        await learn_limits(fleet, (0, 1))
+        statuses, elapsed_s = await send_rounds(fleet, 4)
+        ran = sum(len(i.executed_ids) for i in fleet.instances)
+    assert set(statuses) == {200, 503}
+    assert statuses.count(200) == ran
+    assert ran <= ALLOWED_FACTOR * 2 * LIMIT_PER_S * elapsed_s + ALLOWED_REQUESTS
+
+
+async def test_limit_that_is_no_longer_named_ends():
+    """Guards against an instance that is held to a limit after its need is over."""
+    async with run_sidecars(1) as fleet:
+        await learn_limits(fleet, (0,))
+        fleet.instances[0].limit_per_s = None
+        await asyncio.sleep(2 / LIMIT_PER_S)
+        await fleet.send_request(0, request_id="without-limit")
+        await wait_until(lambda: fleet.nodes[0].instance_runner.notices.limit_per_s is None)
+        statuses, _ = await send_rounds(fleet, 4)
+    assert statuses.count(200) == len(statuses)
+
+
+load_tests = function_tests(__name__)
