Refuse fewer callers while instances name limits

Cause: senders did not know of the limits and tried limited instances first, and the pace was exactly the limit, where the users accept half more (and 5) in any 4 s. Change: a load report carries the limit and how many requests may start at once, and the wait before the limit is part of the expected response time of an instance. The new test of the choice fails without the limit in the load report.

--- a/ibisrack/calls/admission.py
+++ b/ibisrack/calls/admission.py
@@ -127,14 +127,14 @@
         self._update_shares(now_s)
         return self._fill_free_slots(now_s)
 
-    def limit_rate(self, rate_per_s: float | None, now_s: float) -> list[Decision]:
-        """Limits the starts a second; returns decisions about waiting calls.
+    def limit_rate(self, stated_per_s: float | None, now_s: float) -> list[Decision]:
+        """Paces the starts; returns decisions about waiting calls.
 
         Args:
-          rate_per_s: Starts a second, None for no limit.
+          stated_per_s: Requests a second that the upstream takes, None for no limit.
           now_s: Current monotonic time.
         """
-        self.pace.set_rate(rate_per_s, now_s)
+        self.pace.set_limit(stated_per_s, now_s)
         self._update_shares(now_s)
         return self._fill_free_slots(now_s)
 
--- a/ibisrack/calls/gate.py
+++ b/ibisrack/calls/gate.py
@@ -45,12 +45,12 @@
         """Limits the slots while the upstream is cold or sheds load."""
         self.apply(self.scheduler.limit_slots(limit, read_clocks().monotonic_s))
 
-    def limit_rate(self, rate_per_s: float | None) -> None:
-        """Limits the starts a second while the upstream states a limit; None ends it."""
+    def limit_rate(self, stated_per_s: float | None) -> None:
+        """Paces the starts while the upstream states a limit on them; None ends it."""
         if self._paced_start is not None:
             self._paced_start.cancel()
             self._paced_start = None
-        self.apply(self.scheduler.limit_rate(rate_per_s, read_clocks().monotonic_s))
+        self.apply(self.scheduler.limit_rate(stated_per_s, read_clocks().monotonic_s))
 
     @asynccontextmanager
     async def slot(self, call: Call) -> AsyncIterator[None]:
--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -44,6 +44,7 @@
       load: Last load report from the instance's node.
       in_flight: Unanswered requests from this node.
       sent_since_report: Requests that this node sent after the last report.
+      reported_at_s: Monotonic time of the last report.
       avoid_until_s: Monotonic time until which other instances are preferred.
       cold_until_s: Monotonic time until which it is expected to be slow after its start.
     """
@@ -51,13 +52,14 @@
     load: Load | None = None
     in_flight: int = 0
     sent_since_report: int = 0
+    reported_at_s: float = 0.0
     avoid_until_s: float = 0.0
     cold_until_s: float = 0.0
 
-    def update_load(self, load: Load) -> None:
+    def update_load(self, load: Load, now_s: float) -> None:
         """Replaces the load by a newer report."""
         if load is not self.load:
-            self.load, self.sent_since_report = load, 0
+            self.load, self.sent_since_report, self.reported_at_s = load, 0, now_s
 
     def expected_response_s(self, slots: int, mean_service_s: float, now_s: float) -> float:
         """Returns the expected response time of a request sent now.
@@ -76,8 +78,17 @@
         if now_s < self.cold_until_s:
             service_s *= COLD_START_FACTOR
         slots = max(1, slots)
-        waiting = max(0.0, busy + 1 - slots)
-        return service_s * (1 + waiting / slots + OCCUPANCY_WEIGHT * busy / slots)
+        slot_wait_s = service_s * max(0.0, busy + 1 - slots) / slots
+        wait_s = max(slot_wait_s, self._limit_wait_s(now_s))
+        return service_s * (1 + OCCUPANCY_WEIGHT * busy / slots) + wait_s
+
+    def _limit_wait_s(self, now_s: float) -> float:
+        """Returns how long the limit that the instance names delays a request sent now."""
+        load = self.load
+        if load is None or not load.limit_per_s:
+            return 0.0
+        allowed = load.free_starts + (now_s - self.reported_at_s) * load.limit_per_s
+        return max(0.0, load.queued + self.sent_since_report + 1 - allowed) / load.limit_per_s
 
 
 @attrs.define
--- a/ibisrack/dispatch/decisions_test.py
+++ b/ibisrack/dispatch/decisions_test.py
@@ -2,6 +2,8 @@
 
 from random import Random
 
+import attrs
+
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
 from ibisrack.dispatch.attempts import Attempts
@@ -131,7 +133,8 @@
 def views(**loads: tuple[int, int, float]) -> InstanceViews:
     instance_views = InstanceViews()
     for name, (busy, queued, service_ms) in loads.items():
-        instance_views.of(name).update_load(Load(busy, queued, 2, service_ms, True, 1, True, True))
+        load = Load(busy, queued, 2, service_ms, True, 1, True, True)
+        instance_views.of(name).update_load(load, 5.0)
     return instance_views
 
 
@@ -185,4 +188,16 @@
     assert selected(instance_views, x="a", y="a") == "y"
 
 
+def test_an_instance_whose_limit_is_used_up_is_chosen_only_when_others_are_slower():
+    """Guards against requests that pile up before the limit of an idle instance."""
+    instance_views = views(x=(0, 0, 100.0), y=(0, 0, 150.0))
+    limited = attrs.evolve(instance_views.of("x").load, limit_per_s=4.0, free_starts=1)
+    instance_views.of("x").update_load(limited, 5.0)
+    assert selected(instance_views, x="a", y="a") == "x"
+    instance_views.of("x").sent_since_report = 1
+    assert selected(instance_views, x="a", y="a") == "y"
+    instance_views.of("x").reported_at_s = 4.7
+    assert selected(instance_views, x="a", y="a") == "x"
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -183,7 +183,7 @@
                 continue
             load = self.destination_of(instance).load
             if load is not None:
-                self.views.of(instance.instance_id).update_load(load)
+                self.views.of(instance.instance_id).update_load(load, now_s)
                 if not load.accepts_requests:
                     continue
             candidates.append(instance)
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -159,6 +159,8 @@
       revision: Registry revision that the sender has seen.
       reads_registry: Whether the sender reads the registry itself and the registry answers.
       may_read_registry: Whether the sender can read the registry, as far as it knows.
+      limit_per_s: Requests a second that the instance takes, 0 if it names no limit.
+      free_starts: Requests that the limit allows at once; more are spaced by it.
     """
 
     busy: int
@@ -169,6 +171,8 @@
     revision: int
     reads_registry: bool
     may_read_registry: bool
+    limit_per_s: float = 0.0
+    free_starts: int = 0
 
 
 @attrs.frozen
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -153,7 +153,8 @@
 
     def load(self) -> Load:
         """Returns the current load of the instance beside this node."""
-        load = self.instance_runner.gate.load()
+        now_s = read_clocks().monotonic_s
+        load, pace = self.instance_runner.gate.load(), self.instance_runner.gate.scheduler.pace
         return Load(
             load.busy,
             load.queued,
@@ -161,8 +162,10 @@
             round(self.instance_runner.service_s * 1000, 1),
             self.instance_runner.accepts_requests,
             self.view.revision,
-            self.follower.is_reading(read_clocks().monotonic_s),
+            self.follower.is_reading(now_s),
             self.follower.may_read and not self.stopping,
+            pace.stated_per_s or 0.0,
+            int(pace.available(now_s)) if pace.stated_per_s else 0,
         )
 
     def report_load(self) -> None:
