Tell a node that starts the limit that its instance named before

A sidecar that is restarted beside a running instance forgot its limit until the instance had answered it once; with slow answers it sent as many requests as there are slots, and more at each restart of a series. A load report now names the instance and its limit, a sender keeps the last one, and tells it as the first message on a new link. A process believes it until its instance has answered it. The new test (limits_test) times out without the message.

--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.pace import MIN_RATE_PER_S
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Load
 
@@ -85,10 +86,11 @@
     def _limit_wait_s(self, now_s: float) -> float:
         """Returns how long the limit that the instance names delays a request sent now."""
         load = self.load
-        if load is None or not load.limit_per_s:
+        if load is None or load.limit_per_s is None:
             return 0.0
-        allowed = load.free_starts + (now_s - self.reported_at_s) * load.limit_per_s
-        return max(0.0, load.queued + self.sent_since_report + 1 - allowed) / load.limit_per_s
+        rate_per_s = max(MIN_RATE_PER_S, load.limit_per_s)
+        allowed = load.free_starts + (now_s - self.reported_at_s) * rate_per_s
+        return max(0.0, load.queued + self.sent_since_report + 1 - allowed) / rate_per_s
 
 
 @attrs.define
--- a/ibisrack/hosting/notices.py
+++ b/ibisrack/hosting/notices.py
@@ -31,7 +31,7 @@
     """The current limit of the instance beside this node.
 
     Attributes:
-      instance_id: Instance that named the limit, empty without one.
+      instance_id: Instance that answered last, or of which a peer reported; empty before that.
       limit_per_s: Requests a second that it takes, None for no limit.
       named_at_s: Monotonic time of the last answer that named a limit.
     """
@@ -46,12 +46,19 @@
         Answers overtake each other: one that names no limit ends it only if its request was sent
         after the last answer that named it.
         """
+        if notice.instance_id != self.instance_id:
+            self.instance_id, self.named_at_s = notice.instance_id, -math.inf
         if notice.limit_per_s is not None:
-            self.instance_id = notice.instance_id
             self.limit_per_s, self.named_at_s = notice.limit_per_s, now_s
-        elif notice.instance_id != self.instance_id or notice.requested_at_s > self.named_at_s:
-            self.forget()
+        elif notice.requested_at_s > self.named_at_s:
+            self.limit_per_s = None
 
-    def forget(self) -> None:
-        """Ends the limit."""
-        self.instance_id, self.limit_per_s = "", None
+    def learn(self, instance_id: str, limit_per_s: float | None) -> None:
+        """Applies what a peer heard of the instance before this process started."""
+        if not self.instance_id:
+            self.instance_id, self.limit_per_s = instance_id, limit_per_s
+
+    def keep_only(self, instance_id: str) -> None:
+        """Forgets another instance than the one that the registry lists now."""
+        if self.instance_id not in ("", instance_id):
+            self.instance_id, self.limit_per_s = "", None
--- a/ibisrack/hosting/notices_test.py
+++ b/ibisrack/hosting/notices_test.py
@@ -22,4 +22,22 @@
     assert notices.limit_per_s is None
 
 
+def test_word_of_a_peer_counts_only_until_the_instance_answers():
+    """Guards against a limit that has ended and comes back because a peer still knows it."""
+    notices = InstanceNotices()
+    notices.learn("i-1", 9.0)
+    assert notices.limit_per_s == 9.0
+    notices.observe(Notice("i-1", 1.0), 1.1)
+    notices.learn("i-1", 9.0)
+    assert notices.limit_per_s is None
+
+
+def test_word_of_a_peer_about_an_earlier_instance_is_dropped():
+    """Guards against holding a new instance to the limit of the one at its address before."""
+    notices = InstanceNotices()
+    notices.learn("i-1", 9.0)
+    notices.keep_only("i-2")
+    assert notices.limit_per_s is None
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -106,9 +106,9 @@
           priorities: Priorities of the routes that use the service.
         """
         instance = self.instance
-        if instance is not None and instance.instance_id != self.notices.instance_id:
+        if instance is not None:
             before_per_s = self.notices.limit_per_s
-            self.notices.forget()
+            self.notices.keep_only(instance.instance_id)
             self._apply_limit(instance.instance_id, before_per_s)
         slots = instance.slots if instance else self.gate.scheduler.slots
         ranks = _rank_rules(service, sorted(priorities))
@@ -121,6 +121,12 @@
         self.notices.observe(notice, read_clocks().monotonic_s)
         self._apply_limit(notice.instance_id, before_per_s)
 
+    def learn_limit(self, instance_id: str, limit_per_s: float | None) -> None:
+        """Applies the limit that a peer knows, if the instance has not answered this process."""
+        before_per_s = self.notices.limit_per_s
+        self.notices.learn(instance_id, limit_per_s)
+        self._apply_limit(instance_id, before_per_s)
+
     def _apply_limit(self, instance_id: str, before_per_s: float | None) -> None:
         """Paces the requests by the limit of the instance if it differs from the one before."""
         limit_per_s = self.notices.limit_per_s
--- a/ibisrack/links/codec.py
+++ b/ibisrack/links/codec.py
@@ -18,6 +18,7 @@
     Entries,
     Follow,
     Hello,
+    KnownLimit,
     Load,
     OutcomeUnknown,
     Ping,
@@ -51,6 +52,7 @@
     Withdraw,
     Follow,
     Unfollow,
+    KnownLimit,
 )
 _LONG_MESSAGE_TYPES = frozenset((Submit, Entries))
 _TYPE_CODES = {cls: code for code, cls in enumerate(MESSAGE_TYPES)}
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -27,6 +27,7 @@
     Entries,
     Follow,
     Hello,
+    KnownLimit,
     Load,
     OutcomeUnknown,
     Ping,
@@ -194,6 +195,11 @@
     _deliver_resumed(found, link, message.number)
 
 
+@handle.register
+def _(message: KnownLimit, link: IncomingLink) -> None:
+    link.instance_runner.learn_limit(message.instance_id, message.limit_per_s)
+
+
 @handle.register
 def _(message: Cancel, link: IncomingLink) -> None:
     run = link.runs.pop(message.number, None)
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -159,7 +159,8 @@
       revision: Registry revision that the sender has seen.
       reads_registry: Whether the sender reads the registry itself and the registry answers.
       may_read_registry: Whether the sender can read the registry, as far as it knows.
-      limit_per_s: Requests a second that the instance takes, 0 if it names no limit.
+      instance_id: The instance, empty if it has not answered this process of the sender.
+      limit_per_s: Requests a second that the instance takes, None for no limit.
       free_starts: Requests that the limit allows at once; more are spaced by it.
     """
 
@@ -171,10 +172,24 @@
     revision: int
     reads_registry: bool
     may_read_registry: bool
-    limit_per_s: float = 0.0
+    instance_id: str = ""
+    limit_per_s: float | None = None
     free_starts: int = 0
 
 
+@attrs.frozen
+class KnownLimit:
+    """Limit of the instance beside the receiver, for a process that knows nothing of it yet.
+
+    Attributes:
+      instance_id: The instance.
+      limit_per_s: Requests a second that it takes, None for no limit.
+    """
+
+    instance_id: str
+    limit_per_s: float | None
+
+
 @attrs.frozen
 class Ping:
     """Checks that the peer responds; it answers with a Load."""
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -34,6 +34,7 @@
     Entries,
     Follow,
     Hello,
+    KnownLimit,
     Load,
     OutcomeUnknown,
     Ping,
@@ -73,6 +74,7 @@
       port: TCP port on which the peer accepts links.
       on_entries: Called with this link and changes of the registry from the peer.
       load: Last load that the peer reported, None before the first.
+      known_limit: Last limit that the peer reported of its instance, None before the first.
       heard_at_s: Monotonic time of the last bytes from the peer.
       losses: Number of connections that broke after the peer's Hello.
       failing: Whether the last connection broke or could not be opened; cleared by the next Hello.
@@ -87,6 +89,7 @@
     port: int
     on_entries: Callable[["OutgoingLink", Entries], None]
     load: Load | None = None
+    known_limit: KnownLimit | None = None
     heard_at_s: float = 0.0
     losses: int = 0
     failing: bool = False
@@ -303,6 +306,8 @@
             "abandoned": len(self._abandoned),
         }
         _LOGGER.info("link open", extra=extra)
+        if self.known_limit is not None:
+            write_message(writer, self.known_limit)
         write_message(writer, *self._abandoned.cancellations(peer_epoch))
         for pending in tuple(self.pending.values()):
             self._resume(pending)
@@ -410,6 +415,8 @@
 @handle.register
 def _(message: Load, link: OutgoingLink) -> None:
     link.load = message
+    if message.instance_id:
+        link.known_limit = KnownLimit(message.instance_id, message.limit_per_s)
 
 
 @handle.register
--- a/ibisrack/sidecar/limits_test.py
+++ b/ibisrack/sidecar/limits_test.py
@@ -74,4 +74,21 @@
     assert statuses.count(200) == len(statuses)
 
 
+async def test_process_that_starts_learns_the_limit_from_its_peers():
+    """Guards against requests at the old rate until the instance has answered a new process."""
+
+    async def never_answer(instance, request):
+        await asyncio.Event().wait()
+
+    async with run_sidecars(2) as fleet:
+        await learn_limits(fleet, (0,))
+        await wait_until(lambda: bool(fleet.nodes[1].outgoing_links))
+        (link,) = fleet.nodes[1].outgoing_links.values()
+        await wait_until(lambda: link.load is not None and link.load.limit_per_s == LIMIT_PER_S)
+        fleet.instances[0].custom_handler = never_answer
+        await fleet.restart_sidecar(0)
+        await wait_until(lambda: fleet.nodes[0].instance_runner.notices.limit_per_s == LIMIT_PER_S)
+        assert fleet.nodes[0].instance_runner.gate.scheduler.pace.stated_per_s == LIMIT_PER_S
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -164,8 +164,9 @@
             self.view.revision,
             self.follower.is_reading(now_s),
             self.follower.may_read and not self.stopping,
-            pace.stated_per_s or 0.0,
-            int(pace.available(now_s)) if pace.stated_per_s else 0,
+            self.instance_runner.notices.instance_id,
+            pace.stated_per_s,
+            0 if pace.stated_per_s is None else int(pace.available(now_s)),
         )
 
     def report_load(self) -> None:
--- a/ibisrack/testing/sidecars.py
+++ b/ibisrack/testing/sidecars.py
@@ -126,12 +126,28 @@
     nodes: list[SidecarNode]
     instances: list[StandInInstance]
     session: ClientSession
+    _stack: AsyncExitStack
     _stops: list[Callable[[], Awaitable[None]]] = attrs.field(factory=list)
 
     async def stop_sidecar(self, number: int) -> None:
         """Closes the serving context of a sidecar, as its process does after draining."""
         await self._stops[number]()
 
+    async def start_sidecar(self, settings: SidecarSettings) -> SidecarNode:
+        """Starts a sidecar and returns it."""
+        stack = await self._stack.enter_async_context(AsyncExitStack())
+        node = await stack.enter_async_context(serving(settings))
+        self.nodes.append(node)
+        self._stops.append(stack.aclose)
+        return node
+
+    async def restart_sidecar(self, number: int) -> None:
+        """Stops a sidecar and starts one that knows nothing in its place."""
+        await self.stop_sidecar(number)
+        await self.start_sidecar(self.nodes[number].settings)
+        self.nodes[number] = self.nodes.pop()
+        self._stops[number] = self._stops.pop()
+
     async def send_request(
         self,
         number: int,
@@ -247,7 +263,7 @@
         store, store_port = await stack.enter_async_context(serve_store("127.0.0.1"))
         store.put("op/config", configuration_entry(1, *routes))
         session = await stack.enter_async_context(ClientSession())
-        fleet = SidecarFleet(store, [], [], session)
+        fleet = SidecarFleet(store, [], [], session, stack)
         for number in range(count):
             host = f"127.0.0.{number + 1}"
             stand_in = StandInInstance(f"i-{number}")
@@ -265,9 +281,7 @@
                 retry_slack=100.0,
             )
             fleet.instances.append(stand_in)
-            sidecar_stack = await stack.enter_async_context(AsyncExitStack())
-            fleet.nodes.append(await sidecar_stack.enter_async_context(serving(settings)))
-            fleet._stops.append(sidecar_stack.aclose)
+            await fleet.start_sidecar(settings)
             fleet.register_instance(number)
         await wait_until(lambda: all(len(node.directory.all()) == count for node in fleet.nodes))
         yield fleet
