Stop sending to an instance that says in its answers that it is about to end

An instance says Server-Leaving before its entry in the store drains, or without that. Cause: the only source of an instance's end was the store. Change: the node beside the instance marks it as draining at its own word, refuses what waits, and tells its peers with the load report that follows the answer; each marks it in its own list, so a restart of the owner forgets nothing elsewhere. The mark belongs to a start of the instance: only a newer start ends it, neither a later report of the same start (which used to make a draining instance ready again) nor its removal and return. Callers still get both headers as before: what they see is what the nodes were told. The test in limits_test failed with the header ignored (node still listed the instance as ready).

--- a/ibisrack/hosting/notices_test.py
+++ b/ibisrack/hosting/notices_test.py
@@ -36,8 +36,21 @@
     """Guards against holding a new instance to the limit of the one at its address before."""
     notices = InstanceNotices()
     notices.learn("i-1", 9.0)
-    notices.keep_only("i-2")
+    notices.set_listed("i-2", 1, 2.0)
     assert notices.limit_per_s is None
 
 
+def test_answer_to_an_earlier_start_does_not_make_a_new_one_leave():
+    """Guards against a restarted instance that gets no requests because of its last answers."""
+    notices = InstanceNotices()
+    notices.set_listed("i-1", 1, 1.0)
+    notices.observe(Notice("i-1", 1.5, leaving=True), 1.6)
+    assert notices.leaving_start_ms == 1
+    notices.set_listed("i-1", 2, 2.0)
+    notices.observe(Notice("i-1", 1.9, leaving=True), 2.1)
+    assert notices.leaving_start_ms is None
+    notices.observe(Notice("i-1", 2.2, leaving=True), 2.3)
+    assert notices.leaving_start_ms == 2
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -111,6 +111,10 @@
             extra = {"instance": instance_id, "limit_per_s": limit_per_s, "before": logged_per_s}
             _LOGGER.info("instance limit named", extra=extra)
 
+    def record_leaving(self, instance_id: str) -> None:
+        """Logs that the instance has said that it is about to end."""
+        _LOGGER.info("instance leaving", extra={"instance": instance_id, "heard_from": "answer"})
+
     def record_orphan_cancelled(self, run: Run, now_s: float) -> None:
         """Logs that a run is cancelled because no peer resumed it in time."""
         extra = {
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from functools import partial, singledispatch
 from typing import Protocol
 
@@ -69,6 +69,7 @@
       service_s: Moving average of the service time of requests.
       running_retries: Number of running requests that had reached an instance before.
       notices: What the instance says of itself in its answers.
+      on_leaving: Called when the instance has said that it is about to end.
     """
 
     address: tuple[str, int]
@@ -81,6 +82,7 @@
     service_s: float = 0.0
     running_retries: int = 0
     notices: InstanceNotices = attrs.field(factory=InstanceNotices)
+    on_leaving: Callable[[], None] = attrs.field(default=lambda: None)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
@@ -108,7 +110,9 @@
         instance = self.instance
         if instance is not None:
             before_per_s = self.notices.limit_per_s
-            self.notices.keep_only(instance.instance_id)
+            self.notices.set_listed(
+                instance.instance_id, instance.started_at_ms, read_clocks().monotonic_s
+            )
             self._apply_limit(instance.instance_id, before_per_s)
         slots = instance.slots if instance else self.gate.scheduler.slots
         ranks = _rank_rules(service, sorted(priorities))
@@ -120,6 +124,10 @@
         before_per_s = self.notices.limit_per_s
         self.notices.observe(notice, read_clocks().monotonic_s)
         self._apply_limit(notice.instance_id, before_per_s)
+        start_ms = self.notices.leaving_start_ms
+        if start_ms is not None and self.directory.mark_draining(notice.instance_id, start_ms):
+            self.recorder.record_leaving(notice.instance_id)
+            self.on_leaving()
 
     def learn_limit(self, instance_id: str, limit_per_s: float | None) -> None:
         """Applies the limit that a peer knows, if the instance has not answered this process."""
--- a/ibisrack/instances/directory.py
+++ b/ibisrack/instances/directory.py
@@ -2,12 +2,15 @@
 
 An instance that is no longer listed is removed, with one exception: entries may lapse during an
 outage of the registry.  These instances are kept until RECOVERY_GRACE_S after the outage.
+
+An instance that drains is about to end.  No later report of the same start makes it ready again.
 """
 
 import attrs
 
-from ibisrack.instances.model import Instance
+from ibisrack.instances.model import Instance, InstanceState
 
+MAX_REMEMBERED_STARTS = 1000  # Instances whose end is remembered after they are gone.
 RECOVERY_GRACE_S = 2.5  # Running instances are listed again about 2 s after an outage.
 
 
@@ -24,6 +27,8 @@
     registry_down: bool = False
     _instances: dict[str, Instance] = attrs.field(factory=dict)
     _lapsed: dict[str, float] = attrs.field(factory=dict)  # Time of the lapse by instance id.
+    # Start of each instance that drained, by its id.
+    _drained_starts_ms: dict[str, int] = attrs.field(factory=dict)
     _by_service: dict[str, tuple[Instance, ...]] | None = None
     _by_address: dict[tuple[str, int], Instance] | None = None
 
@@ -32,11 +37,35 @@
         known = self._instances.get(instance.instance_id)
         if known is not None and _is_older(instance, known):
             return False
+        if not instance.ready:
+            self._remember_drained(instance.instance_id, instance.started_at_ms)
+        elif self._drained_starts_ms.get(instance.instance_id) == instance.started_at_ms:
+            instance = attrs.evolve(instance, state=InstanceState.DRAINING)
         self._lapsed.pop(instance.instance_id, None)
         self._instances[instance.instance_id] = instance
         self._by_service = self._by_address = None
         return known != instance
 
+    def mark_draining(self, instance_id: str, started_at_ms: int) -> bool:
+        """Records that an instance is about to end, other than by its entry.
+
+        Args:
+          instance_id: The instance.
+          started_at_ms: Start of its process to which this applies.
+
+        Returns:
+          Whether the instance was ready.
+        """
+        known = self._instances.get(instance_id)
+        if known is not None and known.started_at_ms > started_at_ms:
+            return False
+        self._remember_drained(instance_id, started_at_ms)
+        if known is None or known.started_at_ms != started_at_ms or not known.ready:
+            return False
+        self._instances[instance_id] = attrs.evolve(known, state=InstanceState.DRAINING)
+        self._by_service = self._by_address = None
+        return True
+
     def remove(self, instance_id: str, now_s: float) -> bool:
         """Handles the removal of an entry; returns whether the instance was removed."""
         if instance_id not in self._instances:
@@ -95,6 +124,12 @@
             self._by_address = {(i.host, i.port): i for i in by_precedence}
         return self._by_address.get((host, port))
 
+    def _remember_drained(self, instance_id: str, started_at_ms: int) -> None:
+        self._drained_starts_ms[instance_id] = started_at_ms
+        if len(self._drained_starts_ms) > MAX_REMEMBERED_STARTS:
+            gone = next((i for i in self._drained_starts_ms if i not in self._instances), None)
+            self._drained_starts_ms.pop(gone, None)
+
     def _drop(self, instance_id: str) -> None:
         self._instances.pop(instance_id, None)
         self._lapsed.pop(instance_id, None)
--- a/ibisrack/instances/directory_test.py
+++ b/ibisrack/instances/directory_test.py
@@ -58,4 +58,30 @@
     assert directory.at_address("10.0.0.1", 80).instance_id == "i-new"
 
 
+def test_an_instance_that_drains_is_not_made_ready_by_a_later_report_of_the_same_start():
+    """Guards against requests to an instance that has said that it ends."""
+    directory = InstanceDirectory()
+    directory.put(instance("i-1", started_at_ms=5, sequence=3))
+    assert directory.mark_draining("i-1", 5)
+    directory.put(instance("i-1", started_at_ms=5, sequence=4))
+    assert not directory.get("i-1").ready
+    directory.remove("i-1", 1.0)
+    directory.put(instance("i-1", started_at_ms=5, sequence=5))
+    assert not directory.get("i-1").ready
+    directory.put(instance("i-1", started_at_ms=6))
+    assert directory.get("i-1").ready
+    assert not directory.mark_draining("i-1", 5)
+    assert directory.get("i-1").ready
+
+
+def test_an_instance_may_drain_before_its_start_is_listed_here():
+    """Guards against requests to a leaving instance whose new start this node has not read yet."""
+    directory = InstanceDirectory()
+    directory.put(instance("i-1", started_at_ms=5))
+    assert not directory.mark_draining("i-1", 6)
+    assert directory.get("i-1").ready
+    directory.put(instance("i-1", started_at_ms=6))
+    assert not directory.get("i-1").ready
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -162,6 +162,8 @@
       instance_id: The instance, empty if it has not answered this process of the sender.
       limit_per_s: Requests a second that the instance takes, None for no limit.
       free_starts: Requests that the limit allows at once; more are spaced by it.
+      leaving_start_ms: Start of the instance in Unix milliseconds if it has said that it is about
+        to end, None otherwise.
     """
 
     busy: int
@@ -175,6 +177,7 @@
     instance_id: str = ""
     limit_per_s: float | None = None
     free_starts: int = 0
+    leaving_start_ms: int | None = None
 
 
 @attrs.frozen
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -73,6 +73,7 @@
       host: IP number of the peer's host.
       port: TCP port on which the peer accepts links.
       on_entries: Called with this link and changes of the registry from the peer.
+      on_leaving: Called with id and start of the peer's instance when it is about to end.
       load: Last load that the peer reported, None before the first.
       known_limit: Last limit that the peer reported of its instance, None before the first.
       heard_at_s: Monotonic time of the last bytes from the peer.
@@ -88,6 +89,7 @@
     host: str
     port: int
     on_entries: Callable[["OutgoingLink", Entries], None]
+    on_leaving: Callable[[str, int], None]
     load: Load | None = None
     known_limit: KnownLimit | None = None
     heard_at_s: float = 0.0
@@ -417,6 +419,8 @@
     link.load = message
     if message.instance_id:
         link.known_limit = KnownLimit(message.instance_id, message.limit_per_s)
+    if message.leaving_start_ms is not None:
+        link.on_leaving(message.instance_id, message.leaving_start_ms)
 
 
 @handle.register
--- a/ibisrack/links/outgoing_test.py
+++ b/ibisrack/links/outgoing_test.py
@@ -37,6 +37,7 @@
         HOST,
         server.sockets[0].getsockname()[1],
         lambda link, entries: None,
+        lambda instance_id, start_ms: None,
     )
     task = asyncio.create_task(link.maintain())
     try:
--- a/ibisrack/sidecar/limits_test.py
+++ b/ibisrack/sidecar/limits_test.py
@@ -1,4 +1,4 @@
-"""Tests of instances that name a limit in their answers, in a small fleet."""
+"""Tests of what instances say in their answers, a limit or their leaving, in a small fleet."""
 
 import asyncio
 
@@ -91,4 +91,25 @@
         assert fleet.nodes[0].instance_runner.gate.scheduler.pace.stated_per_s == LIMIT_PER_S
 
 
+async def test_instance_that_says_that_it_leaves_gets_no_more_requests():
+    """Guards against requests after an instance's own word, while the registry still lists it."""
+    async with run_sidecars(2) as fleet:
+        fleet.instances[0].leaving = True
+        for n in range(20):  # Until the instance has answered a request of each node.
+            for number in (0, 1):
+                await fleet.send_request(number, request_id=f"first-{n}-{number}")
+        await wait_until(lambda: not any(n.directory.get("i-0").ready for n in fleet.nodes))
+        assert fleet.instances[0].executed_ids
+        fleet.instances[0].executed_ids.clear()
+        await fleet.restart_sidecar(0)
+        fleet.register_instance(0, sequence=2)
+        await wait_until(lambda: fleet.nodes[0].ready and len(fleet.nodes[0].directory.all()) == 2)
+        statuses, _ = await send_rounds(fleet, 2)
+        assert not any(i.endswith("-1") for i in fleet.instances[0].executed_ids)
+        assert statuses.count(200) == len(statuses)
+        fleet.instances[0].leaving = False
+        fleet.register_instance(0, started_at_ms=1)
+        await wait_until(lambda: all(n.directory.get("i-0").ready for n in fleet.nodes))
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -167,6 +167,7 @@
             self.instance_runner.notices.instance_id,
             pace.stated_per_s,
             0 if pace.stated_per_s is None else int(pace.available(now_s)),
+            self.instance_runner.notices.leaving_start_ms,
         )
 
     def report_load(self) -> None:
@@ -174,6 +175,11 @@
         for link in self.incoming_links:
             link.send_load_if_changed()
 
+    def leave_own_instance(self) -> None:
+        """Stops using the own instance, which is about to end, and tells the peers."""
+        self._update_own_instance()
+        self.report_load()
+
     def reload(self, settings: SidecarSettings) -> None:
         """Applies changed settings; changed addresses take effect only after a restart."""
         kept = attrs.evolve(
@@ -221,12 +227,21 @@
         link = self.outgoing_links.get(host)
         if link is None:
             link = OutgoingLink(
-                self.hello, host, self.settings.links.port, self._apply_peer_entries
+                self.hello,
+                host,
+                self.settings.links.port,
+                self._apply_peer_entries,
+                self._mark_peer_leaving,
             )
             self.outgoing_links[host] = link
             self.spawn(keep_running("link", link.maintain))
         return link
 
+    def _mark_peer_leaving(self, instance_id: str, start_ms: int) -> None:
+        if self.directory.mark_draining(instance_id, start_ms):
+            extra = {"instance": instance_id, "heard_from": "peer"}
+            _LOGGER.info("instance leaving", extra=extra)
+
     def apply_entries(self, entries: tuple[Entry, ...]) -> None:
         """Applies changed entries of the registry."""
         now_s = read_clocks().monotonic_s
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -77,6 +77,7 @@
     node = SidecarNode(
         settings, entries, rng, directory, configurations, view, instance_runner, tally
     )
+    instance_runner.on_leaving = node.leave_own_instance
     node.resize_pool = lambda slots: pool.resize(slots + SPARE_CONNECTIONS, 0)
     budget = ServiceRetryBudgets(
         settings.retry_ratio, settings.retry_slack, settings.retry_window_s
