Tests of an answer that ends inside its head, and of a refusal that is sent once more

An instance that stops in the middle of its answer's head and closes: every prefix of an answer with a length, and of a chunked one, ends as an unknown outcome. A refusal with the id of an earlier request: the connection is closed after each refusal, so none is read where the next answer is expected.

--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -12,7 +12,7 @@
 from ibisrack.links.messages import Submit
 from ibisrack.platform.upstream import HttpUpstream
 from ibisrack.testing.connections import RecordingTransport, create_waiting_connection
-from ibisrack.testing.data_path import create_loopback_pool
+from ibisrack.testing.data_path import create_loopback_pool, scripted_server
 from ibisrack.testing.endless import (
     BODY_LENGTH,
     EndlessBytes,
@@ -238,10 +238,51 @@
         assert isinstance(await _result_before_reset(cut), UnknownOutcomeError)
 
 
+UNNAMED_ANSWERS = (
+    b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nok",
+)
+
+
+async def test_connection_is_closed_after_a_refusal():
+    """Guards against a refusal that is sent once more where the next answer is expected."""
+    refusal = UNNAMED_ANSWERS[0].replace(b"Not-", f"Request-Id: {REQUEST_ID}\r\nNot-".encode())
+    async with _instance(refusal, refusal, dripping=True) as (server, upstream):
+        with suppress(NotRunError):
+            raise AssertionError(await _send(upstream))
+        assert (await _send(upstream, "/healthy")).status == 200
+        assert server.scripted.connections == 2
+
+
+async def _result_of_cut_answer(start: bytes) -> Answer | UnknownOutcomeError:
+    """Returns the result of a request whose instance closes after the start of an answer."""
+
+    async def script(scripted, reader, writer):
+        await scripted.read_request(reader)
+        writer.write(start)
+
+    async with scripted_server(script) as scripted:
+        upstream = HttpUpstream(create_loopback_pool(scripted.port), create_answer_memory(128))
+        try:
+            return await _send(upstream)
+        finally:
+            upstream.pool.close()
+
+
+async def test_answer_that_ends_inside_its_head_is_no_answer():
+    """Guards against a success with an empty or short body that looks complete to the caller."""
+    body = b"3\r\nabc\r\n0\r\n\r\n"
+    for answer in (whole_answer(REQUEST_ID)[:-BODY_LENGTH] + b"abc", CHUNKED + body):
+        for size in range(len(answer)):
+            result = await _result_of_cut_answer(answer[:size])
+            assert isinstance(result, UnknownOutcomeError), (answer[:size], result)
+
+
 async def _notices_of(answer: bytes) -> list[Notice]:
     """Returns what the upstream reads about an instance that sends an answer."""
     notices: list[Notice] = []
-    async with _instance(answer, b"") as (_, upstream):
+    async with _instance(answer, INTERIM, dripping=True) as (_, upstream):
         upstream.on_notice = notices.append
         with suppress(NotRunError, UnknownOutcomeError):
             await upstream.send(_submit(), REMAINING_S)
