Treat an answer without an id on a used connection as of unknown outcome

Here an answer without an id passed for the answer to the request in flight, so that such a refusal was believed. On a connection without earlier requests it can belong to no other; on a used one it now ends the request as of unknown outcome, and a success without an id is not passed on either. The new test failed before (NotRunError for a 503 without an id on a used connection).

--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -128,8 +128,7 @@
             if connection.failed and not has_verifiable_end(message, submit.method):
                 # Such an answer is complete only after a clean close.
                 raise UnknownOutcomeError(Reason.CONNECTION_LOST)
-            answered_id = message.headers.get(REQUEST_ID, submit.request_id)
-            if answered_id == submit.request_id:
+            if _answers_request(message, submit, connection):
                 return message, body
             stale_answers += 1
             connection.force_close()
@@ -137,6 +136,19 @@
                 raise UnknownOutcomeError(Reason.WRONG_ANSWER)
 
 
+def _answers_request(message: RawResponseMessage, submit: Submit, connection: Connection) -> bool:
+    """Returns whether an answer belongs to a request; False for one to another request.
+
+    Raises:
+      UnknownOutcomeError: The answer has no id.  Only on a connection without earlier requests must
+        it be the answer to this one.
+    """
+    answered_id = message.headers.get(REQUEST_ID)
+    if answered_id is None and connection.requests > 1:
+        raise UnknownOutcomeError(Reason.WRONG_ANSWER)
+    return answered_id in (None, submit.request_id)
+
+
 def _read_notice(headers: Mapping[str, str], instance_id: str, requested_at_s: float) -> Notice:
     """Returns what the headers of an answer say of the instance."""
     return Notice(
--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -245,6 +245,22 @@
 )
 
 
+async def test_answer_without_an_id_on_a_used_connection_tells_nothing():
+    """Guards against an earlier refusal, sent once more, that passes for one of a running request.
+
+    On a new connection it can only belong to the one request that was sent there.
+    """
+    for answer in UNNAMED_ANSWERS:
+        async with _instance(answer, INTERIM, dripping=True) as (server, upstream):
+            assert (await _send(upstream, "/healthy")).status == 200
+            result = await _send(upstream)
+            assert isinstance(result, UnknownOutcomeError), result
+            assert server.scripted.connections == 1
+            with suppress(NotRunError):
+                assert isinstance(await _send(upstream), Answer)
+            assert server.scripted.connections == 2
+
+
 async def test_connection_is_closed_after_a_refusal():
     """Guards against a refusal that is sent once more where the next answer is expected."""
     refusal = UNNAMED_ANSWERS[0].replace(b"Not-", f"Request-Id: {REQUEST_ID}\r\nNot-".encode())
--- a/ibisrack/upstreams/connection.py
+++ b/ibisrack/upstreams/connection.py
@@ -36,11 +36,13 @@
 
     Attributes:
       failed: Whether the connection ended with an error, such as a reset.
+      requests: Number of requests sent on it.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.failed = False
+        self.requests = 0
         self._received = b""  # Unparsed bytes, after the last few parsed ones.
         self._parsed_bytes = 0  # Number of bytes at the start of _received that are parsed.
         self._overlap_bytes = 0  # Number of parsed bytes that may begin a separator.
@@ -53,6 +55,7 @@
 
     def set_response_params(self, **options: Any) -> None:
         """Prepares for the answers to a request; called before the request is written."""
+        self.requests += 1
         self._answers = 0
         self._parsed_since_request_bytes = 0
         self._content = EMPTY_PAYLOAD
