Withdraw waiting requests of a stopping node by the longest run of their route

Cause: a request was withdrawn by twice the mean service time of all kinds, at most 1.5 s before the end, and this kind runs longer. The new test in stopping_test failed without the change (not withdrawn).

--- a/ibisrack/calls/messages.py
+++ b/ibisrack/calls/messages.py
@@ -53,6 +53,7 @@
       headers: Headers to forward.
       body: The whole body, or the part before ``rest``.
       outcome: Whether the call ran.
+      ran_s: Time that the instance took, 0 if it is not known.
       rest: Remaining body of an answer that is too large to buffer.  Iterating it raises
         UnknownOutcomeError if the answer ends early; whoever holds the answer closes it.
     """
@@ -61,6 +62,7 @@
     headers: Mapping[str, str]
     body: bytes
     outcome: Outcome = Outcome.DONE
+    ran_s: float = 0.0
     rest: AsyncIterator[bytes] | None = None
 
 
--- a/ibisrack/dispatch/destination.py
+++ b/ibisrack/dispatch/destination.py
@@ -50,9 +50,11 @@
     Attributes:
       destination: Node to which the request was sent.
       submit: The submission.
+      route: Name of its route.
       due_at_s: Monotonic time at which the answer is due.
     """
 
     destination: Destination
     submit: Submit
+    route: str
     due_at_s: float
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -18,6 +18,7 @@
 from ibisrack.dispatch.recorder import RequestRecorder
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
+from ibisrack.dispatch.service_times import LongestServiceTimes
 from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
@@ -49,6 +50,7 @@
       recorder: Counts and logs finished requests.
       views: Runtime state of the instances.
       splitter: Selects among the services of a route.
+      service_times: Longest recent service time of each route.
       first_attempts: Estimates when the caller of a retried request first sent it.
       running: Number of requests being served.
       open_attempts: Attempts of the requests being served.
@@ -65,6 +67,7 @@
     recorder: RequestRecorder
     views: InstanceViews = attrs.field(factory=InstanceViews)
     splitter: Splitter = attrs.field(factory=Splitter)
+    service_times: LongestServiceTimes = attrs.field(factory=LongestServiceTimes)
     first_attempts: FirstAttemptEstimator = attrs.field(factory=FirstAttemptEstimator)
     running: int = 0
     open_attempts: set[OpenAttempt] = attrs.field(factory=set)
@@ -84,7 +87,7 @@
         Only the node beside an instance knows whether a request has started, so all are withdrawn.
         """
         for attempt in tuple(self.open_attempts):
-            if self._is_too_late(attempt.destination, attempt.due_at_s, now_s):
+            if self._is_too_late(attempt, now_s):
                 attempt.destination.withdraw(attempt.submit, self.stop.is_final(now_s))
 
     async def _serve(self, request: Request) -> Reply:
@@ -205,8 +208,6 @@
         remaining_ms = int((attempts.deadline_at_s - now_s) * 1000)
         if remaining_ms <= 0:
             return NotRunError(Reason.DEADLINE)
-        if self._is_too_late(destination, attempts.deadline_at_s, now_s):
-            return NotRunError(Reason.WITHDRAWN)
         submit = Submit(
             number=destination.next_number(),
             request_id=request.request_id,
@@ -227,7 +228,9 @@
             body=request.body,
             sent_at_ms=read_uptime_ms(),
         )
-        open_attempt = OpenAttempt(destination, submit, attempts.deadline_at_s)
+        open_attempt = OpenAttempt(destination, submit, route.name, attempts.deadline_at_s)
+        if self._is_too_late(open_attempt, now_s):
+            return NotRunError(Reason.WITHDRAWN)
         attempts.sent.append(open_attempt)
         self.open_attempts.add(open_attempt)
         view.in_flight += 1
@@ -247,14 +250,20 @@
         finally:
             view.in_flight -= 1
         self.views.record_answer_size(route.name, len(answer.body))
+        self.service_times.record(route.name, answer.ran_s, read_clocks().monotonic_s)
         return answer
 
-    def _is_too_late(self, destination: Destination, due_at_s: float, now_s: float) -> bool:
-        """Returns whether the planned stop might cut off a request that starts at a node now."""
+    def _is_too_late(self, attempt: OpenAttempt, now_s: float) -> bool:
+        """Returns whether the planned stop might cut off an attempt that starts now."""
         if self.stop is None:
             return False
-        service_s = destination.load.service_ms / 1000 if destination.load else 0.0
-        return self.stop.is_too_late_to_start(now_s, due_at_s, service_s)
+        load = attempt.destination.load
+        return self.stop.is_too_late_to_start(
+            now_s,
+            attempt.due_at_s,
+            load.service_ms / 1000 if load else 0.0,
+            self.service_times.longest_s(attempt.route, now_s),
+        )
 
     def retry_after_s(self, attempts: Attempts) -> float:
         """Returns the time after which a refused caller may retry."""
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -190,9 +190,10 @@
                 answer = await self.upstream.send(submit, run.deadline_at_s - now_s)
             finally:
                 self.running_retries -= submit.is_retry
-            self._update_service_time(read_clocks().monotonic_s - now_s)
+            ran_s = read_clocks().monotonic_s - now_s
+            self._update_service_time(ran_s)
             run.answer_bytes = len(answer.body)
-            return answer
+            return attrs.evolve(answer, ran_s=ran_s)
 
     def start(self, submit: Submit) -> Run:
         """Starts the submission of a peer; one that must not run again ends at once."""
--- a/ibisrack/links/codec_test.py
+++ b/ibisrack/links/codec_test.py
@@ -51,7 +51,7 @@
 )
 MESSAGES = (
     SUBMIT,
-    Answered(7, 200, (("A", "b"),), b"x" * 9, True),
+    Answered(7, 200, (("A", "b"),), b"x" * 9, 12, True),
     Load(1, 2, 3, 4.5, True, Revision(1, 6), False, True),
     Ping(),
     Entries(
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -286,7 +286,9 @@
     headers = tuple(result.headers.items())
     body = result.body
     more = len(body) > BODY_PART_BYTES
-    link.write_with_load(Answered(number, result.status, headers, body[:BODY_PART_BYTES], more))
+    ran_ms = round(result.ran_s * 1000)
+    first_part = body[:BODY_PART_BYTES]
+    link.write_with_load(Answered(number, result.status, headers, first_part, ran_ms, more))
     for start in range(BODY_PART_BYTES, len(body), BODY_PART_BYTES):
         try:
             await link.writer.drain()
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -113,6 +113,7 @@
       status: HTTP status.
       headers: Headers to pass on.
       body: Complete body, or its first part.
+      ran_ms: Time that the instance took.
       more: Whether BodyPart messages follow.
     """
 
@@ -120,6 +121,7 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    ran_ms: int = 0
     more: bool = False
 
 
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -464,4 +464,4 @@
 
 
 def _build_answer(head: Answered, body: bytes) -> Answer:
-    return Answer(head.status, CIMultiDict(head.headers), body)
+    return Answer(head.status, CIMultiDict(head.headers), body, ran_s=head.ran_ms / 1000)
--- a/ibisrack/sidecar/stopping_test.py
+++ b/ibisrack/sidecar/stopping_test.py
@@ -7,6 +7,7 @@
 import attrs
 from aiohttp import web
 
+from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
 from ibisrack.instances.model import InstanceState
 from ibisrack.links.codec_test import SUBMIT
@@ -176,6 +177,42 @@
         assert fleet_.instances[1].executed_ids == ["p-0", "p-1"]
 
 
+async def test_waiting_request_of_a_route_with_long_runs_is_refused_earlier():
+    """Guards against a run that the end of a stop cuts off because it started too late.
+
+    Most requests are short here, so their mean service time would let it start until 0.5 s before.
+    """
+    finish = asyncio.Event()
+
+    async def work(instance, request):
+        await finish.wait()
+        return await instance.run(request)
+
+    async with run_sidecars(2) as fleet_:
+        node, peer = fleet_.nodes
+        fleet_.instances[1].custom_handler = work
+        fleet_.register_instance(0, state=InstanceState.DRAINING, sequence=1)
+        await wait_until(lambda: not any(n.directory.get("i-0").ready for n in fleet_.nodes))
+        calls = [asyncio.create_task(fleet_.send_request(1, request_id=f"p-{n}")) for n in (0, 1)]
+        await wait_until(lambda: peer.instance_runner.gate.load().busy == 2)
+        now_s = read_clocks().monotonic_s
+        (route,) = (r for r in node.configurations.current.routes if not r.idempotent)
+        node.dispatcher.service_times.record(route.name, 1.6, now_s)
+        waiting = asyncio.create_task(
+            fleet_.send_request(0, "/lodge/1", method="POST", request_id="q-1", deadline_ms=1900)
+        )
+        await wait_until(lambda: peer.instance_runner.gate.load().queued == 1)
+        node.dispatcher.stop = PlannedStop(accepts_until_s=now_s - 1.0, ends_at_s=now_s + 1.2)
+        node.dispatcher.withdraw_waiting(now_s)
+        await wait_until(lambda: peer.instance_runner.gate.load().queued == 0)
+        assert (await waiting)[0].status == 503
+        assert node.dispatcher.stop.refusals == {Reason.WITHDRAWN: 1}
+        finish.set()
+        assert [(await call)[0].status for call in calls] == [200, 200]
+        assert fleet_.instances[1].executed_ids == ["p-0", "p-1"]
+        node.dispatcher.stop = None
+
+
 async def send_until_stopped(node, name, unanswered, statuses):
     """Sends requests on new connections, one after the other, until the node doesn't listen.
 
--- a/ibisrack/stopping/plan.py
+++ b/ibisrack/stopping/plan.py
@@ -4,8 +4,9 @@
 
 import attrs
 
-# A request that starts later than twice the mean service time of its instance before the planned
-# end is likely to be cut off by it.  The mean is of all kinds of requests, hence the limits.
+# The end may cut off a request that starts less than the longest service time of its route before
+# it.  Without one, twice the mean service time of the instance takes its place; the mean is of all
+# kinds of requests, hence the limits.
 START_LEAD_FACTOR = 2.0
 MIN_START_LEAD_S = 0.5
 MAX_START_LEAD_S = 1.5
@@ -50,15 +51,23 @@
         accepts_all = now_s <= self.accepts_until_s and not self.requested_again
         return not accepts_all and due_at_s > self.ends_at_s
 
-    def is_too_late_to_start(self, now_s: float, due_at_s: float, service_s: float) -> bool:
+    def is_too_late_to_start(
+        self, now_s: float, due_at_s: float, service_s: float, longest_s: float = 0.0
+    ) -> bool:
         """Returns whether the stop might cut off a request that starts now or later.
 
         Args:
           now_s: Current time.
           due_at_s: Monotonic time at which the answer is due.
           service_s: Mean service time of the instance, 0 if it is not known.
+          longest_s: Longest recent service time of the route, 0 if it is not known.
         """
-        lead_s = min(MAX_START_LEAD_S, max(MIN_START_LEAD_S, START_LEAD_FACTOR * service_s))
+        if longest_s:
+            # What was accepted may start until no more is accepted, however long its route runs.
+            lead_s = min(self.ends_at_s - self.accepts_until_s, longest_s)
+        else:
+            lead_s = min(MAX_START_LEAD_S, START_LEAD_FACTOR * service_s)
+        lead_s = max(MIN_START_LEAD_S, lead_s)
         return due_at_s > self.ends_at_s and now_s >= self.ends_at_s - lead_s
 
     def is_final(self, now_s: float) -> bool:
--- a/ibisrack/stopping/plan_test.py
+++ b/ibisrack/stopping/plan_test.py
@@ -39,4 +39,14 @@
     assert not stop.is_too_late_to_start(5.2, 5.5, service_s=0.6)
 
 
+def test_requests_of_a_route_with_long_runs_are_withdrawn_earlier():
+    """Guards against a run that the end cuts off because most requests are much shorter."""
+    stop = PlannedStop(accepts_until_s=2.5, ends_at_s=5.6)
+    assert not stop.is_too_late_to_start(2.5, 9.0, service_s=0.1, longest_s=3.0)
+    assert stop.is_too_late_to_start(2.7, 9.0, service_s=0.1, longest_s=3.0)
+    assert not stop.is_too_late_to_start(2.4, 9.0, service_s=0.1, longest_s=9.0)
+    assert not stop.is_too_late_to_start(5.0, 9.0, service_s=0.6, longest_s=0.2)
+    assert stop.is_too_late_to_start(5.2, 9.0, service_s=0.6, longest_s=0.2)
+
+
 load_tests = function_tests(__name__)
