soak: limits, leaving in answers, and a store that is restored from a copy

Instances name limits and say in their answers that they leave; the store is restored from a copy up to 6 s old, and what it lost is written again up to 1 s later. The new check, limit_exceeded, holds the users' bound; draining_instance_got_work and version_went_back cover the rest.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -5,7 +5,7 @@
 import attrs
 
 from bench.sidecars import GRACE_S
-from bench.soak.history import Failure, History, Kind, Outcome, Request, Run, VersionProbe
+from bench.soak.history import Failure, History, Kind, Limit, Outcome, Request, Run, VersionProbe
 
 # Bounds from the users' pages.
 STABLE_WINDOW_S = 3.0  # A sidecar counts as undisturbed this long after a fault.
@@ -16,6 +16,11 @@
 LOSS_SLACK_S = 0.2  # A request that crosses the close of its connection was not read.
 LATE_STOP_REQUEST_S = 3.0  # Requests this long after SIGTERM may be cut near the end of the grace.
 
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+TOLD_S = 0.5  # A sidecar is held to a limit this long after it passed it on.
+
 DRAIN_MARGIN_S = 0.5  # Time for requests on their way when the drain time ends.
 LIMIT_MARGIN_S = 0.25  # A failure this close to the request's limit is its timeout.
 PROMISED_NOT_RUN = frozenset((408, 421, 429, 503))
@@ -135,6 +140,43 @@
                 yield run.request_id
 
 
+def limit_exceeded(history: History) -> Iterator[str]:
+    """Yields instances that got more requests than the limit that they had named allows."""
+    for limit in history.limits:
+        allowed = LIMIT_FACTOR * limit.limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        starts_s = sorted(
+            run.started_at_s for run in history.runs if _counts_for_limit(run, limit, history)
+        )
+        for first_s in starts_s:
+            if sum(first_s <= s <= first_s + LIMIT_WINDOW_S for s in starts_s) > allowed:
+                yield limit.instance_id
+                break
+
+
+def _counts_for_limit(run: Run, limit: Limit, history: History) -> bool:
+    """Returns whether a run counts: of a request of an undisturbed sidecar that was told before."""
+    from_s = limit.started_at_s + STABLE_WINDOW_S
+    if run.instance_id != limit.instance_id or not from_s <= run.started_at_s <= limit.ended_at_s:
+        return False
+    request = history.requests.get(run.request_id)
+    if request is None:
+        return False
+    nodes = frozenset((request.node,))
+    for disturbance in history.disturbances:
+        is_excuse = disturbance.kind is Kind.UNPLANNED or disturbance.stops_process
+        if is_excuse and disturbance.affects(nodes, limit.started_at_s, run.started_at_s):
+            return False
+    return any(
+        other.instance_id == run.instance_id
+        and limit.started_at_s <= other.started_at_s
+        and other.status
+        and other.started_at_s + TOLD_S <= run.started_at_s
+        and other.request_id in history.requests
+        and history.requests[other.request_id].node == request.node
+        for other in history.runs
+    )
+
+
 def version_went_back(history: History) -> Iterator[str]:
     """Yields sidecars that lost a route of a version that they had applied before."""
     applied: dict[tuple[int, int], list[VersionProbe]] = {}
@@ -181,6 +223,7 @@
     unsent_request_ran,
     cut_without_fault,
     draining_instance_got_work,
+    limit_exceeded,
     version_went_back,
     version_late,
     not_recovered,
--- a/bench/soak/checks_test.py
+++ b/bench/soak/checks_test.py
@@ -10,6 +10,7 @@
     Failure,
     History,
     Kind,
+    Limit,
     Outcome,
     Recovery,
     Request,
@@ -170,4 +171,33 @@
     assert broken(history) == [("process_ended_by_itself", "sidecar-1:status1")]
 
 
+def limited_history(starts: int, **fields) -> History:
+    """Returns the history of an instance that names a limit of 2 requests a second."""
+    numbers = range(starts + 1)
+    requests = {f"q-{n}": attrs.evolve(REQUEST, request_id=f"q-{n}") for n in numbers}
+    runs = [
+        attrs.evolve(RUN, request_id=f"q-{n}", started_at_s=20.0 + n / starts if n else 11.0)
+        for n in numbers
+    ]
+    history = History(requests, [], runs, **fields)
+    history.limits.append(Limit("i-2", 2, 2.0, 10.0, 30.0))
+    return history
+
+
+def limit_violations(history: History) -> list[str]:
+    return [subject for promise, subject in broken(history) if promise == "limit_exceeded"]
+
+
+def test_requests_beyond_a_limit_are_found():
+    """Guards against a soak that misses an instance in need which gets too many requests."""
+    assert limit_violations(limited_history(17)) == []
+    assert limit_violations(limited_history(18)) == ["i-2"]
+    excused = limited_history(18)
+    excused.disturbances.append(disturbance(Kind.UNPLANNED, 1, 12.0, 13.0))
+    assert limit_violations(excused) == []
+    not_excused = limited_history(18)
+    not_excused.disturbances.append(disturbance(Kind.PLANNED, 1, 12.0, 13.0))
+    assert limit_violations(not_excused) == ["i-2"]
+
+
 load_tests = function_tests(__name__)
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -98,6 +98,24 @@
     extra_life_s: float
 
 
+@attrs.frozen
+class LimitInstance:
+    """Makes an instance name a limit in its answers."""
+
+    node: int
+    limit_per_s: float
+    duration_s: float
+
+
+@attrs.frozen
+class RestoreStore:
+    """Restores the store from a copy of an earlier time; what was lost is written again."""
+
+    age_s: float
+    down_s: float
+    rewrite_after_s: float
+
+
 Fault = (
     DelayPaths
     | BlockPaths
@@ -110,6 +128,8 @@
     | ChangeConfiguration
     | HangUp
     | ReplaceInstance
+    | LimitInstance
+    | RestoreStore
 )
 
 
@@ -134,6 +154,7 @@
 
 @kind_of.register(FailStore)
 @kind_of.register(ForgetHistory)
+@kind_of.register(RestoreStore)
 def _(fault) -> Kind:
     return Kind.STORE
 
@@ -158,5 +179,6 @@
 @affected_ends.register(FailStore)
 @affected_ends.register(ForgetHistory)
 @affected_ends.register(ChangeConfiguration)
+@affected_ends.register(RestoreStore)
 def _(fault) -> None:
     return None
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -61,6 +61,7 @@
       instance: The instance.
       history: Receives unexpected ends of the process.
       incarnation: Number of starts of the process so far.
+      state: State of the instance in its entry.
       responded: Whether this incarnation has answered a request.
       stopped: Whether this incarnation was told to end.
     """
@@ -70,6 +71,7 @@
     instance: SoakInstance
     history: History
     incarnation: int = 0
+    state: InstanceState = InstanceState.READY
     responded: bool = False
     stopped: bool = False
     _lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
@@ -129,9 +131,20 @@
         self.store.put("op/config", configuration(self.version))
         self.history.versions[self.version] = time.monotonic()
 
+    def rewrite(self) -> None:
+        """Writes again what the store may have lost, and removes what has left since."""
+        current = {f"servers/{m.instance.stand_in.instance_id}" for m in self.members.values()}
+        for key in self.store.keys("servers/"):
+            if key not in current:
+                self.store.delete(key)
+        for member in self.members.values():
+            self.register(member, member.state)
+        self.store.put("op/config", configuration(self.version))
+
     def register(self, member: Member, state: InstanceState = InstanceState.READY) -> None:
         """Writes the registry entry of a member's instance."""
         stand_in, placement = member.instance.stand_in, member.sidecar.placement
+        member.state = state
         entry = instance(
             stand_in.instance_id,
             service=placement.service,
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -110,6 +110,7 @@
       nodes: Numbers of the affected sidecars.
       started_at_s: Start.
       ended_at_s: End.
+      stops_process: Whether it ends the process of the sidecar.
     """
 
     kind: Kind
@@ -117,6 +118,7 @@
     nodes: frozenset[int]
     started_at_s: float
     ended_at_s: float
+    stops_process: bool = False
 
     def affects(self, nodes: frozenset[int], from_s: float, to_s: float) -> bool:
         """Returns whether it affected one of the nodes at some time from from_s to to_s."""
@@ -140,6 +142,25 @@
     ended_at_s: float
 
 
+@attrs.frozen
+class Limit:
+    """Limit that an instance named in its answers.
+
+    Attributes:
+      instance_id: Id of the instance.
+      node: Number of the sidecar beside it.
+      limit_per_s: Requests a second that it takes.
+      started_at_s: From when on it named the limit.
+      ended_at_s: Until when.
+    """
+
+    instance_id: str
+    node: int
+    limit_per_s: float
+    started_at_s: float
+    ended_at_s: float
+
+
 @attrs.frozen
 class VersionProbe:
     """A request on a route that exists from some version of the configuration on.
@@ -188,6 +209,7 @@
       runs: Executions in the order of their starts.
       disturbances: Faults and planned work that have ended.
       drains: Planned removals of instances.
+      limits: Limits that instances named, and which have ended.
       versions: Time at which the store accepted each version of the configuration.
       probes: Version probes in the order of their answers.
       recoveries: Recovery of each sidecar.
@@ -199,20 +221,25 @@
     runs: list[Run] = attrs.field(factory=list)
     disturbances: list[Disturbance] = attrs.field(factory=list)
     drains: list[Drain] = attrs.field(factory=list)
+    limits: list[Limit] = attrs.field(factory=list)
     versions: dict[int, float] = attrs.field(factory=dict)
     probes: list[VersionProbe] = attrs.field(factory=list)
     recoveries: list[Recovery] = attrs.field(factory=list)
     exits: list[UnexpectedExit] = attrs.field(factory=list)
 
     @contextmanager
-    def disturbance(self, kind: Kind, name: str, *nodes: int) -> Iterator[None]:
+    def disturbance(
+        self, kind: Kind, name: str, *nodes: int, stops_process: bool = False
+    ) -> Iterator[None]:
         """Records the time of the context as a disturbance of the nodes."""
         started_at_s = time.monotonic()
         try:
             yield
         finally:
             self.disturbances.append(
-                Disturbance(kind, name, frozenset(nodes), started_at_s, time.monotonic())
+                Disturbance(
+                    kind, name, frozenset(nodes), started_at_s, time.monotonic(), stops_process
+                )
             )
 
     def runs_by_id(self) -> dict[str, list[Run]]:
--- a/bench/soak/injection.py
+++ b/bench/soak/injection.py
@@ -17,15 +17,17 @@
     ForgetHistory,
     HangUp,
     KillProcess,
+    LimitInstance,
     PauseProcess,
     ReplaceInstance,
     ResetLink,
+    RestoreStore,
     StopProcess,
     affected_ends,
     kind_of,
 )
 from bench.soak.fleet import Member, SoakFleet
-from bench.soak.history import Drain
+from bench.soak.history import Drain, Limit
 from bench.soak.plan import TimedFault
 from ibisrack.instances.model import InstanceState
 
@@ -44,7 +46,8 @@
 async def _inject_at(timed: TimedFault, fleet: SoakFleet) -> None:
     await asyncio.sleep(timed.at_s)
     nodes = affected_ends(timed.fault) or fleet.members
-    with fleet.history.disturbance(kind_of(timed.fault), repr(timed.fault), *nodes):
+    kind, stops_process = kind_of(timed.fault), isinstance(timed.fault, StopProcess)
+    with fleet.history.disturbance(kind, repr(timed.fault), *nodes, stops_process=stops_process):
         await inject(timed.fault, fleet)
 
 
@@ -151,6 +154,7 @@
     stand_in = member.instance.stand_in
     old_id = stand_in.instance_id
     fleet.register(member, InstanceState.DRAINING)
+    stand_in.leaving = True
     acknowledged_at_s = time.monotonic()
     await asyncio.sleep(DRAIN_S + DRAIN_MARGIN_S + fault.extra_life_s)
     with suppress(TimeoutError):
@@ -159,12 +163,41 @@
                 await asyncio.sleep(IDLE_POLL_S)
     if stand_in.instance_id != old_id:
         return  # A replacement that began earlier has ended it.
+    stand_in.leaving, stand_in.limit_per_s = False, None
     stand_in.instance_id = f"{old_id.partition('+')[0]}+{len(history.drains)}"
     history.drains.append(Drain(old_id, member.number, acknowledged_at_s, time.monotonic()))
     fleet.store.delete(f"servers/{old_id}")
     fleet.register(member)
 
 
+@inject.register
+async def _(fault: LimitInstance, fleet: SoakFleet) -> None:
+    stand_in = fleet.members[fault.node].instance.stand_in
+    if stand_in.limit_per_s is not None:
+        return  # Another limit is in force.
+    instance_id, started_at_s = stand_in.instance_id, time.monotonic()
+    stand_in.limit_per_s = fault.limit_per_s
+    await asyncio.sleep(fault.duration_s)
+    if stand_in.instance_id != instance_id:
+        return  # A replacement has ended the limit.
+    stand_in.limit_per_s = None
+    fleet.history.limits.append(
+        Limit(instance_id, fault.node, fault.limit_per_s, started_at_s, time.monotonic())
+    )
+
+
+@inject.register
+async def _(fault: RestoreStore, fleet: SoakFleet) -> None:
+    store, copy = fleet.store, fleet.store.copy()
+    await asyncio.sleep(fault.age_s)
+    store.error_status = 503
+    await asyncio.sleep(fault.down_s)
+    store.restore(copy)
+    store.error_status = 0
+    await asyncio.sleep(fault.rewrite_after_s)
+    fleet.rewrite()
+
+
 async def _restart(fleet: SoakFleet, member: Member, after_s: float) -> None:
     await asyncio.sleep(after_s)
     await member.start()
--- a/bench/soak/instances.py
+++ b/bench/soak/instances.py
@@ -80,13 +80,13 @@
             run.broke_off = True
             request.transport.abort()
             return web.Response()
-        return _answer(run, work)
+        return _answer(run, work, stand_in.statements())
 
 
-def _answer(run: Run, work: Work) -> web.Response:
+def _answer(run: Run, work: Work, statements: dict[str, str]) -> web.Response:
     line = f"{run.request_id} {run.instance_id} {run.path}\n".encode()
     body = (line * (work.answer_bytes // len(line) + 1))[: max(len(line), work.answer_bytes)]
     run.status, run.body_digest = work.status, digest(body)
     run.signature = f"{run.instance_id}.{run.body_digest}"
-    headers = {REQUEST_ID: run.request_id, SIGNATURE: run.signature}
+    headers = {REQUEST_ID: run.request_id, SIGNATURE: run.signature, **statements}
     return web.Response(status=work.status, body=body, headers=headers)
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -14,9 +14,11 @@
     ForgetHistory,
     HangUp,
     KillProcess,
+    LimitInstance,
     PauseProcess,
     ReplaceInstance,
     ResetLink,
+    RestoreStore,
     StopProcess,
 )
 from bench.soak.proxy import STORE, Ends
@@ -102,6 +104,19 @@
 )
 
 
+# These were added later; a sequence of their own keeps the other faults of each seed as they were.
+LATER_FAULTS: tuple[Choice, ...] = (
+    lambda rng, nodes: LimitInstance(
+        rng.choice(nodes), rng.choice((2.0, 5.0, 12.0)), rng.uniform(6.0, 15.0)
+    ),
+    lambda rng, nodes: LimitInstance(rng.choice(nodes), rng.uniform(1.0, 30.0), 12.0),
+    lambda rng, nodes: RestoreStore(
+        rng.uniform(0.5, 6.0), rng.uniform(0.0, 2.0), rng.uniform(0.0, 1.0)
+    ),
+)
+MAX_LATER_FAULTS = 4
+
+
 def make_plan(seed: int, duration_s: float, sidecars: int) -> list[TimedFault]:
     """Returns the faults of a run in the order of their starts.
 
@@ -118,4 +133,8 @@
             fault = rng.choice(choices)(rng, nodes)
             plan.append(TimedFault(at_s + rng.uniform(0.0, BURST_S), fault))
         at_s += rng.uniform(*PAUSE_BETWEEN_BURSTS_S)
+    later = Random(f"{seed} later")
+    for _ in range(later.randint(1, MAX_LATER_FAULTS)):
+        fault = later.choice(LATER_FAULTS)(later, nodes)
+        plan.append(TimedFault(later.uniform(FIRST_BURST_S, duration_s), fault))
     return sorted(plan, key=lambda timed: timed.at_s)
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -139,6 +139,7 @@
         history.runs,
         history.disturbances,
         history.drains,
+        history.limits,
         history.probes,
         history.recoveries,
         history.exits,
--- a/ibisrack/standins/instance.py
+++ b/ibisrack/standins/instance.py
@@ -63,6 +63,11 @@
             REQUEST_ID: request.headers[REQUEST_ID],
             SIGNATURE: f"signed.{self.instance_id}",
         }
+        return headers | self.statements()
+
+    def statements(self) -> dict[str, str]:
+        """Returns the headers in which the instance states its limit and that it leaves."""
+        headers = {}
         if self.limit_per_s is not None:
             headers[LIMIT] = f"{self.limit_per_s:g}"
         if self.leaving:
--- a/ibisrack/standins/store.py
+++ b/ibisrack/standins/store.py
@@ -84,6 +84,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def keys(self, prefix: str) -> list[str]:
+        """Returns the keys with a prefix."""
+        return [key for key in self._items if key.startswith(prefix)]
+
     def application(self) -> web.Application:
         """Returns the HTTP application."""
         application = web.Application()
