Split the sidecar's node and the outgoing link

sidecar/node.py decoded and applied entries of the registry beside all else it connects; that is sidecar/content.py now, and the local destination has a module of its own. The handlers of a peer's messages move from links/outgoing.py to links/outgoing_messages.py.

--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -11,10 +11,8 @@
 from collections.abc import Callable
 from contextlib import suppress
 from functools import singledispatch
-from typing import Any
 
 import attrs
-from multidict import CIMultiDict
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
@@ -28,23 +26,20 @@
     write_message,
 )
 from ibisrack.links.messages import (
-    Answered,
-    BodyPart,
     Cancel,
     Entries,
     Follow,
     Hello,
     KnownLimit,
     Load,
-    OutcomeUnknown,
     Ping,
-    Refused,
     RequestEntries,
     Resume,
     Submit,
     Unfollow,
     Withdraw,
 )
+from ibisrack.links.outgoing_messages import handle
 from ibisrack.links.pending import AbandonedRequests, PendingRequest
 from ibisrack.registry.messages import Revision
 from ibisrack.registry.sources import Candidate
@@ -407,61 +402,3 @@
 def _(result: Exception, future: asyncio.Future) -> None:
     future.set_exception(result)
     future.exception()  # Nobody may wait any more, which asyncio would report as an error.
-
-
-@singledispatch
-def handle(message: Any, link: OutgoingLink) -> None:
-    """Handles a message from the peer."""
-    raise MessageError(f"unexpected {type(message).__name__} message on an outgoing link")
-
-
-@handle.register
-def _(message: Load, link: OutgoingLink) -> None:
-    link.load = message
-    if message.instance_id:
-        link.known_limit = KnownLimit(message.instance_id, message.limit_per_s)
-    if message.leaving_start_ms is not None:
-        link.on_leaving(message.instance_id, message.leaving_start_ms)
-
-
-@handle.register
-def _(message: Answered, link: OutgoingLink) -> None:
-    pending = link.pending.get(message.number)
-    if pending is None:
-        return
-    if message.more:
-        pending.answer_head = message
-        pending.body_parts = [message.body]
-        return
-    link.complete(pending, _build_answer(message, message.body))
-
-
-@handle.register
-def _(message: BodyPart, link: OutgoingLink) -> None:
-    pending = link.pending.get(message.number)
-    if pending is None or pending.answer_head is None:
-        return
-    pending.body_parts.append(message.body)
-    if not message.more:
-        link.complete(pending, _build_answer(pending.answer_head, b"".join(pending.body_parts)))
-
-
-@handle.register
-def _(message: Refused, link: OutgoingLink) -> None:
-    if pending := link.pending.get(message.number):
-        link.complete(pending, NotRunError(message.reason))
-
-
-@handle.register
-def _(message: OutcomeUnknown, link: OutgoingLink) -> None:
-    if pending := link.pending.get(message.number):
-        link.complete(pending, UnknownOutcomeError(message.reason))
-
-
-@handle.register
-def _(message: Entries, link: OutgoingLink) -> None:
-    link.on_entries(link, message)
-
-
-def _build_answer(head: Answered, body: bytes) -> Answer:
-    return Answer(head.status, CIMultiDict(head.headers), body, ran_s=head.ran_ms / 1000)
--- /dev/null
+++ b/ibisrack/sidecar/content.py
@@ -0,0 +1,118 @@
+"""Applies the registry's entries to the instances and the configuration that a node knows."""
+
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from ibisrack.clocks import read_clocks
+from ibisrack.dispatch.choice import InstanceViews
+from ibisrack.errors import MessageError
+from ibisrack.instances.directory import InstanceDirectory
+from ibisrack.instances.model import Instance
+from ibisrack.registry.messages import Entry
+from ibisrack.routing.holder import ConfigurationHolder, OfferResult
+from ibisrack.routing.model import Configuration
+
+_LOGGER = logging.getLogger("ibisrack.sidecar")
+
+
+class EntryDecoder(Protocol):
+    """Decodes entries of the platform's registry."""
+
+    CONFIGURATION_KEY: str
+
+    def instance_id(self, key: str) -> str:
+        """Returns the instance id in a key, empty if it is not the key of an instance."""
+
+    def decode_instance(self, entry: Entry) -> Instance:
+        """Returns the instance in an entry; raises MessageError if it is not valid."""
+
+    def decode_configuration(self, entry: Entry) -> Configuration:
+        """Returns the configuration in an entry; raises MessageError if it is not valid."""
+
+
+@attrs.define(eq=False)
+class RegistryContent:
+    """What the registry's entries mean to a node.
+
+    Attributes:
+      decoder: Decodes entries.
+      directory: Known instances.
+      configurations: Holder of the configuration in force.
+      views: Runtime state of the instances.
+    """
+
+    decoder: EntryDecoder
+    directory: InstanceDirectory
+    configurations: ConfigurationHolder
+    views: InstanceViews
+
+    def apply(self, entries: tuple[Entry, ...]) -> None:
+        """Applies changed entries."""
+        self._apply_entries(entries, self.directory.put)
+
+    def apply_restored(self, entries: tuple[Entry, ...]) -> None:
+        """Applies the entries of a registry that was restored from an earlier copy of itself.
+
+        What the copy lacks, or lists as it was before, is written again a moment later.
+        """
+        self.directory.mark_restored(read_clocks().monotonic_s)
+        self._apply_entries(entries, self.directory.put_restored)
+
+    def _apply_entries(
+        self, entries: tuple[Entry, ...], put_instance: Callable[[Instance], bool]
+    ) -> None:
+        now_s = read_clocks().monotonic_s
+        for entry in entries:
+            if entry.key == self.decoder.CONFIGURATION_KEY:
+                self._apply_configuration(entry)
+            elif instance_id := self.decoder.instance_id(entry.key):
+                self._apply_instance(instance_id, entry, put_instance, now_s)
+
+    def _apply_configuration(self, entry: Entry) -> None:
+        if entry.content is None:
+            _LOGGER.warning("configuration removed; the one in force is kept")
+            return
+        try:
+            configuration = self.decoder.decode_configuration(entry)
+        except MessageError as error:
+            _LOGGER.warning("configuration refused", extra={"error": str(error)})
+            return
+        offer_result = self.configurations.offer(configuration)
+        extra = {"version": configuration.version, "revision": str(entry.revision)}
+        if offer_result is OfferResult.IN_FORCE:
+            _LOGGER.info("configuration in force", extra=extra)
+        else:
+            _LOGGER.info("configuration not newer", extra=extra)
+
+    def _apply_instance(
+        self,
+        instance_id: str,
+        entry: Entry,
+        put_instance: Callable[[Instance], bool],
+        now_s: float,
+    ) -> None:
+        if entry.content is None:
+            gone = self.directory.remove(instance_id, now_s)
+            extra = {"instance": instance_id, "revision": str(entry.revision), "gone": gone}
+            _LOGGER.info("instance not listed", extra=extra)
+            return
+        try:
+            instance = self.decoder.decode_instance(entry)
+        except MessageError as error:
+            _LOGGER.warning("entry ignored", extra={"error": str(error)})
+            self.directory.remove(instance_id, now_s)
+            return
+        if put_instance(instance):
+            if instance.cold_left_s:
+                view = self.views.of(instance_id)
+                view.cold_until_s = now_s + instance.cold_left_s
+            extra = {
+                "instance": instance_id,
+                "service": instance.service,
+                "state": instance.state,
+                "revision": str(entry.revision),
+            }
+            _LOGGER.info("instance listed", extra=extra)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -5,21 +5,18 @@
 import uuid
 from collections.abc import Callable, Coroutine
 from random import Random
-from typing import Any, Protocol
+from typing import Any
 
 import attrs
 
-from ibisrack.calls.messages import Answer
-from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
 from ibisrack.dispatch.destination import Destination
 from ibisrack.dispatch.dispatcher import Dispatcher
-from ibisrack.errors import MessageError
 from ibisrack.hosting.runner import InstanceRunner
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
 from ibisrack.links.incoming import IncomingLink
-from ibisrack.links.messages import Entries, Hello, Load, Submit
+from ibisrack.links.messages import Entries, Hello, Load
 from ibisrack.links.outgoing import OutgoingLink
 from ibisrack.metrics.tally import Tally
 from ibisrack.node.tasks import keep_running
@@ -28,9 +25,10 @@
 from ibisrack.registry.messages import NO_REVISION, Delta, Entry, PackedEntry, Revision
 from ibisrack.registry.sources import Candidate, Sources, candidate_hosts, choose_sources
 from ibisrack.registry.view import RegistryView
-from ibisrack.routing.holder import ConfigurationHolder, OfferResult
-from ibisrack.routing.model import Configuration
+from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.settings.sidecar import SidecarSettings
+from ibisrack.sidecar.content import RegistryContent
+from ibisrack.sidecar.local_destination import LocalDestination
 
 TICK_INTERVAL_S = 0.1
 LOAD_REPORT_INTERVAL_S = 1.0  # A changed load is sent to peers after at most this time.
@@ -45,53 +43,13 @@
 _LOGGER = logging.getLogger("ibisrack.sidecar")
 
 
-class EntryDecoder(Protocol):
-    """Decodes entries of the platform's registry."""
-
-    CONFIGURATION_KEY: str
-
-    def instance_id(self, key: str) -> str:
-        """Returns the instance id in a key, empty if it is not the key of an instance."""
-
-    def decode_instance(self, entry: Entry) -> Instance:
-        """Returns the instance in an entry; raises MessageError if it is not valid."""
-
-    def decode_configuration(self, entry: Entry) -> Configuration:
-        """Returns the configuration in an entry; raises MessageError if it is not valid."""
-
-
-@attrs.define(eq=False)
-class LocalDestination:
-    """This node as the destination of requests for the instance beside it."""
-
-    instance_runner: InstanceRunner
-    current_load: Callable[[], Load]
-
-    @property
-    def load(self) -> Load:
-        """Current load of the instance."""
-        return self.current_load()
-
-    def next_number(self) -> int:
-        """Returns 0; local requests need no distinct numbers."""
-        return 0
-
-    async def run(self, submit: Submit, may_leave: Callable[[], bool]) -> Answer:
-        """Runs a request on the instance beside this node, which is always reachable."""
-        return await self.instance_runner.run(submit)
-
-    def withdraw(self, submit: Submit, is_final: bool) -> None:
-        """Refuses a request if it waits for a slot."""
-        self.instance_runner.gate.refuse(submit.request_id, Reason.WITHDRAWN)
-
-
 @attrs.define(eq=False)
 class SidecarNode:
     """State of a sidecar process.
 
     Attributes:
       settings: Settings in force.
-      decoder: Decodes entries of the registry.
+      content: Applies the entries of the registry.
       rng: Source of jitter.
       directory: Known instances.
       configurations: Holder of the configuration in force.
@@ -109,7 +67,7 @@
     """
 
     settings: SidecarSettings
-    decoder: EntryDecoder
+    content: RegistryContent
     rng: Random
     directory: InstanceDirectory
     configurations: ConfigurationHolder
@@ -244,31 +202,21 @@
 
     def apply_entries(self, entries: tuple[Entry, ...]) -> None:
         """Applies changed entries of the registry."""
-        self._apply_entries(entries, self.directory.put)
+        self.content.apply(entries)
+        self._handle_new_content()
 
-    def _apply_entries(
-        self, entries: tuple[Entry, ...], put_instance: Callable[[Instance], bool]
-    ) -> None:
-        now_s = read_clocks().monotonic_s
-        for entry in entries:
-            if entry.key == self.decoder.CONFIGURATION_KEY:
-                self._apply_configuration(entry)
-            elif instance_id := self.decoder.instance_id(entry.key):
-                self._apply_instance(instance_id, entry, put_instance, now_s)
+    def apply_restored_entries(self, entries: tuple[Entry, ...]) -> None:
+        """Applies the entries of a registry that was restored from an earlier copy of itself."""
+        extra = {"revision": str(self.view.revision), "entries": len(entries)}
+        _LOGGER.info("registry restored", extra=extra)
+        self.content.apply_restored(entries)
+        self._handle_new_content()
+
+    def _handle_new_content(self) -> None:
         self._update_own_instance()
         for link in self.incoming_links:
             link.send_followed_entries()
 
-    def handle_restore(self, entries: tuple[Entry, ...]) -> None:
-        """Applies the content of a registry that was restored from an earlier copy of itself.
-
-        What the copy lacks, or lists as it was before, is written again a moment later.
-        """
-        extra = {"revision": str(self.view.revision), "entries": len(entries)}
-        _LOGGER.info("registry restored", extra=extra)
-        self.directory.mark_restored(read_clocks().monotonic_s)
-        self._apply_entries(entries, self.directory.put_restored)
-
     def set_registry_state(self, answering: bool) -> None:
         """Records whether the registry answers."""
         if answering:
@@ -306,52 +254,6 @@
                 link.send_followed_entries()
             await asyncio.sleep(TICK_INTERVAL_S)
 
-    def _apply_configuration(self, entry: Entry) -> None:
-        if entry.content is None:
-            _LOGGER.warning("configuration removed; the one in force is kept")
-            return
-        try:
-            configuration = self.decoder.decode_configuration(entry)
-        except MessageError as error:
-            _LOGGER.warning("configuration refused", extra={"error": str(error)})
-            return
-        offer_result = self.configurations.offer(configuration)
-        extra = {"version": configuration.version, "revision": str(entry.revision)}
-        if offer_result is OfferResult.IN_FORCE:
-            _LOGGER.info("configuration in force", extra=extra)
-        else:
-            _LOGGER.info("configuration not newer", extra=extra)
-
-    def _apply_instance(
-        self,
-        instance_id: str,
-        entry: Entry,
-        put_instance: Callable[[Instance], bool],
-        now_s: float,
-    ) -> None:
-        if entry.content is None:
-            gone = self.directory.remove(instance_id, now_s)
-            extra = {"instance": instance_id, "revision": str(entry.revision), "gone": gone}
-            _LOGGER.info("instance not listed", extra=extra)
-            return
-        try:
-            instance = self.decoder.decode_instance(entry)
-        except MessageError as error:
-            _LOGGER.warning("entry ignored", extra={"error": str(error)})
-            self.directory.remove(instance_id, now_s)
-            return
-        if put_instance(instance):
-            if instance.cold_left_s:
-                view = self.dispatcher.views.of(instance_id)
-                view.cold_until_s = now_s + instance.cold_left_s
-            extra = {
-                "instance": instance_id,
-                "service": instance.service,
-                "state": instance.state,
-                "revision": str(entry.revision),
-            }
-            _LOGGER.info("instance listed", extra=extra)
-
     def _update_own_instance(self) -> None:
         """Applies the listed state of the instance beside this node and the routes that use it."""
         configuration = self.configurations.current
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -16,6 +16,7 @@
 from ibisrack.calls.targets import EarliestTarget, InTimeFirst
 from ibisrack.clocks import read_clocks
 from ibisrack.dispatch.budget import ServiceRetryBudgets
+from ibisrack.dispatch.choice import InstanceViews
 from ibisrack.dispatch.dispatcher import Dispatcher
 from ibisrack.dispatch.recorder import RequestRecorder
 from ibisrack.errors import SettingsError
@@ -34,6 +35,7 @@
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.model import Limits
 from ibisrack.settings.sidecar import Address, SidecarSettings
+from ibisrack.sidecar.content import RegistryContent
 from ibisrack.sidecar.metrics import MetricsServer
 from ibisrack.sidecar.node import SidecarNode
 from ibisrack.sidecar.stopping import (
@@ -60,7 +62,7 @@
 def assemble(settings: SidecarSettings) -> SidecarNode:
     """Creates the state of a sidecar that has just started."""
     rng = Random(f"{settings.node_id} {read_clocks().wall_ms}")
-    directory, configurations = InstanceDirectory(), ConfigurationHolder()
+    directory, configurations, views = InstanceDirectory(), ConfigurationHolder(), InstanceViews()
     pool = ConnectionPool(
         settings.instance.host, settings.instance.port, PoolSizing(INITIAL_MAX_CONNECTIONS)
     )
@@ -74,8 +76,9 @@
         SubmissionRecorder(tally),
     )
     upstream.on_notice = instance_runner.observe_notice
+    content = RegistryContent(entries, directory, configurations, views)
     node = SidecarNode(
-        settings, entries, rng, directory, configurations, view, instance_runner, tally
+        settings, content, rng, directory, configurations, view, instance_runner, tally
     )
     instance_runner.on_leaving = node.leave_own_instance
     node.resize_pool = lambda slots: pool.resize(slots + SPARE_CONNECTIONS, 0)
@@ -91,6 +94,7 @@
         instance_runner.retry_share,
         rng,
         RequestRecorder(tally, view),
+        views,
     )
     return node
 
@@ -130,7 +134,7 @@
             node.rng,
             node.tally,
             on_entries=node.apply_entries,
-            on_restore=node.handle_restore,
+            on_restore=node.apply_restored_entries,
             on_state=node.set_registry_state,
         )
         node.follower = follower
