Ignore late answers of an instance that is no longer listed

Found by reading: after an instance was replaced, a late answer of the earlier one could pace the new one by its limit until the next answer, and name the wrong id when the instance leaves. The new test failed before.

--- a/ibisrack/hosting/notices.py
+++ b/ibisrack/hosting/notices.py
@@ -52,8 +52,11 @@
         """Applies what an answer says.
 
         Answers overtake each other: one that names no limit ends it only if its request was sent
-        after the last answer that named it.
+        after the last answer that named it.  A late answer of an instance that is no longer listed
+        says nothing about the one that is.
         """
+        if self.listed_id and notice.instance_id != self.listed_id:
+            return
         if notice.instance_id != self.instance_id:
             self.instance_id, self.named_at_s = notice.instance_id, -math.inf
         if notice.limit_per_s is not None:
@@ -62,7 +65,7 @@
             self.limit_per_s = None
         # An answer to an earlier request may come from an earlier start under the same id.
         is_current = notice.requested_at_s >= self.listed_at_s
-        if notice.leaving and is_current and notice.instance_id == self.listed_id:
+        if notice.leaving and is_current and self.listed_id:
             self.leaving_start_ms = self.listed_start_ms
 
     def learn(self, instance_id: str, limit_per_s: float | None) -> None:
--- a/ibisrack/hosting/notices_test.py
+++ b/ibisrack/hosting/notices_test.py
@@ -53,4 +53,13 @@
     assert notices.leaving_start_ms == 2
 
 
+def test_late_answer_of_a_replaced_instance_says_nothing_about_its_successor():
+    """Guards against a new instance that is paced, or left, at the word of an earlier one."""
+    notices = InstanceNotices()
+    notices.set_listed("i-1", 1, 1.0)
+    notices.set_listed("i-2", 1, 2.0)
+    notices.observe(Notice("i-1", 2.5, limit_per_s=1.0, leaving=True), 3.0)
+    assert (notices.instance_id, notices.limit_per_s, notices.leaving_start_ms) == ("", None, None)
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -124,9 +124,9 @@
         before_per_s = self.notices.limit_per_s
         self.notices.observe(notice, read_clocks().monotonic_s)
         self._apply_limit(notice.instance_id, before_per_s)
-        start_ms = self.notices.leaving_start_ms
-        if start_ms is not None and self.directory.mark_draining(notice.instance_id, start_ms):
-            self.recorder.record_leaving(notice.instance_id)
+        instance_id, start_ms = self.notices.listed_id, self.notices.leaving_start_ms
+        if start_ms is not None and self.directory.mark_draining(instance_id, start_ms):
+            self.recorder.record_leaving(instance_id)
             self.on_leaving()
 
     def learn_limit(self, instance_id: str, limit_per_s: float | None) -> None:
