--- a/ibisrack/sidecar/stopping_test.py
+++ b/ibisrack/sidecar/stopping_test.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 
 import attrs
 from aiohttp import web
@@ -143,10 +143,11 @@
             await ending
 
 
-async def test_request_that_would_start_too_late_is_refused_before_the_end():
-    """Guards against a connection that ends without an answer, for a request that never started.
+@asynccontextmanager
+async def run_beside_full_peer():
+    """Yields a fleet, a node without a ready instance, and its peer, whose instance is full.
 
-    The request arrives after the first requests were withdrawn, and waits at a peer.
+    At the end, the instance has run the requests that held its slots, and no others.
     """
     finish = asyncio.Event()
 
@@ -161,6 +162,18 @@
         await wait_until(lambda: not any(n.directory.get("i-0").ready for n in fleet_.nodes))
         calls = [asyncio.create_task(fleet_.send_request(1, request_id=f"p-{n}")) for n in (0, 1)]
         await wait_until(lambda: peer.instance_runner.gate.load().busy == 2)
+        yield fleet_, node, peer
+        finish.set()
+        assert [(await call)[0].status for call in calls] == [200, 200]
+        assert fleet_.instances[1].executed_ids == ["p-0", "p-1"]
+
+
+async def test_request_that_would_start_too_late_is_refused_before_the_end():
+    """Guards against a connection that ends without an answer, for a request that never started.
+
+    The request arrives after the first requests were withdrawn, and waits at a peer.
+    """
+    async with run_beside_full_peer() as (fleet_, node, peer):
         reader, writer = await connect_to_stopping_node(node)
         node.dispatcher.stop.ends_at_s = read_clocks().monotonic_s + 0.45
         ending = asyncio.create_task(fleet_.stop_sidecar(0))
@@ -172,9 +185,6 @@
         assert b" 503 " in await reader.readline()
         writer.close()
         await ending
-        finish.set()
-        assert [(await call)[0].status for call in calls] == [200, 200]
-        assert fleet_.instances[1].executed_ids == ["p-0", "p-1"]
 
 
 async def test_waiting_request_of_a_route_with_long_runs_is_refused_earlier():
@@ -182,19 +192,7 @@
 
     Most requests are short here, so their mean service time would let it start until 0.5 s before.
     """
-    finish = asyncio.Event()
-
-    async def work(instance, request):
-        await finish.wait()
-        return await instance.run(request)
-
-    async with run_sidecars(2) as fleet_:
-        node, peer = fleet_.nodes
-        fleet_.instances[1].custom_handler = work
-        fleet_.register_instance(0, state=InstanceState.DRAINING, sequence=1)
-        await wait_until(lambda: not any(n.directory.get("i-0").ready for n in fleet_.nodes))
-        calls = [asyncio.create_task(fleet_.send_request(1, request_id=f"p-{n}")) for n in (0, 1)]
-        await wait_until(lambda: peer.instance_runner.gate.load().busy == 2)
+    async with run_beside_full_peer() as (fleet_, node, peer):
         now_s = read_clocks().monotonic_s
         (route,) = (r for r in node.configurations.current.routes if not r.idempotent)
         node.dispatcher.service_times.record(route.name, 1.6, now_s)
@@ -207,9 +205,6 @@
         await wait_until(lambda: peer.instance_runner.gate.load().queued == 0)
         assert (await waiting)[0].status == 503
         assert node.dispatcher.stop.refusals == {Reason.WITHDRAWN: 1}
-        finish.set()
-        assert [(await call)[0].status for call in calls] == [200, 200]
-        assert fleet_.instances[1].executed_ids == ["p-0", "p-1"]
         node.dispatcher.stop = None
 
 
