Ignore SIGHUP before the handler is set and after the event loop's end

Cause: the end of the event loop restores the default action of SIGHUP, which ends the process; the same holds before the handler is set at the start. Nothing of a caller was cut, but an exit with a signal looks like a crash. The signal is ignored before and after; a change at the start is read anyway. The new test fails without the change.

--- a/bench/soak/regressions.py
+++ b/bench/soak/regressions.py
@@ -29,6 +29,11 @@
     " that meets a link at its loss ends in aiohttp's own 500 without Request-Id"
 )
 
+HANGUP_AT_THE_END = (
+    "a SIGHUP between the end of the event loop and that of the process meets the default action;"
+    " the process ends with that signal instead of status 0"
+)
+
 REGRESSIONS = (
     Regression(1, 6, 25.0, RESULT_DROPPED),
     Regression(2, 6, 30.0, RESULT_DROPPED),
@@ -43,4 +48,5 @@
     Regression(7, 6, 25.0, WRITE_AFTER_CLOSE),
     Regression(13, 6, 25.0, WRITE_AFTER_CLOSE),
     Regression(102, 4, 25.0, WRITE_AFTER_CLOSE),
+    Regression(2117, 6, 30.0, HANGUP_AT_THE_END),
 )
--- a/ibisrack/bin/ibis_sidecar.py
+++ b/ibisrack/bin/ibis_sidecar.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import signal
 import sys
 from functools import partial
 from pathlib import Path
@@ -37,6 +38,8 @@
 
 def run() -> None:
     """Entry point of the ibis-sidecar command."""
+    # The settings are read at the start anyway, so a SIGHUP before the handler is set says nothing.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = os.environ.get(SETTINGS_PATH_VARIABLE, DEFAULT_SETTINGS_PATH)
     load = partial(load_platform_settings, metrics_port=os.environ.get(METRICS_PORT_VARIABLE, ""))
     settings = load_or_exit(partial(load, path))
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -114,12 +114,19 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop_signals.record, number)
     loop.add_signal_handler(signal.SIGHUP, hangup.set)
-    async with serving(settings) as node:
-        node.spawn(
-            keep_running("settings", partial(_watch_settings, node, path, load_settings, hangup))
-        )
-        stop_signals.on_repeat = partial(record_repeated_stop, node)
-        await drain(node, await stop_signals.wait())
+    try:
+        async with serving(settings) as node:
+            node.spawn(
+                keep_running(
+                    "settings", partial(_watch_settings, node, path, load_settings, hangup)
+                )
+            )
+            stop_signals.on_repeat = partial(record_repeated_stop, node)
+            await drain(node, await stop_signals.wait())
+    finally:
+        # The end of the event loop restores the default action, which ends the process.
+        loop.remove_signal_handler(signal.SIGHUP)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 @asynccontextmanager
--- a/ibisrack/sidecar/stopping_test.py
+++ b/ibisrack/sidecar/stopping_test.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import itertools
+import os
+import signal
 from contextlib import asynccontextmanager, suppress
+from pathlib import Path
 
 import attrs
 from aiohttp import web
@@ -13,6 +16,7 @@
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.links.frames import read_message, write_message
 from ibisrack.links.messages import Answered, BodyPart, Hello
+from ibisrack.sidecar.run import run_sidecar
 from ibisrack.sidecar.stopping import MIN_STOP_S, drain
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.testing.functions import function_tests
@@ -143,6 +147,24 @@
             await ending
 
 
+async def test_hangup_after_a_stop_does_not_end_the_process_in_its_place():
+    """Guards against an exit by SIGHUP when the settings change while the process ends."""
+    before = signal.getsignal(signal.SIGHUP)
+    async with run_sidecars(1) as fleet_:
+        settings = fleet_.nodes[0].settings
+        await fleet_.stop_sidecar(0)
+        running = asyncio.create_task(run_sidecar(settings, Path("none"), lambda _: settings))
+        await asyncio.sleep(0.1)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await running
+        try:
+            assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+        finally:
+            signal.signal(signal.SIGHUP, before)
+            for number in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().remove_signal_handler(number)
+
+
 @asynccontextmanager
 async def run_beside_full_peer():
     """Yields a fleet, a node without a ready instance, and its peer, whose instance is full.
