--- a/bench/soak/regressions.py
+++ b/bench/soak/regressions.py
@@ -49,4 +49,5 @@
     Regression(13, 6, 25.0, WRITE_AFTER_CLOSE),
     Regression(102, 4, 25.0, WRITE_AFTER_CLOSE),
     Regression(2117, 6, 30.0, HANGUP_AT_THE_END),
+    Regression(2128, 6, 30.0, HANGUP_AT_THE_END),
 )
