--- a/ibisrack/calls/admission_test.py
+++ b/ibisrack/calls/admission_test.py
@@ -62,8 +62,6 @@
 
     def step(self, name: str, index: int) -> None:
         rank = RANKS[index % 3]
-        if self.scheduler.pace.rate_per_s:  # The gate's timer starts the calls that became due.
-            self.apply(self.scheduler.start_waiting(self.now_s))
         if name == "submit":
             self.submit(rank.rank, 0.2 + index / 10)
         elif name == "finish" and self.running:
@@ -82,6 +80,12 @@
             ranks = RANKS if index % 2 else RANKS[:2]
             self.apply(self.scheduler.configure(1 + index, ranks, self.now_s))
 
+    def advance(self, wait_s: float) -> None:
+        """Lets time pass; the gate's timer starts the calls that a limited pace then allows."""
+        self.now_s += wait_s
+        if self.scheduler.pace.rate_per_s:
+            self.apply(self.scheduler.start_waiting(self.now_s))
+
     def has_idle_slot(self) -> bool:
         """Returns whether a slot is free although a waiting call could run in it."""
         if len(self.running) >= self.scheduler.usable_slots:
@@ -106,7 +110,7 @@
     """Guards against too many running calls, idle slots, and lost or twice decided calls."""
     driver = new_driver(3)
     for name, index, wait_s in steps:
-        driver.now_s += wait_s
+        driver.advance(wait_s)
         before = len(driver.running)
         driver.step(name, index)
         assert len(driver.running) <= max(before, driver.scheduler.usable_slots)
