Keep the link of a peer whose registry changes can't be applied

What callers saw: requests on a link between nodes were cut off whenever a peer sent changes of the registry that the receiver refused, again after each reconnect, and the node kept an old configuration (404 for its new routes), because a peer that reads the registry counted as delivering.

Cause: any MessageError of a delta went up to the task of the link, which aborted the connection, reconnected after 10 ms and followed the same peer from the same revision. Changes without their base led to a request of the whole content each time, without end if that did not fit either.

Change: such changes are logged (registry changes refused) and counted (ibis_registry_deltas_refused_total), the link stays open, and the peer is not relied on for changes for 10 s, so that the node follows another or reads the registry after the usual takeover of 1 s. Changes that don't fit lead to one request of the whole content; a peer whose content has not helped after 2 s is refused in the same way.

The two fleet tests failed before: links were lost in one, and the configuration was not in force after 5 s in the other.

--- a/ibisrack/metrics/tally.py
+++ b/ibisrack/metrics/tally.py
@@ -45,6 +45,7 @@
       events: Events other than finished calls, by kind.
       platform_reads: Started reads of the platform.
       platform_failures: Failed reads of the platform.
+      refused_deltas: Changes of the registry from peers that could not be applied.
     """
 
     calls: dict[tuple[str, str, str, str], int] = attrs.field(factory=dict)
@@ -52,6 +53,7 @@
     events: dict[str, int] = attrs.field(factory=dict)
     platform_reads: int = 0
     platform_failures: int = 0
+    refused_deltas: int = 0
 
     @singledispatchmethod
     def count(self, event: Event) -> None:
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -57,6 +57,10 @@
         "ibis_registry_revision", "Revision of the view.", False, unlabelled(revision.number)
     )
     yield Metric("ibis_registry_age_seconds", "Since the last answer.", False, unlabelled(age_s))
+    refused_deltas = unlabelled(node.tally.refused_deltas)
+    yield Metric(
+        "ibis_registry_deltas_refused_total", "Unusable changes of peers.", True, refused_deltas
+    )
     yield Metric("ibis_instances", "Instances that are believed there.", False, instances)
     yield Metric("ibis_ready", "Whether callers may come.", False, unlabelled(float(node.ready)))
 
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -12,6 +12,7 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.dispatch.destination import Destination
 from ibisrack.dispatch.dispatcher import Dispatcher
+from ibisrack.errors import MessageError
 from ibisrack.hosting.runner import InstanceRunner
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
@@ -23,6 +24,7 @@
 from ibisrack.registry.deltas import MissingBaseError, pack_changes
 from ibisrack.registry.follower import RegistryFollower
 from ibisrack.registry.messages import NO_REVISION, Delta, Entry, PackedEntry, Revision
+from ibisrack.registry.peer_deltas import PeerDeltas
 from ibisrack.registry.sources import Candidate, Sources, candidate_hosts, choose_sources
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder
@@ -64,6 +66,7 @@
       resize_pool: Adapts the connection pool to the number of slots of the instance.
       follower: Reads the registry; set once, after the other parts.
       sources: Where this node gets the registry's changes from.
+      peer_deltas: Peers that are not relied on for the registry's changes.
     """
 
     settings: SidecarSettings
@@ -82,6 +85,7 @@
     resize_pool: Callable[[int], None] = attrs.field(default=lambda slots: None)
     follower: RegistryFollower | None = None
     sources: Sources = Sources(reads=True)
+    peer_deltas: PeerDeltas = attrs.field(factory=PeerDeltas)
     _behind_since_s: float | None = None
     _entries_requested_at_s: float = 0.0
     _load_reported_at_s: float = 0.0
@@ -276,12 +280,30 @@
         if message.revision <= self.view.revision:
             return
         changed = tuple(PackedEntry(*row) for row in message.changed)
+        now_s = read_clocks().monotonic_s
         try:
             self.follower.apply_peer_delta(Delta(message.revision, message.keys, changed))
         except MissingBaseError as error:
             extra = {"peer": link.host, "revision": str(message.revision), "error": str(error)}
             _LOGGER.info("registry changes do not fit", extra=extra)
-            link.request_entries(NO_REVISION)
+            if self.peer_deltas.record_unfit(link.host, message.revision, now_s):
+                link.request_entries(NO_REVISION)
+        except MessageError as error:
+            self.peer_deltas.record_refused(link.host, now_s)
+            self._record_refused_delta(link.host, message.revision, str(error))
+
+    def _record_refused_delta(self, host: str, revision: Revision, error: str) -> None:
+        """Counts and logs unusable changes of a peer; its link stays open for requests."""
+        extra = {"peer": host, "revision": str(revision), "error": error}
+        _LOGGER.warning("registry changes refused", extra=extra)
+        self.tally.refused_deltas += 1
+
+    def _candidate(self, link: OutgoingLink, now_s: float) -> Candidate:
+        """Returns a peer as a source of the registry's changes."""
+        candidate = link.candidate(now_s)
+        if self.peer_deltas.is_refused(link.host, now_s):
+            return attrs.evolve(candidate, delivering=False)
+        return candidate
 
     def _choose_sources(self, now_s: float) -> None:
         """Chooses whether to read the registry, and the peers that deliver its changes."""
@@ -292,12 +314,14 @@
             self.follower.may_read,
             self.follower.is_reading(now_s),
         )
+        for host in self.peer_deltas.refuse_unfit(self.view.revision, now_s):
+            self._record_refused_delta(host, self.view.revision, "the whole content did not fit")
         links = [self._link_to(host) for host in candidate_hosts(hosts) if host != own.host]
         if now_s - self._candidates_opened_at_s >= CANDIDATE_OPEN_INTERVAL_S:
             self._candidates_opened_at_s = now_s
             for link in links:
                 link.request_open()
-        peers = [link.candidate(now_s) for link in links]
+        peers = [self._candidate(link, now_s) for link in links]
         if any(peer.delivering for peer in peers):
             self._delivered_at_s = now_s
         sources = choose_sources(own, peers, now_s - self._delivered_at_s)
@@ -320,7 +344,10 @@
         ahead = [
             link
             for link in self.outgoing_links.values()
-            if link.is_open and link.load is not None and link.load.revision > self.view.revision
+            if link.is_open
+            and link.load is not None
+            and link.load.revision > self.view.revision
+            and not self.peer_deltas.is_refused(link.host, now_s)
         ]
         if not ahead:
             self._behind_since_s = None
--- a/ibisrack/sidecar/registry_sources_test.py
+++ b/ibisrack/sidecar/registry_sources_test.py
@@ -1,7 +1,11 @@
 """Tests of sidecars that follow the registry through peers of their zone."""
 
 import asyncio
+from contextlib import contextmanager
+from unittest.mock import patch
 
+from ibisrack.links.messages import Entries
+from ibisrack.registry.messages import NO_REVISION, Revision
 from ibisrack.registry.sources import FOLLOWED_PEERS
 from ibisrack.sidecar.node import SidecarNode
 from ibisrack.testing.functions import function_tests
@@ -112,6 +116,50 @@
         await wait_until(lambda: all(n.configurations.version == 5 for n in left))
 
 
+@contextmanager
+def spoiled_changes(base: Revision):
+    """Yields a list; the nodes added to it send changes whose content can't be unpacked.
+
+    Args:
+      base: Revision that the changes name as the base of their compression.
+    """
+    spoiling, entries_after = [], SidecarNode.entries_after
+
+    def spoiled_entries_after(node: SidecarNode, revision: Revision) -> Entries | None:
+        entries = entries_after(node, revision)
+        if entries is None or node not in spoiling:
+            return entries
+        junk = ("op/config", Revision(99, 1), base, b"junk")
+        return Entries(entries.revision, entries.keys, (junk,))
+
+    with patch.object(SidecarNode, "entries_after", spoiled_entries_after):
+        yield spoiling
+
+
+async def check_spoiled_changes(base: Revision) -> None:
+    with spoiled_changes(base) as spoiling:
+        async with run_sidecars(SIDECARS) as fleet:
+            await wait_until_followed(fleet)
+            await asyncio.sleep(1.2)  # A follower's last call for changes is still waiting.
+            spoiling += [node for node in fleet.nodes if node.sources.reads]
+            left = followers(fleet)
+            fleet.store.put("op/config", configuration_entry(5, *STANDARD_ROUTES))
+            await wait_until_in_force(fleet, 5)
+            assert not any(link.losses for n in fleet.nodes for link in n.outgoing_links.values())
+            refused = [node.tally.refused_deltas for node in left]
+            assert all(0 < count <= len(spoiling) for count in refused), refused
+
+
+async def test_unusable_changes_of_a_peer_neither_break_links_nor_hold_the_node_back():
+    """Guards against a link that breaks forever, and a node that waits for a peer's junk."""
+    await check_spoiled_changes(NO_REVISION)
+
+
+async def test_changes_that_never_fit_do_not_hold_the_node_back():
+    """Guards against a loop of requests to a peer whose whole content does not fit either."""
+    await check_spoiled_changes(Revision(98, 1))
+
+
 async def test_instance_changes_reach_followers():
     """Guards against followers that send work to an instance that has left."""
     async with run_sidecars(SIDECARS) as fleet:
