Refuse unknown routes while a peer has a later configuration

What callers saw: 404, which is final for them, from nodes that had not received a configuration yet, for routes that other nodes already served.

Cause: a node answered 404 whenever its own configuration had no route, although load reports of peers told it that it lagged. The revision in these reports moves with each entry of an instance and can't tell whether the configuration is another one.

Change: the load report carries the version of the configuration in force and is sent at once when that changes. While a peer that was heard in the last 10 s has a later version, a request without a route gets 503 with Retry-After and the reason no-version, which is true as well: it did not run. Versions are compared as the holder of the configuration compares them, so a restored store changes nothing; in all other cases 404 stays.

--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -30,7 +30,8 @@
 
 MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
 MIN_RETRY_AFTER_S = 0.05
-NO_CONFIGURATION_RETRY_AFTER_S = 0.3  # Time for a new node to obtain its first configuration.
+# Time for a node to obtain its first configuration, or a later one that its peers have.
+NO_CONFIGURATION_RETRY_AFTER_S = 0.3
 # Callers come back to the node on their own host.  An earlier retry would find it still stopping.
 STOPPING_RETRY_AFTER_S = 1.0
 
@@ -48,6 +49,7 @@
       retry_share: Returns the share of retries among the requests running on the local instance.
       rng: Source of jitter.
       recorder: Counts and logs finished requests.
+      lacks_later_configuration: Returns whether peers have a later configuration in force.
       views: Runtime state of the instances.
       splitter: Selects among the services of a route.
       service_times: Longest recent service time of each route.
@@ -65,6 +67,7 @@
     retry_share: Callable[[], float]
     rng: Random
     recorder: RequestRecorder
+    lacks_later_configuration: Callable[[], bool]
     views: InstanceViews = attrs.field(factory=InstanceViews)
     splitter: Splitter = attrs.field(factory=Splitter)
     service_times: LongestServiceTimes = attrs.field(factory=LongestServiceTimes)
@@ -133,7 +136,11 @@
         """Returns the route of a request, or the reply for its caller if there is none."""
         if self.configurations.current is None:
             return Refusal(Reason.NO_VERSION, NO_CONFIGURATION_RETRY_AFTER_S)
-        return self.configurations.table.find(request.host, request.path) or NoRoute()
+        route = self.configurations.table.find(request.host, request.path)
+        if route is None and self.lacks_later_configuration():
+            # The later configuration may have the route, and a 404 is final for the caller.
+            return Refusal(Reason.NO_VERSION, NO_CONFIGURATION_RETRY_AFTER_S)
+        return route or NoRoute()
 
     async def _run_attempts(self, request: Request, attempts: Attempts) -> Result:
         """Returns the result for the caller; no attempt is left open."""
--- a/ibisrack/dispatch/recorder.py
+++ b/ibisrack/dispatch/recorder.py
@@ -57,7 +57,7 @@
         _LOGGER.log(level, "request served" if served else "request not served", extra=extra)
 
     def record_unrouted(self, request: Request, version: int, reply: Reply, now_s: float) -> None:
-        """Records a request that matched no route, or arrived before the first configuration."""
+        """Records a request without a route, or one refused for lack of a configuration."""
         outcome = str(outcome_of(reply))
         self.tally.count_call(INGRESS, "", "", outcome, (now_s - request.received_at_s) * 1000)
         extra = {
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -152,7 +152,7 @@
 
 @attrs.frozen
 class Load:
-    """Load of the sender's instance and revision of the sender's registry view.
+    """Load of the sender's instance, and what the sender knows of the registry.
 
     Attributes:
       busy: Number of running requests.
@@ -168,6 +168,7 @@
       free_starts: Requests that the limit allows at once; more are spaced by it.
       leaving_start_ms: Start of the instance in Unix milliseconds if it has said that it is about
         to end, None otherwise.
+      configuration_version: Version of the configuration that the sender has in force, 0 for none.
     """
 
     busy: int
@@ -182,6 +183,7 @@
     limit_per_s: float | None = None
     free_starts: int = 0
     leaving_start_ms: int | None = None
+    configuration_version: int = 0
 
 
 @attrs.frozen
--- a/ibisrack/routing/routing_test.py
+++ b/ibisrack/routing/routing_test.py
@@ -1,6 +1,6 @@
 """Tests of the route table, traffic splits and the configuration in force."""
 
-from ibisrack.routing.holder import ConfigurationHolder, OfferResult
+from ibisrack.routing.holder import MAX_REPORTED_VERSION, ConfigurationHolder, OfferResult
 from ibisrack.routing.model import Configuration, RoutePart
 from ibisrack.routing.splits import Splitter
 from ibisrack.routing.table import build_table
@@ -43,4 +43,12 @@
     assert holder.table.find("desk.example", "/notices/1").name == "new"
 
 
+def test_versions_beyond_64_bits_can_be_reported():
+    """Guards against a load report that can't be encoded, or refusals without end after it."""
+    holder = ConfigurationHolder()
+    holder.offer(configuration(2**70, route("new")))
+    assert holder.reported_version == MAX_REPORTED_VERSION
+    assert not holder.is_older_than(MAX_REPORTED_VERSION)
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -52,6 +52,10 @@
         ({"state": "draining"}, sum(not i.ready for i in known_instances)),
     )
     yield Metric("ibis_configuration_version", "Version in force.", False, unlabelled(version))
+    reported = unlabelled(node.latest_reported_version)
+    yield Metric(
+        "ibis_peer_configuration_version", "Latest version that peers report.", False, reported
+    )
     yield Metric("ibis_registry_era", "Restores before the view.", False, unlabelled(revision.era))
     yield Metric(
         "ibis_registry_revision", "Revision of the view.", False, unlabelled(revision.number)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -28,6 +28,7 @@
 from ibisrack.registry.sources import Candidate, Sources, candidate_hosts, choose_sources
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder
+from ibisrack.routing.reported_versions import ReportedVersions
 from ibisrack.settings.sidecar import SidecarSettings
 from ibisrack.sidecar.content import RegistryContent
 from ibisrack.sidecar.local_destination import LocalDestination
@@ -92,6 +93,8 @@
     _candidates_opened_at_s: float = 0.0
     _delivered_at_s: float = 0.0
     _reported_as_reader: bool = False
+    _reported_version: int = 0
+    _reported_versions: ReportedVersions = attrs.field(factory=ReportedVersions)
     _packed_changes: dict[tuple[Revision, Revision], Entries] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
@@ -130,8 +133,24 @@
             pace.stated_per_s,
             0 if pace.stated_per_s is None else int(pace.available(now_s)),
             self.instance_runner.notices.leaving_start_ms,
+            self.configurations.reported_version,
         )
 
+    @property
+    def latest_reported_version(self) -> int:
+        """Latest version of the configuration that peers have in force, 0 if none is known."""
+        return self._reported_versions.latest(read_clocks().monotonic_s)
+
+    def lacks_later_configuration(self) -> bool:
+        """Returns whether peers have a later configuration in force than this node."""
+        self._record_reported_versions()
+        return self.configurations.is_older_than(self.latest_reported_version)
+
+    def _record_reported_versions(self) -> None:
+        for link in self.outgoing_links.values():
+            if link.load is not None:
+                self._reported_versions.record(link.load.configuration_version, link.heard_at_s)
+
     def report_load(self) -> None:
         """Sends the load, if it has changed, to all peers that send requests to this node."""
         for link in self.incoming_links:
@@ -220,6 +239,9 @@
         self._update_own_instance()
         for link in self.incoming_links:
             link.send_followed_entries()
+        if self.configurations.version != self._reported_version:
+            self._reported_version = self.configurations.version
+            self.report_load()
 
     def set_registry_state(self, answering: bool) -> None:
         """Records whether the registry answers."""
@@ -252,6 +274,7 @@
             if now_s - self._load_reported_at_s >= LOAD_REPORT_INTERVAL_S:
                 self._load_reported_at_s = now_s
                 self.report_load()
+            self._record_reported_versions()
             self._choose_sources(now_s)
             self._request_missing_entries(now_s)
             for link in self.incoming_links:
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -94,6 +94,7 @@
         instance_runner.retry_share,
         rng,
         RequestRecorder(tally, view),
+        node.lacks_later_configuration,
         views,
     )
     return node
--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import struct
+from unittest.mock import patch
 
 from aiohttp import web
 
@@ -11,8 +12,11 @@
 from ibisrack.instances.model import InstanceState
 from ibisrack.platform.headers import NOT_EXECUTED
 from ibisrack.registry.messages import Revision
+from ibisrack.routing.holder import ConfigurationHolder, OfferResult
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import (
+    CONDITION_TIMEOUT_S,
+    POLL_INTERVAL_S,
     STANDARD_ROUTES,
     configuration_entry,
     route_resource,
@@ -261,4 +265,33 @@
         assert Reason.NO_VERSION.value.encode() in body
 
 
+async def test_unknown_routes_get_503_while_a_peer_has_a_later_configuration():
+    """Guards against a final 404 for a route that only the later configuration has."""
+    offer = ConfigurationHolder.offer
+    lagging: list[ConfigurationHolder] = []
+
+    def offer_unless_lagging(holder, configuration):
+        is_lagging = any(holder is other for other in lagging)
+        return OfferResult.OLDER if is_lagging else offer(holder, configuration)
+
+    with patch.object(ConfigurationHolder, "offer", offer_unless_lagging):
+        async with run_sidecars(3) as fleet_:
+            behind = fleet_.nodes[0].configurations
+            await wait_until(lambda: behind.version == 1)
+            assert (await fleet_.send_request(0, "/new/1"))[0].status == 404
+            lagging.append(behind)
+            added = route_resource(prefix="/new/")
+            fleet_.store.put("op/config", configuration_entry(2, *STANDARD_ROUTES, added))
+            async with asyncio.timeout(CONDITION_TIMEOUT_S):
+                while (await fleet_.send_request(0, "/new/1"))[0].status == 404:
+                    await asyncio.sleep(POLL_INTERVAL_S)
+            answer, body = await fleet_.send_request(0, "/new/1", "q-2")
+            assert answer.status == 503
+            assert Reason.NO_VERSION.value.encode() in body
+            assert float(answer.headers["Retry-After"]) > 0
+            assert (await fleet_.send_request(0, request_id="q-3"))[0].status == 200
+            assert (await fleet_.send_request(1, "/new/1", "q-4"))[0].status == 200
+            assert (await fleet_.send_request(1, "/none/1", "q-5"))[0].status == 404
+
+
 load_tests = function_tests(__name__)
