Reconnect less often after messages that can't be decoded

A peer whose first message after its Hello can't be decoded ended each connection, and the node opened the next one 10 ms later without end; the same class of fault as a refused delta of the registry.

The pause after such a message is now 0.1 s and doubles up to 2 s; other losses of a link keep their short pauses.

--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -50,6 +50,8 @@
 FAILING_CONNECT_WAIT_S = 0.03
 CONNECT_RETRY_PAUSE_S = 0.1  # Pause after a failed connection attempt.
 LINK_LOSS_PAUSE_S = 0.01  # Pause before the first reconnect after an open link broke.
+# Maximum pause after messages that can't be decoded: the peer may send them again each time.
+MAX_UNUSABLE_PAUSE_S = 2.0
 # Silence of a peer that is followed or has unanswered requests before it is pinged.
 PING_AFTER_SILENCE_S = 0.25
 PING_TIMEOUT_S = 0.55  # Time without any answer to a ping until the link is opened again.
@@ -60,6 +62,19 @@
 _LOGGER = logging.getLogger("ibisrack.links")
 
 
+def reconnect_pause_s(was_open: bool, unusable_messages: int) -> float:
+    """Returns the pause before the next connection.
+
+    Args:
+      was_open: Whether the last connection was opened.
+      unusable_messages: Consecutive connections that a message which can't be decoded ended.
+    """
+    if unusable_messages:
+        doublings = min(unusable_messages - 1, 8)
+        return min(MAX_UNUSABLE_PAUSE_S, CONNECT_RETRY_PAUSE_S * 2**doublings)
+    return LINK_LOSS_PAUSE_S if was_open else CONNECT_RETRY_PAUSE_S
+
+
 @attrs.define(eq=False)
 class OutgoingLink:
     """Link to one peer.
@@ -101,6 +116,7 @@
     _state_changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
     _pinged_at_s: float = 0.0
     _abandoned: AbandonedRequests = attrs.field(factory=AbandonedRequests)
+    _unusable_messages: int = 0  # Consecutive connections that ended with one.
 
     @property
     def is_open(self) -> bool:
@@ -244,7 +260,9 @@
                 self._record_failure(error)
                 self._fail_pending(Reason.PEER_STOPPED)
             except LINK_ERRORS as error:
-                pause_s = LINK_LOSS_PAUSE_S if self.is_open else CONNECT_RETRY_PAUSE_S
+                is_unusable = isinstance(error, MessageError)
+                self._unusable_messages = self._unusable_messages + 1 if is_unusable else 0
+                pause_s = reconnect_pause_s(self.is_open, self._unusable_messages)
                 self._record_failure(error)
                 if not self.is_open:
                     self._leave_peer()
--- a/ibisrack/links/outgoing_test.py
+++ b/ibisrack/links/outgoing_test.py
@@ -17,7 +17,10 @@
     ABORT_AFTER_SILENCE_S,
     CONNECT_RETRY_PAUSE_S,
     CONNECT_TIMEOUT_S,
+    LINK_LOSS_PAUSE_S,
+    MAX_UNUSABLE_PAUSE_S,
     OutgoingLink,
+    reconnect_pause_s,
 )
 from ibisrack.registry.messages import Revision
 from ibisrack.testing.functions import function_tests
@@ -25,6 +28,7 @@
 HOST = "127.0.0.1"
 READ_LIMIT_BYTES = 64 * 1024  # Default buffer limit of a stream reader.
 SLICE_BYTES = 16 * 1024
+JUNK_FRAME = b"\x00\x00\x00\x03\x08\xc1\xc1"  # A Load that can't be decoded.
 HELLO = Hello("127.0.0.9", "own", 1000.0)
 LOAD = Load(0, 0, 1, 1.0, True, Revision(1, 1), False, True)
 
@@ -54,6 +58,36 @@
     writer.close()
 
 
+async def test_messages_that_cannot_be_decoded_slow_down_the_reconnects():
+    """Guards against a loop of connections, each ended by the same message of the peer."""
+    connections = 0
+
+    async def send_junk(reader, writer):
+        nonlocal connections
+        connections += 1
+        write_message(writer, Hello(HOST, "a", 1000.0))
+        writer.write(JUNK_FRAME)
+        with suppress(asyncio.CancelledError):
+            await reader.read()
+        writer.close()
+
+    async with link_to(send_junk) as link:
+        link.request_open()
+        for _ in range(10):
+            await asyncio.sleep(CONNECT_RETRY_PAUSE_S)
+            link.request_open()
+        assert link.losses
+        assert connections <= 4, connections
+
+
+def test_only_messages_that_cannot_be_decoded_lead_to_a_long_pause():
+    """Guards against a peer that stays away for seconds after an ordinary loss of its link."""
+    assert reconnect_pause_s(True, 0) == LINK_LOSS_PAUSE_S
+    assert reconnect_pause_s(False, 0) == CONNECT_RETRY_PAUSE_S
+    assert reconnect_pause_s(True, 1) == CONNECT_RETRY_PAUSE_S
+    assert reconnect_pause_s(True, 99) == MAX_UNUSABLE_PAUSE_S
+
+
 async def measure_refusal(link: OutgoingLink) -> tuple[str, float]:
     """Returns the reason of a refused request and the seconds until it was refused."""
     start_s = read_clocks().monotonic_s
