--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -52,11 +52,19 @@
         ({"state": "draining"}, sum(not i.ready for i in known_instances)),
     )
     yield Metric("ibis_configuration_version", "Version in force.", False, unlabelled(version))
+    reported = unlabelled(node.latest_reported_version)
+    yield Metric(
+        "ibis_peer_configuration_version", "Latest version that peers report.", False, reported
+    )
     yield Metric("ibis_registry_era", "Restores before the view.", False, unlabelled(revision.era))
     yield Metric(
         "ibis_registry_revision", "Revision of the view.", False, unlabelled(revision.number)
     )
     yield Metric("ibis_registry_age_seconds", "Since the last answer.", False, unlabelled(age_s))
+    refused_deltas = unlabelled(node.tally.refused_deltas)
+    yield Metric(
+        "ibis_registry_deltas_refused_total", "Unusable changes of peers.", True, refused_deltas
+    )
     yield Metric("ibis_instances", "Instances that are believed there.", False, instances)
     yield Metric("ibis_ready", "Whether callers may come.", False, unlabelled(float(node.ready)))
 
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -12,6 +12,7 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.dispatch.destination import Destination
 from ibisrack.dispatch.dispatcher import Dispatcher
+from ibisrack.errors import MessageError
 from ibisrack.hosting.runner import InstanceRunner
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
@@ -23,9 +24,11 @@
 from ibisrack.registry.deltas import MissingBaseError, pack_changes
 from ibisrack.registry.follower import RegistryFollower
 from ibisrack.registry.messages import NO_REVISION, Delta, Entry, PackedEntry, Revision
+from ibisrack.registry.peer_deltas import PeerDeltas
 from ibisrack.registry.sources import Candidate, Sources, candidate_hosts, choose_sources
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder
+from ibisrack.routing.reported_versions import ReportedVersions
 from ibisrack.settings.sidecar import SidecarSettings
 from ibisrack.sidecar.content import RegistryContent
 from ibisrack.sidecar.local_destination import LocalDestination
@@ -64,6 +67,7 @@
       resize_pool: Adapts the connection pool to the number of slots of the instance.
       follower: Reads the registry; set once, after the other parts.
       sources: Where this node gets the registry's changes from.
+      peer_deltas: Peers that are not relied on for the registry's changes.
     """
 
     settings: SidecarSettings
@@ -82,12 +86,15 @@
     resize_pool: Callable[[int], None] = attrs.field(default=lambda slots: None)
     follower: RegistryFollower | None = None
     sources: Sources = Sources(reads=True)
+    peer_deltas: PeerDeltas = attrs.field(factory=PeerDeltas)
     _behind_since_s: float | None = None
     _entries_requested_at_s: float = 0.0
     _load_reported_at_s: float = 0.0
     _candidates_opened_at_s: float = 0.0
     _delivered_at_s: float = 0.0
     _reported_as_reader: bool = False
+    _reported_version: int = 0
+    _reported_versions: ReportedVersions = attrs.field(factory=ReportedVersions)
     _packed_changes: dict[tuple[Revision, Revision], Entries] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
@@ -126,8 +133,24 @@
             pace.stated_per_s,
             0 if pace.stated_per_s is None else int(pace.available(now_s)),
             self.instance_runner.notices.leaving_start_ms,
+            self.configurations.reported_version,
         )
 
+    @property
+    def latest_reported_version(self) -> int:
+        """Latest version of the configuration that peers have in force, 0 if none is known."""
+        return self._reported_versions.latest(read_clocks().monotonic_s)
+
+    def lacks_later_configuration(self) -> bool:
+        """Returns whether peers have a later configuration in force than this node."""
+        self._record_reported_versions()
+        return self.configurations.is_older_than(self.latest_reported_version)
+
+    def _record_reported_versions(self) -> None:
+        for link in self.outgoing_links.values():
+            if link.load is not None:
+                self._reported_versions.record(link.load.configuration_version, link.heard_at_s)
+
     def report_load(self) -> None:
         """Sends the load, if it has changed, to all peers that send requests to this node."""
         for link in self.incoming_links:
@@ -216,6 +239,9 @@
         self._update_own_instance()
         for link in self.incoming_links:
             link.send_followed_entries()
+        if self.configurations.version != self._reported_version:
+            self._reported_version = self.configurations.version
+            self.report_load()
 
     def set_registry_state(self, answering: bool) -> None:
         """Records whether the registry answers."""
@@ -248,6 +274,7 @@
             if now_s - self._load_reported_at_s >= LOAD_REPORT_INTERVAL_S:
                 self._load_reported_at_s = now_s
                 self.report_load()
+            self._record_reported_versions()
             self._choose_sources(now_s)
             self._request_missing_entries(now_s)
             for link in self.incoming_links:
@@ -276,12 +303,30 @@
         if message.revision <= self.view.revision:
             return
         changed = tuple(PackedEntry(*row) for row in message.changed)
+        now_s = read_clocks().monotonic_s
         try:
             self.follower.apply_peer_delta(Delta(message.revision, message.keys, changed))
         except MissingBaseError as error:
             extra = {"peer": link.host, "revision": str(message.revision), "error": str(error)}
             _LOGGER.info("registry changes do not fit", extra=extra)
-            link.request_entries(NO_REVISION)
+            if self.peer_deltas.record_unfit(link.host, message.revision, now_s):
+                link.request_entries(NO_REVISION)
+        except MessageError as error:
+            self.peer_deltas.record_refused(link.host, now_s)
+            self._record_refused_delta(link.host, message.revision, str(error))
+
+    def _record_refused_delta(self, host: str, revision: Revision, error: str) -> None:
+        """Counts and logs unusable changes of a peer; its link stays open for requests."""
+        extra = {"peer": host, "revision": str(revision), "error": error}
+        _LOGGER.warning("registry changes refused", extra=extra)
+        self.tally.refused_deltas += 1
+
+    def _candidate(self, link: OutgoingLink, now_s: float) -> Candidate:
+        """Returns a peer as a source of the registry's changes."""
+        candidate = link.candidate(now_s)
+        if self.peer_deltas.is_refused(link.host, now_s):
+            return attrs.evolve(candidate, delivering=False)
+        return candidate
 
     def _choose_sources(self, now_s: float) -> None:
         """Chooses whether to read the registry, and the peers that deliver its changes."""
@@ -292,12 +337,14 @@
             self.follower.may_read,
             self.follower.is_reading(now_s),
         )
+        for host in self.peer_deltas.refuse_unfit(self.view.revision, now_s):
+            self._record_refused_delta(host, self.view.revision, "the whole content did not fit")
         links = [self._link_to(host) for host in candidate_hosts(hosts) if host != own.host]
         if now_s - self._candidates_opened_at_s >= CANDIDATE_OPEN_INTERVAL_S:
             self._candidates_opened_at_s = now_s
             for link in links:
                 link.request_open()
-        peers = [link.candidate(now_s) for link in links]
+        peers = [self._candidate(link, now_s) for link in links]
         if any(peer.delivering for peer in peers):
             self._delivered_at_s = now_s
         sources = choose_sources(own, peers, now_s - self._delivered_at_s)
@@ -320,7 +367,10 @@
         ahead = [
             link
             for link in self.outgoing_links.values()
-            if link.is_open and link.load is not None and link.load.revision > self.view.revision
+            if link.is_open
+            and link.load is not None
+            and link.load.revision > self.view.revision
+            and not self.peer_deltas.is_refused(link.host, now_s)
         ]
         if not ahead:
             self._behind_since_s = None
