Judge an entry of the registry alone, whatever exception decoding it raises

Callers saw: with one entry nested 5,000 deep in the store, no machine that read it had a configuration or instances; the task of the registry was restarted each second for as long as the entry stood.

Cause: the decoders turned a list of exceptions into MessageError. msgspec raises RecursionError for deep nesting, which is not in it and left the follower's task. The view had taken the revision of the listing by then, so the entries after the odd one were never applied.

Change: one place in platform/entries.py turns any exception of decoding or building into MessageError. The log line has the key, revision and error type. Since no entry can stop the loop, the revision stands only for entries that were applied or judged.

--- a/ibisrack/platform/entries.py
+++ b/ibisrack/platform/entries.py
@@ -4,7 +4,8 @@
 entry lists no instance; a malformed configuration is rejected as a whole.
 """
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -23,6 +24,7 @@
 
 CONFIGURATION_KEY = "op/config"
 INSTANCE_PREFIX = "servers/"
+MAX_ERROR_CHARS = 200  # Error messages quote the entry, which may be large.
 
 _STATES_BY_NAME = {"ready": InstanceState.READY, "draining": InstanceState.DRAINING}
 _REPEATS_BY_KIND = {
@@ -30,6 +32,7 @@
     "download": Repeats.ALLOWED,
     "non_idempotent": Repeats.FORBIDDEN,
 }
+_Decoded = TypeVar("_Decoded")
 
 
 def instance_id(key: str) -> str:
@@ -43,25 +46,7 @@
     Raises:
       MessageError: The entry is malformed.
     """
-    try:
-        body = _json_object(msgspec.json.decode(entry.content))
-        info, status = _json_object(body["info"]), _json_object(body["status"])
-        host, _, port = _non_empty_string(body["address"]).rpartition(":")
-        return Instance(
-            instance_id=instance_id(entry.key),
-            service=_non_empty_string(info["service"]),
-            host=host,
-            port=int(port),
-            zone=_non_empty_string(info["zone"]),
-            slots=_non_negative_integer(info["slots"]),
-            state=_STATES_BY_NAME[status["state"]],
-            # Remaining time of the cold start when the entry was written, not its total length.
-            cold_left_s=parse_duration_s(status["cold_remaining"]),
-            started_at_ms=_non_negative_integer(body["born"]) if "born" in body else 0,
-            sequence=_non_negative_integer(status["seq"]),
-        )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
-        raise MessageError(f"{entry.key}: {type(error).__name__} {error}") from error
+    return _decode(entry, _build_instance)
 
 
 def decode_configuration(entry: Entry) -> Configuration:
@@ -70,25 +55,56 @@
     Raises:
       MessageError: The configuration is malformed.
     """
+    return _decode(entry, _build_configuration)
+
+
+def _decode(entry: Entry, build: Callable[[str, dict[str, Any]], _Decoded]) -> _Decoded:
+    """Decodes the JSON object of an entry and builds what it describes.
+
+    Raises:
+      MessageError: Decoding or building failed, with whatever exception.
+    """
     try:
-        body = _json_object(msgspec.json.decode(entry.content))
-        routes: list[Route] = []
-        services: dict[str, ServiceOptions] = {}
-        limits = Limits()
-        for resource in body["resources"]:
-            kind, spec = resource["resource_type"], _json_object(resource["spec"])
-            name = _json_object(resource["metadata"]).get("name", "")
-            if kind == "routes":
-                routes.append(_decode_route(_non_empty_string(name), spec))
-            elif kind == "services":
-                services[_non_empty_string(name)] = _decode_service(_non_empty_string(name), spec)
-            elif kind == "limits":
-                limits = _decode_limits(spec)
-        version = int(_non_empty_string(body["version"]), 16)
-        _check_references(routes, services)
-        return Configuration(version, tuple(routes), services, limits)
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
-        raise MessageError(f"{entry.key}: {type(error).__name__} {error}") from error
+        return build(entry.key, _json_object(msgspec.json.decode(entry.content)))
+    except Exception as error:  # No list of exceptions covers what any program may write.
+        reason = f"{type(error).__name__} {error}"[:MAX_ERROR_CHARS]
+        raise MessageError(reason) from error
+
+
+def _build_instance(key: str, body: dict[str, Any]) -> Instance:
+    info, status = _json_object(body["info"]), _json_object(body["status"])
+    host, _, port = _non_empty_string(body["address"]).rpartition(":")
+    return Instance(
+        instance_id=instance_id(key),
+        service=_non_empty_string(info["service"]),
+        host=host,
+        port=int(port),
+        zone=_non_empty_string(info["zone"]),
+        slots=_non_negative_integer(info["slots"]),
+        state=_STATES_BY_NAME[status["state"]],
+        # Remaining time of the cold start when the entry was written, not its total length.
+        cold_left_s=parse_duration_s(status["cold_remaining"]),
+        started_at_ms=_non_negative_integer(body["born"]) if "born" in body else 0,
+        sequence=_non_negative_integer(status["seq"]),
+    )
+
+
+def _build_configuration(_: str, body: dict[str, Any]) -> Configuration:
+    routes: list[Route] = []
+    services: dict[str, ServiceOptions] = {}
+    limits = Limits()
+    for resource in body["resources"]:
+        kind, spec = resource["resource_type"], _json_object(resource["spec"])
+        name = _json_object(resource["metadata"]).get("name", "")
+        if kind == "routes":
+            routes.append(_decode_route(_non_empty_string(name), spec))
+        elif kind == "services":
+            services[_non_empty_string(name)] = _decode_service(_non_empty_string(name), spec)
+        elif kind == "limits":
+            limits = _decode_limits(spec)
+    version = int(_non_empty_string(body["version"]), 16)
+    _check_references(routes, services)
+    return Configuration(version, tuple(routes), services, limits)
 
 
 def _decode_route(name: str, spec: dict[str, Any]) -> Route:
--- a/ibisrack/sidecar/content.py
+++ b/ibisrack/sidecar/content.py
@@ -15,6 +15,8 @@
 from ibisrack.routing.holder import ConfigurationHolder, OfferResult
 from ibisrack.routing.model import Configuration
 
+MAX_LOGGED_KEY_CHARS = 100  # Other programs may write keys of any length.
+
 _LOGGER = logging.getLogger("ibisrack.sidecar")
 
 
@@ -78,7 +80,7 @@
         try:
             configuration = self.decoder.decode_configuration(entry)
         except MessageError as error:
-            _LOGGER.warning("configuration refused", extra={"error": str(error)})
+            _LOGGER.warning("configuration refused", extra=_describe(entry, error))
             return
         offer_result = self.configurations.offer(configuration)
         extra = {"version": configuration.version, "revision": str(entry.revision)}
@@ -102,7 +104,7 @@
         try:
             instance = self.decoder.decode_instance(entry)
         except MessageError as error:
-            _LOGGER.warning("entry ignored", extra={"error": str(error)})
+            _LOGGER.warning("entry ignored", extra=_describe(entry, error))
             self.directory.remove(instance_id, now_s)
             return
         if put_instance(instance):
@@ -116,3 +118,12 @@
                 "revision": str(entry.revision),
             }
             _LOGGER.info("instance listed", extra=extra)
+
+
+def _describe(entry: Entry, error: MessageError) -> dict[str, str]:
+    """Returns the fields of a log line about an entry that can't be decoded."""
+    return {
+        "key": entry.key[:MAX_LOGGED_KEY_CHARS],
+        "revision": str(entry.revision),
+        "error": str(error),
+    }
