Treat an answer of the store that can't be decoded as a failed read

Callers would see: a machine that no longer follows the store. A deeply nested answer raised RecursionError, which left the follower's task instead of counting as a failed read, so the machine went on saying that the store answers it, and its followers went on relying on it. An item with a value that is no text was read as the text of that value.

Cause: only the exceptions that the decoder is known to raise became a PlatformError.

Change: any exception of decoding an answer is a PlatformError with its type. A value that is no text is empty, like one that is not valid base64.

The tests failed before with RecursionError and with a value taken from null.

--- a/ibisrack/platform/store_client.py
+++ b/ibisrack/platform/store_client.py
@@ -119,11 +119,7 @@
             raise PlatformTimeoutError(f"{path}: no answer in time") from error
         except (ClientError, OSError) as error:
             raise PlatformError(f"{path}: {type(error).__name__} {error}") from error
-        try:
-            decoded = msgspec.json.decode(body, type=dict[str, Any])
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise PlatformError(f"{path}: {error}") from error
-        return era, decoded
+        return era, _decode_body(body, path)
 
 
 def _era_of(response: ClientResponse) -> int:
@@ -151,6 +147,13 @@
     return b"".join(parts)
 
 
+def _decode_body(body: bytes, path: str) -> dict[str, Any]:
+    try:
+        return msgspec.json.decode(body, type=dict[str, Any])
+    except Exception as error:  # No list of exceptions covers all bytes, such as deep nesting.
+        raise PlatformError(f"{path}: {type(error).__name__} {error}") from error
+
+
 def _list_field(body: dict[str, Any], name: str) -> list[Any]:
     items = body.get(name)
     if not isinstance(items, list):
@@ -172,8 +175,13 @@
     revision = Revision(era, _revision_field(item, "revision"))
     if item.get("deleted"):
         return Entry(item["key"], None, revision)
+    return Entry(item["key"], _decode_value(item.get("value")), revision)
+
+
+def _decode_value(value: Any) -> bytes:
+    if not isinstance(value, str):
+        return b""
     try:
-        content = base64.b64decode(str(item.get("value", "")), validate=True)
+        return base64.b64decode(value, validate=True)
     except (binascii.Error, ValueError):
-        content = b""
-    return Entry(item["key"], content, revision)
+        return b""
--- a/ibisrack/platform/store_client_test.py
+++ b/ibisrack/platform/store_client_test.py
@@ -7,7 +7,7 @@
 from ibisrack.platform.store_client import StoreClient, open_session
 from ibisrack.registry.messages import NO_REVISION, Revision
 from ibisrack.standins.store import serve_store
-from ibisrack.testing.data_path import HOST
+from ibisrack.testing.data_path import HOST, ScriptedServer, scripted_server
 from ibisrack.testing.endless import EndlessBytes, endless_server
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import wait_until
@@ -129,4 +129,53 @@
         raise AssertionError("changes of another era were accepted")
 
 
+@asynccontextmanager
+async def client_of_answer(body: bytes):
+    """Yields a client of a store that answers each call with the same body."""
+
+    async def script(scripted: ScriptedServer, reader, writer) -> None:
+        while True:
+            await scripted.read_request(reader)
+            writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode())
+            writer.write(body)
+
+    async with scripted_server(script) as server, open_session() as session:
+        yield StoreClient(session, HOST, server.port)
+
+
+async def _check_refused(body: bytes) -> None:
+    """Checks that a listing and a watch that the store answers with this body fail."""
+    async with client_of_answer(body) as client:
+        for call in (client.list_all(), client.changes(NO_REVISION, 0.1, MAX_WRITTEN_BYTES)):
+            try:
+                await call
+            except PlatformError:
+                continue
+            raise AssertionError(body[:100])
+
+
+def _page(item: bytes) -> bytes:
+    """Returns an answer that is both a page and a watch, with one item."""
+    return b'{"current_rev":2,"items":[' + item + b'],"events":[' + item + b"]}"
+
+
+async def test_answer_that_can_not_be_decoded_is_a_failed_read():
+    """Guards against a store's odd answer that ends the follower instead of one read."""
+    for depth in (900, 990, 5000):
+        nested = b"[" * depth + b"]" * depth
+        await _check_refused(nested)
+        await _check_refused(b'{"current_rev":' + nested + b"}")
+        await _check_refused(_page(b'{"key":' + nested + b"}"))
+        await _check_refused(_page(b'{"key":"a","revision":' + nested + b"}"))
+
+
+async def test_value_that_is_no_text_is_empty():
+    """Guards against an item whose value fails the whole listing, or is read as its text."""
+    for value in (b"[" * 900 + b"]" * 900, b"7", b"null", b'"%"', b'"\\u00e9"'):
+        page = _page(b'{"key":"a","revision":2,"value":' + value + b"}")
+        async with client_of_answer(page) as client:
+            listing = await client.list_all()
+        assert [entry.content for entry in listing.entries] == [b""], value
+
+
 load_tests = function_tests(__name__)
