Bound the numbers of entries

Callers saw: one instance listed with slots of 400 digits failed each request to its service on every machine; choose_instance raised OverflowError. A start of more than 64 bits would end each load report of the node beside the instance, and a version such as -0000001 or one of 400 digits was accepted.

Cause: any non-negative integer was accepted, and int() reads more than numbers.

Change: slots, starts, sequences and the counts of a configuration have named upper bounds with their reasons; a version has eight hexadecimal digits, as the users' protocol says. An entry with another number is malformed as a whole.

The tests failed before: the choice with OverflowError, the others because the numbers were accepted.

--- a/ibisrack/platform/decoding_test.py
+++ b/ibisrack/platform/decoding_test.py
@@ -2,6 +2,7 @@
 
 import json
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 
 from ibisrack.errors import MessageError, SettingsError
@@ -90,6 +91,67 @@
         raise AssertionError(content)
 
 
+def with_value(content: bytes, path: tuple[str | int, ...], value: object) -> bytes:
+    """Returns a JSON object in which the value at a path is replaced."""
+    body = json.loads(content)
+    parent = body
+    for name in path[:-1]:
+        parent = parent[name]
+    parent[path[-1]] = value
+    return json.dumps(body).encode()
+
+
+def assert_refused(decode: Callable[[Entry], object], content: bytes) -> None:
+    """Asserts that an entry is refused with the error that its reader handles."""
+    try:
+        decoded = decode(Entry("servers/i-1", content, 1))
+    except MessageError:
+        return
+    raise AssertionError(f"{content[:300]} was decoded to {str(decoded)[:300]}")
+
+
+NO_NUMBERS = (-1, True, None, "1", 1.0, float("nan"), float("inf"), 10**400, 2**64, 2**63, [])
+
+
+def test_numbers_of_an_instance_are_bounded():
+    """Guards against a number that fails each choice of an instance, or each load report."""
+    valid = instance_entry(instance())
+    for path, largest in (
+        (("info", "slots"), 65_535),
+        (("born",), 2**53 - 1),
+        (("status", "seq"), 2**53 - 1),
+    ):
+        for value in (*NO_NUMBERS, largest + 1):
+            assert_refused(decode_instance, with_value(valid, path, value))
+        decode_instance(Entry("servers/i-1", with_value(valid, path, largest), 1))
+
+
+def test_numbers_of_a_configuration_are_bounded():
+    """Guards against a number that fails each request of a route, or each connection."""
+    split = [{"service": "desk", "weight": 9}]
+    valid = configuration_entry(12, route_resource(traffic_split=split))
+    for path in (
+        (0, "spec", "priority"),
+        (0, "spec", "max_attempts"),
+        (0, "spec", "traffic_split", 0, "weight"),
+        (1, "spec", "max_connections"),
+        (2, "spec", "max_header_bytes"),
+        (2, "spec", "max_body_bytes"),
+    ):
+        for value in (*NO_NUMBERS, 2**31):
+            assert_refused(decode_configuration, with_value(valid, ("resources", *path), value))
+        decode_configuration(Entry("op/config", with_value(valid, ("resources", *path), 9), 1))
+
+
+def test_version_has_eight_hexadecimal_digits():
+    """Guards against a version that no later one can exceed, or that is no number of the users."""
+    valid = configuration_entry(12, route_resource())
+    for version in ("", "-0000001", "+0000001", " 0000001", "0x00000c", "0000_00c", "f" * 400):
+        assert_refused(decode_configuration, with_value(valid, ("version",), version))
+    for version in ("000000001", "٠٠٠٠٠٠٠١", 12, "0000000c\n"):
+        assert_refused(decode_configuration, with_value(valid, ("version",), version))
+
+
 def test_a_configuration_is_decoded():
     """Guards against fields that are lost, such as whether a route's requests may be repeated."""
     split = [{"service": "desk", "weight": 9}, {"service": "docs", "weight": 1}]
--- a/ibisrack/platform/entries.py
+++ b/ibisrack/platform/entries.py
@@ -4,6 +4,7 @@
 entry lists no instance; a malformed configuration is rejected as a whole.
 """
 
+import re
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -24,8 +25,15 @@
 
 CONFIGURATION_KEY = "op/config"
 INSTANCE_PREFIX = "servers/"
+# A running request has a connection of its own, and a host has no more ports towards an instance.
+MAX_SLOTS = 65_535
+# Starts and sequences are compared and sent to peers in 64 bits.  Larger integers are not exact in
+# all JSON implementations.
+MAX_JSON_INTEGER = 2**53 - 1
+MAX_COUNT = 2**31 - 1  # Larger limits overflow the 32-bit sizes of HTTP libraries.
 MAX_ERROR_CHARS = 200  # Error messages quote the entry, which may be large.
 
+_VERSION = re.compile(r"[0-9a-fA-F]{8}")
 _STATES_BY_NAME = {"ready": InstanceState.READY, "draining": InstanceState.DRAINING}
 _REPEATS_BY_KIND = {
     "idempotent": Repeats.ALLOWED,
@@ -80,12 +88,12 @@
         host=host,
         port=int(port),
         zone=_non_empty_string(info["zone"]),
-        slots=_non_negative_integer(info["slots"]),
+        slots=_integer(info["slots"], MAX_SLOTS),
         state=_STATES_BY_NAME[status["state"]],
         # Remaining time of the cold start when the entry was written, not its total length.
         cold_left_s=parse_duration_s(status["cold_remaining"]),
-        started_at_ms=_non_negative_integer(body["born"]) if "born" in body else 0,
-        sequence=_non_negative_integer(status["seq"]),
+        started_at_ms=_integer(body["born"], MAX_JSON_INTEGER) if "born" in body else 0,
+        sequence=_integer(status["seq"], MAX_JSON_INTEGER),
     )
 
 
@@ -102,15 +110,16 @@
             services[_non_empty_string(name)] = _decode_service(_non_empty_string(name), spec)
         elif kind == "limits":
             limits = _decode_limits(spec)
-    version = int(_non_empty_string(body["version"]), 16)
+    if not _VERSION.fullmatch(body["version"]):
+        raise ValueError("the version does not have eight hexadecimal digits")
     _check_references(routes, services)
-    return Configuration(version, tuple(routes), services, limits)
+    return Configuration(int(body["version"], 16), tuple(routes), services, limits)
 
 
 def _decode_route(name: str, spec: dict[str, Any]) -> Route:
     if "traffic_split" in spec:
         parts = tuple(
-            RoutePart(_non_empty_string(part["service"]), _non_negative_integer(part["weight"]))
+            RoutePart(_non_empty_string(part["service"]), _integer(part["weight"], MAX_COUNT))
             for part in spec["traffic_split"]
         )
     else:
@@ -130,22 +139,22 @@
         target_s=(
             parse_duration_s(spec["target_latency"]) if "target_latency" in spec else timeout_s
         ),
-        priority=_non_negative_integer(spec.get("priority", 0)),
-        max_attempts=max(1, _non_negative_integer(spec.get("max_attempts", 1))),
+        priority=_integer(spec.get("priority", 0), MAX_COUNT),
+        max_attempts=max(1, _integer(spec.get("max_attempts", 1), MAX_COUNT)),
         parts=tuple(part for part in parts if part.weight > 0),
     )
 
 
 def _decode_service(name: str, spec: dict[str, Any]) -> ServiceOptions:
     return ServiceOptions(
-        name, _non_empty_string(spec["health_path"]), _non_negative_integer(spec["max_connections"])
+        name, _non_empty_string(spec["health_path"]), _integer(spec["max_connections"], MAX_COUNT)
     )
 
 
 def _decode_limits(spec: dict[str, Any]) -> Limits:
     return Limits(
-        max_header_bytes=_non_negative_integer(spec["max_header_bytes"]),
-        max_body_bytes=_non_negative_integer(spec["max_body_bytes"]),
+        max_header_bytes=_integer(spec["max_header_bytes"], MAX_COUNT),
+        max_body_bytes=_integer(spec["max_body_bytes"], MAX_COUNT),
         header_timeout_s=parse_duration_s(spec["header_timeout"]),
         idle_timeout_s=parse_duration_s(spec["idle_timeout"]),
     )
@@ -170,7 +179,7 @@
     return value
 
 
-def _non_negative_integer(value: Any) -> int:
-    if type(value) is not int or value < 0:
-        raise TypeError("expected a non-negative integer")
+def _integer(value: Any, max_value: int) -> int:
+    if type(value) is not int or not 0 <= value <= max_value:
+        raise TypeError(f"expected an integer from 0 to {max_value}")
     return value
--- a/ibisrack/sidecar/content_test.py
+++ b/ibisrack/sidecar/content_test.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ibisrack.dispatch.choice import InstanceViews
+from ibisrack.dispatch.choice import InstanceViews, choose_instance
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.metrics.tally import Tally
 from ibisrack.platform import entries as platform_entries
@@ -135,4 +135,16 @@
             assert reader.version == 0
 
 
+async def test_instance_can_be_chosen_beside_one_with_too_many_slots():
+    """Guards against an entry whose slots fail every request of the service."""
+    odd = instance_entry(instance("i-2", slots=10**400))
+    reader = await read(beside({"servers/i-2": odd}))
+    content = reader.content
+    for _ in range(20):
+        chosen = choose_instance(
+            content.directory.of_service("desk"), content.views, "a", 0.1, Random(1), 0.0
+        )
+        assert chosen.instance_id in ("i-1", "i-9")
+
+
 load_tests = function_tests(__name__)
