Read only ASCII digits in durations

Callers would see nothing: a duration in digits of another script was read as a number, while the platform writes ASCII. The pattern names the digits now. NaN, infinite and signed durations and those of 400 digits were refused before. The test failed for the digits of another script.

--- a/ibisrack/platform/decoding_test.py
+++ b/ibisrack/platform/decoding_test.py
@@ -152,6 +152,13 @@
         assert_refused(decode_configuration, with_value(valid, ("version",), version))
 
 
+def test_durations_of_entries_are_bounded():
+    """Guards against a time that is infinite, or in digits of another script."""
+    valid = instance_entry(instance())
+    for text in ("NaN", "nans", "infs", "1e309s", "9" * 400 + "s", "٣s", "3s\n", "-3s", "+3s"):
+        assert_refused(decode_instance, with_value(valid, ("status", "cold_remaining"), text))
+
+
 def test_a_configuration_is_decoded():
     """Guards against fields that are lost, such as whether a route's requests may be repeated."""
     split = [{"service": "desk", "weight": 9}, {"service": "docs", "weight": 1}]
--- a/ibisrack/platform/durations.py
+++ b/ibisrack/platform/durations.py
@@ -2,7 +2,7 @@
 
 import re
 
-_DURATION = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)(ms|s)\Z")
+_DURATION = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,9})?)(ms|s)\Z")
 
 
 def parse_duration_s(text: object) -> float:
