List only instances at an IP number and a port

Callers would see: slower answers from machines that open links to hosts that can't exist. Ports 70000 and -1, an address with a NUL byte and one of 300 letters were accepted, and the link to such a host was opened and reopened.

Cause: the part after the last colon went through int(), the part before it was not looked at.

Change: the host is an IP number of either version in the form of the settings file, and neither unspecified, multicast, broadcast nor with a scope; the port is from 1 to 65535 in ASCII digits. Any other entry lists no instance.

The test failed before for port 70000.

--- a/ibisrack/platform/decoding_test.py
+++ b/ibisrack/platform/decoding_test.py
@@ -126,6 +126,50 @@
         decode_instance(Entry("servers/i-1", with_value(valid, path, largest), 1))
 
 
+def test_only_ip_numbers_and_ports_are_addresses():
+    """Guards against a link that is opened to what can be no host, again and again."""
+    valid = instance_entry(instance())
+    for address in (
+        "10.0.0.1:70000",
+        "10.0.0.1:65536",
+        "10.0.0.1:0",
+        "10.0.0.1:-1",
+        "10.0.0.1:+80",
+        "10.0.0.1: 80",
+        "10.0.0.1:80 ",
+        "10.0.0.1:8_0",
+        "10.0.0.1:٨٠",
+        "10.0.0.1:²",
+        "10.0.0.1:" + "9" * 5000,
+        "10.0.0.1:",
+        ":80",
+        "80",
+        "10.0.0.1\0:80",
+        "\0:80",
+        " 10.0.0.1:80",
+        "a" * 300 + ":80",
+        "localhost:80",
+        "10.0.0.256:80",
+        "10.0.0.01:80",
+        "10.1:80",
+        "167772161:80",
+        "10.0.0.1:1:80",
+        "[::1]:80",
+        "fe80::1%eth0:80",
+        "fe80::1%\r\nX: y:80",
+        "0.0.0.0:80",
+        ":::80",
+        "224.0.0.1:80",
+        "255.255.255.255:80",
+        "ff02::1:80",
+    ):
+        assert_refused(decode_instance, with_value(valid, ("address",), address))
+    for host in ("10.0.0.1", "127.0.0.1", "::1", "fd00::7"):
+        content = with_value(valid, ("address",), f"{host}:65535")
+        decoded = decode_instance(Entry("servers/i-1", content, 1))
+        assert (decoded.host, decoded.port) == (host, 65535)
+
+
 def test_numbers_of_a_configuration_are_bounded():
     """Guards against a number that fails each request of a route, or each connection."""
     split = [{"service": "desk", "weight": 9}]
--- a/ibisrack/platform/entries.py
+++ b/ibisrack/platform/entries.py
@@ -6,10 +6,12 @@
 
 import re
 from collections.abc import Callable
+from ipaddress import IPv4Address, ip_address
 from typing import Any, TypeVar
 
 import msgspec
 
+from ibisrack.decimals import parse_decimal
 from ibisrack.errors import MessageError
 from ibisrack.instances.model import Instance, InstanceState
 from ibisrack.platform.durations import parse_duration_s
@@ -22,6 +24,7 @@
     RoutePart,
     ServiceOptions,
 )
+from ibisrack.settings.checks import MAX_PORT
 
 CONFIGURATION_KEY = "op/config"
 INSTANCE_PREFIX = "servers/"
@@ -33,6 +36,7 @@
 MAX_COUNT = 2**31 - 1  # Larger limits overflow the 32-bit sizes of HTTP libraries.
 MAX_ERROR_CHARS = 200  # Error messages quote the entry, which may be large.
 
+_BROADCAST = IPv4Address("255.255.255.255")
 _VERSION = re.compile(r"[0-9a-fA-F]{8}")
 _STATES_BY_NAME = {"ready": InstanceState.READY, "draining": InstanceState.DRAINING}
 _REPEATS_BY_KIND = {
@@ -81,12 +85,12 @@
 
 def _build_instance(key: str, body: dict[str, Any]) -> Instance:
     info, status = _json_object(body["info"]), _json_object(body["status"])
-    host, _, port = _non_empty_string(body["address"]).rpartition(":")
+    host, port = _address(body["address"])
     return Instance(
         instance_id=instance_id(key),
         service=_non_empty_string(info["service"]),
         host=host,
-        port=int(port),
+        port=port,
         zone=_non_empty_string(info["zone"]),
         slots=_integer(info["slots"], MAX_SLOTS),
         state=_STATES_BY_NAME[status["state"]],
@@ -179,6 +183,22 @@
     return value
 
 
+def _address(value: Any) -> tuple[str, int]:
+    """Returns the IP number and the port of an address, in which a link can be opened.
+
+    IPv6 numbers have no brackets, as in the settings file, with which the host is compared.
+    """
+    host, _, port_text = _non_empty_string(value).rpartition(":")
+    number = ip_address(host)
+    is_host = not (number.is_multicast or number.is_unspecified or number == _BROADCAST)
+    if not is_host or "%" in host:  # The name after a percent sign differs from host to host.
+        raise ValueError("not the IP number of a host")
+    port = parse_decimal(port_text, MAX_PORT)
+    if not port:
+        raise ValueError(f"expected a port from 1 to {MAX_PORT}")
+    return host, port
+
+
 def _integer(value: Any, max_value: int) -> int:
     if type(value) is not int or not 0 <= value <= max_value:
         raise TypeError(f"expected an integer from 0 to {max_value}")
