Accept only instance ids that a header can carry

Callers would see: requests that end with an internal error, or requests with headers that nobody sent. The key of an entry is the id of the instance, which each request carries in Expected-Instance: an id outside Latin-1 raised UnicodeEncodeError for each request that chose the instance, and one with a line end added headers.

Cause: the key was not looked at.

Change: an id has 1 to 128 visible ASCII characters; other keys list no instance. The test failed before for a key with a line end.

--- a/ibisrack/platform/decoding_test.py
+++ b/ibisrack/platform/decoding_test.py
@@ -126,6 +126,19 @@
         decode_instance(Entry("servers/i-1", with_value(valid, path, largest), 1))
 
 
+def test_instance_id_is_one_word_of_a_header():
+    """Guards against a key that adds headers to requests, or that no request can be sent with."""
+    content = instance_entry(instance())
+    for odd in ("a\r\nX: y", "a\nb", "a b", "\0", "é", "€", "", "a" * 129, "a\x7f"):
+        try:
+            decode_instance(Entry(f"servers/{odd}", content, 1))
+        except MessageError:
+            continue
+        raise AssertionError(odd)
+    longest = "i-" + "a" * 126
+    assert decode_instance(Entry(f"servers/{longest}", content, 1)).instance_id == longest
+
+
 def test_only_ip_numbers_and_ports_are_addresses():
     """Guards against a link that is opened to what can be no host, again and again."""
     valid = instance_entry(instance())
--- a/ibisrack/platform/entries.py
+++ b/ibisrack/platform/entries.py
@@ -37,6 +37,7 @@
 MAX_ERROR_CHARS = 200  # Error messages quote the entry, which may be large.
 
 _BROADCAST = IPv4Address("255.255.255.255")
+_INSTANCE_ID = re.compile(r"[!-~]{1,128}")
 _VERSION = re.compile(r"[0-9a-fA-F]{8}")
 _STATES_BY_NAME = {"ready": InstanceState.READY, "draining": InstanceState.DRAINING}
 _REPEATS_BY_KIND = {
@@ -86,6 +87,9 @@
 def _build_instance(key: str, body: dict[str, Any]) -> Instance:
     info, status = _json_object(body["info"]), _json_object(body["status"])
     host, port = _address(body["address"])
+    # The id is sent to the instance in a header of each request.
+    if not _INSTANCE_ID.fullmatch(instance_id(key)):
+        raise ValueError("the instance id is not one word of ASCII characters")
     return Instance(
         instance_id=instance_id(key),
         service=_non_empty_string(info["service"]),
