Ignore limits of instances that are too high to hold anything back

Callers would see: requests to an instance end with unknown outcome or late, as all links of its node break. A Server-Limit of 1e300 made the starts that it allows an integer of 300 digits; each load report of the node then raised OverflowError, in the handlers of its links and in the periodic task.

Cause: any finite number was a limit.

Change: a limit is at most a million requests a second and written in ASCII digits; another one counts as none, as a malformed one did.

The tests failed before: encoding the load with OverflowError, the notice with a limit of 1000001.

--- a/ibisrack/calls/pace.py
+++ b/ibisrack/calls/pace.py
@@ -11,6 +11,8 @@
 BURST_S = 0.1
 # Only an answer shows that a limit has ended, so some requests are sent whatever the limit.
 MIN_RATE_PER_S = 0.5
+# Higher limits hold nothing back, and the starts that they allow overflow load reports of 64 bits.
+MAX_RATE_PER_S = 1e6
 _ROUNDING = 1e-9
 
 
--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -1,7 +1,7 @@
 """Sends requests to the local instance over HTTP and validates its answers."""
 
 import asyncio
-import math
+import re
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -11,6 +11,7 @@
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.pace import MAX_RATE_PER_S
 from ibisrack.calls.relay import forwardable_headers
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError, UnknownOutcomeError
@@ -37,6 +38,7 @@
 DEADLINE_GRACE_S = 0.25
 MAX_STALE_ANSWERS = 4  # Answers to earlier requests that are skipped before the request fails.
 
+_LIMIT = re.compile(r"([0-9]{1,30}(\.[0-9]{0,30})?|\.[0-9]{1,30})([eE][+-]?[0-9]{1,3})?")
 _CONNECTION_ERRORS = (ClientError, HttpProcessingError, OSError)
 _METHODS_WITHOUT_BODY = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 
@@ -157,12 +159,11 @@
 
 
 def _parse_limit(text: str | None) -> float | None:
-    """Returns a limit in requests per second, None without one or if it is malformed."""
-    try:
-        limit_per_s = float(text or "nan")
-    except ValueError:
+    """Returns a limit in requests per second, None without a valid one."""
+    if text is None or not _LIMIT.fullmatch(text):
         return None
-    return limit_per_s if math.isfinite(limit_per_s) and limit_per_s >= 0 else None
+    limit_per_s = float(text)
+    return limit_per_s if limit_per_s <= MAX_RATE_PER_S else None
 
 
 def _encode_request(submit: Submit, remaining_ms: int) -> bytes:
--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -312,7 +312,10 @@
     assert (notice.instance_id, notice.limit_per_s, notice.leaving) == ("i-1", 51.7, False)
     (notice,) = await _notices_of(answer_head(REQUEST_ID, "Server-Leaving: 1", end))
     assert (notice.limit_per_s, notice.leaving) == (None, True)
-    for malformed in ("", "x", "nan", "inf", "-1"):
+    (notice,) = await _notices_of(answer_head(REQUEST_ID, "Server-Limit: .5", end))
+    assert notice.limit_per_s == 0.5
+    high = ("1000001", "1e19", "1e300", "1e309", "9" * 400)
+    for malformed in ("", "x", "nan", "inf", "-1", "1_0", "٣", *high):
         (notice,) = await _notices_of(answer_head(REQUEST_ID, f"Server-Limit: {malformed}", end))
         assert notice.limit_per_s is None
     for status in ("421 Misdirected Request", "503 Service Unavailable"):
--- a/ibisrack/sidecar/limits_test.py
+++ b/ibisrack/sidecar/limits_test.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 
 from ibisrack.clocks import read_clocks
+from ibisrack.links.codec import encode
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import SidecarFleet, run_sidecars, wait_until
 
@@ -75,6 +76,22 @@
     assert ran <= ALLOWED_FACTOR * 2 * LIMIT_PER_S * elapsed_s + ALLOWED_REQUESTS
 
 
+async def test_limit_of_any_size_ends_no_link():
+    """Guards against a number in an instance's header that fails each load report of its node."""
+    async with run_roomy_sidecars(2) as fleet:
+        for limit_per_s in (1e19, 1e300, 1.7e308):
+            fleet.instances[0].limit_per_s = limit_per_s
+            calls = [
+                fleet.send_request(n % 2, request_id=f"q-{limit_per_s}-{n}") for n in range(20)
+            ]
+            answers = await asyncio.gather(*calls)
+            assert [answer.status for answer, _ in answers] == [200] * len(answers)
+            encode(fleet.nodes[0].load())
+        links = [link for node in fleet.nodes for link in node.outgoing_links.values()]
+        assert links and not any(link.losses for link in links)
+        assert fleet.instances[0].executed_ids
+
+
 async def test_limit_that_is_no_longer_named_ends():
     """Guards against an instance that is held to a limit after its need is over."""
     async with run_roomy_sidecars(1) as fleet:
