Refuse messages of peers whose numbers are out of range

Callers would see: no instance of a service is chosen properly, or the load reports of a node fail. A peer's load report or limit could be NaN, infinite or of 64 bits: a KnownLimit of infinity made the number of allowed starts infinite, which no load report holds; a Load with a NaN or negative time distorts each choice; a revision near 2**64 hides all later ones of the registry.

Cause: the codec checks types alone.

Change: links/bounds.py checks what this node computes with as each message is read; a message out of its bounds ends the link like a malformed one.

--- a/ibisrack/links/frames.py
+++ b/ibisrack/links/frames.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from ibisrack.errors import MessageError
+from ibisrack.links.bounds import check_bounds
 from ibisrack.links.codec import (
     FRAME_HEAD_BYTES,
     LENGTH_PREFIX_BYTES,
@@ -44,7 +45,7 @@
       on_data: Called whenever a part of the message has arrived.
 
     Raises:
-      MessageError: The frame is malformed.
+      MessageError: The frame is malformed, or the message is out of its bounds.
       asyncio.IncompleteReadError: The connection ended.
       OSError: The connection broke.
     """
@@ -54,7 +55,9 @@
     on_data()
     if len(payload) < size:
         payload = await _read_rest(reader, payload, size, on_data)
-    return decode(payload)
+    message = decode(payload)
+    check_bounds(message)
+    return message
 
 
 async def _read_rest(
