Treat any failure of decoding a peer's message as a malformed message

A revision in a message is a map, and a map may have unknown fields; one nested 5,000 deep raised RecursionError. On an incoming link that left the link's task without its log line, on an outgoing one the task of the link failed and was restarted after 1 s, while its requests waited. Now any exception of decoding is a MessageError, which ends the link in order. The test failed before with RecursionError.

--- a/ibisrack/links/codec.py
+++ b/ibisrack/links/codec.py
@@ -104,8 +104,9 @@
         return cls()
     try:
         return cls(*_decoder(cls).decode(memoryview(payload)[1:]))
-    except (msgspec.DecodeError, UnicodeDecodeError, OverflowError) as error:
-        raise MessageError(f"malformed {cls.__name__} message: {error}") from error
+    except Exception as error:  # No list of exceptions covers all bytes, such as deep nesting.
+        reason = f"{type(error).__name__} {error}"
+        raise MessageError(f"malformed {cls.__name__} message: {reason}") from error
 
 
 def frame_size(head: bytes) -> int:
--- a/ibisrack/links/codec_test.py
+++ b/ibisrack/links/codec_test.py
@@ -25,7 +25,7 @@
     encode,
     frame_size,
 )
-from ibisrack.links.messages import Answered, Entries, Hello, Load, Ping, Submit
+from ibisrack.links.messages import Answered, Entries, Follow, Hello, Load, Ping, Submit
 from ibisrack.registry.messages import NO_REVISION, Revision
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.fuzz import fuzz
@@ -212,6 +212,17 @@
         raise AssertionError(payload)
 
 
+def test_deeply_nested_unknown_field_is_malformed():
+    """Guards against a peer's message whose nesting ends a link's task and is logged as a fault."""
+    plain = msgspec.msgpack.encode({"era": 1, "number": 6})
+    nested = b"\x91" * 5000 + b"\xc0"
+    revision = b"\x83" + plain[1:] + msgspec.msgpack.encode("x") + nested
+    code = bytes((MESSAGE_TYPES.index(Follow),))
+    assert decode(code + b"\x91" + plain) == Follow(Revision(1, 6))
+    assert_malformed(code + b"\x91" + revision)
+    assert_malformed(code + b"\x91" + nested)
+
+
 def _head(size: int, code: int) -> bytes:
     return size.to_bytes(LENGTH_PREFIX_BYTES, "big") + bytes((code,))
 
