Refuse request ids and hosts that are not ASCII

Callers saw: status 500, an unknown outcome, for a request whose Request-Id or Host has other bytes; it reached no instance. The encoder of links and that of requests to instances raised UnicodeEncodeError.

Change: such a request is refused with 400 before anything runs. The users' ids and hosts are ASCII. Odd numbers in Deadline-Ms and Content-Length were refused before; a test keeps it so.

The test of ids and hosts failed before with status 500.

--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -149,6 +149,10 @@
         request_id = headers.get(REQUEST_ID, "")
         if not request_id or not target.isascii() or not target.startswith("/"):
             raise RequestError(f"a request needs {REQUEST_ID} and a path")
+        host = headers.get("Host", "")
+        # Other bytes are no text that links and requests to instances hold.
+        if not (request_id.isascii() and host.isascii()):
+            raise RequestError(f"{REQUEST_ID} and Host must be ASCII")
         limits = self.limits()
         if _head_bytes(http_request) > limits.max_header_bytes:
             raise RequestError(f"the head is larger than {limits.max_header_bytes} bytes", 431)
@@ -159,7 +163,7 @@
         return Request(
             request_id=request_id,
             method=http_request.method,
-            host=headers.get("Host", ""),
+            host=host,
             target=target,
             headers=forwarded_headers,
             body=body,
--- a/ibisrack/platform/http_server_test.py
+++ b/ibisrack/platform/http_server_test.py
@@ -81,4 +81,32 @@
         assert fleet_.instances[0].executed_ids == []
 
 
+async def test_odd_numbers_in_a_head_are_refused():
+    """Guards against a head whose number ends in an internal error of unknown outcome."""
+    async with run_sidecars(1) as fleet_:
+        for field in (
+            *(b"Deadline-Ms: " + n for n in (b"9" * 400, b"-1", b"1.5", b"\xd9\xa3", b"nan")),
+            *(b"Content-Length: " + n for n in (b"9" * 400, b"-1", b"+1", b"\xd9\xa3", b"1e3")),
+        ):
+            answer = await send_raw(fleet_, HEAD + field + b"\r\nConnection: close\r\n\r\n")
+            assert answer.partition(b"\r\n")[0].endswith(b" 400 Bad Request"), (field, answer)
+        assert fleet_.instances[0].executed_ids == []
+
+
+async def test_ids_and_hosts_that_no_node_can_send_on_are_refused():
+    """Guards against an internal error of unknown outcome, here or at a peer."""
+    for listed in (0, 1):
+        async with run_sidecars(2) as fleet_:
+            fleet_.store.delete(f"servers/i-{1 - listed}")
+            await wait_until(lambda: len(fleet_.nodes[0].directory.all()) == 1)
+            for odd in (b"\xff", b"\xc3\xa9", b"\xf0\x9f\x98\x80"):
+                for head in (
+                    HEAD.replace(b"Request-Id: q", b"Request-Id: q" + odd),
+                    HEAD.replace(b"Host: desk.example", b"Host: desk.example:" + odd),
+                ):
+                    answer = await send_raw(fleet_, head + b"Connection: close\r\n\r\n")
+                    assert answer.startswith(b"HTTP/1.1 400 "), (listed, head, answer)
+            assert fleet_.instances[listed].executed_ids == []
+
+
 load_tests = function_tests(__name__)
