Report a settings file that can't be loaded as a fault, whatever loading raises

Operators would see: a sidecar that ends at its start with a traceback that names no field, or a reload whose task fails. A file nested too deeply raises RecursionError, a date that does not exist and a number of 5,000 digits raise ValueError, none of which YAML's own error covers; the port of the metrics went through int().

Change: any exception of loading is a fault of the file; the metrics port is parsed like the others. NaN, infinite and huge numbers of fields were refused before; a test keeps it so.

--- a/ibisrack/platform/decoding_test.py
+++ b/ibisrack/platform/decoding_test.py
@@ -296,4 +296,53 @@
             raise AssertionError(port)
 
 
+def test_file_that_can_not_be_loaded_is_a_fault():
+    """Guards against a start or a reload that ends with an exception and names no file."""
+    for text in (
+        "odd: " + "[" * 5000 + "]" * 5000,
+        "odd: " + "9" * 5000,
+        "odd: 2024-99-99",
+        "odd: {a: !!python/object:os.system x}",
+        "self: [",
+        "\0",
+        "? [a]\n: b",
+    ):
+        try:
+            load(SETTINGS + text)
+        except SettingsError as error:
+            assert all(fault.file.endswith("settings.yaml") for fault in error.faults)
+        else:
+            raise AssertionError(text[:100])
+
+
+def test_odd_numbers_of_the_settings_file_are_faults():
+    """Guards against a number that ends a running sidecar later."""
+    huge, limits = "9" * 400, "self:\n  limits: {link_mbps: 9}"
+    for text in (
+        *(SETTINGS.replace("0.3", odd) for odd in (".nan", ".inf", "-1", huge, '"0.3"', "1e309")),
+        *(SETTINGS.replace("58", odd) for odd in (".nan", "-.inf", huge, "true x")),
+        *(SETTINGS.replace('"6s"', odd) for odd in ('"NaNs"', '"1e309s"', '"9999999999s"', ".inf")),
+        *(SETTINGS.replace("self:", limits.replace("9", odd)) for odd in (".inf", huge)),
+        *(SETTINGS.replace("10.1.0.38:8147", odd) for odd in ("10.1.0.38:0", "a:80", "\\0:80")),
+    ):
+        try:
+            load(text)
+        except SettingsError:
+            continue
+        raise AssertionError(text)
+
+
+def test_odd_port_for_metrics_is_a_fault():
+    """Guards against a start that ends with a ValueError and names no variable."""
+    for port in ("9" * 5000, "65536", "0", "-1", "²", " 80"):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.yaml"
+            path.write_text(SETTINGS)
+            try:
+                load_platform_settings(str(path), port)
+            except SettingsError:
+                continue
+        raise AssertionError(port)
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/platform/settings_file.py
+++ b/ibisrack/platform/settings_file.py
@@ -32,8 +32,9 @@
         data = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError((Fault(path, 0, error.strerror or str(error)),)) from error
-    except (UnicodeDecodeError, yaml.YAMLError) as error:
-        raise SettingsError((Fault(path, 0, f"not valid YAML: {error}"),)) from error
+    except Exception as error:  # Such as a ValueError for a date, or deep nesting.
+        reason = f"not valid YAML: {type(error).__name__} {error}"
+        raise SettingsError((Fault(path, 0, reason),)) from error
     reader = _SettingsReader(data, path)
     values = {
         "node_id": reader.get("self.node"),
@@ -96,10 +97,11 @@
         """Returns the host's address with a port that is not in the file, None if that is empty."""
         if not port:
             return None
-        if not (port.isascii() and port.isdigit()):
+        number = parse_decimal(port, MAX_PORT)
+        if number is None:
             self.faults.append(Fault(METRICS_PORT_VARIABLE, 0, "expected a port"))
             return None
-        return {"host": str(self.get("self.ip")), "port": int(port)}
+        return {"host": str(self.get("self.ip")), "port": number}
 
     def limit(self, path: str) -> int | float | None:
         """Returns a limit, None unless it is a positive number."""
