Treat any odd list of hosts as a failed read

Operators of ibis-node would see: the reader's task fails and is restarted each second while a list with a deeply nested field is published, and a generation of 400 digits ends each exchange between nodes, whose messages hold 64 bits.

Cause: only the exceptions that the decoder is known to raise became a PlatformError, and a generation was any integer.

Change: any exception of decoding is a failed read, as is a generation that is negative or above 2**53 - 1.

--- a/ibisrack/platform/config_client.py
+++ b/ibisrack/platform/config_client.py
@@ -16,6 +16,7 @@
 # Names of the values that nodes read.
 RULES_NAME = "rules"
 HOSTS_NAME = "hosts"
+MAX_GENERATION = 2**53 - 1  # Nodes send generations in 64 bits; larger ones are not exact in JSON.
 
 
 async def watch(
@@ -105,6 +106,9 @@
       PlatformError: The content is not a valid list of hosts.
     """
     try:
-        return HostList(msgspec.json.decode(content, type=tuple[ListedHost, ...]), revision)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise PlatformError(f"hosts: {error}") from error
+        hosts = msgspec.json.decode(content, type=tuple[ListedHost, ...])
+    except Exception as error:  # No list of exceptions covers all bytes, such as deep nesting.
+        raise PlatformError(f"hosts: {type(error).__name__} {error}") from error
+    if not all(0 <= host.generation <= MAX_GENERATION for host in hosts):
+        raise PlatformError("hosts: a generation is out of range")
+    return HostList(hosts, revision)
