Treat any failure of decoding a frame of ibis-node as a malformed frame

A field of a message nested 5,000 deep raised RecursionError, which is not among the exceptions that end an exchange with a peer in order. Any exception of decoding is a MessageError now. The test failed before with RecursionError.

--- a/ibisrack/exchange/codec.py
+++ b/ibisrack/exchange/codec.py
@@ -101,8 +101,10 @@
     try:
         parts = msgspec.msgpack.decode(_decompress(frame), type=list[tuple[str, msgspec.Raw]])
         return [_decode_message(name, raw) for name, raw in parts]
-    except (msgspec.DecodeError, UnicodeDecodeError, OverflowError) as error:
-        raise MessageError(f"the frame is malformed: {error}") from error
+    except MessageError:
+        raise
+    except Exception as error:  # No list of exceptions covers all bytes, such as deep nesting.
+        raise MessageError(f"the frame is malformed: {type(error).__name__} {error}") from error
 
 
 def _decode_message(name: str, raw: msgspec.Raw) -> Any:
--- a/ibisrack/exchange/codec_test.py
+++ b/ibisrack/exchange/codec_test.py
@@ -51,6 +51,14 @@
     assert _refused(b"\x02" + encode_frame(MESSAGES)[1:])
 
 
+def test_deeply_nested_message_is_refused():
+    """Guards against a peer's frame whose nesting is no malformed frame but a failed exchange."""
+    nested = b"\x91" * 5000 + b"\xc0"
+    parts = msgspec.msgpack.encode([["Hello", {"x": 1}]])
+    for body in (nested, parts.replace(b"\x81\xa1x\x01", b"\x81\xa1x" + nested)):
+        assert _refused(_frame_of(msgspec.Raw(body)))
+
+
 def test_decompression_is_bounded():
     """Guards against a small frame that expands without limit."""
     assert _refused(_frame_of(b"\x00" * (MAX_FRAME_BYTES + 10)))
