Report a settings file of ibis-node that can't be loaded, whatever loading raises

A file nested too deeply raised RecursionError, and a number of 5,000 digits a ValueError that is no JSONDecodeError: the process ended with a traceback that names no file. Both are faults of the file now. The test failed before.

--- a/ibisrack/settings/loader.py
+++ b/ibisrack/settings/loader.py
@@ -115,4 +115,6 @@
         raise SettingsError((Fault(path, 0, "the file is not UTF-8 text"),)) from error
     except json.JSONDecodeError as error:
         raise SettingsError((Fault(path, error.lineno, f"not JSON: {error.msg}"),)) from error
+    except (RecursionError, ValueError) as error:  # Nested too deeply, or a number too long.
+        raise SettingsError((Fault(path, 0, f"not valid JSON: {error}"),)) from error
     return parse_settings(data, cls, path)
--- a/ibisrack/settings/loader_test.py
+++ b/ibisrack/settings/loader_test.py
@@ -1,6 +1,7 @@
 """Tests of the settings loader with invalid files and documents."""
 
 import json
+import tempfile
 from pathlib import Path
 
 from hypothesis import given
@@ -98,4 +99,18 @@
     assert _faults(value, SETTINGS_BY_PROCESS[process])
 
 
+def test_file_that_can_not_be_loaded_is_a_fault():
+    """Guards against a start that ends with an exception and names no file."""
+    for text in ("[" * 100_000, "9" * 5000, '{"a": ' + "[" * 5000 + "]" * 5000 + "}"):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.json"
+            path.write_text(text)
+            try:
+                load_settings(str(path), NodeSettings)
+            except SettingsError as error:
+                assert error.faults[0].file == str(path)
+                continue
+        raise AssertionError(text[:50])
+
+
 load_tests = function_tests(__name__)
