Read log lines and answers of the admin port of any shape

A log line or an answer nested 5,000 deep ended ibisctl, the timeline or a screen with RecursionError. Such a line is skipped like any text that is no log line; such an answer is malformed like any other.

--- a/ibisrack/admin/messages.py
+++ b/ibisrack/admin/messages.py
@@ -99,6 +99,6 @@
     """
     try:
         return msgspec.json.decode(body, type=cls)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except Exception as error:  # No list of exceptions covers all bytes, such as deep nesting.
         name = getattr(cls, "__name__", str(cls))
-        raise MessageError(f"not a valid {name} answer: {error}") from error
+        raise MessageError(f"not a valid {name} answer: {type(error).__name__} {error}") from error
--- a/ibisrack/timeline/log_lines.py
+++ b/ibisrack/timeline/log_lines.py
@@ -29,8 +29,8 @@
         fields: dict[str, Any] = msgspec.json.decode(line, type=dict[str, Any])
         logged_at = datetime.fromisoformat(fields["timestamp"])
         kind = str(fields["message"])
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+        node_id = str(fields.get("node", source))
+    except Exception:  # No list of exceptions covers all text, such as deep nesting.
         return None
     event = {name: value for name, value in fields.items() if name not in _NON_EVENT_FIELDS}
-    node_id = str(fields.get("node", source))
     return Record(clock.tick(int(logged_at.timestamp() * 1000)), node_id, kind, event)
--- a/ibisrack/timeline/merge_test.py
+++ b/ibisrack/timeline/merge_test.py
@@ -11,6 +11,7 @@
 from ibisrack.timeline.clock import Timestamp
 from ibisrack.timeline.events import CallFinished, VersionActivated
 from ibisrack.timeline.log import EventLog
+from ibisrack.timeline.log_lines import read_log_lines
 from ibisrack.timeline.merge import Record, merge, trace
 from ibisrack.timeline.query import EventFilter, from_query, select, to_query
 
@@ -135,4 +136,24 @@
     assert all(isinstance(record, Record) for record in records)
 
 
+def test_deeply_nested_answer_is_malformed():
+    """Guards against an answer of a node that ends a command or a screen with a traceback."""
+    nested = b"[" * 5000 + b"]" * 5000
+    for body in (nested, b'[{"odd":' + nested + b"}]"):
+        try:
+            decode(body, tuple[Record, ...])
+        except MessageError:
+            continue
+        raise AssertionError(body[:50])
+
+
+def test_log_line_of_any_shape_is_a_record_or_skipped():
+    """Guards against one odd line that ends the reading of a log."""
+    nested = "[" * 5000 + "]" * 5000
+    stamp = '"timestamp":"2024-01-01T00:00:00"'
+    lines = [nested, f'{{{stamp},"message":{nested}}}', "{" + stamp + "}", "9" * 5000]
+    valid = f'{{{stamp},"message":"started"}}'
+    assert [record.kind for record in read_log_lines([*lines, valid], "a")] == ["started"]
+
+
 load_tests = function_tests(__name__)
