Cap the body limit of a configuration at what links carry

Callers would see: requests that end late or unknown at every caller of a node when one caller sends a body of over 96 MiB to an instance beside another node. The frame is larger than a link carries, so the receiver ends the link, and the submission is sent again over each next link until its deadline.

Cause: links are sized for the largest body that a configuration allows, but nothing bounded that limit.

Change: a higher limit counts as 64 MiB; the rest of the configuration is in force as written. The test failed before for a limit of 1 GiB.

--- a/ibisrack/platform/decoding_test.py
+++ b/ibisrack/platform/decoding_test.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from ibisrack.errors import MessageError, SettingsError
+from ibisrack.links.codec import MAX_FRAME_BYTES
 from ibisrack.platform.durations import parse_duration_s
 from ibisrack.platform.entries import decode_configuration, decode_instance, instance_id
 from ibisrack.platform.settings_file import load_platform_settings
@@ -200,6 +201,16 @@
         decode_configuration(Entry("op/config", with_value(valid, ("resources", *path), 9), 1))
 
 
+def test_bodies_fit_the_messages_between_nodes():
+    """Guards against an allowed body that no link carries, which ends the link of its node."""
+    content = with_value(
+        configuration_entry(12, route_resource()), ("resources", 2, "spec", "max_body_bytes"), 2**30
+    )
+    limits = decode_configuration(Entry("op/config", content, 1)).limits
+    heads_bytes = 1024 * 1024
+    assert limits.max_body_bytes + heads_bytes < MAX_FRAME_BYTES
+
+
 def test_version_has_eight_hexadecimal_digits():
     """Guards against a version that no later one can exceed, or that is no number of the users."""
     valid = configuration_entry(12, route_resource())
--- a/ibisrack/platform/entries.py
+++ b/ibisrack/platform/entries.py
@@ -34,6 +34,7 @@
 # all JSON implementations.
 MAX_JSON_INTEGER = 2**53 - 1
 MAX_COUNT = 2**31 - 1  # Larger limits overflow the 32-bit sizes of HTTP libraries.
+MAX_BODY_BYTES = 64 * 1024 * 1024  # A link carries no larger bodies.
 MAX_ERROR_CHARS = 200  # Error messages quote the entry, which may be large.
 
 _BROADCAST = IPv4Address("255.255.255.255")
@@ -162,7 +163,7 @@
 def _decode_limits(spec: dict[str, Any]) -> Limits:
     return Limits(
         max_header_bytes=_integer(spec["max_header_bytes"], MAX_COUNT),
-        max_body_bytes=_integer(spec["max_body_bytes"], MAX_COUNT),
+        max_body_bytes=min(MAX_BODY_BYTES, _integer(spec["max_body_bytes"], MAX_COUNT)),
         header_timeout_s=parse_duration_s(spec["header_timeout"]),
         idle_timeout_s=parse_duration_s(spec["idle_timeout"]),
     )
