Test odd numbers in the heads of instances' answers

Content-Length, Keep-Alive, Retry-After and Server-Limit of 400 and 5,000 digits, signed, infinite and in digits of another script end as an outcome.

--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -324,6 +324,23 @@
         assert await _notices_of(head) == []
 
 
+async def test_odd_numbers_in_an_answer_end_as_an_outcome():
+    """Guards against a number in a head that ends a request with an internal error."""
+    numbers = ("9" * 400, "9" * 5000, "-1", "+1", "1_0", "٣", "1e309", "nan")
+    for name in ("Content-Length", "Keep-Alive", "Retry-After", "Server-Limit", "Age"):
+        for number in numbers:
+            fields = [f"{name}: timeout={number}" if name == "Keep-Alive" else f"{name}: {number}"]
+            if name != "Content-Length":
+                fields.append("Content-Length: 0")
+            answer = answer_head(REQUEST_ID, *fields)
+            async with _instance(answer, INTERIM, dripping=True) as (_, upstream):
+                result = await _send(upstream)
+            if name == "Content-Length":
+                assert isinstance(result, UnknownOutcomeError), (name, number, result)
+            else:
+                assert isinstance(result, Answer), (name, number, result)
+
+
 async def test_all_slots_together_stay_within_the_machine():
     """Guards against endless bodies that fit one by one but not in all slots at once."""
     async with _instance(CHUNKED, LARGE_CHUNK) as (server, upstream):
