Property tests of odd entries through the follower's path

Generated contents of an instance and of a configuration, valid ones with values that are nested, huge, of wrong types or odd text, go through the path of a peer's delta into directory and configuration. The entries beside the odd one must hold, each listed instance can be chosen, reported and named in a header, and each route can be split and sent.

--- a/ibisrack/sidecar/content_test.py
+++ b/ibisrack/sidecar/content_test.py
@@ -1,12 +1,19 @@
 """Tests of odd entries of the registry: each costs itself alone, whatever it does to a decoder."""
 
 import asyncio
+import json
+from collections.abc import Iterable
 from random import Random
 
 import attrs
+from hypothesis import given
+from hypothesis import strategies as st
 
 from ibisrack.dispatch.choice import InstanceViews, choose_instance
 from ibisrack.instances.directory import InstanceDirectory
+from ibisrack.links.bounds import check_bounds
+from ibisrack.links.codec import encode
+from ibisrack.links.messages import Load, Submit
 from ibisrack.metrics.tally import Tally
 from ibisrack.platform import entries as platform_entries
 from ibisrack.registry.deltas import pack_changes
@@ -14,8 +21,10 @@
 from ibisrack.registry.messages import NO_REVISION, Changes, Entry, Listing, Revision
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder
+from ibisrack.routing.splits import Splitter
 from ibisrack.sidecar.content import RegistryContent
 from ibisrack.testing.functions import function_tests
+from ibisrack.testing.fuzz import fuzz
 from ibisrack.testing.sidecars import (
     STANDARD_ROUTES,
     configuration_entry,
@@ -147,4 +156,88 @@
         assert chosen.instance_id in ("i-1", "i-9")
 
 
+def paths_of(value: object) -> list[tuple[str | int, ...]]:
+    """Returns the paths of all values in a JSON value, its own path first."""
+    items: Iterable[tuple[str | int, object]] = ()
+    if isinstance(value, dict):
+        items = value.items()
+    elif isinstance(value, list):
+        items = enumerate(value)
+    return [(), *((name, *path) for name, item in items for path in paths_of(item))]
+
+
+NESTED_MARK = "@nested@"
+# Values that decoders of numbers, addresses and texts have accepted or failed on.
+KNOWN_ODD = (
+    *(10**400, 2**63, 2**64, -1, 1e308, float("nan"), float("inf"), True, None, NESTED_MARK),
+    *("", "\0", "a" * 300, "10.0.0.1:70000", "10.0.0.1:-1", "\u0663s", "1e309s", "9" * 5000),
+)
+ODD_VALUES = st.sampled_from(KNOWN_ODD) | st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda items: st.lists(items, max_size=3) | st.dictionaries(st.text(max_size=3), items),
+    max_leaves=5,
+)
+
+
+@st.composite
+def odd_contents(draw: st.DrawFn, valid: bytes) -> bytes:
+    """Returns the strategy for contents of an entry: a valid one with odd values in it, or none."""
+    if draw(st.integers(0, 9)) == 0:
+        return draw(st.binary(max_size=40))
+    body = json.loads(valid)
+    for _ in range(draw(st.sampled_from((1, 1, 1, 2)))):
+        path, value = draw(st.sampled_from(paths_of(body)[1:])), draw(ODD_VALUES)
+        parent = body
+        for name in path[:-1]:
+            parent = parent[name]
+        parent[path[-1]] = value
+    depth = draw(st.sampled_from((10, 900, 1000, DEPTH, 100_000)))
+    nested = b"[" * depth + b"]" * depth
+    return json.dumps(body).encode().replace(f'"{NESTED_MARK}"'.encode(), nested)
+
+
+def check_usable(reader: Reader) -> None:
+    """Checks that requests can be sent to each instance that is listed."""
+    content, rng = reader.content, Random(1)
+    for listed in content.directory.all():
+        others = content.directory.of_service(listed.service)
+        assert choose_instance(others, content.views, "a", 0.1, rng, 1.0) is not None
+        load = Load(0, 0, listed.slots, 1.0, True, NO_REVISION, True, True, listed.instance_id)
+        reported = attrs.evolve(load, leaving_start_ms=listed.started_at_ms)
+        check_bounds(reported)
+        encode(reported)
+        f"Expected-Instance: {listed.instance_id}\r\n".encode("ascii")
+
+
+@fuzz(400)
+@given(odd_contents(instance_entry(instance("i-2", host="10.0.0.2"))), st.text(max_size=5))
+def test_any_instance_costs_itself_alone(odd, suffix):
+    """Guards against an entry of an instance that ends the follower, or fails requests."""
+    reader = read_from_peer(beside({f"servers/i-2{suffix}": odd}))
+    assert {"i-1", "i-9"} <= reader.instance_ids
+    assert reader.version == 12
+    check_usable(reader)
+
+
+@fuzz(400)
+@given(odd_contents(CONFIGURATION))
+def test_any_configuration_costs_itself_alone(odd):
+    """Guards against a configuration that ends the follower, or fails requests."""
+    reader = read_from_peer(beside({"op/config": odd}))
+    assert reader.instance_ids == {"i-1", "i-9"}
+    configuration, splitter = reader.content.configurations.current, Splitter()
+    if configuration is None:
+        return
+    assert 0 <= configuration.version < 2**32
+    for route in configuration.routes:
+        assert splitter.next_service(route) in configuration.services
+        times_ms = (round(route.timeout_s * 1000), round(route.target_s * 1000))
+        submit = Submit(
+            *(1, "q", 1, False, "i-1", "desk", route.rank, True, *times_ms, times_ms[1]),
+            *("docs", "GET", "h", "/", (), b""),
+        )
+        check_bounds(submit)
+        encode(submit)
+
+
 load_tests = function_tests(__name__)
