Close the connection of a peer whenever its task ends

Callers would see: requests that wait for a silent link. When the task that serves a connection ended before the link was served, by cancellation while it waited for the Hello or by an exception in building the link or its load report, the connection stayed open and nobody read it. It was closed only when the garbage collector met it, after the end of the event loop in tests, which printed 'RuntimeError: Event loop is closed'.

Change: serve_link closes the connection however it ends. The test failed before with a timeout.

--- a/ibisrack/links/handlers_test.py
+++ b/ibisrack/links/handlers_test.py
@@ -3,7 +3,8 @@
 import asyncio
 import itertools
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from contextlib import asynccontextmanager, suppress
 from random import Random
 
 import attrs
@@ -21,7 +22,7 @@
 from ibisrack.links.bounds import MAX_COUNT
 from ibisrack.links.codec import encode
 from ibisrack.links.frames import read_message
-from ibisrack.links.incoming import IncomingLink
+from ibisrack.links.incoming import IncomingLink, serve_link
 from ibisrack.links.messages import Entries, Hello, KnownLimit, Load, Submit
 from ibisrack.links.outgoing import OutgoingLink
 from ibisrack.links.pending import PendingRequest
@@ -29,7 +30,7 @@
 from ibisrack.registry.messages import Revision
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.messages import check_messages
-from ibisrack.testing.sidecars import instance
+from ibisrack.testing.sidecars import instance, wait_until
 
 CASES = 60  # Of each type of message.
 HELLO = Hello("10.0.0.1", "e", 1000.0)
@@ -123,6 +124,45 @@
     )
 
 
+@asynccontextmanager
+async def listening(create_link: Callable[..., IncomingLink]):
+    """Yields the connection of a peer to a node whose links are created by a function."""
+    tasks: list[asyncio.Task] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        tasks.append(asyncio.current_task())
+        await serve_link(HELLO, create_link, set(), reader, writer)
+
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+        host, port = server.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            yield tasks, reader, writer
+        finally:
+            writer.transport.abort()
+
+
+def fail_to_create(writer: asyncio.StreamWriter, peer: str) -> IncomingLink:
+    raise ArithmeticError("for a test")
+
+
+async def test_connection_ends_with_the_task_that_serves_it():
+    """Guards against a peer that goes on sending on a connection that nobody reads any more."""
+    for cancelled in (True, False):
+        async with listening(fail_to_create) as (tasks, reader, writer):
+            await wait_until(lambda tasks=tasks: bool(tasks))
+            await asyncio.sleep(0)
+            if cancelled:
+                tasks[0].cancel()
+            else:
+                writer.write(encode(HELLO))
+            async with asyncio.timeout(1.0):
+                with suppress(ConnectionError):
+                    assert await reader.read() == b""
+            with suppress(ArithmeticError, asyncio.CancelledError):
+                await tasks[0]
+
+
 async def test_any_message_leaves_an_incoming_link_and_its_node_usable():
     """Guards against a message of one peer that ends the runs or the reports of all others."""
     runner = create_runner()
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -158,14 +158,26 @@
       reader: Reader of the connection.
       writer: Writer of the connection.
     """
+    try:
+        await _serve_opened(own_hello, create_link, open_links, reader, writer)
+    finally:
+        writer.transport.abort()
+
+
+async def _serve_opened(
+    own_hello: Hello,
+    create_link: Callable[[asyncio.StreamWriter, str], IncomingLink],
+    open_links: set[IncomingLink],
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Exchanges Hellos and serves the link; see ``serve_link``."""
     try:
         enable_dead_peer_detection(writer.get_extra_info("socket"))
         hello = await read_message(reader)
     except LINK_ERRORS:
-        writer.transport.abort()
         return
     if not isinstance(hello, Hello):
-        writer.transport.abort()
         return
     link = create_link(writer, hello.host)
     link.min_delay_ms(hello)
