Close the server's side of the connection in the test of frames

The server of the test left its side open, and the garbage collector closed it after the end of the event loop, which can print 'Event loop is closed'. A run with a record of each open connection at its collection showed one; now none.

--- a/ibisrack/links/frames_test.py
+++ b/ibisrack/links/frames_test.py
@@ -13,7 +13,7 @@
 
 async def write_to_closed_connection() -> None:
     """Writes a message after the connection is closed and before its reader has noticed."""
-    server = await asyncio.start_server(lambda reader, writer: None, HOST, 0)
+    server = await asyncio.start_server(lambda reader, writer: writer.close(), HOST, 0)
     async with server:
         port = server.sockets[0].getsockname()[1]
         _, writer = await asyncio.open_connection(HOST, port)
