Refuse a submission that HTTP can't carry as not run

Callers would see: a request that waits until its deadline and ends as unknown. A submission with characters outside Latin-1, such as a service name of the settings file in Caller-Service, raised UnicodeEncodeError in the run's task, whose result is then neither an answer nor a refusal, and the link sends nothing.

Change: the head is encoded before a connection is taken, and a failure ends the submission as not run, which is true. The test failed before with UnicodeEncodeError.

--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -62,6 +62,7 @@
         remaining_ms = int(remaining_s * 1000)
         if remaining_ms <= 0:
             raise NotRunError(Reason.DEADLINE)
+        head = _encode_head(submit, remaining_ms)
         ends_at_s = asyncio.get_running_loop().time() + remaining_s + DEADLINE_GRACE_S
         connection = self.pool.take_idle()
         # Compared with None because a connection without unread answers is falsy.
@@ -76,7 +77,7 @@
                 read_until_eof=True,
                 auto_decompress=False,
             )
-            connection.transport.write(_encode_request(submit, remaining_ms))
+            connection.transport.write(head + submit.body)
             async with asyncio.timeout_at(ends_at_s):
                 answer = await self._read_answer(connection, submit)
         except TimeoutError as error:
@@ -166,7 +167,12 @@
     return limit_per_s if limit_per_s <= MAX_RATE_PER_S else None
 
 
-def _encode_request(submit: Submit, remaining_ms: int) -> bytes:
+def _encode_head(submit: Submit, remaining_ms: int) -> bytes:
+    """Returns the head of a request.
+
+    Raises:
+      NotRunError: A field has characters that HTTP can't carry.
+    """
     lines = [f"{submit.method} {submit.target} HTTP/1.1", f"Host: {submit.host}"]
     lines += [f"{name}: {value}" for name, value in submit.headers]
     lines += [
@@ -178,4 +184,7 @@
     if submit.body or submit.method not in _METHODS_WITHOUT_BODY:
         lines.append(f"Content-Length: {len(submit.body)}")
     head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("latin-1") + submit.body
+    try:
+        return head.encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise NotRunError(Reason.BAD_REQUEST) from error
--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -5,6 +5,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 
+import attrs
+
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError, UnknownOutcomeError
@@ -324,6 +326,24 @@
         assert await _notices_of(head) == []
 
 
+async def test_request_that_can_not_be_encoded_is_not_run():
+    """Guards against a submission that ends without any result, so that its sender waits."""
+    async with _instance(whole_answer(REQUEST_ID), INTERIM, dripping=True) as (server, upstream):
+        for changes in (
+            {"target": "/\u6771"},
+            {"caller_service": "\u6771"},
+            {"headers": (("X", "\u6771"),)},
+        ):
+            try:
+                await upstream.send(attrs.evolve(_submit(), **changes), REMAINING_S)
+            except NotRunError as error:
+                assert error.reason == Reason.BAD_REQUEST
+            else:
+                raise AssertionError(changes)
+        assert server.scripted.request_heads == []
+        assert upstream.pool.sizing.busy == 0
+
+
 async def test_odd_numbers_in_an_answer_end_as_an_outcome():
     """Guards against a number in a head that ends a request with an internal error."""
     numbers = ("9" * 400, "9" * 5000, "-1", "+1", "1_0", "٣", "1e309", "nan")
