Let each builder of an entry decode it itself

Instances and configurations may be decoded in different ways; the place that turns any exception into MessageError surrounds both. No change of behaviour.

--- a/ibisrack/platform/entries.py
+++ b/ibisrack/platform/entries.py
@@ -72,27 +72,28 @@
     return _decode(entry, _build_configuration)
 
 
-def _decode(entry: Entry, build: Callable[[str, dict[str, Any]], _Decoded]) -> _Decoded:
-    """Decodes the JSON object of an entry and builds what it describes.
+def _decode(entry: Entry, build: Callable[[Entry], _Decoded]) -> _Decoded:
+    """Builds what an entry describes.
 
     Raises:
       MessageError: Decoding or building failed, with whatever exception.
     """
     try:
-        return build(entry.key, _json_object(msgspec.json.decode(entry.content)))
+        return build(entry)
     except Exception as error:  # No list of exceptions covers what any program may write.
         reason = f"{type(error).__name__} {error}"[:MAX_ERROR_CHARS]
         raise MessageError(reason) from error
 
 
-def _build_instance(key: str, body: dict[str, Any]) -> Instance:
+def _build_instance(entry: Entry) -> Instance:
+    body = _json_object(msgspec.json.decode(entry.content))
     info, status = _json_object(body["info"]), _json_object(body["status"])
     host, port = _address(body["address"])
     # The id is sent to the instance in a header of each request.
-    if not _INSTANCE_ID.fullmatch(instance_id(key)):
+    if not _INSTANCE_ID.fullmatch(instance_id(entry.key)):
         raise ValueError("the instance id is not one word of ASCII characters")
     return Instance(
-        instance_id=instance_id(key),
+        instance_id=instance_id(entry.key),
         service=_non_empty_string(info["service"]),
         host=host,
         port=port,
@@ -106,7 +107,8 @@
     )
 
 
-def _build_configuration(_: str, body: dict[str, Any]) -> Configuration:
+def _build_configuration(entry: Entry) -> Configuration:
+    body = _json_object(msgspec.json.decode(entry.content))
     routes: list[Route] = []
     services: dict[str, ServiceOptions] = {}
     limits = Limits()
