Log and count what a late answer of a sidecar is due to

The lines of a request tell when each attempt began and which ranks held the slots that it met; a line and two metrics tell when the event loop is late and how much processor time the process used.

--- a/ibisrack/calls/admission.py
+++ b/ibisrack/calls/admission.py
@@ -163,6 +163,10 @@
         """Number of waiting calls."""
         return sum(len(queue.waiting) for queue in self._queues.values())
 
+    def running_by_rank(self) -> dict[str, int]:
+        """Returns the number of running calls of each rank that has any."""
+        return {name: queue.running for name, queue in self._queues.items() if queue.running}
+
     def submit(self, ticket: Ticket, now_s: float) -> Decision:
         """Admits, queues or refuses a call."""
         queue = self._queues.get(ticket.rank)
--- a/ibisrack/dispatch/attempts.py
+++ b/ibisrack/dispatch/attempts.py
@@ -44,6 +44,7 @@
       lost_attempts: Attempts whose peers can't be reached.
       sent: The attempts, as the dispatcher keeps them for a planned stop.
       attempt_log: Instance and result of each attempt, for the log.
+      attempted_ms: Milliseconds from the arrival of the request to each attempt, for the log.
     """
 
     route: Route
@@ -57,6 +58,7 @@
     lost_attempts: list[PeerLostError] = attrs.field(factory=list)
     sent: list[OpenAttempt] = attrs.field(factory=list)
     attempt_log: list[str] = attrs.field(factory=list)
+    attempted_ms: list[int] = attrs.field(factory=list)
 
     def should_retry(self, result: Result, now_s: float) -> bool:
         """Records the result of an attempt and returns whether to make another one."""
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -165,6 +165,8 @@
                 break
             tried.add(instance.instance_id)
             attempts.attempt_log.append(f"{instance.instance_id} no-answer")
+            waited_s = read_clocks().monotonic_s - request.received_at_s
+            attempts.attempted_ms.append(round(waited_s * 1000))
             may_leave = partial(self._may_leave, attempts, tried)
             result = await self._attempt(request, attempts, instance, len(tried), may_leave)
             attempts.attempt_log[-1] = f"{instance.instance_id} {outcome_and_reason(result)[1]}"
--- a/ibisrack/dispatch/recorder.py
+++ b/ibisrack/dispatch/recorder.py
@@ -51,6 +51,7 @@
             "held_ms": round(total_s * 1000),
             "arrivals": attempts.arrivals,
             "tried": attempts.attempt_log,
+            "tried_ms": attempts.attempted_ms,
             "outcome": str(outcome),
             **_details(reply),
         }
--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -23,12 +23,14 @@
     Attributes:
       run: Run of the submission.
       load: Load of the instance when the submission arrived.
+      running: Number of running submissions of each rank then.
       limit_per_s: Requests a second that the instance then took, None for no limit.
       arrived_at_s: Monotonic time of arrival.
     """
 
     run: Run
     load: LoadReport
+    running: dict[str, int]
     limit_per_s: float | None
     arrived_at_s: float
 
@@ -72,6 +74,7 @@
             "busy": trace.load.busy,
             "queued": trace.load.queued,
             "slots": trace.load.slots,
+            "running": trace.running,
             "limit_per_s": trace.limit_per_s,
             "service_ms": round(service_s * 1000),
             "waited_ms": round((started_at_s - trace.arrived_at_s) * 1000),
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -153,7 +153,11 @@
 
     async def _run_recorded(self, run: Run) -> Answer:
         trace = SubmissionTrace(
-            run, self.gate.load(), self.notices.limit_per_s, read_clocks().monotonic_s
+            run,
+            self.gate.load(),
+            self.gate.scheduler.running_by_rank(),
+            self.notices.limit_per_s,
+            read_clocks().monotonic_s,
         )
         try:
             answer = await self._run(run, trace.arrived_at_s)
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of a sidecar; docs/metrics.md lists all of them."""
 
+import time
 from collections.abc import Iterator
 
 from aiohttp import web
@@ -28,6 +29,7 @@
     yield from _registry_metrics(node)
     yield from _link_metrics(node)
     yield from platform_read_metrics(node.tally)
+    yield from _processor_metrics(node)
 
 
 def _limit_metrics(node: SidecarNode) -> Iterator[Metric]:
@@ -68,6 +70,16 @@
     yield Metric("ibis_links_lost_total", "Links that broke.", True, unlabelled(losses))
 
 
+def _processor_metrics(node: SidecarNode) -> Iterator[Metric]:
+    delay_s, processor_s = node.loop_delay.longest_s, time.process_time()
+    yield Metric(
+        "ibis_event_loop_delay_seconds", "Longest in a second.", False, unlabelled(delay_s)
+    )
+    yield Metric(
+        "ibis_processor_seconds_total", "Used by this process.", True, unlabelled(processor_s)
+    )
+
+
 def collect(node: SidecarNode) -> Registry:
     """Returns a registry of the metrics library with the current values."""
     return to_registry(all_metrics(node), node.tally.durations)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 import uuid
 from collections.abc import Callable, Coroutine
 from random import Random
@@ -29,6 +30,7 @@
 from ibisrack.settings.sidecar import SidecarSettings
 from ibisrack.sidecar.content import RegistryContent
 from ibisrack.sidecar.local_destination import LocalDestination
+from ibisrack.sidecar.loop_delay import LoopDelayMeter
 
 TICK_INTERVAL_S = 0.1
 LOAD_REPORT_INTERVAL_S = 1.0  # A changed load is sent to peers after at most this time.
@@ -64,6 +66,7 @@
       resize_pool: Adapts the connection pool to the number of slots of the instance.
       follower: Reads the registry; set once, after the other parts.
       sources: Where this node gets the registry's changes from.
+      loop_delay: How late the event loop runs the periodic work.
     """
 
     settings: SidecarSettings
@@ -82,6 +85,7 @@
     resize_pool: Callable[[int], None] = attrs.field(default=lambda slots: None)
     follower: RegistryFollower | None = None
     sources: Sources = Sources(reads=True)
+    loop_delay: LoopDelayMeter = attrs.field(factory=LoopDelayMeter)
     _behind_since_s: float | None = None
     _entries_requested_at_s: float = 0.0
     _load_reported_at_s: float = 0.0
@@ -238,8 +242,10 @@
 
     async def tick(self) -> None:
         """Runs the periodic work: clean-up, silence checks, expiry, load reports and catch-up."""
+        due_at_s = read_clocks().monotonic_s
         while True:
             now_s = read_clocks().monotonic_s
+            self.loop_delay.record(now_s - due_at_s, now_s, time.process_time())
             self.instance_runner.clean_up(now_s)
             for link in tuple(self.outgoing_links.values()):
                 link.check_silence(now_s)
@@ -252,6 +258,7 @@
             self._request_missing_entries(now_s)
             for link in self.incoming_links:
                 link.send_followed_entries()
+            due_at_s = read_clocks().monotonic_s + TICK_INTERVAL_S
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def _update_own_instance(self) -> None:
--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -63,6 +63,22 @@
     assert (ran.instance, ran.attempt, ran.detail) == ("i-1", 1, "200")
 
 
+async def test_log_shows_when_attempts_began_and_what_held_the_slots():
+    """Guards against a late answer of which the log can't tell where its time was spent."""
+    with capture_log() as log:
+        async with run_sidecars(1) as fleet_:
+            fleet_.instances[0].work_s = 0.3
+            running = asyncio.create_task(fleet_.send_request(0, request_id="q-1"))
+            await wait_until(lambda: fleet_.nodes[0].instance_runner.gate.scheduler.busy == 1)
+            await fleet_.send_request(0, request_id="q-2")
+            await running
+    (served,) = matching_records(log, "request served", request_id="q-2")
+    (started_ms,) = served.tried_ms
+    assert 0 <= started_ms <= served.held_ms
+    (ran,) = matching_records(log, "submission ran", request_id="q-2")
+    assert ran.running == {"priority-0": 1}
+
+
 async def test_refused_request_is_logged_with_instance_and_reason():
     """Guards against a 503 whose cause the log doesn't show."""
 
