Index the priorities of routes by service

What callers saw: suspected only, requests that wait for the node's thread while instances of a large fleet report. Cause: each changed entry of the registry visited all routes of the configuration to find the priorities of the own instance's service, although only a new configuration changes them. Change: the holder keeps them by service, beside the route table. The test visited the routes before.

--- a/ibisrack/routing/holder.py
+++ b/ibisrack/routing/holder.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ibisrack.routing.model import Configuration
-from ibisrack.routing.table import RouteTable, build_table
+from ibisrack.routing.table import RouteTable, build_table, priorities_by_service
 
 
 class OfferResult(Enum):
@@ -23,10 +23,12 @@
     Attributes:
       current: Configuration in force, None before the first one.
       table: Routes of the configuration.
+      priorities: Priorities of the routes that use each service, by its name.
     """
 
     current: Configuration | None = None
     table: RouteTable = RouteTable({})
+    priorities: dict[str, frozenset[int]] = attrs.field(factory=dict)
 
     @property
     def version(self) -> int:
@@ -39,6 +41,6 @@
             return OfferResult.ALREADY_IN_FORCE
         if configuration.version < self.version:
             return OfferResult.OLDER
-        table = build_table(configuration)
-        self.current, self.table = configuration, table
+        table, priorities = build_table(configuration), priorities_by_service(configuration)
+        self.current, self.table, self.priorities = configuration, table, priorities
         return OfferResult.IN_FORCE
--- a/ibisrack/routing/table.py
+++ b/ibisrack/routing/table.py
@@ -44,3 +44,12 @@
     for route in configuration.routes:
         by_host.setdefault(route.host, {})[route.prefix] = route
     return RouteTable(by_host)
+
+
+def priorities_by_service(configuration: Configuration) -> dict[str, frozenset[int]]:
+    """Returns the priorities of the routes that use each service, by its name."""
+    priorities: dict[str, set[int]] = {}
+    for route in configuration.routes:
+        for part in route.parts:
+            priorities.setdefault(part.service, set()).add(route.priority)
+    return {service: frozenset(values) for service, values in priorities.items()}
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -263,15 +263,10 @@
 
     def _update_own_instance(self) -> None:
         """Applies the listed state of the instance beside this node and the routes that use it."""
-        configuration = self.configurations.current
         instance = self.instance_runner.instance
-        if configuration is not None:
+        if self.configurations.current is not None:
             service = instance.service if instance else self.settings.service
-            priorities = frozenset(
-                route.priority
-                for route in configuration.routes
-                if any(part.service == service for part in route.parts)
-            )
+            priorities = self.configurations.priorities.get(service, frozenset())
             self.instance_runner.configure(service, priorities)
         if instance is not None:
             self.resize_pool(instance.slots)
--- /dev/null
+++ b/ibisrack/sidecar/registry_changes_test.py
@@ -0,0 +1,69 @@
+"""Tests of the work that a change of the registry causes at a node."""
+
+from collections.abc import Iterator
+
+from ibisrack.registry.messages import Entry, Revision
+from ibisrack.routing.model import Configuration, Route, RoutePart
+from ibisrack.settings.sidecar import Address, SidecarSettings
+from ibisrack.sidecar.node import SidecarNode
+from ibisrack.sidecar.run import assemble
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.sidecars import instance, instance_entry, route
+
+SETTINGS = SidecarSettings(
+    node_id="node-1",
+    service="desk",
+    zone="a",
+    instance=Address("10.0.0.1", 80),
+    calls=Address("10.0.0.1", 81),
+    links=Address("10.0.0.1", 82),
+    ready=Address("10.0.0.1", 83),
+    registry=Address("10.0.9.9", 84),
+)
+
+
+class CountingRoutes(tuple):
+    """Routes that count how often they are visited one after the other."""
+
+    visits = 0
+
+    def __iter__(self) -> Iterator[Route]:
+        CountingRoutes.visits += 1
+        return super().__iter__()
+
+
+def node_with_routes(*routes: Route) -> SidecarNode:
+    node = assemble(SETTINGS)
+    node.configurations.offer(Configuration(1, CountingRoutes(routes), {}))
+    return node
+
+
+def apply_instance(node: SidecarNode, number: int, **fields) -> None:
+    listed = instance(f"i-{number}", **fields)
+    entry = Entry(f"servers/i-{number}", instance_entry(listed), Revision(0, number))
+    node.apply_entries((entry,))
+
+
+def test_change_of_an_instance_does_not_visit_the_routes():
+    """Guards against work for each report of an instance that grows with the configuration."""
+    node = node_with_routes(*(route(f"r-{n}", prefix=f"/{n}/") for n in range(9)))
+    CountingRoutes.visits = 0
+    for number in range(1, 5):
+        apply_instance(node, number, host=f"10.0.0.{number}")
+    assert CountingRoutes.visits == 0
+
+
+def test_ranks_of_the_own_instance_follow_its_service():
+    """Guards against requests refused as without a route after the address changed its service."""
+    other = (RoutePart("docs", 1), RoutePart("desk", 0))
+    node = node_with_routes(
+        route("r-1", priority=2), route("r-2", prefix="/d/", priority=5, parts=other)
+    )
+    apply_instance(node, 1)
+    scheduler = node.instance_runner.gate.scheduler
+    assert [rule.rank for rule in scheduler._ranks] == ["priority-2", "priority-5"]
+    apply_instance(node, 2, service="docs", started_at_ms=7)
+    assert [rule.rank for rule in scheduler._ranks] == ["priority-5"]
+
+
+load_tests = function_tests(__name__)
