Decode only the changed resources of a configuration

Cause: each version was decoded as a whole, although it differs from the last one in a few routes. Change: decoded resources are remembered by their encoding, at most 4,096 of them. The test found all routes of the second version decoded anew before.

--- a/ibisrack/platform/decoding_test.py
+++ b/ibisrack/platform/decoding_test.py
@@ -41,6 +41,19 @@
         return load_platform_settings(str(path))
 
 
+def test_only_changed_resources_of_a_configuration_are_decoded():
+    """Guards against versions in quick succession that keep a node from serving requests."""
+    unchanged = [route_resource(prefix=f"/unchanged-{n}/") for n in range(100)]
+    contents = (
+        configuration_entry(version, *unchanged, route_resource(prefix=f"/{version}/"))
+        for version in (1, 2)
+    )
+    first, second = (decode_configuration(Entry("op/config", c, 4)) for c in contents)
+    assert [route.prefix for route in second.routes[-2:]] == ["/unchanged-99/", "/2/"]
+    known = {id(route) for route in first.routes}
+    assert [route.prefix for route in second.routes if id(route) not in known] == ["/2/"]
+
+
 def test_durations_are_converted_by_unit():
     """Guards against durations read in the wrong unit or without one."""
     assert parse_duration_s("1500ms") == 1.5
--- a/ibisrack/platform/entries.py
+++ b/ibisrack/platform/entries.py
@@ -4,8 +4,10 @@
 entry lists no instance; a malformed configuration is rejected as a whole.
 """
 
+from functools import lru_cache, singledispatch
 from typing import Any
 
+import attrs
 import msgspec
 
 from ibisrack.errors import MessageError
@@ -23,6 +25,9 @@
 
 CONFIGURATION_KEY = "op/config"
 INSTANCE_PREFIX = "servers/"
+# Successive versions of a configuration differ in a few resources; only these are decoded again.
+# The largest value of the store has about 4,000 resources.
+MAX_REMEMBERED_RESOURCES = 4096
 
 _STATES_BY_NAME = {"ready": InstanceState.READY, "draining": InstanceState.DRAINING}
 _REPEATS_BY_KIND = {
@@ -71,26 +76,66 @@
       MessageError: The configuration is malformed.
     """
     try:
-        body = _json_object(msgspec.json.decode(entry.content))
-        routes: list[Route] = []
-        services: dict[str, ServiceOptions] = {}
-        limits = Limits()
-        for resource in body["resources"]:
-            kind, spec = resource["resource_type"], _json_object(resource["spec"])
-            name = _json_object(resource["metadata"]).get("name", "")
-            if kind == "routes":
-                routes.append(_decode_route(_non_empty_string(name), spec))
-            elif kind == "services":
-                services[_non_empty_string(name)] = _decode_service(_non_empty_string(name), spec)
-            elif kind == "limits":
-                limits = _decode_limits(spec)
-        version = int(_non_empty_string(body["version"]), 16)
-        _check_references(routes, services)
-        return Configuration(version, tuple(routes), services, limits)
+        document = msgspec.json.decode(entry.content, type=_ConfigurationDocument)
+        resources = _Resources()
+        for encoded in document.resources:
+            _add_resource(_decode_resource(bytes(encoded)), resources)
+        version = int(_non_empty_string(document.version), 16)
+        _check_references(resources.routes, resources.services)
+        return Configuration(version, tuple(resources.routes), resources.services, resources.limits)
     except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
         raise MessageError(f"{entry.key}: {type(error).__name__} {error}") from error
 
 
+class _ConfigurationDocument(msgspec.Struct):
+    """A configuration whose resources are not decoded yet."""
+
+    version: str
+    resources: list[msgspec.Raw]
+
+
+@attrs.define
+class _Resources:
+    """Decoded resources of a configuration."""
+
+    routes: list[Route] = attrs.field(factory=list)
+    services: dict[str, ServiceOptions] = attrs.field(factory=dict)
+    limits: Limits = Limits()
+
+
+@singledispatch
+def _add_resource(resource: object, resources: _Resources) -> None:
+    """Adds a decoded resource; one of an unknown type is skipped."""
+
+
+@_add_resource.register
+def _(resource: Route, resources: _Resources) -> None:
+    resources.routes.append(resource)
+
+
+@_add_resource.register
+def _(resource: ServiceOptions, resources: _Resources) -> None:
+    resources.services[resource.name] = resource
+
+
+@_add_resource.register
+def _(resource: Limits, resources: _Resources) -> None:
+    resources.limits = resource
+
+
+@lru_cache(MAX_REMEMBERED_RESOURCES)
+def _decode_resource(encoded: bytes) -> Route | ServiceOptions | Limits | None:
+    """Decodes a resource; returns None for one of an unknown type."""
+    resource = _json_object(msgspec.json.decode(encoded))
+    kind, spec = resource["resource_type"], _json_object(resource["spec"])
+    name = _json_object(resource["metadata"]).get("name", "")
+    if kind == "routes":
+        return _decode_route(_non_empty_string(name), spec)
+    if kind == "services":
+        return _decode_service(_non_empty_string(name), spec)
+    return _decode_limits(spec) if kind == "limits" else None
+
+
 def _decode_route(name: str, spec: dict[str, Any]) -> Route:
     if "traffic_split" in spec:
         parts = tuple(
