Choose among a few random instances

Cause: each node sent to the best of all instances by their reports. With 72 nodes a link carries a request every few seconds, so reports are up to a second old and the same at all nodes; all send to the instance that was idle then and fill its queue. Change: a node compares two random instances of its zone and two of the others.

The new test failed before: all 60 nodes chose the one idle instance.

--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -2,9 +2,14 @@
 
 The node beside each instance reports its load with every answer.  Requests that this node has sent
 since the last report are added, so that it does not send a burst to the same instance.
+
+A node hears only once in a second of an instance that it rarely uses, and all nodes of a large
+fleet hear the same.  If each chose the best of all instances, all would send to the same one until
+its next report.  A node therefore chooses among a few random instances.  Source: Mitzenmacher,
+"How Useful Is Old Information?", 2000.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from random import Random
 
 import attrs
@@ -19,6 +24,9 @@
 # Part of a service time added for an instance whose slots are all busy, before requests queue.
 OCCUPANCY_WEIGHT = 0.3
 COST_JITTER = 0.05  # Random part of a cost, so that nodes with the same view choose differently.
+# Instances compared in the own zone, and in the other zones together.  With two, no instance gets
+# more than about twice its share, however old the reports are; with one, the load does not matter.
+COMPARED_INSTANCES = 2
 # Weight of the newest answer in the moving average of a route's answer sizes.
 ANSWER_SIZE_WEIGHT = 0.1
 
@@ -147,7 +155,7 @@
     rng: Random,
     now_s: float,
 ) -> Instance | None:
-    """Returns the instance with the lowest expected cost.
+    """Returns the instance with the lowest expected cost among a few random ones.
 
     Args:
       candidates: Instances that may take the request.
@@ -161,20 +169,35 @@
       The selected instance, or None without candidates.  An instance that is to be avoided is
       selected only if all others are to be avoided too.
     """
-    candidates = list(candidates)
-    reported_ms = [v.load.service_ms for c in candidates if (v := views.of(c.instance_id)).load]
+    preferred, avoided = [], []
+    for candidate in candidates:
+        is_avoided = now_s < views.of(candidate.instance_id).avoid_until_s
+        (avoided if is_avoided else preferred).append(candidate)
+    compared = _draw_instances(preferred or avoided, zone, rng)
+    reported_ms = [v.load.service_ms for c in compared if (v := views.of(c.instance_id)).load]
     mean_service_s = (
         sum(reported_ms) / len(reported_ms) / 1000 if reported_ms else DEFAULT_SERVICE_TIME_S
     )
-    best, best_cost = None, (True, 0.0)
-    for instance in candidates:
+    best, best_cost = None, 0.0
+    for instance in compared:
         view = views.of(instance.instance_id)
         cost_s = view.expected_response_s(
             instance.slots, mean_service_s or DEFAULT_SERVICE_TIME_S, now_s
         )
         if instance.zone != zone:
             cost_s += cross_zone_cost_s
-        cost = (now_s < view.avoid_until_s, cost_s * (1 + COST_JITTER * rng.random()))
-        if best is None or cost < best_cost:
-            best, best_cost = instance, cost
+        cost_s *= 1 + COST_JITTER * rng.random()
+        if best is None or cost_s < best_cost:
+            best, best_cost = instance, cost_s
     return best
+
+
+def _draw_instances(candidates: Sequence[Instance], zone: str, rng: Random) -> list[Instance]:
+    """Returns random instances of the own zone and of the others, as many of each."""
+    own = [c for c in candidates if c.zone == zone]
+    other = [c for c in candidates if c.zone != zone]
+    return [
+        drawn
+        for group in (own, other)
+        for drawn in rng.sample(group, min(COMPARED_INSTANCES, len(group)))
+    ]
--- a/ibisrack/dispatch/decisions_test.py
+++ b/ibisrack/dispatch/decisions_test.py
@@ -1,5 +1,6 @@
 """Tests of instance selection, retries and the retry budget."""
 
+from collections import Counter
 from random import Random
 
 import attrs
@@ -152,6 +153,36 @@
     assert selected(views(x=(0, 0, 100.0), y=(0, 0, 300.0)), x="a", y="a") == "x"
 
 
+def test_senders_with_the_same_reports_spread_their_requests():
+    """Guards against a fleet that fills the queues of the instance that last reported to be idle.
+
+    Nodes hear of an instance that they rarely use once in a second, and all of them at once.
+    """
+    names, senders = [f"i-{number}" for number in range(24)], 60
+    busy = {name: (1, 0, 100.0) for name in names} | {"i-7": (0, 0, 100.0)}
+    candidates = [instance(name, zone="ab"[index % 2]) for index, name in enumerate(names)]
+    chosen = Counter(
+        choose_instance(candidates, views(**busy), "a", 0.0, Random(seed), 5.0).instance_id
+        for seed in range(senders)
+    )
+    assert max(chosen.values()) <= senders / 4, chosen
+
+
+def test_instances_to_be_avoided_are_chosen_only_if_there_is_no_other():
+    """Guards against a choice among few instances of which none can serve the request."""
+    names = [f"i-{number}" for number in range(24)]
+    instance_views = views(**{name: (0, 0, 100.0) for name in names})
+    for name in names[1:]:
+        instance_views.record_failure(name, 4.9)
+    zones = {name: "a" for name in names}
+    for seed in range(60):
+        candidates = [instance(name, zone=zones[name]) for name in names]
+        chosen = choose_instance(candidates, instance_views, "a", 0.0, Random(seed), 5.0)
+        assert chosen.instance_id == "i-0"
+    del zones["i-0"]
+    assert selected(instance_views, **zones) in zones
+
+
 def test_the_local_zone_is_preferred_until_it_is_overloaded():
     """Guards against needless paid traffic between zones, and against ignoring an idle zone."""
     assert selected(views(x=(1, 0, 100.0), y=(0, 0, 100.0)), 0.05, x="a", y="b") == "x"
