Always compare the instance on the own host

What callers saw: waits at other hosts, and links filled by answers, while the instance beside the node that took the request was idle. Cause: of its own instance a node knows the exact load, but it was one of many random ones. Change: it is compared besides the random ones. The new test failed before.

--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -6,7 +6,8 @@
 A node hears only once in a second of an instance that it rarely uses, and all nodes of a large
 fleet hear the same.  If each chose the best of all instances, all would send to the same one until
 its next report.  A node therefore chooses among a few random instances.  Source: Mitzenmacher,
-"How Useful Is Old Information?", 2000.
+"How Useful Is Old Information?", 2000.  Only of the instance on its own host does it always know
+the load, so that one is compared too.
 """
 
 from collections.abc import Iterable, Sequence
@@ -108,10 +109,12 @@
     Attributes:
       instances: View of each instance by its id.
       answer_bytes: Moving average of the size of answers by route name.
+      own_host: IP number of this host.
     """
 
     instances: dict[str, InstanceView] = attrs.field(factory=dict)
     answer_bytes: dict[str, float] = attrs.field(factory=dict)
+    own_host: str = ""
 
     def of(self, instance_id: str) -> InstanceView:
         """Returns the view of an instance, which is created if it does not exist."""
@@ -173,7 +176,9 @@
     for candidate in candidates:
         is_avoided = now_s < views.of(candidate.instance_id).avoid_until_s
         (avoided if is_avoided else preferred).append(candidate)
-    compared = _draw_instances(preferred or avoided, zone, rng)
+    available = preferred or avoided
+    compared = _draw_instances([c for c in available if c.host != views.own_host], zone, rng)
+    compared += [c for c in available if c.host == views.own_host]
     reported_ms = [v.load.service_ms for c in compared if (v := views.of(c.instance_id)).load]
     mean_service_s = (
         sum(reported_ms) / len(reported_ms) / 1000 if reported_ms else DEFAULT_SERVICE_TIME_S
--- a/ibisrack/dispatch/decisions_test.py
+++ b/ibisrack/dispatch/decisions_test.py
@@ -168,6 +168,18 @@
     assert max(chosen.values()) <= senders / 4, chosen
 
 
+def test_the_own_instance_is_always_compared():
+    """Guards against a queue at another host while the instance on this one is idle."""
+    names = [f"i-{number}" for number in range(24)]
+    busy = {name: (2, 0, 100.0) for name in names}
+    instance_views = views(**(busy | {"i-7": (0, 0, 100.0)}))
+    instance_views.own_host = "10.0.0.7"
+    candidates = [instance(name, host=f"10.0.0.{n}", zone="b") for n, name in enumerate(names)]
+    for seed in range(60):
+        chosen = choose_instance(candidates, instance_views, "a", 0.0, Random(seed), 5.0)
+        assert chosen.instance_id == "i-7"
+
+
 def test_instances_to_be_avoided_are_chosen_only_if_there_is_no_other():
     """Guards against a choice among few instances of which none can serve the request."""
     names = [f"i-{number}" for number in range(24)]
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -62,7 +62,8 @@
 def assemble(settings: SidecarSettings) -> SidecarNode:
     """Creates the state of a sidecar that has just started."""
     rng = Random(f"{settings.node_id} {read_clocks().wall_ms}")
-    directory, configurations, views = InstanceDirectory(), ConfigurationHolder(), InstanceViews()
+    directory, configurations = InstanceDirectory(), ConfigurationHolder()
+    views = InstanceViews(own_host=settings.instance.host)
     pool = ConnectionPool(
         settings.instance.host, settings.instance.port, PoolSizing(INITIAL_MAX_CONNECTIONS)
     )
