Determine the load once for a report to all peers

Cause, a part of it: each second a node determined its load anew for each peer. Change: once for all. The new test failed before.

--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -109,9 +109,8 @@
             return
         await _send_result(result, self, number)
 
-    def send_load_if_changed(self) -> None:
-        """Sends the load if it differs from the last one sent."""
-        load = self.current_load()
+    def send_load_if_changed(self, load: Load) -> None:
+        """Sends the current load if it differs from the last one sent."""
         if load != self._last_sent_load and not self.writer.is_closing():
             self._last_sent_load = load
             write_message(self.writer, load)
--- a/ibisrack/sidecar/registry_changes_test.py
+++ b/ibisrack/sidecar/many_peers_test.py
@@ -1,10 +1,11 @@
-"""Tests of the work that a change of the registry causes at a node."""
+"""Tests of the work that instances, peers and changes of the registry cause at a node."""
 
 from collections.abc import Iterator
 
 import attrs
 
 from ibisrack.links.messages import Load
+from ibisrack.registry.follower import RegistryFollower
 from ibisrack.registry.messages import NO_REVISION, Entry, Revision
 from ibisrack.routing.model import Configuration, Route, RoutePart
 from ibisrack.settings.sidecar import Address, SidecarSettings
@@ -97,4 +98,27 @@
     node.close()
 
 
+@attrs.define(eq=False)
+class RecordingLink:
+    """A peer's link that keeps the load that it is to send."""
+
+    load: Load | None = None
+
+    def send_load_if_changed(self, load: Load) -> None:
+        self.load = load
+
+
+async def test_load_is_determined_once_for_all_peers():
+    """Guards against work each second that is slow for each of many peers."""
+    node = node_with_routes()
+    node.follower = RegistryFollower(
+        None, node.view, node.rng, node.tally, node.apply_entries, node.apply_entries, bool
+    )
+    links = [RecordingLink() for _ in range(9)]
+    node.incoming_links.update(links)
+    node.report_load()
+    assert links[0].load == node.load()
+    assert len({id(link.load) for link in links}) == 1
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -134,8 +134,9 @@
 
     def report_load(self) -> None:
         """Sends the load, if it has changed, to all peers that send requests to this node."""
+        load = self.load()
         for link in self.incoming_links:
-            link.send_load_if_changed()
+            link.send_load_if_changed(load)
 
     def leave_own_instance(self) -> None:
         """Stops using the own instance, which is about to end, and tells the peers."""
