Log and count crashes of the instance, with the runs that were open on it

The logs said of each run that its connection was lost, and nothing of the instance. The node beside it now checks after a lost connection whether a listed instance refuses a new one, and logs one line with the requests that ran there. These runs end with the reason instance-crashed. No decision depends on it yet.

--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -27,6 +27,7 @@
     SHED = "shed-by-upstream"
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
     CONNECTION_LOST = "connection-lost"
+    INSTANCE_CRASHED = "instance-crashed"
     PEER_RESTARTED = "peer-restarted"
     LINK_LOST = "link-lost"
     PEER_STOPPED = "peer-stopped"
--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -7,6 +7,7 @@
 from ibisrack.calls.messages import LoadReport
 from ibisrack.calls.outcomes import Outcome
 from ibisrack.calls.retry import Result, outcome_and_reason
+from ibisrack.hosting.crashes import Crash
 from ibisrack.hosting.runs import Run
 from ibisrack.metrics.tally import OWNER, Tally
 
@@ -124,3 +125,19 @@
             "orphaned_ms": round(run.orphaned_s(now_s) * 1000),
         }
         _LOGGER.info("orphaned run cancelled", extra=extra)
+
+    def record_crash(self, crash: Crash, now_s: float) -> None:
+        """Logs that the instance crashed, and the runs that were open on it."""
+        extra = {
+            "instance": crash.instance.instance_id,
+            "service": crash.instance.service,
+            "runs": [
+                {
+                    "request_id": run.submit.request_id,
+                    "attempt": run.submit.attempt,
+                    "ran_ms": round((now_s - run.started_at_s) * 1000),
+                }
+                for run in crash.runs
+            ],
+        }
+        _LOGGER.warning("instance crashed", extra=extra)
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -18,6 +18,7 @@
 from ibisrack.calls.retry import Result
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.hosting.crashes import Crash, CrashDetector
 from ibisrack.hosting.notices import InstanceNotices, Notice
 from ibisrack.hosting.recorder import SubmissionRecorder, SubmissionTrace
 from ibisrack.hosting.runs import Run, RunTable, SubmissionKey
@@ -70,6 +71,7 @@
       running_retries: Number of running requests that had reached an instance before.
       notices: What the instance says of itself in its answers.
       on_leaving: Called when the instance has said that it is about to end.
+      crash_detector: Tells crashes of the instance from connections that it dropped.
     """
 
     address: tuple[str, int]
@@ -83,6 +85,11 @@
     running_retries: int = 0
     notices: InstanceNotices = attrs.field(factory=InstanceNotices)
     on_leaving: Callable[[], None] = attrs.field(default=lambda: None)
+    crash_detector: CrashDetector = attrs.field(
+        default=attrs.Factory(
+            lambda self: CrashDetector(self.address, self._handle_crash), takes_self=True
+        )
+    )
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
@@ -187,7 +194,7 @@
             run.mark_started(now_s)
             self.running_retries += submit.is_retry
             try:
-                answer = await self.upstream.send(submit, run.deadline_at_s - now_s)
+                answer = await self._send(run, run.deadline_at_s - now_s)
             finally:
                 self.running_retries -= submit.is_retry
             ran_s = read_clocks().monotonic_s - now_s
@@ -195,6 +202,25 @@
             run.answer_bytes = len(answer.body)
             return attrs.evolve(answer, ran_s=ran_s)
 
+    async def _send(self, run: Run, remaining_s: float) -> Answer:
+        """Sends a request to the instance and returns its answer.
+
+        Raises:
+          NotRunError: The instance did not run the request.
+          UnknownOutcomeError: The request may have run.
+        """
+        with self.crash_detector.track(run):
+            try:
+                return await self.upstream.send(run.submit, remaining_s)
+            except UnknownOutcomeError as error:
+                is_lost = error.reason == Reason.CONNECTION_LOST
+                if not is_lost or not await self.crash_detector.has_crashed(self.instance):
+                    raise
+                raise UnknownOutcomeError(Reason.INSTANCE_CRASHED) from error
+
+    def _handle_crash(self, crash: Crash) -> None:
+        self.recorder.record_crash(crash, read_clocks().monotonic_s)
+
     def start(self, submit: Submit) -> Run:
         """Starts the submission of a peer; one that must not run again ends at once."""
         return _start_added(self.run_table.add(submit), submit, self)
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -24,6 +24,7 @@
     yield from call_metrics(node.tally)
     yield from load_metrics(node.instance_runner.gate)
     yield from _limit_metrics(node)
+    yield from _crash_metrics(node)
     yield from _budget_metrics(node)
     yield from _registry_metrics(node)
     yield from _link_metrics(node)
@@ -37,6 +38,11 @@
     yield Metric("ibis_instance_limit_per_second", "Limit that the instance names.", False, samples)
 
 
+def _crash_metrics(node: SidecarNode) -> Iterator[Metric]:
+    crashes = unlabelled(node.instance_runner.crash_detector.crashes)
+    yield Metric("ibis_instance_crashes_total", "Crashes of the instance.", True, crashes)
+
+
 def _budget_metrics(node: SidecarNode) -> Iterator[Metric]:
     retries_in_window = node.dispatcher.budget.retries_in_window(read_clocks().monotonic_s)
     samples = tuple(({"service": service}, count) for service, count in retries_in_window.items())
