Refuse requests that have crashed three instances, and quarantine the suspects

Callers saw: one request that crashes its instances came again and again under new ids, at any node, and ended six of six instances at a time; everything else that ran there failed with it.

Cause: nothing related a request to the end of the instance that ran it, and an idempotent request was sent on to the next instance at once.

Nodes now tell each other which requests ran at a crash. Such a suspect runs on one instance at a time and is cleared by any answer; at three crashes without one it is refused for a time.

--- a/ibisrack/dispatch/attempts.py
+++ b/ibisrack/dispatch/attempts.py
@@ -120,7 +120,7 @@
 
 @allows_retry.register
 def _(result: NotRunError, route: Route) -> bool:
-    return result.reason not in (Reason.DEADLINE, Reason.WITHDRAWN)
+    return result.reason not in (Reason.DEADLINE, Reason.WITHDRAWN, Reason.CRASHES_INSTANCES)
 
 
 @allows_retry.register
--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from hashlib import blake2b
 from random import Random
 
 import attrs
@@ -178,3 +179,28 @@
         if best is None or cost < best_cost:
             best, best_cost = instance, cost
     return best
+
+
+def choose_home(
+    candidates: Iterable[Instance], views: InstanceViews, fingerprint: bytes, now_s: float
+) -> Instance | None:
+    """Returns the instance that runs a suspect, the same one for all nodes with the same view.
+
+    Args:
+      candidates: Instances that may take the request.
+      views: Views of the instances.
+      fingerprint: Fingerprint of the request.
+      now_s: Current time.
+
+    Returns:
+      The selected instance, or None without candidates.  An instance that is to be avoided is
+      selected only if all others are to be avoided too.
+    """
+    return min(
+        candidates,
+        key=lambda candidate: (
+            now_s < views.of(candidate.instance_id).avoid_until_s,
+            blake2b(fingerprint + candidate.instance_id.encode()).digest(),
+        ),
+        default=None,
+    )
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -12,7 +12,7 @@
 from ibisrack.clocks import read_clocks, read_uptime_ms
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import ServiceRetryBudgets
-from ibisrack.dispatch.choice import InstanceViews, choose_instance
+from ibisrack.dispatch.choice import InstanceViews, choose_home, choose_instance
 from ibisrack.dispatch.destination import Destination, OpenAttempt
 from ibisrack.dispatch.first_attempts import FirstAttemptEstimator
 from ibisrack.dispatch.recorder import RequestRecorder
@@ -27,12 +27,16 @@
 from ibisrack.routing.model import Route
 from ibisrack.routing.splits import Splitter
 from ibisrack.stopping.plan import PlannedStop
+from ibisrack.suspects.exchange import SuspectExchange
+from ibisrack.suspects.fingerprint import fingerprint_of
+from ibisrack.suspects.table import FIRST_TERM_S, Clear, Convicted, Suspected, Verdict
 
 MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
 MIN_RETRY_AFTER_S = 0.05
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3  # Time for a new node to obtain its first configuration.
 # Callers come back to the node on their own host.  An earlier retry would find it still stopping.
 STOPPING_RETRY_AFTER_S = 1.0
+MAX_RETRIED_CRASHES = 1  # A request that ran at more crashes is not retried after another one.
 
 
 @attrs.define(eq=False)
@@ -55,6 +59,7 @@
       running: Number of requests being served.
       open_attempts: Attempts of the requests being served.
       stop: Planned stop of this process, None while there is none.
+      suspects: Requests that are suspected of crashing instances.
     """
 
     zone: str
@@ -72,6 +77,7 @@
     running: int = 0
     open_attempts: set[OpenAttempt] = attrs.field(factory=set)
     stop: PlannedStop | None = None
+    suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
 
     async def serve(self, request: Request) -> Reply:
         """Serves a request and returns the reply for its caller."""
@@ -159,26 +165,37 @@
         """Tries instances until no retry is allowed; returns the result of all closed attempts."""
         tried: set[str] = set()
         result: Result = NotRunError(Reason.NO_INSTANCE)
+        if isinstance(self.suspects.verdict(request), Convicted):
+            result = NotRunError(Reason.CRASHES_INSTANCES)
         while len(tried) < MAX_INSTANCES_TRIED:
-            instance = self._choose(attempts, tried)
+            verdict = self.suspects.verdict(request)
+            if not allows_attempt(verdict, bool(attempts.possible_runs)):
+                break
+            instance = self._choose(request, verdict, attempts, tried)
             if instance is None:
                 break
             tried.add(instance.instance_id)
             attempts.attempt_log.append(f"{instance.instance_id} no-answer")
-            may_leave = partial(self._may_leave, attempts, tried)
+            may_leave = partial(self._may_leave, request, attempts, tried)
             result = await self._attempt(request, attempts, instance, len(tried), may_leave)
             attempts.attempt_log[-1] = f"{instance.instance_id} {outcome_and_reason(result)[1]}"
             if not attempts.should_retry(result, read_clocks().monotonic_s):
                 break
         return attempts.final_result(result)
 
-    def _may_leave(self, attempts: Attempts, tried: set[str]) -> bool:
+    def _may_leave(self, request: Request, attempts: Attempts, tried: set[str]) -> bool:
         """Returns whether to try another instance while the node of the last one is lost."""
-        if len(tried) >= MAX_INSTANCES_TRIED or self._choose(attempts, tried) is None:
+        verdict = self.suspects.verdict(request)
+        # A suspect runs on one instance at a time.
+        if len(tried) >= MAX_INSTANCES_TRIED or not isinstance(verdict, Clear):
+            return False
+        if self._choose(request, verdict, attempts, tried) is None:
             return False
         return attempts.may_leave(read_clocks().monotonic_s)
 
-    def _choose(self, attempts: Attempts, tried: set[str]) -> Instance | None:
+    def _choose(
+        self, request: Request, verdict: Verdict, attempts: Attempts, tried: set[str]
+    ) -> Instance | None:
         route, now_s = attempts.route, read_clocks().monotonic_s
         candidates = []
         for instance in self.directory.of_service(attempts.service):
@@ -190,6 +207,8 @@
                 if not load.accepts_requests:
                     continue
             candidates.append(instance)
+        if isinstance(verdict, Suspected):
+            return choose_home(candidates, self.views, fingerprint_of(request), now_s)
         cost_s = self.views.zone_cost_ratio(route.name) * route.target_s
         return choose_instance(candidates, self.views, self.zone, cost_s, self.rng, now_s)
 
@@ -294,9 +313,37 @@
 
 @to_reply.register
 def _(result: NotRunError, dispatcher: Dispatcher, attempts: Attempts) -> Reply:
+    if result.reason == Reason.CRASHES_INSTANCES:
+        return Refusal(str(result.reason), FIRST_TERM_S)
     return Refusal(str(result.reason), dispatcher.retry_after_s(attempts))
 
 
 @to_reply.register
 def _(result: UnknownOutcomeError, dispatcher: Dispatcher, attempts: Attempts) -> Reply:
     return Failure(str(result.reason), result.reason == Reason.DEADLINE)
+
+
+@singledispatch
+def allows_attempt(verdict: object, may_have_run: bool) -> bool:
+    """Returns whether a request with this verdict may be sent to an instance.
+
+    Args:
+      verdict: Verdict on the request.
+      may_have_run: Whether an earlier attempt may have run.
+    """
+    raise TypeError(f"unknown verdict {type(verdict).__name__}")
+
+
+@allows_attempt.register
+def _(verdict: Clear, may_have_run: bool) -> bool:
+    return True
+
+
+@allows_attempt.register
+def _(verdict: Suspected, may_have_run: bool) -> bool:
+    return not may_have_run or verdict.crashes <= MAX_RETRIED_CRASHES
+
+
+@allows_attempt.register
+def _(verdict: Convicted, may_have_run: bool) -> bool:
+    return False
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from contextlib import AbstractAsyncContextManager, nullcontext
 from functools import partial, singledispatch
 from typing import Protocol
 
@@ -28,6 +29,8 @@
 from ibisrack.routing.model import rank_name
 from ibisrack.rules.model import RankRule
 from ibisrack.stopping.plan import PlannedStop
+from ibisrack.suspects.exchange import SuspectExchange
+from ibisrack.suspects.quarantine import Quarantine, needs_turn
 
 # The submitting node gives up on a request at its deadline.  A refusal must reach it before that;
 # otherwise a request that only waited would be reported as of unknown outcome.
@@ -72,6 +75,8 @@
       notices: What the instance says of itself in its answers.
       on_leaving: Called when the instance has said that it is about to end.
       crash_detector: Tells crashes of the instance from connections that it dropped.
+      suspects: Requests that are suspected of crashing instances.
+      quarantine: Turns of the suspects on the instance.
     """
 
     address: tuple[str, int]
@@ -90,6 +95,8 @@
             lambda self: CrashDetector(self.address, self._handle_crash), takes_self=True
         )
     )
+    suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
+    quarantine: Quarantine = attrs.field(factory=Quarantine)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
@@ -180,27 +187,46 @@
         self._check_ends_in_time(arrived_at_s, run.deadline_at_s)
         self._check_accepted(submit)
         target_at_s = arrived_at_s + submit.remaining_target_ms / 1000
-        async with self.gate.hold_slot(
-            submit.request_id,
-            submit.rank,
-            deadline_at_s,
-            target_at_s,
-            submit.initial_target_ms / 1000,
-        ):
-            self._check_accepted(submit)
-            if run.orphaned_at_s is not None:
-                raise NotRunError(Reason.LINK_LOST)
-            now_s = read_clocks().monotonic_s
-            run.mark_started(now_s)
-            self.running_retries += submit.is_retry
-            try:
-                answer = await self._send(run, run.deadline_at_s - now_s)
-            finally:
-                self.running_retries -= submit.is_retry
-            ran_s = read_clocks().monotonic_s - now_s
-            self._update_service_time(ran_s)
-            run.answer_bytes = len(answer.body)
-            return attrs.evolve(answer, ran_s=ran_s)
+        while True:
+            in_turn = needs_turn(self.suspects.verdict(submit))
+            async with (
+                self._turn(in_turn, submit, deadline_at_s),
+                self.gate.hold_slot(
+                    submit.request_id,
+                    submit.rank,
+                    deadline_at_s,
+                    target_at_s,
+                    submit.initial_target_ms / 1000,
+                ),
+            ):
+                self._check_accepted(submit)
+                if run.orphaned_at_s is not None:
+                    raise NotRunError(Reason.LINK_LOST)
+                # A request that became a suspect while it waited takes its turn first.
+                if in_turn or not needs_turn(self.suspects.verdict(submit)):
+                    return await self._run_in_slot(run)
+
+    def _turn(
+        self, in_turn: bool, submit: Submit, deadline_at_s: float
+    ) -> AbstractAsyncContextManager[None]:
+        """Returns a context that holds the turn of a suspect; others need none."""
+        if in_turn:
+            return self.quarantine.hold_turn(submit.request_id, deadline_at_s)
+        return nullcontext()
+
+    async def _run_in_slot(self, run: Run) -> Answer:
+        now_s = read_clocks().monotonic_s
+        run.mark_started(now_s)
+        self.running_retries += run.submit.is_retry
+        try:
+            answer = await self._send(run, run.deadline_at_s - now_s)
+        finally:
+            self.running_retries -= run.submit.is_retry
+        self.suspects.record_completed(run.submit)
+        ran_s = read_clocks().monotonic_s - now_s
+        self._update_service_time(ran_s)
+        run.answer_bytes = len(answer.body)
+        return attrs.evolve(answer, ran_s=ran_s)
 
     async def _send(self, run: Run, remaining_s: float) -> Answer:
         """Sends a request to the instance and returns its answer.
@@ -220,6 +246,8 @@
 
     def _handle_crash(self, crash: Crash) -> None:
         self.recorder.record_crash(crash, read_clocks().monotonic_s)
+        start = (crash.instance.instance_id, crash.instance.started_at_ms)
+        self.suspects.report_crash(start, (run.submit for run in crash.runs))
 
     def start(self, submit: Submit) -> Run:
         """Starts the submission of a peer; one that must not run again ends at once."""
@@ -269,11 +297,17 @@
     def refuse_waiting(self) -> None:
         """Refuses all queued requests because the instance accepts no more requests."""
         self.gate.refuse_waiting(Reason.DRAINING)
+        self.quarantine.refuse_waiting(Reason.DRAINING)
+
+    def refuse(self, request_id: str, reason: Reason) -> None:
+        """Refuses a request if it waits."""
+        self.gate.refuse(request_id, reason)
+        self.quarantine.refuse(request_id, reason)
 
     def _end_orphan(self, run: Run, now_s: float) -> None:
         """Refuses an orphan that waits; cancels one at which the instance is at work."""
         if run.started_at_s is None:
-            self.gate.refuse(run.submit.request_id, Reason.LINK_LOST)
+            self.refuse(run.submit.request_id, Reason.LINK_LOST)
             return
         self.recorder.record_orphan_cancelled(run, now_s)
         self.cancel(run)
--- a/ibisrack/links/codec.py
+++ b/ibisrack/links/codec.py
@@ -29,6 +29,7 @@
     Unfollow,
     Withdraw,
 )
+from ibisrack.suspects.messages import CrashReport, RunCompleted
 
 LENGTH_PREFIX_BYTES = 4
 FRAME_HEAD_BYTES = LENGTH_PREFIX_BYTES + 1
@@ -53,6 +54,8 @@
     Follow,
     Unfollow,
     KnownLimit,
+    CrashReport,
+    RunCompleted,
 )
 _LONG_MESSAGE_TYPES = frozenset((Submit, Entries))
 _TYPE_CODES = {cls: code for code, cls in enumerate(MESSAGE_TYPES)}
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -40,6 +40,8 @@
 )
 from ibisrack.links.transit import TransitEstimate
 from ibisrack.registry.messages import Revision
+from ibisrack.suspects.exchange import SuspectExchange
+from ibisrack.suspects.messages import CrashReport, Message, RunCompleted
 
 # Larger bodies are sent in parts, so that they don't delay other answers.
 BODY_PART_BYTES = 64 * 1024
@@ -58,6 +60,7 @@
       entries_after: Returns the registry's changes after a revision, None if there are none.
       writer: Writer of the connection.
       peer: IP number of the peer's host.
+      suspects: Requests that are suspected of crashing instances.
       runs: Unanswered requests of this link by their number.
       followed_revision: Revision up to which the peer was sent the registry's changes, None while
         it does not follow them here.
@@ -69,6 +72,7 @@
     entries_after: Callable[[Revision], Entries | None]
     writer: asyncio.StreamWriter
     peer: str
+    suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
     runs: dict[int, Run] = attrs.field(factory=dict)
     followed_revision: Revision | None = None
     transit: TransitEstimate = attrs.field(factory=TransitEstimate)
@@ -109,6 +113,11 @@
             return
         await _send_result(result, self, number)
 
+    def send(self, *messages: Message) -> None:
+        """Sends messages about suspects."""
+        if messages:
+            write_message(self.writer, *messages)
+
     def send_load_if_changed(self) -> None:
         """Sends the load if it differs from the last one sent."""
         load = self.current_load()
@@ -170,7 +179,7 @@
     link = create_link(writer, hello.host)
     link.min_delay_ms(hello)
     _LOGGER.info("peer joined", extra={"peer": hello.host, "life": hello.process_epoch})
-    write_message(writer, own_hello, link.current_load())
+    write_message(writer, own_hello, link.current_load(), *link.suspects.greeting())
     open_links.add(link)
     try:
         await link.serve(reader)
@@ -201,6 +210,11 @@
     link.instance_runner.learn_limit(message.instance_id, message.limit_per_s)
 
 
+@handle.register(CrashReport | RunCompleted)
+def _(message: CrashReport | RunCompleted, link: IncomingLink) -> None:
+    link.suspects.receive(message, link)
+
+
 @handle.register
 def _(message: Cancel, link: IncomingLink) -> None:
     run = link.runs.pop(message.number, None)
@@ -213,7 +227,7 @@
 def _(message: Withdraw, link: IncomingLink) -> None:
     run = link.runs.get(message.number)
     if run is not None:
-        link.instance_runner.gate.refuse(run.submit.request_id, Reason.WITHDRAWN)
+        link.instance_runner.refuse(run.submit.request_id, Reason.WITHDRAWN)
 
 
 @handle.register
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -43,6 +43,8 @@
 from ibisrack.links.pending import AbandonedRequests, PendingRequest
 from ibisrack.registry.messages import Revision
 from ibisrack.registry.sources import Candidate
+from ibisrack.suspects.exchange import SuspectExchange
+from ibisrack.suspects.messages import Message
 
 CONNECT_TIMEOUT_S = 0.3
 # Maximum time that a request waits for a peer whose last connection failed.  A peer that is back
@@ -70,6 +72,7 @@
       port: TCP port on which the peer accepts links.
       on_entries: Called with this link and changes of the registry from the peer.
       on_leaving: Called with id and start of the peer's instance when it is about to end.
+      suspects: Requests that are suspected of crashing instances.
       load: Last load that the peer reported, None before the first.
       known_limit: Last limit that the peer reported of its instance, None before the first.
       heard_at_s: Monotonic time of the last bytes from the peer.
@@ -86,6 +89,7 @@
     port: int
     on_entries: Callable[["OutgoingLink", Entries], None]
     on_leaving: Callable[[str, int], None]
+    suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
     load: Load | None = None
     known_limit: KnownLimit | None = None
     heard_at_s: float = 0.0
@@ -198,6 +202,11 @@
             delivering=is_usable and self.load.reads_registry,
         )
 
+    def send(self, *messages: Message) -> None:
+        """Sends messages about suspects if the link is open."""
+        if self.is_open and messages:
+            write_message(self._writer, *messages)
+
     def withdraw(self, submit: Submit, is_final: bool) -> None:
         """Makes the peer refuse a pending request if it has not started.
 
@@ -306,6 +315,7 @@
         _LOGGER.info("link open", extra=extra)
         if self.known_limit is not None:
             write_message(writer, self.known_limit)
+        self.send(*self.suspects.greeting())
         write_message(writer, *self._abandoned.cancellations(peer_epoch))
         for pending in tuple(self.pending.values()):
             self._resume(pending)
--- a/ibisrack/links/outgoing_messages.py
+++ b/ibisrack/links/outgoing_messages.py
@@ -16,6 +16,7 @@
     OutcomeUnknown,
     Refused,
 )
+from ibisrack.suspects.messages import CrashReport, RunCompleted
 
 
 @singledispatch
@@ -77,5 +78,10 @@
     link.on_entries(link, message)
 
 
+@handle.register(CrashReport | RunCompleted)
+def _(message: CrashReport | RunCompleted, link: Any) -> None:
+    link.suspects.receive(message, link)
+
+
 def _build_answer(head: Answered, body: bytes) -> Answer:
     return Answer(head.status, CIMultiDict(head.headers), body, ran_s=head.ran_ms / 1000)
--- a/ibisrack/sidecar/local_destination.py
+++ b/ibisrack/sidecar/local_destination.py
@@ -32,4 +32,4 @@
 
     def withdraw(self, submit: Submit, is_final: bool) -> None:
         """Refuses a request if it waits for a slot."""
-        self.instance_runner.gate.refuse(submit.request_id, Reason.WITHDRAWN)
+        self.instance_runner.refuse(submit.request_id, Reason.WITHDRAWN)
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -15,6 +15,7 @@
     unlabelled,
 )
 from ibisrack.sidecar.node import SidecarNode
+from ibisrack.suspects.table import Convicted
 
 PATH = "/metrics"
 
@@ -25,6 +26,7 @@
     yield from load_metrics(node.instance_runner.gate)
     yield from _limit_metrics(node)
     yield from _crash_metrics(node)
+    yield from _suspect_metrics(node)
     yield from _budget_metrics(node)
     yield from _registry_metrics(node)
     yield from _link_metrics(node)
@@ -43,6 +45,26 @@
     yield Metric("ibis_instance_crashes_total", "Crashes of the instance.", True, crashes)
 
 
+def _suspect_metrics(node: SidecarNode) -> Iterator[Metric]:
+    recorder = node.suspects.recorder
+    verdicts = node.suspects.table.verdicts(read_clocks().monotonic_s)
+    convicted = sum(isinstance(verdict, Convicted) for verdict in verdicts)
+    suspects = (
+        ({"verdict": "suspected"}, len(verdicts) - convicted),
+        ({"verdict": "convicted"}, convicted),
+    )
+    yield Metric("ibis_suspects", "Requests that ran at crashes.", False, suspects)
+    yield Metric(
+        "ibis_convictions_total", "Requests convicted.", True, unlabelled(recorder.convictions)
+    )
+    yield Metric(
+        "ibis_convictions_lifted_total",
+        "Convicted requests that an instance answered.",
+        True,
+        unlabelled(recorder.acquittals),
+    )
+
+
 def _budget_metrics(node: SidecarNode) -> Iterator[Metric]:
     retries_in_window = node.dispatcher.budget.retries_in_window(read_clocks().monotonic_s)
     samples = tuple(({"service": service}, count) for service, count in retries_in_window.items())
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -29,6 +29,7 @@
 from ibisrack.settings.sidecar import SidecarSettings
 from ibisrack.sidecar.content import RegistryContent
 from ibisrack.sidecar.local_destination import LocalDestination
+from ibisrack.suspects.exchange import PeerLink, SuspectExchange
 
 TICK_INTERVAL_S = 0.1
 LOAD_REPORT_INTERVAL_S = 1.0  # A changed load is sent to peers after at most this time.
@@ -64,6 +65,7 @@
       resize_pool: Adapts the connection pool to the number of slots of the instance.
       follower: Reads the registry; set once, after the other parts.
       sources: Where this node gets the registry's changes from.
+      suspects: Requests that are suspected of crashing instances.
     """
 
     settings: SidecarSettings
@@ -82,6 +84,7 @@
     resize_pool: Callable[[int], None] = attrs.field(default=lambda slots: None)
     follower: RegistryFollower | None = None
     sources: Sources = Sources(reads=True)
+    suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
     _behind_since_s: float | None = None
     _entries_requested_at_s: float = 0.0
     _load_reported_at_s: float = 0.0
@@ -128,6 +131,10 @@
             self.instance_runner.notices.leaving_start_ms,
         )
 
+    def peer_links(self) -> tuple[PeerLink, ...]:
+        """Returns the links with peers, in both directions."""
+        return (*self.incoming_links, *self.outgoing_links.values())
+
     def report_load(self) -> None:
         """Sends the load, if it has changed, to all peers that send requests to this node."""
         for link in self.incoming_links:
@@ -190,6 +197,7 @@
                 self.settings.links.port,
                 self._apply_peer_entries,
                 self._mark_peer_leaving,
+                self.suspects,
             )
             self.outgoing_links[host] = link
             self.spawn(keep_running("link", link.maintain))
@@ -248,6 +256,7 @@
             if now_s - self._load_reported_at_s >= LOAD_REPORT_INTERVAL_S:
                 self._load_reported_at_s = now_s
                 self.report_load()
+                self.suspects.table.expire(now_s)
             self._choose_sources(now_s)
             self._request_missing_entries(now_s)
             for link in self.incoming_links:
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -81,6 +81,8 @@
         settings, content, rng, directory, configurations, view, instance_runner, tally
     )
     instance_runner.on_leaving = node.leave_own_instance
+    instance_runner.suspects = node.suspects
+    node.suspects.links = node.peer_links
     node.resize_pool = lambda slots: pool.resize(slots + SPARE_CONNECTIONS, 0)
     budget = ServiceRetryBudgets(
         settings.retry_ratio, settings.retry_slack, settings.retry_window_s
@@ -95,6 +97,7 @@
         rng,
         RequestRecorder(tally, view),
         views,
+        suspects=node.suspects,
     )
     return node
 
@@ -205,7 +208,9 @@
     settings = node.settings
 
     def create_link(writer: asyncio.StreamWriter, peer: str) -> IncomingLink:
-        return IncomingLink(node.instance_runner, node.load, node.entries_after, writer, peer)
+        return IncomingLink(
+            node.instance_runner, node.load, node.entries_after, writer, peer, node.suspects
+        )
 
     links = await asyncio.start_server(
         partial(serve_link, node.hello, create_link, node.incoming_links),
--- /dev/null
+++ b/ibisrack/suspects/exchange.py
@@ -0,0 +1,98 @@
+"""Keeps the suspects of this node, and passes on to its peers what is new about them."""
+
+from collections.abc import Callable, Iterable
+from functools import singledispatch
+from typing import Protocol
+
+import attrs
+
+from ibisrack.clocks import read_clocks
+from ibisrack.suspects.fingerprint import Fingerprinted, fingerprint_of
+from ibisrack.suspects.messages import CrashReport, Message, RunCompleted
+from ibisrack.suspects.recorder import SuspectRecorder
+from ibisrack.suspects.table import CLEAR, InstanceStart, SuspectTable, Verdict
+
+
+class PeerLink(Protocol):
+    """An open link to a peer, in either direction."""
+
+    def send(self, *messages: Message) -> None:
+        """Sends messages to the peer."""
+
+
+@attrs.define(eq=False)
+class SuspectExchange:
+    """The suspects of this node.
+
+    Attributes:
+      links: Returns the links to peers.
+      table: What is known of crashes and suspects.
+      recorder: Counts and logs verdicts.
+    """
+
+    links: Callable[[], Iterable[PeerLink]] = attrs.field(default=lambda: ())
+    table: SuspectTable = attrs.field(factory=SuspectTable)
+    recorder: SuspectRecorder = attrs.field(factory=SuspectRecorder)
+
+    def verdict(self, request: Fingerprinted) -> Verdict:
+        """Returns the verdict on a request."""
+        if not self.table.has_suspects:
+            return CLEAR
+        return self.table.verdict(fingerprint_of(request), read_clocks().monotonic_s)
+
+    def is_down(self, start: InstanceStart) -> bool:
+        """Returns whether a start of an instance has crashed; its entry may still be listed."""
+        return self.table.is_down(start, read_clocks().monotonic_s)
+
+    def report_crash(self, start: InstanceStart, requests: Iterable[Fingerprinted]) -> None:
+        """Records a crash of the instance beside this node.
+
+        Args:
+          start: Id and start of the instance.
+          requests: Requests that it ran.
+        """
+        suspects = tuple(dict.fromkeys(map(fingerprint_of, requests)))
+        self.receive(CrashReport(*start, suspects, 0), None)
+
+    def record_completed(self, request: Fingerprinted) -> None:
+        """Records that the instance beside this node has answered a request."""
+        if self.verdict(request) is not CLEAR:
+            self.receive(RunCompleted(fingerprint_of(request)), None)
+
+    def receive(self, message: Message, source: PeerLink | None) -> None:
+        """Applies a message, and passes it on to all peers but its source if it was news."""
+        if _apply(message, self):
+            for link in self.links():
+                if link is not source:
+                    link.send(message)
+
+    def greeting(self) -> tuple[CrashReport, ...]:
+        """Returns the messages for a peer that may know nothing."""
+        return self.table.reports(read_clocks().monotonic_s)
+
+
+@singledispatch
+def _apply(message: object, suspects: SuspectExchange) -> bool:
+    """Applies a message to the table; returns whether it was news."""
+    raise TypeError(f"unknown message {type(message).__name__}")
+
+
+@_apply.register
+def _(message: CrashReport, suspects: SuspectExchange) -> bool:
+    now_s = read_clocks().monotonic_s
+    known = {f: suspects.table.verdict(f, now_s) for f in message.suspects}
+    is_new = suspects.table.record_crash(message, now_s)
+    for fingerprint, before in known.items():
+        after = suspects.table.verdict(fingerprint, now_s)
+        if after != before:
+            suspects.recorder.record_verdict(fingerprint, after, message.instance_id)
+    return is_new
+
+
+@_apply.register
+def _(message: RunCompleted, suspects: SuspectExchange) -> bool:
+    now_s = read_clocks().monotonic_s
+    before = suspects.table.verdict(message.fingerprint, now_s)
+    is_new = suspects.table.record_completion(message, now_s)
+    suspects.recorder.record_cleared(message.fingerprint, before)
+    return is_new
--- /dev/null
+++ b/ibisrack/suspects/messages.py
@@ -0,0 +1,34 @@
+"""Messages about suspects, which each node passes on to its peers once."""
+
+import attrs
+
+
+@attrs.frozen
+class CrashReport:
+    """An instance crashed.
+
+    Attributes:
+      instance_id: The instance.
+      started_at_ms: Start of its process in Unix milliseconds.
+      suspects: Fingerprints of the requests that it ran at that time.
+      age_ms: Time since the crash.
+    """
+
+    instance_id: str
+    started_at_ms: int
+    suspects: tuple[bytes, ...]
+    age_ms: int
+
+
+@attrs.frozen
+class RunCompleted:
+    """An instance answered a suspect, which therefore doesn't crash instances.
+
+    Attributes:
+      fingerprint: Fingerprint of the request.
+    """
+
+    fingerprint: bytes
+
+
+Message = CrashReport | RunCompleted
--- /dev/null
+++ b/ibisrack/suspects/recorder.py
@@ -0,0 +1,60 @@
+"""Counts and logs the verdicts on suspects."""
+
+import logging
+from functools import singledispatchmethod
+
+import attrs
+
+from ibisrack.suspects.table import Clear, Convicted, Suspected, Verdict
+
+_LOGGER = logging.getLogger("ibisrack.suspects")
+
+
+@attrs.define(eq=False)
+class SuspectRecorder:
+    """Counts and logs the verdicts on suspects.
+
+    Attributes:
+      convictions: Requests that were convicted.
+      acquittals: Convicted requests that an instance answered all the same.
+    """
+
+    convictions: int = 0
+    acquittals: int = 0
+
+    def record_verdict(self, fingerprint: bytes, verdict: Verdict, instance_id: str) -> None:
+        """Records the verdict after a crash.
+
+        Args:
+          fingerprint: Fingerprint of a request that ran at the crash.
+          verdict: The verdict on it.
+          instance_id: Instance that crashed.
+        """
+        extra = {"fingerprint": fingerprint.hex(), "instance": instance_id}
+        self._record(verdict, extra)
+
+    @singledispatchmethod
+    def _record(self, verdict: Verdict, extra: dict) -> None:
+        raise TypeError(f"unexpected verdict {type(verdict).__name__}")
+
+    @_record.register
+    def _(self, verdict: Clear, extra: dict) -> None:
+        pass
+
+    @_record.register
+    def _(self, verdict: Suspected, extra: dict) -> None:
+        _LOGGER.info("request suspected", extra=extra | {"crashes": verdict.crashes})
+
+    @_record.register
+    def _(self, verdict: Convicted, extra: dict) -> None:
+        self.convictions += 1
+        _LOGGER.warning("request convicted", extra=extra | {"crashes": verdict.crashes})
+
+    def record_cleared(self, fingerprint: bytes, before: Verdict) -> None:
+        """Records that an instance answered a request on which there was a verdict."""
+        extra = {"fingerprint": fingerprint.hex()}
+        if isinstance(before, Convicted):
+            self.acquittals += 1
+            _LOGGER.warning("conviction lifted", extra=extra)
+        elif isinstance(before, Suspected):
+            _LOGGER.info("suspect cleared", extra=extra)
--- /dev/null
+++ b/ibisrack/suspects/table.py
@@ -0,0 +1,203 @@
+"""Suspects and the crashes at which they ran.
+
+A crash ends all runs of an instance, of which at most one is to blame.  A request that ran at the
+crashes of three instances, and that no instance has answered since the first of them, is convicted:
+it is refused for a time that doubles with each further crash.  Any answer of an instance to it
+clears it, so that requests with equal paths, and runs that other crashes ended, are soon cleared.
+"""
+
+import attrs
+
+from ibisrack.suspects.messages import CrashReport, RunCompleted
+
+CONVICTING_CRASHES = 3
+FIRST_TERM_S = 60.0  # How long a request is refused after the crash that convicted it.
+MAX_TERM_S = 3600.0
+SUSPECT_TTL_S = 600.0  # A suspect, or a request whose term is over, is forgotten after this time.
+COMPLETION_TTL_S = 5.0  # Longer than a report of a crash takes to reach all nodes.
+# An instance that crashed counts as down for this time, unless it is listed with a new start.  Its
+# entry is removed or replaced within it.
+DOWN_S = 6.0
+
+MAX_CRASHES = 256
+MAX_SUSPECTS = 4096
+MAX_COMPLETIONS = 1024
+MAX_SUSPECTS_PER_CRASH = 256
+
+InstanceStart = tuple[str, int]  # Id of an instance and start of its process.
+
+
+@attrs.frozen
+class Clear:
+    """Nothing speaks against the request."""
+
+
+@attrs.frozen
+class Suspected:
+    """The request ran at crashes, or has served its term.
+
+    Attributes:
+      crashes: Number of crashes at which it ran.
+    """
+
+    crashes: int
+
+
+@attrs.frozen
+class Convicted:
+    """The request crashes the instances that run it.
+
+    Attributes:
+      crashes: Number of crashes at which it ran.
+      until_s: Monotonic time until which it is refused.
+    """
+
+    crashes: int
+    until_s: float
+
+
+Verdict = Clear | Suspected | Convicted
+CLEAR = Clear()
+
+
+@attrs.define
+class Suspect:
+    """A request that ran at crashes.
+
+    Attributes:
+      crashes: Number of these crashes.
+      last_crash_at_s: Monotonic time of the last one.
+    """
+
+    crashes: int = 0
+    last_crash_at_s: float = float("-inf")
+
+    @property
+    def term_ends_at_s(self) -> float:
+        """Monotonic time until which it is refused, before any time if it is not convicted."""
+        further_crashes = self.crashes - CONVICTING_CRASHES
+        if further_crashes < 0:
+            return float("-inf")
+        # The exponent is limited because the term is, and a float has a largest value.
+        return self.last_crash_at_s + min(MAX_TERM_S, FIRST_TERM_S * 2 ** min(further_crashes, 10))
+
+    def verdict(self, now_s: float) -> Verdict:
+        """Returns the verdict at a time."""
+        if now_s < self.term_ends_at_s:
+            return Convicted(self.crashes, self.term_ends_at_s)
+        return Suspected(self.crashes)
+
+    def is_expired(self, now_s: float) -> bool:
+        """Returns whether it is to be forgotten."""
+        return now_s >= max(self.last_crash_at_s, self.term_ends_at_s) + SUSPECT_TTL_S
+
+
+@attrs.frozen
+class RecordedCrash:
+    """A crash of an instance.
+
+    Attributes:
+      at_s: Monotonic time of the crash.
+      suspects: Fingerprints of the requests that the instance ran.
+    """
+
+    at_s: float
+    suspects: tuple[bytes, ...]
+
+
+@attrs.define
+class SuspectTable:
+    """Recent crashes, the requests that ran at them, and which of these were answered since."""
+
+    _crashes: dict[InstanceStart, RecordedCrash] = attrs.field(factory=dict)
+    _suspects: dict[bytes, Suspect] = attrs.field(factory=dict)
+    _completed_at_s: dict[bytes, float] = attrs.field(factory=dict)
+
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any request is suspected or convicted."""
+        return bool(self._suspects)
+
+    def verdict(self, fingerprint: bytes, now_s: float) -> Verdict:
+        """Returns the verdict on a request."""
+        suspect = self._suspects.get(fingerprint)
+        return CLEAR if suspect is None else suspect.verdict(now_s)
+
+    def verdicts(self, now_s: float) -> list[Verdict]:
+        """Returns the verdicts on all suspects."""
+        return [suspect.verdict(now_s) for suspect in self._suspects.values()]
+
+    def is_down(self, start: InstanceStart, now_s: float) -> bool:
+        """Returns whether a start of an instance has crashed so recently that it may be listed."""
+        crash = self._crashes.get(start)
+        return crash is not None and now_s < crash.at_s + DOWN_S
+
+    def record_crash(self, report: CrashReport, now_s: float) -> bool:
+        """Records a crash; returns whether it was new."""
+        start = (report.instance_id, report.started_at_ms)
+        if start in self._crashes:
+            return False
+        at_s = now_s - report.age_ms / 1000
+        suspects = report.suspects[:MAX_SUSPECTS_PER_CRASH]
+        self._crashes[start] = RecordedCrash(at_s, suspects)
+        if len(self._crashes) > MAX_CRASHES:
+            del self._crashes[next(iter(self._crashes))]
+        for fingerprint in dict.fromkeys(suspects):
+            # An answer may overtake the report of a crash before it.
+            if self._completed_at_s.get(fingerprint, float("-inf")) < at_s:
+                self._add_crash(fingerprint, at_s)
+        return True
+
+    def record_completion(self, message: RunCompleted, now_s: float) -> bool:
+        """Clears a request that an instance answered; returns whether that is news."""
+        fingerprint = message.fingerprint
+        last_at_s = self._completed_at_s.pop(fingerprint, float("-inf"))
+        self._completed_at_s[fingerprint] = now_s
+        if len(self._completed_at_s) > MAX_COMPLETIONS:
+            del self._completed_at_s[next(iter(self._completed_at_s))]
+        was_suspect = self._suspects.pop(fingerprint, None) is not None
+        return was_suspect or now_s - last_at_s >= COMPLETION_TTL_S
+
+    def reports(self, now_s: float) -> tuple[CrashReport, ...]:
+        """Returns the crashes with the requests that are still suspects, for a new peer."""
+        return tuple(
+            CrashReport(
+                instance_id,
+                started_at_ms,
+                tuple(f for f in crash.suspects if f in self._suspects),
+                round((now_s - crash.at_s) * 1000),
+            )
+            for (instance_id, started_at_ms), crash in self._crashes.items()
+        )
+
+    def expire(self, now_s: float) -> None:
+        """Forgets what is too old to matter."""
+        for fingerprint in [f for f, s in self._suspects.items() if s.is_expired(now_s)]:
+            del self._suspects[fingerprint]
+        for fingerprint in [
+            f for f, at_s in self._completed_at_s.items() if now_s - at_s >= COMPLETION_TTL_S
+        ]:
+            del self._completed_at_s[fingerprint]
+        for start in [
+            start
+            for start, crash in self._crashes.items()
+            if now_s >= crash.at_s + DOWN_S and not any(f in self._suspects for f in crash.suspects)
+        ]:
+            del self._crashes[start]
+
+    def _add_crash(self, fingerprint: bytes, at_s: float) -> None:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            if len(self._suspects) >= MAX_SUSPECTS:
+                self._forget_one()
+            suspect = self._suspects[fingerprint] = Suspect()
+        suspect.crashes += 1
+        suspect.last_crash_at_s = max(suspect.last_crash_at_s, at_s)
+
+    def _forget_one(self) -> None:
+        """Forgets the request with the fewest crashes, the oldest of these."""
+        weakest = min(
+            self._suspects,
+            key=lambda f: (self._suspects[f].crashes, self._suspects[f].last_crash_at_s),
+        )
+        del self._suspects[weakest]
--- /dev/null
+++ b/ibisrack/suspects/table_test.py
@@ -0,0 +1,127 @@
+"""Tests of the verdicts on requests that ran when instances crashed."""
+
+from ibisrack.suspects.messages import CrashReport, RunCompleted
+from ibisrack.suspects.table import (
+    CLEAR,
+    COMPLETION_TTL_S,
+    CONVICTING_CRASHES,
+    DOWN_S,
+    FIRST_TERM_S,
+    MAX_CRASHES,
+    MAX_SUSPECTS,
+    MAX_TERM_S,
+    SUSPECT_TTL_S,
+    Convicted,
+    Suspected,
+    SuspectTable,
+)
+from ibisrack.testing.functions import function_tests
+
+DEADLY, OTHER = b"d" * 16, b"o" * 16
+
+
+def crash(number: int, *suspects: bytes, age_ms: int = 0) -> CrashReport:
+    return CrashReport(f"i-{number}", 1, suspects, age_ms)
+
+
+def convicted_table(now_s: float = 10.0) -> SuspectTable:
+    """Returns a table with a request that ran at as many crashes as convict it."""
+    table = SuspectTable()
+    for number in range(CONVICTING_CRASHES):
+        table.record_crash(crash(number, DEADLY, b"%016d" % number), now_s)
+    return table
+
+
+def test_only_the_request_that_ran_at_three_crashes_is_convicted():
+    """Guards against blaming the requests that ran beside a deadly one."""
+    table = convicted_table()
+    assert table.verdict(DEADLY, 10.0) == Convicted(CONVICTING_CRASHES, 10.0 + FIRST_TERM_S)
+    assert table.verdict(b"%016d" % 0, 10.0) == Suspected(1)
+    assert table.verdict(OTHER, 10.0) == CLEAR
+
+
+def test_a_crash_that_several_peers_report_counts_once():
+    """Guards against a conviction by one crash, heard on several links."""
+    table = SuspectTable()
+    assert table.record_crash(crash(1, DEADLY), 10.0)
+    assert not any(table.record_crash(crash(1, DEADLY), 10.0) for _ in range(5))
+    assert table.verdict(DEADLY, 10.0) == Suspected(1)
+    assert table.record_crash(CrashReport("i-1", 2, (DEADLY,), 0), 11.0)
+    assert table.verdict(DEADLY, 11.0) == Suspected(2)
+
+
+def test_a_request_that_an_instance_answered_is_cleared():
+    """Guards against the conviction of a request that other crashes ended by chance."""
+    table = convicted_table()
+    assert table.record_completion(RunCompleted(DEADLY), 11.0)
+    assert table.verdict(DEADLY, 11.0) == CLEAR
+    assert not table.record_completion(RunCompleted(DEADLY), 11.0)
+    table.record_crash(crash(9, DEADLY), 12.0)
+    assert table.verdict(DEADLY, 12.0) == Suspected(1)
+
+
+def test_an_answer_that_overtakes_the_report_of_an_earlier_crash_clears_too():
+    """Guards against a suspect that is cleared everywhere but at the node that heard last."""
+    table = SuspectTable()
+    table.record_completion(RunCompleted(DEADLY), 11.0)
+    table.record_crash(crash(1, DEADLY, age_ms=500), 11.2)
+    assert table.verdict(DEADLY, 11.2) == CLEAR
+    table.record_crash(crash(2, DEADLY), 11.5)
+    assert table.verdict(DEADLY, 11.5) == Suspected(1)
+
+
+def test_a_term_ends_and_doubles_with_each_further_crash():
+    """Guards against a conviction for ever, and against a deadly request that is let in often."""
+    table, now_s = convicted_table(), 10.0
+    for term_s in (FIRST_TERM_S, 2 * FIRST_TERM_S, 4 * FIRST_TERM_S):
+        assert isinstance(table.verdict(DEADLY, now_s + term_s - 1), Convicted)
+        now_s += term_s
+        assert isinstance(table.verdict(DEADLY, now_s), Suspected)
+        table.expire(now_s)
+        table.record_crash(crash(int(now_s), DEADLY), now_s)
+    for number in range(2000, 2040):
+        table.record_crash(crash(number, DEADLY), now_s)
+    assert isinstance(table.verdict(DEADLY, now_s + MAX_TERM_S), Suspected)
+
+
+def test_suspects_are_forgotten():
+    """Guards against memory that grows with the crashes of a long life."""
+    table = SuspectTable()
+    table.record_crash(crash(1, DEADLY), 10.0)
+    table.record_completion(RunCompleted(OTHER), 10.0)
+    table.expire(10.0 + COMPLETION_TTL_S)
+    assert table.has_suspects
+    table.expire(10.0 + SUSPECT_TTL_S)
+    assert table == SuspectTable()
+
+
+def test_memory_is_bounded_and_keeps_the_convicted():
+    """Guards against many crashes in a short time that fill the memory or hide a deadly request."""
+    table = convicted_table()
+    for number in range(MAX_SUSPECTS + 10):
+        table.record_crash(crash(100 + number, b"%016d" % number), 11.0)
+    assert len(table.verdicts(11.0)) == MAX_SUSPECTS
+    assert len(table.reports(11.0)) == MAX_CRASHES
+    assert isinstance(table.verdict(DEADLY, 11.0), Convicted)
+
+
+def test_a_new_node_learns_what_its_peer_knows():
+    """Guards against a restarted node that lets a convicted request in again."""
+    table, new = convicted_table(), SuspectTable()
+    table.record_completion(RunCompleted(b"%016d" % 0), 10.5)
+    for report in table.reports(12.0):
+        new.record_crash(report, 50.0)
+    assert new.verdict(DEADLY, 50.0) == Convicted(CONVICTING_CRASHES, 48.0 + FIRST_TERM_S)
+    assert new.verdict(b"%016d" % 0, 50.0) == CLEAR
+
+
+def test_a_crashed_start_of_an_instance_is_down_for_a_time():
+    """Guards against requests to an entry whose instance has ended."""
+    table = SuspectTable()
+    table.record_crash(crash(1), 10.0)
+    assert table.is_down(("i-1", 1), 10.0 + DOWN_S / 2)
+    assert not table.is_down(("i-1", 2), 10.0)
+    assert not table.is_down(("i-1", 1), 10.0 + DOWN_S)
+
+
+load_tests = function_tests(__name__)
--- a/ibisrack/testing/sidecars.py
+++ b/ibisrack/testing/sidecars.py
@@ -128,6 +128,18 @@
     session: ClientSession
     _stack: AsyncExitStack
     _stops: list[Callable[[], Awaitable[None]]] = attrs.field(factory=list)
+    _instance_stops: list[Callable[[], Awaitable[None]]] = attrs.field(factory=list)
+
+    async def start_instance(self, number: int, address: Address) -> None:
+        """Starts the instance of a sidecar."""
+        stack = await self._stack.enter_async_context(AsyncExitStack())
+        serving_instance = serve_instance(self.instances[number], address.host, address.port)
+        await stack.enter_async_context(serving_instance)
+        self._instance_stops[number:] = [stack.aclose, *self._instance_stops[number + 1 :]]
+
+    async def crash_instance(self, number: int) -> None:
+        """Ends an instance with all its connections; its registry entry stays."""
+        await self._instance_stops[number]()
 
     async def stop_sidecar(self, number: int) -> None:
         """Closes the serving context of a sidecar, as its process does after draining."""
@@ -267,7 +279,6 @@
         for number in range(count):
             host = f"127.0.0.{number + 1}"
             stand_in = StandInInstance(f"i-{number}")
-            await stack.enter_async_context(serve_instance(stand_in, host, app))
             settings = SidecarSettings(
                 node_id=f"node-{number}",
                 service="desk",
@@ -281,6 +292,7 @@
                 retry_slack=100.0,
             )
             fleet.instances.append(stand_in)
+            await fleet.start_instance(number, settings.instance)
             await fleet.start_sidecar(settings)
             fleet.register_instance(number)
         await wait_until(lambda: all(len(node.directory.all()) == count for node in fleet.nodes))
