Send nothing to an instance that has crashed before its new entry is listed

Callers saw refusals and repeats: requests went to the old id of an instance that had ended, were turned away one by one, and with 421 once it was back under a new id; each of these is an arrival and draws on the retry budget.

Cause: a crash was no event; the entry is listed on for some heartbeats.

--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -201,6 +201,8 @@
         for instance in self.directory.of_service(attempts.service):
             if not instance.ready or instance.instance_id in tried:
                 continue
+            if self.suspects.is_down(instance):
+                continue
             load = self.destination_of(instance).load
             if load is not None:
                 self.views.of(instance.instance_id).update_load(load, now_s)
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -108,7 +108,9 @@
     def accepts_requests(self) -> bool:
         """Whether this node accepts submissions."""
         instance = self.instance
-        return not self._is_closed() and instance is not None and instance.ready
+        if self._is_closed() or instance is None or not instance.ready:
+            return False
+        return not self.suspects.is_down(instance)
 
     def retry_share(self) -> float:
         """Returns the share of retries among the running requests."""
@@ -246,8 +248,9 @@
 
     def _handle_crash(self, crash: Crash) -> None:
         self.recorder.record_crash(crash, read_clocks().monotonic_s)
-        start = (crash.instance.instance_id, crash.instance.started_at_ms)
-        self.suspects.report_crash(start, (run.submit for run in crash.runs))
+        self.suspects.report_crash(crash.instance, (run.submit for run in crash.runs))
+        self.gate.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
+        self.quarantine.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
 
     def start(self, submit: Submit) -> Run:
         """Starts the submission of a peer; one that must not run again ends at once."""
@@ -357,6 +360,8 @@
             raise NotRunError(Reason.NO_INSTANCE)
         if not instance.ready:
             raise NotRunError(Reason.DRAINING)
+        if self.suspects.is_down(instance):
+            raise NotRunError(Reason.UPSTREAM_UNREACHABLE)
         if instance.service != submit.service:
             raise NotRunError(Reason.NO_INSTANCE)
 
--- a/ibisrack/sidecar/deadly_requests_test.py
+++ b/ibisrack/sidecar/deadly_requests_test.py
@@ -48,7 +48,7 @@
         self.fleet.store.delete(f"servers/{self.fleet.instances[number].instance_id}")
         self.fleet.instances[number].instance_id += "-again"
         await self.fleet.start_instance(number, address)
-        self.fleet.register_instance(number, slots=SLOTS)
+        self.fleet.register_instance(number, slots=SLOTS, started_at_ms=len(self._tasks))
 
     async def restarted(self) -> None:
         """Waits until the instances that crashed have started again."""
@@ -148,4 +148,34 @@
         assert answer.status == 200
 
 
+async def test_a_crashed_instance_gets_no_request_before_its_new_entry():
+    """Guards against requests under the id of an instance that has crashed and started anew."""
+    async with run_deadly_fleet(2) as deadly:
+        fleet, instance = deadly.fleet, deadly.fleet.instances[0]
+        instance.work_s = 0.3
+        calls = [
+            asyncio.create_task(fleet.send_request(n % 2, f"{HARMLESS_PATH}-{n}", f"h-{n}"))
+            for n in range(20)
+        ]
+        await wait_until(lambda: len(instance.executed_ids) >= 3)
+        await fleet.crash_instance(0)
+        instance.instance_id += "-again"
+        await asyncio.gather(*calls)
+        await fleet.start_instance(0, fleet.nodes[0].settings.instance)
+        instance.last_request, instance.work_s = None, 0.0
+        statuses = [
+            (await fleet.send_request(n % 2, f"{HARMLESS_PATH}-{n}", f"after-{n}"))[0].status
+            for n in range(20)
+        ]
+        assert set(statuses) == {200}
+        assert instance.last_request is None
+        fleet.register_instance(0, slots=SLOTS, started_at_ms=1)
+        for node in fleet.nodes:
+            await wait_until(lambda node=node: node.directory.get(instance.instance_id) is not None)
+        await fleet.send_request(0, f"{HARMLESS_PATH}-new", "new")
+        for n in range(10):
+            await fleet.send_request(n % 2, f"{HARMLESS_PATH}-new-{n}", f"new-{n}")
+        assert instance.last_request is not None
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/suspects/exchange.py
+++ b/ibisrack/suspects/exchange.py
@@ -7,10 +7,11 @@
 import attrs
 
 from ibisrack.clocks import read_clocks
+from ibisrack.instances.model import Instance
 from ibisrack.suspects.fingerprint import Fingerprinted, fingerprint_of
 from ibisrack.suspects.messages import CrashReport, Message, RunCompleted
 from ibisrack.suspects.recorder import SuspectRecorder
-from ibisrack.suspects.table import CLEAR, InstanceStart, SuspectTable, Verdict
+from ibisrack.suspects.table import CLEAR, SuspectTable, Verdict
 
 
 class PeerLink(Protocol):
@@ -40,19 +41,22 @@
             return CLEAR
         return self.table.verdict(fingerprint_of(request), read_clocks().monotonic_s)
 
-    def is_down(self, start: InstanceStart) -> bool:
-        """Returns whether a start of an instance has crashed; its entry may still be listed."""
+    def is_down(self, instance: Instance) -> bool:
+        """Returns whether an instance has crashed and its entry is still listed."""
+        if not self.table.has_crashes:
+            return False
+        start = (instance.instance_id, instance.started_at_ms)
         return self.table.is_down(start, read_clocks().monotonic_s)
 
-    def report_crash(self, start: InstanceStart, requests: Iterable[Fingerprinted]) -> None:
+    def report_crash(self, instance: Instance, requests: Iterable[Fingerprinted]) -> None:
         """Records a crash of the instance beside this node.
 
         Args:
-          start: Id and start of the instance.
+          instance: The instance.
           requests: Requests that it ran.
         """
         suspects = tuple(dict.fromkeys(map(fingerprint_of, requests)))
-        self.receive(CrashReport(*start, suspects, 0), None)
+        self.receive(CrashReport(instance.instance_id, instance.started_at_ms, suspects, 0), None)
 
     def record_completed(self, request: Fingerprinted) -> None:
         """Records that the instance beside this node has answered a request."""
--- a/ibisrack/suspects/table.py
+++ b/ibisrack/suspects/table.py
@@ -113,6 +113,11 @@
     _suspects: dict[bytes, Suspect] = attrs.field(factory=dict)
     _completed_at_s: dict[bytes, float] = attrs.field(factory=dict)
 
+    @property
+    def has_crashes(self) -> bool:
+        """Whether any crash is remembered."""
+        return bool(self._crashes)
+
     @property
     def has_suspects(self) -> bool:
         """Whether any request is suspected or convicted."""
