Convict a request at the second crash if it ran in quarantine then

Callers lost a third instance for some seconds to a request that had already crashed the only instance that ran it in quarantine.

A suspect runs as the only one on its instance, after the first crash is known to all, so that the crash of that instance tells which request is to blame; two crashes at the same moment still convict nobody. The first term is 30 s, doubled with each further crash, since two crashes are less than three.

--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -137,6 +137,7 @@
                     "request_id": run.submit.request_id,
                     "attempt": run.submit.attempt,
                     "fingerprint": fingerprint_of(run.submit).hex(),
+                    "quarantined": run.quarantined,
                     "ran_ms": round((now_s - run.started_at_s) * 1000),
                 }
                 for run in crash.runs
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -206,6 +206,7 @@
                     raise NotRunError(Reason.LINK_LOST)
                 # A request that became a suspect while it waited takes its turn first.
                 if in_turn or not needs_turn(self.suspects.verdict(submit)):
+                    run.quarantined = in_turn
                     return await self._run_in_slot(run)
 
     def _turn(
@@ -248,7 +249,11 @@
 
     def _handle_crash(self, crash: Crash) -> None:
         self.recorder.record_crash(crash, read_clocks().monotonic_s)
-        self.suspects.report_crash(crash.instance, (run.submit for run in crash.runs))
+        self.suspects.report_crash(
+            crash.instance,
+            (run.submit for run in crash.runs),
+            (run.submit for run in crash.runs if run.quarantined),
+        )
         self.gate.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
         self.quarantine.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
 
--- a/ibisrack/hosting/runs.py
+++ b/ibisrack/hosting/runs.py
@@ -38,6 +38,7 @@
       task: Task that runs it.
       delivery_link: Link that delivers the result.
       started_at_s: Monotonic time at which it was sent to the instance, None until then.
+      quarantined: Whether it runs as a suspect, in its turn.
       linked_at_start: Whether a link, or a local caller, waited for the result at that time.
       orphaned_at_s: Monotonic time at which its link was lost, None while a link waits for it.
       earlier_orphaned_s: Total time of earlier periods without a link.
@@ -51,6 +52,7 @@
     task: asyncio.Task | None = None
     delivery_link: Any = None
     started_at_s: float | None = None
+    quarantined: bool = False
     linked_at_start: bool = False
     orphaned_at_s: float | None = None
     earlier_orphaned_s: float = 0.0
--- a/ibisrack/sidecar/deadly_requests_test.py
+++ b/ibisrack/sidecar/deadly_requests_test.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ibisrack.suspects.table import CONVICTING_CRASHES
+from ibisrack.suspects.table import CONVICTING_CRASHES, CONVICTING_REPEATED_CRASHES
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import SidecarFleet, run_sidecars, wait_until
 
@@ -77,15 +77,15 @@
         yield deadly
 
 
-async def test_a_request_that_crashes_its_instances_is_refused_after_the_third():
+async def test_a_request_that_crashes_its_instances_is_refused_after_the_second():
     """Guards against a request that comes again at any node and ends instance after instance."""
     async with run_deadly_fleet() as deadly:
         statuses = []
         for n in range(20):
             statuses.append(await deadly.send_deadly(n % 5, f"q-{n}"))
             await deadly.restarted()
-        assert deadly.deadly_runs <= CONVICTING_CRASHES
-        assert set(statuses[CONVICTING_CRASHES:]) == {503}
+        assert deadly.deadly_runs == CONVICTING_REPEATED_CRASHES
+        assert set(statuses[1:]) == {503}
         answer, _ = await deadly.fleet.send_request(0, DEADLY_PATH, "last")
         assert float(answer.headers["Retry-After"]) > 10
 
--- a/ibisrack/suspects/exchange.py
+++ b/ibisrack/suspects/exchange.py
@@ -48,15 +48,23 @@
         start = (instance.instance_id, instance.started_at_ms)
         return self.table.is_down(start, read_clocks().monotonic_s)
 
-    def report_crash(self, instance: Instance, requests: Iterable[Fingerprinted]) -> None:
+    def report_crash(
+        self,
+        instance: Instance,
+        requests: Iterable[Fingerprinted],
+        quarantined: Iterable[Fingerprinted],
+    ) -> None:
         """Records a crash of the instance beside this node.
 
         Args:
           instance: The instance.
           requests: Requests that it ran.
+          quarantined: Those of them that ran in quarantine.
         """
         suspects = tuple(dict.fromkeys(map(fingerprint_of, requests)))
-        self.receive(CrashReport(instance.instance_id, instance.started_at_ms, suspects, 0), None)
+        repeated = tuple(dict.fromkeys(map(fingerprint_of, quarantined)))
+        start = (instance.instance_id, instance.started_at_ms)
+        self.receive(CrashReport(*start, suspects, repeated, 0), None)
 
     def record_completed(self, request: Fingerprinted) -> None:
         """Records that the instance beside this node has answered a request."""
--- a/ibisrack/suspects/messages.py
+++ b/ibisrack/suspects/messages.py
@@ -11,12 +11,14 @@
       instance_id: The instance.
       started_at_ms: Start of its process in Unix milliseconds.
       suspects: Fingerprints of the requests that it ran at that time.
+      repeated: Those of them that ran in quarantine, as suspects of an earlier crash.
       age_ms: Time since the crash.
     """
 
     instance_id: str
     started_at_ms: int
     suspects: tuple[bytes, ...]
+    repeated: tuple[bytes, ...]
     age_ms: int
 
 
--- a/ibisrack/suspects/table.py
+++ b/ibisrack/suspects/table.py
@@ -1,9 +1,11 @@
 """Suspects and the crashes at which they ran.
 
-A crash ends all runs of an instance, of which at most one is to blame.  A request that ran at the
-crashes of three instances, and that no instance has answered since the first of them, is convicted:
-it is refused for a time that doubles with each further crash.  Any answer of an instance to it
-clears it, so that requests with equal paths, and runs that other crashes ended, are soon cleared.
+A crash ends all runs of an instance, of which at most one is to blame.  A request that no instance
+has answered since a crash is convicted when an instance crashes under it again that ran it in
+quarantine, as the only suspect there.  Runs that were open on several instances already are weaker
+evidence, because these may have had one cause: three crashes convict then.  A convicted request is
+refused for a time that doubles with each further crash.  Any answer of an instance to it clears it,
+so that requests with equal paths, and runs that other crashes ended, are soon cleared.
 """
 
 import attrs
@@ -11,7 +13,9 @@
 from ibisrack.suspects.messages import CrashReport, RunCompleted
 
 CONVICTING_CRASHES = 3
-FIRST_TERM_S = 60.0  # How long a request is refused after the crash that convicted it.
+CONVICTING_REPEATED_CRASHES = 2  # If the request ran in quarantine at the last of them.
+# How long a request is refused after the second crash; each further one doubles the time.
+FIRST_TERM_S = 30.0
 MAX_TERM_S = 3600.0
 SUSPECT_TTL_S = 600.0  # A suspect, or a request whose term is over, is forgotten after this time.
 COMPLETION_TTL_S = 5.0  # Longer than a report of a crash takes to reach all nodes.
@@ -67,19 +71,22 @@
     Attributes:
       crashes: Number of these crashes.
       last_crash_at_s: Monotonic time of the last one.
+      is_repeated: Whether it ran in quarantine at any of them.
     """
 
     crashes: int = 0
     last_crash_at_s: float = float("-inf")
+    is_repeated: bool = False
 
     @property
     def term_ends_at_s(self) -> float:
         """Monotonic time until which it is refused, before any time if it is not convicted."""
-        further_crashes = self.crashes - CONVICTING_CRASHES
-        if further_crashes < 0:
+        needed = CONVICTING_REPEATED_CRASHES if self.is_repeated else CONVICTING_CRASHES
+        if self.crashes < needed:
             return float("-inf")
         # The exponent is limited because the term is, and a float has a largest value.
-        return self.last_crash_at_s + min(MAX_TERM_S, FIRST_TERM_S * 2 ** min(further_crashes, 10))
+        doublings = min(self.crashes - CONVICTING_REPEATED_CRASHES, 10)
+        return self.last_crash_at_s + min(MAX_TERM_S, FIRST_TERM_S * 2**doublings)
 
     def verdict(self, now_s: float) -> Verdict:
         """Returns the verdict at a time."""
@@ -99,10 +106,12 @@
     Attributes:
       at_s: Monotonic time of the crash.
       suspects: Fingerprints of the requests that the instance ran.
+      repeated: Those of them that ran in quarantine.
     """
 
     at_s: float
     suspects: tuple[bytes, ...]
+    repeated: tuple[bytes, ...]
 
 
 @attrs.define
@@ -144,13 +153,13 @@
             return False
         at_s = now_s - report.age_ms / 1000
         suspects = report.suspects[:MAX_SUSPECTS_PER_CRASH]
-        self._crashes[start] = RecordedCrash(at_s, suspects)
+        self._crashes[start] = RecordedCrash(at_s, suspects, report.repeated)
         if len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
         for fingerprint in dict.fromkeys(suspects):
             # An answer may overtake the report of a crash before it.
             if self._completed_at_s.get(fingerprint, float("-inf")) < at_s:
-                self._add_crash(fingerprint, at_s)
+                self._add_crash(fingerprint, at_s, fingerprint in report.repeated)
         return True
 
     def record_completion(self, message: RunCompleted, now_s: float) -> bool:
@@ -170,6 +179,7 @@
                 instance_id,
                 started_at_ms,
                 tuple(f for f in crash.suspects if f in self._suspects),
+                tuple(f for f in crash.repeated if f in self._suspects),
                 round((now_s - crash.at_s) * 1000),
             )
             for (instance_id, started_at_ms), crash in self._crashes.items()
@@ -190,13 +200,14 @@
         ]:
             del self._crashes[start]
 
-    def _add_crash(self, fingerprint: bytes, at_s: float) -> None:
+    def _add_crash(self, fingerprint: bytes, at_s: float, is_repeated: bool) -> None:
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             if len(self._suspects) >= MAX_SUSPECTS:
                 self._forget_one()
             suspect = self._suspects[fingerprint] = Suspect()
         suspect.crashes += 1
+        suspect.is_repeated |= is_repeated
         suspect.last_crash_at_s = max(suspect.last_crash_at_s, at_s)
 
     def _forget_one(self) -> None:
--- a/ibisrack/suspects/table_test.py
+++ b/ibisrack/suspects/table_test.py
@@ -17,11 +17,14 @@
 )
 from ibisrack.testing.functions import function_tests
 
+TERM_S = 2 * FIRST_TERM_S  # After the third crash.
 DEADLY, OTHER = b"d" * 16, b"o" * 16
 
 
-def crash(number: int, *suspects: bytes, age_ms: int = 0) -> CrashReport:
-    return CrashReport(f"i-{number}", 1, suspects, age_ms)
+def crash(
+    number: int, *suspects: bytes, repeated: tuple[bytes, ...] = (), age_ms: int = 0
+) -> CrashReport:
+    return CrashReport(f"i-{number}", 1, suspects, repeated, age_ms)
 
 
 def convicted_table(now_s: float = 10.0) -> SuspectTable:
@@ -35,18 +38,39 @@
 def test_only_the_request_that_ran_at_three_crashes_is_convicted():
     """Guards against blaming the requests that ran beside a deadly one."""
     table = convicted_table()
-    assert table.verdict(DEADLY, 10.0) == Convicted(CONVICTING_CRASHES, 10.0 + FIRST_TERM_S)
+    assert table.verdict(DEADLY, 10.0) == Convicted(CONVICTING_CRASHES, 10.0 + TERM_S)
     assert table.verdict(b"%016d" % 0, 10.0) == Suspected(1)
     assert table.verdict(OTHER, 10.0) == CLEAR
 
 
+def test_a_request_that_crashes_an_instance_in_quarantine_is_convicted_at_the_second():
+    """Guards against a third crash when the second has already told which suspect is to blame."""
+    table = SuspectTable()
+    table.record_crash(crash(1, DEADLY, OTHER), 10.0)
+    table.record_crash(crash(2, DEADLY, b"n" * 16, repeated=(DEADLY,)), 10.2)
+    assert table.verdict(DEADLY, 10.2) == Convicted(2, 10.2 + FIRST_TERM_S)
+    assert table.verdict(OTHER, 10.2) == table.verdict(b"n" * 16, 10.2) == Suspected(1)
+    new = SuspectTable()
+    for report in table.reports(10.2):
+        new.record_crash(report, 10.2)
+    assert new == table
+
+
+def test_two_crashes_at_a_time_convict_no_request_that_ran_on_both():
+    """Guards against refusing a common request because two instances lost power together."""
+    table = SuspectTable()
+    table.record_crash(crash(1, OTHER), 10.0)
+    table.record_crash(crash(2, OTHER), 10.0)
+    assert table.verdict(OTHER, 10.0) == Suspected(2)
+
+
 def test_a_crash_that_several_peers_report_counts_once():
     """Guards against a conviction by one crash, heard on several links."""
     table = SuspectTable()
     assert table.record_crash(crash(1, DEADLY), 10.0)
     assert not any(table.record_crash(crash(1, DEADLY), 10.0) for _ in range(5))
     assert table.verdict(DEADLY, 10.0) == Suspected(1)
-    assert table.record_crash(CrashReport("i-1", 2, (DEADLY,), 0), 11.0)
+    assert table.record_crash(CrashReport("i-1", 2, (DEADLY,), (), 0), 11.0)
     assert table.verdict(DEADLY, 11.0) == Suspected(2)
 
 
@@ -73,7 +97,7 @@
 def test_a_term_ends_and_doubles_with_each_further_crash():
     """Guards against a conviction for ever, and against a deadly request that is let in often."""
     table, now_s = convicted_table(), 10.0
-    for term_s in (FIRST_TERM_S, 2 * FIRST_TERM_S, 4 * FIRST_TERM_S):
+    for term_s in (TERM_S, 2 * TERM_S, 4 * TERM_S):
         assert isinstance(table.verdict(DEADLY, now_s + term_s - 1), Convicted)
         now_s += term_s
         assert isinstance(table.verdict(DEADLY, now_s), Suspected)
@@ -111,7 +135,7 @@
     table.record_completion(RunCompleted(b"%016d" % 0), 10.5)
     for report in table.reports(12.0):
         new.record_crash(report, 50.0)
-    assert new.verdict(DEADLY, 50.0) == Convicted(CONVICTING_CRASHES, 48.0 + FIRST_TERM_S)
+    assert new.verdict(DEADLY, 50.0) == Convicted(CONVICTING_CRASHES, 48.0 + TERM_S)
     assert new.verdict(b"%016d" % 0, 50.0) == CLEAR
 
 
