--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -19,6 +19,7 @@
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
 from ibisrack.dispatch.service_times import LongestServiceTimes
+from ibisrack.dispatch.verdicts import allows_attempt, reason_without_attempt
 from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
@@ -29,14 +30,13 @@
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.fingerprint import fingerprint_of
-from ibisrack.suspects.table import FIRST_TERM_S, Clear, Convicted, Suspected, Verdict
+from ibisrack.suspects.table import FIRST_TERM_S, Clear, Suspected, Verdict
 
 MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
 MIN_RETRY_AFTER_S = 0.05
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3  # Time for a new node to obtain its first configuration.
 # Callers come back to the node on their own host.  An earlier retry would find it still stopping.
 STOPPING_RETRY_AFTER_S = 1.0
-MAX_RETRIED_CRASHES = 1  # A request that ran at more crashes is not retried after another one.
 
 
 @attrs.define(eq=False)
@@ -164,9 +164,7 @@
     async def _attempt_all(self, request: Request, attempts: Attempts) -> Result:
         """Tries instances until no retry is allowed; returns the result of all closed attempts."""
         tried: set[str] = set()
-        result: Result = NotRunError(Reason.NO_INSTANCE)
-        if isinstance(self.suspects.verdict(request), Convicted):
-            result = NotRunError(Reason.CRASHES_INSTANCES)
+        result: Result = NotRunError(reason_without_attempt(self.suspects.verdict(request)))
         while len(tried) < MAX_INSTANCES_TRIED:
             verdict = self.suspects.verdict(request)
             if not allows_attempt(verdict, bool(attempts.possible_runs)):
@@ -323,29 +321,3 @@
 @to_reply.register
 def _(result: UnknownOutcomeError, dispatcher: Dispatcher, attempts: Attempts) -> Reply:
     return Failure(str(result.reason), result.reason == Reason.DEADLINE)
-
-
-@singledispatch
-def allows_attempt(verdict: object, may_have_run: bool) -> bool:
-    """Returns whether a request with this verdict may be sent to an instance.
-
-    Args:
-      verdict: Verdict on the request.
-      may_have_run: Whether an earlier attempt may have run.
-    """
-    raise TypeError(f"unknown verdict {type(verdict).__name__}")
-
-
-@allows_attempt.register
-def _(verdict: Clear, may_have_run: bool) -> bool:
-    return True
-
-
-@allows_attempt.register
-def _(verdict: Suspected, may_have_run: bool) -> bool:
-    return not may_have_run or verdict.crashes <= MAX_RETRIED_CRASHES
-
-
-@allows_attempt.register
-def _(verdict: Convicted, may_have_run: bool) -> bool:
-    return False
--- a/ibisrack/suspects/recorder.py
+++ b/ibisrack/suspects/recorder.py
@@ -52,9 +52,21 @@
 
     def record_cleared(self, fingerprint: bytes, before: Verdict) -> None:
         """Records that an instance answered a request on which there was a verdict."""
-        extra = {"fingerprint": fingerprint.hex()}
-        if isinstance(before, Convicted):
-            self.acquittals += 1
-            _LOGGER.warning("conviction lifted", extra=extra)
-        elif isinstance(before, Suspected):
-            _LOGGER.info("suspect cleared", extra=extra)
+        self._record_cleared(before, {"fingerprint": fingerprint.hex()})
+
+    @singledispatchmethod
+    def _record_cleared(self, before: Verdict, extra: dict) -> None:
+        raise TypeError(f"unexpected verdict {type(before).__name__}")
+
+    @_record_cleared.register
+    def _(self, before: Clear, extra: dict) -> None:
+        pass
+
+    @_record_cleared.register
+    def _(self, before: Suspected, extra: dict) -> None:
+        _LOGGER.info("suspect cleared", extra=extra)
+
+    @_record_cleared.register
+    def _(self, before: Convicted, extra: dict) -> None:
+        self.acquittals += 1
+        _LOGGER.warning("conviction lifted", extra=extra)
--- a/ibisrack/suspects/table.py
+++ b/ibisrack/suspects/table.py
@@ -153,13 +153,14 @@
             return False
         at_s = now_s - report.age_ms / 1000
         suspects = report.suspects[:MAX_SUSPECTS_PER_CRASH]
-        self._crashes[start] = RecordedCrash(at_s, suspects, report.repeated)
+        repeated = tuple(f for f in suspects if f in report.repeated)
+        self._crashes[start] = RecordedCrash(at_s, suspects, repeated)
         if len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
         for fingerprint in dict.fromkeys(suspects):
             # An answer may overtake the report of a crash before it.
             if self._completed_at_s.get(fingerprint, float("-inf")) < at_s:
-                self._add_crash(fingerprint, at_s, fingerprint in report.repeated)
+                self._add_crash(fingerprint, at_s, fingerprint in repeated)
         return True
 
     def record_completion(self, message: RunCompleted, now_s: float) -> bool:
