--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -21,13 +21,12 @@
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.hosting.crashes import Crash, CrashDetector
 from ibisrack.hosting.notices import InstanceNotices, Notice
+from ibisrack.hosting.rank_rules import rank_rules
 from ibisrack.hosting.recorder import SubmissionRecorder, SubmissionTrace
 from ibisrack.hosting.runs import Run, RunTable, SubmissionKey
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Submit
-from ibisrack.routing.model import rank_name
-from ibisrack.rules.model import RankRule
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.quarantine import Quarantine, needs_turn
@@ -36,9 +35,6 @@
 # otherwise a request that only waited would be reported as of unknown outcome.
 REPLY_MARGIN_S = 0.02
 
-# Guaranteed share of slot time of each rank below the most urgent one.
-LOWER_RANK_SHARE_PERCENT = 10
-MAX_QUEUED_PER_RANK = 100
 SERVICE_TIME_WEIGHT = 0.1  # Weight of the newest request in the moving average of service times.
 
 
@@ -131,7 +127,7 @@
             )
             self._apply_limit(instance.instance_id, before_per_s)
         slots = instance.slots if instance else self.gate.scheduler.slots
-        ranks = _rank_rules(service, sorted(priorities))
+        ranks = rank_rules(service, sorted(priorities))
         now_s = read_clocks().monotonic_s
         self.gate.apply(self.gate.scheduler.configure(slots, ranks, now_s))
 
@@ -378,23 +374,6 @@
         self.service_s += (service_s - self.service_s) * weight
 
 
-def _rank_rules(service: str, priorities: list[int]) -> tuple[RankRule, ...]:
-    """Returns a rank for each of the sorted priorities, the most urgent first."""
-    return tuple(
-        RankRule(
-            line=0,
-            requester="",
-            reason="",
-            service=service,
-            rank=rank_name(priority),
-            order=priority,
-            share_percent=LOWER_RANK_SHARE_PERCENT if index else 0,
-            max_queue=MAX_QUEUED_PER_RANK,
-        )
-        for index, priority in enumerate(priorities)
-    )
-
-
 @singledispatch
 def _start_added(added: object, submit: Submit, runner: InstanceRunner) -> Run:
     """Starts the task of a submission, given what the table of runs returned for it."""
