--- a/ibisrack/dispatch/decisions_test.py
+++ b/ibisrack/dispatch/decisions_test.py
@@ -8,11 +8,13 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import USABLE_SHARE, ServiceRetryBudgets
-from ibisrack.dispatch.choice import InstanceViews, choose_instance
+from ibisrack.dispatch.choice import InstanceViews, choose_home, choose_instance
+from ibisrack.dispatch.verdicts import allows_attempt, reason_without_attempt
 from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.links.messages import Load
 from ibisrack.registry.messages import NO_REVISION
 from ibisrack.routing.model import Repeats
+from ibisrack.suspects.table import CLEAR, Convicted, Suspected
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import instance, route
 
@@ -201,4 +203,29 @@
     assert selected(instance_views, x="a", y="a") == "x"
 
 
+def test_all_nodes_choose_the_same_available_instance_for_a_suspect():
+    """Guards against a suspect that ends several instances at a time."""
+    instances = [instance(f"i-{n}") for n in range(6)]
+    views = InstanceViews()
+    home = choose_home(instances, views, b"f" * 16, 10.0)
+    views.of("i-0").in_flight = views.of("i-5").in_flight = 9
+    assert choose_home(reversed(instances), views, b"f" * 16, 10.0) is home
+    assert len({choose_home(instances, views, bytes((n,)), 10.0) for n in range(60)}) == 6
+    views.record_failure(home.instance_id, 10.0)
+    assert choose_home(instances, views, b"f" * 16, 10.0) is not home
+    assert choose_home([home], views, b"f" * 16, 10.0) is home
+    assert choose_home([], views, b"f" * 16, 10.0) is None
+
+
+def test_a_request_that_ran_at_two_crashes_is_not_retried_within_its_attempt():
+    """Guards against one attempt of a caller that ends instance after instance."""
+    assert allows_attempt(CLEAR, True)
+    assert allows_attempt(Suspected(1), True)
+    assert allows_attempt(Suspected(2), False)
+    assert not allows_attempt(Suspected(2), True)
+    assert not allows_attempt(Convicted(2, 40.0), False)
+    assert reason_without_attempt(Convicted(2, 40.0)) == Reason.CRASHES_INSTANCES
+    assert reason_without_attempt(CLEAR) == Reason.NO_INSTANCE
+
+
 load_tests = function_tests(__name__)
--- /dev/null
+++ b/ibisrack/suspects/exchange_test.py
@@ -0,0 +1,88 @@
+"""Tests of what nodes tell each other about suspects."""
+
+import attrs
+
+from ibisrack.links.codec_test import SUBMIT
+from ibisrack.suspects.exchange import SuspectExchange
+from ibisrack.suspects.fingerprint import FINGERPRINT_BYTES, fingerprint_of
+from ibisrack.suspects.table import CLEAR, Suspected
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.sidecars import instance
+
+
+@attrs.define(eq=False)
+class DirectLink:
+    """A link that delivers at once.
+
+    Attributes:
+      peer: Node at the other end.
+      back: The link of that node in the other direction.
+      sent: Number of messages sent.
+    """
+
+    peer: SuspectExchange
+    back: "DirectLink | None" = None
+    sent: int = 0
+
+    def send(self, *messages):
+        for message in messages:
+            self.sent += 1
+            self.peer.receive(message, self.back)
+
+
+def connect(count: int) -> tuple[list[SuspectExchange], list[DirectLink]]:
+    """Returns nodes, each connected with the two beside it in a ring, and all links."""
+    nodes = [SuspectExchange() for _ in range(count)]
+    links: dict[int, list[DirectLink]] = {number: [] for number in range(count)}
+    for number in range(count):
+        following = (number + 1) % count
+        there, back = DirectLink(nodes[following]), DirectLink(nodes[number])
+        there.back, back.back = back, there
+        links[number].append(there)
+        links[following].append(back)
+    for number, node in enumerate(nodes):
+        node.links = lambda number=number: links[number]
+    return nodes, [link for group in links.values() for link in group]
+
+
+def test_every_node_learns_of_a_crash_and_of_an_answer_over_each_link_once():
+    """Guards against nodes that are not linked with the one that saw it, and against loops."""
+    nodes, links = connect(6)
+    nodes[0].report_crash(instance(), (SUBMIT,), ())
+    assert all(node.verdict(SUBMIT) == Suspected(1) for node in nodes)
+    assert all(node.is_down(instance()) for node in nodes)
+    assert all(link.sent <= 1 for link in links)
+    nodes[3].record_completed(SUBMIT)
+    assert all(node.verdict(SUBMIT) is CLEAR for node in nodes)
+    assert all(link.sent <= 2 for link in links)
+
+
+def test_answers_to_requests_that_are_no_suspects_are_not_reported():
+    """Guards against a message for every request."""
+    nodes, links = connect(3)
+    nodes[0].record_completed(SUBMIT)
+    nodes[0].report_crash(instance(), (attrs.evolve(SUBMIT, target="/other"),), ())
+    nodes[0].record_completed(SUBMIT)
+    assert sum(link.sent for link in links) <= len(links)
+
+
+def test_a_fingerprint_is_that_of_path_caller_and_body():
+    """Guards against a request that is new under each id, and against taking two for one."""
+    again = attrs.evolve(SUBMIT, request_id="other", remaining_ms=1, headers=(), attempt=2)
+    assert fingerprint_of(again) == fingerprint_of(SUBMIT)
+    assert len(fingerprint_of(SUBMIT)) == FINGERPRINT_BYTES
+    changed = (
+        {"method": "PUT"},
+        {"host": "other.example"},
+        {"target": "/a"},
+        {"caller_service": "other"},
+        {"body": b""},
+        {"host": SUBMIT.host + "/", "target": SUBMIT.target[1:]},
+    )
+    assert all(
+        fingerprint_of(attrs.evolve(SUBMIT, **fields)) != fingerprint_of(SUBMIT)
+        for fields in changed
+    )
+
+
+load_tests = function_tests(__name__)
