--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Iterable, Sequence
+from hashlib import blake2b
 from random import Random
 
 import attrs
@@ -206,3 +207,28 @@
         for group in (own, other)
         for drawn in rng.sample(group, min(COMPARED_INSTANCES, len(group)))
     ]
+
+
+def choose_home(
+    candidates: Iterable[Instance], views: InstanceViews, fingerprint: bytes, now_s: float
+) -> Instance | None:
+    """Returns the instance that runs a suspect, the same one for all nodes with the same view.
+
+    Args:
+      candidates: Instances that may take the request.
+      views: Views of the instances.
+      fingerprint: Fingerprint of the request.
+      now_s: Current time.
+
+    Returns:
+      The selected instance, or None without candidates.  An instance that is to be avoided is
+      selected only if all others are to be avoided too.
+    """
+    return min(
+        candidates,
+        key=lambda candidate: (
+            now_s < views.of(candidate.instance_id).avoid_until_s,
+            blake2b(fingerprint + candidate.instance_id.encode()).digest(),
+        ),
+        default=None,
+    )
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -12,13 +12,14 @@
 from ibisrack.clocks import read_clocks, read_uptime_ms
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import ServiceRetryBudgets
-from ibisrack.dispatch.choice import InstanceViews, choose_instance
+from ibisrack.dispatch.choice import InstanceViews, choose_home, choose_instance
 from ibisrack.dispatch.destination import Destination, OpenAttempt
 from ibisrack.dispatch.first_attempts import FirstAttemptEstimator
 from ibisrack.dispatch.recorder import RequestRecorder
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
 from ibisrack.dispatch.service_times import LongestServiceTimes
+from ibisrack.dispatch.verdicts import allows_attempt, reason_without_attempt
 from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
@@ -27,6 +28,9 @@
 from ibisrack.routing.model import Route
 from ibisrack.routing.splits import Splitter
 from ibisrack.stopping.plan import PlannedStop
+from ibisrack.suspects.exchange import SuspectExchange
+from ibisrack.suspects.fingerprint import fingerprint_of
+from ibisrack.suspects.table import FIRST_TERM_S, Clear, Suspected, Verdict
 
 MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
 MIN_RETRY_AFTER_S = 0.05
@@ -57,6 +61,7 @@
       running: Number of requests being served.
       open_attempts: Attempts of the requests being served.
       stop: Planned stop of this process, None while there is none.
+      suspects: Requests that are suspected of crashing instances.
     """
 
     zone: str
@@ -75,6 +80,7 @@
     running: int = 0
     open_attempts: set[OpenAttempt] = attrs.field(factory=set)
     stop: PlannedStop | None = None
+    suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
 
     async def serve(self, request: Request) -> Reply:
         """Serves a request and returns the reply for its caller."""
@@ -165,40 +171,53 @@
     async def _attempt_all(self, request: Request, attempts: Attempts) -> Result:
         """Tries instances until no retry is allowed; returns the result of all closed attempts."""
         tried: set[str] = set()
-        result: Result = NotRunError(Reason.NO_INSTANCE)
+        result: Result = NotRunError(reason_without_attempt(self.suspects.verdict(request)))
         while len(tried) < MAX_INSTANCES_TRIED:
-            instance = self._choose(attempts, tried)
+            verdict = self.suspects.verdict(request)
+            if not allows_attempt(verdict, bool(attempts.possible_runs)):
+                break
+            instance = self._choose(request, verdict, attempts, tried)
             if instance is None:
                 break
             tried.add(instance.instance_id)
             attempts.attempt_log.append(f"{instance.instance_id} no-answer")
             waited_s = read_clocks().monotonic_s - request.received_at_s
             attempts.attempted_ms.append(round(waited_s * 1000))
-            may_leave = partial(self._may_leave, attempts, tried)
+            may_leave = partial(self._may_leave, request, attempts, tried)
             result = await self._attempt(request, attempts, instance, len(tried), may_leave)
             attempts.attempt_log[-1] = f"{instance.instance_id} {outcome_and_reason(result)[1]}"
             if not attempts.should_retry(result, read_clocks().monotonic_s):
                 break
         return attempts.final_result(result)
 
-    def _may_leave(self, attempts: Attempts, tried: set[str]) -> bool:
+    def _may_leave(self, request: Request, attempts: Attempts, tried: set[str]) -> bool:
         """Returns whether to try another instance while the node of the last one is lost."""
-        if len(tried) >= MAX_INSTANCES_TRIED or self._choose(attempts, tried) is None:
+        verdict = self.suspects.verdict(request)
+        # A suspect runs on one instance at a time.
+        if len(tried) >= MAX_INSTANCES_TRIED or not isinstance(verdict, Clear):
+            return False
+        if self._choose(request, verdict, attempts, tried) is None:
             return False
         return attempts.may_leave(read_clocks().monotonic_s)
 
-    def _choose(self, attempts: Attempts, tried: set[str]) -> Instance | None:
+    def _choose(
+        self, request: Request, verdict: Verdict, attempts: Attempts, tried: set[str]
+    ) -> Instance | None:
         route, now_s = attempts.route, read_clocks().monotonic_s
         candidates = []
         for instance in self.directory.of_service(attempts.service):
             if not instance.ready or instance.instance_id in tried:
                 continue
+            if self.suspects.is_down(instance):
+                continue
             load = self.destination_of(instance).load
             if load is not None:
                 self.views.of(instance.instance_id).update_load(load, now_s)
                 if not load.accepts_requests:
                     continue
             candidates.append(instance)
+        if isinstance(verdict, Suspected):
+            return choose_home(candidates, self.views, fingerprint_of(request), now_s)
         cost_s = self.views.zone_cost_ratio(route.name) * route.target_s
         return choose_instance(candidates, self.views, self.zone, cost_s, self.rng, now_s)
 
@@ -303,6 +322,8 @@
 
 @to_reply.register
 def _(result: NotRunError, dispatcher: Dispatcher, attempts: Attempts) -> Reply:
+    if result.reason == Reason.CRASHES_INSTANCES:
+        return Refusal(str(result.reason), FIRST_TERM_S)
     return Refusal(str(result.reason), dispatcher.retry_after_s(attempts))
 
 
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from contextlib import AbstractAsyncContextManager, nullcontext
 from functools import partial, singledispatch
 from typing import Protocol
 
@@ -18,23 +19,22 @@
 from ibisrack.calls.retry import Result
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.hosting.crashes import Crash, CrashDetector
 from ibisrack.hosting.notices import InstanceNotices, Notice
+from ibisrack.hosting.rank_rules import rank_rules
 from ibisrack.hosting.recorder import SubmissionRecorder, SubmissionTrace
 from ibisrack.hosting.runs import Run, RunTable, SubmissionKey
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Submit
-from ibisrack.routing.model import rank_name
-from ibisrack.rules.model import RankRule
 from ibisrack.stopping.plan import PlannedStop
+from ibisrack.suspects.exchange import SuspectExchange
+from ibisrack.suspects.quarantine import Quarantine, needs_turn
 
 # The submitting node gives up on a request at its deadline.  A refusal must reach it before that;
 # otherwise a request that only waited would be reported as of unknown outcome.
 REPLY_MARGIN_S = 0.02
 
-# Guaranteed share of slot time of each rank below the most urgent one.
-LOWER_RANK_SHARE_PERCENT = 10
-MAX_QUEUED_PER_RANK = 100
 SERVICE_TIME_WEIGHT = 0.1  # Weight of the newest request in the moving average of service times.
 
 
@@ -70,6 +70,9 @@
       running_retries: Number of running requests that had reached an instance before.
       notices: What the instance says of itself in its answers.
       on_leaving: Called when the instance has said that it is about to end.
+      crash_detector: Tells crashes of the instance from connections that it dropped.
+      suspects: Requests that are suspected of crashing instances.
+      quarantine: Turns of the suspects on the instance.
     """
 
     address: tuple[str, int]
@@ -83,6 +86,13 @@
     running_retries: int = 0
     notices: InstanceNotices = attrs.field(factory=InstanceNotices)
     on_leaving: Callable[[], None] = attrs.field(default=lambda: None)
+    crash_detector: CrashDetector = attrs.field(
+        default=attrs.Factory(
+            lambda self: CrashDetector(self.address, self._handle_crash), takes_self=True
+        )
+    )
+    suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
+    quarantine: Quarantine = attrs.field(factory=Quarantine)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
@@ -94,7 +104,9 @@
     def accepts_requests(self) -> bool:
         """Whether this node accepts submissions."""
         instance = self.instance
-        return not self._is_closed() and instance is not None and instance.ready
+        if self._is_closed() or instance is None or not instance.ready:
+            return False
+        return not self.suspects.is_down(instance)
 
     def retry_share(self) -> float:
         """Returns the share of retries among the running requests."""
@@ -115,7 +127,7 @@
             )
             self._apply_limit(instance.instance_id, before_per_s)
         slots = instance.slots if instance else self.gate.scheduler.slots
-        ranks = _rank_rules(service, sorted(priorities))
+        ranks = rank_rules(service, sorted(priorities))
         now_s = read_clocks().monotonic_s
         self.gate.apply(self.gate.scheduler.configure(slots, ranks, now_s))
 
@@ -177,27 +189,73 @@
         self._check_ends_in_time(arrived_at_s, run.deadline_at_s)
         self._check_accepted(submit)
         target_at_s = arrived_at_s + submit.remaining_target_ms / 1000
-        async with self.gate.hold_slot(
-            submit.request_id,
-            submit.rank,
-            deadline_at_s,
-            target_at_s,
-            submit.initial_target_ms / 1000,
-        ):
-            self._check_accepted(submit)
-            if run.orphaned_at_s is not None:
-                raise NotRunError(Reason.LINK_LOST)
-            now_s = read_clocks().monotonic_s
-            run.mark_started(now_s)
-            self.running_retries += submit.is_retry
+        while True:
+            in_turn = needs_turn(self.suspects.verdict(submit))
+            async with (
+                self._turn(in_turn, submit, deadline_at_s),
+                self.gate.hold_slot(
+                    submit.request_id,
+                    submit.rank,
+                    deadline_at_s,
+                    target_at_s,
+                    submit.initial_target_ms / 1000,
+                ),
+            ):
+                self._check_accepted(submit)
+                if run.orphaned_at_s is not None:
+                    raise NotRunError(Reason.LINK_LOST)
+                # A request that became a suspect while it waited takes its turn first.
+                if in_turn or not needs_turn(self.suspects.verdict(submit)):
+                    run.quarantined = in_turn
+                    return await self._run_in_slot(run)
+
+    def _turn(
+        self, in_turn: bool, submit: Submit, deadline_at_s: float
+    ) -> AbstractAsyncContextManager[None]:
+        """Returns a context that holds the turn of a suspect; others need none."""
+        if in_turn:
+            return self.quarantine.hold_turn(submit.request_id, deadline_at_s)
+        return nullcontext()
+
+    async def _run_in_slot(self, run: Run) -> Answer:
+        now_s = read_clocks().monotonic_s
+        run.mark_started(now_s)
+        self.running_retries += run.submit.is_retry
+        try:
+            answer = await self._send(run, run.deadline_at_s - now_s)
+        finally:
+            self.running_retries -= run.submit.is_retry
+        self.suspects.record_completed(run.submit)
+        ran_s = read_clocks().monotonic_s - now_s
+        self._update_service_time(ran_s)
+        run.answer_bytes = len(answer.body)
+        return attrs.evolve(answer, ran_s=ran_s)
+
+    async def _send(self, run: Run, remaining_s: float) -> Answer:
+        """Sends a request to the instance and returns its answer.
+
+        Raises:
+          NotRunError: The instance did not run the request.
+          UnknownOutcomeError: The request may have run.
+        """
+        with self.crash_detector.track(run):
             try:
-                answer = await self.upstream.send(submit, run.deadline_at_s - now_s)
-            finally:
-                self.running_retries -= submit.is_retry
-            ran_s = read_clocks().monotonic_s - now_s
-            self._update_service_time(ran_s)
-            run.answer_bytes = len(answer.body)
-            return attrs.evolve(answer, ran_s=ran_s)
+                return await self.upstream.send(run.submit, remaining_s)
+            except UnknownOutcomeError as error:
+                is_lost = error.reason == Reason.CONNECTION_LOST
+                if not is_lost or not await self.crash_detector.has_crashed(self.instance):
+                    raise
+                raise UnknownOutcomeError(Reason.INSTANCE_CRASHED) from error
+
+    def _handle_crash(self, crash: Crash) -> None:
+        self.recorder.record_crash(crash, read_clocks().monotonic_s)
+        self.suspects.report_crash(
+            crash.instance,
+            (run.submit for run in crash.runs),
+            (run.submit for run in crash.runs if run.quarantined),
+        )
+        self.gate.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
+        self.quarantine.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
 
     def start(self, submit: Submit) -> Run:
         """Starts the submission of a peer; one that must not run again ends at once."""
@@ -247,11 +305,17 @@
     def refuse_waiting(self) -> None:
         """Refuses all queued requests because the instance accepts no more requests."""
         self.gate.refuse_waiting(Reason.DRAINING)
+        self.quarantine.refuse_waiting(Reason.DRAINING)
+
+    def refuse(self, request_id: str, reason: Reason) -> None:
+        """Refuses a request if it waits."""
+        self.gate.refuse(request_id, reason)
+        self.quarantine.refuse(request_id, reason)
 
     def _end_orphan(self, run: Run, now_s: float) -> None:
         """Refuses an orphan that waits; cancels one at which the instance is at work."""
         if run.started_at_s is None:
-            self.gate.refuse(run.submit.request_id, Reason.LINK_LOST)
+            self.refuse(run.submit.request_id, Reason.LINK_LOST)
             return
         self.recorder.record_orphan_cancelled(run, now_s)
         self.cancel(run)
@@ -301,6 +365,8 @@
             raise NotRunError(Reason.NO_INSTANCE)
         if not instance.ready:
             raise NotRunError(Reason.DRAINING)
+        if self.suspects.is_down(instance):
+            raise NotRunError(Reason.UPSTREAM_UNREACHABLE)
         if instance.service != submit.service:
             raise NotRunError(Reason.NO_INSTANCE)
 
@@ -312,23 +378,6 @@
         self.service_s += (service_s - self.service_s) * weight
 
 
-def _rank_rules(service: str, priorities: list[int]) -> tuple[RankRule, ...]:
-    """Returns a rank for each of the sorted priorities, the most urgent first."""
-    return tuple(
-        RankRule(
-            line=0,
-            requester="",
-            reason="",
-            service=service,
-            rank=rank_name(priority),
-            order=priority,
-            share_percent=LOWER_RANK_SHARE_PERCENT if index else 0,
-            max_queue=MAX_QUEUED_PER_RANK,
-        )
-        for index, priority in enumerate(priorities)
-    )
-
-
 @singledispatch
 def _start_added(added: object, submit: Submit, runner: InstanceRunner) -> Run:
     """Starts the task of a submission, given what the table of runs returned for it."""
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -34,6 +34,7 @@
 from ibisrack.sidecar.content import RegistryContent
 from ibisrack.sidecar.local_destination import LocalDestination
 from ibisrack.sidecar.loop_delay import LoopDelayMeter
+from ibisrack.suspects.exchange import PeerLink, SuspectExchange
 
 TICK_INTERVAL_S = 0.1
 LOAD_REPORT_INTERVAL_S = 1.0  # A changed load is sent to peers after at most this time.
@@ -71,6 +72,7 @@
       sources: Where this node gets the registry's changes from.
       peer_deltas: Peers that are not relied on for the registry's changes.
       loop_delay: How late the event loop runs the periodic work.
+      suspects: Requests that are suspected of crashing instances.
     """
 
     settings: SidecarSettings
@@ -91,6 +93,7 @@
     sources: Sources = Sources(reads=True)
     peer_deltas: PeerDeltas = attrs.field(factory=PeerDeltas)
     loop_delay: LoopDelayMeter = attrs.field(factory=LoopDelayMeter)
+    suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
     _behind_since_s: float | None = None
     _entries_requested_at_s: float = 0.0
     _load_reported_at_s: float = 0.0
@@ -140,6 +143,10 @@
             self.configurations.reported_version,
         )
 
+    def peer_links(self) -> tuple[PeerLink, ...]:
+        """Returns the links with peers, in both directions."""
+        return (*self.incoming_links, *self.outgoing_links.values())
+
     @property
     def latest_reported_version(self) -> int:
         """Latest version of the configuration that peers have in force, 0 if none is known."""
@@ -218,6 +225,7 @@
                 self.settings.links.port,
                 self._apply_peer_entries,
                 self._mark_peer_leaving,
+                self.suspects,
             )
             self.outgoing_links[host] = link
             self.spawn(keep_running("link", link.maintain))
@@ -281,6 +289,7 @@
             if now_s - self._load_reported_at_s >= LOAD_REPORT_INTERVAL_S:
                 self._load_reported_at_s = now_s
                 self.report_load()
+                self.suspects.table.expire(now_s)
             self._record_reported_versions()
             self._choose_sources(now_s)
             self._request_missing_entries(now_s)
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -82,6 +82,8 @@
         settings, content, rng, directory, configurations, view, instance_runner, tally
     )
     instance_runner.on_leaving = node.leave_own_instance
+    instance_runner.suspects = node.suspects
+    node.suspects.links = node.peer_links
     node.resize_pool = lambda slots: pool.resize(slots + SPARE_CONNECTIONS, 0)
     budget = ServiceRetryBudgets(
         settings.retry_ratio, settings.retry_slack, settings.retry_window_s
@@ -97,6 +99,7 @@
         RequestRecorder(tally, view),
         node.lacks_later_configuration,
         views,
+        suspects=node.suspects,
     )
     return node
 
@@ -207,7 +210,9 @@
     settings = node.settings
 
     def create_link(writer: asyncio.StreamWriter, peer: str) -> IncomingLink:
-        return IncomingLink(node.instance_runner, node.load, node.entries_after, writer, peer)
+        return IncomingLink(
+            node.instance_runner, node.load, node.entries_after, writer, peer, node.suspects
+        )
 
     links = await asyncio.start_server(
         partial(serve_link, node.hello, create_link, node.incoming_links),
