Test a node that starts after a restore beside peers with a later configuration

The copy lacks their configuration; the node answers 503 for its routes until the next version arrives, and 404 for unknown routes after that.

--- a/ibisrack/sidecar/restored_store_test.py
+++ b/ibisrack/sidecar/restored_store_test.py
@@ -74,6 +74,23 @@
             assert node.directory.get("i-1") is None
 
 
+async def test_route_that_the_copy_lacks_is_not_denied_by_a_node_that_starts_after_the_restore():
+    """Guards against a final 404 at a new node for a route that the other nodes serve."""
+    async with run_sidecars(3) as fleet:
+        copy = fleet.store.copy()
+        publish(fleet, 5)
+        await wait_for_version(fleet, 5)
+        fleet.store.restore(copy)
+        await fleet.restart_sidecar(0)
+        await wait_until(lambda: fleet.nodes[0].lacks_later_configuration())
+        assert fleet.nodes[0].configurations.version == 1
+        assert (await fleet.send_request(0, "/5/1"))[0].status == 503
+        assert (await fleet.send_request(1, "/5/1", "q-2"))[0].status == 200
+        publish(fleet, 6)
+        await wait_for_version(fleet, 6)
+        assert (await fleet.send_request(0, "/5/1", "q-3"))[0].status == 404
+
+
 async def test_instance_that_the_copy_lacks_is_kept_until_it_could_write_again():
     """Guards against taking a healthy instance out because its entry was lost with the store."""
     async with run_sidecars(3) as fleet:
