Let only stops of a process excuse a cut at the end of the grace

The check cut_without_fault excused a request that was still running in the last sixth of the grace after any planned disturbance of 5 s or more: also a limit that an instance names for 15 s, or a replaced instance, which cut nothing. Only a stop has a grace.

The test of the last sixth now also expects that other planned work excuses nothing; it failed before.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -120,7 +120,7 @@
 ) -> bool:
     """Returns whether a request was still running in the last sixth of a stop's grace."""
     return any(
-        d.kind is Kind.PLANNED
+        d.stops_process
         and d.nodes & nodes
         and request.sent_at_s <= d.started_at_s + LATE_STOP_REQUEST_S
         and d.started_at_s + GRACE_S * 5 / 6 <= outcome.at_s <= d.ended_at_s
--- a/bench/soak/checks_test.py
+++ b/bench/soak/checks_test.py
@@ -38,9 +38,12 @@
     return [(v.promise, v.subject) for v in find_violations(history)]
 
 
-def disturbance(kind: Kind, node: int, started_at_s: float, ended_at_s: float) -> Disturbance:
+def disturbance(
+    kind: Kind, node: int, started_at_s: float, ended_at_s: float, stops_process: bool = False
+) -> Disturbance:
     """Returns a disturbance of one sidecar."""
-    return Disturbance(kind, "fault", frozenset((node,)), started_at_s, ended_at_s)
+    nodes = frozenset((node,))
+    return Disturbance(kind, "fault", nodes, started_at_s, ended_at_s, stops_process)
 
 
 def test_undisturbed_history_is_clean():
@@ -120,13 +123,14 @@
 
 
 def test_only_the_last_sixth_of_the_grace_excuses_a_cut():
-    """Guards against excusing requests that a stop cuts off earlier."""
+    """Guards against excusing what a stop cuts off earlier, or other planned work at all."""
     for started_at_s, excused in ((10.3 - GRACE_S * 5 / 6, True), (10.5 - GRACE_S * 5 / 6, False)):
-        stop = disturbance(Kind.PLANNED, 1, started_at_s, 12.0)
-        request = attrs.evolve(REQUEST, sent_at_s=started_at_s + 2.9, limit_s=9.0)
-        history = history_of(FAILED, RUN, disturbances=[stop])
-        history.requests["q"] = request
-        assert (broken(history) == []) is excused
+        for stops_process in (True, False):
+            stop = disturbance(Kind.PLANNED, 1, started_at_s, 12.0, stops_process)
+            request = attrs.evolve(REQUEST, sent_at_s=started_at_s + 2.9, limit_s=9.0)
+            history = history_of(FAILED, RUN, disturbances=[stop])
+            history.requests["q"] = request
+            assert (broken(history) == []) is (excused and stops_process)
 
 
 def test_new_work_of_a_draining_instance_is_found():
