Keep the status of a process that ends while the soak signals it

Cause: asyncio's send_signal calls Popen.send_signal, which polls the process first. If the process has just ended, the poll reaps it, and the watcher of asyncio finds no child and reports 255.

The signal is now sent with os.kill. The race itself has no test: its window lies within asyncio.

--- a/bench/sidecars.py
+++ b/bench/sidecars.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 import attrs
@@ -143,7 +144,9 @@
     def signal(self, number: int) -> None:
         """Sends a signal if the process is running."""
         if self.running:
-            self.process.send_signal(number)
+            # Popen.send_signal would reap a process that has just ended; its status would be lost.
+            with suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def kill(self) -> None:
         """Kills the process and waits until it has ended."""
