--- a/ibisrack/standins/store.py
+++ b/ibisrack/standins/store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -29,6 +30,21 @@
     items: dict[str, tuple[bytes, int]]
 
 
+@attrs.frozen
+class _Event:
+    """A change of an item.
+
+    Attributes:
+      key: Key of the item.
+      revision: Revision of the change.
+      encoded: The change as JSON, encoded once for all watches.
+    """
+
+    key: str
+    revision: int
+    encoded: bytes
+
+
 @attrs.define(eq=False)
 class StandInStore:
     """Items with a history of their changes.
@@ -51,7 +67,7 @@
     calls: int = 0
     sent_bytes: int = 0
     _items: dict[str, tuple[bytes, int]] = attrs.field(factory=dict)
-    _events: list[dict] = attrs.field(factory=list)
+    _events: list[_Event] = attrs.field(factory=list)
     _first_kept_revision: int = 1
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -59,13 +75,14 @@
         """Writes an item."""
         self.revision += 1
         self._items[key] = (value, self.revision)
-        self._append_event(_item(key, value, self.revision))
+        self._append_event(_Event(key, self.revision, _item(key, value, self.revision)))
 
     def delete(self, key: str) -> None:
         """Removes an item."""
         self.revision += 1
         self._items.pop(key, None)
-        self._append_event({"key": key, "revision": self.revision, "deleted": True})
+        body = {"key": key, "revision": self.revision, "deleted": True}
+        self._append_event(_Event(key, self.revision, json.dumps(body).encode()))
 
     def drop_history(self) -> None:
         """Drops all past events; watches from an earlier revision get status 410."""
@@ -95,7 +112,7 @@
         application.router.add_get("/-/kv-watch", self._watch)
         return application
 
-    def _append_event(self, event: dict) -> None:
+    def _append_event(self, event: _Event) -> None:
         self._events.append(event)
         self._changed.set()
         self._changed = asyncio.Event()
@@ -113,10 +130,10 @@
         keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
         items = [_item(key, *self._items[key]) for key in keys[:PAGE_ITEMS]]
         has_more = len(keys) > PAGE_ITEMS
-        body = {"items": items, "has_more": has_more, "current_rev": self.revision}
+        body = _list_body("items", items, has_more=has_more, current_rev=self.revision)
         if self.truncated_pages:
             self.truncated_pages -= 1
-            return await _send_truncated(request, web.json_response(body).body)
+            return await _send_truncated(request, body)
         return self._respond(body)
 
     async def _watch(self, request: web.Request) -> web.Response:
@@ -137,18 +154,19 @@
             if self.era != era:
                 return web.Response(status=410, headers=self._headers())
             events = self._events_after(after, request.query["prefix"])
-        return self._respond({"events": events, "current_rev": self.revision})
+        encoded = [event.encoded for event in events]
+        return self._respond(_list_body("events", encoded, current_rev=self.revision))
 
-    def _respond(self, body: dict) -> web.Response:
-        response = web.json_response(body, headers=self._headers())
-        self.sent_bytes += len(response.body)
-        return response
+    def _respond(self, body: bytes) -> web.Response:
+        self.sent_bytes += len(body)
+        headers = self._headers()
+        return web.Response(body=body, headers=headers, content_type="application/json")
 
     def _headers(self) -> dict[str, str]:
         return {ERA_HEADER: str(self.era)}
 
-    def _events_after(self, after: int, prefix: str) -> list[dict]:
-        return [e for e in self._events if e["revision"] > after and e["key"].startswith(prefix)]
+    def _events_after(self, after: int, prefix: str) -> list[_Event]:
+        return [e for e in self._events if e.revision > after and e.key.startswith(prefix)]
 
 
 async def _send_truncated(request: web.Request, body: bytes) -> web.StreamResponse:
@@ -160,9 +178,16 @@
     return response
 
 
-def _item(key: str, value: bytes, revision: int) -> dict:
+def _item(key: str, value: bytes, revision: int) -> bytes:
     encoded = base64.b64encode(value).decode()
-    return {"key": key, "value": encoded, "revision": revision, "created": revision, "lease": 0}
+    body = {"key": key, "value": encoded, "revision": revision, "created": revision, "lease": 0}
+    return json.dumps(body).encode()
+
+
+def _list_body(name: str, encoded: list[bytes], **fields: int | bool) -> bytes:
+    """Returns a JSON object with a list of encoded values and other fields."""
+    rest = json.dumps(fields).encode()[1:]
+    return b'{"%s": [%s], %s' % (name.encode(), b", ".join(encoded), rest)
 
 
 @asynccontextmanager
