Let one proxy serve the soak and the tests of lost links

ibisrack/testing/tcp_proxy.py and bench/soak/proxy.py both relayed connections that a test can block and reset. The soak's paths cover what the other proxy did: TcpProxy is now a few methods on two paths.

cut() now resets connections, where the former proxy closed them; the tests of lost links passed unchanged but for the name of resume(). Network.close() ends the relays of a test, which would otherwise outlive its event loop.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -5,7 +5,7 @@
 import attrs
 
 from bench.soak.history import Kind
-from bench.soak.proxy import STORE, Ends
+from ibisrack.testing.tcp_proxy import STORE, Ends
 
 
 @attrs.frozen
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -13,7 +13,6 @@
 from bench.sidecars import Placement, Ports, SidecarProcess
 from bench.soak.history import History, UnexpectedExit
 from bench.soak.instances import SLOTS, SoakInstance
-from bench.soak.proxy import Network
 from ibisrack.instances.model import InstanceState
 from ibisrack.standins.instance import StandInInstance, serve_instance
 from ibisrack.standins.store import StandInStore, serve_store
@@ -23,6 +22,7 @@
     instance_entry,
     route_resource,
 )
+from ibisrack.testing.tcp_proxy import STORE, Network
 
 SERVICES = ("desk", "docs")
 ZONES = ("north", "south", "west")
@@ -166,6 +166,7 @@
     ports = Ports(*free_ports(5))
     async with AsyncExitStack() as stack:
         store, store_port = await stack.enter_async_context(serve_store(STORE_HOST))
+        store_address = (STORE_HOST, store_port)
         session = await stack.enter_async_context(ClientSession())
         fleet = SoakFleet(seed, history, network, store, {}, session)
         fleet.publish()
@@ -188,7 +189,7 @@
             for server in (
                 serve_instance(stand_in, placement.host, ports.app),
                 network.relayed_links(number, placement.host, (placement.links_host, ports.links)),
-                network.relayed_store(number, f"127.0.2.{number}", (STORE_HOST, store_port)),
+                network.relayed((number, STORE), f"127.0.2.{number}", store_port, store_address),
             ):
                 await stack.enter_async_context(server)
             fleet.register(member)
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -21,7 +21,7 @@
     RestoreStore,
     StopProcess,
 )
-from bench.soak.proxy import STORE, Ends
+from ibisrack.testing.tcp_proxy import STORE, Ends
 
 FIRST_BURST_S = 1.0
 PAUSE_BETWEEN_BURSTS_S = (1.0, 3.5)
--- a/bench/soak/soak_test.py
+++ b/bench/soak/soak_test.py
@@ -9,9 +9,9 @@
 from bench.soak.faults import Fault
 from bench.soak.injection import inject
 from bench.soak.plan import make_plan
-from bench.soak.proxy import STORE, Network
 from bench.soak.runner import SoakSettings, run_seed
 from ibisrack.testing.functions import function_tests
+from ibisrack.testing.tcp_proxy import STORE, Network
 
 SEED = 2
 FAULTS_S = 30.0
@@ -50,10 +50,12 @@
     network = Network({})
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(await asyncio.start_server(echo, TARGET_HOST, port))
-        await stack.enter_async_context(network.relayed_store(1, SOURCE_HOST, (TARGET_HOST, port)))
+        address = (TARGET_HOST, port)
+        await stack.enter_async_context(network.relayed((1, STORE), SOURCE_HOST, port, address))
         reader, writer = await asyncio.open_connection(SOURCE_HOST, port)
         stack.callback(writer.close)
         yield network, reader, writer
+        await network.close()
 
 
 async def test_blocked_path_delivers_nothing_until_it_is_open_again():
--- a/ibisrack/sidecar/lost_link_test.py
+++ b/ibisrack/sidecar/lost_link_test.py
@@ -65,7 +65,7 @@
         await wait_until(lambda: fleet_.nodes[1].instance_runner.gate.load().queued == 1)
         proxy.cut()
         await asyncio.sleep(CUT_S)
-        proxy.flowing.set()
+        proxy.resume()
         answer, _ = await call
         await busy
         assert answer.status == 200
@@ -81,7 +81,7 @@
         proxy.cut()
         await busy
         await asyncio.sleep(0.1)
-        proxy.flowing.set()
+        proxy.resume()
         answer, _ = await call
         assert answer.status == 503
         assert fleet_.instances[1].executed_ids == ["busy"]
@@ -97,7 +97,7 @@
         await asyncio.sleep(0.1)
         call.cancel()
         await asyncio.sleep(0.1)
-        proxy.flowing.set()
+        proxy.resume()
         load = fleet_.nodes[1].instance_runner.gate.load
         async with asyncio.timeout(1.5):
             await wait_until(lambda: not load().busy)
@@ -124,7 +124,7 @@
         call = await run_at_first_peer(fleet_, work_s=1.0)
         proxy.cut()
         await asyncio.sleep(CUT_S)
-        proxy.flowing.set()
+        proxy.resume()
         answer, _ = await call
         assert answer.status == 200
         assert answer.headers["Response-Signature"] == "signed.i-1"
@@ -138,7 +138,7 @@
         answer, _ = await call
         assert answer.status == 200
         assert answer.headers["Response-Signature"] == "signed.i-2"
-        proxy.flowing.set()
+        proxy.resume()
         load = fleet_.nodes[1].instance_runner.gate.load
         async with asyncio.timeout(0.7):  # Before the run would be cancelled as an orphan.
             await wait_until(lambda: not load().busy)
@@ -152,7 +152,7 @@
         await wait_until(lambda: bool(fleet_.instances[1].executed_ids))
         proxy.fall_silent()
         await asyncio.sleep(ABORT_AFTER_SILENCE_S + RESULT_TTL_S)
-        proxy.flowing.set()
+        proxy.resume()
         answer, _ = await call
         assert answer.status == 200
         assert fleet_.instances[1].executed_ids == ["q-1"]
