Grow the configuration past 1 MiB in the soak, with stops in series

Faults can now be added to those of a seed (ADD=large_configuration, also in regression cases): the configuration grows in steps to 1.3 MB while long requests keep the links in use, then processes get SIGTERM in series, are killed, start anew, and get further versions. ZONES=1 makes seven of nine sidecars follow the two that read. Half of the seeds with additions keep only their planned faults, since store faults and unplanned ones excuse late versions.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,9 @@
 	$(PY) -m bench.runner $(if $(ONLY),--only=$(ONLY))
 
 soak: $(STAMP)
-	$(PY) -m bench.soak.runner $(if $(SEEDS),--seeds=$(SEEDS)) $(if $(SIDECARS),--sidecars=$(SIDECARS))
+	$(PY) -m bench.soak.runner $(if $(SEEDS),--seeds=$(SEEDS)) \
+		$(if $(SIDECARS),--sidecars=$(SIDECARS)) $(if $(ZONES),--zones=$(ZONES)) \
+		$(addprefix --add=,$(ADD))
 
 room: $(STAMP)
 	$(PY) -m bench.watch
--- /dev/null
+++ b/bench/soak/additions.py
@@ -0,0 +1,65 @@
+"""Faults that a run has beyond those of its seed, if its settings name them."""
+
+from collections.abc import Collection
+from enum import StrEnum, auto
+from random import Random
+
+from bench.soak.faults import (
+    ChangeConfiguration,
+    GrowConfiguration,
+    KillProcess,
+    SendLongRequests,
+    StopProcess,
+    kind_of,
+)
+from bench.soak.history import Kind
+from bench.soak.plan import TimedFault, make_plan
+
+LARGE_ROUTES = 5000  # About 1.3 MB of configuration.
+SERIES_INTERVAL_S = 0.5  # Between the stops of a series.
+
+
+class Addition(StrEnum):
+    """Kinds of added faults."""
+
+    LARGE_CONFIGURATION = auto()
+
+
+def make_extended_plan(
+    seed: int, duration_s: float, sidecars: int, additions: Collection[Addition]
+) -> list[TimedFault]:
+    """Returns the faults of a run and those that are added, in the order of their starts.
+
+    Half of the seeds keep only their planned faults beside additions, because other faults excuse
+    part of what the additions may break.
+    """
+    plan, nodes = make_plan(seed, duration_s, sidecars), range(1, sidecars + 1)
+    if additions and Random(f"{seed} additions").random() < 0.5:
+        plan = [timed for timed in plan if kind_of(timed.fault) is Kind.PLANNED]
+    for addition in additions:
+        plan += _MAKERS[addition](Random(f"{seed} {addition}"), nodes, duration_s)
+    return sorted(plan, key=lambda timed: timed.at_s)
+
+
+def _large_configuration(rng: Random, nodes: range, duration_s: float) -> list[TimedFault]:
+    """Grows the configuration in steps, while processes end in series and start again."""
+    at_s, steps = rng.uniform(1.0, duration_s / 3), rng.randint(3, 6)
+    grow = GrowConfiguration(steps, LARGE_ROUTES // steps, rng.uniform(0.4, 1.5))
+    large_from_s = at_s + grow.steps * grow.interval_s
+    # A lost link with a pending request is opened again at once, as most are in a large fleet.
+    plan = [TimedFault(at_s, grow), TimedFault(at_s, SendLongRequests(0.4, duration_s - at_s))]
+    stops_from_s = large_from_s + rng.uniform(-1.0, 4.0)
+    for number, node in enumerate(rng.sample(nodes, len(nodes) // 2)):
+        stop = StopProcess(node, 1, 0.0, rng.uniform(0.0, 3.0))
+        plan.append(TimedFault(stops_from_s + number * SERIES_INTERVAL_S, stop))
+    for _ in range(2):
+        killed_at_s = large_from_s + rng.uniform(0.0, duration_s / 3)
+        plan.append(TimedFault(killed_at_s, KillProcess(rng.choice(nodes), rng.uniform(0.0, 3.0))))
+        change = ChangeConfiguration(rng.randint(1, 2), rng.uniform(0.3, 1.5))
+        plan.append(TimedFault(rng.uniform(stops_from_s, duration_s), change))
+    return plan
+
+
+_MAKERS = {
+    Addition.LARGE_CONFIGURATION: _large_configuration,
+}
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -66,6 +66,10 @@
     Traffic("GET", "/docs/", True, 6, (300, 2000), 3000),
     Traffic("GET", "/scans/", True, 7, (20, 150), 300_000),
 )
+LONG_REQUESTS = (
+    Traffic("GET", "/notices/", True, 1, (1500, 1500), 100),
+    Traffic("GET", "/docs/", True, 1, (1500, 1500), 100),
+)
 
 
 @attrs.define(eq=False)
@@ -96,19 +100,24 @@
                 await asyncio.sleep(RECONNECT_PAUSE_S)
 
     async def send(self, traffic: Traffic) -> Outcome:
-        """Sends a request and records it with its outcome."""
-        rng, history = self.rng, self.fleet.history
+        """Sends a request of a kind and records it with its outcome."""
+        rng = self.rng
         work = Work(
             rng.randint(*traffic.work_ms),
             rng.randint(0, traffic.answer_bytes),
             rng.choices(tuple(STATUS_WEIGHTS), tuple(STATUS_WEIGHTS.values()))[0],
         )
         body = rng.randbytes(rng.randint(1, 2000)) if traffic.method == "POST" else b""
+        return await self.send_content(traffic, traffic.prefix + work.encode(), body)
+
+    async def send_content(self, traffic: Traffic, path: str, body: bytes) -> Outcome:
+        """Sends a request with this path and body and records it with its outcome."""
+        rng, history = self.rng, self.fleet.history
         deadline_s = rng.choice(DEADLINES_S)
         request = Request(
             request_id=f"s{self.fleet.seed}-{self.name}-{next(self._numbers)}",
             node=self.member.number,
-            path=traffic.prefix + work.encode(),
+            path=path,
             idempotent=traffic.idempotent,
             body_digest=digest(body),
             sent_at_s=time.monotonic(),
@@ -188,6 +197,15 @@
         await Caller(fleet, member, name, Random(f"{fleet.seed} {name}"), session).run()
 
 
+async def send_once(
+    fleet: SoakFleet, member: Member, traffic: Traffic, path: str, body: bytes
+) -> None:
+    """Sends one request on a new connection beside a sidecar."""
+    name = f"{member.number}.d{len(fleet.history.requests)}"
+    async with open_session(keeps_connection=False) as session:
+        await Caller(fleet, member, name, Random(name), session).send_content(traffic, path, body)
+
+
 async def _probe_versions(fleet: SoakFleet, member: Member) -> None:
     """Asks a sidecar in turn for the routes that the latest versions have added."""
     async with open_session(keeps_connection=True) as session:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -81,6 +81,23 @@
     interval_s: float
 
 
+@attrs.frozen
+class GrowConfiguration:
+    """Publishes versions of the configuration in succession, each with many routes more."""
+
+    steps: int
+    routes: int
+    interval_s: float
+
+
+@attrs.frozen
+class SendLongRequests:
+    """Keeps requests running on the links between all sidecars; each lasts over a second."""
+
+    interval_s: float
+    duration_s: float
+
+
 @attrs.frozen
 class HangUp:
     """Changes the settings file and sends SIGHUP, some times in succession."""
@@ -126,6 +143,8 @@
     | FailStore
     | ForgetHistory
     | ChangeConfiguration
+    | GrowConfiguration
+    | SendLongRequests
     | HangUp
     | ReplaceInstance
     | LimitInstance
@@ -179,6 +198,8 @@
 @affected_ends.register(FailStore)
 @affected_ends.register(ForgetHistory)
 @affected_ends.register(ChangeConfiguration)
+@affected_ends.register(GrowConfiguration)
+@affected_ends.register(SendLongRequests)
 @affected_ends.register(RestoreStore)
 def _(fault) -> None:
     return None
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -37,8 +37,13 @@
     return f"/since/{version}/"
 
 
-def configuration(version: int) -> bytes:
-    """Returns the registry entry of a version, which keeps the routes of the earlier ones."""
+def configuration(version: int, filler_routes: int) -> bytes:
+    """Returns the registry entry of a version, which keeps the routes of the earlier ones.
+
+    Args:
+      version: Number of the version.
+      filler_routes: Number of routes that no caller uses; each takes about 260 bytes.
+    """
     options = {"timeout": f"{ROUTE_TIMEOUT_S:g}s"}
     routes = (
         route_resource(prefix="/notices/", **options),
@@ -46,6 +51,7 @@
         route_resource(prefix="/docs/", service="docs", priority=1, **options),
         route_resource("download", prefix="/scans/", service="docs", priority=2, **options),
         *(route_resource(prefix=version_prefix(v), **options) for v in range(1, version + 1)),
+        *(route_resource(prefix=f"/filler/{n}/", **options) for n in range(filler_routes)),
     )
     # Versions on the wire increase in uneven steps.
     return configuration_entry(version * 3 + version % 2, *routes, services=SERVICES)
@@ -113,6 +119,7 @@
       members: Hosts by number.
       session: HTTP session for readiness checks.
       version: Latest version of the configuration.
+      filler_routes: Number of routes of the configuration that no caller uses.
       ending: Whether callers are to stop.
     """
 
@@ -123,12 +130,13 @@
     members: dict[int, Member]
     session: ClientSession
     version: int = 0
+    filler_routes: int = 0
     ending: bool = False
 
     def publish(self) -> None:
         """Writes the next version of the configuration to the store."""
         self.version += 1
-        self.store.put("op/config", configuration(self.version))
+        self._put_configuration()
         self.history.versions[self.version] = time.monotonic()
 
     def rewrite(self) -> None:
@@ -139,7 +147,10 @@
                 self.store.delete(key)
         for member in self.members.values():
             self.register(member, member.state)
-        self.store.put("op/config", configuration(self.version))
+        self._put_configuration()
+
+    def _put_configuration(self) -> None:
+        self.store.put("op/config", configuration(self.version, self.filler_routes))
 
     def register(self, member: Member, state: InstanceState = InstanceState.READY) -> None:
         """Writes the registry entry of a member's instance."""
@@ -159,7 +170,9 @@
 
 
 @asynccontextmanager
-async def started_fleet(seed: int, sidecars: int, folder: Path) -> AsyncIterator[SoakFleet]:
+async def started_fleet(
+    seed: int, sidecars: int, zones: int, folder: Path
+) -> AsyncIterator[SoakFleet]:
     """Starts a fleet, waits until every sidecar is ready, and ends its processes on exit."""
     history = History()
     network = Network({f"127.0.1.{number}": number for number in range(1, sidecars + 1)})
@@ -174,7 +187,7 @@
             placement = Placement(
                 name=f"sidecar-{number}",
                 service=SERVICES[number % len(SERVICES)],
-                zone=ZONES[number % len(ZONES)],
+                zone=ZONES[number % zones],
                 host=f"127.0.0.{number}",
                 links_host=f"127.0.1.{number}",
                 store=f"127.0.2.{number}:{store_port}",
--- a/bench/soak/injection.py
+++ b/bench/soak/injection.py
@@ -7,6 +7,7 @@
 from functools import singledispatch
 
 from bench.sidecars import GRACE_S
+from bench.soak.callers import LONG_REQUESTS, send_once
 from bench.soak.checks import DRAIN_MARGIN_S, DRAIN_S
 from bench.soak.faults import (
     BlockPaths,
@@ -15,6 +16,7 @@
     FailStore,
     Fault,
     ForgetHistory,
+    GrowConfiguration,
     HangUp,
     KillProcess,
     LimitInstance,
@@ -22,12 +24,14 @@
     ReplaceInstance,
     ResetLink,
     RestoreStore,
+    SendLongRequests,
     StopProcess,
     affected_ends,
     kind_of,
 )
 from bench.soak.fleet import Member, SoakFleet
 from bench.soak.history import Drain, Limit
+from bench.soak.instances import Work
 from bench.soak.plan import TimedFault
 from ibisrack.instances.model import InstanceState
 
@@ -137,6 +141,25 @@
         await asyncio.sleep(fault.interval_s)
 
 
+@inject.register
+async def _(fault: GrowConfiguration, fleet: SoakFleet) -> None:
+    for _ in range(fault.steps):
+        fleet.filler_routes += fault.routes
+        fleet.publish()
+        await asyncio.sleep(fault.interval_s)
+
+
+@inject.register
+async def _(fault: SendLongRequests, fleet: SoakFleet) -> None:
+    async with asyncio.TaskGroup() as group:
+        for number in range(int(fault.duration_s / fault.interval_s)):
+            traffic = LONG_REQUESTS[number % len(LONG_REQUESTS)]
+            for member in fleet.members.values():
+                path = traffic.prefix + Work(traffic.work_ms[1], 100, 200).encode()
+                group.create_task(send_once(fleet, member, traffic, path, b""))
+            await asyncio.sleep(fault.interval_s)
+
+
 @inject.register
 async def _(fault: HangUp, fleet: SoakFleet) -> None:
     member = fleet.members[fault.node]
--- a/bench/soak/regressions.py
+++ b/bench/soak/regressions.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from bench.soak.additions import Addition
+
 
 @attrs.frozen
 class Regression:
@@ -12,12 +14,16 @@
       sidecars: Its number of sidecars.
       duration_s: Its time of faults.
       cause: What was found, or that it is open.
+      additions: Faults beyond those of the seed.
+      zones: Its number of availability zones.
     """
 
     seed: int
     sidecars: int
     duration_s: float
     cause: str
+    additions: tuple[Addition, ...] = ()
+    zones: int = 3
 
 
 RESULT_DROPPED = (
@@ -33,6 +39,10 @@
     "a SIGHUP between the end of the event loop and that of the process meets the default action;"
     " the process ends with that signal instead of status 0"
 )
+REFUSED_DELTA = (
+    "followers refuse the delta of an entry over 1 MiB, which readers accept from the store; they"
+    " lose the link, follow the same peers again and answer 404 for routes of newer versions"
+)
 
 REGRESSIONS = (
     Regression(1, 6, 25.0, RESULT_DROPPED),
@@ -50,4 +60,5 @@
     Regression(102, 4, 25.0, WRITE_AFTER_CLOSE),
     Regression(2117, 6, 30.0, HANGUP_AT_THE_END),
     Regression(2128, 6, 30.0, HANGUP_AT_THE_END),
+    Regression(3, 9, 30.0, REFUSED_DELTA, (Addition.LARGE_CONFIGURATION,), zones=1),
 )
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -16,12 +16,13 @@
 import msgspec
 from absl import app, flags
 
+from bench.soak.additions import Addition, make_extended_plan
 from bench.soak.callers import record_recovery, run_callers
 from bench.soak.checks import RECOVER_S, Violation, find_violations
-from bench.soak.fleet import started_fleet
+from bench.soak.fleet import ZONES, started_fleet
 from bench.soak.history import History, Outcome
 from bench.soak.injection import inject_all
-from bench.soak.plan import TimedFault, make_plan
+from bench.soak.plan import TimedFault
 from bench.soak.regressions import REGRESSIONS
 
 SETTLE_S = 3.0  # Time in which a refused request could still run after the last answer.
@@ -33,6 +34,12 @@
 )
 _DURATION_S = flags.DEFINE_float("duration_s", 30.0, "Time in which faults start, in seconds.")
 _SIDECARS = flags.DEFINE_integer("sidecars", 6, "Number of sidecars.", lower_bound=2)
+_ADD = flags.DEFINE_multi_enum_class(
+    "add", [], Addition, "Faults beyond those of the seeds; may be given several times."
+)
+_ZONES = flags.DEFINE_integer(
+    "zones", len(ZONES), "Number of zones.", lower_bound=1, upper_bound=len(ZONES)
+)
 _FOLDER = flags.DEFINE_string("folder", "build/soak", "Folder of the logs of failed seeds.")
 
 
@@ -45,12 +52,16 @@
       duration_s: Time in which faults start.
       sidecars: Number of sidecars.
       folder: Folder of settings, logs and history.
+      additions: Faults beyond those of the seed.
+      zones: Number of availability zones.
     """
 
     seed: int
     duration_s: float
     sidecars: int
     folder: Path
+    additions: tuple[Addition, ...] = ()
+    zones: int = len(ZONES)
 
 
 @attrs.define
@@ -76,8 +87,9 @@
         outcomes = Counter(map(_outcome_name, self.history.outcomes))
         broken = ",".join(f"{v.promise}:{v.subject}" for v in self.violations) or "none"
         recovered_s = max(r.serves_after_s or RECOVER_S for r in self.history.recoveries)
+        added = "".join(f" add={addition}" for addition in self.settings.additions)
         return (
-            f"seed={self.settings.seed} sidecars={self.settings.sidecars}"
+            f"seed={self.settings.seed} sidecars={self.settings.sidecars}{added}"
             f" requests={len(self.history.requests)}"
             f" outcomes={','.join(f'{name}:{n}' for name, n in sorted(outcomes.items()))}"
             f" faults={len(self.plan)} versions={len(self.history.versions)}"
@@ -91,10 +103,12 @@
 
 async def run_soak(settings: SoakSettings) -> Result:
     """Runs one seed; raises TimeoutError if it does not end in time."""
-    plan = make_plan(settings.seed, settings.duration_s, settings.sidecars)
+    plan = make_extended_plan(
+        settings.seed, settings.duration_s, settings.sidecars, settings.additions
+    )
     async with (
         asyncio.timeout(settings.duration_s + MAX_EXTRA_S),
-        started_fleet(settings.seed, settings.sidecars, settings.folder) as fleet,
+        started_fleet(settings.seed, settings.sidecars, settings.zones, settings.folder) as fleet,
     ):
         result = Result(settings, plan, fleet.history)
         measuring = asyncio.create_task(_measure_lag(result))
@@ -158,11 +172,15 @@
     folder = Path(_FOLDER.value)
     if not _SEEDS.value:
         return [
-            SoakSettings(r.seed, r.duration_s, r.sidecars, folder / f"seed-{r.seed}")
+            SoakSettings(
+                r.seed, r.duration_s, r.sidecars, folder / f"seed-{r.seed}", r.additions, r.zones
+            )
             for r in REGRESSIONS
         ]
+    duration_s, sidecars, zones = _DURATION_S.value, _SIDECARS.value, _ZONES.value
+    additions = tuple(_ADD.value)
     return [
-        SoakSettings(seed, _DURATION_S.value, _SIDECARS.value, folder / f"seed-{seed}")
+        SoakSettings(seed, duration_s, sidecars, folder / f"seed-{seed}", additions, zones)
         for seed in map(int, _SEEDS.value)
     ]
 
--- a/bench/soak/soak_test.py
+++ b/bench/soak/soak_test.py
@@ -6,7 +6,9 @@
 from typing import get_args
 
 from bench.fleet import free_ports
-from bench.soak.faults import Fault
+from bench.soak.additions import Addition, make_extended_plan
+from bench.soak.faults import Fault, kind_of
+from bench.soak.history import Kind
 from bench.soak.injection import inject
 from bench.soak.plan import make_plan
 from bench.soak.runner import SoakSettings, run_seed
@@ -30,13 +32,24 @@
 
 def test_plans_are_repeatable_and_use_every_fault():
     """Guards against a seed that can't be played again, and a fault that is never injected."""
-    plans = [make_plan(seed, 30.0, 6) for seed in range(20)]
-    assert plans == [make_plan(seed, 30.0, 6) for seed in range(20)]
+    plans = [make_extended_plan(seed, 30.0, 6, Addition) for seed in range(20)]
+    assert plans == [make_extended_plan(seed, 30.0, 6, Addition) for seed in range(20)]
     used = {type(timed.fault) for plan in plans for timed in plan}
     assert used == set(get_args(Fault))
     assert all(inject.dispatch(kind) is not inject.dispatch(object) for kind in used)
 
 
+def test_added_faults_leave_those_of_the_seed_as_they_were():
+    """Guards against a regression seed that means other faults once a kind was added."""
+    for seed in range(20):
+        plain = make_plan(seed, 30.0, 6)
+        assert make_extended_plan(seed, 30.0, 6, ()) == plain
+        extended = make_extended_plan(seed, 30.0, 6, Addition)
+        planned = [timed for timed in plain if kind_of(timed.fault) is Kind.PLANNED]
+        kept = [timed for timed in extended if timed in plain]
+        assert len(extended) > len(kept) and kept in (plain, planned)
+
+
 @asynccontextmanager
 async def relayed_connection():
     """Yields a network, and a connection through its path from sidecar 1 to an echo server."""
