Leave odd entries among those of the instances in the soak

The soak wrote only sound entries.

ADD=odd_entries leaves, for 4 s to 8 s each, an entry that is nested 5,000 deep, has a number of 400 digits, a port out of range, or an address that is no IP number. Meanwhile a version is published, an instance is replaced and a process is stopped and started, so that version_late, draining_instance_got_work, not_recovered and process_ended_by_itself cover what comes after the entry. The odd address has an empty label, so that no resolver is asked for it.

--- a/bench/soak/additions.py
+++ b/bench/soak/additions.py
@@ -8,12 +8,16 @@
     ChangeConfiguration,
     GrowConfiguration,
     KillProcess,
+    LeaveOddEntry,
+    ReplaceInstance,
     SendLongRequests,
     StopProcess,
     kind_of,
 )
+from bench.soak.fleet import SERVICES, ZONES
 from bench.soak.history import Kind
 from bench.soak.plan import TimedFault, make_plan
+from ibisrack.standins.odd_entries import OddEntry
 
 LARGE_ROUTES = 5000  # About 1.3 MB of configuration.
 SERIES_INTERVAL_S = 0.5  # Between the stops of a series.
@@ -23,6 +27,7 @@
     """Kinds of added faults."""
 
     LARGE_CONFIGURATION = auto()
+    ODD_ENTRIES = auto()
 
 
 def make_extended_plan(
@@ -60,6 +65,23 @@
     return plan
 
 
+def _odd_entries(rng: Random, nodes: range, duration_s: float) -> list[TimedFault]:
+    """Leaves each kind of odd entry; while it is there, other entries change and a node starts."""
+    plan = []
+    for kind in OddEntry:
+        at_s, odd_s = rng.uniform(1.0, duration_s - 4.0), rng.uniform(4.0, 8.0)
+        entry = LeaveOddEntry(kind, rng.choice(SERVICES), rng.choice(ZONES), odd_s)
+        change = ChangeConfiguration(rng.randint(1, 2), rng.uniform(0.3, 1.0))
+        plan += (
+            TimedFault(at_s, entry),
+            TimedFault(at_s + rng.uniform(0.1, 1.0), change),
+            TimedFault(at_s + rng.uniform(0.1, 1.0), ReplaceInstance(rng.choice(nodes), 0.5)),
+            TimedFault(at_s + rng.uniform(0.5, 2.0), StopProcess(rng.choice(nodes), 1, 0.0, 0.2)),
+        )
+    return plan
+
+
 _MAKERS = {
     Addition.LARGE_CONFIGURATION: _large_configuration,
+    Addition.ODD_ENTRIES: _odd_entries,
 }
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bench.soak.history import Kind
+from ibisrack.standins.odd_entries import OddEntry
 from ibisrack.testing.tcp_proxy import STORE, Ends
 
 
@@ -133,6 +134,16 @@
     rewrite_after_s: float
 
 
+@attrs.frozen
+class LeaveOddEntry:
+    """Leaves an entry that is wrong among those of the instances for some time."""
+
+    kind: OddEntry
+    service: str
+    zone: str
+    duration_s: float
+
+
 Fault = (
     DelayPaths
     | BlockPaths
@@ -149,6 +160,7 @@
     | ReplaceInstance
     | LimitInstance
     | RestoreStore
+    | LeaveOddEntry
 )
 
 
@@ -201,5 +213,6 @@
 @affected_ends.register(GrowConfiguration)
 @affected_ends.register(SendLongRequests)
 @affected_ends.register(RestoreStore)
+@affected_ends.register(LeaveOddEntry)
 def _(fault) -> None:
     return None
--- a/bench/soak/injection.py
+++ b/bench/soak/injection.py
@@ -19,6 +19,7 @@
     GrowConfiguration,
     HangUp,
     KillProcess,
+    LeaveOddEntry,
     LimitInstance,
     PauseProcess,
     ReplaceInstance,
@@ -34,6 +35,7 @@
 from bench.soak.instances import Work
 from bench.soak.plan import TimedFault
 from ibisrack.instances.model import InstanceState
+from ibisrack.standins.odd_entries import odd_instance_entry
 
 RESTART_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 3.0  # Longer than any request lasts.
@@ -221,6 +223,14 @@
     fleet.rewrite()
 
 
+@inject.register
+async def _(fault: LeaveOddEntry, fleet: SoakFleet) -> None:
+    key = f"servers/i-odd-{fault.kind}"
+    fleet.store.put(key, odd_instance_entry(fault.kind, fault.service, fault.zone))
+    await asyncio.sleep(fault.duration_s)
+    fleet.store.delete(key)
+
+
 async def _restart(fleet: SoakFleet, member: Member, after_s: float) -> None:
     await asyncio.sleep(after_s)
     await member.start()
