Send requests that crash instances in the soak, and check what becomes of them

The stand-in instance could not crash.

The stand-in now crashes when it begins to run a request of its set "deadly": it resets all its connections, refuses new ones and is back after some time with a new id and start. ADD= deadly_requests sends one or two such requests for 12 s to 20 s through all sidecars of a service, and beside each a request that differs only in its body.

Two checks are new. deadly_request_passed_on has the bound of the users' page: more than three runs, from sidecars in touch, later than 3 s after the third crash. innocent_turned_away finds requests that never crashed an instance and got a final 3xx or 4xx of a sidecar. A crash excuses only the runs at the crashed instance in cut_without_fault.

Plans without ADD have no such requests.

--- a/bench/soak/additions.py
+++ b/bench/soak/additions.py
@@ -10,6 +10,7 @@
     KillProcess,
     LeaveOddEntry,
     ReplaceInstance,
+    SendDeadlyRequest,
     SendLongRequests,
     StopProcess,
     kind_of,
@@ -28,6 +29,7 @@
 
     LARGE_CONFIGURATION = auto()
     ODD_ENTRIES = auto()
+    DEADLY_REQUESTS = auto()
 
 
 def make_extended_plan(
@@ -81,7 +83,26 @@
     return plan
 
 
+def _deadly_requests(rng: Random, nodes: range, duration_s: float) -> list[TimedFault]:
+    """Sends one or two deadly requests, each through all sidecars with instances of a service."""
+    plan = []
+    for number in range(rng.randint(1, 2)):
+        first = rng.choice(nodes)
+        same_service = [n for n in nodes if (n - first) % len(SERVICES) == 0]
+        deadly = SendDeadlyRequest(
+            number=number,
+            nodes=tuple(rng.sample(same_service, len(same_service))),
+            repeatable=rng.random() < 0.6,
+            interval_s=rng.uniform(0.1, 0.4),
+            duration_s=rng.uniform(12.0, 20.0),
+            down_s=rng.uniform(0.5, 3.0),
+        )
+        plan.append(TimedFault(rng.uniform(1.0, duration_s / 2), deadly))
+    return plan
+
+
 _MAKERS = {
     Addition.LARGE_CONFIGURATION: _large_configuration,
     Addition.ODD_ENTRIES: _odd_entries,
+    Addition.DEADLY_REQUESTS: _deadly_requests,
 }
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -20,8 +20,9 @@
 
 from bench.soak.fleet import ROUTE_TIMEOUT_S, Member, SoakFleet, version_prefix
 from bench.soak.history import Failure, Outcome, Recovery, Request, VersionProbe
-from bench.soak.instances import BREAK_OFF, Work, digest
+from bench.soak.instances import BREAK_OFF, Work
 from ibisrack.platform.headers import DEADLINE_MS, REQUEST_ID, SIGNATURE
+from ibisrack.standins.instance import digest
 
 HOST = "desk.example"
 MEAN_PAUSE_S = 0.08  # Between the requests of a caller.
@@ -70,6 +71,8 @@
     Traffic("GET", "/notices/", True, 1, (1500, 1500), 100),
     Traffic("GET", "/docs/", True, 1, (1500, 1500), 100),
 )
+DEADLY_REPEATABLE = Traffic("GET", "/notices/", True, 1, (5, 5), 100)
+DEADLY_NOT_REPEATABLE = Traffic("POST", "/lodge/", False, 1, (5, 5), 100)
 
 
 @attrs.define(eq=False)
@@ -122,16 +125,18 @@
             body_digest=digest(body),
             sent_at_s=time.monotonic(),
             limit_s=min(deadline_s, ROUTE_TIMEOUT_S),
+            method=traffic.method,
+            caller=self.member.sidecar.placement.service,
         )
         history.requests[request.request_id] = request
         leaves = rng.randrange(100) < LEAVE_PERCENT
         patience_s = rng.uniform(0.005, 0.2) if leaves else deadline_s + EXTRA_WAIT_S
-        outcome = await self._exchange(request, traffic.method, body, deadline_s, patience_s)
+        outcome = await self._exchange(request, body, deadline_s, patience_s)
         history.outcomes.append(outcome)
         return outcome
 
     async def _exchange(
-        self, request: Request, method: str, body: bytes, deadline_s: float, patience_s: float
+        self, request: Request, body: bytes, deadline_s: float, patience_s: float
     ) -> Outcome:
         headers = {
             "Host": HOST,
@@ -143,7 +148,10 @@
             async with (
                 asyncio.timeout(patience_s),
                 self.session.request(
-                    method, _url(self.member, request.path), headers=headers, data=body or None
+                    request.method,
+                    _url(self.member, request.path),
+                    headers=headers,
+                    data=body or None,
                 ) as response,
             ):
                 return await _read_answer(request, response)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -1,30 +1,36 @@
 """Checks of the promises on a history; each returns the violations of one promise."""
 
-import math
-from bisect import bisect_right
 from collections.abc import Callable, Iterator
 
 import attrs
 
 from bench.sidecars import GRACE_S
-from bench.soak.history import Failure, History, Kind, Limit, Outcome, Request, Run, VersionProbe
-
-# Bounds from the users' pages.
-STABLE_WINDOW_S = 3.0  # A sidecar counts as undisturbed this long after a fault.
-DRAIN_S = 2.0
-CONFIG_APPLY_S = 2.0
-ROLLBACK_SLACK_S = 0.25
-RECOVER_S = 15.0
-LOSS_SLACK_S = 0.2  # A request that crosses the close of its connection was not read.
-LATE_STOP_REQUEST_S = 3.0  # Requests this long after SIGTERM may be cut near the end of the grace.
-
-LIMIT_WINDOW_S = 4.0
-LIMIT_FACTOR = 1.5
-LIMIT_SLACK = 5
-TOLD_S = 0.5  # A sidecar is held to a limit this long after it passed it on.
-
-DRAIN_MARGIN_S = 0.5  # Time for requests on their way when the drain time ends.
-LIMIT_MARGIN_S = 0.25  # A failure this close to the request's limit is its timeout.
+from bench.soak.bounds import (
+    CONFIG_APPLY_S,
+    DEADLY_CRASHES,
+    DEADLY_RETRIES,
+    DRAIN_MARGIN_S,
+    DRAIN_S,
+    LATE_STOP_REQUEST_S,
+    LIMIT_MARGIN_S,
+    LOSS_SLACK_S,
+    RECOVER_S,
+    ROLLBACK_SLACK_S,
+    STABLE_WINDOW_S,
+)
+from bench.soak.history import (
+    VERSION_PATH,
+    Failure,
+    History,
+    Kind,
+    Outcome,
+    Request,
+    Run,
+    VersionProbe,
+)
+from bench.soak.limit_check import limit_exceeded
+from ibisrack.standins.instance import RequestContent
+
 PROMISED_NOT_RUN = frozenset((408, 421, 429, 503))
 FAULTS = frozenset((Kind.UNPLANNED,))
 ANY_FAULT = frozenset((Kind.UNPLANNED, Kind.STORE))
@@ -105,7 +111,7 @@
     taken_s = outcome.at_s - request.sent_at_s
     if not (closed or replaced) or taken_s >= request.limit_s - LIMIT_MARGIN_S:
         return False
-    if any(run.broke_off for run in runs):
+    if any(run.broke_off or _crashed_meanwhile(run, outcome, history) for run in runs):
         return False
     if outcome.status == 503 or not (runs or (closed and taken_s > LOSS_SLACK_S)):
         return False
@@ -115,6 +121,14 @@
     return not _ends_with_stop(request, outcome, nodes, history)
 
 
+def _crashed_meanwhile(run: Run, outcome: Outcome, history: History) -> bool:
+    """Returns whether the instance crashed between the start of a run and the outcome."""
+    return any(
+        crash.instance_id == run.instance_id and run.started_at_s <= crash.at_s <= outcome.at_s
+        for crash in history.crashes
+    )
+
+
 def _ends_with_stop(
     request: Request, outcome: Outcome, nodes: frozenset[int], history: History
 ) -> bool:
@@ -142,52 +156,46 @@
                 yield run.request_id
 
 
-def limit_exceeded(history: History) -> Iterator[str]:
-    """Yields instances that got more requests than the limit that they had named allows."""
-    for limit in history.limits:
-        allowed = LIMIT_FACTOR * limit.limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
-        starts_s = sorted(run.started_at_s for run in _counted_runs(limit, history))
-        for number, first_s in enumerate(starts_s):
-            if bisect_right(starts_s, first_s + LIMIT_WINDOW_S) - number > allowed:
-                yield limit.instance_id
-                break
-
-
-def _counted_runs(limit: Limit, history: History) -> Iterator[Run]:
-    """Yields the runs for undisturbed sidecars that had passed on the limit before."""
-    from_s, told_at_s = limit.started_at_s + STABLE_WINDOW_S, _first_told_at_s(limit, history)
-    for run in history.runs:
-        request = history.requests.get(run.request_id)
-        if run.instance_id != limit.instance_id or request is None:
+def deadly_request_passed_on(history: History) -> Iterator[str]:
+    """Yields requests that still reach instances after they have crashed three of them."""
+    crashed_at_s: dict[RequestContent, list[float]] = {}
+    for crash in history.crashes:
+        content = history.requests[crash.request_id].content
+        crashed_at_s.setdefault(content, []).append(crash.at_s)
+    for content, times_s in crashed_at_s.items():
+        if len(times_s) < DEADLY_CRASHES:
             continue
-        held_from_s = max(from_s, told_at_s.get(request.node, math.inf) + TOLD_S)
-        if held_from_s <= run.started_at_s <= limit.ended_at_s and not _is_excused_from_limit(
-            request, run, limit, history
-        ):
-            yield run
+        from_s = sorted(times_s)[DEADLY_CRASHES - 1] + STABLE_WINDOW_S
+        late = [run for run in history.runs if _was_passed_on(content, from_s, run, history)]
+        if len(late) > DEADLY_RETRIES:
+            yield content.path
 
 
-def _first_told_at_s(limit: Limit, history: History) -> dict[int, float]:
-    """Returns for each sidecar the start of its first request whose answer named the limit."""
-    told_at_s: dict[int, float] = {}
-    for run in history.runs:
-        request = history.requests.get(run.request_id)
-        answered = run.instance_id == limit.instance_id and run.status
-        if answered and request is not None and limit.started_at_s <= run.started_at_s:
-            earliest_s = told_at_s.get(request.node, math.inf)
-            told_at_s[request.node] = min(earliest_s, run.started_at_s)
-    return told_at_s
-
-
-def _is_excused_from_limit(request: Request, run: Run, limit: Limit, history: History) -> bool:
-    nodes = frozenset((request.node,))
-    return any(
+def _was_passed_on(content: RequestContent, from_s: float, run: Run, history: History) -> bool:
+    """Returns whether a sidecar in touch passed a request on to an instance after a time."""
+    request = history.requests.get(run.request_id)
+    if request is None or request.content != content or run.started_at_s <= from_s:
+        return False
+    nodes, since_s = frozenset((request.node,)), run.started_at_s - STABLE_WINDOW_S
+    return not any(
         (d.kind is Kind.UNPLANNED or d.stops_process)
-        and d.affects(nodes, limit.started_at_s, run.started_at_s)
+        and d.affects(nodes, since_s, run.started_at_s)
         for d in history.disturbances
     )
 
 
+def innocent_turned_away(history: History) -> Iterator[str]:
+    """Yields requests that never crashed an instance but got a final refusal of a sidecar."""
+    deadly = {history.requests[crash.request_id].content for crash in history.crashes}
+    for outcome in history.outcomes:
+        refused = outcome.failure is None and not outcome.signature
+        final = 300 <= outcome.status < 500 and outcome.status not in PROMISED_NOT_RUN
+        request = history.requests[outcome.request_id]
+        unknown_route = outcome.status == 404 and request.path.startswith(VERSION_PATH)
+        if refused and final and not unknown_route and request.content not in deadly:
+            yield outcome.request_id
+
+
 def version_went_back(history: History) -> Iterator[str]:
     """Yields sidecars that lost a route of a version that they had applied before."""
     applied: dict[tuple[int, int], list[VersionProbe]] = {}
@@ -237,6 +245,8 @@
     limit_exceeded,
     version_went_back,
     version_late,
+    deadly_request_passed_on,
+    innocent_turned_away,
     not_recovered,
     process_ended_by_itself,
 )
--- a/bench/soak/checks_test.py
+++ b/bench/soak/checks_test.py
@@ -3,8 +3,10 @@
 import attrs
 
 from bench.sidecars import GRACE_S
-from bench.soak.checks import CONFIG_APPLY_S, DRAIN_S, RECOVER_S, STABLE_WINDOW_S, find_violations
+from bench.soak.bounds import CONFIG_APPLY_S, DRAIN_S, RECOVER_S, STABLE_WINDOW_S
+from bench.soak.checks import find_violations
 from bench.soak.history import (
+    Crash,
     Disturbance,
     Drain,
     Failure,
@@ -204,4 +206,65 @@
     assert limit_violations(not_excused) == ["i-2"]
 
 
+def deadly_history(late_runs: int, **fields) -> History:
+    """Returns the history of a request that crashed three instances and then came again."""
+    starts_s = [10.0, 11.0, 12.0] + [12.1 + STABLE_WINDOW_S + n / 10 for n in range(late_runs)]
+    requests = {f"q-{n}": attrs.evolve(REQUEST, request_id=f"q-{n}") for n in range(len(starts_s))}
+    runs = [
+        attrs.evolve(RUN, request_id=f"q-{n}", started_at_s=at_s) for n, at_s in enumerate(starts_s)
+    ]
+    crashes = [Crash(f"q-{n}", f"i-{n}", 2, starts_s[n]) for n in range(3)]
+    return History(requests, [], runs, crashes=crashes, **fields)
+
+
+def test_deadly_request_that_still_reaches_instances_is_found():
+    """Guards against a request that crashes one instance after the other."""
+    found = [("deadly_request_passed_on", REQUEST.path)]
+    assert broken(deadly_history(3)) == []
+    assert broken(deadly_history(4)) == found
+    two_crashes = deadly_history(4)
+    two_crashes.crashes.pop()
+    assert broken(two_crashes) == []
+    for field, value in (("body_digest", "x"), ("method", "PUT"), ("caller", "docs")):
+        another = deadly_history(4)
+        another.requests["q-6"] = attrs.evolve(another.requests["q-6"], **{field: value})
+        assert "deadly_request_passed_on" not in dict(broken(another)), field
+    for kind, node, stops_process, excused in (
+        (Kind.UNPLANNED, 1, False, True),
+        (Kind.PLANNED, 1, True, True),
+        (Kind.PLANNED, 1, False, False),
+        (Kind.STORE, 1, False, False),
+        (Kind.UNPLANNED, 2, False, False),
+    ):
+        fault = disturbance(kind, node, 12.0, 12.5, stops_process)
+        history = deadly_history(4, disturbances=[fault])
+        assert broken(history) == ([] if excused else found), fault
+
+
+def test_innocent_request_that_is_refused_for_good_is_found():
+    """Guards against a defence that turns away requests which never crashed an instance."""
+    for status, found in ((403, True), (404, True), (429, False), (502, False), (503, False)):
+        outcome = attrs.evolve(REFUSED, status=status)
+        expected = [("innocent_turned_away", "q")] if found else []
+        assert broken(history_of(outcome)) == expected, status
+    guilty = history_of(attrs.evolve(REFUSED, status=403), crashes=[Crash("q", "i-2", 2, 10.1)])
+    assert broken(guilty) == []
+    answered = attrs.evolve(OUTCOME, status=404)
+    assert broken(history_of(answered, attrs.evolve(RUN, status=404))) == []
+
+
+def test_crash_of_an_instance_excuses_only_its_own_runs():
+    """Guards against crashes that turn off the check of lost answers."""
+    for instance_id, at_s, excused in (
+        ("i-2", 10.2, True),
+        ("i-3", 10.2, False),
+        ("i-2", 10.0, False),
+        ("i-2", 10.5, False),
+    ):
+        crash = Crash("other", instance_id, 2, at_s)
+        history = history_of(FAILED, RUN, crashes=[crash])
+        history.requests["other"] = attrs.evolve(REQUEST, request_id="other")
+        assert (broken(history) == []) is excused, crash
+
+
 load_tests = function_tests(__name__)
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -144,6 +144,27 @@
     duration_s: float
 
 
+@attrs.frozen
+class SendDeadlyRequest:
+    """Sends a request that crashes each instance that runs it, again and again under new ids.
+
+    Attributes:
+      number: Number of the fault, part of the path.
+      nodes: Sidecars that get it in turn; its caller is the service of the first one's host.
+      repeatable: Whether the route allows to repeat it.
+      interval_s: Time between two requests.
+      duration_s: Time in which it comes.
+      down_s: Time for which a crashed instance is down.
+    """
+
+    number: int
+    nodes: tuple[int, ...]
+    repeatable: bool
+    interval_s: float
+    duration_s: float
+    down_s: float
+
+
 Fault = (
     DelayPaths
     | BlockPaths
@@ -161,6 +182,7 @@
     | LimitInstance
     | RestoreStore
     | LeaveOddEntry
+    | SendDeadlyRequest
 )
 
 
@@ -214,5 +236,6 @@
 @affected_ends.register(SendLongRequests)
 @affected_ends.register(RestoreStore)
 @affected_ends.register(LeaveOddEntry)
+@affected_ends.register(SendDeadlyRequest)
 def _(fault) -> None:
     return None
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from pathlib import Path
 
 import attrs
@@ -11,10 +12,10 @@
 
 from bench.fleet import free_ports
 from bench.sidecars import Placement, Ports, SidecarProcess
-from bench.soak.history import History, UnexpectedExit
+from bench.soak.history import VERSION_PATH, History, UnexpectedExit
 from bench.soak.instances import SLOTS, SoakInstance
 from ibisrack.instances.model import InstanceState
-from ibisrack.standins.instance import StandInInstance, serve_instance
+from ibisrack.standins.instance import RequestContent, StandInInstance, serve_instance
 from ibisrack.standins.store import StandInStore, serve_store
 from ibisrack.testing.sidecars import (
     configuration_entry,
@@ -34,7 +35,7 @@
 
 def version_prefix(version: int) -> str:
     """Returns the path prefix of the route that a version of the configuration adds."""
-    return f"/since/{version}/"
+    return f"{VERSION_PATH}{version}/"
 
 
 def configuration(version: int, filler_routes: int) -> bytes:
@@ -120,6 +121,7 @@
       session: HTTP session for readiness checks.
       version: Latest version of the configuration.
       filler_routes: Number of routes of the configuration that no caller uses.
+      deadly: Requests that crash the instances that run them.
       ending: Whether callers are to stop.
     """
 
@@ -131,6 +133,7 @@
     session: ClientSession
     version: int = 0
     filler_routes: int = 0
+    deadly: set[RequestContent] = attrs.field(factory=set)
     ending: bool = False
 
     def publish(self) -> None:
@@ -139,6 +142,11 @@
         self._put_configuration()
         self.history.versions[self.version] = time.monotonic()
 
+    def replace_entry(self, member: Member, earlier_id: str) -> None:
+        """Writes the entry of a new instance at a member's address in place of the earlier one."""
+        self.store.delete(f"servers/{earlier_id}")
+        self.register(member)
+
     def rewrite(self) -> None:
         """Writes again what the store may have lost, and removes what has left since."""
         current = {f"servers/{m.instance.stand_in.instance_id}" for m in self.members.values()}
@@ -164,6 +172,7 @@
             zone=placement.zone,
             slots=SLOTS,
             state=state,
+            started_at_ms=stand_in.started_at_ms,
             sequence=int(state is InstanceState.DRAINING),
         )
         self.store.put(f"servers/{stand_in.instance_id}", instance_entry(entry))
@@ -193,12 +202,13 @@
                 store=f"127.0.2.{number}:{store_port}",
                 ports=ports,
             )
-            stand_in = StandInInstance(f"i-{number}")
+            stand_in = StandInInstance(f"i-{number}", deadly=fleet.deadly)
             soak_instance = SoakInstance(number, history, stand_in)
             stand_in.custom_handler = soak_instance.handle
             sidecar = SidecarProcess(placement, folder)
             sidecar.write_settings(placement.settings())
             member = fleet.members[number] = Member(number, sidecar, soak_instance, history)
+            stand_in.on_restart = partial(fleet.replace_entry, member)
             for server in (
                 serve_instance(stand_in, placement.host, ports.app),
                 network.relayed_links(number, placement.host, (placement.links_host, ports.links)),
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -7,6 +7,10 @@
 
 import attrs
 
+from ibisrack.standins.instance import RequestContent
+
+VERSION_PATH = "/since/"  # Begins the paths of routes that exist from some version on.
+
 
 class Kind(StrEnum):
     """Kinds of disturbance."""
@@ -37,6 +41,8 @@
       body_digest: Digest of its body.
       sent_at_s: When it was sent.
       limit_s: Deadline or timeout of the route, whichever is shorter.
+      method: HTTP method.
+      caller: Service of the host of the sidecar.
     """
 
     request_id: str
@@ -46,6 +52,13 @@
     body_digest: str
     sent_at_s: float
     limit_s: float
+    method: str = "GET"
+    caller: str = ""
+
+    @property
+    def content(self) -> RequestContent:
+        """What it shares with a request that comes again under a new id."""
+        return RequestContent(self.method, self.path, self.caller, self.body_digest)
 
 
 @attrs.frozen
@@ -100,6 +113,23 @@
     broke_off: bool = False
 
 
+@attrs.frozen
+class Crash:
+    """End of an instance that began to run a request which crashes it.
+
+    Attributes:
+      request_id: Id of the request.
+      instance_id: Id of the instance.
+      node: Number of the sidecar beside the instance.
+      at_s: When it crashed.
+    """
+
+    request_id: str
+    instance_id: str
+    node: int
+    at_s: float
+
+
 @attrs.frozen
 class Disturbance:
     """Time in which a fault or planned work affected some sidecars.
@@ -207,6 +237,7 @@
       requests: Requests by id.
       outcomes: Outcomes in the order of their ends.
       runs: Executions in the order of their starts.
+      crashes: Crashes of instances in their order.
       disturbances: Faults and planned work that have ended.
       drains: Planned removals of instances.
       limits: Limits that instances named, and which have ended.
@@ -219,6 +250,7 @@
     requests: dict[str, Request] = attrs.field(factory=dict)
     outcomes: list[Outcome] = attrs.field(factory=list)
     runs: list[Run] = attrs.field(factory=list)
+    crashes: list[Crash] = attrs.field(factory=list)
     disturbances: list[Disturbance] = attrs.field(factory=list)
     drains: list[Drain] = attrs.field(factory=list)
     limits: list[Limit] = attrs.field(factory=list)
--- a/bench/soak/injection.py
+++ b/bench/soak/injection.py
@@ -7,8 +7,8 @@
 from functools import singledispatch
 
 from bench.sidecars import GRACE_S
-from bench.soak.callers import LONG_REQUESTS, send_once
-from bench.soak.checks import DRAIN_MARGIN_S, DRAIN_S
+from bench.soak.bounds import DRAIN_MARGIN_S, DRAIN_S
+from bench.soak.callers import DEADLY_NOT_REPEATABLE, DEADLY_REPEATABLE, LONG_REQUESTS, send_once
 from bench.soak.faults import (
     BlockPaths,
     ChangeConfiguration,
@@ -25,6 +25,7 @@
     ReplaceInstance,
     ResetLink,
     RestoreStore,
+    SendDeadlyRequest,
     SendLongRequests,
     StopProcess,
     affected_ends,
@@ -35,6 +36,7 @@
 from bench.soak.instances import Work
 from bench.soak.plan import TimedFault
 from ibisrack.instances.model import InstanceState
+from ibisrack.standins.instance import RequestContent, digest
 from ibisrack.standins.odd_entries import odd_instance_entry
 
 RESTART_TIMEOUT_S = 10.0
@@ -188,11 +190,9 @@
                 await asyncio.sleep(IDLE_POLL_S)
     if stand_in.instance_id != old_id:
         return  # A replacement that began earlier has ended it.
-    stand_in.leaving, stand_in.limit_per_s = False, None
-    stand_in.instance_id = f"{old_id.partition('+')[0]}+{len(history.drains)}"
+    stand_in.begin_incarnation()
     history.drains.append(Drain(old_id, member.number, acknowledged_at_s, time.monotonic()))
-    fleet.store.delete(f"servers/{old_id}")
-    fleet.register(member)
+    fleet.replace_entry(member, old_id)
 
 
 @inject.register
@@ -231,6 +231,28 @@
     fleet.store.delete(key)
 
 
+@inject.register
+async def _(fault: SendDeadlyRequest, fleet: SoakFleet) -> None:
+    first = fleet.members[fault.nodes[0]]
+    traffic = DEADLY_REPEATABLE if fault.repeatable else DEADLY_NOT_REPEATABLE
+    path = f"{traffic.prefix}{fault.number}/{Work(5, 100, 200).encode()}"
+    body = b"" if fault.repeatable else b"deadly"
+    content = RequestContent(traffic.method, path, first.sidecar.placement.service, digest(body))
+    for member in fleet.members.values():
+        member.instance.stand_in.down_s = fault.down_s
+    fleet.deadly.add(content)
+    async with asyncio.TaskGroup() as group:
+        for number in range(int(fault.duration_s / fault.interval_s)):
+            member = fleet.members[fault.nodes[number % len(fault.nodes)]]
+            for sent_body in (body, body + b" of another request"):
+                group.create_task(send_once(fleet, member, traffic, path, sent_body))
+            await asyncio.sleep(fault.interval_s)
+    fleet.deadly.discard(content)
+    instances = [member.instance.stand_in for member in fleet.members.values()]
+    while any(stand_in.is_down for stand_in in instances):
+        await asyncio.sleep(IDLE_POLL_S)
+
+
 async def _restart(fleet: SoakFleet, member: Member, after_s: float) -> None:
     await asyncio.sleep(after_s)
     await member.start()
--- a/bench/soak/instances.py
+++ b/bench/soak/instances.py
@@ -1,26 +1,20 @@
 """The application instances of a soak: each answers with its own signature and records its runs."""
 
 import asyncio
-import hashlib
 import time
 
 import attrs
 from aiohttp import web
 
-from bench.soak.history import History, Run
+from bench.soak.history import Crash, History, Run
 from ibisrack.platform.headers import INSTANCE_ID, NOT_EXECUTED, REQUEST_ID, SIGNATURE
-from ibisrack.standins.instance import StandInInstance
+from ibisrack.standins.instance import StandInInstance, content_of, digest
 
 SLOTS = 4
 BREAK_OFF = 0  # In place of a status: the instance drops the connection after the work.
 QUEUE = 4  # Requests beyond the slots that an instance accepts before it refuses more.
 
 
-def digest(content: bytes) -> str:
-    """Returns a short digest."""
-    return hashlib.blake2b(content, digest_size=8).hexdigest()
-
-
 @attrs.frozen
 class Work:
     """What a request asks of an instance; the last part of its path.
@@ -64,12 +58,19 @@
     async def handle(self, stand_in: StandInInstance, request: web.BaseRequest) -> web.Response:
         """Runs a request, or refuses it if the instance is full."""
         body = await request.read()
+        if stand_in.is_down:
+            return web.Response()  # Nobody reads it: a crash has reset the connection.
         if self.busy >= SLOTS + QUEUE:
             headers = {NOT_EXECUTED: "1", INSTANCE_ID: stand_in.instance_id}
             return web.Response(status=503, headers=headers)
         request_id, path = request.headers[REQUEST_ID], request.path
         run = Run(request_id, stand_in.instance_id, self.node, path, digest(body), time.monotonic())
         self.history.runs.append(run)
+        if content_of(request, body) in stand_in.deadly:
+            crash = Crash(request_id, run.instance_id, self.node, run.started_at_s)
+            self.history.crashes.append(crash)
+            stand_in.crash()
+            return web.Response()
         work = Work.decode(path)
         self.busy += 1
         try:
--- a/bench/soak/regressions.py
+++ b/bench/soak/regressions.py
@@ -43,6 +43,9 @@
     "followers refuse the delta of an entry over 1 MiB, which readers accept from the store; they"
     " lose the link, follow the same peers again and answer 404 for routes of newer versions"
 )
+DEADLY_REQUEST = (
+    "no sidecar remembers the requests that instances crashed on; each new attempt is passed on"
+)
 
 REGRESSIONS = (
     Regression(1, 6, 25.0, RESULT_DROPPED),
@@ -60,5 +63,6 @@
     Regression(102, 4, 25.0, WRITE_AFTER_CLOSE),
     Regression(2117, 6, 30.0, HANGUP_AT_THE_END),
     Regression(2128, 6, 30.0, HANGUP_AT_THE_END),
+    Regression(3, 6, 30.0, DEADLY_REQUEST, (Addition.DEADLY_REQUESTS,)),
     Regression(3, 9, 30.0, REFUSED_DELTA, (Addition.LARGE_CONFIGURATION,), zones=1),
 )
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -17,8 +17,9 @@
 from absl import app, flags
 
 from bench.soak.additions import Addition, make_extended_plan
+from bench.soak.bounds import RECOVER_S
 from bench.soak.callers import record_recovery, run_callers
-from bench.soak.checks import RECOVER_S, Violation, find_violations
+from bench.soak.checks import Violation, find_violations
 from bench.soak.fleet import ZONES, started_fleet
 from bench.soak.history import History, Outcome
 from bench.soak.injection import inject_all
@@ -151,6 +152,7 @@
         history.requests.values(),
         history.outcomes,
         history.runs,
+        history.crashes,
         history.disturbances,
         history.drains,
         history.limits,
--- a/ibisrack/standins/instance.py
+++ b/ibisrack/standins/instance.py
@@ -1,6 +1,9 @@
 """Stand-in for an application instance on the platform, for development and tests only."""
 
 import asyncio
+import hashlib
+import itertools
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -8,6 +11,7 @@
 from aiohttp import web
 
 from ibisrack.platform.headers import (
+    CALLER_SERVICE,
     EXPECTED_INSTANCE,
     INSTANCE_ID,
     LEAVING,
@@ -15,10 +19,65 @@
     REQUEST_ID,
     SIGNATURE,
 )
+from ibisrack.standins.resets import reset
 
 Handler = Callable[["StandInInstance", web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+def digest(content: bytes) -> str:
+    """Returns a short digest."""
+    return hashlib.blake2b(content, digest_size=8).hexdigest()
+
+
+@attrs.frozen
+class RequestContent:
+    """What stays the same when a request comes again under a new id.
+
+    Attributes:
+      method: HTTP method.
+      path: Path with the query.
+      caller: Service of the host from which it came.
+      body_digest: Digest of the body.
+    """
+
+    method: str
+    path: str
+    caller: str
+    body_digest: str
+
+
+@attrs.define(eq=False)
+class InstanceServer:
+    """Listener of an instance, which can end like a crashed process and listen again.
+
+    Attributes:
+      host: IP number.
+      port: TCP port; 0 before the first start picks a free one.
+      http: Accepts the connections.
+    """
+
+    host: str
+    port: int
+    http: web.Server
+    _listener: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self.http, self.host, self.port)
+        self.port = self._listener.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """Refuses new connections."""
+        self._listener.close()
+
+    def reset_connections(self) -> None:
+        """Resets all open connections."""
+        for connection in self.http.connections:
+            if connection.transport is not None:
+                reset(connection.transport)
+
+
 @attrs.define(eq=False)
 class StandInInstance:
     """An instance that accepts requests addressed to its id.
@@ -28,6 +87,11 @@
       work_s: Duration of a request in seconds.
       limit_per_s: Requests a second that it names in its answers as its limit, None for none.
       leaving: Whether it says in its answers that it is about to end.
+      started_at_ms: Time of day at which it started, 0 for the first start.
+      deadly: Requests that crash it when it begins to run them.
+      down_s: Time from a crash until it is back with a new id.
+      on_restart: Called with its earlier id when it is back after a crash.
+      server: Its listener while it is served.
       custom_handler: Replaces ``run`` if set.
       executed_ids: Ids of the requests that ran.
       last_request: The request received last, for tests; None before the first.
@@ -37,13 +101,22 @@
     work_s: float = 0.0
     limit_per_s: float | None = None
     leaving: bool = False
+    started_at_ms: int = 0
+    deadly: set[RequestContent] = attrs.field(factory=set)
+    down_s: float = 1.0
+    on_restart: Callable[[str], None] = lambda earlier_id: None
+    server: InstanceServer | None = None
     custom_handler: Handler | None = None
     executed_ids: list[str] = attrs.field(factory=list)
     last_request: web.BaseRequest | None = None
+    _restart: asyncio.Task | None = None
+    _starts: itertools.count = attrs.field(factory=lambda: itertools.count(1))
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serves a request, or returns 421 if it is addressed to another instance."""
         self.last_request = request
+        if self.is_down:
+            return web.Response()  # Nobody reads it: a crash has reset the connection.
         if request.headers.get(EXPECTED_INSTANCE, self.instance_id) != self.instance_id:
             return web.Response(status=421, headers={INSTANCE_ID: self.instance_id})
         if self.custom_handler is not None:
@@ -54,9 +127,44 @@
         """Runs a request and returns its response."""
         body = await request.read()
         self.executed_ids.append(request.headers[REQUEST_ID])
+        if content_of(request, body) in self.deadly:
+            self.crash()
         await asyncio.sleep(self.work_s)
         return web.Response(body=b"done " + body, headers=self.headers(request))
 
+    @property
+    def is_down(self) -> bool:
+        """Whether it has crashed and is not back yet."""
+        return self._restart is not None and not self._restart.done()
+
+    def crash(self) -> None:
+        """Resets its connections and refuses new ones until it starts again by itself."""
+        if not self.is_down:
+            self.server.stop()
+            self.server.reset_connections()
+            self._restart = asyncio.create_task(self._start_again())
+
+    def begin_incarnation(self) -> str:
+        """Takes a new id and start; returns the earlier id."""
+        earlier_id = self.instance_id
+        self.instance_id = f"{earlier_id.partition('+')[0]}+{next(self._starts)}"
+        self.started_at_ms = int(time.time() * 1000)
+        self.leaving, self.limit_per_s = False, None
+        return earlier_id
+
+    async def _start_again(self) -> None:
+        await asyncio.sleep(self.down_s)
+        earlier_id = self.begin_incarnation()
+        await self.server.start()
+        self.on_restart(earlier_id)
+
+    async def close(self) -> None:
+        """Stops its listener, or its start after a crash."""
+        if self.is_down:
+            self._restart.cancel()
+        self.server.stop()
+        await self.server.http.shutdown(timeout=0.1)
+
     def headers(self, request: web.BaseRequest) -> dict[str, str]:
         """Returns the headers of a valid response."""
         headers = {
@@ -75,14 +183,19 @@
         return headers
 
 
+def content_of(request: web.BaseRequest, body: bytes) -> RequestContent:
+    """Returns the content of a received request."""
+    caller = request.headers.get(CALLER_SERVICE, "")
+    return RequestContent(request.method, request.path_qs, caller, digest(body))
+
+
 @asynccontextmanager
 async def serve_instance(instance: StandInInstance, host: str, port: int = 0) -> AsyncIterator[int]:
     """Serves an instance and yields its port; port 0 picks a free one."""
-    server = web.Server(instance.handle, access_log=None, handler_cancellation=True)
-    runner = web.ServerRunner(server, shutdown_timeout=0.1)
-    await runner.setup()
-    await web.TCPSite(runner, host, port).start()
+    http = web.Server(instance.handle, access_log=None, handler_cancellation=True)
+    instance.server = InstanceServer(host, port, http)
+    await instance.server.start()
     try:
-        yield runner.addresses[0][1]
+        yield instance.server.port
     finally:
-        await runner.cleanup()
+        await instance.close()
