Name the request in refusals of the stand-in instances

Instances echo Request-Id, and say Not-Executed with a 421 or a 503 (the users' page of the protocol).

Both refusals now carry Request-Id, Instance-Id and Not-Executed. The new test of the 421 failed before.

--- a/bench/soak/instances.py
+++ b/bench/soak/instances.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from bench.soak.history import Crash, History, Run
-from ibisrack.platform.headers import INSTANCE_ID, NOT_EXECUTED, REQUEST_ID, SIGNATURE
+from ibisrack.platform.headers import REQUEST_ID, SIGNATURE
 from ibisrack.standins.instance import StandInInstance, content_of, digest
 
 SLOTS = 4
@@ -61,8 +61,7 @@
         if stand_in.is_down:
             return web.Response()  # Nobody reads it: a crash has reset the connection.
         if self.busy >= SLOTS + QUEUE:
-            headers = {NOT_EXECUTED: "1", INSTANCE_ID: stand_in.instance_id}
-            return web.Response(status=503, headers=headers)
+            return stand_in.refusal(request, 503)
         request_id, path = request.headers[REQUEST_ID], request.path
         run = Run(request_id, stand_in.instance_id, self.node, path, digest(body), time.monotonic())
         self.history.runs.append(run)
--- a/ibisrack/standins/instance.py
+++ b/ibisrack/standins/instance.py
@@ -16,6 +16,7 @@
     INSTANCE_ID,
     LEAVING,
     LIMIT,
+    NOT_EXECUTED,
     REQUEST_ID,
     SIGNATURE,
 )
@@ -118,7 +119,7 @@
         if self.is_down:
             return web.Response()  # Nobody reads it: a crash has reset the connection.
         if request.headers.get(EXPECTED_INSTANCE, self.instance_id) != self.instance_id:
-            return web.Response(status=421, headers={INSTANCE_ID: self.instance_id})
+            return self.refusal(request, 421)
         if self.custom_handler is not None:
             return await self.custom_handler(self, request)
         return await self.run(request)
@@ -132,6 +133,15 @@
         await asyncio.sleep(self.work_s)
         return web.Response(body=b"done " + body, headers=self.headers(request))
 
+    def refusal(self, request: web.BaseRequest, status: int) -> web.Response:
+        """Returns the response to a request that it does not run."""
+        headers = {
+            REQUEST_ID: request.headers[REQUEST_ID],
+            INSTANCE_ID: self.instance_id,
+            NOT_EXECUTED: "1",
+        }
+        return web.Response(status=status, headers=headers)
+
     @property
     def is_down(self) -> bool:
         """Whether it has crashed and is not back yet."""
--- a/ibisrack/standins/instance_test.py
+++ b/ibisrack/standins/instance_test.py
@@ -2,7 +2,14 @@
 
 from aiohttp import ClientConnectorError, ClientError, ClientSession
 
-from ibisrack.platform.headers import CALLER_SERVICE, REQUEST_ID, SIGNATURE
+from ibisrack.platform.headers import (
+    CALLER_SERVICE,
+    EXPECTED_INSTANCE,
+    INSTANCE_ID,
+    NOT_EXECUTED,
+    REQUEST_ID,
+    SIGNATURE,
+)
 from ibisrack.standins.instance import RequestContent, StandInInstance, digest, serve_instance
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import wait_until
@@ -37,4 +44,15 @@
         assert stand_in.started_at_ms > 0
 
 
+async def test_refusal_names_its_request():
+    """Guards against a refusal that a sidecar has to take for the answer to another request."""
+    headers = {REQUEST_ID: "q", EXPECTED_INSTANCE: "i-2"}
+    async with serve_instance(StandInInstance("i-1"), HOST) as port, ClientSession() as session:
+        async with session.get(f"http://{HOST}:{port}/", headers=headers) as response:
+            assert response.status == 421
+            assert response.headers[REQUEST_ID] == "q"
+            assert response.headers[NOT_EXECUTED] == "1"
+            assert response.headers[INSTANCE_ID] == "i-1"
+
+
 load_tests = function_tests(__name__)
