--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -20,8 +20,9 @@
 
 from bench.soak.fleet import ROUTE_TIMEOUT_S, Member, SoakFleet, version_prefix
 from bench.soak.history import Failure, Outcome, Recovery, Request, VersionProbe
-from bench.soak.instances import BREAK_OFF, Work, digest
+from bench.soak.instances import BREAK_OFF, Work
 from ibisrack.platform.headers import DEADLINE_MS, REQUEST_ID, SIGNATURE
+from ibisrack.standins.instance import digest
 
 HOST = "desk.example"
 MEAN_PAUSE_S = 0.08  # Between the requests of a caller.
@@ -66,6 +67,12 @@
     Traffic("GET", "/docs/", True, 6, (300, 2000), 3000),
     Traffic("GET", "/scans/", True, 7, (20, 150), 300_000),
 )
+LONG_REQUESTS = (
+    Traffic("GET", "/notices/", True, 1, (1500, 1500), 100),
+    Traffic("GET", "/docs/", True, 1, (1500, 1500), 100),
+)
+DEADLY_REPEATABLE = Traffic("GET", "/notices/", True, 1, (5, 5), 100)
+DEADLY_NOT_REPEATABLE = Traffic("POST", "/lodge/", False, 1, (5, 5), 100)
 
 
 @attrs.define(eq=False)
@@ -96,33 +103,40 @@
                 await asyncio.sleep(RECONNECT_PAUSE_S)
 
     async def send(self, traffic: Traffic) -> Outcome:
-        """Sends a request and records it with its outcome."""
-        rng, history = self.rng, self.fleet.history
+        """Sends a request of a kind and records it with its outcome."""
+        rng = self.rng
         work = Work(
             rng.randint(*traffic.work_ms),
             rng.randint(0, traffic.answer_bytes),
             rng.choices(tuple(STATUS_WEIGHTS), tuple(STATUS_WEIGHTS.values()))[0],
         )
         body = rng.randbytes(rng.randint(1, 2000)) if traffic.method == "POST" else b""
+        return await self.send_content(traffic, traffic.prefix + work.encode(), body)
+
+    async def send_content(self, traffic: Traffic, path: str, body: bytes) -> Outcome:
+        """Sends a request with this path and body and records it with its outcome."""
+        rng, history = self.rng, self.fleet.history
         deadline_s = rng.choice(DEADLINES_S)
         request = Request(
             request_id=f"s{self.fleet.seed}-{self.name}-{next(self._numbers)}",
             node=self.member.number,
-            path=traffic.prefix + work.encode(),
+            path=path,
             idempotent=traffic.idempotent,
             body_digest=digest(body),
             sent_at_s=time.monotonic(),
             limit_s=min(deadline_s, ROUTE_TIMEOUT_S),
+            method=traffic.method,
+            caller=self.member.sidecar.placement.service,
         )
         history.requests[request.request_id] = request
         leaves = rng.randrange(100) < LEAVE_PERCENT
         patience_s = rng.uniform(0.005, 0.2) if leaves else deadline_s + EXTRA_WAIT_S
-        outcome = await self._exchange(request, traffic.method, body, deadline_s, patience_s)
+        outcome = await self._exchange(request, body, deadline_s, patience_s)
         history.outcomes.append(outcome)
         return outcome
 
     async def _exchange(
-        self, request: Request, method: str, body: bytes, deadline_s: float, patience_s: float
+        self, request: Request, body: bytes, deadline_s: float, patience_s: float
     ) -> Outcome:
         headers = {
             "Host": HOST,
@@ -134,7 +148,10 @@
             async with (
                 asyncio.timeout(patience_s),
                 self.session.request(
-                    method, _url(self.member, request.path), headers=headers, data=body or None
+                    request.method,
+                    _url(self.member, request.path),
+                    headers=headers,
+                    data=body or None,
                 ) as response,
             ):
                 return await _read_answer(request, response)
@@ -188,6 +205,15 @@
         await Caller(fleet, member, name, Random(f"{fleet.seed} {name}"), session).run()
 
 
+async def send_once(
+    fleet: SoakFleet, member: Member, traffic: Traffic, path: str, body: bytes
+) -> None:
+    """Sends one request on a new connection beside a sidecar."""
+    name = f"{member.number}.d{len(fleet.history.requests)}"
+    async with open_session(keeps_connection=False) as session:
+        await Caller(fleet, member, name, Random(name), session).send_content(traffic, path, body)
+
+
 async def _probe_versions(fleet: SoakFleet, member: Member) -> None:
     """Asks a sidecar in turn for the routes that the latest versions have added."""
     async with open_session(keeps_connection=True) as session:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -5,7 +5,8 @@
 import attrs
 
 from bench.soak.history import Kind
-from bench.soak.proxy import STORE, Ends
+from ibisrack.standins.odd_entries import OddEntry
+from ibisrack.testing.tcp_proxy import STORE, Ends
 
 
 @attrs.frozen
@@ -81,6 +82,23 @@
     interval_s: float
 
 
+@attrs.frozen
+class GrowConfiguration:
+    """Publishes versions of the configuration in succession, each with many routes more."""
+
+    steps: int
+    routes: int
+    interval_s: float
+
+
+@attrs.frozen
+class SendLongRequests:
+    """Keeps requests running on the links between all sidecars; each lasts over a second."""
+
+    interval_s: float
+    duration_s: float
+
+
 @attrs.frozen
 class HangUp:
     """Changes the settings file and sends SIGHUP, some times in succession."""
@@ -116,6 +134,37 @@
     rewrite_after_s: float
 
 
+@attrs.frozen
+class LeaveOddEntry:
+    """Leaves an entry that is wrong among those of the instances for some time."""
+
+    kind: OddEntry
+    service: str
+    zone: str
+    duration_s: float
+
+
+@attrs.frozen
+class SendDeadlyRequest:
+    """Sends a request that crashes each instance that runs it, again and again under new ids.
+
+    Attributes:
+      number: Number of the fault, part of the path.
+      nodes: Sidecars that get it in turn; its caller is the service of the first one's host.
+      repeatable: Whether the route allows to repeat it.
+      interval_s: Time between two requests.
+      duration_s: Time in which it comes.
+      down_s: Time for which a crashed instance is down.
+    """
+
+    number: int
+    nodes: tuple[int, ...]
+    repeatable: bool
+    interval_s: float
+    duration_s: float
+    down_s: float
+
+
 Fault = (
     DelayPaths
     | BlockPaths
@@ -126,10 +175,14 @@
     | FailStore
     | ForgetHistory
     | ChangeConfiguration
+    | GrowConfiguration
+    | SendLongRequests
     | HangUp
     | ReplaceInstance
     | LimitInstance
     | RestoreStore
+    | LeaveOddEntry
+    | SendDeadlyRequest
 )
 
 
@@ -179,6 +232,10 @@
 @affected_ends.register(FailStore)
 @affected_ends.register(ForgetHistory)
 @affected_ends.register(ChangeConfiguration)
+@affected_ends.register(GrowConfiguration)
+@affected_ends.register(SendLongRequests)
 @affected_ends.register(RestoreStore)
+@affected_ends.register(LeaveOddEntry)
+@affected_ends.register(SendDeadlyRequest)
 def _(fault) -> None:
     return None
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from pathlib import Path
 
 import attrs
@@ -11,11 +12,10 @@
 
 from bench.fleet import free_ports
 from bench.sidecars import Placement, Ports, SidecarProcess
-from bench.soak.history import History, UnexpectedExit
+from bench.soak.history import VERSION_PATH, History, UnexpectedExit
 from bench.soak.instances import SLOTS, SoakInstance
-from bench.soak.proxy import Network
 from ibisrack.instances.model import InstanceState
-from ibisrack.standins.instance import StandInInstance, serve_instance
+from ibisrack.standins.instance import RequestContent, StandInInstance, serve_instance
 from ibisrack.standins.store import StandInStore, serve_store
 from ibisrack.testing.sidecars import (
     configuration_entry,
@@ -23,6 +23,7 @@
     instance_entry,
     route_resource,
 )
+from ibisrack.testing.tcp_proxy import STORE, Network
 
 SERVICES = ("desk", "docs")
 ZONES = ("north", "south", "west")
@@ -34,11 +35,16 @@
 
 def version_prefix(version: int) -> str:
     """Returns the path prefix of the route that a version of the configuration adds."""
-    return f"/since/{version}/"
+    return f"{VERSION_PATH}{version}/"
 
 
-def configuration(version: int) -> bytes:
-    """Returns the registry entry of a version, which keeps the routes of the earlier ones."""
+def configuration(version: int, filler_routes: int) -> bytes:
+    """Returns the registry entry of a version, which keeps the routes of the earlier ones.
+
+    Args:
+      version: Number of the version.
+      filler_routes: Number of routes that no caller uses; each takes about 260 bytes.
+    """
     options = {"timeout": f"{ROUTE_TIMEOUT_S:g}s"}
     routes = (
         route_resource(prefix="/notices/", **options),
@@ -46,6 +52,7 @@
         route_resource(prefix="/docs/", service="docs", priority=1, **options),
         route_resource("download", prefix="/scans/", service="docs", priority=2, **options),
         *(route_resource(prefix=version_prefix(v), **options) for v in range(1, version + 1)),
+        *(route_resource(prefix=f"/filler/{n}/", **options) for n in range(filler_routes)),
     )
     # Versions on the wire increase in uneven steps.
     return configuration_entry(version * 3 + version % 2, *routes, services=SERVICES)
@@ -113,6 +120,8 @@
       members: Hosts by number.
       session: HTTP session for readiness checks.
       version: Latest version of the configuration.
+      filler_routes: Number of routes of the configuration that no caller uses.
+      deadly: Requests that crash the instances that run them.
       ending: Whether callers are to stop.
     """
 
@@ -123,14 +132,21 @@
     members: dict[int, Member]
     session: ClientSession
     version: int = 0
+    filler_routes: int = 0
+    deadly: set[RequestContent] = attrs.field(factory=set)
     ending: bool = False
 
     def publish(self) -> None:
         """Writes the next version of the configuration to the store."""
         self.version += 1
-        self.store.put("op/config", configuration(self.version))
+        self._put_configuration()
         self.history.versions[self.version] = time.monotonic()
 
+    def replace_entry(self, member: Member, earlier_id: str) -> None:
+        """Writes the entry of a new instance at a member's address in place of the earlier one."""
+        self.store.delete(f"servers/{earlier_id}")
+        self.register(member)
+
     def rewrite(self) -> None:
         """Writes again what the store may have lost, and removes what has left since."""
         current = {f"servers/{m.instance.stand_in.instance_id}" for m in self.members.values()}
@@ -139,7 +155,10 @@
                 self.store.delete(key)
         for member in self.members.values():
             self.register(member, member.state)
-        self.store.put("op/config", configuration(self.version))
+        self._put_configuration()
+
+    def _put_configuration(self) -> None:
+        self.store.put("op/config", configuration(self.version, self.filler_routes))
 
     def register(self, member: Member, state: InstanceState = InstanceState.READY) -> None:
         """Writes the registry entry of a member's instance."""
@@ -153,19 +172,23 @@
             zone=placement.zone,
             slots=SLOTS,
             state=state,
+            started_at_ms=stand_in.started_at_ms,
             sequence=int(state is InstanceState.DRAINING),
         )
         self.store.put(f"servers/{stand_in.instance_id}", instance_entry(entry))
 
 
 @asynccontextmanager
-async def started_fleet(seed: int, sidecars: int, folder: Path) -> AsyncIterator[SoakFleet]:
+async def started_fleet(
+    seed: int, sidecars: int, zones: int, folder: Path
+) -> AsyncIterator[SoakFleet]:
     """Starts a fleet, waits until every sidecar is ready, and ends its processes on exit."""
     history = History()
     network = Network({f"127.0.1.{number}": number for number in range(1, sidecars + 1)})
     ports = Ports(*free_ports(5))
     async with AsyncExitStack() as stack:
         store, store_port = await stack.enter_async_context(serve_store(STORE_HOST))
+        store_address = (STORE_HOST, store_port)
         session = await stack.enter_async_context(ClientSession())
         fleet = SoakFleet(seed, history, network, store, {}, session)
         fleet.publish()
@@ -173,22 +196,23 @@
             placement = Placement(
                 name=f"sidecar-{number}",
                 service=SERVICES[number % len(SERVICES)],
-                zone=ZONES[number % len(ZONES)],
+                zone=ZONES[number % zones],
                 host=f"127.0.0.{number}",
                 links_host=f"127.0.1.{number}",
                 store=f"127.0.2.{number}:{store_port}",
                 ports=ports,
             )
-            stand_in = StandInInstance(f"i-{number}")
+            stand_in = StandInInstance(f"i-{number}", deadly=fleet.deadly)
             soak_instance = SoakInstance(number, history, stand_in)
             stand_in.custom_handler = soak_instance.handle
             sidecar = SidecarProcess(placement, folder)
             sidecar.write_settings(placement.settings())
             member = fleet.members[number] = Member(number, sidecar, soak_instance, history)
+            stand_in.on_restart = partial(fleet.replace_entry, member)
             for server in (
                 serve_instance(stand_in, placement.host, ports.app),
                 network.relayed_links(number, placement.host, (placement.links_host, ports.links)),
-                network.relayed_store(number, f"127.0.2.{number}", (STORE_HOST, store_port)),
+                network.relayed((number, STORE), f"127.0.2.{number}", store_port, store_address),
             ):
                 await stack.enter_async_context(server)
             fleet.register(member)
--- a/bench/soak/injection.py
+++ b/bench/soak/injection.py
@@ -7,7 +7,8 @@
 from functools import singledispatch
 
 from bench.sidecars import GRACE_S
-from bench.soak.checks import DRAIN_MARGIN_S, DRAIN_S
+from bench.soak.bounds import DRAIN_MARGIN_S, DRAIN_S
+from bench.soak.callers import DEADLY_NOT_REPEATABLE, DEADLY_REPEATABLE, LONG_REQUESTS, send_once
 from bench.soak.faults import (
     BlockPaths,
     ChangeConfiguration,
@@ -15,21 +16,28 @@
     FailStore,
     Fault,
     ForgetHistory,
+    GrowConfiguration,
     HangUp,
     KillProcess,
+    LeaveOddEntry,
     LimitInstance,
     PauseProcess,
     ReplaceInstance,
     ResetLink,
     RestoreStore,
+    SendDeadlyRequest,
+    SendLongRequests,
     StopProcess,
     affected_ends,
     kind_of,
 )
 from bench.soak.fleet import Member, SoakFleet
 from bench.soak.history import Drain, Limit
+from bench.soak.instances import Work
 from bench.soak.plan import TimedFault
 from ibisrack.instances.model import InstanceState
+from ibisrack.standins.instance import RequestContent, digest
+from ibisrack.standins.odd_entries import odd_instance_entry
 
 RESTART_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 3.0  # Longer than any request lasts.
@@ -137,6 +145,25 @@
         await asyncio.sleep(fault.interval_s)
 
 
+@inject.register
+async def _(fault: GrowConfiguration, fleet: SoakFleet) -> None:
+    for _ in range(fault.steps):
+        fleet.filler_routes += fault.routes
+        fleet.publish()
+        await asyncio.sleep(fault.interval_s)
+
+
+@inject.register
+async def _(fault: SendLongRequests, fleet: SoakFleet) -> None:
+    async with asyncio.TaskGroup() as group:
+        for number in range(int(fault.duration_s / fault.interval_s)):
+            traffic = LONG_REQUESTS[number % len(LONG_REQUESTS)]
+            for member in fleet.members.values():
+                path = traffic.prefix + Work(traffic.work_ms[1], 100, 200).encode()
+                group.create_task(send_once(fleet, member, traffic, path, b""))
+            await asyncio.sleep(fault.interval_s)
+
+
 @inject.register
 async def _(fault: HangUp, fleet: SoakFleet) -> None:
     member = fleet.members[fault.node]
@@ -163,11 +190,9 @@
                 await asyncio.sleep(IDLE_POLL_S)
     if stand_in.instance_id != old_id:
         return  # A replacement that began earlier has ended it.
-    stand_in.leaving, stand_in.limit_per_s = False, None
-    stand_in.instance_id = f"{old_id.partition('+')[0]}+{len(history.drains)}"
+    stand_in.begin_incarnation()
     history.drains.append(Drain(old_id, member.number, acknowledged_at_s, time.monotonic()))
-    fleet.store.delete(f"servers/{old_id}")
-    fleet.register(member)
+    fleet.replace_entry(member, old_id)
 
 
 @inject.register
@@ -198,6 +223,36 @@
     fleet.rewrite()
 
 
+@inject.register
+async def _(fault: LeaveOddEntry, fleet: SoakFleet) -> None:
+    key = f"servers/i-odd-{fault.kind}"
+    fleet.store.put(key, odd_instance_entry(fault.kind, fault.service, fault.zone))
+    await asyncio.sleep(fault.duration_s)
+    fleet.store.delete(key)
+
+
+@inject.register
+async def _(fault: SendDeadlyRequest, fleet: SoakFleet) -> None:
+    first = fleet.members[fault.nodes[0]]
+    traffic = DEADLY_REPEATABLE if fault.repeatable else DEADLY_NOT_REPEATABLE
+    path = f"{traffic.prefix}{fault.number}/{Work(5, 100, 200).encode()}"
+    body = b"" if fault.repeatable else b"deadly"
+    content = RequestContent(traffic.method, path, first.sidecar.placement.service, digest(body))
+    for member in fleet.members.values():
+        member.instance.stand_in.down_s = fault.down_s
+    fleet.deadly.add(content)
+    async with asyncio.TaskGroup() as group:
+        for number in range(int(fault.duration_s / fault.interval_s)):
+            member = fleet.members[fault.nodes[number % len(fault.nodes)]]
+            for sent_body in (body, body + b" of another request"):
+                group.create_task(send_once(fleet, member, traffic, path, sent_body))
+            await asyncio.sleep(fault.interval_s)
+    fleet.deadly.discard(content)
+    instances = [member.instance.stand_in for member in fleet.members.values()]
+    while any(stand_in.is_down for stand_in in instances):
+        await asyncio.sleep(IDLE_POLL_S)
+
+
 async def _restart(fleet: SoakFleet, member: Member, after_s: float) -> None:
     await asyncio.sleep(after_s)
     await member.start()
--- a/bench/soak/soak_test.py
+++ b/bench/soak/soak_test.py
@@ -6,12 +6,14 @@
 from typing import get_args
 
 from bench.fleet import free_ports
-from bench.soak.faults import Fault
+from bench.soak.additions import Addition, make_extended_plan
+from bench.soak.faults import Fault, kind_of
+from bench.soak.history import Kind
 from bench.soak.injection import inject
 from bench.soak.plan import make_plan
-from bench.soak.proxy import STORE, Network
 from bench.soak.runner import SoakSettings, run_seed
 from ibisrack.testing.functions import function_tests
+from ibisrack.testing.tcp_proxy import STORE, Network
 
 SEED = 2
 FAULTS_S = 30.0
@@ -30,13 +32,24 @@
 
 def test_plans_are_repeatable_and_use_every_fault():
     """Guards against a seed that can't be played again, and a fault that is never injected."""
-    plans = [make_plan(seed, 30.0, 6) for seed in range(20)]
-    assert plans == [make_plan(seed, 30.0, 6) for seed in range(20)]
+    plans = [make_extended_plan(seed, 30.0, 6, Addition) for seed in range(20)]
+    assert plans == [make_extended_plan(seed, 30.0, 6, Addition) for seed in range(20)]
     used = {type(timed.fault) for plan in plans for timed in plan}
     assert used == set(get_args(Fault))
     assert all(inject.dispatch(kind) is not inject.dispatch(object) for kind in used)
 
 
+def test_added_faults_leave_those_of_the_seed_as_they_were():
+    """Guards against a regression seed that means other faults once a kind was added."""
+    for seed in range(20):
+        plain = make_plan(seed, 30.0, 6)
+        assert make_extended_plan(seed, 30.0, 6, ()) == plain
+        extended = make_extended_plan(seed, 30.0, 6, Addition)
+        planned = [timed for timed in plain if kind_of(timed.fault) is Kind.PLANNED]
+        kept = [timed for timed in extended if timed in plain]
+        assert len(extended) > len(kept) and kept in (plain, planned)
+
+
 @asynccontextmanager
 async def relayed_connection():
     """Yields a network, and a connection through its path from sidecar 1 to an echo server."""
@@ -50,10 +63,12 @@
     network = Network({})
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(await asyncio.start_server(echo, TARGET_HOST, port))
-        await stack.enter_async_context(network.relayed_store(1, SOURCE_HOST, (TARGET_HOST, port)))
+        address = (TARGET_HOST, port)
+        await stack.enter_async_context(network.relayed((1, STORE), SOURCE_HOST, port, address))
         reader, writer = await asyncio.open_connection(SOURCE_HOST, port)
         stack.callback(writer.close)
         yield network, reader, writer
+        await network.close()
 
 
 async def test_blocked_path_delivers_nothing_until_it_is_open_again():
