--- a/ibisrack/sidecar/many_peers_test.py
+++ b/ibisrack/sidecar/many_peers_test.py
@@ -48,6 +48,9 @@
 
 def node_with_routes(*routes: Route) -> SidecarNode:
     node = assemble(SETTINGS)
+    node.follower = RegistryFollower(
+        None, node.view, node.rng, node.tally, node.apply_entries, node.apply_entries, bool
+    )
     node.configurations.offer(Configuration(1, CountingRoutes(routes), {}))
     return node
 
@@ -111,9 +114,6 @@
 async def test_load_is_determined_once_for_all_peers():
     """Guards against work each second that is slow for each of many peers."""
     node = node_with_routes()
-    node.follower = RegistryFollower(
-        None, node.view, node.rng, node.tally, node.apply_entries, node.apply_entries, bool
-    )
     links = [RecordingLink() for _ in range(9)]
     node.incoming_links.update(links)
     node.report_load()
