Pass reports of crashes on to a few peers each

Cause: each node passed a new report on to all its peers.

Change: the node that sees a crash tells all its peers, these tell as many as the gossip of members does (8 of 71).

--- a/ibisrack/suspects/exchange.py
+++ b/ibisrack/suspects/exchange.py
@@ -1,13 +1,20 @@
-"""Keeps the suspects of this node, and passes on to its peers what is new about them."""
+"""Keeps the suspects of this node, and passes on to its peers what is new about them.
+
+The node that sees a crash tells all its peers.  These pass it on to a few peers each, for nodes
+that have no link with the first one.  In a fleet where all are linked, passing it on to all would
+take messages in the square of its size, at a moment when many instances may crash.
+"""
 
 from collections.abc import Callable, Iterable
 from functools import singledispatch
+from random import Random
 from typing import Protocol
 
 import attrs
 
 from ibisrack.clocks import read_clocks
 from ibisrack.instances.model import Instance
+from ibisrack.membership.gossip import transmit_limit
 from ibisrack.suspects.fingerprint import Fingerprinted, fingerprint_of
 from ibisrack.suspects.messages import CrashReport, Message, RunCompleted
 from ibisrack.suspects.recorder import SuspectRecorder
@@ -29,11 +36,13 @@
       links: Returns the links to peers.
       table: What is known of crashes and suspects.
       recorder: Counts and logs verdicts.
+      rng: Selects the peers to which the news of another node are passed on.
     """
 
     links: Callable[[], Iterable[PeerLink]] = attrs.field(default=lambda: ())
     table: SuspectTable = attrs.field(factory=SuspectTable)
     recorder: SuspectRecorder = attrs.field(factory=SuspectRecorder)
+    rng: Random = attrs.field(factory=Random)
 
     def verdict(self, request: Fingerprinted) -> Verdict:
         """Returns the verdict on a request."""
@@ -72,11 +81,19 @@
             self.receive(RunCompleted(fingerprint_of(request)), None)
 
     def receive(self, message: Message, source: PeerLink | None) -> None:
-        """Applies a message, and passes it on to all peers but its source if it was news."""
-        if _apply(message, self):
-            for link in self.links():
-                if link is not source:
-                    link.send(message)
+        """Applies a message, and passes it on if it was news.
+
+        Args:
+          message: The message.
+          source: Link on which it arrived, None if this node is the first to send it.
+        """
+        if not _apply(message, self):
+            return
+        links = [link for link in self.links() if link is not source]
+        if source is not None:
+            links = self.rng.sample(links, min(len(links), transmit_limit(len(links))))
+        for link in links:
+            link.send(message)
 
     def greeting(self) -> tuple[CrashReport, ...]:
         """Returns the messages for a peer that may know nothing."""
--- a/ibisrack/suspects/exchange_test.py
+++ b/ibisrack/suspects/exchange_test.py
@@ -1,8 +1,13 @@
 """Tests of what nodes tell each other about suspects."""
 
+from collections.abc import Iterable
+from itertools import combinations
+from random import Random
+
 import attrs
 
 from ibisrack.links.codec_test import SUBMIT
+from ibisrack.membership.gossip import transmit_limit
 from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.fingerprint import FINGERPRINT_BYTES, fingerprint_of
 from ibisrack.suspects.table import CLEAR, Suspected
@@ -30,24 +35,29 @@
             self.peer.receive(message, self.back)
 
 
-def connect(count: int) -> tuple[list[SuspectExchange], list[DirectLink]]:
-    """Returns nodes, each connected with the two beside it in a ring, and all links."""
-    nodes = [SuspectExchange() for _ in range(count)]
+def connect(
+    count: int, pairs: Iterable[tuple[int, int]]
+) -> tuple[list[SuspectExchange], list[DirectLink]]:
+    """Returns nodes of which these pairs are connected, and all links."""
+    nodes = [SuspectExchange(rng=Random(number)) for number in range(count)]
     links: dict[int, list[DirectLink]] = {number: [] for number in range(count)}
-    for number in range(count):
-        following = (number + 1) % count
-        there, back = DirectLink(nodes[following]), DirectLink(nodes[number])
+    for first, second in pairs:
+        there, back = DirectLink(nodes[second]), DirectLink(nodes[first])
         there.back, back.back = back, there
-        links[number].append(there)
-        links[following].append(back)
+        links[first].append(there)
+        links[second].append(back)
     for number, node in enumerate(nodes):
         node.links = lambda number=number: links[number]
     return nodes, [link for group in links.values() for link in group]
 
 
+def ring(count: int) -> list[tuple[int, int]]:
+    return [(number, (number + 1) % count) for number in range(count)]
+
+
 def test_every_node_learns_of_a_crash_and_of_an_answer_over_each_link_once():
     """Guards against nodes that are not linked with the one that saw it, and against loops."""
-    nodes, links = connect(6)
+    nodes, links = connect(6, ring(6))
     nodes[0].report_crash(instance(), (SUBMIT,), ())
     assert all(node.verdict(SUBMIT) == Suspected(1) for node in nodes)
     assert all(node.is_down(instance()) for node in nodes)
@@ -57,9 +67,17 @@
     assert all(link.sent <= 2 for link in links)
 
 
+def test_a_crash_in_a_large_fleet_takes_few_messages():
+    """Guards against links that are full of reports after many instances crashed at once."""
+    nodes, links = connect(72, combinations(range(72), 2))
+    nodes[0].report_crash(instance(), (SUBMIT,), ())
+    assert all(node.verdict(SUBMIT) == Suspected(1) for node in nodes)
+    assert sum(link.sent for link in links) <= 72 * (1 + transmit_limit(72))
+
+
 def test_answers_to_requests_that_are_no_suspects_are_not_reported():
     """Guards against a message for every request."""
-    nodes, links = connect(3)
+    nodes, links = connect(3, ring(3))
     nodes[0].record_completed(SUBMIT)
     nodes[0].report_crash(instance(), (attrs.evolve(SUBMIT, target="/other"),), ())
     nodes[0].record_completed(SUBMIT)
