--- a/ibisrack/platform/store_client.py
+++ b/ibisrack/platform/store_client.py
@@ -204,6 +204,7 @@
     if len(value) > MAX_VALUE_BYTES:
         return None
     try:
-        return base64.b64decode(value, validate=True)
+        content = base64.b64decode(value, validate=True)
     except (binascii.Error, ValueError):
         return b""
+    return content if len(content) <= MAX_CONTENT_BYTES else None
--- a/ibisrack/platform/store_client_test.py
+++ b/ibisrack/platform/store_client_test.py
@@ -116,9 +116,10 @@
         store.put("op/config", bytes(MAX_CONTENT_BYTES))
         client = StoreClient(session, HOST, port)
         assert len((await client.list_all()).entries[1].content) == MAX_CONTENT_BYTES
-        store.put("op/config", bytes(MAX_CONTENT_BYTES + 3))
-        listing = await client.list_all()
-        assert [entry.content for entry in listing.entries] == [b"1", b""]
+        for excess_bytes in (1, 2, 3):
+            store.put("op/config", bytes(MAX_CONTENT_BYTES + excess_bytes))
+            listing = await client.list_all()
+            assert [entry.content for entry in listing.entries] == [b"1", b""]
 
 
 async def test_watch_across_a_restore_says_that_the_history_is_gone():
