Bound the reports of crashes like other messages of peers

A report with a negative age kept an instance out of service for as long as it said, at every node, and could not be taken back. An instance with more than 256 running requests names the first 256: peers would end their links at a longer report.

--- a/ibisrack/links/bounds.py
+++ b/ibisrack/links/bounds.py
@@ -22,6 +22,9 @@
 )
 from ibisrack.registry.messages import Revision
 from ibisrack.routing.holder import MAX_REPORTED_VERSION
+from ibisrack.suspects.fingerprint import FINGERPRINT_BYTES
+from ibisrack.suspects.messages import CrashReport, RunCompleted
+from ibisrack.suspects.table import MAX_SUSPECTS_PER_CRASH
 
 MAX_INTEGER = 2**53 - 1  # Larger integers are not exact as numbers of seconds.
 MAX_COUNT = 2**31 - 1  # Of requests, slots and starts; sums of such counts stay exact.
@@ -93,12 +96,31 @@
         _check_revision(base_revision)
 
 
+@check_bounds.register
+def _(message: CrashReport) -> None:
+    _check("start", message.started_at_ms, 0, MAX_INTEGER)
+    _check("age of a crash", message.age_ms, 0, MAX_INTEGER)
+    _check("number of suspects", len(message.suspects), 0, MAX_SUSPECTS_PER_CRASH)
+    _check("number of suspects", len(message.repeated), 0, MAX_SUSPECTS_PER_CRASH)
+    for fingerprint in (*message.suspects, *message.repeated):
+        _check_fingerprint(fingerprint)
+
+
+@check_bounds.register
+def _(message: RunCompleted) -> None:
+    _check_fingerprint(message.fingerprint)
+
+
 def _check(name: str, value: float, low: float, high: float) -> None:
     """Checks a number; one that is no number is in no range."""
     if not low <= value <= high:
         raise MessageError(f"{name} of {value} is out of range")
 
 
+def _check_fingerprint(fingerprint: bytes) -> None:
+    _check("length of a fingerprint", len(fingerprint), FINGERPRINT_BYTES, FINGERPRINT_BYTES)
+
+
 def _check_limit(limit_per_s: float | None) -> None:
     if limit_per_s is not None:
         _check("limit", limit_per_s, 0, MAX_RATE_PER_S)
--- a/ibisrack/links/bounds_test.py
+++ b/ibisrack/links/bounds_test.py
@@ -18,6 +18,7 @@
     Submit,
 )
 from ibisrack.registry.messages import NO_REVISION, Revision
+from ibisrack.suspects.messages import CrashReport, RunCompleted
 from ibisrack.testing.functions import function_tests
 
 MAX_TIME_MS = 2**53 - 1
@@ -30,6 +31,9 @@
 )
 
 
+CRASH = CrashReport("i-1", 7, (b"f" * 16,), (), 5)
+
+
 async def read(message: object) -> object:
     """Returns a message as it is read from a connection."""
     reader = asyncio.StreamReader()
@@ -125,4 +129,21 @@
         assert await read(message) == message
 
 
+async def test_odd_reports_of_crashes_are_refused():
+    """Guards against a report by which one node keeps an instance out of service in the fleet."""
+    await read(CRASH)
+    await read(RunCompleted(b"f" * 16))
+    for number in (*ODD_INTEGERS, -1, -3_600_000):
+        await assert_refused(attrs.evolve(CRASH, age_ms=number))
+        await assert_refused(attrs.evolve(CRASH, started_at_ms=number))
+    for fingerprint in (b"", b"f" * 15, b"f" * 17):
+        await assert_refused(
+            attrs.evolve(CRASH, suspects=(fingerprint,)),
+            attrs.evolve(CRASH, repeated=(fingerprint,)),
+            RunCompleted(fingerprint),
+        )
+    many = tuple(n.to_bytes(16, "big") for n in range(257))
+    await assert_refused(attrs.evolve(CRASH, suspects=many))
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/suspects/exchange.py
+++ b/ibisrack/suspects/exchange.py
@@ -18,7 +18,7 @@
 from ibisrack.suspects.fingerprint import Fingerprinted, fingerprint_of
 from ibisrack.suspects.messages import CrashReport, Message, RunCompleted
 from ibisrack.suspects.recorder import SuspectRecorder
-from ibisrack.suspects.table import CLEAR, SuspectTable, Verdict
+from ibisrack.suspects.table import CLEAR, MAX_SUSPECTS_PER_CRASH, SuspectTable, Verdict
 
 
 class PeerLink(Protocol):
@@ -70,8 +70,8 @@
           requests: Requests that it ran.
           quarantined: Those of them that ran in quarantine.
         """
-        suspects = tuple(dict.fromkeys(map(fingerprint_of, requests)))
-        repeated = tuple(dict.fromkeys(map(fingerprint_of, quarantined)))
+        suspects = tuple(dict.fromkeys(map(fingerprint_of, requests)))[:MAX_SUSPECTS_PER_CRASH]
+        repeated = tuple(dict.fromkeys(map(fingerprint_of, quarantined)))[:MAX_SUSPECTS_PER_CRASH]
         start = (instance.instance_id, instance.started_at_ms)
         self.receive(CrashReport(*start, suspects, repeated, 0), None)
 
--- a/ibisrack/suspects/exchange_test.py
+++ b/ibisrack/suspects/exchange_test.py
@@ -6,11 +6,12 @@
 
 import attrs
 
+from ibisrack.links.bounds import check_bounds
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.membership.gossip import transmit_limit
 from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.fingerprint import FINGERPRINT_BYTES, fingerprint_of
-from ibisrack.suspects.table import CLEAR, Suspected
+from ibisrack.suspects.table import CLEAR, MAX_SUSPECTS_PER_CRASH, Suspected
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import instance
 
@@ -75,6 +76,16 @@
     assert sum(link.sent for link in links) <= 72 * (1 + transmit_limit(72))
 
 
+def test_a_report_names_no_more_suspects_than_peers_accept():
+    """Guards against a report at which peers end their links, from an instance with many slots."""
+    nodes, links = connect(2, [(0, 1)])
+    running = [attrs.evolve(SUBMIT, target=f"/{n}") for n in range(MAX_SUSPECTS_PER_CRASH + 1)]
+    nodes[0].report_crash(instance(), running, running)
+    check_bounds(nodes[0].greeting()[0])
+    verdicts = [nodes[1].verdict(request) for request in running]
+    assert verdicts == [Suspected(1)] * MAX_SUSPECTS_PER_CRASH + [CLEAR]
+
+
 def test_answers_to_requests_that_are_no_suspects_are_not_reported():
     """Guards against a message for every request."""
     nodes, links = connect(3, ring(3))
