Keep only the resources of the last decoded configuration

The cache of decoded resources was bounded by their number, not their bytes: the review grew a process by 121 MB with 30 configurations, each with one resource of an unknown type of 3.9 MB. Resources of unknown types are not kept any more, and those of earlier versions are dropped. The new test failed before.

--- a/ibisrack/platform/decoding_test.py
+++ b/ibisrack/platform/decoding_test.py
@@ -8,10 +8,15 @@
 from ibisrack.errors import MessageError, SettingsError
 from ibisrack.links.codec import MAX_FRAME_BYTES
 from ibisrack.platform.durations import parse_duration_s
-from ibisrack.platform.entries import decode_configuration, decode_instance, instance_id
+from ibisrack.platform.entries import (
+    LAST_CONFIGURATION,
+    decode_configuration,
+    decode_instance,
+    instance_id,
+)
 from ibisrack.platform.settings_file import load_platform_settings
 from ibisrack.registry.messages import Entry
-from ibisrack.routing.model import Repeats, RoutePart
+from ibisrack.routing.model import Repeats, Route, RoutePart
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import (
     configuration_entry,
@@ -56,6 +61,17 @@
     assert [route.prefix for route in second.routes if id(route) not in known] == ["/2/"]
 
 
+def test_only_the_resources_of_the_last_configuration_are_kept():
+    """Guards against memory that grows with each version, or with resources of unknown types."""
+    unknown = {"resource_type": "other", "metadata": {"name": "x"}, "spec": {"text": "x" * 9999}}
+    for version in range(1, 9):
+        content = configuration_entry(version, route_resource(prefix=f"/{version}/"), unknown)
+        decode_configuration(Entry("op/config", content, version))
+    kept = LAST_CONFIGURATION.decoded
+    assert sum(map(len, kept)) < len(content)
+    assert [r.prefix for r in kept.values() if isinstance(r, Route)] == ["/8/"]
+
+
 def test_durations_are_converted_by_unit():
     """Guards against durations read in the wrong unit or without one."""
     assert parse_duration_s("1500ms") == 1.5
--- a/ibisrack/platform/entries.py
+++ b/ibisrack/platform/entries.py
@@ -6,7 +6,7 @@
 
 import re
 from collections.abc import Callable
-from functools import lru_cache, singledispatch
+from functools import singledispatch
 from ipaddress import IPv4Address, ip_address
 from typing import Any, TypeVar
 
@@ -38,9 +38,6 @@
 MAX_COUNT = 2**31 - 1  # Larger limits overflow the 32-bit sizes of HTTP libraries.
 MAX_BODY_BYTES = 64 * 1024 * 1024  # A link carries no larger bodies.
 MAX_ERROR_CHARS = 200  # Error messages quote the entry, which may be large.
-# Successive versions of a configuration differ in a few resources; only these are decoded again.
-# A configuration of the largest size has about this many.
-MAX_REMEMBERED_RESOURCES = 18_000
 
 _BROADCAST = IPv4Address("255.255.255.255")
 _INSTANCE_ID = re.compile(r"[!-~]{1,128}")
@@ -115,11 +112,16 @@
 def _build_configuration(entry: Entry) -> Configuration:
     document = msgspec.json.decode(entry.content, type=_ConfigurationDocument)
     resources = _Resources()
-    for encoded in document.resources:
-        _add_resource(_decode_resource(bytes(encoded)), resources)
+    decoded: dict[bytes, Route | ServiceOptions | Limits] = {}
+    for encoded in map(bytes, document.resources):
+        resource = LAST_CONFIGURATION.decoded.get(encoded) or _decode_resource(encoded)
+        if resource is not None:
+            decoded[encoded] = resource
+            _add_resource(resource, resources)
     if not _VERSION.fullmatch(document.version):
         raise ValueError("the version does not have eight hexadecimal digits")
     _check_references(resources.routes, resources.services)
+    LAST_CONFIGURATION.decoded = decoded
     return Configuration(
         int(document.version, 16), tuple(resources.routes), resources.services, resources.limits
     )
@@ -142,9 +144,26 @@
     limits: Limits = Limits()
 
 
+@attrs.define
+class _LastConfiguration:
+    """The configuration that was decoded last.
+
+    Successive versions differ in a few resources; only these are decoded again.
+
+    Attributes:
+      decoded: Its resources by their encoding.
+    """
+
+    decoded: dict[bytes, Route | ServiceOptions | Limits] = attrs.field(factory=dict)
+
+
+LAST_CONFIGURATION = _LastConfiguration()
+
+
 @singledispatch
 def _add_resource(resource: object, resources: _Resources) -> None:
-    """Adds a decoded resource; one of an unknown type is skipped."""
+    """Adds a decoded resource."""
+    raise TypeError(f"unexpected {type(resource).__name__}")
 
 
 @_add_resource.register
@@ -162,7 +181,6 @@
     resources.limits = resource
 
 
-@lru_cache(MAX_REMEMBERED_RESOURCES)
 def _decode_resource(encoded: bytes) -> Route | ServiceOptions | Limits | None:
     """Decodes a resource; returns None for one of an unknown type."""
     resource = _json_object(msgspec.json.decode(encoded))
