--- a/ibisrack/suspects/exchange_test.py
+++ b/ibisrack/suspects/exchange_test.py
@@ -18,7 +18,7 @@
 
 @attrs.define(eq=False)
 class DirectLink:
-    """A link that delivers at once.
+    """A link that delivers at once what the bounds of messages allow.
 
     Attributes:
       peer: Node at the other end.
@@ -32,6 +32,7 @@
 
     def send(self, *messages):
         for message in messages:
+            check_bounds(message)
             self.sent += 1
             self.peer.receive(message, self.back)
 
@@ -81,7 +82,6 @@
     nodes, links = connect(2, [(0, 1)])
     running = [attrs.evolve(SUBMIT, target=f"/{n}") for n in range(MAX_SUSPECTS_PER_CRASH + 1)]
     nodes[0].report_crash(instance(), running, running)
-    check_bounds(nodes[0].greeting()[0])
     verdicts = [nodes[1].verdict(request) for request in running]
     assert verdicts == [Suspected(1)] * MAX_SUSPECTS_PER_CRASH + [CLEAR]
 
