Leave an instance at once in whose place another process answers

What callers saw: after all machines lost power, 503 for up to 3 s.

Cause: the restored store lists the instances from before, and a process with another id listens at each address and answers 421. The node beside it did not remember that. Each further request to the listed instance was sent, and a 421 counts as an arrival, so that a route with one or two attempts ended there.

Change: the first 421 ends the listed start for the node: it refuses further submissions to it as not run before they reach any instance, and its load report tells its peers to choose others.

Evidence: the test at the node and the one of a fleet of three failed before.

--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -120,6 +120,10 @@
         """Logs that the instance has said that it is about to end."""
         _LOGGER.info("instance leaving", extra={"instance": instance_id, "heard_from": "answer"})
 
+    def record_replaced(self, instance_id: str) -> None:
+        """Logs that another process answers at the address of the listed instance."""
+        _LOGGER.info("instance replaced", extra={"instance": instance_id})
+
     def record_orphan_cancelled(self, run: Run, now_s: float) -> None:
         """Logs that a run is cancelled because no peer resumed it in time."""
         extra = {
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -20,6 +20,7 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.hosting.crashes import Crash, CrashDetector
+from ibisrack.hosting.ended_starts import EndedStarts
 from ibisrack.hosting.notices import InstanceNotices, Notice
 from ibisrack.hosting.rank_rules import rank_rules
 from ibisrack.hosting.recorder import SubmissionRecorder, SubmissionTrace
@@ -69,7 +70,8 @@
       service_s: Moving average of the service time of requests.
       running_retries: Number of running requests that had reached an instance before.
       notices: What the instance says of itself in its answers.
-      on_leaving: Called when the instance has said that it is about to end.
+      on_leaving: Called when the instance has said that it is about to end, or has ended.
+      ended_starts: Listed starts of the instance that have ended.
       crash_detector: Tells crashes of the instance from connections that it dropped.
       suspects: Requests that are suspected of crashing instances.
       quarantine: Turns of the suspects on the instance.
@@ -86,6 +88,7 @@
     running_retries: int = 0
     notices: InstanceNotices = attrs.field(factory=InstanceNotices)
     on_leaving: Callable[[], None] = attrs.field(default=lambda: None)
+    ended_starts: EndedStarts = attrs.field(factory=EndedStarts)
     crash_detector: CrashDetector = attrs.field(
         default=attrs.Factory(
             lambda self: CrashDetector(self.address, self._handle_crash), takes_self=True
@@ -106,6 +109,8 @@
         instance = self.instance
         if self._is_closed() or instance is None or not instance.ready:
             return False
+        if self.ended_starts.includes(instance, read_clocks().monotonic_s):
+            return False
         return not self.suspects.is_down(instance)
 
     def retry_share(self) -> float:
@@ -238,15 +243,26 @@
           NotRunError: The instance did not run the request.
           UnknownOutcomeError: The request may have run.
         """
+        addressed = self.directory.get(run.submit.instance_id)
         with self.crash_detector.track(run):
             try:
                 return await self.upstream.send(run.submit, remaining_s)
+            except NotRunError as error:
+                if error.reason == Reason.MISDIRECTED and addressed is not None:
+                    self._handle_end(addressed)
+                raise
             except UnknownOutcomeError as error:
                 is_lost = error.reason == Reason.CONNECTION_LOST
                 if not is_lost or not await self.crash_detector.has_crashed(self.instance):
                     raise
                 raise UnknownOutcomeError(Reason.INSTANCE_CRASHED) from error
 
+    def _handle_end(self, instance: Instance) -> None:
+        """Stops using an instance in whose place another process answers."""
+        if self.ended_starts.record(instance, read_clocks().monotonic_s):
+            self.recorder.record_replaced(instance.instance_id)
+            self.on_leaving()
+
     def _handle_crash(self, crash: Crash) -> None:
         self.recorder.record_crash(crash, read_clocks().monotonic_s)
         self.suspects.report_crash(
@@ -363,6 +379,8 @@
         instance = self.directory.get(submit.instance_id)
         if instance is None or (instance.host, instance.port) != self.address:
             raise NotRunError(Reason.NO_INSTANCE)
+        if self.ended_starts.includes(instance, read_clocks().monotonic_s):
+            raise NotRunError(Reason.NO_INSTANCE)
         if not instance.ready:
             raise NotRunError(Reason.DRAINING)
         if self.suspects.is_down(instance):
--- a/ibisrack/hosting/runner_test.py
+++ b/ibisrack/hosting/runner_test.py
@@ -36,14 +36,18 @@
     Attributes:
       sent_ids: Ids of the requests that were sent to it.
       released: Whether requests are answered.
+      replaced: Whether another process answers in its place.
     """
 
     sent_ids: list[str] = attrs.field(factory=list)
     released: asyncio.Event = attrs.field(factory=asyncio.Event)
+    replaced: bool = False
 
     async def send(self, submit: Submit, remaining_s: float) -> Answer:
         """Holds a request until the release, then answers it."""
         self.sent_ids.append(submit.request_id)
+        if self.replaced:
+            raise NotRunError(Reason.MISDIRECTED)
         await self.released.wait()
         return Answer(200, CIMultiDict(), b"")
 
@@ -173,4 +177,27 @@
         assert not runner.run_table.runs
 
 
+async def test_an_instance_in_whose_place_another_process_answers_gets_no_more_requests():
+    """Guards against attempts at a listed instance that has ended, one for each request."""
+    async with run_instance() as (runner, upstream):
+        upstream.replaced = True
+        refused = await runner.result(runner.start(FIRST))
+        assert (refused.reason, upstream.sent_ids) == (Reason.MISDIRECTED, ["first"])
+        assert not runner.accepts_requests
+        refused = await runner.result(runner.start(SECOND))
+        assert (refused.reason, upstream.sent_ids) == (Reason.NO_INSTANCE, ["first"])
+
+
+async def test_an_instance_that_started_anew_under_its_id_gets_requests():
+    """Guards against an answer to an earlier start that takes the next one out of use."""
+    async with run_instance() as (runner, upstream):
+        upstream.replaced = True
+        await runner.result(runner.start(FIRST))
+        runner.directory.put(attrs.evolve(runner.instance, started_at_ms=1))
+        assert runner.accepts_requests
+        upstream.replaced = False
+        upstream.released.set()
+        assert isinstance(await runner.result(runner.start(SECOND)), Answer)
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/sidecar_test.py
+++ b/ibisrack/sidecar/sidecar_test.py
@@ -294,4 +294,22 @@
             assert (await fleet_.send_request(1, "/none/1", "q-5"))[0].status == 404
 
 
+async def test_a_replaced_instance_is_left_by_all_nodes_before_its_entry_is_gone():
+    """Guards against requests that find a restored store's earlier instances again and again."""
+    async with run_sidecars(3) as fleet:
+        replaced = fleet.instances[0]
+        replaced.instance_id += "-again"
+        statuses = [
+            (await fleet.send_request(n % 3, request_id=f"before-{n}"))[0].status for n in range(30)
+        ]
+        assert replaced.last_request is not None
+        replaced.last_request = None
+        statuses += [
+            (await fleet.send_request(n % 3, "/lodge/1", f"after-{n}", "POST"))[0].status
+            for n in range(30)
+        ]
+        assert replaced.last_request is None
+        assert set(statuses) == {200}
+
+
 load_tests = function_tests(__name__)
