Space large answers to peers on the host's link

What callers saw: 504 to requests that reached no instance.

Cause: a node writes each answer of its instance at once. A scan download of 280 kB takes 97 ms on a link of 23 Mbit/s, and the instance produces several times what the link carries. The node's own requests, refusals and short answers wait in the host's queue behind all downloads written before.

Change: answers to peers of more than 5 ms of the link (16 to 64 KiB) are written in parts, one answer after the other, each part 20 ms before its time on the link at 0.9 of its bandwidth. Short messages are written at any time. An answer that its peer has cancelled is not written to its end.

Evidence: three of the tests fail without the waiting.

--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -38,13 +38,12 @@
     Unfollow,
     Withdraw,
 )
+from ibisrack.links.pacer import LinkPacer
 from ibisrack.links.transit import TransitEstimate
 from ibisrack.registry.messages import Revision
 from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.messages import CrashReport, Message, RunCompleted
 
-# Larger bodies are sent in parts, so that they don't delay other answers.
-BODY_PART_BYTES = 64 * 1024
 MAX_UNSENT_BYTES = 64 * 1024  # With more unsent data, changes of the registry are not added.
 
 _LOGGER = logging.getLogger("ibisrack.links")
@@ -61,7 +60,8 @@
       writer: Writer of the connection.
       peer: IP number of the peer's host.
       suspects: Requests that are suspected of crashing instances.
-      runs: Unanswered requests of this link by their number.
+      pacer: Spaces large answers on the host's link.
+      runs: Requests of this link, by their number, until their answer is written.
       followed_revision: Revision up to which the peer was sent the registry's changes, None while
         it does not follow them here.
       transit: Time that the peer's messages were on their way.
@@ -73,6 +73,7 @@
     writer: asyncio.StreamWriter
     peer: str
     suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
+    pacer: LinkPacer = attrs.field(factory=LinkPacer)
     runs: dict[int, Run] = attrs.field(factory=dict)
     followed_revision: Revision | None = None
     transit: TransitEstimate = attrs.field(factory=TransitEstimate)
@@ -108,10 +109,11 @@
 
     async def _deliver(self, number: int, run: Run) -> None:
         result = await self.instance_runner.result(run)
-        self.runs.pop(number, None)
-        if run.delivery_link is not self:
-            return
-        await _send_result(result, self, number)
+        try:
+            if run.delivery_link is self:
+                await _send_result(result, self, number, run)
+        finally:
+            self.runs.pop(number, None)
 
     def send(self, *messages: Message) -> None:
         """Sends messages about suspects."""
@@ -297,27 +299,45 @@
 
 
 @singledispatch
-async def _send_result(result: object, link: IncomingLink, number: int) -> None:
+async def _send_result(result: object, link: IncomingLink, number: int, run: Run) -> None:
     raise TypeError(f"unexpected result type {type(result).__name__}")
 
 
 @_send_result.register(NotRunError | UnknownOutcomeError)
-async def _(result: NotRunError | UnknownOutcomeError, link: IncomingLink, number: int) -> None:
+async def _(
+    result: NotRunError | UnknownOutcomeError, link: IncomingLink, number: int, run: Run
+) -> None:
     _deliver_resumed(result, link, number)
 
 
 @_send_result.register
-async def _(result: Answer, link: IncomingLink, number: int) -> None:
-    headers = tuple(result.headers.items())
-    body = result.body
-    more = len(body) > BODY_PART_BYTES
-    ran_ms = round(result.ran_s * 1000)
-    first_part = body[:BODY_PART_BYTES]
-    link.write_with_load(Answered(number, result.status, headers, first_part, ran_ms, more))
-    for start in range(BODY_PART_BYTES, len(body), BODY_PART_BYTES):
-        try:
+async def _(result: Answer, link: IncomingLink, number: int, run: Run) -> None:
+    body, part_bytes = result.body, link.pacer.part_bytes
+    link_time = link.pacer.reserve(len(body))
+    if len(body) <= part_bytes:
+        link.write_with_load(_answer_head(result, number, body, more=False))
+        return
+    written_bytes = 0
+    try:
+        while written_bytes < len(body):
+            await link_time.wait_for_part(written_bytes)
             await link.writer.drain()
-        except OSError:
-            return  # The peer requests the result again over its next link.
-        part = body[start : start + BODY_PART_BYTES]
-        link.write_with_load(BodyPart(number, part, start + BODY_PART_BYTES < len(body)))
+            if run.delivery_link is not link:
+                return  # The peer has cancelled the request, or has resumed it over another link.
+            part = body[written_bytes : written_bytes + part_bytes]
+            more = written_bytes + len(part) < len(body)
+            if written_bytes == 0:
+                link.write_with_load(_answer_head(result, number, part, more))
+            else:
+                link.write_with_load(BodyPart(number, part, more))
+            written_bytes += len(part)
+    except OSError:
+        return  # The peer requests the result again over its next link.
+    finally:
+        link_time.release_from(written_bytes)
+
+
+def _answer_head(result: Answer, number: int, first_part: bytes, more: bool) -> Answered:
+    """Returns the message with the head of an answer and the first part of its body."""
+    headers, ran_ms = tuple(result.headers.items()), round(result.ran_s * 1000)
+    return Answered(number, result.status, headers, first_part, ran_ms, more)
--- /dev/null
+++ b/ibisrack/links/pacer_test.py
@@ -0,0 +1,118 @@
+"""Tests of the spacing of large answers on the host's link."""
+
+import asyncio
+from unittest.mock import AsyncMock, Mock
+
+import attrs
+from multidict import CIMultiDict
+
+from ibisrack.calls.admission import Scheduler
+from ibisrack.calls.gate import Gate
+from ibisrack.calls.messages import Answer
+from ibisrack.clocks import read_clocks
+from ibisrack.hosting.recorder import SubmissionRecorder
+from ibisrack.hosting.runner import InstanceRunner
+from ibisrack.instances.directory import InstanceDirectory
+from ibisrack.links.codec import LENGTH_PREFIX_BYTES, decode
+from ibisrack.links.codec_test import SUBMIT
+from ibisrack.links.incoming import IncomingLink, handle
+from ibisrack.links.messages import Answered, BodyPart, Cancel, Refused, Submit
+from ibisrack.links.pacer import MAX_PART_BYTES, MIN_PART_BYTES, LinkPacer
+from ibisrack.metrics.tally import Tally
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.sidecars import instance, wait_until
+
+SLOW_LINK_MBPS = 8.0  # About a byte in a microsecond.
+LARGE_BODY = bytes(range(256)) * 800
+LARGE_BODY_S = len(LARGE_BODY) / 1e6
+
+
+@attrs.define(eq=False)
+class LargeAnswers:
+    """An instance with large answers."""
+
+    async def send(self, submit: Submit, remaining_s: float) -> Answer:
+        """Answers a request."""
+        return Answer(200, CIMultiDict(), LARGE_BODY)
+
+
+def serve_on_slow_link() -> tuple[IncomingLink, list]:
+    """Returns a link of a node with a slow network link, and the messages written on it."""
+    directory, listed = InstanceDirectory(), instance(SUBMIT.instance_id, slots=4)
+    listed = attrs.evolve(listed, service=SUBMIT.service)
+    directory.put(listed)
+    address = (listed.host, listed.port)
+    recorder, gate = SubmissionRecorder(Tally()), Gate(Scheduler(4))
+    runner = InstanceRunner(address, gate, LargeAnswers(), directory, recorder)
+    runner.configure(listed.service, frozenset((0,)))
+    written: list = []
+    writer = Mock(drain=AsyncMock())
+    writer.is_closing.return_value = False
+    writer.write.side_effect = lambda frame: written.append(decode(frame[LENGTH_PREFIX_BYTES:]))
+    pacer = LinkPacer(SLOW_LINK_MBPS)
+    link = IncomingLink(
+        runner, lambda: None, lambda revision: None, writer, "10.0.0.2", pacer=pacer
+    )
+    return link, written
+
+
+async def test_a_short_answer_is_not_written_behind_the_rest_of_large_ones():
+    """Guards against requests whose refusals wait in the host's queue behind downloads."""
+    link, written = serve_on_slow_link()
+    for number in (1, 2):
+        handle(attrs.evolve(SUBMIT, number=number, request_id=f"large-{number}"), link)
+    await wait_until(lambda: bool(written))
+    handle(attrs.evolve(SUBMIT, number=3, request_id="other", instance_id="i-other"), link)
+    await wait_until(lambda: not link.runs)
+    refused_at = next(n for n, message in enumerate(written) if isinstance(message, Refused))
+    assert sum(isinstance(m, BodyPart) for m in written[refused_at:]) > 10
+    for number in (1, 2):
+        parts = [m for m in written if isinstance(m, Answered | BodyPart) and m.number == number]
+        assert b"".join(part.body for part in parts) == LARGE_BODY
+        assert [part.more for part in parts] == [True] * (len(parts) - 1) + [False]
+
+
+async def test_a_large_answer_that_nobody_waits_for_is_not_written_to_its_end():
+    """Guards against a link that is busy with the rest of abandoned downloads."""
+    link, written = serve_on_slow_link()
+    handle(attrs.evolve(SUBMIT, number=1), link)
+    await wait_until(lambda: bool(written))
+    handle(Cancel(1), link)
+    await asyncio.sleep(LARGE_BODY_S)
+    assert len(written) < len(LARGE_BODY) / link.pacer.part_bytes / 2
+
+
+async def test_large_answers_are_written_one_after_the_other():
+    """Guards against answers that take turns, so that each is as late as the last one."""
+    link, written = serve_on_slow_link()
+    for number in (1, 2):
+        handle(attrs.evolve(SUBMIT, number=number, request_id=f"large-{number}"), link)
+    started_at_s = read_clocks().monotonic_s
+    await wait_until(lambda: not link.runs)
+    numbers = [message.number for message in written]
+    assert numbers == sorted(numbers)
+    assert read_clocks().monotonic_s - started_at_s > 1.5 * LARGE_BODY_S
+
+
+async def test_an_answer_that_is_not_sent_to_its_end_does_not_delay_the_next():
+    """Guards against a link that counts as busy with what peers have cancelled."""
+    pacer = LinkPacer(SLOW_LINK_MBPS)
+    pacer.reserve(50 * len(LARGE_BODY)).release_from(len(LARGE_BODY))
+    async with asyncio.timeout(2 * LARGE_BODY_S):
+        await pacer.reserve(len(LARGE_BODY)).wait_for_part(0)
+
+
+async def test_answers_on_a_free_link_do_not_wait():
+    """Guards against latency that pacing adds where the link has room."""
+    async with asyncio.timeout(0.01):
+        await LinkPacer(1000.0).reserve(len(LARGE_BODY)).wait_for_part(len(LARGE_BODY) - 1)
+
+
+def test_parts_are_as_large_as_the_link_sends_in_a_few_milliseconds():
+    """Guards against parts that delay short messages, and against many small ones."""
+    assert LinkPacer(0.1).part_bytes == MIN_PART_BYTES
+    assert MIN_PART_BYTES < LinkPacer(50.0).part_bytes < MAX_PART_BYTES
+    assert LinkPacer(1000.0).part_bytes == MAX_PART_BYTES
+
+
+load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -20,6 +20,7 @@
 from ibisrack.links.incoming import IncomingLink
 from ibisrack.links.messages import Entries, Hello, Load
 from ibisrack.links.outgoing import OutgoingLink
+from ibisrack.links.pacer import LinkPacer
 from ibisrack.metrics.tally import Tally
 from ibisrack.node.tasks import keep_running
 from ibisrack.registry.deltas import MissingBaseError, pack_changes
@@ -73,6 +74,7 @@
       peer_deltas: Peers that are not relied on for the registry's changes.
       loop_delay: How late the event loop runs the periodic work.
       suspects: Requests that are suspected of crashing instances.
+      pacer: Spaces large answers on the host's link.
     """
 
     settings: SidecarSettings
@@ -94,6 +96,9 @@
     peer_deltas: PeerDeltas = attrs.field(factory=PeerDeltas)
     loop_delay: LoopDelayMeter = attrs.field(factory=LoopDelayMeter)
     suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
+    pacer: LinkPacer = attrs.field(
+        default=attrs.Factory(lambda self: LinkPacer(self.settings.link_mbps), takes_self=True)
+    )
     _behind_since_s: float | None = None
     _entries_requested_at_s: float = 0.0
     _load_reported_at_s: float = 0.0
@@ -189,6 +194,7 @@
         _LOGGER.info("settings reloaded", extra={"changed": kept != self.settings})
         self.settings = kept
         self.dispatcher.zone = kept.zone
+        self.pacer.link_mbps = kept.link_mbps
         self.dispatcher.budget.configure(
             kept.retry_ratio,
             kept.retry_slack,
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -211,7 +211,13 @@
 
     def create_link(writer: asyncio.StreamWriter, peer: str) -> IncomingLink:
         return IncomingLink(
-            node.instance_runner, node.load, node.entries_after, writer, peer, node.suspects
+            node.instance_runner,
+            node.load,
+            node.entries_after,
+            writer,
+            peer,
+            node.suspects,
+            node.pacer,
         )
 
     links = await asyncio.start_server(
