Move the registry's peers of a sidecar into a module of their own

What follows the registry through peers, and sends its changes to others, is sidecar/registry_peers.py now; moves only.

--- a/ibisrack/sidecar/many_peers_test.py
+++ b/ibisrack/sidecar/many_peers_test.py
@@ -93,11 +93,11 @@
     node.view.revision = CountingRevision(0, 5)
     for link in links:
         link.load = attrs.evolve(load, revision=CountingRevision(0, 5))
-    node._request_missing_entries(1.0)
-    assert (CountingRevision.comparisons, node._behind_since_s) == (0, None)
+    node.registry_peers.request_missing_entries(1.0)
+    assert (CountingRevision.comparisons, node.registry_peers._behind_since_s) == (0, None)
     links[0].load = attrs.evolve(load, revision=CountingRevision(0, 6))
-    node._request_missing_entries(2.0)
-    assert (CountingRevision.comparisons, node._behind_since_s) == (1, 2.0)
+    node.registry_peers.request_missing_entries(2.0)
+    assert (CountingRevision.comparisons, node.registry_peers._behind_since_s) == (1, 2.0)
     node.close()
 
 
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -13,7 +13,6 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.dispatch.destination import Destination
 from ibisrack.dispatch.dispatcher import Dispatcher
-from ibisrack.errors import MessageError
 from ibisrack.hosting.runner import InstanceRunner
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
@@ -23,11 +22,8 @@
 from ibisrack.links.pacer import LinkPacer
 from ibisrack.metrics.tally import Tally
 from ibisrack.node.tasks import keep_running
-from ibisrack.registry.deltas import MissingBaseError, pack_changes
 from ibisrack.registry.follower import RegistryFollower
-from ibisrack.registry.messages import NO_REVISION, Delta, Entry, PackedEntry, Revision
-from ibisrack.registry.peer_deltas import PeerDeltas
-from ibisrack.registry.sources import Candidate, Sources, candidate_hosts, choose_sources
+from ibisrack.registry.messages import Entry
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.reported_versions import ReportedVersions
@@ -35,17 +31,11 @@
 from ibisrack.sidecar.content import RegistryContent
 from ibisrack.sidecar.local_destination import LocalDestination
 from ibisrack.sidecar.loop_delay import LoopDelayMeter
+from ibisrack.sidecar.registry_peers import RegistryPeers
 from ibisrack.suspects.exchange import PeerLink, SuspectExchange
 
 TICK_INTERVAL_S = 0.1
 LOAD_REPORT_INTERVAL_S = 1.0  # A changed load is sent to peers after at most this time.
-# A node whose registry view has been behind a peer's for this long requests the missing entries
-# from the peer; the registry itself usually delivers them sooner.
-CATCH_UP_DELAY_S = 0.4
-# Longer than the transfer of a whole configuration over the slowest links: a request that is
-# repeated earlier would delay the answer to the first one.
-CATCH_UP_INTERVAL_S = 2.0
-CANDIDATE_OPEN_INTERVAL_S = 1.0  # Interval of connection attempts to candidates for following.
 
 _LOGGER = logging.getLogger("ibisrack.sidecar")
 
@@ -70,11 +60,10 @@
       process_epoch: Random id of this run of the process, by which peers notice a restart.
       resize_pool: Adapts the connection pool to the number of slots of the instance.
       follower: Reads the registry; set once, after the other parts.
-      sources: Where this node gets the registry's changes from.
-      peer_deltas: Peers that are not relied on for the registry's changes.
       loop_delay: How late the event loop runs the periodic work.
       suspects: Requests that are suspected of crashing instances.
       pacer: Spaces large answers on the host's link.
+      registry_peers: Peers from which the registry's changes come, and what goes to others.
     """
 
     settings: SidecarSettings
@@ -92,22 +81,17 @@
     process_epoch: str = attrs.field(factory=lambda: uuid.uuid4().hex)
     resize_pool: Callable[[int], None] = attrs.field(default=lambda slots: None)
     follower: RegistryFollower | None = None
-    sources: Sources = Sources(reads=True)
-    peer_deltas: PeerDeltas = attrs.field(factory=PeerDeltas)
     loop_delay: LoopDelayMeter = attrs.field(factory=LoopDelayMeter)
     suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
     pacer: LinkPacer = attrs.field(
         default=attrs.Factory(lambda self: LinkPacer(self.settings.link_mbps), takes_self=True)
     )
-    _behind_since_s: float | None = None
-    _entries_requested_at_s: float = 0.0
+    registry_peers: RegistryPeers = attrs.field(
+        default=attrs.Factory(lambda self: self._create_registry_peers(), takes_self=True)
+    )
     _load_reported_at_s: float = 0.0
-    _candidates_opened_at_s: float = 0.0
-    _delivered_at_s: float = 0.0
-    _reported_as_reader: bool = False
     _reported_version: int = 0
     _reported_versions: ReportedVersions = attrs.field(factory=ReportedVersions)
-    _packed_changes: dict[tuple[Revision, Revision], Entries] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
@@ -192,7 +176,7 @@
         if kept != settings:
             _LOGGER.warning("changed addresses need a restart")
         _LOGGER.info("settings reloaded", extra={"changed": kept != self.settings})
-        self.settings = kept
+        self.settings = self.registry_peers.settings = kept
         self.dispatcher.zone = kept.zone
         self.pacer.link_mbps = kept.link_mbps
         self.dispatcher.budget.configure(
@@ -222,6 +206,21 @@
             return LocalDestination(self.instance_runner, self.load)
         return self._link_to(instance.host)
 
+    def _create_registry_peers(self) -> RegistryPeers:
+        return RegistryPeers(
+            self.settings,
+            self.view,
+            self.directory,
+            self.outgoing_links,
+            self._link_to,
+            self.report_load,
+            self.rng,
+            self.tally,
+        )
+
+    def _apply_peer_entries(self, link: OutgoingLink, entries: Entries) -> None:
+        self.registry_peers.apply_entries(self.follower, link, entries)
+
     def _link_to(self, host: str) -> OutgoingLink:
         link = self.outgoing_links.get(host)
         if link is None:
@@ -269,18 +268,6 @@
         else:
             self.directory.mark_registry_down()
 
-    def entries_after(self, revision: Revision) -> Entries | None:
-        """Returns the registry's changes after a revision, None if this node knows of none."""
-        if self.view.revision <= revision:
-            return None
-        key = (self.view.revision, revision)
-        if key not in self._packed_changes:
-            delta = pack_changes(self.view, revision)
-            changed = tuple(attrs.astuple(packed, recurse=False) for packed in delta.changed)
-            # Most followers have the same revision, so the last result usually serves them all.
-            self._packed_changes = {key: Entries(delta.revision, delta.keys, changed)}
-        return self._packed_changes[key]
-
     async def tick(self) -> None:
         """Runs the periodic work: clean-up, silence checks, expiry, load reports and catch-up."""
         due_at_s = read_clocks().monotonic_s
@@ -297,8 +284,8 @@
                 self.report_load()
                 self.suspects.table.expire(now_s)
             self._record_reported_versions()
-            self._choose_sources(now_s)
-            self._request_missing_entries(now_s)
+            self.registry_peers.choose_sources(self.follower, now_s)
+            self.registry_peers.request_missing_entries(now_s)
             for link in self.incoming_links:
                 link.send_followed_entries()
             due_at_s = read_clocks().monotonic_s + TICK_INTERVAL_S
@@ -316,93 +303,3 @@
             if not instance.ready:
                 self.instance_runner.refuse_waiting()
         self.dispatcher.budget.nodes = len({i.host for i in self.directory.all()})
-
-    def _apply_peer_entries(self, link: OutgoingLink, message: Entries) -> None:
-        if message.revision <= self.view.revision:
-            return
-        changed = tuple(PackedEntry(*row) for row in message.changed)
-        now_s = read_clocks().monotonic_s
-        try:
-            self.follower.apply_peer_delta(Delta(message.revision, message.keys, changed))
-        except MissingBaseError as error:
-            extra = {"peer": link.host, "revision": str(message.revision), "error": str(error)}
-            _LOGGER.info("registry changes do not fit", extra=extra)
-            if self.peer_deltas.record_unfit(link.host, message.revision, now_s):
-                link.request_entries(NO_REVISION)
-        except MessageError as error:
-            self.peer_deltas.record_refused(link.host, now_s)
-            self._record_refused_delta(link.host, message.revision, str(error))
-
-    def _record_refused_delta(self, host: str, revision: Revision, error: str) -> None:
-        """Counts and logs unusable changes of a peer; its link stays open for requests."""
-        extra = {"peer": host, "revision": str(revision), "error": error}
-        _LOGGER.warning("registry changes refused", extra=extra)
-        self.tally.refused_deltas += 1
-
-    def _candidate(self, link: OutgoingLink, now_s: float) -> Candidate:
-        """Returns a peer as a source of the registry's changes."""
-        candidate = link.candidate(now_s)
-        if self.peer_deltas.is_refused(link.host, now_s):
-            return attrs.evolve(candidate, delivering=False)
-        return candidate
-
-    def _choose_sources(self, now_s: float) -> None:
-        """Chooses whether to read the registry, and the peers that deliver its changes."""
-        hosts = (i.host for i in self.directory.all() if i.zone == self.settings.zone)
-        own = Candidate(
-            self.settings.instance.host,
-            self.settings.link_mbps,
-            self.follower.may_read,
-            self.follower.is_reading(now_s),
-        )
-        for host in self.peer_deltas.refuse_unfit(self.view.revision, now_s):
-            self._record_refused_delta(host, self.view.revision, "the whole content did not fit")
-        links = [self._link_to(host) for host in candidate_hosts(hosts) if host != own.host]
-        if now_s - self._candidates_opened_at_s >= CANDIDATE_OPEN_INTERVAL_S:
-            self._candidates_opened_at_s = now_s
-            for link in links:
-                link.request_open()
-        peers = [self._candidate(link, now_s) for link in links]
-        if any(peer.delivering for peer in peers):
-            self._delivered_at_s = now_s
-        sources = choose_sources(own, peers, now_s - self._delivered_at_s)
-        for link in self.outgoing_links.values():
-            if link.host in sources.followed:
-                link.follow(self.view.revision)
-            else:
-                link.unfollow()
-        self.follower.set_delivered_by_peers(not sources.reads)
-        if sources != self.sources:
-            extra = {"reads": sources.reads, "peers": list(sources.followed)}
-            _LOGGER.info("registry sources changed", extra=extra)
-            self.sources = sources
-        if self.follower.is_reading(now_s) != self._reported_as_reader:
-            self._reported_as_reader = not self._reported_as_reader
-            self.report_load()
-
-    def _request_missing_entries(self, now_s: float) -> None:
-        """Requests entries from a peer with a later registry revision if this node lags."""
-        revision = self.view.revision
-        # Most peers have the same revision; to compare which is later takes twenty times as long.
-        ahead = [
-            link
-            for link in self.outgoing_links.values()
-            if link.load is not None
-            and link.load.revision != revision
-            and link.load.revision > revision
-            and not self.peer_deltas.is_refused(link.host, now_s)
-        ]
-        if not ahead:
-            self._behind_since_s = None
-            return
-        if self._behind_since_s is None:
-            self._behind_since_s = now_s
-        is_due = now_s - self._behind_since_s >= CATCH_UP_DELAY_S
-        if is_due and now_s - self._entries_requested_at_s >= CATCH_UP_INTERVAL_S:
-            self._entries_requested_at_s = now_s
-            # A random one, so that the nodes that lag don't all ask the same peer.
-            local = [link for link in ahead if self._is_in_own_zone(link.host)]
-            self.rng.choice(local or ahead).request_entries(self.view.revision)
-
-    def _is_in_own_zone(self, host: str) -> bool:
-        return any(i.host == host and i.zone == self.settings.zone for i in self.directory.all())
--- a/ibisrack/sidecar/registry_sources_test.py
+++ b/ibisrack/sidecar/registry_sources_test.py
@@ -8,6 +8,7 @@
 from ibisrack.registry.messages import NO_REVISION, Revision
 from ibisrack.registry.sources import FOLLOWED_PEERS
 from ibisrack.sidecar.node import SidecarNode
+from ibisrack.sidecar.registry_peers import RegistryPeers
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import (
     STANDARD_ROUTES,
@@ -33,7 +34,7 @@
 
 def followers(fleet: SidecarFleet) -> list[SidecarNode]:
     """Returns the nodes that follow the registry through peers."""
-    return [node for node in fleet.nodes if not node.sources.reads]
+    return [node for node in fleet.nodes if not node.registry_peers.sources.reads]
 
 
 async def wait_until_in_force(fleet: SidecarFleet, version: int) -> None:
@@ -82,7 +83,7 @@
         await wait_until_in_force(fleet, 2)
         await wait_until_followed(fleet)
         await asyncio.sleep(1.2)  # A follower's last call for changes is still waiting.
-        reader = next(n for n, node in enumerate(fleet.nodes) if node.sources.reads)
+        reader = next(n for n, node in enumerate(fleet.nodes) if node.registry_peers.sources.reads)
         await fleet.stop_sidecar(reader)
         sent_before = fleet.store.sent_bytes
         content = large_configuration(3)
@@ -98,7 +99,7 @@
     async with run_sidecars(SIDECARS) as fleet:
         await wait_until_followed(fleet)
         for node in fleet.nodes:
-            if node.sources.reads:
+            if node.registry_peers.sources.reads:
                 node.follower.registry._base = "http://127.0.0.99:1"
         fleet.store.put("op/config", configuration_entry(5, *STANDARD_ROUTES))
         await wait_until_in_force(fleet, 5)
@@ -110,7 +111,7 @@
         await wait_until_followed(fleet)
         left = followers(fleet)
         for number, node in enumerate(fleet.nodes):
-            if node.sources.reads:
+            if node.registry_peers.sources.reads:
                 await fleet.stop_sidecar(number)
         fleet.store.put("op/config", configuration_entry(5, *STANDARD_ROUTES))
         await wait_until(lambda: all(n.configurations.version == 5 for n in left))
@@ -118,21 +119,21 @@
 
 @contextmanager
 def spoiled_changes(base: Revision):
-    """Yields a list; the nodes added to it send changes whose content can't be unpacked.
+    """Yields a list; the peers added to it send changes whose content can't be unpacked.
 
     Args:
       base: Revision that the changes name as the base of their compression.
     """
-    spoiling, entries_after = [], SidecarNode.entries_after
+    spoiling, entries_after = [], RegistryPeers.entries_after
 
-    def spoiled_entries_after(node: SidecarNode, revision: Revision) -> Entries | None:
-        entries = entries_after(node, revision)
-        if entries is None or node not in spoiling:
+    def spoiled_entries_after(peers: RegistryPeers, revision: Revision) -> Entries | None:
+        entries = entries_after(peers, revision)
+        if entries is None or peers not in spoiling:
             return entries
         junk = ("op/config", Revision(99, 1), base, b"junk")
         return Entries(entries.revision, entries.keys, (junk,))
 
-    with patch.object(SidecarNode, "entries_after", spoiled_entries_after):
+    with patch.object(RegistryPeers, "entries_after", spoiled_entries_after):
         yield spoiling
 
 
@@ -141,7 +142,9 @@
         async with run_sidecars(SIDECARS) as fleet:
             await wait_until_followed(fleet)
             await asyncio.sleep(1.2)  # A follower's last call for changes is still waiting.
-            spoiling += [node for node in fleet.nodes if node.sources.reads]
+            spoiling += [
+                node.registry_peers for node in fleet.nodes if node.registry_peers.sources.reads
+            ]
             left = followers(fleet)
             fleet.store.put("op/config", configuration_entry(5, *STANDARD_ROUTES))
             await wait_until_in_force(fleet, 5)
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -213,7 +213,7 @@
         return IncomingLink(
             node.instance_runner,
             node.load,
-            node.entries_after,
+            node.registry_peers.entries_after,
             writer,
             peer,
             node.suspects,
