--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -10,7 +10,6 @@
 import logging
 from collections.abc import Callable
 from contextlib import suppress
-from functools import singledispatch
 
 import attrs
 
@@ -40,7 +39,8 @@
     Withdraw,
 )
 from ibisrack.links.outgoing_messages import handle
-from ibisrack.links.pending import AbandonedRequests, PendingRequest
+from ibisrack.links.pending import AbandonedRequests, PendingRequest, set_result
+from ibisrack.links.reconnection import CONNECT_RETRY_PAUSE_S, reconnect_pause_s
 from ibisrack.registry.messages import Revision
 from ibisrack.registry.sources import Candidate
 from ibisrack.suspects.exchange import SuspectExchange
@@ -50,10 +50,6 @@
 # Maximum time that a request waits for a peer whose last connection failed.  A peer that is back
 # accepts at once; if it is still unreachable, the request goes to another instance.
 FAILING_CONNECT_WAIT_S = 0.03
-CONNECT_RETRY_PAUSE_S = 0.1  # Pause after a failed connection attempt.
-LINK_LOSS_PAUSE_S = 0.01  # Pause before the first reconnect after an open link broke.
-# Maximum pause after messages that can't be decoded: the peer may send them again each time.
-MAX_UNUSABLE_PAUSE_S = 2.0
 # Silence of a peer that is followed or has unanswered requests before it is pinged.
 PING_AFTER_SILENCE_S = 0.25
 PING_TIMEOUT_S = 0.55  # Time without any answer to a ping until the link is opened again.
@@ -64,19 +60,6 @@
 _LOGGER = logging.getLogger("ibisrack.links")
 
 
-def reconnect_pause_s(was_open: bool, unusable_messages: int) -> float:
-    """Returns the pause before the next connection.
-
-    Args:
-      was_open: Whether the last connection was opened.
-      unusable_messages: Consecutive connections that a message which can't be decoded ended.
-    """
-    if unusable_messages:
-        doublings = min(unusable_messages - 1, 8)
-        return min(MAX_UNUSABLE_PAUSE_S, CONNECT_RETRY_PAUSE_S * 2**doublings)
-    return LINK_LOSS_PAUSE_S if was_open else CONNECT_RETRY_PAUSE_S
-
-
 @attrs.define(eq=False)
 class OutgoingLink:
     """Link to one peer.
@@ -183,7 +166,7 @@
         self.pending.pop(pending.submit.number, None)
         if pending.future.done():
             return
-        _set_result(result, pending.future)
+        set_result(result, pending.future)
 
     def request_entries(self, revision: Revision) -> None:
         """Requests the registry's changes if the peer has seen a later revision."""
@@ -414,19 +397,3 @@
     def abandon(self) -> None:
         """Cancels the request at the peer."""
         self.link.abandon(self.pending)
-
-
-@singledispatch
-def _set_result(result: object, future: asyncio.Future) -> None:
-    raise TypeError(f"unexpected result type {type(result).__name__}")
-
-
-@_set_result.register
-def _(result: Answer, future: asyncio.Future) -> None:
-    future.set_result(result)
-
-
-@_set_result.register
-def _(result: Exception, future: asyncio.Future) -> None:
-    future.set_exception(result)
-    future.exception()  # Nobody may wait any more, which asyncio would report as an error.
--- a/ibisrack/links/pending.py
+++ b/ibisrack/links/pending.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
+from functools import singledispatch
 
 import attrs
 
+from ibisrack.calls.messages import Answer
 from ibisrack.links.messages import Answered, Cancel, Resume, Submit
 
 # A request that is abandoned at its deadline may still run: an instance can be late to stop.  A
@@ -96,3 +98,20 @@
             if request.peer_epoch == peer_epoch:
                 yield Resume(request.number, request.request_id, request.attempt)
                 yield Cancel(request.number)
+
+
+@singledispatch
+def set_result(result: object, future: asyncio.Future) -> None:
+    """Passes the result of a request to the future on which its sender waits."""
+    raise TypeError(f"unexpected result type {type(result).__name__}")
+
+
+@set_result.register
+def _(result: Answer, future: asyncio.Future) -> None:
+    future.set_result(result)
+
+
+@set_result.register
+def _(result: Exception, future: asyncio.Future) -> None:
+    future.set_exception(result)
+    future.exception()  # Nobody may wait any more, which asyncio would report as an error.
