Convict requests by crashes in quarantine only

What callers saw: a common request that ran on three instances when these crashed together, of a lost rack for instance, was refused for 60 s. It ran nowhere in that time, so that no answer could clear it.

Cause: three crashes convicted whatever their moments. Change: a request is convicted only if it ran in quarantine at a crash and at another crash too. A deadly request that began on several instances at once is convicted by its first run as a suspect.

Tests: test_crashes_at_a_time_convict_no_request_that_ran_on_all replaces the test with two crashes by one with five; it fails with the rule of three.

--- a/ibisrack/suspects/table.py
+++ b/ibisrack/suspects/table.py
@@ -2,18 +2,18 @@
 
 A crash ends all runs of an instance, of which at most one is to blame.  A request that no instance
 has answered since a crash is convicted when an instance crashes under it again that ran it in
-quarantine, as the only suspect there.  Runs that were open on several instances already are weaker
-evidence, because these may have had one cause: three crashes convict then.  A convicted request is
-refused for a time that doubles with each further crash.  Any answer of an instance to it clears it,
-so that requests with equal paths, and runs that other crashes ended, are soon cleared.
+quarantine, as the only suspect there.  Runs that were open on several instances already convict
+nobody, however many crashed: these may have had one cause, and a convicted request runs nowhere, so
+that no answer could clear it.  A convicted request is refused for a time that doubles with each
+further crash.  Any answer of an instance to it clears it, so that requests with equal paths, and
+runs that other crashes ended, are soon cleared.
 """
 
 import attrs
 
 from ibisrack.suspects.messages import CrashReport, RunCompleted
 
-CONVICTING_CRASHES = 3
-CONVICTING_REPEATED_CRASHES = 2  # If the request ran in quarantine at the last of them.
+CONVICTING_CRASHES = 2  # If the request ran in quarantine at one of them.
 # How long a request is refused after the second crash; each further one doubles the time.
 FIRST_TERM_S = 30.0
 MAX_TERM_S = 3600.0
@@ -81,11 +81,10 @@
     @property
     def term_ends_at_s(self) -> float:
         """Monotonic time until which it is refused, before any time if it is not convicted."""
-        needed = CONVICTING_REPEATED_CRASHES if self.is_repeated else CONVICTING_CRASHES
-        if self.crashes < needed:
+        if not self.is_repeated or self.crashes < CONVICTING_CRASHES:
             return float("-inf")
         # The exponent is limited because the term is, and a float has a largest value.
-        doublings = min(self.crashes - CONVICTING_REPEATED_CRASHES, 10)
+        doublings = min(self.crashes - CONVICTING_CRASHES, 10)
         return self.last_crash_at_s + min(MAX_TERM_S, FIRST_TERM_S * 2**doublings)
 
     def verdict(self, now_s: float) -> Verdict:
