End the wait in quarantine at each verdict, and bound it

What callers saw: after a common request had been suspected and cleared, the ones that had arrived meanwhile still ran one at a time, and most of them waited until their deadline. Any number of suspects could wait.

Cause: waiting requests looked at the verdict only once they had the turn. Change: new verdicts are passed to the quarantine; waiting requests that are cleared go on without a turn, convicted ones are refused at once.

--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -28,6 +28,7 @@
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
     CONNECTION_LOST = "connection-lost"
     INSTANCE_CRASHED = "instance-crashed"
+    QUARANTINE_FULL = "quarantine-full"
     CRASHES_INSTANCES = "crashes-instances"
     PEER_RESTARTED = "peer-restarted"
     LINK_LOST = "link-lost"
--- a/ibisrack/dispatch/attempts.py
+++ b/ibisrack/dispatch/attempts.py
@@ -26,6 +26,13 @@
 
 # Refusals by the instance itself, not by the node beside it.
 INSTANCE_REFUSALS = frozenset((Reason.SHED, Reason.MISDIRECTED))
+# A suspect that was turned away at its home instance is not taken to another one.
+FINAL_REFUSALS = (
+    Reason.DEADLINE,
+    Reason.WITHDRAWN,
+    Reason.CRASHES_INSTANCES,
+    Reason.QUARANTINE_FULL,
+)
 
 
 @attrs.define
@@ -122,7 +129,7 @@
 
 @allows_retry.register
 def _(result: NotRunError, route: Route) -> bool:
-    return result.reason not in (Reason.DEADLINE, Reason.WITHDRAWN, Reason.CRASHES_INSTANCES)
+    return result.reason not in FINAL_REFUSALS
 
 
 @allows_retry.register
--- a/ibisrack/dispatch/decisions_test.py
+++ b/ibisrack/dispatch/decisions_test.py
@@ -7,7 +7,7 @@
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
-from ibisrack.dispatch.attempts import Attempts
+from ibisrack.dispatch.attempts import Attempts, allows_retry
 from ibisrack.dispatch.budget import USABLE_SHARE, ServiceRetryBudgets
 from ibisrack.dispatch.choice import InstanceViews, choose_home, choose_instance
 from ibisrack.dispatch.verdicts import allows_attempt, reason_without_attempt
@@ -271,4 +271,11 @@
     assert reason_without_attempt(CLEAR) == Reason.NO_INSTANCE
 
 
+def test_a_suspect_that_its_home_instance_turns_away_is_not_retried():
+    """Guards against suspects that spread to further instances when one has many of them."""
+    for reason in (Reason.QUARANTINE_FULL, Reason.CRASHES_INSTANCES):
+        assert not allows_retry(NotRunError(reason), route())
+    assert allows_retry(NotRunError(Reason.UPSTREAM_UNREACHABLE), route())
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -29,6 +29,7 @@
 from ibisrack.links.messages import Submit
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.suspects.exchange import SuspectExchange
+from ibisrack.suspects.fingerprint import fingerprint_of
 from ibisrack.suspects.quarantine import Quarantine, needs_turn
 
 # The submitting node gives up on a request at its deadline.  A refusal must reach it before that;
@@ -192,7 +193,7 @@
         while True:
             in_turn = needs_turn(self.suspects.verdict(submit))
             async with (
-                self._turn(in_turn, submit, deadline_at_s),
+                self._turn(in_turn, submit, deadline_at_s) as has_turn,
                 self.gate.hold_slot(
                     submit.request_id,
                     submit.rank,
@@ -205,17 +206,19 @@
                 if run.orphaned_at_s is not None:
                     raise NotRunError(Reason.LINK_LOST)
                 # A request that became a suspect while it waited takes its turn first.
-                if in_turn or not needs_turn(self.suspects.verdict(submit)):
-                    run.quarantined = in_turn
+                in_turn = needs_turn(self.suspects.verdict(submit))
+                if has_turn or not in_turn:
+                    run.quarantined = has_turn
                     return await self._run_in_slot(run)
 
     def _turn(
         self, in_turn: bool, submit: Submit, deadline_at_s: float
-    ) -> AbstractAsyncContextManager[None]:
-        """Returns a context that holds the turn of a suspect; others need none."""
+    ) -> AbstractAsyncContextManager[bool]:
+        """Returns a context that holds the turn of a suspect, and tells whether it has one."""
         if in_turn:
-            return self.quarantine.hold_turn(submit.request_id, deadline_at_s)
-        return nullcontext()
+            fingerprint = fingerprint_of(submit)
+            return self.quarantine.hold_turn(submit.request_id, fingerprint, deadline_at_s)
+        return nullcontext(False)
 
     async def _run_in_slot(self, run: Run) -> Answer:
         now_s = read_clocks().monotonic_s
--- a/ibisrack/hosting/runner_test.py
+++ b/ibisrack/hosting/runner_test.py
@@ -13,6 +13,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.hosting.crashes import Crash
 from ibisrack.hosting.recorder import SubmissionRecorder
 from ibisrack.hosting.runner import InstanceRunner
 from ibisrack.hosting.runs import ORPHAN_TIMEOUT_S, RESULT_TTL_S
@@ -22,6 +23,8 @@
 from ibisrack.links.incoming import IncomingLink, handle
 from ibisrack.links.messages import OutcomeUnknown, Resume, Submit
 from ibisrack.metrics.tally import Tally
+from ibisrack.suspects.fingerprint import fingerprint_of
+from ibisrack.suspects.messages import CrashReport, RunCompleted
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import capture_log, instance, wait_until
 
@@ -61,6 +64,7 @@
         directory,
         SubmissionRecorder(Tally()),
     )
+    runner.suspects.on_verdict = runner.quarantine.apply_verdict
     runner.configure(listed.service, frozenset((0,)))
     yield runner, upstream
 
@@ -173,4 +177,72 @@
         assert not runner.run_table.runs
 
 
+def suspect(runner: InstanceRunner, number: int = 9) -> None:
+    """Makes the requests of these tests suspects, by a crash of another instance."""
+    runner.suspects.receive(CrashReport(f"i-{number}", 1, (fingerprint_of(FIRST),), (), 0), None)
+
+
+async def test_suspects_run_one_at_a_time_until_one_of_them_is_answered():
+    """Guards against suspects side by side, and against turns for requests that are cleared."""
+    async with run_instance(slots=8) as (runner, upstream):
+        suspect(runner)
+        runs = [runner.start(attrs.evolve(FIRST, request_id=f"r-{n}")) for n in range(6)]
+        await wait_until(lambda: bool(upstream.sent_ids))
+        await asyncio.sleep(0.02)
+        assert upstream.sent_ids == ["r-0"]
+        assert runs[0].quarantined
+        runner.suspects.receive(RunCompleted(fingerprint_of(FIRST)), None)
+        await wait_until(lambda: len(upstream.sent_ids) == 6)
+        assert not any(run.quarantined for run in runs[1:])
+        upstream.released.set()
+        for run in runs:
+            assert isinstance(await runner.result(run), Answer)
+
+
+async def test_a_request_that_became_a_suspect_in_the_queue_takes_its_turn():
+    """Guards against a suspect that runs beside others because it waited before the crash."""
+    async with run_instance() as (runner, upstream):
+        first, second = runner.start(FIRST), runner.start(SECOND)
+        await wait_until(lambda: runner.gate.load().queued == 1)
+        suspect(runner)
+        turn = runner.quarantine.hold_turn("other", b"o" * 16, read_clocks().monotonic_s + 5.0)
+        async with turn:
+            runner.cancel(first)
+            await runner.result(first)
+            await asyncio.sleep(0.02)
+            assert upstream.sent_ids == ["first"]
+        await wait_until(lambda: upstream.sent_ids == ["first", "second"])
+        assert second.quarantined
+
+
+async def test_waiting_suspects_are_refused_when_the_instance_drains_or_their_sender_leaves():
+    """Guards against suspects that wait at an instance that accepts no more requests."""
+    async with run_instance(slots=8) as (runner, _):
+        suspect(runner)
+        names = ("first", "withdrawn", "waiting")
+        runs = [runner.start(attrs.evolve(FIRST, request_id=name)) for name in names]
+        await wait_until(lambda: runs[0].quarantined)
+        runner.refuse("withdrawn", Reason.WITHDRAWN)
+        assert (await runner.result(runs[1])).reason == Reason.WITHDRAWN
+        runner.refuse_waiting()
+        assert (await runner.result(runs[2])).reason == Reason.DRAINING
+
+
+async def test_a_crash_refuses_what_waits_beside_the_instance():
+    """Guards against requests that wait for the turn or the slot of an instance that has ended."""
+    async with run_instance() as (runner, _):
+        suspect(runner)
+        in_slot = runner.start(FIRST)
+        await wait_until(lambda: in_slot.quarantined)
+        in_quarantine = runner.start(SECOND)
+        in_queue = runner.start(attrs.evolve(FIRST, request_id="other", target="/other"))
+        await wait_until(lambda: runner.gate.load().queued == 1)
+        runner._handle_crash(Crash(runner.instance, ()))
+        for run in (in_quarantine, in_queue):
+            assert (await runner.result(run)).reason == Reason.UPSTREAM_UNREACHABLE
+        late = runner.start(attrs.evolve(FIRST, request_id="late", target="/other"))
+        assert (await runner.result(late)).reason == Reason.UPSTREAM_UNREACHABLE
+        assert not runner.accepts_requests
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -83,6 +83,7 @@
     )
     instance_runner.on_leaving = node.leave_own_instance
     instance_runner.suspects = node.suspects
+    node.suspects.on_verdict = instance_runner.quarantine.apply_verdict
     node.suspects.links, node.suspects.rng = node.peer_links, rng
     node.resize_pool = lambda slots: pool.resize(slots + SPARE_CONNECTIONS, 0)
     budget = ServiceRetryBudgets(
--- a/ibisrack/suspects/exchange.py
+++ b/ibisrack/suspects/exchange.py
@@ -37,12 +37,16 @@
       table: What is known of crashes and suspects.
       recorder: Counts and logs verdicts.
       rng: Selects the peers to which the news of another node are passed on.
+      on_verdict: Called with each new verdict and the fingerprint that it is on.
     """
 
     links: Callable[[], Iterable[PeerLink]] = attrs.field(default=lambda: ())
     table: SuspectTable = attrs.field(factory=SuspectTable)
     recorder: SuspectRecorder = attrs.field(factory=SuspectRecorder)
     rng: Random = attrs.field(factory=Random)
+    on_verdict: Callable[[Verdict, bytes], None] = attrs.field(
+        default=lambda verdict, fingerprint: None
+    )
 
     def verdict(self, request: Fingerprinted) -> Verdict:
         """Returns the verdict on a request."""
@@ -115,6 +119,7 @@
         after = suspects.table.verdict(fingerprint, now_s)
         if after != before:
             suspects.recorder.record_verdict(fingerprint, after, message.instance_id)
+            suspects.on_verdict(after, fingerprint)
     return is_new
 
 
@@ -124,4 +129,5 @@
     before = suspects.table.verdict(message.fingerprint, now_s)
     is_new = suspects.table.record_completion(message, now_s)
     suspects.recorder.record_cleared(message.fingerprint, before)
+    suspects.on_verdict(CLEAR, message.fingerprint)
     return is_new
--- a/ibisrack/suspects/quarantine_test.py
+++ b/ibisrack/suspects/quarantine_test.py
@@ -5,14 +5,22 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError
-from ibisrack.suspects.quarantine import Quarantine
+from ibisrack.suspects.quarantine import MAX_WAITING, Quarantine
+from ibisrack.suspects.table import CLEAR, Convicted, Suspected
 from ibisrack.testing.functions import function_tests
 
 
-async def run_turn(quarantine: Quarantine, request_id: str, ran: list[str], wait_s: float = 5.0):
+async def run_turn(
+    quarantine: Quarantine,
+    request_id: str,
+    ran: list[str],
+    wait_s: float = 5.0,
+    fingerprint: bytes = b"f" * 16,
+):
     """Takes a turn, and returns the reason if it was refused."""
+    deadline_at_s = read_clocks().monotonic_s + wait_s
     try:
-        async with quarantine.hold_turn(request_id, read_clocks().monotonic_s + wait_s):
+        async with quarantine.hold_turn(request_id, fingerprint, deadline_at_s):
             ran.append(request_id)
             await asyncio.sleep(0.02)
             assert ran[-1] == request_id
@@ -55,4 +63,41 @@
     assert ran[-1] == "2"
 
 
+async def test_waiting_suspects_beyond_a_few_are_refused_at_once():
+    """Guards against a queue of suspects that grows until their deadlines."""
+    quarantine, ran = Quarantine(), []
+    count = 1 + MAX_WAITING
+    tasks = [asyncio.create_task(run_turn(quarantine, str(n), ran)) for n in range(count)]
+    await asyncio.sleep(0)
+    assert await run_turn(quarantine, "late", ran) == Reason.QUARANTINE_FULL
+    assert await asyncio.gather(*tasks) == [None] * count
+
+
+async def test_a_verdict_ends_the_wait_of_the_requests_that_it_is_on():
+    """Guards against requests that wait for a turn though they need none, or will get none."""
+    quarantine, cleared, convicted, other = Quarantine(), b"c" * 16, b"d" * 16, b"o" * 16
+    far_s = read_clocks().monotonic_s + 5.0
+    turns = {}
+
+    async def wait(name: str, fingerprint: bytes) -> None:
+        try:
+            async with quarantine.hold_turn(name, fingerprint, far_s) as turns[name]:
+                pass
+        except NotRunError as error:
+            turns[name] = error.reason
+
+    async with quarantine.hold_turn("holder", cleared, far_s) as has_turn:
+        assert has_turn
+        waits = (("0", cleared), ("1", convicted), ("2", other), ("3", cleared))
+        tasks = [asyncio.create_task(wait(*each)) for each in waits]
+        await asyncio.sleep(0)
+        quarantine.apply_verdict(Suspected(1), other)
+        quarantine.apply_verdict(CLEAR, cleared)
+        quarantine.apply_verdict(Convicted(2, far_s), convicted)
+        await asyncio.wait(tasks, timeout=0.05)
+        assert turns == {"0": False, "1": Reason.CRASHES_INSTANCES, "3": False}
+    await asyncio.gather(*tasks)
+    assert turns["2"] is True
+
+
 load_tests = function_tests(__name__)
