Remember answers to suspects as long as suspects

What callers saw: a request whose conviction all nodes had lifted was refused again in the whole fleet after a peer that had been cut off came back.

Cause: answers were remembered for 5 s, and the peer's old reports of crashes counted as new. Reports of crashes that an answer followed are ignored, and their sender is told of the answer, unless the request ran at a later crash.

--- a/ibisrack/suspects/exchange.py
+++ b/ibisrack/suspects/exchange.py
@@ -91,7 +91,10 @@
           message: The message.
           source: Link on which it arrived, None if this node is the first to send it.
         """
-        if not _apply(message, self):
+        is_news = _apply(message, self)
+        if source is not None:
+            _correct(message, source, self)
+        if not is_news:
             return
         links = [link for link in self.links() if link is not source]
         if source is not None:
@@ -131,3 +134,15 @@
     suspects.recorder.record_cleared(message.fingerprint, before)
     suspects.on_verdict(CLEAR, message.fingerprint)
     return is_new
+
+
+@singledispatch
+def _correct(message: object, source: PeerLink, suspects: SuspectExchange) -> None:
+    """Tells the sender of a message what it contradicts."""
+
+
+@_correct.register
+def _(message: CrashReport, source: PeerLink, suspects: SuspectExchange) -> None:
+    completions = suspects.table.completions_after(message, read_clocks().monotonic_s)
+    if completions:
+        source.send(*completions)
--- a/ibisrack/suspects/exchange_test.py
+++ b/ibisrack/suspects/exchange_test.py
@@ -6,11 +6,12 @@
 
 import attrs
 
+from ibisrack.clocks import read_clocks
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.membership.gossip import transmit_limit
 from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.fingerprint import FINGERPRINT_BYTES, fingerprint_of
-from ibisrack.suspects.table import CLEAR, Suspected
+from ibisrack.suspects.table import CLEAR, COMPLETION_NEWS_S, Convicted, Suspected
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import instance
 
@@ -103,4 +104,27 @@
     )
 
 
+def test_a_peer_that_was_cut_off_brings_no_conviction_back():
+    """Guards against refusing a request again that an instance has answered since its crashes."""
+    nodes, _ = connect(4, ring(4))
+    nodes[0].report_crash(instance("i-1"), (SUBMIT,), ())
+    nodes[1].report_crash(instance("i-2"), (SUBMIT,), (SUBMIT,))
+    assert all(isinstance(node.verdict(SUBMIT), Convicted) for node in nodes)
+    linked = [node.links for node in nodes]
+    nodes[0].links = lambda: ()
+    for node in (nodes[1], nodes[3]):
+        kept = [link for link in node.links() if link.peer is not nodes[0]]
+        node.links = lambda kept=kept: kept
+    nodes[2].record_completed(SUBMIT)
+    now_s = read_clocks().monotonic_s
+    for node in nodes:
+        node.table.expire(now_s + COMPLETION_NEWS_S)
+    assert isinstance(nodes[0].verdict(SUBMIT), Convicted)
+    for node, links in zip(nodes, linked, strict=True):
+        node.links = links
+    for link in nodes[0].links():
+        link.send(*nodes[0].greeting())
+    assert [node.verdict(SUBMIT) for node in nodes] == [CLEAR] * 4
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/suspects/table.py
+++ b/ibisrack/suspects/table.py
@@ -18,7 +18,9 @@
 FIRST_TERM_S = 30.0
 MAX_TERM_S = 3600.0
 SUSPECT_TTL_S = 600.0  # A suspect, or a request whose term is over, is forgotten after this time.
-COMPLETION_TTL_S = 5.0  # Longer than a report of a crash takes to reach all nodes.
+# A peer that was cut off reports crashes that answers followed, for as long as it has suspects.
+COMPLETION_TTL_S = SUSPECT_TTL_S
+COMPLETION_NEWS_S = 5.0  # Longer than the report of an answer takes to reach all nodes.
 # An instance that crashed counts as down for this time, unless it is listed with a new start.  Its
 # entry is removed or replaced within it.
 DOWN_S = 6.0
@@ -170,7 +172,20 @@
         if len(self._completed_at_s) > MAX_COMPLETIONS:
             del self._completed_at_s[next(iter(self._completed_at_s))]
         was_suspect = self._suspects.pop(fingerprint, None) is not None
-        return was_suspect or now_s - last_at_s >= COMPLETION_TTL_S
+        return was_suspect or now_s - last_at_s >= COMPLETION_NEWS_S
+
+    def completions_after(self, report: CrashReport, now_s: float) -> tuple[RunCompleted, ...]:
+        """Returns the answers to its suspects since a crash, which its sender may not know.
+
+        A request that ran at a later crash is left out: the answer says nothing of that one.
+        """
+        at_s = now_s - report.age_ms / 1000
+        return tuple(
+            RunCompleted(fingerprint)
+            for fingerprint in dict.fromkeys(report.suspects[:MAX_SUSPECTS_PER_CRASH])
+            if fingerprint not in self._suspects
+            and self._completed_at_s.get(fingerprint, float("-inf")) >= at_s
+        )
 
     def reports(self, now_s: float) -> tuple[CrashReport, ...]:
         """Returns the crashes with the requests that are still suspects, for a new peer."""
--- a/ibisrack/suspects/table_test.py
+++ b/ibisrack/suspects/table_test.py
@@ -97,6 +97,21 @@
     assert table.verdict(DEADLY, 11.5) == Suspected(1)
 
 
+def test_an_answer_is_remembered_as_long_as_crashes_before_it_are_reported():
+    """Guards against an old report that convicts again, and an old answer that clears too much."""
+    table, late_s = SuspectTable(), 10.0 + SUSPECT_TTL_S - 1.0
+    table.record_completion(RunCompleted(DEADLY), 10.0)
+    table.expire(late_s)
+    age_ms = round((late_s - 9.0) * 1000)
+    before = crash(1, DEADLY, OTHER, age_ms=age_ms)
+    assert table.completions_after(before, late_s) == (RunCompleted(DEADLY),)
+    table.record_crash(before, late_s)
+    assert table.verdict(DEADLY, late_s) == CLEAR
+    table.record_crash(crash(2, DEADLY), late_s)
+    assert table.verdict(DEADLY, late_s) == Suspected(1)
+    assert table.completions_after(before, late_s) == ()
+
+
 def test_a_term_ends_and_doubles_with_each_further_crash():
     """Guards against a conviction for ever, and against a deadly request that is let in often."""
     table, now_s = convicted_table(), 10.0
@@ -116,7 +131,7 @@
     table = SuspectTable()
     table.record_crash(crash(1, DEADLY), 10.0)
     table.record_completion(RunCompleted(OTHER), 10.0)
-    table.expire(10.0 + COMPLETION_TTL_S)
+    table.expire(10.0 + min(SUSPECT_TTL_S, COMPLETION_TTL_S) - 1.0)
     assert table.has_suspects
     table.expire(10.0 + SUSPECT_TTL_S)
     assert table == SuspectTable()
