Count a second crash under the same start of an instance

What callers saw: an instance that started again before the store listed its new start could crash again without anybody hearing of it, so that a deadly request stayed a suspect of one crash.

Cause: the id and start of an instance were the key of its only crash, in the table and in the detector. Change: a crash more than DOWN_S after the known ones of the same start is a new one; within DOWN_S it is the same. A start keeps at most 16.

Tests: test_a_second_crash_under_the_same_start_counts and test_a_crash_after_a_start_under_the_same_entry_is_a_second_one fail with the old comparison. table_test, exchange_test and crashes_test pass.

--- a/ibisrack/hosting/crashes.py
+++ b/ibisrack/hosting/crashes.py
@@ -10,8 +10,10 @@
 
 import attrs
 
+from ibisrack.clocks import read_clocks
 from ibisrack.hosting.runs import Run
 from ibisrack.instances.model import Instance
+from ibisrack.suspects.table import DOWN_S
 
 PROBE_TIMEOUT_S = 0.3
 # Time in which a connection that was still accepted while the process ended is closed.
@@ -47,7 +49,9 @@
     crashes: int = 0
     _open_runs: set[Run] = attrs.field(factory=set)
     _check: asyncio.Task | None = None
-    _last_crash: tuple[str, int] | None = None  # Id and start of the instance that crashed last.
+    # Id and start of the instance that crashed last, and the monotonic time of this crash.
+    _last_crash: tuple[str, int] | None = None
+    _last_crash_at_s: float = 0.0
 
     @contextmanager
     def track(self, run: Run) -> Iterator[None]:
@@ -76,15 +80,24 @@
         try:
             if not await _refuses_connections(*self.address):
                 return False
-            started = (instance.instance_id, instance.started_at_ms)
-            if started != self._last_crash:
-                self._last_crash = started
+            if self._is_new_crash(instance):
                 self.crashes += 1
                 self.on_crash(Crash(instance, runs))
             return True
         finally:
             self._check = None
 
+    def _is_new_crash(self, instance: Instance) -> bool:
+        """Returns whether the instance had not crashed yet since its start, or not recently.
+
+        It may have started again under its id while its old entry stands.
+        """
+        started, now_s = (instance.instance_id, instance.started_at_ms), read_clocks().monotonic_s
+        if started == self._last_crash and now_s <= self._last_crash_at_s + DOWN_S:
+            return False
+        self._last_crash, self._last_crash_at_s = started, now_s
+        return True
+
 
 async def _refuses_connections(host: str, port: int) -> bool:
     """Returns whether nothing listens at an address."""
--- a/ibisrack/hosting/crashes_test.py
+++ b/ibisrack/hosting/crashes_test.py
@@ -3,13 +3,16 @@
 import asyncio
 import socket
 from contextlib import ExitStack, asynccontextmanager
+from unittest.mock import patch
 
 import attrs
 
+from ibisrack.clocks import read_clocks
 from ibisrack.hosting.crashes import Crash, CrashDetector
 from ibisrack.hosting.runs import Run
 from ibisrack.instances.model import Instance, InstanceState
 from ibisrack.links.codec_test import SUBMIT
+from ibisrack.suspects.table import DOWN_S
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import free_ports, instance
 
@@ -65,6 +68,17 @@
     assert fixture.detector.crashes == 1
 
 
+async def test_a_crash_after_a_start_under_the_same_entry_is_a_second_one():
+    """Guards against crashes that go unseen until the store lists the new start."""
+    fixture = watch(free_ports(1)[0])
+    await fixture.lose_connections()
+    now = read_clocks()
+    later = attrs.evolve(now, monotonic_s=now.monotonic_s + DOWN_S + 1.0)
+    with patch("ibisrack.hosting.crashes.read_clocks", lambda: later):
+        assert await fixture.lose_connections() == {True}
+    assert fixture.detector.crashes == 2
+
+
 async def test_an_instance_that_drops_a_connection_and_lives_has_not_crashed():
     """Guards against blaming requests for lost answers and reset connections."""
 
--- a/ibisrack/suspects/table.py
+++ b/ibisrack/suspects/table.py
@@ -25,7 +25,8 @@
 # entry is removed or replaced within it.
 DOWN_S = 6.0
 
-MAX_CRASHES = 256
+MAX_CRASHES = 256  # Starts of instances of which crashes are remembered.
+MAX_CRASHES_PER_START = 16
 MAX_SUSPECTS = 4096
 MAX_COMPLETIONS = 1024
 MAX_SUSPECTS_PER_CRASH = 256
@@ -119,7 +120,8 @@
 class SuspectTable:
     """Recent crashes, the requests that ran at them, and which of these were answered since."""
 
-    _crashes: dict[InstanceStart, RecordedCrash] = attrs.field(factory=dict)
+    # An instance may start again under its id while its old entry still stands.
+    _crashes: dict[InstanceStart, list[RecordedCrash]] = attrs.field(factory=dict)
     _suspects: dict[bytes, Suspect] = attrs.field(factory=dict)
     _completed_at_s: dict[bytes, float] = attrs.field(factory=dict)
 
@@ -144,18 +146,22 @@
 
     def is_down(self, start: InstanceStart, now_s: float) -> bool:
         """Returns whether a start of an instance has crashed so recently that it may be listed."""
-        crash = self._crashes.get(start)
-        return crash is not None and now_s < crash.at_s + DOWN_S
+        return any(now_s < crash.at_s + DOWN_S for crash in self._crashes.get(start, ()))
 
     def record_crash(self, report: CrashReport, now_s: float) -> bool:
-        """Records a crash; returns whether it was new."""
+        """Records a crash; returns whether it was new.
+
+        Reports of the same start within DOWN_S are of the same crash.
+        """
         start = (report.instance_id, report.started_at_ms)
-        if start in self._crashes:
-            return False
         at_s = now_s - report.age_ms / 1000
+        crashes = self._crashes.setdefault(start, [])
+        if any(abs(at_s - crash.at_s) <= DOWN_S for crash in crashes):
+            return False
         suspects = report.suspects[:MAX_SUSPECTS_PER_CRASH]
         repeated = tuple(f for f in suspects if f in report.repeated)
-        self._crashes[start] = RecordedCrash(at_s, suspects, repeated)
+        crashes.append(RecordedCrash(at_s, suspects, repeated))
+        del crashes[:-MAX_CRASHES_PER_START]
         if len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
         for fingerprint in dict.fromkeys(suspects):
@@ -197,7 +203,8 @@
                 tuple(f for f in crash.repeated if f in self._suspects),
                 round((now_s - crash.at_s) * 1000),
             )
-            for (instance_id, started_at_ms), crash in self._crashes.items()
+            for (instance_id, started_at_ms), crashes in self._crashes.items()
+            for crash in crashes
         )
 
     def expire(self, now_s: float) -> None:
@@ -208,12 +215,14 @@
             f for f, at_s in self._completed_at_s.items() if now_s - at_s >= COMPLETION_TTL_S
         ]:
             del self._completed_at_s[fingerprint]
-        for start in [
-            start
-            for start, crash in self._crashes.items()
-            if now_s >= crash.at_s + DOWN_S and not any(f in self._suspects for f in crash.suspects)
-        ]:
-            del self._crashes[start]
+        for start, crashes in tuple(self._crashes.items()):
+            crashes[:] = [crash for crash in crashes if self._matters(crash, now_s)]
+            if not crashes:
+                del self._crashes[start]
+
+    def _matters(self, crash: RecordedCrash, now_s: float) -> bool:
+        """Returns whether the instance may be down, or a request that it ran is a suspect."""
+        return now_s < crash.at_s + DOWN_S or any(f in self._suspects for f in crash.suspects)
 
     def _add_crash(self, fingerprint: bytes, at_s: float, is_repeated: bool) -> None:
         suspect = self._suspects.get(fingerprint)
--- a/ibisrack/suspects/table_test.py
+++ b/ibisrack/suspects/table_test.py
@@ -8,6 +8,7 @@
     DOWN_S,
     FIRST_TERM_S,
     MAX_CRASHES,
+    MAX_CRASHES_PER_START,
     MAX_SUSPECTS,
     MAX_TERM_S,
     SUSPECT_TTL_S,
@@ -77,6 +78,24 @@
     assert table.verdict(DEADLY, 11.0) == Suspected(2)
 
 
+def test_a_second_crash_under_the_same_start_counts():
+    """Guards against crashes of an instance that starts again before its entry is replaced."""
+    table, again_s = SuspectTable(), 10.0 + DOWN_S + 0.1
+    assert table.record_crash(crash(1, DEADLY), 10.0)
+    assert not table.record_crash(crash(1, DEADLY), 10.0 + DOWN_S)
+    assert table.record_crash(crash(1, DEADLY, repeated=(DEADLY,)), again_s)
+    assert not table.record_crash(crash(1, DEADLY, age_ms=6100), again_s)
+    assert table.is_down(("i-1", 1), again_s)
+    assert table.verdict(DEADLY, again_s) == Convicted(2, again_s + FIRST_TERM_S)
+    new = SuspectTable()
+    for report in table.reports(again_s):
+        new.record_crash(report, again_s)
+    assert new.verdict(DEADLY, again_s) == table.verdict(DEADLY, again_s)
+    for number in range(2, 40):
+        table.record_crash(crash(1, DEADLY), again_s + number * 10.0)
+    assert len(table.reports(again_s)) == MAX_CRASHES_PER_START
+
+
 def test_a_request_that_an_instance_answered_is_cleared():
     """Guards against the conviction of a request that other crashes ended by chance."""
     table = convicted_table()
