Take the fingerprints of runs before the check for a crash

What callers saw: a deadly request whose caller left while the node probed its instance stayed unknown, because the crash was reported with the hash of an empty body. With any suspect, a body was hashed several times for each request.

Cause: the end of a run empties its body, and the fingerprint was taken after the probe. Change: a run keeps its fingerprint, taken before the probe; a request and a submission compute theirs once.

Tests: test_a_run_that_is_cancelled_during_the_check_for_a_crash_is_reported fails without the early fingerprint, and test_a_fingerprint_is_computed_once_for_each_request without the cache. runner_test, exchange_test, crashes_test, runs_test, codec_test and decisions_test pass.

--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -29,7 +29,6 @@
 from ibisrack.routing.splits import Splitter
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.suspects.exchange import SuspectExchange
-from ibisrack.suspects.fingerprint import fingerprint_of
 from ibisrack.suspects.table import FIRST_TERM_S, Clear, Suspected, Verdict
 
 MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
@@ -217,7 +216,7 @@
                     continue
             candidates.append(instance)
         if isinstance(verdict, Suspected):
-            return choose_home(candidates, self.views, fingerprint_of(request), now_s)
+            return choose_home(candidates, self.views, request.fingerprint, now_s)
         cost_s = self.views.zone_cost_ratio(route.name) * route.target_s
         return choose_instance(candidates, self.views, self.zone, cost_s, self.rng, now_s)
 
--- a/ibisrack/dispatch/request.py
+++ b/ibisrack/dispatch/request.py
@@ -1,7 +1,11 @@
 """A caller's request, independent of the protocol by which it arrived."""
 
+from functools import cached_property
+
 import attrs
 
+from ibisrack.suspects.fingerprint import fingerprint_of
+
 
 @attrs.frozen
 class Request:
@@ -29,6 +33,11 @@
     received_at_s: float
     deadline_at_s: float
 
+    @cached_property
+    def fingerprint(self) -> bytes:
+        """Hash by which it is recognised when it comes again under another id."""
+        return fingerprint_of(self)
+
     @property
     def path(self) -> str:
         """The path without the query."""
--- a/ibisrack/hosting/crashes.py
+++ b/ibisrack/hosting/crashes.py
@@ -72,7 +72,10 @@
             return False  # A planned end.
         if self._check is None:
             # All runs that the crash ended are still tracked when the first of them is checked.
-            check = self._confirm(instance, tuple(self._open_runs))
+            runs = tuple(self._open_runs)
+            for run in runs:
+                _ = run.fingerprint  # A run that is cancelled during the check loses its body.
+            check = self._confirm(instance, runs)
             self._check = asyncio.get_running_loop().create_task(check)
         return await asyncio.shield(self._check)
 
--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -10,7 +10,6 @@
 from ibisrack.hosting.crashes import Crash
 from ibisrack.hosting.runs import Run
 from ibisrack.metrics.tally import OWNER, Tally
-from ibisrack.suspects.fingerprint import fingerprint_of
 
 # Relative change from which a limit is logged again; an instance may name another one each time.
 LOGGED_LIMIT_CHANGE = 0.1
@@ -139,7 +138,7 @@
                 {
                     "request_id": run.submit.request_id,
                     "attempt": run.submit.attempt,
-                    "fingerprint": fingerprint_of(run.submit).hex(),
+                    "fingerprint": run.fingerprint.hex(),
                     "quarantined": run.quarantined,
                     "ran_ms": round((now_s - run.started_at_s) * 1000),
                 }
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -29,7 +29,6 @@
 from ibisrack.links.messages import Submit
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.suspects.exchange import SuspectExchange
-from ibisrack.suspects.fingerprint import fingerprint_of
 from ibisrack.suspects.quarantine import Quarantine, needs_turn
 
 # The submitting node gives up on a request at its deadline.  A refusal must reach it before that;
@@ -216,8 +215,7 @@
     ) -> AbstractAsyncContextManager[bool]:
         """Returns a context that holds the turn of a suspect, and tells whether it has one."""
         if in_turn:
-            fingerprint = fingerprint_of(submit)
-            return self.quarantine.hold_turn(submit.request_id, fingerprint, deadline_at_s)
+            return self.quarantine.hold_turn(submit.request_id, submit.fingerprint, deadline_at_s)
         return nullcontext(False)
 
     async def _run_in_slot(self, run: Run) -> Answer:
@@ -254,8 +252,8 @@
         self.recorder.record_crash(crash, read_clocks().monotonic_s)
         self.suspects.report_crash(
             crash.instance,
-            (run.submit for run in crash.runs),
-            (run.submit for run in crash.runs if run.quarantined),
+            crash.runs,
+            (run for run in crash.runs if run.quarantined),
         )
         self.gate.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
         self.quarantine.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
--- a/ibisrack/hosting/runner_test.py
+++ b/ibisrack/hosting/runner_test.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 import attrs
 from multidict import CIMultiDict
@@ -25,6 +25,7 @@
 from ibisrack.metrics.tally import Tally
 from ibisrack.suspects.fingerprint import fingerprint_of
 from ibisrack.suspects.messages import CrashReport, RunCompleted
+from ibisrack.suspects.table import Suspected
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import capture_log, instance, wait_until
 
@@ -245,4 +246,29 @@
         assert not runner.accepts_requests
 
 
+async def test_a_run_that_is_cancelled_during_the_check_for_a_crash_is_reported():
+    """Guards against a deadly request that escapes because its caller left in that moment."""
+    async with run_instance() as (runner, upstream):
+        run = runner.start(attrs.evolve(FIRST, body=b"deadly"))
+        await wait_until(lambda: bool(upstream.sent_ids))
+        submit = run.submit
+        with patch("ibisrack.hosting.crashes._refuses_connections") as probe:
+            probed = asyncio.Event()
+
+            async def refuse(host, port):
+                await probed.wait()
+                return True
+
+            probe.side_effect = refuse
+            check = asyncio.create_task(runner.crash_detector.has_crashed(runner.instance))
+            await asyncio.sleep(0)
+            runner.cancel(run)
+            await runner.result(run)
+            await asyncio.sleep(0)
+            assert not run.submit.body
+            probed.set()
+            assert await check
+        assert runner.suspects.verdict(submit) == Suspected(1)
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/hosting/runs.py
+++ b/ibisrack/hosting/runs.py
@@ -60,6 +60,14 @@
     deadline_at_s: float = 0.0
     answer_bytes: int = 0
     refusal: str | None = None
+    _fingerprint: bytes | None = None
+
+    @property
+    def fingerprint(self) -> bytes:
+        """Fingerprint of the request; it is kept if it was taken before the run ended."""
+        if self._fingerprint is None:
+            self._fingerprint = self.submit.fingerprint
+        return self._fingerprint
 
     def is_expired(self, now_s: float) -> bool:
         """Returns whether its result is no longer kept."""
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -4,9 +4,12 @@
 sender's clock, show only how much longer a message was on its way than others.
 """
 
+from functools import cached_property
+
 import attrs
 
 from ibisrack.registry.messages import Revision
+from ibisrack.suspects.fingerprint import fingerprint_of
 
 
 @attrs.frozen
@@ -72,6 +75,11 @@
     body: bytes
     sent_at_ms: int = 0
 
+    @cached_property
+    def fingerprint(self) -> bytes:
+        """Hash by which it is recognised when it comes again under another id."""
+        return fingerprint_of(self)
+
     @property
     def key(self) -> tuple[str, int]:
         """Key that identifies the submission at the instance's node."""
--- a/ibisrack/suspects/exchange.py
+++ b/ibisrack/suspects/exchange.py
@@ -15,7 +15,7 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.instances.model import Instance
 from ibisrack.membership.gossip import transmit_limit
-from ibisrack.suspects.fingerprint import Fingerprinted, fingerprint_of
+from ibisrack.suspects.fingerprint import Fingerprinted
 from ibisrack.suspects.messages import CrashReport, Message, RunCompleted
 from ibisrack.suspects.recorder import SuspectRecorder
 from ibisrack.suspects.table import CLEAR, SuspectTable, Verdict
@@ -52,7 +52,7 @@
         """Returns the verdict on a request."""
         if not self.table.has_suspects:
             return CLEAR
-        return self.table.verdict(fingerprint_of(request), read_clocks().monotonic_s)
+        return self.table.verdict(request.fingerprint, read_clocks().monotonic_s)
 
     def is_down(self, instance: Instance) -> bool:
         """Returns whether an instance has crashed and its entry is still listed."""
@@ -74,15 +74,15 @@
           requests: Requests that it ran.
           quarantined: Those of them that ran in quarantine.
         """
-        suspects = tuple(dict.fromkeys(map(fingerprint_of, requests)))
-        repeated = tuple(dict.fromkeys(map(fingerprint_of, quarantined)))
+        suspects = tuple(dict.fromkeys(request.fingerprint for request in requests))
+        repeated = tuple(dict.fromkeys(request.fingerprint for request in quarantined))
         start = (instance.instance_id, instance.started_at_ms)
         self.receive(CrashReport(*start, suspects, repeated, 0), None)
 
     def record_completed(self, request: Fingerprinted) -> None:
         """Records that the instance beside this node has answered a request."""
         if self.verdict(request) is not CLEAR:
-            self.receive(RunCompleted(fingerprint_of(request)), None)
+            self.receive(RunCompleted(request.fingerprint), None)
 
     def receive(self, message: Message, source: PeerLink | None) -> None:
         """Applies a message, and passes it on if it was news.
--- a/ibisrack/suspects/exchange_test.py
+++ b/ibisrack/suspects/exchange_test.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from itertools import combinations
 from random import Random
+from unittest.mock import patch
 
 import attrs
 
@@ -127,4 +128,15 @@
     assert [node.verdict(SUBMIT) for node in nodes] == [CLEAR] * 4
 
 
+def test_a_fingerprint_is_computed_once_for_each_request():
+    """Guards against hashing a large body at each look at the verdict."""
+    node, submit = SuspectExchange(), attrs.evolve(SUBMIT)
+    with patch("ibisrack.links.messages.fingerprint_of", wraps=fingerprint_of) as hashed:
+        node.report_crash(instance(), (submit,), (submit,))
+        for _ in range(5):
+            assert node.verdict(submit) == Suspected(1)
+        node.record_completed(submit)
+    assert hashed.call_count == 1
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/suspects/fingerprint.py
+++ b/ibisrack/suspects/fingerprint.py
@@ -8,6 +8,14 @@
 
 
 class Fingerprinted(Protocol):
+    """A request that has a fingerprint."""
+
+    @property
+    def fingerprint(self) -> bytes:
+        """Its fingerprint, computed once, because bodies are large."""
+
+
+class FingerprintedParts(Protocol):
     """A request, as its caller sent it or as it is submitted to an instance."""
 
     caller_service: str
@@ -17,7 +25,7 @@
     body: bytes
 
 
-def fingerprint_of(request: Fingerprinted) -> bytes:
+def fingerprint_of(request: FingerprintedParts) -> bytes:
     """Returns the fingerprint of a request; its id, deadline and other headers don't count."""
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
     for text in (request.caller_service, request.method, request.host, request.target):
