Test where the dispatcher sends suspects

No test noticed when a suspect ran at any instance, was tried at a second one after two crashes or while its node was lost, or when crashed instances were chosen. Each of the four new tests fails with the rule that it guards removed.

--- /dev/null
+++ b/ibisrack/dispatch/dispatcher_test.py
@@ -0,0 +1,129 @@
+"""Tests of the instances to which the dispatcher sends suspects."""
+
+from random import Random
+from unittest.mock import Mock
+
+import attrs
+
+from ibisrack.calls.messages import Answer
+from ibisrack.calls.outcomes import Reason
+from ibisrack.clocks import read_clocks
+from ibisrack.dispatch.attempts import Attempts
+from ibisrack.dispatch.budget import ServiceRetryBudgets
+from ibisrack.dispatch.dispatcher import Dispatcher
+from ibisrack.dispatch.request import Request
+from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.instances.directory import InstanceDirectory
+from ibisrack.links.messages import Submit
+from ibisrack.suspects.messages import CrashReport, RunCompleted
+from ibisrack.testing.functions import function_tests
+from ibisrack.testing.sidecars import instance, route
+
+COUNT = 6
+CRASHED = UnknownOutcomeError(Reason.INSTANCE_CRASHED)
+
+
+@attrs.define(eq=False)
+class ScriptedDestination:
+    """Nodes whose attempts all have one result.
+
+    Attributes:
+      result: The result.
+      load: Last reported load.
+      submits: The submissions.
+      before_result: Called with each submission before its result.
+    """
+
+    result: Answer | Exception
+    load: None = None
+    submits: list[Submit] = attrs.field(factory=list)
+    before_result: Mock = attrs.field(factory=Mock)
+
+    def next_number(self) -> int:
+        """Returns a number for a submission."""
+        return len(self.submits)
+
+    async def run(self, submit, may_leave):
+        """Ends an attempt with the result."""
+        self.submits.append(submit)
+        self.before_result(submit)
+        raise self.result
+
+
+def dispatcher(
+    seed: int = 1, result: Exception = CRASHED
+) -> tuple[Dispatcher, ScriptedDestination]:
+    """Returns a dispatcher with instances whose attempts all end with a result."""
+    directory, destination = InstanceDirectory(), ScriptedDestination(result)
+    for number in range(COUNT):
+        directory.put(instance(f"i-{number}", host=f"10.0.0.{number + 1}"))
+    budget = ServiceRetryBudgets(0.0, 100.0, 10.0)
+    sender = Dispatcher(
+        "a",
+        Mock(),
+        directory,
+        lambda _: destination,
+        budget,
+        lambda: 0.0,
+        Random(seed),
+        Mock(),
+        Mock(),
+    )
+    return sender, destination
+
+
+def request(path: str = "/notices/a") -> Request:
+    now_s = read_clocks().monotonic_s
+    return Request("q", "GET", "desk.example", path, (), b"", "shop", now_s, now_s + 5.0)
+
+
+def attempts(sender: Dispatcher) -> Attempts:
+    now_s = read_clocks().monotonic_s
+    return Attempts(route(max_attempts=5), "desk", now_s + 5.0, now_s + 1.0, sender.budget)
+
+
+def report(sender: Dispatcher, name: str, *suspects: Request) -> None:
+    """Reports a crash of an instance under some requests."""
+    fingerprints = tuple(each.fingerprint for each in suspects)
+    sender.suspects.receive(CrashReport(name, 0, fingerprints, (), 0), None)
+
+
+async def test_all_senders_send_a_suspect_to_the_same_instance():
+    """Guards against a suspect that runs at several instances at a time."""
+    homes = set()
+    for seed in range(20):
+        sender, destination = dispatcher(seed, NotRunError(Reason.DEADLINE))
+        report(sender, "gone", request())
+        await sender._attempt_all(request(), attempts(sender))
+        homes |= {submit.instance_id for submit in destination.submits}
+    assert len(homes) == 1
+
+
+async def test_a_suspect_of_two_crashes_is_not_tried_at_another_instance():
+    """Guards against one attempt of a caller that ends instance after instance."""
+    sender, destination = dispatcher()
+    destination.before_result = lambda submit: report(sender, submit.instance_id, request())
+    await sender._attempt_all(request(), attempts(sender))
+    assert len(destination.submits) == 2
+
+
+async def test_a_suspect_is_not_taken_elsewhere_while_its_node_is_lost():
+    """Guards against two runs of a suspect at a time."""
+    sender, _ = dispatcher()
+    assert sender._may_leave(request(), attempts(sender), {"i-1"})
+    report(sender, "gone", request())
+    assert not sender._may_leave(request(), attempts(sender), {"i-1"})
+    sender.suspects.receive(RunCompleted(request().fingerprint), None)
+    assert sender._may_leave(request(), attempts(sender), {"i-1"})
+
+
+async def test_crashed_instances_get_no_requests():
+    """Guards against requests to entries whose instances have ended."""
+    sender, destination = dispatcher(result=NotRunError(Reason.UPSTREAM_UNREACHABLE))
+    for number in range(1, COUNT):
+        report(sender, f"i-{number}")
+    await sender._attempt_all(request(), attempts(sender))
+    assert [submit.instance_id for submit in destination.submits] == ["i-0"]
+
+
+load_tests = function_tests(__name__)
