Double the term of a request by its crashes in quarantine only

What callers saw: a common request that had run on many instances of a common cause, and was then convicted by chance, was refused for up to an hour.

Cause: the term doubled with all crashes. Change: it doubles with the crashes in quarantine, since only these convict.

--- a/ibisrack/suspects/table.py
+++ b/ibisrack/suspects/table.py
@@ -5,8 +5,8 @@
 quarantine, as the only suspect there.  Runs that were open on several instances already convict
 nobody, however many crashed: these may have had one cause, and a convicted request runs nowhere, so
 that no answer could clear it.  A convicted request is refused for a time that doubles with each
-further crash.  Any answer of an instance to it clears it, so that requests with equal paths, and
-runs that other crashes ended, are soon cleared.
+further crash in quarantine.  Any answer of an instance to it clears it, so that requests with equal
+paths, and runs that other crashes ended, are soon cleared.
 """
 
 import attrs
@@ -14,7 +14,7 @@
 from ibisrack.suspects.messages import CrashReport, RunCompleted
 
 CONVICTING_CRASHES = 2  # If the request ran in quarantine at one of them.
-# How long a request is refused after the second crash; each further one doubles the time.
+# How long a convicted request is refused; each further crash in quarantine doubles the time.
 FIRST_TERM_S = 30.0
 MAX_TERM_S = 3600.0
 SUSPECT_TTL_S = 600.0  # A suspect, or a request whose term is over, is forgotten after this time.
@@ -74,20 +74,20 @@
     Attributes:
       crashes: Number of these crashes.
       last_crash_at_s: Monotonic time of the last one.
-      is_repeated: Whether it ran in quarantine at any of them.
+      quarantined_crashes: Number of those at which it ran in quarantine.
     """
 
     crashes: int = 0
     last_crash_at_s: float = float("-inf")
-    is_repeated: bool = False
+    quarantined_crashes: int = 0
 
     @property
     def term_ends_at_s(self) -> float:
         """Monotonic time until which it is refused, before any time if it is not convicted."""
-        if not self.is_repeated or self.crashes < CONVICTING_CRASHES:
+        if not self.quarantined_crashes or self.crashes < CONVICTING_CRASHES:
             return float("-inf")
         # The exponent is limited because the term is, and a float has a largest value.
-        doublings = min(self.crashes - CONVICTING_CRASHES, 10)
+        doublings = min(self.quarantined_crashes - 1, 10)
         return self.last_crash_at_s + min(MAX_TERM_S, FIRST_TERM_S * 2**doublings)
 
     def verdict(self, now_s: float) -> Verdict:
@@ -231,7 +231,7 @@
                 self._forget_one()
             suspect = self._suspects[fingerprint] = Suspect()
         suspect.crashes += 1
-        suspect.is_repeated |= is_repeated
+        suspect.quarantined_crashes += is_repeated
         suspect.last_crash_at_s = max(suspect.last_crash_at_s, at_s)
 
     def _forget_one(self) -> None:
--- a/ibisrack/suspects/table_test.py
+++ b/ibisrack/suspects/table_test.py
@@ -65,7 +65,7 @@
         table.record_crash(crash(number, OTHER), 10.0)
         assert table.verdict(OTHER, 10.0) == Suspected(number)
     table.record_crash(crash(6, OTHER, repeated=(OTHER,)), 20.0)
-    assert isinstance(table.verdict(OTHER, 20.0), Convicted)
+    assert table.verdict(OTHER, 20.0) == Convicted(6, 20.0 + FIRST_TERM_S)
 
 
 def test_a_crash_that_several_peers_report_counts_once():
