--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -197,7 +197,7 @@
         while True:
             in_turn = needs_turn(self.suspects.verdict(submit))
             async with (
-                self._turn(in_turn, submit, deadline_at_s),
+                self._turn(in_turn, submit, deadline_at_s) as has_turn,
                 self.gate.hold_slot(
                     submit.request_id,
                     submit.rank,
@@ -210,17 +210,18 @@
                 if run.orphaned_at_s is not None:
                     raise NotRunError(Reason.LINK_LOST)
                 # A request that became a suspect while it waited takes its turn first.
-                if in_turn or not needs_turn(self.suspects.verdict(submit)):
-                    run.quarantined = in_turn
+                in_turn = needs_turn(self.suspects.verdict(submit))
+                if has_turn or not in_turn:
+                    run.quarantined = has_turn
                     return await self._run_in_slot(run)
 
     def _turn(
         self, in_turn: bool, submit: Submit, deadline_at_s: float
-    ) -> AbstractAsyncContextManager[None]:
-        """Returns a context that holds the turn of a suspect; others need none."""
+    ) -> AbstractAsyncContextManager[bool]:
+        """Returns a context that holds the turn of a suspect, and tells whether it has one."""
         if in_turn:
-            return self.quarantine.hold_turn(submit.request_id, deadline_at_s)
-        return nullcontext()
+            return self.quarantine.hold_turn(submit.request_id, submit.fingerprint, deadline_at_s)
+        return nullcontext(False)
 
     async def _run_in_slot(self, run: Run) -> Answer:
         now_s = read_clocks().monotonic_s
@@ -267,8 +268,8 @@
         self.recorder.record_crash(crash, read_clocks().monotonic_s)
         self.suspects.report_crash(
             crash.instance,
-            (run.submit for run in crash.runs),
-            (run.submit for run in crash.runs if run.quarantined),
+            crash.runs,
+            (run for run in crash.runs if run.quarantined),
         )
         self.gate.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
         self.quarantine.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
--- a/ibisrack/suspects/exchange.py
+++ b/ibisrack/suspects/exchange.py
@@ -15,7 +15,7 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.instances.model import Instance
 from ibisrack.membership.gossip import transmit_limit
-from ibisrack.suspects.fingerprint import Fingerprinted, fingerprint_of
+from ibisrack.suspects.fingerprint import Fingerprinted
 from ibisrack.suspects.messages import CrashReport, Message, RunCompleted
 from ibisrack.suspects.recorder import SuspectRecorder
 from ibisrack.suspects.table import CLEAR, MAX_SUSPECTS_PER_CRASH, SuspectTable, Verdict
@@ -37,18 +37,22 @@
       table: What is known of crashes and suspects.
       recorder: Counts and logs verdicts.
       rng: Selects the peers to which the news of another node are passed on.
+      on_verdict: Called with each new verdict and the fingerprint that it is on.
     """
 
     links: Callable[[], Iterable[PeerLink]] = attrs.field(default=lambda: ())
     table: SuspectTable = attrs.field(factory=SuspectTable)
     recorder: SuspectRecorder = attrs.field(factory=SuspectRecorder)
     rng: Random = attrs.field(factory=Random)
+    on_verdict: Callable[[Verdict, bytes], None] = attrs.field(
+        default=lambda verdict, fingerprint: None
+    )
 
     def verdict(self, request: Fingerprinted) -> Verdict:
         """Returns the verdict on a request."""
         if not self.table.has_suspects:
             return CLEAR
-        return self.table.verdict(fingerprint_of(request), read_clocks().monotonic_s)
+        return self.table.verdict(request.fingerprint, read_clocks().monotonic_s)
 
     def is_down(self, instance: Instance) -> bool:
         """Returns whether an instance has crashed and its entry is still listed."""
@@ -70,15 +74,19 @@
           requests: Requests that it ran.
           quarantined: Those of them that ran in quarantine.
         """
-        suspects = tuple(dict.fromkeys(map(fingerprint_of, requests)))[:MAX_SUSPECTS_PER_CRASH]
-        repeated = tuple(dict.fromkeys(map(fingerprint_of, quarantined)))[:MAX_SUSPECTS_PER_CRASH]
-        start = (instance.instance_id, instance.started_at_ms)
-        self.receive(CrashReport(*start, suspects, repeated, 0), None)
+        report = CrashReport(
+            instance.instance_id,
+            instance.started_at_ms,
+            _distinct_fingerprints(requests),
+            _distinct_fingerprints(quarantined),
+            0,
+        )
+        self.receive(report, None)
 
     def record_completed(self, request: Fingerprinted) -> None:
         """Records that the instance beside this node has answered a request."""
         if self.verdict(request) is not CLEAR:
-            self.receive(RunCompleted(fingerprint_of(request)), None)
+            self.receive(RunCompleted(request.fingerprint), None)
 
     def receive(self, message: Message, source: PeerLink | None) -> None:
         """Applies a message, and passes it on if it was news.
@@ -87,7 +95,10 @@
           message: The message.
           source: Link on which it arrived, None if this node is the first to send it.
         """
-        if not _apply(message, self):
+        is_news = _apply(message, self)
+        if source is not None:
+            _correct(message, source, self)
+        if not is_news:
             return
         links = [link for link in self.links() if link is not source]
         if source is not None:
@@ -100,6 +111,12 @@
         return self.table.reports(read_clocks().monotonic_s)
 
 
+def _distinct_fingerprints(requests: Iterable[Fingerprinted]) -> tuple[bytes, ...]:
+    """Returns the fingerprints that a report may name."""
+    distinct = dict.fromkeys(request.fingerprint for request in requests)
+    return tuple(distinct)[:MAX_SUSPECTS_PER_CRASH]
+
+
 @singledispatch
 def _apply(message: object, suspects: SuspectExchange) -> bool:
     """Applies a message to the table; returns whether it was news."""
@@ -115,6 +132,7 @@
         after = suspects.table.verdict(fingerprint, now_s)
         if after != before:
             suspects.recorder.record_verdict(fingerprint, after, message.instance_id)
+            suspects.on_verdict(after, fingerprint)
     return is_new
 
 
@@ -124,4 +142,17 @@
     before = suspects.table.verdict(message.fingerprint, now_s)
     is_new = suspects.table.record_completion(message, now_s)
     suspects.recorder.record_cleared(message.fingerprint, before)
+    suspects.on_verdict(CLEAR, message.fingerprint)
     return is_new
+
+
+@singledispatch
+def _correct(message: object, source: PeerLink, suspects: SuspectExchange) -> None:
+    """Tells the sender of a message what it contradicts."""
+
+
+@_correct.register
+def _(message: CrashReport, source: PeerLink, suspects: SuspectExchange) -> None:
+    completions = suspects.table.completions_after(message, read_clocks().monotonic_s)
+    if completions:
+        source.send(*completions)
--- a/ibisrack/suspects/table.py
+++ b/ibisrack/suspects/table.py
@@ -2,28 +2,31 @@
 
 A crash ends all runs of an instance, of which at most one is to blame.  A request that no instance
 has answered since a crash is convicted when an instance crashes under it again that ran it in
-quarantine, as the only suspect there.  Runs that were open on several instances already are weaker
-evidence, because these may have had one cause: three crashes convict then.  A convicted request is
-refused for a time that doubles with each further crash.  Any answer of an instance to it clears it,
-so that requests with equal paths, and runs that other crashes ended, are soon cleared.
+quarantine, as the only suspect there.  Runs that were open on several instances already convict
+nobody, however many crashed: these may have had one cause, and a convicted request runs nowhere, so
+that no answer could clear it.  A convicted request is refused for a time that doubles with each
+further crash in quarantine.  Any answer of an instance to it clears it, so that requests with equal
+paths, and runs that other crashes ended, are soon cleared.
 """
 
 import attrs
 
 from ibisrack.suspects.messages import CrashReport, RunCompleted
 
-CONVICTING_CRASHES = 3
-CONVICTING_REPEATED_CRASHES = 2  # If the request ran in quarantine at the last of them.
-# How long a request is refused after the second crash; each further one doubles the time.
+CONVICTING_CRASHES = 2  # If the request ran in quarantine at one of them.
+# How long a convicted request is refused; each further crash in quarantine doubles the time.
 FIRST_TERM_S = 30.0
 MAX_TERM_S = 3600.0
 SUSPECT_TTL_S = 600.0  # A suspect, or a request whose term is over, is forgotten after this time.
-COMPLETION_TTL_S = 5.0  # Longer than a report of a crash takes to reach all nodes.
+# A peer that was cut off reports crashes that answers followed, for as long as it has suspects.
+COMPLETION_TTL_S = SUSPECT_TTL_S
+COMPLETION_NEWS_S = 5.0  # Longer than the report of an answer takes to reach all nodes.
 # An instance that crashed counts as down for this time, unless it is listed with a new start.  Its
 # entry is removed or replaced within it.
 DOWN_S = 6.0
 
-MAX_CRASHES = 256
+MAX_CRASHES = 256  # Starts of instances of which crashes are remembered.
+MAX_CRASHES_PER_START = 16
 MAX_SUSPECTS = 4096
 MAX_COMPLETIONS = 1024
 MAX_SUSPECTS_PER_CRASH = 256
@@ -71,21 +74,20 @@
     Attributes:
       crashes: Number of these crashes.
       last_crash_at_s: Monotonic time of the last one.
-      is_repeated: Whether it ran in quarantine at any of them.
+      quarantined_crashes: Number of those at which it ran in quarantine.
     """
 
     crashes: int = 0
     last_crash_at_s: float = float("-inf")
-    is_repeated: bool = False
+    quarantined_crashes: int = 0
 
     @property
     def term_ends_at_s(self) -> float:
         """Monotonic time until which it is refused, before any time if it is not convicted."""
-        needed = CONVICTING_REPEATED_CRASHES if self.is_repeated else CONVICTING_CRASHES
-        if self.crashes < needed:
+        if not self.quarantined_crashes or self.crashes < CONVICTING_CRASHES:
             return float("-inf")
         # The exponent is limited because the term is, and a float has a largest value.
-        doublings = min(self.crashes - CONVICTING_REPEATED_CRASHES, 10)
+        doublings = min(self.quarantined_crashes - 1, 10)
         return self.last_crash_at_s + min(MAX_TERM_S, FIRST_TERM_S * 2**doublings)
 
     def verdict(self, now_s: float) -> Verdict:
@@ -118,7 +120,8 @@
 class SuspectTable:
     """Recent crashes, the requests that ran at them, and which of these were answered since."""
 
-    _crashes: dict[InstanceStart, RecordedCrash] = attrs.field(factory=dict)
+    # An instance may start again under its id while its old entry still stands.
+    _crashes: dict[InstanceStart, list[RecordedCrash]] = attrs.field(factory=dict)
     _suspects: dict[bytes, Suspect] = attrs.field(factory=dict)
     _completed_at_s: dict[bytes, float] = attrs.field(factory=dict)
 
@@ -143,18 +146,22 @@
 
     def is_down(self, start: InstanceStart, now_s: float) -> bool:
         """Returns whether a start of an instance has crashed so recently that it may be listed."""
-        crash = self._crashes.get(start)
-        return crash is not None and now_s < crash.at_s + DOWN_S
+        return any(now_s < crash.at_s + DOWN_S for crash in self._crashes.get(start, ()))
 
     def record_crash(self, report: CrashReport, now_s: float) -> bool:
-        """Records a crash; returns whether it was new."""
+        """Records a crash; returns whether it was new.
+
+        Reports of the same start within DOWN_S are of the same crash.
+        """
         start = (report.instance_id, report.started_at_ms)
-        if start in self._crashes:
-            return False
         at_s = now_s - report.age_ms / 1000
+        crashes = self._crashes.setdefault(start, [])
+        if any(abs(at_s - crash.at_s) <= DOWN_S for crash in crashes):
+            return False
         suspects = report.suspects[:MAX_SUSPECTS_PER_CRASH]
         repeated = tuple(f for f in suspects if f in report.repeated)
-        self._crashes[start] = RecordedCrash(at_s, suspects, repeated)
+        crashes.append(RecordedCrash(at_s, suspects, repeated))
+        del crashes[:-MAX_CRASHES_PER_START]
         if len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
         for fingerprint in dict.fromkeys(suspects):
@@ -171,7 +178,20 @@
         if len(self._completed_at_s) > MAX_COMPLETIONS:
             del self._completed_at_s[next(iter(self._completed_at_s))]
         was_suspect = self._suspects.pop(fingerprint, None) is not None
-        return was_suspect or now_s - last_at_s >= COMPLETION_TTL_S
+        return was_suspect or now_s - last_at_s >= COMPLETION_NEWS_S
+
+    def completions_after(self, report: CrashReport, now_s: float) -> tuple[RunCompleted, ...]:
+        """Returns the answers to its suspects since a crash, which its sender may not know.
+
+        A request that ran at a later crash is left out: the answer says nothing of that one.
+        """
+        at_s = now_s - report.age_ms / 1000
+        return tuple(
+            RunCompleted(fingerprint)
+            for fingerprint in dict.fromkeys(report.suspects[:MAX_SUSPECTS_PER_CRASH])
+            if fingerprint not in self._suspects
+            and self._completed_at_s.get(fingerprint, float("-inf")) >= at_s
+        )
 
     def reports(self, now_s: float) -> tuple[CrashReport, ...]:
         """Returns the crashes with the requests that are still suspects, for a new peer."""
@@ -183,7 +203,8 @@
                 tuple(f for f in crash.repeated if f in self._suspects),
                 round((now_s - crash.at_s) * 1000),
             )
-            for (instance_id, started_at_ms), crash in self._crashes.items()
+            for (instance_id, started_at_ms), crashes in self._crashes.items()
+            for crash in crashes
         )
 
     def expire(self, now_s: float) -> None:
@@ -194,12 +215,14 @@
             f for f, at_s in self._completed_at_s.items() if now_s - at_s >= COMPLETION_TTL_S
         ]:
             del self._completed_at_s[fingerprint]
-        for start in [
-            start
-            for start, crash in self._crashes.items()
-            if now_s >= crash.at_s + DOWN_S and not any(f in self._suspects for f in crash.suspects)
-        ]:
-            del self._crashes[start]
+        for start, crashes in tuple(self._crashes.items()):
+            crashes[:] = [crash for crash in crashes if self._matters(crash, now_s)]
+            if not crashes:
+                del self._crashes[start]
+
+    def _matters(self, crash: RecordedCrash, now_s: float) -> bool:
+        """Returns whether the instance may be down, or a request that it ran is a suspect."""
+        return now_s < crash.at_s + DOWN_S or any(f in self._suspects for f in crash.suspects)
 
     def _add_crash(self, fingerprint: bytes, at_s: float, is_repeated: bool) -> None:
         suspect = self._suspects.get(fingerprint)
@@ -208,7 +231,7 @@
                 self._forget_one()
             suspect = self._suspects[fingerprint] = Suspect()
         suspect.crashes += 1
-        suspect.is_repeated |= is_repeated
+        suspect.quarantined_crashes += is_repeated
         suspect.last_crash_at_s = max(suspect.last_crash_at_s, at_s)
 
     def _forget_one(self) -> None:
