Call a request that is refused for crashing instances blocked

Convicted, acquittal and term were figures of speech; blocked, lifted and the time of a block are the usual words.

--- a/ibisrack/dispatch/decisions_test.py
+++ b/ibisrack/dispatch/decisions_test.py
@@ -15,7 +15,7 @@
 from ibisrack.links.messages import Load
 from ibisrack.registry.messages import NO_REVISION
 from ibisrack.routing.model import Repeats
-from ibisrack.suspects.table import CLEAR, Convicted, Suspected
+from ibisrack.suspects.table import CLEAR, Blocked, Suspected
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import instance, route
 
@@ -266,8 +266,8 @@
     assert allows_attempt(Suspected(1), True)
     assert allows_attempt(Suspected(2), False)
     assert not allows_attempt(Suspected(2), True)
-    assert not allows_attempt(Convicted(2, 40.0), False)
-    assert reason_without_attempt(Convicted(2, 40.0)) == Reason.CRASHES_INSTANCES
+    assert not allows_attempt(Blocked(2, 40.0), False)
+    assert reason_without_attempt(Blocked(2, 40.0)) == Reason.CRASHES_INSTANCES
     assert reason_without_attempt(CLEAR) == Reason.NO_INSTANCE
 
 
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -29,7 +29,7 @@
 from ibisrack.routing.splits import Splitter
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.suspects.exchange import SuspectExchange
-from ibisrack.suspects.table import FIRST_TERM_S, Clear, Suspected, Verdict
+from ibisrack.suspects.table import FIRST_BLOCK_S, Clear, Suspected, Verdict
 
 MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
 MIN_RETRY_AFTER_S = 0.05
@@ -322,7 +322,7 @@
 @to_reply.register
 def _(result: NotRunError, dispatcher: Dispatcher, attempts: Attempts) -> Reply:
     if result.reason == Reason.CRASHES_INSTANCES:
-        return Refusal(str(result.reason), FIRST_TERM_S)
+        return Refusal(str(result.reason), FIRST_BLOCK_S)
     return Refusal(str(result.reason), dispatcher.retry_after_s(attempts))
 
 
--- a/ibisrack/dispatch/verdicts.py
+++ b/ibisrack/dispatch/verdicts.py
@@ -3,7 +3,7 @@
 from functools import singledispatch
 
 from ibisrack.calls.outcomes import Reason
-from ibisrack.suspects.table import Clear, Convicted, Suspected
+from ibisrack.suspects.table import Blocked, Clear, Suspected
 
 MAX_RETRIED_CRASHES = 1  # A request that ran at more crashes is not retried after another one.
 
@@ -30,7 +30,7 @@
 
 
 @allows_attempt.register
-def _(verdict: Convicted, may_have_run: bool) -> bool:
+def _(verdict: Blocked, may_have_run: bool) -> bool:
     return False
 
 
@@ -41,5 +41,5 @@
 
 
 @reason_without_attempt.register
-def _(verdict: Convicted) -> Reason:
+def _(verdict: Blocked) -> Reason:
     return Reason.CRASHES_INSTANCES
--- a/ibisrack/sidecar/deadly_requests_test.py
+++ b/ibisrack/sidecar/deadly_requests_test.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ibisrack.suspects.table import CONVICTING_CRASHES
+from ibisrack.suspects.table import BLOCKING_CRASHES
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import SidecarFleet, run_sidecars, wait_until
 
@@ -58,9 +58,9 @@
         """Sends the deadly request to a node; returns the status of the answer."""
         return (await self.fleet.send_request(number, DEADLY_PATH, request_id))[0].status
 
-    def convicting_nodes(self) -> int:
-        """Returns how many nodes have convicted a request."""
-        return sum(node.suspects.recorder.convictions > 0 for node in self.fleet.nodes)
+    def blocking_nodes(self) -> int:
+        """Returns how many nodes have blocked a request."""
+        return sum(node.suspects.recorder.blocks > 0 for node in self.fleet.nodes)
 
 
 @asynccontextmanager
@@ -84,7 +84,7 @@
         for n in range(20):
             statuses.append(await deadly.send_deadly(n % 5, f"q-{n}"))
             await deadly.restarted()
-        assert deadly.deadly_runs == CONVICTING_CRASHES
+        assert deadly.deadly_runs == BLOCKING_CRASHES
         assert set(statuses[1:]) == {503}
         answer, _ = await deadly.fleet.send_request(0, DEADLY_PATH, "last")
         assert float(answer.headers["Retry-After"]) > 10
@@ -113,24 +113,24 @@
             number, path = n % 5, f"{HARMLESS_PATH}-{n % 20}"
             answer, _ = await deadly.fleet.send_request(number, path, f"after-{n}")
             assert answer.status == 200, path
-        assert deadly.deadly_runs <= CONVICTING_CRASHES + 3
+        assert deadly.deadly_runs <= BLOCKING_CRASHES + 3
 
 
-async def test_a_process_that_starts_learns_of_convictions_from_its_peers():
+async def test_a_process_that_starts_learns_of_blocks_from_its_peers():
     """Guards against a restarted node that lets the deadly request in once more."""
     async with run_deadly_fleet(4) as deadly:
         for n in range(4):
             await deadly.send_deadly(n % 4, f"q-{n}")
             await deadly.restarted()
-        await wait_until(lambda: deadly.convicting_nodes() == 4)
+        await wait_until(lambda: deadly.blocking_nodes() == 4)
         runs = deadly.deadly_runs
         await deadly.fleet.restart_sidecar(0)
-        await wait_until(lambda: deadly.fleet.nodes[0].ready and deadly.convicting_nodes() == 4)
+        await wait_until(lambda: deadly.fleet.nodes[0].ready and deadly.blocking_nodes() == 4)
         assert await deadly.send_deadly(0, "after") == 503
         assert deadly.deadly_runs == runs
 
 
-async def test_crashes_of_another_cause_convict_no_request():
+async def test_crashes_of_another_cause_block_no_request():
     """Guards against refusing a request only because it often runs where instances crash."""
     async with run_deadly_fleet(4) as deadly:
         for instance in deadly.fleet.instances:
@@ -143,7 +143,7 @@
             await asyncio.sleep(0.02)
             await deadly.restart(n % 4)
             await asyncio.gather(*calls)
-        assert deadly.convicting_nodes() == 0
+        assert deadly.blocking_nodes() == 0
         answer, _ = await deadly.fleet.send_request(0, HARMLESS_PATH, "after")
         assert answer.status == 200
 
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -16,7 +16,7 @@
     unlabelled,
 )
 from ibisrack.sidecar.node import SidecarNode
-from ibisrack.suspects.table import Convicted
+from ibisrack.suspects.table import Blocked
 
 PATH = "/metrics"
 
@@ -50,20 +50,20 @@
 def _suspect_metrics(node: SidecarNode) -> Iterator[Metric]:
     recorder = node.suspects.recorder
     verdicts = node.suspects.table.verdicts(read_clocks().monotonic_s)
-    convicted = sum(isinstance(verdict, Convicted) for verdict in verdicts)
+    blocked = sum(isinstance(verdict, Blocked) for verdict in verdicts)
     suspects = (
-        ({"verdict": "suspected"}, len(verdicts) - convicted),
-        ({"verdict": "convicted"}, convicted),
+        ({"verdict": "suspected"}, len(verdicts) - blocked),
+        ({"verdict": "blocked"}, blocked),
     )
     yield Metric("ibis_suspects", "Requests that ran at crashes.", False, suspects)
     yield Metric(
-        "ibis_convictions_total", "Requests convicted.", True, unlabelled(recorder.convictions)
+        "ibis_request_blocks_total", "Requests blocked.", True, unlabelled(recorder.blocks)
     )
     yield Metric(
-        "ibis_convictions_lifted_total",
-        "Convicted requests that an instance answered.",
+        "ibis_request_blocks_lifted_total",
+        "Blocked requests that an instance answered.",
         True,
-        unlabelled(recorder.acquittals),
+        unlabelled(recorder.lifted_blocks),
     )
 
 
--- a/ibisrack/suspects/exchange_test.py
+++ b/ibisrack/suspects/exchange_test.py
@@ -17,7 +17,7 @@
     CLEAR,
     COMPLETION_NEWS_S,
     MAX_SUSPECTS_PER_CRASH,
-    Convicted,
+    Blocked,
     Suspected,
 )
 from ibisrack.testing.functions import function_tests
@@ -122,12 +122,12 @@
     )
 
 
-def test_a_peer_that_was_cut_off_brings_no_conviction_back():
+def test_a_peer_that_was_cut_off_brings_no_block_back():
     """Guards against refusing a request again that an instance has answered since its crashes."""
     nodes, _ = connect(4, ring(4))
     nodes[0].report_crash(instance("i-1"), (SUBMIT,), ())
     nodes[1].report_crash(instance("i-2"), (SUBMIT,), (SUBMIT,))
-    assert all(isinstance(node.verdict(SUBMIT), Convicted) for node in nodes)
+    assert all(isinstance(node.verdict(SUBMIT), Blocked) for node in nodes)
     linked = [node.links for node in nodes]
     nodes[0].links = lambda: ()
     for node in (nodes[1], nodes[3]):
@@ -137,7 +137,7 @@
     now_s = read_clocks().monotonic_s
     for node in nodes:
         node.table.expire(now_s + COMPLETION_NEWS_S)
-    assert isinstance(nodes[0].verdict(SUBMIT), Convicted)
+    assert isinstance(nodes[0].verdict(SUBMIT), Blocked)
     for node, links in zip(nodes, linked, strict=True):
         node.links = links
     for link in nodes[0].links():
--- a/ibisrack/suspects/quarantine.py
+++ b/ibisrack/suspects/quarantine.py
@@ -10,7 +10,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError
-from ibisrack.suspects.table import Clear, Convicted, Suspected, Verdict
+from ibisrack.suspects.table import Blocked, Clear, Suspected, Verdict
 
 # Suspects that wait for their turn on an instance.  Further ones would wait past their deadline.
 MAX_WAITING = 16
@@ -78,7 +78,7 @@
         pass
 
     @apply_verdict.register
-    def _(self, verdict: Convicted, fingerprint: bytes) -> None:
+    def _(self, verdict: Blocked, fingerprint: bytes) -> None:
         for waiter in self._waiting:
             if waiter.fingerprint == fingerprint:
                 waiter.refuse(Reason.CRASHES_INSTANCES)
@@ -149,5 +149,5 @@
 
 
 @needs_turn.register
-def _(verdict: Convicted) -> bool:
+def _(verdict: Blocked) -> bool:
     raise NotRunError(Reason.CRASHES_INSTANCES)
--- a/ibisrack/suspects/quarantine_test.py
+++ b/ibisrack/suspects/quarantine_test.py
@@ -6,7 +6,7 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError
 from ibisrack.suspects.quarantine import MAX_WAITING, Quarantine
-from ibisrack.suspects.table import CLEAR, Convicted, Suspected
+from ibisrack.suspects.table import CLEAR, Blocked, Suspected
 from ibisrack.testing.functions import function_tests
 
 
@@ -75,7 +75,7 @@
 
 async def test_a_verdict_ends_the_wait_of_the_requests_that_it_is_on():
     """Guards against requests that wait for a turn though they need none, or will get none."""
-    quarantine, cleared, convicted, other = Quarantine(), b"c" * 16, b"d" * 16, b"o" * 16
+    quarantine, cleared, blocked, other = Quarantine(), b"c" * 16, b"d" * 16, b"o" * 16
     far_s = read_clocks().monotonic_s + 5.0
     turns = {}
 
@@ -88,12 +88,12 @@
 
     async with quarantine.hold_turn("holder", cleared, far_s) as has_turn:
         assert has_turn
-        waits = (("0", cleared), ("1", convicted), ("2", other), ("3", cleared))
+        waits = (("0", cleared), ("1", blocked), ("2", other), ("3", cleared))
         tasks = [asyncio.create_task(wait(*each)) for each in waits]
         await asyncio.sleep(0)
         quarantine.apply_verdict(Suspected(1), other)
         quarantine.apply_verdict(CLEAR, cleared)
-        quarantine.apply_verdict(Convicted(2, far_s), convicted)
+        quarantine.apply_verdict(Blocked(2, far_s), blocked)
         await asyncio.wait(tasks, timeout=0.05)
         assert turns == {"0": False, "1": Reason.CRASHES_INSTANCES, "3": False}
     await asyncio.gather(*tasks)
--- a/ibisrack/suspects/recorder.py
+++ b/ibisrack/suspects/recorder.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ibisrack.suspects.table import Clear, Convicted, Suspected, Verdict
+from ibisrack.suspects.table import Blocked, Clear, Suspected, Verdict
 
 _LOGGER = logging.getLogger("ibisrack.suspects")
 
@@ -15,12 +15,12 @@
     """Counts and logs the verdicts on suspects.
 
     Attributes:
-      convictions: Requests that were convicted.
-      acquittals: Convicted requests that an instance answered all the same.
+      blocks: Requests that were blocked.
+      lifted_blocks: Blocked requests that an instance answered all the same.
     """
 
-    convictions: int = 0
-    acquittals: int = 0
+    blocks: int = 0
+    lifted_blocks: int = 0
 
     def record_verdict(self, fingerprint: bytes, verdict: Verdict, instance_id: str) -> None:
         """Records the verdict after a crash.
@@ -46,9 +46,9 @@
         _LOGGER.info("request suspected", extra=extra | {"crashes": verdict.crashes})
 
     @_record.register
-    def _(self, verdict: Convicted, extra: dict) -> None:
-        self.convictions += 1
-        _LOGGER.warning("request convicted", extra=extra | {"crashes": verdict.crashes})
+    def _(self, verdict: Blocked, extra: dict) -> None:
+        self.blocks += 1
+        _LOGGER.warning("request blocked", extra=extra | {"crashes": verdict.crashes})
 
     def record_cleared(self, fingerprint: bytes, before: Verdict) -> None:
         """Records that an instance answered a request on which there was a verdict."""
@@ -67,6 +67,6 @@
         _LOGGER.info("suspect cleared", extra=extra)
 
     @_record_cleared.register
-    def _(self, before: Convicted, extra: dict) -> None:
-        self.acquittals += 1
-        _LOGGER.warning("conviction lifted", extra=extra)
+    def _(self, before: Blocked, extra: dict) -> None:
+        self.lifted_blocks += 1
+        _LOGGER.warning("block lifted", extra=extra)
--- a/ibisrack/suspects/table.py
+++ b/ibisrack/suspects/table.py
@@ -1,10 +1,10 @@
 """Suspects and the crashes at which they ran.
 
 A crash ends all runs of an instance, of which at most one is to blame.  A request that no instance
-has answered since a crash is convicted when an instance crashes under it again that ran it in
-quarantine, as the only suspect there.  Runs that were open on several instances already convict
-nobody, however many crashed: these may have had one cause, and a convicted request runs nowhere, so
-that no answer could clear it.  A convicted request is refused for a time that doubles with each
+has answered since a crash is blocked when an instance crashes under it again that ran it in
+quarantine, as the only suspect there.  Runs that were open on several instances already block
+nobody, however many crashed: these may have had one cause, and a blocked request runs nowhere, so
+that no answer could clear it.  A blocked request is refused for a time that doubles with each
 further crash in quarantine.  Any answer of an instance to it clears it, so that requests with equal
 paths, and runs that other crashes ended, are soon cleared.
 """
@@ -13,11 +13,11 @@
 
 from ibisrack.suspects.messages import CrashReport, RunCompleted
 
-CONVICTING_CRASHES = 2  # If the request ran in quarantine at one of them.
-# How long a convicted request is refused; each further crash in quarantine doubles the time.
-FIRST_TERM_S = 30.0
-MAX_TERM_S = 3600.0
-SUSPECT_TTL_S = 600.0  # A suspect, or a request whose term is over, is forgotten after this time.
+BLOCKING_CRASHES = 2  # If the request ran in quarantine at one of them.
+# How long a blocked request is refused; each further crash in quarantine doubles the time.
+FIRST_BLOCK_S = 30.0
+MAX_BLOCK_S = 3600.0
+SUSPECT_TTL_S = 600.0  # A suspect, or a request whose block is over, is forgotten after this time.
 # A peer that was cut off reports crashes that answers followed, for as long as it has suspects.
 COMPLETION_TTL_S = SUSPECT_TTL_S
 COMPLETION_NEWS_S = 5.0  # Longer than the report of an answer takes to reach all nodes.
@@ -41,7 +41,7 @@
 
 @attrs.frozen
 class Suspected:
-    """The request ran at crashes, or has served its term.
+    """The request ran at crashes, or its block is over.
 
     Attributes:
       crashes: Number of crashes at which it ran.
@@ -51,7 +51,7 @@
 
 
 @attrs.frozen
-class Convicted:
+class Blocked:
     """The request crashes the instances that run it.
 
     Attributes:
@@ -63,7 +63,7 @@
     until_s: float
 
 
-Verdict = Clear | Suspected | Convicted
+Verdict = Clear | Suspected | Blocked
 CLEAR = Clear()
 
 
@@ -82,23 +82,23 @@
     quarantined_crashes: int = 0
 
     @property
-    def term_ends_at_s(self) -> float:
-        """Monotonic time until which it is refused, before any time if it is not convicted."""
-        if not self.quarantined_crashes or self.crashes < CONVICTING_CRASHES:
+    def block_ends_at_s(self) -> float:
+        """Monotonic time until which it is refused, before any time if it is not blocked."""
+        if not self.quarantined_crashes or self.crashes < BLOCKING_CRASHES:
             return float("-inf")
-        # The exponent is limited because the term is, and a float has a largest value.
+        # The exponent is limited because the time is, and a float has a largest value.
         doublings = min(self.quarantined_crashes - 1, 10)
-        return self.last_crash_at_s + min(MAX_TERM_S, FIRST_TERM_S * 2**doublings)
+        return self.last_crash_at_s + min(MAX_BLOCK_S, FIRST_BLOCK_S * 2**doublings)
 
     def verdict(self, now_s: float) -> Verdict:
         """Returns the verdict at a time."""
-        if now_s < self.term_ends_at_s:
-            return Convicted(self.crashes, self.term_ends_at_s)
+        if now_s < self.block_ends_at_s:
+            return Blocked(self.crashes, self.block_ends_at_s)
         return Suspected(self.crashes)
 
     def is_expired(self, now_s: float) -> bool:
         """Returns whether it is to be forgotten."""
-        return now_s >= max(self.last_crash_at_s, self.term_ends_at_s) + SUSPECT_TTL_S
+        return now_s >= max(self.last_crash_at_s, self.block_ends_at_s) + SUSPECT_TTL_S
 
 
 @attrs.frozen
@@ -132,7 +132,7 @@
 
     @property
     def has_suspects(self) -> bool:
-        """Whether any request is suspected or convicted."""
+        """Whether any request is suspected or blocked."""
         return bool(self._suspects)
 
     def verdict(self, fingerprint: bytes, now_s: float) -> Verdict:
