Send requests to a bounded subset of a service's instances

Cause: each node sent to every instance, so that each kept a link with each other one and heard its load each second; at 195 machines that is 195 x 194 reports a second, and each load was known only as of the last report.

A link that neither a subset nor the registry needs is closed after 10 s without requests. The hosts of a zone and the candidates of its readers are computed after changes only.

--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -19,11 +19,12 @@
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
 from ibisrack.dispatch.service_times import LongestServiceTimes
+from ibisrack.dispatch.subset import InstanceSubsets
 from ibisrack.dispatch.verdicts import allows_attempt, reason_without_attempt
 from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
-from ibisrack.links.messages import Submit
+from ibisrack.links.messages import Load, Submit
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.model import Route
 from ibisrack.routing.splits import Splitter
@@ -32,6 +33,8 @@
 from ibisrack.suspects.table import FIRST_BLOCK_S, Clear, Suspected, Verdict
 
 MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
+# Instances of the subset that are tried first.  If all of them refuse, others may still be free.
+MAX_TRIED_IN_SUBSET = 3
 MIN_RETRY_AFTER_S = 0.05
 # Time for a node to obtain its first configuration, or a later one that its peers have.
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3
@@ -48,6 +51,7 @@
       configurations: Holder of the configuration in force.
       directory: Known instances.
       destination_of: Returns the node beside an instance.
+      load_of: Returns the last reported load of an instance, None without a link to its node.
       budget: Retry budgets of the services.
       retry_share: Returns the share of retries among the requests running on the local instance.
       rng: Source of jitter.
@@ -61,12 +65,14 @@
       open_attempts: Attempts of the requests being served.
       stop: Planned stop of this process, None while there is none.
       suspects: Requests that are suspected of crashing instances.
+      subsets: The instances that requests are usually sent to.
     """
 
     zone: str
     configurations: ConfigurationHolder
     directory: InstanceDirectory
     destination_of: Callable[[Instance], Destination]
+    load_of: Callable[[Instance], Load | None]
     budget: ServiceRetryBudgets
     retry_share: Callable[[], float]
     rng: Random
@@ -80,6 +86,9 @@
     open_attempts: set[OpenAttempt] = attrs.field(factory=set)
     stop: PlannedStop | None = None
     suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
+    subsets: InstanceSubsets = attrs.field(
+        default=attrs.Factory(lambda self: InstanceSubsets(self.views.own_host), takes_self=True)
+    )
 
     async def serve(self, request: Request) -> Reply:
         """Serves a request and returns the reply for its caller."""
@@ -203,22 +212,36 @@
         self, request: Request, verdict: Verdict, attempts: Attempts, tried: set[str]
     ) -> Instance | None:
         route, now_s = attempts.route, read_clocks().monotonic_s
-        candidates = []
-        for instance in self.directory.of_service(attempts.service):
+        listed = self.directory.of_service(attempts.service)
+        if isinstance(verdict, Suspected):
+            candidates = self._available(listed, tried, now_s)
+            return choose_home(candidates, self.views, request.fingerprint, now_s)
+        candidates: list[Instance] = []
+        if len(tried) < MAX_TRIED_IN_SUBSET:
+            subset = self.subsets.of(attempts.service, listed, self.zone)
+            candidates = self._available(subset, tried, now_s)
+        if not candidates:
+            candidates = self._available(listed, tried, now_s)
+        cost_s = self.views.zone_cost_ratio(route.name) * route.target_s
+        return choose_instance(candidates, self.views, self.zone, cost_s, self.rng, now_s)
+
+    def _available(
+        self, instances: tuple[Instance, ...], tried: set[str], now_s: float
+    ) -> list[Instance]:
+        """Returns the instances that may take a request, and updates their loads."""
+        available = []
+        for instance in instances:
             if not instance.ready or instance.instance_id in tried:
                 continue
             if self.suspects.is_down(instance):
                 continue
-            load = self.destination_of(instance).load
+            load = self.load_of(instance)
             if load is not None:
                 self.views.of(instance.instance_id).update_load(load, now_s)
                 if not load.accepts_requests:
                     continue
-            candidates.append(instance)
-        if isinstance(verdict, Suspected):
-            return choose_home(candidates, self.views, request.fingerprint, now_s)
-        cost_s = self.views.zone_cost_ratio(route.name) * route.target_s
-        return choose_instance(candidates, self.views, self.zone, cost_s, self.rng, now_s)
+            available.append(instance)
+        return available
 
     async def _attempt(
         self,
--- a/ibisrack/instances/directory.py
+++ b/ibisrack/instances/directory.py
@@ -34,7 +34,9 @@
     _drained_starts_ms: dict[str, int] = attrs.field(factory=dict)
     # Start and sequence of the last report of each removed instance, by its id.
     _removed: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    # Computed on demand after each change.
     _by_service: dict[str, tuple[Instance, ...]] | None = None
+    _hosts_by_zone: dict[str, frozenset[str]] | None = None
     _by_address: dict[tuple[str, int], Instance] | None = None
 
     def put(self, instance: Instance) -> bool:
@@ -50,7 +52,7 @@
             instance = attrs.evolve(instance, state=InstanceState.DRAINING)
         self._lapsed.pop(instance.instance_id, None)
         self._instances[instance.instance_id] = instance
-        self._by_service = self._by_address = None
+        self._discard_groups()
         return known != instance
 
     def mark_draining(self, instance_id: str, started_at_ms: int) -> bool:
@@ -70,7 +72,7 @@
         if known is None or known.started_at_ms != started_at_ms or not known.ready:
             return False
         self._instances[instance_id] = attrs.evolve(known, state=InstanceState.DRAINING)
-        self._by_service = self._by_address = None
+        self._discard_groups()
         return True
 
     def remove(self, instance_id: str, now_s: float) -> bool:
@@ -130,6 +132,15 @@
             self._by_service = {name: tuple(group) for name, group in grouped.items()}
         return self._by_service.get(service, ())
 
+    def hosts_in_zone(self, zone: str) -> frozenset[str]:
+        """Returns the hosts of a zone; the same object as long as no instance changes."""
+        if self._hosts_by_zone is None:
+            grouped: dict[str, set[str]] = {}
+            for instance in self._instances.values():
+                grouped.setdefault(instance.zone, set()).add(instance.host)
+            self._hosts_by_zone = {name: frozenset(hosts) for name, hosts in grouped.items()}
+        return self._hosts_by_zone.get(zone, frozenset())
+
     def at_address(self, host: str, port: int) -> Instance | None:
         """Returns the instance at an address, None if there is none.
 
@@ -142,6 +153,10 @@
             self._by_address = {(i.host, i.port): i for i in by_precedence}
         return self._by_address.get((host, port))
 
+    def _discard_groups(self) -> None:
+        """Discards what was computed from the instances, after a change of one."""
+        self._by_service = self._by_address = self._hosts_by_zone = None
+
     def _remember_drained(self, instance_id: str, started_at_ms: int) -> None:
         self._drained_starts_ms[instance_id] = started_at_ms
         if len(self._drained_starts_ms) > MAX_REMEMBERED:
@@ -156,7 +171,7 @@
             if len(self._removed) > MAX_REMEMBERED:
                 del self._removed[next(iter(self._removed))]
         self._lapsed.pop(instance_id, None)
-        self._by_service = self._by_address = None
+        self._discard_groups()
 
 
 def _is_older(offered: Instance, known: Instance) -> bool:
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -54,6 +54,7 @@
 PING_AFTER_SILENCE_S = 0.25
 PING_TIMEOUT_S = 0.55  # Time without any answer to a ping until the link is opened again.
 ABORT_AFTER_SILENCE_S = PING_AFTER_SILENCE_S + PING_TIMEOUT_S
+IDLE_TIME_S = 10.0  # Time without a request after which a link is idle.
 # A peer that has not answered a ping for this long is not relied on for changes of the registry.
 MAX_DELIVERY_SILENCE_S = 0.9
 
@@ -79,6 +80,7 @@
       peer_epoch: Epoch of the peer's process, empty while the link is not open.
       peer_link_mbps: Bandwidth of the peer's host in Mbit/s, 0 before its first Hello.
       following: Whether the peer was asked for the changes of the registry on this connection.
+      used_at_s: Monotonic time of the last request.
       pending: Unanswered requests by their number.
     """
 
@@ -96,6 +98,7 @@
     peer_epoch: str = ""
     peer_link_mbps: float = 0.0
     following: bool = False
+    used_at_s: float = 0.0
     pending: dict[int, PendingRequest] = attrs.field(factory=dict)
     _writer: asyncio.StreamWriter | None = None
     _numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
@@ -104,6 +107,7 @@
     _pinged_at_s: float = 0.0
     _abandoned: AbandonedRequests = attrs.field(factory=AbandonedRequests)
     _unusable_messages: int = 0  # Consecutive connections that ended with one.
+    _closed_as_idle: bool = False
 
     @property
     def is_open(self) -> bool:
@@ -126,6 +130,7 @@
           PeerLostError: The peer can't be reached and another instance is to be tried.
           UnknownOutcomeError: The request may have run, and its result can't arrive any more.
         """
+        self.used_at_s = read_clocks().monotonic_s
         if not self.is_open:
             await self._wait_until_open(submit.remaining_ms / 1000)
         pending = PendingRequest(
@@ -227,6 +232,19 @@
         """Signals the task of this link to connect."""
         self._open_requested.set()
 
+    def is_idle(self, now_s: float) -> bool:
+        """Returns whether the link is open and was not used lately."""
+        is_used = self.pending or self._abandoned or self.following
+        return self.is_open and not is_used and now_s - self.used_at_s >= IDLE_TIME_S
+
+    def close_idle(self) -> None:
+        """Closes an idle link; the next request opens it again."""
+        self._closed_as_idle = True
+        self._writer.transport.abort()
+        # A request that comes before the task of the link sees the end waits for a new connection.
+        self._writer, self.peer_epoch = None, ""
+        self._open_requested.clear()
+
     def check_silence(self, now_s: float) -> None:
         """Pings a silent peer that is followed or has unanswered requests.
 
@@ -252,6 +270,8 @@
                 self._record_failure(error)
                 self._fail_pending(Reason.PEER_STOPPED)
             except LINK_ERRORS as error:
+                if self._closed_as_idle:
+                    continue
                 is_unusable = isinstance(error, MessageError)
                 self._unusable_messages = self._unusable_messages + 1 if is_unusable else 0
                 pause_s = reconnect_pause_s(self.is_open, self._unusable_messages)
@@ -355,6 +375,9 @@
         self.following = False
         if writer is not None:
             writer.transport.abort()
+        if self._closed_as_idle:  # Requests that came since wait for the next connection.
+            self._closed_as_idle = False
+            return
         async with self._state_changed:
             self._state_changed.notify_all()
 
--- a/ibisrack/links/outgoing_test.py
+++ b/ibisrack/links/outgoing_test.py
@@ -11,11 +11,12 @@
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.links.codec import encode
 from ibisrack.links.codec_test import SUBMIT
-from ibisrack.links.frames import write_message
+from ibisrack.links.frames import LINK_ERRORS, read_message, write_message
 from ibisrack.links.messages import Answered, Hello, Load
 from ibisrack.links.outgoing import (
     ABORT_AFTER_SILENCE_S,
     CONNECT_TIMEOUT_S,
+    IDLE_TIME_S,
     OutgoingLink,
 )
 from ibisrack.links.reconnection import CONNECT_RETRY_PAUSE_S
@@ -199,4 +200,52 @@
         assert not link.losses
 
 
+@asynccontextmanager
+async def open_link_to_answering_peer():
+    """Yields an open link to a peer that answers each request, and the list of its Hellos."""
+    hellos = []
+
+    async def answer(reader, writer):
+        write_message(writer, Hello(HOST, "a", 1000.0), LOAD)
+        with suppress(*LINK_ERRORS):
+            hellos.append(await read_message(reader))
+            while True:
+                submit = await read_message(reader)
+                write_message(writer, Answered(submit.number, 200, (), b"", 1, False))
+        writer.close()
+
+    async with link_to(answer) as link:
+        link.request_open()
+        while link.load is None:
+            await asyncio.sleep(0.01)
+        yield link, hellos
+
+
+async def test_only_an_unused_link_is_idle():
+    """Guards against links that are closed while they carry requests or registry changes."""
+    async with open_link_to_answering_peer() as (link, _):
+        now_s = read_clocks().monotonic_s
+        await link.run(SUBMIT, lambda: False)
+        assert not link.is_idle(now_s)
+        assert link.is_idle(now_s + 2 * IDLE_TIME_S)
+        link.follow(Revision(1, 1))
+        assert not link.is_idle(now_s + 2 * IDLE_TIME_S)
+        link.unfollow()
+        link.pending[9] = None
+        assert not link.is_idle(now_s + 2 * IDLE_TIME_S)
+        del link.pending[9]
+
+
+async def test_a_request_opens_a_link_that_was_closed_as_idle():
+    """Guards against a request that is lost or refused because its link was just closed."""
+    async with open_link_to_answering_peer() as (link, hellos):
+        link.close_idle()
+        assert not link.is_open
+        answer = await link.run(SUBMIT, lambda: False)
+        assert (answer.status, len(hellos)) == (200, 2)
+        link.close_idle()
+        await asyncio.sleep(3 * CONNECT_RETRY_PAUSE_S)
+        assert (len(hellos), link.losses, link.failing) == (2, 0, False)
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -206,6 +206,13 @@
             return LocalDestination(self.instance_runner, self.load)
         return self._link_to(instance.host)
 
+    def load_of(self, instance: Instance) -> Load | None:
+        """Returns the last reported load of an instance, None without a link to its node."""
+        if instance.host == self.settings.instance.host:
+            return self.load()
+        link = self.outgoing_links.get(instance.host)
+        return None if link is None else link.load
+
     def _create_registry_peers(self) -> RegistryPeers:
         return RegistryPeers(
             self.settings,
@@ -283,7 +290,8 @@
                 self._load_reported_at_s = now_s
                 self.report_load()
                 self.suspects.table.expire(now_s)
-            self._record_reported_versions()
+                self._record_reported_versions()
+                self._close_idle_links(now_s)
             self.registry_peers.choose_sources(self.follower, now_s)
             self.registry_peers.request_missing_entries(now_s)
             for link in self.incoming_links:
@@ -291,6 +299,13 @@
             due_at_s = read_clocks().monotonic_s + TICK_INTERVAL_S
             await asyncio.sleep(TICK_INTERVAL_S)
 
+    def _close_idle_links(self, now_s: float) -> None:
+        """Closes the links that were opened for requests which the subsets could not take."""
+        kept = self.dispatcher.subsets.hosts() | set(self.registry_peers.candidates)
+        for host, link in self.outgoing_links.items():
+            if host not in kept and link.is_idle(now_s):
+                link.close_idle()
+
     def _update_own_instance(self) -> None:
         """Applies the listed state of the instance beside this node and the routes that use it."""
         instance = self.instance_runner.instance
--- a/ibisrack/sidecar/registry_peers.py
+++ b/ibisrack/sidecar/registry_peers.py
@@ -49,6 +49,7 @@
       tally: Counts for metrics.
       sources: Where this node gets the registry's changes from.
       deltas: Peers that are not relied on for the registry's changes.
+      candidates: Hosts of the other peers of the zone among which its readers are.
     """
 
     settings: SidecarSettings
@@ -61,6 +62,8 @@
     tally: Tally
     sources: Sources = Sources(reads=True)
     deltas: PeerDeltas = attrs.field(factory=PeerDeltas)
+    candidates: tuple[str, ...] = ()
+    _zone_hosts: frozenset[str] | None = None
     _behind_since_s: float | None = None
     _entries_requested_at_s: float = 0.0
     _candidates_opened_at_s: float = 0.0
@@ -112,9 +115,17 @@
             return attrs.evolve(candidate, delivering=False)
         return candidate
 
+    def _update_candidates(self) -> None:
+        """Chooses the candidates anew if the hosts of the zone have changed."""
+        hosts = self.directory.hosts_in_zone(self.settings.zone)
+        if hosts is self._zone_hosts:
+            return
+        own_host, self._zone_hosts = self.settings.instance.host, hosts
+        self.candidates = tuple(host for host in candidate_hosts(hosts) if host != own_host)
+
     def choose_sources(self, follower: RegistryFollower, now_s: float) -> None:
         """Chooses whether to read the registry, and the peers that deliver its changes."""
-        hosts = (i.host for i in self.directory.all() if i.zone == self.settings.zone)
+        self._update_candidates()
         own = Candidate(
             self.settings.instance.host,
             self.settings.link_mbps,
@@ -123,7 +134,7 @@
         )
         for host in self.deltas.refuse_unfit(self.view.revision, now_s):
             self._record_refused_delta(host, self.view.revision, "the whole content did not fit")
-        links = [self.link_to(host) for host in candidate_hosts(hosts) if host != own.host]
+        links = [self.link_to(host) for host in self.candidates]
         if now_s - self._candidates_opened_at_s >= CANDIDATE_OPEN_INTERVAL_S:
             self._candidates_opened_at_s = now_s
             for link in links:
@@ -171,4 +182,4 @@
             self.rng.choice(local or ahead).request_entries(self.view.revision)
 
     def _is_in_own_zone(self, host: str) -> bool:
-        return any(i.host == host and i.zone == self.settings.zone for i in self.directory.all())
+        return host in self.directory.hosts_in_zone(self.settings.zone)
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -94,6 +94,7 @@
         configurations,
         directory,
         node.destination_of,
+        node.load_of,
         budget,
         instance_runner.retry_share,
         rng,
