--- a/ibisrack/bin/loop.py
+++ b/ibisrack/bin/loop.py
@@ -13,10 +13,6 @@
 
 from uvloop import new_event_loop  # noqa: E402
 
-# A full collection visits every timeline entry and delays calls by about 10 ms.  Objects that live
-# for one call are freed by reference counting, so collections can be rare.
-_GC_THRESHOLDS = (50_000, 20, 50)
-
 
 def run_on_uvloop(main: Coroutine) -> None:
     """Runs a coroutine until it returns.
@@ -25,6 +21,5 @@
     """
     gc.collect()
     gc.freeze()
-    gc.set_threshold(*_GC_THRESHOLDS)
     with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(main)
--- a/ibisrack/calls/gate.py
+++ b/ibisrack/calls/gate.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from functools import singledispatch
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -15,7 +16,9 @@
 from ibisrack.calls.ranks import Ticket
 from ibisrack.clocks import read_clocks
 from ibisrack.errors import NotRunError
-from ibisrack.rules.ruleset import Service
+
+if TYPE_CHECKING:  # A sidecar has no rules file and does not load their grammar.
+    from ibisrack.rules.ruleset import Service
 
 
 @attrs.define
@@ -36,7 +39,7 @@
         scheduler = self.scheduler
         return LoadReport(scheduler.busy, scheduler.queued, scheduler.usable_slots)
 
-    def configure(self, service: Service) -> None:
+    def configure(self, service: "Service") -> None:
         """Applies the slots and ranks of a configuration version."""
         now_s = read_clocks().monotonic_s
         self.apply(self.scheduler.configure(service.rule.slots, service.ranks, now_s))
--- a/ibisrack/calls/messages.py
+++ b/ibisrack/calls/messages.py
@@ -1,12 +1,15 @@
 """Calls, answers and load reports, as passed between the parts of a node."""
 
 from collections.abc import AsyncIterator, Mapping
+from typing import TYPE_CHECKING
 
 import attrs
 
 from ibisrack.calls.outcomes import Outcome
 from ibisrack.decimals import parse_decimal
-from ibisrack.rules.model import RouteRule
+
+if TYPE_CHECKING:  # A sidecar has no rules file.
+    from ibisrack.rules.model import RouteRule
 
 MAX_LOAD_COUNT = 999_999
 
@@ -35,7 +38,7 @@
     path: str
     headers: Mapping[str, str]
     body: bytes
-    route: RouteRule
+    route: "RouteRule"
     revision: int
     deadline_at_s: float
     depth: int = 0
--- a/ibisrack/metrics/tally.py
+++ b/ibisrack/metrics/tally.py
@@ -5,12 +5,9 @@
 """
 
 from bisect import bisect_left
-from functools import singledispatchmethod
 
 import attrs
 
-from ibisrack.timeline.events import CallFinished, Event
-
 INGRESS = "ingress"  # Role of the node that received the call from the caller.
 OWNER = "owner"  # Role of the node beside the upstream.
 # Upper bounds of the histogram buckets.
@@ -55,16 +52,10 @@
     platform_failures: int = 0
     refused_deltas: int = 0
 
-    @singledispatchmethod
-    def count(self, event: Event) -> None:
-        """Counts an event."""
-        kind = type(event).__name__
+    def count_event(self, kind: str) -> None:
+        """Counts an event other than a finished call."""
         self.events[kind] = self.events.get(kind, 0) + 1
 
-    @count.register
-    def _(self, event: CallFinished) -> None:
-        self.count_call(event.role, event.service, event.rank, event.outcome, event.duration_ms)
-
     def count_call(
         self, role: str, service: str, rank: str, outcome: str, duration_ms: float
     ) -> None:
--- a/ibisrack/node/observe.py
+++ b/ibisrack/node/observe.py
@@ -18,12 +18,12 @@
       counters: Counts of the calls of the last minute, for screens.
       now_s: Monotonic time.
     """
-    tally.count(event)
+    tally.count_event(type(event).__name__)
 
 
 @observe.register
 def _(event: CallFinished, tally: Tally, counters: CallCounters, now_s: float) -> None:
-    tally.count(event)
+    tally.count_call(event.role, event.service, event.rank, event.outcome, event.duration_ms)
     # A forwarded call also finishes at its owner; demand is counted only at the ingress.
     if event.role == "ingress" and event.service:
         outcome = Outcome(event.outcome)
--- a/ibisrack/platform/decoding_test.py
+++ b/ibisrack/platform/decoding_test.py
@@ -1,10 +1,13 @@
 """Tests of decoding the platform's entries, durations and settings file."""
 
 import json
+import re
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
 
+import yaml
+
 from ibisrack.errors import MessageError, SettingsError
 from ibisrack.links.codec import MAX_FRAME_BYTES
 from ibisrack.platform.durations import parse_duration_s
@@ -48,6 +51,22 @@
         return load_platform_settings(str(path))
 
 
+def test_settings_may_be_json():
+    """Guards against a template that gives other settings than the platform's own file."""
+    as_yaml = load(SETTINGS)
+    as_json = load(json.dumps(yaml.safe_load(SETTINGS)))
+    assert as_json == as_yaml
+
+
+def test_template_of_the_settings_gives_what_the_file_of_the_platform_does():
+    """Guards against a setting that is lost because the template does not name it."""
+    tables = yaml.safe_load(SETTINGS)
+    fields = {name: value for table in tables.values() for name, value in table.items()}
+    template = (Path("deploy") / "settings.json.tmpl").read_text()
+    filled = re.sub(r"{{(\w+)\|json}}", lambda m: json.dumps(fields.get(m[1])), template)
+    assert load(filled) == load(SETTINGS)
+
+
 def test_only_changed_resources_of_a_configuration_are_decoded():
     """Guards against versions in quick succession that keep a node from serving requests."""
     unchanged = [route_resource(prefix=f"/unchanged-{n}/") for n in range(100)]
--- a/ibisrack/platform/settings_file.py
+++ b/ibisrack/platform/settings_file.py
@@ -1,9 +1,12 @@
-"""Reads the platform's settings file and converts it to SidecarSettings."""
+"""Reads the platform's settings file and converts it to SidecarSettings.
+
+The file is YAML, or JSON if deploy/system.toml names a template for it.
+"""
 
 from pathlib import Path
 from typing import Any
 
-import yaml
+import msgspec
 
 from ibisrack.decimals import parse_decimal
 from ibisrack.errors import Fault, SettingsError
@@ -29,7 +32,7 @@
       SettingsError: The file can't be read or is invalid; the error lists all faults.
     """
     try:
-        data = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
+        data = _decode(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError((Fault(path, 0, error.strerror or str(error)),)) from error
     except Exception as error:  # Such as a ValueError for a date, or deep nesting.
@@ -68,6 +71,17 @@
     return settings
 
 
+def _decode(text: str) -> Any:
+    """Decodes JSON or YAML; raises whatever the YAML parser does."""
+    try:
+        return msgspec.json.decode(text)
+    except Exception:  # Some YAML begins like JSON, and deep nesting is no DecodeError.
+        # Imported only here: it takes a process longer than all other work on its settings.
+        import yaml
+
+        return yaml.safe_load(text)
+
+
 class _SettingsReader:
     """Reads values by dotted path and collects faults."""
 
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -3,7 +3,6 @@
 import time
 from collections.abc import Iterator
 
-from aiohttp import web
 from aioprometheus import Registry, render
 
 from ibisrack.clocks import read_clocks
@@ -18,8 +17,6 @@
 from ibisrack.sidecar.node import SidecarNode
 from ibisrack.suspects.table import Blocked
 
-PATH = "/metrics"
-
 
 def all_metrics(node: SidecarNode) -> Iterator[Metric]:
     """Returns all metrics except the histogram."""
@@ -121,15 +118,6 @@
     return to_registry(all_metrics(node), node.tally.durations)
 
 
-class MetricsServer(web.Server):
-    """HTTP server that answers scrapes of the metrics."""
-
-    def __init__(self, node: SidecarNode) -> None:
-        super().__init__(self._handle, access_log=None)
-        self._node = node
-
-    async def _handle(self, message: web.BaseRequest) -> web.Response:
-        if message.path != PATH:
-            return web.Response(status=404)
-        content, headers = render(collect(self._node), message.headers.getall("Accept", []))
-        return web.Response(body=content, headers=headers)
+def render_metrics(node: SidecarNode, accept: list[str]) -> tuple[bytes, dict[str, str]]:
+    """Returns the metrics in the format that a scrape accepts, and the headers of its answer."""
+    return render(collect(node), accept)
--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -19,7 +19,8 @@
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.metrics.tally import INGRESS
 from ibisrack.platform.headers import NOT_EXECUTED
-from ibisrack.sidecar.metrics import PATH, all_metrics
+from ibisrack.sidecar.metrics import all_metrics
+from ibisrack.sidecar.metrics_server import PATH
 from ibisrack.sidecar.stopping import StopSignals, drain, record_repeated_stop
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.testing.functions import function_tests
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -36,7 +36,7 @@
 from ibisrack.routing.model import Limits
 from ibisrack.settings.sidecar import Address, SidecarSettings
 from ibisrack.sidecar.content import RegistryContent
-from ibisrack.sidecar.metrics import MetricsServer
+from ibisrack.sidecar.metrics_server import MetricsServer
 from ibisrack.sidecar.node import SidecarNode
 from ibisrack.sidecar.stopping import (
     SHUTDOWN_TIMEOUT_S,
