Let one host of a zone read the registry instead of two

Change: READERS is one; the next host in order reads as soon as the link with the reader is lost or silent.

--- a/ibisrack/registry/sources.py
+++ b/ibisrack/registry/sources.py
@@ -11,7 +11,10 @@
 
 import attrs
 
-FOLLOWED_PEERS = 2  # Two, so that the loss of one does not interrupt the delivery.
+# Hosts of a zone that read.  Calls to the registry are billed, and the host that is next in order
+# begins as soon as the link with the reader is lost or silent.
+READERS = 1
+FOLLOWED_PEERS = 2  # While readers change, several deliver; the first of them to do so counts.
 # Time in which the next candidates begin to read after the readers of a zone are lost.
 TAKEOVER_S = 1.0
 # Hosts of a zone among which the readers are; bounds the links that a node opens to find them.
@@ -77,7 +80,7 @@
     peers = sorted(peers, key=attrgetter("rank"))
     delivering = tuple(peer.host for peer in peers if peer.delivering)[:FOLLOWED_PEERS]
     ahead = sum(peer.available and peer.rank < own.rank for peer in peers)
-    if ahead < FOLLOWED_PEERS or undelivered_s >= TAKEOVER_S:
+    if ahead < READERS or undelivered_s >= TAKEOVER_S:
         return Sources(True, () if own.available else delivering)
     return Sources(False, delivering)
 
