--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -41,6 +41,7 @@
 from ibisrack.links.outgoing_messages import handle
 from ibisrack.links.pending import AbandonedRequests, PendingRequest, set_result
 from ibisrack.links.reconnection import CONNECT_RETRY_PAUSE_S, reconnect_pause_s
+from ibisrack.links.silence import PeerSilence, SilenceAction
 from ibisrack.registry.messages import Revision
 from ibisrack.registry.sources import Candidate
 from ibisrack.suspects.exchange import SuspectExchange
@@ -50,13 +51,7 @@
 # Maximum time that a request waits for a peer whose last connection failed.  A peer that is back
 # accepts at once; if it is still unreachable, the request goes to another instance.
 FAILING_CONNECT_WAIT_S = 0.03
-# Silence of a peer that is followed or has unanswered requests before it is pinged.
-PING_AFTER_SILENCE_S = 0.25
-PING_TIMEOUT_S = 0.55  # Time without any answer to a ping until the link is opened again.
-ABORT_AFTER_SILENCE_S = PING_AFTER_SILENCE_S + PING_TIMEOUT_S
 IDLE_TIME_S = 10.0  # Time without a request after which a link is idle.
-# A peer that has not answered a ping for this long is not relied on for changes of the registry.
-MAX_DELIVERY_SILENCE_S = 0.9
 
 _LOGGER = logging.getLogger("ibisrack.links")
 
@@ -74,7 +69,7 @@
       suspects: Requests that are suspected of crashing instances.
       load: Last load that the peer reported, None before the first.
       known_limit: Last limit that the peer reported of its instance, None before the first.
-      heard_at_s: Monotonic time of the last bytes from the peer.
+      silence: When the peer was last heard and pinged.
       losses: Number of connections that broke after the peer's Hello.
       failing: Whether the last connection broke or could not be opened; cleared by the next Hello.
       peer_epoch: Epoch of the peer's process, empty while the link is not open.
@@ -92,7 +87,7 @@
     suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
     load: Load | None = None
     known_limit: KnownLimit | None = None
-    heard_at_s: float = 0.0
+    silence: PeerSilence = attrs.field(factory=PeerSilence)
     losses: int = 0
     failing: bool = False
     peer_epoch: str = ""
@@ -104,7 +99,6 @@
     _numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
     _open_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
     _state_changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
-    _pinged_at_s: float = 0.0
     _abandoned: AbandonedRequests = attrs.field(factory=AbandonedRequests)
     _unusable_messages: int = 0  # Consecutive connections that ended with one.
     _closed_as_idle: bool = False
@@ -194,11 +188,7 @@
         """Returns the peer as a source of the registry's changes."""
         # Only a peer that is followed or has requests is pinged; others count while their link is
         # open.
-        is_silent = (
-            self._pinged_at_s > self.heard_at_s
-            and now_s - self._pinged_at_s >= MAX_DELIVERY_SILENCE_S
-        )
-        is_usable = self.load is not None and not is_silent
+        is_usable = self.load is not None and not self.silence.is_unresponsive(now_s)
         return Candidate(
             self.host,
             self.peer_link_mbps,
@@ -252,12 +242,11 @@
         """
         if self._writer is None or not (self.pending or self.following):
             return
-        if self._pinged_at_s > self.heard_at_s:
-            if self.pending and now_s - self._pinged_at_s >= PING_TIMEOUT_S:
-                self._writer.transport.abort()
-        elif now_s - self.heard_at_s >= PING_AFTER_SILENCE_S:
-            self._pinged_at_s = now_s
+        action = self.silence.next_action(bool(self.pending), now_s)
+        if action is SilenceAction.PING:
             write_message(self._writer, Ping())
+        elif action is SilenceAction.ABORT:
+            self._writer.transport.abort()
 
     async def maintain(self) -> None:
         """Connects when requested and reconnects while the peer holds requests; never returns."""
@@ -292,7 +281,7 @@
                 "peer": self.host,
                 "was_open": self.is_open,
                 "unanswered": len(self.pending),
-                "silent_ms": round((read_clocks().monotonic_s - self.heard_at_s) * 1000),
+                "silent_ms": round((read_clocks().monotonic_s - self.silence.heard_at_s) * 1000),
                 "why": f"{type(error).__name__} {error}".strip(),
             }
             _LOGGER.warning("link lost", extra=extra)
@@ -320,13 +309,13 @@
 
     def _record_data(self) -> None:
         """Records that bytes of the peer arrived, also of a message that is not complete yet."""
-        self.heard_at_s = read_clocks().monotonic_s
+        self.silence.heard_at_s = read_clocks().monotonic_s
 
     async def _handle_opened(self, writer: asyncio.StreamWriter, peer_epoch: str) -> None:
         self._writer, self.peer_epoch = writer, peer_epoch
         self.failing = False
-        self.heard_at_s = read_clocks().monotonic_s
-        self._abandoned.drop_expired(self.heard_at_s)
+        self.silence.heard_at_s = read_clocks().monotonic_s
+        self._abandoned.drop_expired(self.silence.heard_at_s)
         extra = {
             "peer": self.host,
             "life": peer_epoch,
--- a/ibisrack/links/outgoing_test.py
+++ b/ibisrack/links/outgoing_test.py
@@ -14,12 +14,12 @@
 from ibisrack.links.frames import LINK_ERRORS, read_message, write_message
 from ibisrack.links.messages import Answered, Hello, Load
 from ibisrack.links.outgoing import (
-    ABORT_AFTER_SILENCE_S,
     CONNECT_TIMEOUT_S,
     IDLE_TIME_S,
     OutgoingLink,
 )
 from ibisrack.links.reconnection import CONNECT_RETRY_PAUSE_S
+from ibisrack.links.silence import ABORT_AFTER_SILENCE_S
 from ibisrack.registry.messages import Revision
 from ibisrack.testing.functions import function_tests
 
@@ -207,12 +207,12 @@
 
     async def answer(reader, writer):
         write_message(writer, Hello(HOST, "a", 1000.0), LOAD)
-        with suppress(*LINK_ERRORS):
+        with suppress(*LINK_ERRORS, asyncio.CancelledError):
             hellos.append(await read_message(reader))
             while True:
                 submit = await read_message(reader)
                 write_message(writer, Answered(submit.number, 200, (), b"", 1, False))
-        writer.close()
+        writer.transport.abort()
 
     async with link_to(answer) as link:
         link.request_open()
--- a/ibisrack/sidecar/lost_link_test.py
+++ b/ibisrack/sidecar/lost_link_test.py
@@ -8,7 +8,7 @@
 from ibisrack.clocks import read_clocks
 from ibisrack.hosting.runs import RESULT_TTL_S
 from ibisrack.instances.model import InstanceState
-from ibisrack.links.outgoing import ABORT_AFTER_SILENCE_S
+from ibisrack.links.silence import ABORT_AFTER_SILENCE_S
 from ibisrack.platform.headers import NOT_EXECUTED
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import route_resource, run_sidecars, wait_until
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -149,7 +149,9 @@
     def _record_reported_versions(self) -> None:
         for link in self.outgoing_links.values():
             if link.load is not None:
-                self._reported_versions.record(link.load.configuration_version, link.heard_at_s)
+                self._reported_versions.record(
+                    link.load.configuration_version, link.silence.heard_at_s
+                )
 
     def report_load(self) -> None:
         """Sends the load, if it has changed, to all peers that send requests to this node."""
