--- a/ibisrack/upstreams/connector_test.py
+++ b/ibisrack/upstreams/connector_test.py
@@ -1,6 +1,7 @@
 """Tests of client sessions whose server answers without end."""
 
 import asyncio
+from contextlib import suppress
 
 from aiohttp import ClientError, ClientSession
 
@@ -44,4 +45,28 @@
         assert server.scripted.connections == 2
 
 
+async def answer_with_late_copies(reader, writer):
+    """Answers each request with its path, and sends a copy of the answer a little later."""
+    with suppress(asyncio.IncompleteReadError, OSError):
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            path = head.split(b" ")[1]
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(path), path)
+            writer.write(answer)
+            await asyncio.sleep(0.05)
+            writer.write(answer)
+    writer.transport.abort()
+
+
+async def test_late_copy_of_an_answer_is_not_taken_for_that_of_the_next_request():
+    """Guards against answers that are one request late for as long as the connection is used."""
+    server = await asyncio.start_server(answer_with_late_copies, HOST, 0)
+    url = f"http://{HOST}:{server.sockets[0].getsockname()[1]}"
+    async with server, ClientSession(connector=BoundedConnector()) as session:
+        for path in ("/first", "/second", "/third"):
+            async with session.get(url + path) as answer:
+                assert await answer.text() == path
+            await asyncio.sleep(0.1)
+
+
 load_tests = function_tests(__name__)
