Continue after the last change that arrived, not after a stated revision

Cause: a store that drops its history while a call waits answers without changes and with its latest revision. The reader took that revision for its own and never learned of the changes; with one reader, nor did its zone. test_interrupted_listing_changes_nothing showed it: the node kept version 1 for 8 s and longer while the store had version 5.

Change: the revision of the view becomes that of the last change. The next call then gets 410 and leads to a listing.

--- a/ibisrack/registry/registry_test.py
+++ b/ibisrack/registry/registry_test.py
@@ -44,6 +44,16 @@
     assert view.entries["a"].revision == at(4)
 
 
+def test_an_answer_without_changes_does_not_move_the_view_past_them():
+    """Guards against changes that are never learnt because the history was dropped meanwhile."""
+    view = RegistryView()
+    view.replace(Listing(at(5), (entry("a", 5),)))
+    assert view.apply(Changes(at(9), ())) == ()
+    assert view.revision == at(5)
+    view.apply(Changes(at(9), (entry("b", 7),)))
+    assert view.revision == at(7)
+
+
 class ScriptedRegistry:
     """A registry that returns scripted answers and raises scripted exceptions."""
 
--- a/ibisrack/registry/view.py
+++ b/ibisrack/registry/view.py
@@ -30,7 +30,12 @@
         return sum(len(entry.content) for entry in self.entries.values())
 
     def apply(self, changes: Changes) -> tuple[Entry, ...]:
-        """Applies changes; returns the entries that changed in this view."""
+        """Applies changes; returns the entries that changed in this view.
+
+        The revision of the view becomes that of the last change, not the one that the registry
+        states: a registry that dropped its history during the call has no changes to send, and a
+        node that continued after the later revision would never learn of them.
+        """
         changed = tuple(
             entry
             for entry in changes.entries
@@ -38,7 +43,7 @@
             if (entry.key in self.entries or entry.revision > self.revision)
             and self._apply_entry(entry)
         )
-        self.revision = max(self.revision, changes.revision)
+        self.revision = max((self.revision, *(entry.revision for entry in changes.entries)))
         return changed
 
     def replace(self, listing: Listing) -> tuple[Entry, ...]:
