Accept connections that wait before a stop closes the listening sockets

Callers saw: a request that was sent during a planned stop had its connection reset, or closed about 0.3 s later, without an answer.

Cause: closing a listening socket resets the connections that the system has accepted and the process has not; the event loop accepts one in each of its rounds. The sidecar also stopped listening before it waited for late callers.

Change: a sidecar listens until no request has come for 0.3 s; both front ends let the event loop accept what waits before they stop listening.

--- a/ibisrack/node/run.py
+++ b/ibisrack/node/run.py
@@ -37,6 +37,7 @@
 from ibisrack.room.source import FleetSource
 from ibisrack.room.status import ReportSchedule
 from ibisrack.settings.node import NodeSettings
+from ibisrack.stopping.listeners import close_listeners
 from ibisrack.upstreams.connections import PeerPools
 from ibisrack.upstreams.connector import BoundedConnector
 from ibisrack.upstreams.local import LocalUpstream, create_pool
@@ -157,8 +158,7 @@
 
 async def _stop_listening(runner: web.BaseRunner) -> None:
     """Stops accepting connections and waits for the requests in transit to arrive."""
-    for site in tuple(runner.sites):
-        await site.stop()
+    await close_listeners(runner)
     await asyncio.sleep(ARRIVAL_WINDOW_S)
 
 
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -39,13 +39,16 @@
 from ibisrack.sidecar.metrics_server import MetricsServer
 from ibisrack.sidecar.node import SidecarNode
 from ibisrack.sidecar.stopping import (
+    ARRIVAL_WINDOW_S,
     SHUTDOWN_TIMEOUT_S,
+    TRANSIT_WINDOW_S,
     StopSignals,
     drain,
     log_stopped,
     record_repeated_stop,
     serve_late_requests,
 )
+from ibisrack.stopping.listeners import close_listeners
 from ibisrack.upstreams.answer_memory import create_answer_memory
 from ibisrack.upstreams.connections import ConnectionPool
 from ibisrack.upstreams.sizing import PoolSizing
@@ -159,11 +162,12 @@
         try:
             yield node
         finally:
+            if node.stopping:
+                await serve_late_requests(node, callers, ARRIVAL_WINDOW_S)
             for runner in runners:
-                for site in tuple(runner.sites):
-                    await site.stop()
+                await close_listeners(runner)
             if node.stopping:
-                await serve_late_requests(node, callers)
+                await serve_late_requests(node, callers, TRANSIT_WINDOW_S)
             log_stopped(node, callers)
             # Answers may still arrive from peers until the callers' connections are closed, so
             # the callers' runner, the first one, is cleaned up before the links are closed.
--- a/ibisrack/sidecar/stopping.py
+++ b/ibisrack/sidecar/stopping.py
@@ -20,8 +20,10 @@
 # that time answers are still delivered.  The rest is for the end of the process.
 STOP_MARGIN_S = 0.3
 SHUTDOWN_TIMEOUT_S = 0.1  # Time for answers that are being written when the connections are closed.
-# Requests that were sent before the listening sockets closed arrive within this time.
+# Callers that have not noticed the stop yet send again within this time.
 ARRIVAL_WINDOW_S = 0.3
+# Requests on connections that were accepted last arrive within this time.
+TRANSIT_WINDOW_S = 0.1
 STOP_POLL_S = 0.05
 
 _LOGGER = logging.getLogger("ibisrack.sidecar")
@@ -100,19 +102,24 @@
     node.report_load()
 
 
-async def serve_late_requests(node: SidecarNode, callers: CallerServer) -> None:
-    """Serves the requests that were in transit when the node stopped listening.
+async def serve_late_requests(node: SidecarNode, callers: CallerServer, window_s: float) -> None:
+    """Serves requests of callers that have not noticed the stop, until none has come for a while.
 
     A request counts from the arrival of its head, even while its body is still being read, until
     its answer is written, and so does a request of a peer.  More may follow a request that arrives
-    here, so the arrival window starts again when it ends.
+    here, so the time without requests starts again when it ends.
+
+    Args:
+      node: The node that stops.
+      callers: Its server of callers.
+      window_s: Time without requests after which it returns; it returns at the planned end anyway.
     """
     idle_since_s = read_clocks().monotonic_s
     while (now_s := read_clocks().monotonic_s) < node.dispatcher.stop.ends_at_s:
         node.dispatcher.withdraw_waiting(now_s)
         if callers.serving_connections or node.is_serving_peers:
             idle_since_s = now_s
-        elif now_s - idle_since_s >= ARRIVAL_WINDOW_S:
+        elif now_s - idle_since_s >= window_s:
             return
         await asyncio.sleep(STOP_POLL_S)
 
--- a/ibisrack/sidecar/stopping_test.py
+++ b/ibisrack/sidecar/stopping_test.py
@@ -4,6 +4,7 @@
 import itertools
 import os
 import signal
+import socket
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
@@ -129,6 +130,27 @@
         await ending
 
 
+async def test_request_that_waits_to_be_accepted_as_listening_stops_is_answered():
+    """Guards against a stop that resets connections which only the system has accepted."""
+    async with run_sidecars(2) as fleet_:
+        await fleet_.send_request(0, request_id="q-0")
+        node = fleet_.nodes[0]
+        _, writer = await connect_to_stopping_node(node)
+        writer.close()
+        calls = node.settings.calls
+        # The event loop does not run between these lines, so that the node can't accept.
+        connection = socket.create_connection((calls.host, calls.port))
+        connection.sendall(
+            b"GET /notices/1 HTTP/1.1\r\nHost: desk.example\r\n"
+            b"Request-Id: q-1\r\nDeadline-Ms: 2000\r\n\r\n"
+        )
+        ending = asyncio.create_task(fleet_.stop_sidecar(0))
+        reader, writer = await asyncio.open_connection(sock=connection)
+        assert b" 200 " in await reader.readline()
+        writer.close()
+        await ending
+
+
 async def test_request_with_slow_body_is_answered_before_the_end():
     """Guards against a stop that takes a connection for idle while a request body arrives."""
     async with run_sidecars(2) as fleet_:
