Open fewer links: eight candidates of a zone, one try outside the subset

Each node kept links with 24 candidates of its zone, each of which reported its load on them, and a refused request opened three links outside the subset.

--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -34,7 +34,7 @@
 
 MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
 # Instances of the subset that are tried first.  If all of them refuse, others may still be free.
-MAX_TRIED_IN_SUBSET = 3
+MAX_TRIED_IN_SUBSET = 5
 MIN_RETRY_AFTER_S = 0.05
 # Time for a node to obtain its first configuration, or a later one that its peers have.
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3
--- a/ibisrack/registry/sources.py
+++ b/ibisrack/registry/sources.py
@@ -19,7 +19,7 @@
 # Time in which the next candidates begin to read after the readers of a zone are lost.
 TAKEOVER_S = 1.0
 # Hosts of a zone among which the readers are; bounds the links that a node opens to find them.
-MAX_CANDIDATES = 24
+MAX_CANDIDATES = 8
 
 
 @attrs.frozen
