--- a/ibisrack/calls/gate.py
+++ b/ibisrack/calls/gate.py
@@ -14,7 +14,7 @@
 from ibisrack.calls.messages import Call, LoadReport
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.ranks import Ticket
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError
 
 if TYPE_CHECKING:  # A sidecar has no rules file and does not load their grammar.
@@ -41,19 +41,19 @@
 
     def configure(self, service: "Service") -> None:
         """Applies the slots and ranks of a configuration version."""
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         self.apply(self.scheduler.configure(service.rule.slots, service.ranks, now_s))
 
     def limit_slots(self, limit: int) -> None:
         """Limits the slots while the upstream is cold or sheds load."""
-        self.apply(self.scheduler.limit_slots(limit, read_clocks().monotonic_s))
+        self.apply(self.scheduler.limit_slots(limit, read_monotonic_s()))
 
     def limit_rate(self, stated_per_s: float | None) -> None:
         """Paces the starts while the upstream states a limit on them; None ends it."""
         if self._paced_start is not None:
             self._paced_start.cancel()
             self._paced_start = None
-        self.apply(self.scheduler.limit_rate(stated_per_s, read_clocks().monotonic_s))
+        self.apply(self.scheduler.limit_rate(stated_per_s, read_monotonic_s()))
 
     @asynccontextmanager
     async def slot(self, call: Call) -> AsyncIterator[None]:
@@ -79,7 +79,7 @@
         Raises:
           NotRunError: The call was refused.
         """
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         ticket = Ticket(
             call_id,
             next(self._numbers),
@@ -93,19 +93,19 @@
         try:
             yield
         finally:
-            self.apply(self.scheduler.finish(ticket, read_clocks().monotonic_s))
+            self.apply(self.scheduler.finish(ticket, read_monotonic_s()))
 
     def expire(self) -> None:
         """Refuses waiting calls whose waiting time has run out."""
-        self.apply(self.scheduler.expire(read_clocks().monotonic_s))
+        self.apply(self.scheduler.expire(read_monotonic_s()))
 
     def refuse_waiting(self, reason: Reason) -> None:
         """Refuses all waiting calls."""
-        self.apply(self.scheduler.refuse_waiting(reason, read_clocks().monotonic_s))
+        self.apply(self.scheduler.refuse_waiting(reason, read_monotonic_s()))
 
     def refuse(self, call_id: str, reason: Reason) -> None:
         """Refuses a call if it is waiting."""
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         self.apply(self.scheduler.refuse_waiting(reason, now_s, frozenset((call_id,))))
 
     def apply(self, decisions: Iterable[Decision]) -> None:
@@ -120,13 +120,13 @@
         """Sets a timer for the next waiting call, if no end of another one starts it."""
         if self._paced_start is not None:
             return
-        delay_s = self.scheduler.paced_delay_s(read_clocks().monotonic_s)
+        delay_s = self.scheduler.paced_delay_s(read_monotonic_s())
         if delay_s is not None:
             self._paced_start = asyncio.get_running_loop().call_later(delay_s, self._start_paced)
 
     def _start_paced(self) -> None:
         self._paced_start = None
-        self.apply(self.scheduler.start_waiting(read_clocks().monotonic_s))
+        self.apply(self.scheduler.start_waiting(read_monotonic_s()))
 
     async def _acquire(self, ticket: Ticket, now_s: float) -> None:
         decision = self.scheduler.submit(ticket, now_s)
@@ -154,7 +154,7 @@
 
     def _abandon(self, ticket: Ticket, future: asyncio.Future) -> None:
         """Leaves the queue; frees the slot if one was granted at the same moment."""
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         if self._waiting.pop(ticket.number, None) is not None:
             self.scheduler.cancel(ticket, now_s)
         elif future.done() and not future.cancelled() and future.exception() is None:
--- a/ibisrack/calls/ingress.py
+++ b/ibisrack/calls/ingress.py
@@ -24,7 +24,7 @@
 from ibisrack.calls.relay import context_headers, remaining_s
 from ibisrack.calls.retry import Attempts, Result, RetryBudget
 from ibisrack.calls.transport import send
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.membership.records import MemberRecord
 from ibisrack.node.state import NodeState
@@ -94,7 +94,7 @@
             if instance is None:
                 break
             result = await self._attempt_result(call, instance)
-            if not attempts.allow_retry(result, read_clocks().monotonic_s):
+            if not attempts.allow_retry(result, read_monotonic_s()):
                 break
             tried |= {instance.node_id}
         return answer_or_raise(attempts.final_result(result)), instance.node_id if instance else ""
@@ -102,7 +102,7 @@
     def _choose_instance(self, call: Call, tried: frozenset[str]) -> MemberRecord | None:
         members = self.node.members
         instances = members.instances(call.route.to)
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         candidates = eligible_instances(instances, self.view, tried, now_s)
         self._drop_unlisted_views()
         return choose_instance(candidates, members.own().zone, self.view, self.node.rng, now_s)
@@ -136,15 +136,15 @@
     async def _attempt(self, call: Call, instance: MemberRecord) -> Answer:
         """Makes one attempt and updates the load view of the instance."""
         node_id = instance.node_id
-        start_s = read_clocks().monotonic_s
+        start_s = read_monotonic_s()
         self.view.record_sent(node_id)
         try:
             answer = await self._send(call, instance)
         except NotRunError as error:
-            self.view.record_refusal(node_id, error.reason, read_clocks().monotonic_s)
+            self.view.record_refusal(node_id, error.reason, read_monotonic_s())
             raise
         except UnknownOutcomeError:
-            self.view.record_failure(node_id, read_clocks().monotonic_s)
+            self.view.record_failure(node_id, read_monotonic_s())
             raise
         finally:
             self.view.record_end(node_id)
@@ -156,7 +156,7 @@
 
         Otherwise an instance that fails fast would look like a fast one.
         """
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         if answer.status >= MIN_SERVER_ERROR_STATUS:
             self.view.record_failure(node_id, now_s)
             return
@@ -168,7 +168,7 @@
             return await self._forward(call, instance)
         answer = await self.owner.run(call)
         load = self.owner.gate.load()
-        self.view.record_load(instance.node_id, load, read_clocks().monotonic_s)
+        self.view.record_load(instance.node_id, load, read_monotonic_s())
         return answer
 
     async def _forward(self, call: Call, instance: MemberRecord) -> Answer:
@@ -182,7 +182,7 @@
         return self._validate_answer(call, instance, answer)
 
     async def _forward_once(self, call: Call, instance: MemberRecord) -> Answer:
-        budget_s = remaining_s(call, read_clocks().monotonic_s)
+        budget_s = remaining_s(call, read_monotonic_s())
         headers = {
             **context_headers(call, budget_s, call.depth),
             HOP: "1",
@@ -198,7 +198,7 @@
         """Returns the answer of another node, or raises the error that its headers report."""
         load = parse_load(answer.headers.get(LOAD, ""))
         if load:
-            self.view.record_load(instance.node_id, load, read_clocks().monotonic_s)
+            self.view.record_load(instance.node_id, load, read_monotonic_s())
         if answer.headers.get(CALL_ID) != call.call_id:
             raise UnknownOutcomeError(Reason.WRONG_ANSWER)
         if answer.headers.get(SERVED_BY) != instance.node_id:
--- a/ibisrack/calls/keyed.py
+++ b/ibisrack/calls/keyed.py
@@ -27,7 +27,7 @@
 )
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Reason
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_clocks, read_monotonic_s
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.membership.table import MemberTable
 
@@ -102,7 +102,7 @@
 
     @_carry_out.register
     async def _(self, decision: JoinRunning, call: Call, key: Key, run_once: RunOnce) -> Answer:
-        remaining_s = call.deadline_at_s - read_clocks().monotonic_s
+        remaining_s = call.deadline_at_s - read_monotonic_s()
         try:
             async with asyncio.timeout(remaining_s):
                 answer = await asyncio.shield(self._running[key.text])
--- a/ibisrack/calls/owner.py
+++ b/ibisrack/calls/owner.py
@@ -10,7 +10,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.relay import context_headers, remaining_s
 from ibisrack.calls.retry import passes_retry_right
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_clocks, read_monotonic_s
 from ibisrack.errors import NotRunError
 from ibisrack.node.lifecycle import DRAINING, SERVING
 from ibisrack.node.state import NodeState
@@ -68,7 +68,7 @@
             self.in_flight -= 1
 
     async def _run_in_slot(self, call: Call) -> Answer:
-        budget_s = remaining_s(call, read_clocks().monotonic_s)
+        budget_s = remaining_s(call, read_monotonic_s())
         headers = {
             **context_headers(call, budget_s, call.depth + 1),
             RETRY_RIGHT: "yes" if passes_retry_right(call) else "held",
--- a/ibisrack/clocks.py
+++ b/ibisrack/clocks.py
@@ -19,6 +19,11 @@
     wall_ms: int
 
 
+def read_monotonic_s() -> float:
+    """Returns the monotonic time in seconds, without the cost of an instant."""
+    return time.monotonic()
+
+
 def read_clocks() -> Instant:
     """Returns the current instant."""
     return Instant(time.monotonic(), int(time.time() * 1000))
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -9,7 +9,7 @@
 
 from ibisrack.calls.outcomes import Outcome, Reason
 from ibisrack.calls.retry import Result, outcome_and_reason
-from ibisrack.clocks import read_clocks, read_uptime_ms
+from ibisrack.clocks import read_monotonic_s, read_uptime_ms
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import ServiceRetryBudgets
 from ibisrack.dispatch.choice import InstanceViews, choose_home, choose_instance
@@ -111,16 +111,16 @@
         version = self.configurations.version
         route = self._route(request)
         if not isinstance(route, Route):
-            self.recorder.record_unrouted(request, version, route, read_clocks().monotonic_s)
+            self.recorder.record_unrouted(request, version, route, read_monotonic_s())
             return route
         attempts = self._start_attempts(request, route)
         try:
             reply = await self._reply(request, attempts)
         except asyncio.CancelledError:
             cancelled = Failure(Reason.CANCELLED, False)
-            self.recorder.record(request, attempts, version, cancelled, read_clocks().monotonic_s)
+            self.recorder.record(request, attempts, version, cancelled, read_monotonic_s())
             raise
-        self.recorder.record(request, attempts, version, reply, read_clocks().monotonic_s)
+        self.recorder.record(request, attempts, version, reply, read_monotonic_s())
         if self.stop is not None and isinstance(reply, Refusal):
             self.stop.refusals[reply.reason] += 1
         return reply
@@ -140,7 +140,7 @@
             return Refusal(Reason.DRAINING, self.retry_after_s(attempts))
         self.budget.record_request(attempts.service, request.received_at_s, self.retry_share())
         try:
-            async with asyncio.timeout(due_at_s - read_clocks().monotonic_s):
+            async with asyncio.timeout(due_at_s - read_monotonic_s()):
                 result = await self._run_attempts(request, attempts)
         except TimeoutError:
             result = UnknownOutcomeError(Reason.DEADLINE)
@@ -189,12 +189,12 @@
                 break
             tried.add(instance.instance_id)
             attempts.attempt_log.append(f"{instance.instance_id} no-answer")
-            waited_s = read_clocks().monotonic_s - request.received_at_s
+            waited_s = read_monotonic_s() - request.received_at_s
             attempts.attempted_ms.append(round(waited_s * 1000))
             may_leave = partial(self._may_leave, request, attempts, tried)
             result = await self._attempt(request, attempts, instance, len(tried), may_leave)
             attempts.attempt_log[-1] = f"{instance.instance_id} {outcome_and_reason(result)[1]}"
-            if not attempts.should_retry(result, read_clocks().monotonic_s):
+            if not attempts.should_retry(result, read_monotonic_s()):
                 break
         return attempts.final_result(result)
 
@@ -206,12 +206,12 @@
             return False
         if self._choose(request, verdict, attempts, tried) is None:
             return False
-        return attempts.may_leave(read_clocks().monotonic_s)
+        return attempts.may_leave(read_monotonic_s())
 
     def _choose(
         self, request: Request, verdict: Verdict, attempts: Attempts, tried: set[str]
     ) -> Instance | None:
-        route, now_s = attempts.route, read_clocks().monotonic_s
+        route, now_s = attempts.route, read_monotonic_s()
         listed = self.directory.of_service(attempts.service)
         if isinstance(verdict, Suspected):
             candidates = self._available(listed, tried, now_s)
@@ -254,7 +254,7 @@
         """Sends the request to an instance and updates the view of the instance."""
         name, route = instance.instance_id, attempts.route
         view, destination = self.views.of(name), self.destination_of(instance)
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         remaining_ms = int((attempts.deadline_at_s - now_s) * 1000)
         if remaining_ms <= 0:
             return NotRunError(Reason.DEADLINE)
@@ -288,19 +288,19 @@
         try:
             answer = await destination.run(submit, may_leave)
         except PeerLostError as error:
-            self.views.record_failure(name, read_clocks().monotonic_s)
+            self.views.record_failure(name, read_monotonic_s())
             attempts.lost_attempts.append(error)
             return error
         except NotRunError as error:
-            self.views.record_refusal(name, error.reason, read_clocks().monotonic_s)
+            self.views.record_refusal(name, error.reason, read_monotonic_s())
             return error
         except UnknownOutcomeError as error:
-            self.views.record_failure(name, read_clocks().monotonic_s)
+            self.views.record_failure(name, read_monotonic_s())
             return error
         finally:
             view.in_flight -= 1
         self.views.record_answer_size(route.name, len(answer.body))
-        self.service_times.record(route.name, answer.ran_s, read_clocks().monotonic_s)
+        self.service_times.record(route.name, answer.ran_s, read_monotonic_s())
         return answer
 
     def _is_too_late(self, attempt: OpenAttempt, now_s: float) -> bool:
@@ -317,7 +317,7 @@
 
     def retry_after_s(self, attempts: Attempts) -> float:
         """Returns the time after which a refused caller may retry."""
-        if self.stop is not None and read_clocks().monotonic_s > self.stop.accepts_until_s:
+        if self.stop is not None and read_monotonic_s() > self.stop.accepts_until_s:
             return STOPPING_RETRY_AFTER_S
         return max(MIN_RETRY_AFTER_S, attempts.route.target_s / 4)
 
--- a/ibisrack/dispatch/dispatcher_test.py
+++ b/ibisrack/dispatch/dispatcher_test.py
@@ -7,7 +7,7 @@
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import ServiceRetryBudgets
 from ibisrack.dispatch.dispatcher import MAX_INSTANCES_TRIED, MAX_TRIED_IN_SUBSET, Dispatcher
@@ -75,12 +75,12 @@
 
 
 def request(path: str = "/notices/a") -> Request:
-    now_s = read_clocks().monotonic_s
+    now_s = read_monotonic_s()
     return Request("q", "GET", "desk.example", path, (), b"", "shop", now_s, now_s + 5.0)
 
 
 def attempts(sender: Dispatcher) -> Attempts:
-    now_s = read_clocks().monotonic_s
+    now_s = read_monotonic_s()
     return Attempts(route(max_attempts=5), "desk", now_s + 5.0, now_s + 1.0, sender.budget)
 
 
--- a/ibisrack/exchange/links.py
+++ b/ibisrack/exchange/links.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_clocks, read_monotonic_s
 from ibisrack.exchange.exchanger import Exchanger, try_exchange
 from ibisrack.exchange.http_transport import Channel, open_channel
 from ibisrack.membership.maintenance import (
@@ -122,9 +122,9 @@
 
     async def _wait(self, wake: asyncio.Event, answered: bool) -> bool:
         """Waits until an exchange is due; returns whether it is a regular one."""
-        deadline_s = read_clocks().monotonic_s + self._interval_s(answered)
+        deadline_s = read_monotonic_s() + self._interval_s(answered)
         while True:
-            notified = await _wait_for_event(wake, max(0.0, deadline_s - read_clocks().monotonic_s))
+            notified = await _wait_for_event(wake, max(0.0, deadline_s - read_monotonic_s()))
             if not notified:
                 return True
             await asyncio.sleep(self.node.rng.uniform(0.0, MAX_COALESCE_DELAY_S))
--- a/ibisrack/hosting/crashes.py
+++ b/ibisrack/hosting/crashes.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.hosting.runs import Run
 from ibisrack.instances.model import Instance
 from ibisrack.suspects.table import DOWN_S
@@ -95,7 +95,7 @@
 
         It may have started again under its id while its old entry stands.
         """
-        started, now_s = (instance.instance_id, instance.started_at_ms), read_clocks().monotonic_s
+        started, now_s = (instance.instance_id, instance.started_at_ms), read_monotonic_s()
         if started == self._last_crash and now_s <= self._last_crash_at_s + DOWN_S:
             return False
         self._last_crash, self._last_crash_at_s = started, now_s
--- a/ibisrack/hosting/crashes_test.py
+++ b/ibisrack/hosting/crashes_test.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.hosting.crashes import Crash, CrashDetector
 from ibisrack.hosting.runs import Run
 from ibisrack.instances.model import Instance, InstanceState
@@ -72,9 +72,8 @@
     """Guards against crashes that go unseen until the store lists the new start."""
     fixture = watch(free_ports(1)[0])
     await fixture.lose_connections()
-    now = read_clocks()
-    later = attrs.evolve(now, monotonic_s=now.monotonic_s + DOWN_S + 1.0)
-    with patch("ibisrack.hosting.crashes.read_clocks", lambda: later):
+    later_s = read_monotonic_s() + DOWN_S + 1.0
+    with patch("ibisrack.hosting.crashes.read_monotonic_s", lambda: later_s):
         assert await fixture.lose_connections() == {True}
     assert fixture.detector.crashes == 2
 
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -17,7 +17,7 @@
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.retry import Result
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.hosting.crashes import Crash, CrashDetector
 from ibisrack.hosting.ended_starts import EndedStarts
@@ -109,7 +109,7 @@
         instance = self.instance
         if self._is_closed() or instance is None or not instance.ready:
             return False
-        if self.ended_starts.includes(instance, read_clocks().monotonic_s):
+        if self.ended_starts.includes(instance, read_monotonic_s()):
             return False
         return not self.suspects.is_down(instance)
 
@@ -128,18 +128,18 @@
         if instance is not None:
             before_per_s = self.notices.limit_per_s
             self.notices.set_listed(
-                instance.instance_id, instance.started_at_ms, read_clocks().monotonic_s
+                instance.instance_id, instance.started_at_ms, read_monotonic_s()
             )
             self._apply_limit(instance.instance_id, before_per_s)
         slots = instance.slots if instance else self.gate.scheduler.slots
         ranks = rank_rules(service, sorted(priorities))
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         self.gate.apply(self.gate.scheduler.configure(slots, ranks, now_s))
 
     def observe_notice(self, notice: Notice) -> None:
         """Applies what an answer says of the instance."""
         before_per_s = self.notices.limit_per_s
-        self.notices.observe(notice, read_clocks().monotonic_s)
+        self.notices.observe(notice, read_monotonic_s())
         self._apply_limit(notice.instance_id, before_per_s)
         instance_id, start_ms = self.notices.listed_id, self.notices.leaving_start_ms
         if start_ms is not None and self.directory.mark_draining(instance_id, start_ms):
@@ -174,7 +174,7 @@
             self.gate.load(),
             self.gate.scheduler.running_by_rank(),
             self.notices.limit_per_s,
-            read_clocks().monotonic_s,
+            read_monotonic_s(),
         )
         try:
             answer = await self._run(run, trace.arrived_at_s)
@@ -224,7 +224,7 @@
         return nullcontext(False)
 
     async def _run_in_slot(self, run: Run) -> Answer:
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         run.mark_started(now_s)
         self.running_retries += run.submit.is_retry
         try:
@@ -232,7 +232,7 @@
         finally:
             self.running_retries -= run.submit.is_retry
         self.suspects.record_completed(run.submit)
-        ran_s = read_clocks().monotonic_s - now_s
+        ran_s = read_monotonic_s() - now_s
         self._update_service_time(ran_s)
         run.answer_bytes = len(answer.body)
         return attrs.evolve(answer, ran_s=ran_s)
@@ -260,12 +260,12 @@
 
     def _handle_end(self, instance: Instance) -> None:
         """Stops using an instance in whose place another process answers."""
-        if self.ended_starts.record(instance, read_clocks().monotonic_s):
+        if self.ended_starts.record(instance, read_monotonic_s()):
             self.recorder.record_replaced(instance.instance_id)
             self.on_leaving()
 
     def _handle_crash(self, crash: Crash) -> None:
-        self.recorder.record_crash(crash, read_clocks().monotonic_s)
+        self.recorder.record_crash(crash, read_monotonic_s())
         self.suspects.report_crash(
             crash.instance,
             crash.runs,
@@ -280,7 +280,7 @@
 
     def resume(self, key: SubmissionKey) -> Run | NotRunError | UnknownOutcomeError:
         """Returns the run that a peer resumes over a new link, or its result if it is not here."""
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         found = self.run_table.find_or_refuse(key, now_s)
         if key in self.run_table.runs:
             found.mark_linked(now_s)
@@ -289,7 +289,7 @@
 
     def mark_orphaned(self, run: Run) -> None:
         """Marks a run whose link is lost; it gets no slot, because nobody can take its answer."""
-        run.orphaned_at_s = read_clocks().monotonic_s
+        run.orphaned_at_s = read_monotonic_s()
         if run.ended_at_s is None:
             self.gate.scheduler.orphans.add(run.submit.request_id)
 
@@ -349,14 +349,15 @@
 
     def record_end(self, run: Run, task: asyncio.Task) -> None:
         """Records that the task of a run ended; a cancelled task may not even have begun."""
-        run.ended_at_s = read_clocks().monotonic_s
-        # Only the key is needed from here on; bodies can be as large as the limits allow.
-        run.submit = attrs.evolve(run.submit, headers=(), body=b"")
+        run.ended_at_s = read_monotonic_s()
+        if run.submit.body:
+            # Not needed from here on, and as large as the limits allow.
+            run.submit = attrs.evolve(run.submit, headers=(), body=b"")
         self.gate.scheduler.orphans.discard(run.submit.request_id)
 
     def _is_closed(self) -> bool:
         """Returns whether the planned stop accepts no more submissions at all."""
-        return self.stop is not None and read_clocks().monotonic_s > self.stop.accepts_until_s
+        return self.stop is not None and read_monotonic_s() > self.stop.accepts_until_s
 
     def _check_ends_in_time(self, now_s: float, due_at_s: float) -> None:
         """Checks that the planned stop can't cut off a submission that arrives now.
@@ -380,7 +381,7 @@
         instance = self.directory.get(submit.instance_id)
         if instance is None or (instance.host, instance.port) != self.address:
             raise NotRunError(Reason.NO_INSTANCE)
-        if self.ended_starts.includes(instance, read_clocks().monotonic_s):
+        if self.ended_starts.includes(instance, read_monotonic_s()):
             raise NotRunError(Reason.NO_INSTANCE)
         if not instance.ready:
             raise NotRunError(Reason.DRAINING)
@@ -390,7 +391,7 @@
             raise NotRunError(Reason.NO_INSTANCE)
 
     def _record(self, trace: SubmissionTrace, result: Result) -> None:
-        self.recorder.record(trace, result, self.service_s, read_clocks().monotonic_s)
+        self.recorder.record(trace, result, self.service_s, read_monotonic_s())
 
     def _update_service_time(self, service_s: float) -> None:
         weight = SERVICE_TIME_WEIGHT if self.service_s else 1.0
--- a/ibisrack/hosting/runner_test.py
+++ b/ibisrack/hosting/runner_test.py
@@ -11,7 +11,7 @@
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.hosting.crashes import Crash
 from ibisrack.hosting.recorder import SubmissionRecorder
@@ -88,7 +88,7 @@
             run = runner.start(FIRST)
             await wait_until(lambda: bool(upstream.sent_ids))
             runner.mark_orphaned(run)
-            runner.clean_up(read_clocks().monotonic_s + ORPHAN_TIMEOUT_S)
+            runner.clean_up(read_monotonic_s() + ORPHAN_TIMEOUT_S)
             await runner.result(run)
     lines = {record.getMessage(): record for record in log}
     assert lines["orphaned run cancelled"].orphaned_ms >= ORPHAN_TIMEOUT_S * 1000
@@ -118,7 +118,7 @@
         second = runner.start(SECOND)
         await wait_until(lambda: runner.gate.load().queued == 1)
         runner.mark_orphaned(second)
-        runner.clean_up(read_clocks().monotonic_s + ORPHAN_TIMEOUT_S)
+        runner.clean_up(read_monotonic_s() + ORPHAN_TIMEOUT_S)
         assert isinstance(await runner.result(second), NotRunError)
 
 
@@ -178,7 +178,7 @@
         await runner.result(run)
         await asyncio.sleep(0)
         assert not run.submit.body
-        runner.clean_up(read_clocks().monotonic_s + RESULT_TTL_S + 1)
+        runner.clean_up(read_monotonic_s() + RESULT_TTL_S + 1)
         assert not runner.run_table.runs
 
 
@@ -233,7 +233,7 @@
         first, second = runner.start(FIRST), runner.start(SECOND)
         await wait_until(lambda: runner.gate.load().queued == 1)
         suspect(runner)
-        turn = runner.quarantine.hold_turn("other", b"o" * 16, read_clocks().monotonic_s + 5.0)
+        turn = runner.quarantine.hold_turn("other", b"o" * 16, read_monotonic_s() + 5.0)
         async with turn:
             runner.cancel(first)
             await runner.result(first)
--- a/ibisrack/hosting/runs.py
+++ b/ibisrack/hosting/runs.py
@@ -34,7 +34,7 @@
     """The run of a submitted request.
 
     Attributes:
-      submit: The submission; without headers and body once it has ended.
+      submit: The submission; if it had a body, without body and headers once it has ended.
       task: Task that runs it.
       delivery_link: Link that delivers the result.
       started_at_s: Monotonic time at which it was sent to the instance, None until then.
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -16,7 +16,7 @@
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.retry import Result
-from ibisrack.clocks import read_clocks, read_uptime_ms
+from ibisrack.clocks import read_monotonic_s, read_uptime_ms
 from ibisrack.errors import MessageError, NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.links.frames import (
     LINK_ERRORS,
@@ -124,7 +124,7 @@
           PeerLostError: The peer can't be reached and another instance is to be tried.
           UnknownOutcomeError: The request may have run, and its result can't arrive any more.
         """
-        self.used_at_s = read_clocks().monotonic_s
+        self.used_at_s = read_monotonic_s()
         if not self.is_open:
             await self._wait_until_open(submit.remaining_ms / 1000)
         pending = PendingRequest(
@@ -132,7 +132,7 @@
             asyncio.get_running_loop().create_future(),
             self.peer_epoch,
             may_leave,
-            read_clocks().monotonic_s + submit.remaining_ms / 1000,
+            read_monotonic_s() + submit.remaining_ms / 1000,
         )
         self.pending[submit.number] = pending
         write_message(self._writer, submit)
@@ -154,7 +154,7 @@
         if self.pending.pop(pending.submit.number, None) is None:
             return
         pending.future.cancel()
-        self._abandoned.add(pending, read_clocks().monotonic_s)
+        self._abandoned.add(pending, read_monotonic_s())
         if self._writer is None:
             self.request_open()
         else:
@@ -269,7 +269,7 @@
                     self._leave_peer()
             finally:
                 await self._handle_closed()
-            self._abandoned.drop_expired(read_clocks().monotonic_s)
+            self._abandoned.drop_expired(read_monotonic_s())
             if not self.pending and not self._abandoned:
                 self._open_requested.clear()
             await asyncio.sleep(pause_s)
@@ -281,7 +281,7 @@
                 "peer": self.host,
                 "was_open": self.is_open,
                 "unanswered": len(self.pending),
-                "silent_ms": round((read_clocks().monotonic_s - self.silence.heard_at_s) * 1000),
+                "silent_ms": round((read_monotonic_s() - self.silence.heard_at_s) * 1000),
                 "why": f"{type(error).__name__} {error}".strip(),
             }
             _LOGGER.warning("link lost", extra=extra)
@@ -309,12 +309,12 @@
 
     def _record_data(self) -> None:
         """Records that bytes of the peer arrived, also of a message that is not complete yet."""
-        self.silence.heard_at_s = read_clocks().monotonic_s
+        self.silence.heard_at_s = read_monotonic_s()
 
     async def _handle_opened(self, writer: asyncio.StreamWriter, peer_epoch: str) -> None:
         self._writer, self.peer_epoch = writer, peer_epoch
         self.failing = False
-        self.silence.heard_at_s = read_clocks().monotonic_s
+        self.silence.heard_at_s = read_monotonic_s()
         self._abandoned.drop_expired(self.silence.heard_at_s)
         extra = {
             "peer": self.host,
--- a/ibisrack/links/outgoing_test.py
+++ b/ibisrack/links/outgoing_test.py
@@ -7,7 +7,7 @@
 import attrs
 
 from ibisrack.calls.outcomes import Reason
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.links.codec import encode
 from ibisrack.links.codec_test import SUBMIT
@@ -80,11 +80,11 @@
 
 async def measure_refusal(link: OutgoingLink) -> tuple[str, float]:
     """Returns the reason of a refused request and the seconds until it was refused."""
-    start_s = read_clocks().monotonic_s
+    start_s = read_monotonic_s()
     try:
         await link.run(SUBMIT, lambda: False)
     except NotRunError as error:
-        return error.reason, read_clocks().monotonic_s - start_s
+        return error.reason, read_monotonic_s() - start_s
     raise AssertionError("the request was sent")
 
 
@@ -179,10 +179,10 @@
                 submit = attrs.evolve(SUBMIT, number=number, request_id=str(number))
                 short_call = asyncio.create_task(link.run(submit, lambda: False))
                 await asyncio.sleep(0.1)
-                link.check_silence(read_clocks().monotonic_s)
+                link.check_silence(read_monotonic_s())
                 short_call.cancel()
                 await asyncio.sleep(0)
-        assert not link.candidate(read_clocks().monotonic_s).delivering
+        assert not link.candidate(read_monotonic_s()).delivering
 
 
 async def test_peer_that_sends_a_large_answer_slowly_is_not_silent():
@@ -194,7 +194,7 @@
         for part in slices:
             writer.write(part)
             await asyncio.sleep(pause_s)
-            link.check_silence(read_clocks().monotonic_s)
+            link.check_silence(read_monotonic_s())
         async with asyncio.timeout(1):
             assert (await call).status == 200
         assert not link.losses
@@ -224,7 +224,7 @@
 async def test_only_an_unused_link_is_idle():
     """Guards against links that are closed while they carry requests or registry changes."""
     async with open_link_to_answering_peer() as (link, _):
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         await link.run(SUBMIT, lambda: False)
         assert not link.is_idle(now_s)
         assert link.is_idle(now_s + 2 * IDLE_TIME_S)
--- a/ibisrack/links/pacer.py
+++ b/ibisrack/links/pacer.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 
 BITS_PER_BYTE = 8
 BYTES_PER_S_PER_MBPS = 1_000_000 / BITS_PER_BYTE
@@ -48,7 +48,7 @@
 
     def reserve(self, size_bytes: int) -> "LinkTime":
         """Reserves the link for an answer after all earlier ones."""
-        starts_at_s = max(read_clocks().monotonic_s, self._free_at_s)
+        starts_at_s = max(read_monotonic_s(), self._free_at_s)
         self._free_at_s = starts_at_s + size_bytes / self.rate_bytes_per_s
         return LinkTime(self, size_bytes, starts_at_s)
 
@@ -74,7 +74,7 @@
     async def wait_for_part(self, offset_bytes: int) -> None:
         """Waits until the part at an offset may be written."""
         due_at_s = self.starts_at_s + offset_bytes / self.pacer.rate_bytes_per_s - LEAD_S
-        delay_s = due_at_s - read_clocks().monotonic_s
+        delay_s = due_at_s - read_monotonic_s()
         if delay_s > 0:
             await asyncio.sleep(delay_s)
 
--- a/ibisrack/links/pacer_test.py
+++ b/ibisrack/links/pacer_test.py
@@ -9,7 +9,7 @@
 from ibisrack.calls.admission import Scheduler
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.messages import Answer
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.hosting.recorder import SubmissionRecorder
 from ibisrack.hosting.runner import InstanceRunner
 from ibisrack.instances.directory import InstanceDirectory
@@ -87,11 +87,11 @@
     link, written = serve_on_slow_link()
     for number in (1, 2):
         handle(attrs.evolve(SUBMIT, number=number, request_id=f"large-{number}"), link)
-    started_at_s = read_clocks().monotonic_s
+    started_at_s = read_monotonic_s()
     await wait_until(lambda: not link.runs)
     numbers = [message.number for message in written]
     assert numbers == sorted(numbers)
-    assert read_clocks().monotonic_s - started_at_s > 1.5 * LARGE_BODY_S
+    assert read_monotonic_s() - started_at_s > 1.5 * LARGE_BODY_S
 
 
 async def test_an_answer_that_is_not_sent_to_its_end_does_not_delay_the_next():
--- a/ibisrack/links/transit_test.py
+++ b/ibisrack/links/transit_test.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.hosting.runs import Run
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.links.incoming import IncomingLink, handle
@@ -36,7 +36,7 @@
     runner.start.side_effect = Run
     runner.spawn.side_effect = lambda work: work.close()
     link = IncomingLink(runner, lambda: None, lambda revision: None, Mock(), "10.0.0.2")
-    now_ms = read_clocks().monotonic_s * 1000
+    now_ms = read_monotonic_s() * 1000
     for sent_at_ms in (now_ms, now_ms - 500):
         handle(attrs.evolve(SUBMIT, sent_at_ms=round(sent_at_ms)), link)
     on_time, late = (call.args[0] for call in runner.start.call_args_list)
--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -12,7 +12,7 @@
 from ibisrack.calls.http_connection import HttpConnection
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.relay import forwardable_headers
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
 from ibisrack.errors import RequestError
@@ -125,7 +125,7 @@
         return CallerConnection(self, self.limits(), loop=self._loop)
 
     async def _handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
-        received_at_s = read_clocks().monotonic_s
+        received_at_s = read_monotonic_s()
         try:
             request = await self._read_request(http_request, received_at_s)
         except RequestError as error:
--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -13,7 +13,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.pace import MAX_RATE_PER_S
 from ibisrack.calls.relay import forwardable_headers
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.hosting.notices import Notice
 from ibisrack.links.messages import Submit
@@ -100,7 +100,7 @@
             raise NotRunError(Reason.DEADLINE) from error
 
     async def _read_answer(self, connection: Connection, submit: Submit) -> Answer:
-        requested_at_s = read_clocks().monotonic_s
+        requested_at_s = read_monotonic_s()
         message, body = await self._read_matching_answer(connection, submit)
         headers = message.headers
         is_from_instance = SIGNATURE in headers or NOT_EXECUTED in headers
--- a/ibisrack/registry/follower.py
+++ b/ibisrack/registry/follower.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import BacklogError, HistoryGoneError, PlatformError
 from ibisrack.metrics.tally import Tally
 from ibisrack.registry.deltas import unpack_changes
@@ -166,11 +166,11 @@
 
     def _record_own_answer(self) -> None:
         if self.read_required.is_set():
-            self.answered_at_s = read_clocks().monotonic_s
+            self.answered_at_s = read_monotonic_s()
         self._record_answer()
 
     def _record_answer(self) -> None:
-        self.view.confirmed_at_s = read_clocks().monotonic_s
+        self.view.confirmed_at_s = read_monotonic_s()
         if not self.answering:
             self.answering = True
             _LOGGER.info("registry answers", extra={"revision": str(self.view.revision)})
--- a/ibisrack/registry/registry_test.py
+++ b/ibisrack/registry/registry_test.py
@@ -3,7 +3,7 @@
 import asyncio
 from random import Random
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import BacklogError, HistoryGoneError, PlatformError
 from ibisrack.metrics.tally import Tally
 from ibisrack.registry.follower import BASE_RETRY_DELAY_S, LONG_POLL_S, RegistryFollower
@@ -118,11 +118,11 @@
     task = asyncio.create_task(follower.follow())
     await asyncio.sleep(0.02)
     assert registry.calls == []
-    assert not follower.is_reading(read_clocks().monotonic_s)
+    assert not follower.is_reading(read_monotonic_s())
     follower.set_delivered_by_peers(False)
     while not registry.calls:
         await asyncio.sleep(0.01)
-    assert follower.is_reading(read_clocks().monotonic_s)
+    assert follower.is_reading(read_monotonic_s())
     task.cancel()
 
 
@@ -145,10 +145,10 @@
 async def test_a_history_that_stays_lost_is_asked_for_less_and_less_often():
     """Guards against a loop of listings and watches at full speed, which the platform charges."""
     lost = [Listing(at(5), ()), HistoryGoneError("gone")] * 3
-    started_at_s = read_clocks().monotonic_s
+    started_at_s = read_monotonic_s()
     await follow(*lost, Listing(at(9), ()))
     least_s = 0.5 * BASE_RETRY_DELAY_S * (2**2 + 2**3)
-    assert read_clocks().monotonic_s - started_at_s >= least_s
+    assert read_monotonic_s() - started_at_s >= least_s
 
 
 load_tests = function_tests(__name__)
--- a/ibisrack/room/poller.py
+++ b/ibisrack/room/poller.py
@@ -11,7 +11,7 @@
 
 from ibisrack.admin.client import AdminClient, AdminError, AdminFailure
 from ibisrack.admin.messages import DEAD, Member, RulesText, Status
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import RulesError
 from ibisrack.room.fleet import FleetView
 from ibisrack.room.merge import merge_answers
@@ -51,15 +51,15 @@
 
     def view(self) -> ScreenView:
         """Returns the view with its ages as of now."""
-        age_s = read_clocks().monotonic_s - self._fleet_at_s
+        age_s = read_monotonic_s() - self._fleet_at_s
         return screen_view(attrs.evolve(self.polled, fleet_age_s=age_s), self.stale_s)
 
     async def run(self) -> None:
         """Polls in rounds until cancelled."""
         while True:
-            next_round_at_s = read_clocks().monotonic_s + self.interval_s
+            next_round_at_s = read_monotonic_s() + self.interval_s
             await self.read_round()
-            await asyncio.sleep(max(0.0, next_round_at_s - read_clocks().monotonic_s))
+            await asyncio.sleep(max(0.0, next_round_at_s - read_monotonic_s()))
 
     async def read_round(self) -> None:
         """Reads the fleet view, changed rules and members, and probes silent nodes."""
@@ -90,7 +90,7 @@
             except AdminError as caught:
                 error = caught
                 continue
-            now_s = read_clocks().monotonic_s
+            now_s = read_monotonic_s()
             fleet = merge_answers(self.polled.fleet, now_s - self._fleet_at_s, fleet)
             self._source, self._fleet_at_s = address, now_s
             self.polled = attrs.evolve(self.polled, fleet=fleet, error="")
@@ -110,7 +110,7 @@
         self.polled = attrs.evolve(self.polled, rules=rules, rules_revision=text.revision)
 
     async def _read_members(self) -> None:
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         interval_s = MEMBERS_INTERVAL_WHILE_SILENT_S if self._silent_nodes() else MEMBERS_INTERVAL_S
         if self._members_at_s is not None and now_s - self._members_at_s < interval_s:
             return
--- a/ibisrack/room/reporter.py
+++ b/ibisrack/room/reporter.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_clocks, read_monotonic_s
 from ibisrack.exchange.channels import ChannelCache
 from ibisrack.exchange.exchanger import Exchanger, try_exchange
 from ibisrack.membership.election import elect_collectors
@@ -55,11 +55,11 @@
             m.peer_address: m for m in own_collectors(node.members.own(), node.members.all())
         }
         await self._report_channels.close_others(collectors)
-        due = self.schedule.due(node, tuple(collectors), read_clocks().monotonic_s)
+        due = self.schedule.due(node, tuple(collectors), read_monotonic_s())
         if due:
             results = await asyncio.gather(*(self._send(address) for address in due))
             if not all(results):
-                self.schedule.schedule_retry(read_clocks().monotonic_s)
+                self.schedule.schedule_retry(read_monotonic_s())
 
     async def _send(self, address: str) -> bool:
         node = self.exchanger.node
@@ -80,5 +80,5 @@
         if not chosen:
             return
         channel = self._partner_channels.get(node.rng.choice(chosen).peer_address)
-        opening = (node.room.summaries_request(read_clocks().monotonic_s, MIN_AGE_DIFFERENCE_S),)
+        opening = (node.room.summaries_request(read_monotonic_s(), MIN_AGE_DIFFERENCE_S),)
         await try_exchange(self.exchanger, channel, node.settings.exchange.timeout_s, opening)
--- a/ibisrack/room/server.py
+++ b/ibisrack/room/server.py
@@ -12,7 +12,7 @@
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector, web
 
 from ibisrack.admin.client import AdminClient
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.room.poller import Poller
 from ibisrack.settings.room import RoomSettings
 
@@ -58,7 +58,7 @@
 
     async def view(self, request: web.Request) -> web.Response:
         """Returns the current view as JSON."""
-        body = self.encoded_view(read_clocks().monotonic_s)
+        body = self.encoded_view(read_monotonic_s())
         return web.Response(body=body, content_type="application/json", headers=_HEADERS)
 
     def encoded_view(self, now_s: float) -> bytes:
--- a/ibisrack/room/source.py
+++ b/ibisrack/room/source.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.exchange.channels import ChannelCache
 from ibisrack.exchange.exchanger import Exchanger, try_exchange
 from ibisrack.membership.election import elect_collectors
@@ -32,7 +32,7 @@
     async def view(self) -> FleetView:
         """Returns the view, built at most VIEW_CACHE_S ago."""
         async with self._lock:
-            if self._view is None or read_clocks().monotonic_s - self._built_at_s >= VIEW_CACHE_S:
+            if self._view is None or read_monotonic_s() - self._built_at_s >= VIEW_CACHE_S:
                 await self._refresh_summaries()
                 self._build_view()
         return self._view
@@ -45,7 +45,7 @@
             return
         collectors = [m.peer_address for m in own_collectors(own, node.members.all())]
         await self._channels.close_others(collectors)
-        opening = (node.room.summaries_request(read_clocks().monotonic_s, MIN_AGE_DIFFERENCE_S),)
+        opening = (node.room.summaries_request(read_monotonic_s(), MIN_AGE_DIFFERENCE_S),)
         for address in collectors:
             channel = self._channels.get(address)
             timeout_s = node.settings.exchange.timeout_s
@@ -53,7 +53,7 @@
                 return
 
     def _build_view(self) -> None:
-        node, now_s = self.exchanger.node, read_clocks().monotonic_s
+        node, now_s = self.exchanger.node, read_monotonic_s()
         members = node.members
         self._view = fleet_view(members.own_id, node.room, members.all(), now_s)
         self._built_at_s = now_s
--- a/ibisrack/sidecar/content.py
+++ b/ibisrack/sidecar/content.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.dispatch.choice import InstanceViews
 from ibisrack.errors import MessageError
 from ibisrack.instances.directory import InstanceDirectory
@@ -58,13 +58,13 @@
 
         What the copy lacks, or lists as it was before, is written again a moment later.
         """
-        self.directory.mark_restored(read_clocks().monotonic_s)
+        self.directory.mark_restored(read_monotonic_s())
         self._apply_entries(entries, self.directory.put_restored)
 
     def _apply_entries(
         self, entries: tuple[Entry, ...], put_instance: Callable[[Instance], bool]
     ) -> None:
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         for entry in entries:
             if entry.key == self.decoder.CONFIGURATION_KEY:
                 self._apply_configuration(entry)
--- a/ibisrack/sidecar/limits_test.py
+++ b/ibisrack/sidecar/limits_test.py
@@ -3,7 +3,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.links.codec import encode
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import SidecarFleet, run_sidecars, wait_until
@@ -30,7 +30,7 @@
 
 async def send_rounds(fleet: SidecarFleet, requests: int) -> tuple[list[int], float]:
     """Sends rounds of requests from all nodes; returns the statuses and the time it took."""
-    started_at_s = read_clocks().monotonic_s
+    started_at_s = read_monotonic_s()
     calls = []
     for round_number in range(ROUNDS):
         calls += [
@@ -41,7 +41,7 @@
         ]
         await asyncio.sleep(ROUND_S)
     answers = await asyncio.gather(*calls)
-    return [answer.status for answer, _ in answers], read_clocks().monotonic_s - started_at_s
+    return [answer.status for answer, _ in answers], read_monotonic_s() - started_at_s
 
 
 async def learn_limits(fleet: SidecarFleet, numbers: tuple[int, ...]) -> None:
--- a/ibisrack/sidecar/lost_link_test.py
+++ b/ibisrack/sidecar/lost_link_test.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.hosting.runs import RESULT_TTL_S
 from ibisrack.instances.model import InstanceState
 from ibisrack.links.silence import ABORT_AFTER_SILENCE_S
@@ -107,7 +107,7 @@
     """Starts a request that the first peer's instance runs although another one is ready."""
     fleet_.instances[1].work_s = work_s
     views = fleet_.nodes[0].dispatcher.views
-    views.of("i-2").avoid_until_s = read_clocks().monotonic_s + 0.2
+    views.of("i-2").avoid_until_s = read_monotonic_s() + 0.2
     call = start_request(fleet_)
     await wait_until(lambda: bool(fleet_.instances[1].executed_ids))
     return call
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -5,7 +5,7 @@
 
 from aioprometheus import Registry, render
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.metrics.exposition import (
     Metric,
     call_metrics,
@@ -46,7 +46,7 @@
 
 def _suspect_metrics(node: SidecarNode) -> Iterator[Metric]:
     recorder = node.suspects.recorder
-    verdicts = node.suspects.table.verdicts(read_clocks().monotonic_s)
+    verdicts = node.suspects.table.verdicts(read_monotonic_s())
     blocked = sum(isinstance(verdict, Blocked) for verdict in verdicts)
     suspects = (
         ({"verdict": "suspected"}, len(verdicts) - blocked),
@@ -65,14 +65,14 @@
 
 
 def _budget_metrics(node: SidecarNode) -> Iterator[Metric]:
-    retries_in_window = node.dispatcher.budget.retries_in_window(read_clocks().monotonic_s)
+    retries_in_window = node.dispatcher.budget.retries_in_window(read_monotonic_s())
     samples = tuple(({"service": service}, count) for service, count in retries_in_window.items())
     yield Metric("ibis_repeats_in_window", "Repeats that count now.", False, samples)
 
 
 def _registry_metrics(node: SidecarNode) -> Iterator[Metric]:
     version, revision = node.configurations.version, node.view.revision
-    age_s = read_clocks().monotonic_s - node.view.confirmed_at_s
+    age_s = read_monotonic_s() - node.view.confirmed_at_s
     known_instances = node.directory.all()
     instances = (
         ({"state": "ready"}, sum(i.ready for i in known_instances)),
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.dispatch.destination import Destination
 from ibisrack.dispatch.dispatcher import Dispatcher
 from ibisrack.hosting.runner import InstanceRunner
@@ -114,7 +114,7 @@
 
     def load(self) -> Load:
         """Returns the current load of the instance beside this node."""
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         load, pace = self.instance_runner.gate.load(), self.instance_runner.gate.scheduler.pace
         return Load(
             load.busy,
@@ -139,7 +139,7 @@
     @property
     def latest_reported_version(self) -> int:
         """Latest version of the configuration that peers have in force, 0 if none is known."""
-        return self._reported_versions.latest(read_clocks().monotonic_s)
+        return self._reported_versions.latest(read_monotonic_s())
 
     def lacks_later_configuration(self) -> bool:
         """Returns whether peers have a later configuration in force than this node."""
@@ -185,7 +185,7 @@
             kept.retry_ratio,
             kept.retry_slack,
             kept.retry_window_s,
-            read_clocks().monotonic_s,
+            read_monotonic_s(),
         )
         self._update_own_instance()
 
@@ -273,15 +273,15 @@
     def set_registry_state(self, answering: bool) -> None:
         """Records whether the registry answers."""
         if answering:
-            self.directory.mark_registry_up(read_clocks().monotonic_s)
+            self.directory.mark_registry_up(read_monotonic_s())
         else:
             self.directory.mark_registry_down()
 
     async def tick(self) -> None:
         """Runs the periodic work: clean-up, silence checks, expiry, load reports and catch-up."""
-        due_at_s = read_clocks().monotonic_s
+        due_at_s = read_monotonic_s()
         while True:
-            now_s = read_clocks().monotonic_s
+            now_s = read_monotonic_s()
             self.loop_delay.record(now_s - due_at_s, now_s, time.process_time())
             self.instance_runner.clean_up(now_s)
             for link in tuple(self.outgoing_links.values()):
@@ -298,7 +298,7 @@
             self.registry_peers.request_missing_entries(now_s)
             for link in self.incoming_links:
                 link.send_followed_entries()
-            due_at_s = read_clocks().monotonic_s + TICK_INTERVAL_S
+            due_at_s = read_monotonic_s() + TICK_INTERVAL_S
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def _close_idle_links(self, now_s: float) -> None:
--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from ibisrack.bin.ibis_sidecar import LIFECYCLE_MESSAGES
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.dispatch.dispatcher import STOPPING_RETRY_AFTER_S
 from ibisrack.errors import NotRunError
 from ibisrack.instances.model import InstanceState
@@ -102,7 +102,7 @@
     """Guards against a refusal of a stopping node that neither log nor counters show."""
     with capture_log() as log:
         async with run_sidecars(1) as fleet_:
-            node, now_s = fleet_.nodes[0], read_clocks().monotonic_s
+            node, now_s = fleet_.nodes[0], read_monotonic_s()
             node.dispatcher.stop = PlannedStop(accepts_until_s=now_s, ends_at_s=now_s + 1)
             answer, _ = await fleet_.send_request(0, request_id="q-9")
     assert answer.status == 503
@@ -194,7 +194,7 @@
             signals = StopSignals()
             signals.record(SIGTERM)
             signals.record(SIGTERM)
-            stopping = asyncio.create_task(drain(fleet_.nodes[0], read_clocks().monotonic_s))
+            stopping = asyncio.create_task(drain(fleet_.nodes[0], read_monotonic_s()))
             await wait_until(lambda: fleet_.nodes[0].stopping)
             stopping.cancel()
     assert {record.getMessage() for record in log} >= LIFECYCLE_MESSAGES
--- a/ibisrack/sidecar/registry_peers.py
+++ b/ibisrack/sidecar/registry_peers.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import MessageError
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.links.messages import Entries
@@ -90,7 +90,7 @@
         if message.revision <= self.view.revision:
             return
         changed = tuple(PackedEntry(*row) for row in message.changed)
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         try:
             follower.apply_peer_delta(Delta(message.revision, message.keys, changed))
         except MissingBaseError as error:
--- a/ibisrack/sidecar/stopping.py
+++ b/ibisrack/sidecar/stopping.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.platform.http_server import CallerServer
 from ibisrack.sidecar.node import SidecarNode
 from ibisrack.stopping.plan import PlannedStop
@@ -47,7 +47,7 @@
 
     def record(self, number: signal.Signals) -> None:
         """Records a signal; logs each one after the first."""
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         if self.first_at_s is None:
             self.first_at_s = now_s
             self._received.set()
@@ -80,11 +80,11 @@
     node.dispatcher.stop = node.instance_runner.stop = PlannedStop(accepts_until_s, ends_at_s)
     node.stopping = True
     _LOGGER.info("stopping", extra={"node": node.settings.node_id})
-    await asyncio.sleep(accepts_until_s - read_clocks().monotonic_s)
+    await asyncio.sleep(accepts_until_s - read_monotonic_s())
     await asyncio.sleep(STOP_POLL_S)  # The loop's timers may fire slightly early.
     _close_to_submissions(node)
     while True:
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         node.dispatcher.withdraw_waiting(now_s)
         idle = not node.instance_runner.gate.load().busy and not node.dispatcher.running
         if idle or now_s >= ends_at_s - ARRIVAL_WINDOW_S:
@@ -114,8 +114,8 @@
       callers: Its server of callers.
       window_s: Time without requests after which it returns; it returns at the planned end anyway.
     """
-    idle_since_s = read_clocks().monotonic_s
-    while (now_s := read_clocks().monotonic_s) < node.dispatcher.stop.ends_at_s:
+    idle_since_s = read_monotonic_s()
+    while (now_s := read_monotonic_s()) < node.dispatcher.stop.ends_at_s:
         node.dispatcher.withdraw_waiting(now_s)
         if callers.serving_connections or node.is_serving_peers:
             idle_since_s = now_s
--- a/ibisrack/sidecar/stopping_test.py
+++ b/ibisrack/sidecar/stopping_test.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from ibisrack.calls.outcomes import Reason
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.instances.model import InstanceState
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.links.frames import read_message, write_message
@@ -46,7 +46,7 @@
         call = asyncio.create_task(fleet_.send_request(0))
         await wait_until(lambda: any(instance.executed_ids for instance in fleet_.instances))
         # The time in which the stopping node still gives its instance requests is over at once.
-        start_s = read_clocks().monotonic_s - MIN_STOP_S
+        start_s = read_monotonic_s() - MIN_STOP_S
         stopping = asyncio.create_task(drain(fleet_.nodes[0], start_s))
         answer, _ = await call
         assert answer.status == 200
@@ -65,7 +65,7 @@
         node = fleet_.nodes[0]
         fleet_.register_instance(1, state=InstanceState.DRAINING, sequence=1)
         await wait_until(lambda: not all(n.directory.get("i-1").ready for n in fleet_.nodes))
-        stopping = asyncio.create_task(drain(node, read_clocks().monotonic_s))
+        stopping = asyncio.create_task(drain(node, read_monotonic_s()))
         await wait_until(lambda: node.stopping)
         answers = [await fleet_.send_request(n, request_id=f"q-{n}") for n in (0, 1)]
         assert [answer.status for answer, _ in answers] == [200, 200]
@@ -93,7 +93,7 @@
             await wait_until(lambda n=n: load().busy + load().queued == n + 1)
         fleet_.register_instance(1, started_at_ms=1)
         await wait_until(lambda: peer.directory.get("i-1").ready)
-        start_s = read_clocks().monotonic_s - MIN_STOP_S
+        start_s = read_monotonic_s() - MIN_STOP_S
         stopping = asyncio.create_task(drain(node, start_s))
         answer, _ = await calls[2]
         assert (answer.status, fleet_.instances[1].executed_ids) == (200, ["q-2"])
@@ -106,7 +106,7 @@
 async def connect_to_stopping_node(node):
     """Puts a node into a planned stop and returns a caller's connection to it."""
     node.stopping = True
-    now_s = read_clocks().monotonic_s
+    now_s = read_monotonic_s()
     node.dispatcher.stop = PlannedStop(now_s + 5, now_s + 5)
     calls = node.settings.calls
     return await asyncio.open_connection(calls.host, calls.port)
@@ -219,7 +219,7 @@
     """
     async with run_beside_full_peer() as (fleet_, node, peer):
         reader, writer = await connect_to_stopping_node(node)
-        node.dispatcher.stop.ends_at_s = read_clocks().monotonic_s + 0.45
+        node.dispatcher.stop.ends_at_s = read_monotonic_s() + 0.45
         ending = asyncio.create_task(fleet_.stop_sidecar(0))
         await asyncio.sleep(0.1)
         writer.write(
@@ -237,7 +237,7 @@
     Most requests are short here, so their mean service time would let it start until 0.5 s before.
     """
     async with run_beside_full_peer() as (fleet_, node, peer):
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         (route,) = (r for r in node.configurations.current.routes if not r.idempotent)
         node.dispatcher.service_times.record(route.name, 1.6, now_s)
         waiting = asyncio.create_task(
@@ -264,7 +264,7 @@
             reader, writer = await asyncio.open_connection(calls.host, calls.port)
         except OSError:
             return
-        sent_at_s, request_id = read_clocks().monotonic_s, f"{name}-{number}"
+        sent_at_s, request_id = read_monotonic_s(), f"{name}-{number}"
         writer.write(
             b"POST /lodge/1 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: %s\r\n"
             b"Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n" % request_id.encode()
@@ -275,7 +275,7 @@
         writer.close()
         statuses.append(status_line)
         if not status_line:
-            unanswered[request_id] = read_clocks().monotonic_s - sent_at_s
+            unanswered[request_id] = read_monotonic_s() - sent_at_s
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
@@ -291,7 +291,7 @@
             for n in range(8)
         ]
         await wait_until(lambda: len(statuses) >= 8)
-        await drain(node, read_clocks().monotonic_s - STOP_TEST_SKIPPED_S)
+        await drain(node, read_monotonic_s() - STOP_TEST_SKIPPED_S)
         await fleet_.stop_sidecar(0)
         await asyncio.gather(*callers)
         executed_ids = {name for instance in fleet_.instances for name in instance.executed_ids}
@@ -334,7 +334,7 @@
         write_message(writer, Hello("127.0.0.9", "epoch", 1000.0), submit)
         await wait_until(lambda: fleet_.instances[0].last_request is not None)
         await wait_until(lambda: not node.instance_runner.gate.load().busy)
-        now_s = read_clocks().monotonic_s
+        now_s = read_monotonic_s()
         node.stopping, node.dispatcher.stop = True, PlannedStop(now_s, now_s + 5)
         ending = asyncio.create_task(fleet_.stop_sidecar(0))
         await asyncio.sleep(0.8)
@@ -366,7 +366,7 @@
             call = asyncio.create_task(fleet_.send_request(0, "/lodge/1", method="POST"))
             await wait_until(lambda: fleet_.instances[1].last_request is not None)
             node.stopping = True
-            now_s = read_clocks().monotonic_s
+            now_s = read_monotonic_s()
             node.dispatcher.stop = PlannedStop(now_s, now_s)
             ending = asyncio.create_task(fleet_.stop_sidecar(0))
             await wait_until(lambda: any(record.getMessage() == "stopped" for record in log))
--- a/ibisrack/suspects/exchange.py
+++ b/ibisrack/suspects/exchange.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.instances.model import Instance
 from ibisrack.membership.gossip import transmit_limit
 from ibisrack.suspects.fingerprint import Fingerprinted
@@ -52,14 +52,14 @@
         """Returns the verdict on a request."""
         if not self.table.has_suspects:
             return CLEAR
-        return self.table.verdict(request.fingerprint, read_clocks().monotonic_s)
+        return self.table.verdict(request.fingerprint, read_monotonic_s())
 
     def is_down(self, instance: Instance) -> bool:
         """Returns whether an instance has crashed and its entry is still listed."""
         if not self.table.has_crashes:
             return False
         start = (instance.instance_id, instance.started_at_ms)
-        return self.table.is_down(start, read_clocks().monotonic_s)
+        return self.table.is_down(start, read_monotonic_s())
 
     def report_crash(
         self,
@@ -108,7 +108,7 @@
 
     def greeting(self) -> tuple[CrashReport, ...]:
         """Returns the messages for a peer that may know nothing."""
-        return self.table.reports(read_clocks().monotonic_s)
+        return self.table.reports(read_monotonic_s())
 
 
 def _distinct_fingerprints(requests: Iterable[Fingerprinted]) -> tuple[bytes, ...]:
@@ -125,7 +125,7 @@
 
 @_apply.register
 def _(message: CrashReport, suspects: SuspectExchange) -> bool:
-    now_s = read_clocks().monotonic_s
+    now_s = read_monotonic_s()
     known = {f: suspects.table.verdict(f, now_s) for f in message.suspects}
     is_new = suspects.table.record_crash(message, now_s)
     for fingerprint, before in known.items():
@@ -138,7 +138,7 @@
 
 @_apply.register
 def _(message: RunCompleted, suspects: SuspectExchange) -> bool:
-    now_s = read_clocks().monotonic_s
+    now_s = read_monotonic_s()
     before = suspects.table.verdict(message.fingerprint, now_s)
     is_new = suspects.table.record_completion(message, now_s)
     suspects.recorder.record_cleared(message.fingerprint, before)
@@ -153,6 +153,6 @@
 
 @_correct.register
 def _(message: CrashReport, source: PeerLink, suspects: SuspectExchange) -> None:
-    completions = suspects.table.completions_after(message, read_clocks().monotonic_s)
+    completions = suspects.table.completions_after(message, read_monotonic_s())
     if completions:
         source.send(*completions)
--- a/ibisrack/suspects/exchange_test.py
+++ b/ibisrack/suspects/exchange_test.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.links.bounds import check_bounds
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.membership.gossip import transmit_limit
@@ -134,7 +134,7 @@
         kept = [link for link in node.links() if link.peer is not nodes[0]]
         node.links = lambda kept=kept: kept
     nodes[2].record_completed(SUBMIT)
-    now_s = read_clocks().monotonic_s
+    now_s = read_monotonic_s()
     for node in nodes:
         node.table.expire(now_s + COMPLETION_NEWS_S)
     assert isinstance(nodes[0].verdict(SUBMIT), Blocked)
--- a/ibisrack/suspects/quarantine.py
+++ b/ibisrack/suspects/quarantine.py
@@ -8,7 +8,7 @@
 import attrs
 
 from ibisrack.calls.outcomes import Reason
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError
 from ibisrack.suspects.table import Blocked, Clear, Suspected, Verdict
 
@@ -101,7 +101,7 @@
         waiter = Waiter(request_id, fingerprint, asyncio.get_running_loop().create_future())
         self._waiting.append(waiter)
         try:
-            async with asyncio.timeout(deadline_at_s - read_clocks().monotonic_s):
+            async with asyncio.timeout(deadline_at_s - read_monotonic_s()):
                 return await waiter.granted
         except TimeoutError:
             self._leave(waiter)
--- a/ibisrack/suspects/quarantine_test.py
+++ b/ibisrack/suspects/quarantine_test.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from ibisrack.calls.outcomes import Reason
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError
 from ibisrack.suspects.quarantine import MAX_WAITING, Quarantine
 from ibisrack.suspects.table import CLEAR, Blocked, Suspected
@@ -18,7 +18,7 @@
     fingerprint: bytes = b"f" * 16,
 ):
     """Takes a turn, and returns the reason if it was refused."""
-    deadline_at_s = read_clocks().monotonic_s + wait_s
+    deadline_at_s = read_monotonic_s() + wait_s
     try:
         async with quarantine.hold_turn(request_id, fingerprint, deadline_at_s):
             ran.append(request_id)
@@ -76,7 +76,7 @@
 async def test_a_verdict_ends_the_wait_of_the_requests_that_it_is_on():
     """Guards against requests that wait for a turn though they need none, or will get none."""
     quarantine, cleared, blocked, other = Quarantine(), b"c" * 16, b"d" * 16, b"o" * 16
-    far_s = read_clocks().monotonic_s + 5.0
+    far_s = read_monotonic_s() + 5.0
     turns = {}
 
     async def wait(name: str, fingerprint: bytes) -> None:
--- a/ibisrack/upstreams/local.py
+++ b/ibisrack/upstreams/local.py
@@ -12,7 +12,7 @@
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.transport import send
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.rules.model import ServiceRule
 from ibisrack.settings.node import UpstreamSettings
@@ -69,7 +69,7 @@
           NotRunError: The upstream was not reached, or it shed the call.
           UnknownOutcomeError: The call may have run.
         """
-        if not self.state.may_call(read_clocks().monotonic_s):
+        if not self.state.may_call(read_monotonic_s()):
             raise NotRunError(Reason.UPSTREAM_UNREACHABLE)
         try:
             answer = await send(self.pool, call, hop_headers, budget_s)
@@ -101,7 +101,7 @@
             await asyncio.sleep(self.settings.health_interval_s)
 
     def _observe(self, observation) -> None:
-        self.state.observe(observation, read_clocks().monotonic_s)
+        self.state.observe(observation, read_monotonic_s())
 
     async def _read_health(self, session: ClientSession) -> bool | None:
         """Returns the report of the health endpoint, None if there is no such endpoint."""
--- a/ibisrack/versions/platform_reader.py
+++ b/ibisrack/versions/platform_reader.py
@@ -8,7 +8,7 @@
 import attrs
 from aiohttp import ClientSession
 
-from ibisrack.clocks import Instant, read_clocks
+from ibisrack.clocks import Instant, read_clocks, read_monotonic_s
 from ibisrack.errors import PlatformError, PlatformTimeoutError
 from ibisrack.node.lifecycle import JOINING, STARTING
 from ibisrack.node.state import NodeState
@@ -182,8 +182,8 @@
         self, operation: Callable, name: str, revision: int, wait_s: float | None
     ) -> Any:
         """Makes one request to the platform within the read budget, a watch if wait_s is None."""
-        await asyncio.sleep(self.budget.wait_s(read_clocks().monotonic_s))
-        self.budget.spend(read_clocks().monotonic_s)
+        await asyncio.sleep(self.budget.wait_s(read_monotonic_s()))
+        self.budget.spend(read_monotonic_s())
         settings = self.node.settings.platform
         watch_s = self.budget.watch_wait_s(settings.watch_s) if wait_s is None else wait_s
         self.node.tally.platform_reads += 1
