--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from functools import partial, singledispatch
-from random import Random
 
 import attrs
 
@@ -12,19 +11,17 @@
 from ibisrack.clocks import read_monotonic_s, read_uptime_ms
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import ServiceRetryBudgets
-from ibisrack.dispatch.choice import InstanceViews, choose_home, choose_instance
 from ibisrack.dispatch.destination import Destination, OpenAttempt
 from ibisrack.dispatch.first_attempts import FirstAttemptEstimator
 from ibisrack.dispatch.recorder import RequestRecorder
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
+from ibisrack.dispatch.selection import InstanceSelector
 from ibisrack.dispatch.service_times import LongestServiceTimes
-from ibisrack.dispatch.subset import InstanceSubsets
 from ibisrack.dispatch.verdicts import allows_attempt, reason_without_attempt
 from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
-from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
-from ibisrack.links.messages import Load, Submit
+from ibisrack.links.messages import Submit
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.model import Route
 from ibisrack.routing.splits import Splitter
@@ -33,8 +30,6 @@
 from ibisrack.suspects.table import FIRST_BLOCK_S, Clear, Suspected, Verdict
 
 MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
-# Instances of the subset that are tried first.  If all of them refuse, others may still be free.
-MAX_TRIED_IN_SUBSET = 5
 MIN_RETRY_AFTER_S = 0.05
 # Time for a node to obtain its first configuration, or a later one that its peers have.
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3
@@ -47,17 +42,13 @@
     """Serves requests of the callers on this host.
 
     Attributes:
-      zone: Availability zone of this node.
       configurations: Holder of the configuration in force.
-      directory: Known instances.
+      selector: Selects the instances.
       destination_of: Returns the node beside an instance.
-      load_of: Returns the last reported load of an instance, None without a link to its node.
       budget: Retry budgets of the services.
       retry_share: Returns the share of retries among the requests running on the local instance.
-      rng: Source of jitter.
       recorder: Counts and logs finished requests.
       lacks_later_configuration: Returns whether peers have a later configuration in force.
-      views: Runtime state of the instances.
       splitter: Selects among the services of a route.
       service_times: Longest recent service time of each route.
       first_attempts: Estimates when the caller of a retried request first sent it.
@@ -65,20 +56,15 @@
       open_attempts: Attempts of the requests being served.
       stop: Planned stop of this process, None while there is none.
       suspects: Requests that are suspected of crashing instances.
-      subsets: The instances that requests are usually sent to.
     """
 
-    zone: str
     configurations: ConfigurationHolder
-    directory: InstanceDirectory
+    selector: InstanceSelector
     destination_of: Callable[[Instance], Destination]
-    load_of: Callable[[Instance], Load | None]
     budget: ServiceRetryBudgets
     retry_share: Callable[[], float]
-    rng: Random
     recorder: RequestRecorder
     lacks_later_configuration: Callable[[], bool]
-    views: InstanceViews = attrs.field(factory=InstanceViews)
     splitter: Splitter = attrs.field(factory=Splitter)
     service_times: LongestServiceTimes = attrs.field(factory=LongestServiceTimes)
     first_attempts: FirstAttemptEstimator = attrs.field(factory=FirstAttemptEstimator)
@@ -86,9 +72,6 @@
     open_attempts: set[OpenAttempt] = attrs.field(factory=set)
     stop: PlannedStop | None = None
     suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
-    subsets: InstanceSubsets = attrs.field(
-        default=attrs.Factory(lambda self: InstanceSubsets(self.views.own_host), takes_self=True)
-    )
 
     async def serve(self, request: Request) -> Reply:
         """Serves a request and returns the reply for its caller."""
@@ -211,37 +194,10 @@
     def _choose(
         self, request: Request, verdict: Verdict, attempts: Attempts, tried: set[str]
     ) -> Instance | None:
-        route, now_s = attempts.route, read_monotonic_s()
-        listed = self.directory.of_service(attempts.service)
+        now_s, service = read_monotonic_s(), attempts.service
         if isinstance(verdict, Suspected):
-            candidates = self._available(listed, tried, now_s)
-            return choose_home(candidates, self.views, request.fingerprint, now_s)
-        candidates: list[Instance] = []
-        if len(tried) < MAX_TRIED_IN_SUBSET:
-            subset = self.subsets.of(attempts.service, listed, self.zone)
-            candidates = self._available(subset, tried, now_s)
-        if not candidates:
-            candidates = self._available(listed, tried, now_s)
-        cost_s = self.views.zone_cost_ratio(route.name) * route.target_s
-        return choose_instance(candidates, self.views, self.zone, cost_s, self.rng, now_s)
-
-    def _available(
-        self, instances: tuple[Instance, ...], tried: set[str], now_s: float
-    ) -> list[Instance]:
-        """Returns the instances that may take a request, and updates their loads."""
-        available = []
-        for instance in instances:
-            if not instance.ready or instance.instance_id in tried:
-                continue
-            if self.suspects.is_down(instance):
-                continue
-            load = self.load_of(instance)
-            if load is not None:
-                self.views.of(instance.instance_id).update_load(load, now_s)
-                if not load.accepts_requests:
-                    continue
-            available.append(instance)
-        return available
+            return self.selector.select_home(service, request.fingerprint, tried, now_s)
+        return self.selector.select(service, attempts.route, tried, now_s)
 
     async def _attempt(
         self,
@@ -253,7 +209,8 @@
     ) -> Result:
         """Sends the request to an instance and updates the view of the instance."""
         name, route = instance.instance_id, attempts.route
-        view, destination = self.views.of(name), self.destination_of(instance)
+        views = self.selector.views
+        view, destination = views.of(name), self.destination_of(instance)
         now_s = read_monotonic_s()
         remaining_ms = int((attempts.deadline_at_s - now_s) * 1000)
         if remaining_ms <= 0:
@@ -288,18 +245,18 @@
         try:
             answer = await destination.run(submit, may_leave)
         except PeerLostError as error:
-            self.views.record_failure(name, read_monotonic_s())
+            views.record_failure(name, read_monotonic_s())
             attempts.lost_attempts.append(error)
             return error
         except NotRunError as error:
-            self.views.record_refusal(name, error.reason, read_monotonic_s())
+            views.record_refusal(name, error.reason, read_monotonic_s())
             return error
         except UnknownOutcomeError as error:
-            self.views.record_failure(name, read_monotonic_s())
+            views.record_failure(name, read_monotonic_s())
             return error
         finally:
             view.in_flight -= 1
-        self.views.record_answer_size(route.name, len(answer.body))
+        views.record_answer_size(route.name, len(answer.body))
         self.service_times.record(route.name, answer.ran_s, read_monotonic_s())
         return answer
 
--- a/ibisrack/dispatch/dispatcher_test.py
+++ b/ibisrack/dispatch/dispatcher_test.py
@@ -10,12 +10,14 @@
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import ServiceRetryBudgets
-from ibisrack.dispatch.dispatcher import MAX_INSTANCES_TRIED, MAX_TRIED_IN_SUBSET, Dispatcher
+from ibisrack.dispatch.dispatcher import MAX_INSTANCES_TRIED, Dispatcher
 from ibisrack.dispatch.request import Request
+from ibisrack.dispatch.selection import MAX_TRIED_IN_SUBSET, InstanceSelector
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.links.messages import Load, Submit
 from ibisrack.registry.messages import NO_REVISION
+from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.messages import CrashReport, RunCompleted
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import instance, route
@@ -59,17 +61,19 @@
     for number in range(COUNT):
         directory.put(instance(f"i-{number}", host=f"10.0.0.{number + 1}"))
     budget = ServiceRetryBudgets(0.0, 100.0, 10.0)
+    suspects = SuspectExchange()
+    selector = InstanceSelector(
+        "a", directory, lambda _: destination.load, Random(seed), suspects=suspects
+    )
     sender = Dispatcher(
-        "a",
         Mock(),
-        directory,
+        selector,
         lambda _: destination,
-        lambda _: destination.load,
         budget,
         lambda: 0.0,
-        Random(seed),
         Mock(),
         Mock(),
+        suspects=suspects,
     )
     return sender, destination
 
@@ -132,11 +136,11 @@
     """Guards against refusals by a busy subset while other instances are free."""
     sender, destination = dispatcher(result=NotRunError(Reason.UPSTREAM_UNREACHABLE))
     for number in range(60):
-        sender.directory.put(instance(f"i-{number}", host=f"10.0.0.{number + 1}"))
+        sender.selector.directory.put(instance(f"i-{number}", host=f"10.0.0.{number + 1}"))
     await sender._attempt_all(request(), attempts(sender))
     tried = [submit.instance_id for submit in destination.submits]
-    listed = sender.directory.of_service("desk")
-    subset = {each.instance_id for each in sender.subsets.of("desk", listed, "a")}
+    listed = sender.selector.directory.of_service("desk")
+    subset = {each.instance_id for each in sender.selector.subsets.of("desk", listed, "a")}
     assert set(tried[:MAX_TRIED_IN_SUBSET]) <= subset
     assert len(tried) == MAX_INSTANCES_TRIED
     assert not set(tried) <= subset, tried
@@ -146,10 +150,10 @@
     """Guards against a refusal while all instances of the subset drain by their own report."""
     sender, destination = dispatcher(result=NotRunError(Reason.DEADLINE))
     for number in range(60):
-        sender.directory.put(instance(f"i-{number}", host=f"10.0.0.{number + 1}"))
-    subset = sender.subsets.of("desk", sender.directory.of_service("desk"), "a")
+        sender.selector.directory.put(instance(f"i-{number}", host=f"10.0.0.{number + 1}"))
+    subset = sender.selector.subsets.of("desk", sender.selector.directory.of_service("desk"), "a")
     draining = Load(0, 0, 2, 1.0, False, NO_REVISION, False, True)
-    sender.load_of = lambda listed: draining if listed in subset else None
+    sender.selector.load_of = lambda listed: draining if listed in subset else None
     await sender._attempt_all(request(), attempts(sender))
     assert len(destination.submits) == 1
 
--- a/ibisrack/sidecar/endless_answers_test.py
+++ b/ibisrack/sidecar/endless_answers_test.py
@@ -84,7 +84,7 @@
             answer, _ = await fleet_.send_request(1, request_id=f"q-{number}")
             assert answer.status == 200
         # For a second after a failure, requests prefer other instances.
-        assert node.dispatcher.views.of(failing.instance_id).avoid_until_s > 0
+        assert node.dispatcher.selector.views.of(failing.instance_id).avoid_until_s > 0
 
 
 load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/lost_link_test.py
+++ b/ibisrack/sidecar/lost_link_test.py
@@ -106,7 +106,7 @@
 async def run_at_first_peer(fleet_, work_s: float) -> asyncio.Task:
     """Starts a request that the first peer's instance runs although another one is ready."""
     fleet_.instances[1].work_s = work_s
-    views = fleet_.nodes[0].dispatcher.views
+    views = fleet_.nodes[0].dispatcher.selector.views
     views.of("i-2").avoid_until_s = read_monotonic_s() + 0.2
     call = start_request(fleet_)
     await wait_until(lambda: bool(fleet_.instances[1].executed_ids))
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -179,7 +179,7 @@
             _LOGGER.warning("changed addresses need a restart")
         _LOGGER.info("settings reloaded", extra={"changed": kept != self.settings})
         self.settings = self.registry_peers.settings = kept
-        self.dispatcher.zone = kept.zone
+        self.dispatcher.selector.zone = kept.zone
         self.pacer.link_mbps = kept.link_mbps
         self.dispatcher.budget.configure(
             kept.retry_ratio,
@@ -303,7 +303,7 @@
 
     def _close_idle_links(self, now_s: float) -> None:
         """Closes the links that were opened for requests which the subsets could not take."""
-        kept = self.dispatcher.subsets.hosts() | set(self.registry_peers.candidates)
+        kept = self.dispatcher.selector.subsets.hosts() | set(self.registry_peers.candidates)
         for host, link in self.outgoing_links.items():
             if host not in kept and link.is_idle(now_s):
                 link.close_idle()
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -19,6 +19,7 @@
 from ibisrack.dispatch.choice import InstanceViews
 from ibisrack.dispatch.dispatcher import Dispatcher
 from ibisrack.dispatch.recorder import RequestRecorder
+from ibisrack.dispatch.selection import InstanceSelector
 from ibisrack.errors import SettingsError
 from ibisrack.hosting.recorder import SubmissionRecorder
 from ibisrack.hosting.runner import InstanceRunner
@@ -92,18 +93,17 @@
     budget = ServiceRetryBudgets(
         settings.retry_ratio, settings.retry_slack, settings.retry_window_s
     )
+    selector = InstanceSelector(
+        settings.zone, directory, node.load_of, rng, views, suspects=node.suspects
+    )
     node.dispatcher = Dispatcher(
-        settings.zone,
         configurations,
-        directory,
+        selector,
         node.destination_of,
-        node.load_of,
         budget,
         instance_runner.retry_share,
-        rng,
         RequestRecorder(tally, view),
         node.lacks_later_configuration,
-        views,
         suspects=node.suspects,
     )
     return node
