--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -19,8 +19,8 @@
 from ibisrack.calls.retry import Result
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.hosting.acceptance import Acceptance
 from ibisrack.hosting.crashes import Crash, CrashDetector
-from ibisrack.hosting.ended_starts import EndedStarts
 from ibisrack.hosting.notices import InstanceNotices, Notice
 from ibisrack.hosting.rank_rules import rank_rules
 from ibisrack.hosting.recorder import SubmissionRecorder, SubmissionTrace
@@ -28,7 +28,6 @@
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Submit
-from ibisrack.stopping.plan import PlannedStop
 from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.quarantine import Quarantine, needs_turn
 
@@ -66,15 +65,14 @@
       directory: Known instances.
       recorder: Counts and logs finished submissions.
       run_table: Submissions of peers that are running or finished recently.
-      stop: Planned stop of this process, None while there is none.
       service_s: Moving average of the service time of requests.
       running_retries: Number of running requests that had reached an instance before.
       notices: What the instance says of itself in its answers.
       on_leaving: Called when the instance has said that it is about to end, or has ended.
-      ended_starts: Listed starts of the instance that have ended.
       crash_detector: Tells crashes of the instance from connections that it dropped.
       suspects: Requests that are suspected of crashing instances.
       quarantine: Turns of the suspects on the instance.
+      acceptance: Conditions on which submissions are accepted.
     """
 
     address: tuple[str, int]
@@ -83,12 +81,10 @@
     directory: InstanceDirectory
     recorder: SubmissionRecorder
     run_table: RunTable = attrs.field(factory=RunTable)
-    stop: PlannedStop | None = None
     service_s: float = 0.0
     running_retries: int = 0
     notices: InstanceNotices = attrs.field(factory=InstanceNotices)
     on_leaving: Callable[[], None] = attrs.field(default=lambda: None)
-    ended_starts: EndedStarts = attrs.field(factory=EndedStarts)
     crash_detector: CrashDetector = attrs.field(
         default=attrs.Factory(
             lambda self: CrashDetector(self.address, self._handle_crash), takes_self=True
@@ -96,22 +92,22 @@
     )
     suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
+    acceptance: Acceptance = attrs.field(
+        default=attrs.Factory(
+            lambda self: Acceptance(self.address, self.directory, self.suspects), takes_self=True
+        )
+    )
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
     def instance(self) -> Instance | None:
         """The instance as the registry currently lists it, None if it does not."""
-        return self.directory.at_address(*self.address)
+        return self.acceptance.instance
 
     @property
     def accepts_requests(self) -> bool:
         """Whether this node accepts submissions."""
-        instance = self.instance
-        if self._is_closed() or instance is None or not instance.ready:
-            return False
-        if self.ended_starts.includes(instance, read_monotonic_s()):
-            return False
-        return not self.suspects.is_down(instance)
+        return self.acceptance.accepts_requests(read_monotonic_s())
 
     def retry_share(self) -> float:
         """Returns the share of retries among the running requests."""
@@ -191,8 +187,8 @@
         submit = run.submit
         run.deadline_at_s = arrived_at_s + submit.remaining_ms / 1000
         deadline_at_s = run.deadline_at_s - REPLY_MARGIN_S
-        self._check_ends_in_time(arrived_at_s, run.deadline_at_s)
-        self._check_accepted(submit)
+        self.acceptance.check_ends_in_time(arrived_at_s, run.deadline_at_s)
+        self.acceptance.check_accepted(submit, read_monotonic_s())
         target_at_s = arrived_at_s + submit.remaining_target_ms / 1000
         while True:
             in_turn = needs_turn(self.suspects.verdict(submit))
@@ -206,7 +202,7 @@
                     submit.initial_target_ms / 1000,
                 ),
             ):
-                self._check_accepted(submit)
+                self.acceptance.check_accepted(submit, read_monotonic_s())
                 if run.orphaned_at_s is not None:
                     raise NotRunError(Reason.LINK_LOST)
                 # A request that became a suspect while it waited takes its turn first.
@@ -260,7 +256,7 @@
 
     def _handle_end(self, instance: Instance) -> None:
         """Stops using an instance in whose place another process answers."""
-        if self.ended_starts.record(instance, read_monotonic_s()):
+        if self.acceptance.ended_starts.record(instance, read_monotonic_s()):
             self.recorder.record_replaced(instance.instance_id)
             self.on_leaving()
 
@@ -355,41 +351,6 @@
             run.submit = attrs.evolve(run.submit, headers=(), body=b"")
         self.gate.scheduler.orphans.discard(run.submit.request_id)
 
-    def _is_closed(self) -> bool:
-        """Returns whether the planned stop accepts no more submissions at all."""
-        return self.stop is not None and read_monotonic_s() > self.stop.accepts_until_s
-
-    def _check_ends_in_time(self, now_s: float, due_at_s: float) -> None:
-        """Checks that the planned stop can't cut off a submission that arrives now.
-
-        Raises:
-          NotRunError: The submission is due after the end, or no more are accepted.
-        """
-        if self.stop is not None and not self.stop.accepts_submission(now_s, due_at_s):
-            self.stop.refused_submissions += 1
-            raise NotRunError(Reason.DRAINING)
-
-    def _check_accepted(self, submit: Submit) -> None:
-        """Checks that a request may be sent to the instance.
-
-        Raises:
-          NotRunError: The request is for another instance, or no more requests are accepted.
-        """
-        if self._is_closed():
-            self.stop.refused_submissions += 1
-            raise NotRunError(Reason.DRAINING)
-        instance = self.directory.get(submit.instance_id)
-        if instance is None or (instance.host, instance.port) != self.address:
-            raise NotRunError(Reason.NO_INSTANCE)
-        if self.ended_starts.includes(instance, read_monotonic_s()):
-            raise NotRunError(Reason.NO_INSTANCE)
-        if not instance.ready:
-            raise NotRunError(Reason.DRAINING)
-        if self.suspects.is_down(instance):
-            raise NotRunError(Reason.UPSTREAM_UNREACHABLE)
-        if instance.service != submit.service:
-            raise NotRunError(Reason.NO_INSTANCE)
-
     def _record(self, trace: SubmissionTrace, result: Result) -> None:
         self.recorder.record(trace, result, self.service_s, read_monotonic_s())
 
--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -122,7 +122,7 @@
             signals.record(SIGTERM)
             first_at_s = await signals.wait()
             stop = PlannedStop(first_at_s, first_at_s + 0.2)
-            node.dispatcher.stop = node.instance_runner.stop = stop
+            node.dispatcher.stop = node.instance_runner.acceptance.stop = stop
             signals.record(SIGTERM)
             assert stop.requested_again
             await fleet_.send_request(0, request_id="q-9")
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -50,6 +50,7 @@
     serve_late_requests,
 )
 from ibisrack.stopping.listeners import close_listeners
+from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.upstreams.answer_memory import create_answer_memory
 from ibisrack.upstreams.connections import ConnectionPool
 from ibisrack.upstreams.sizing import PoolSizing
@@ -71,7 +72,7 @@
     pool = ConnectionPool(
         settings.instance.host, settings.instance.port, PoolSizing(INITIAL_MAX_CONNECTIONS)
     )
-    tally, view = Tally(), RegistryView()
+    tally, view, suspects = Tally(), RegistryView(), SuspectExchange()
     upstream = HttpUpstream(pool, create_answer_memory(settings.memory_mb))
     instance_runner = InstanceRunner(
         (settings.instance.host, settings.instance.port),
@@ -79,22 +80,30 @@
         upstream,
         directory,
         SubmissionRecorder(tally),
+        suspects=suspects,
     )
     upstream.on_notice = instance_runner.observe_notice
     content = RegistryContent(entries, directory, configurations, views)
     node = SidecarNode(
-        settings, content, rng, directory, configurations, view, instance_runner, tally
+        settings,
+        content,
+        rng,
+        directory,
+        configurations,
+        view,
+        instance_runner,
+        tally,
+        suspects=suspects,
     )
     instance_runner.on_leaving = node.leave_own_instance
-    instance_runner.suspects = node.suspects
-    node.suspects.on_verdict = instance_runner.quarantine.apply_verdict
-    node.suspects.links, node.suspects.rng = node.peer_links, rng
+    suspects.on_verdict = instance_runner.quarantine.apply_verdict
+    suspects.links, suspects.rng = node.peer_links, rng
     node.resize_pool = lambda slots: pool.resize(slots + SPARE_CONNECTIONS, 0)
     budget = ServiceRetryBudgets(
         settings.retry_ratio, settings.retry_slack, settings.retry_window_s
     )
     selector = InstanceSelector(
-        settings.zone, directory, node.load_of, rng, views, suspects=node.suspects
+        settings.zone, directory, node.load_of, rng, views, suspects=suspects
     )
     node.dispatcher = Dispatcher(
         configurations,
@@ -104,7 +113,7 @@
         instance_runner.retry_share,
         RequestRecorder(tally, view),
         node.lacks_later_configuration,
-        suspects=node.suspects,
+        suspects=suspects,
     )
     return node
 
--- a/ibisrack/sidecar/stopping.py
+++ b/ibisrack/sidecar/stopping.py
@@ -77,7 +77,8 @@
     """
     ends_at_s = start_s + node.settings.stop_s - STOP_MARGIN_S
     accepts_until_s = min(start_s + MIN_STOP_S, ends_at_s - ARRIVAL_WINDOW_S)
-    node.dispatcher.stop = node.instance_runner.stop = PlannedStop(accepts_until_s, ends_at_s)
+    stop = PlannedStop(accepts_until_s, ends_at_s)
+    node.dispatcher.stop = node.instance_runner.acceptance.stop = stop
     node.stopping = True
     _LOGGER.info("stopping", extra={"node": node.settings.node_id})
     await asyncio.sleep(accepts_until_s - read_monotonic_s())
