Leave a silent reader of the registry sooner

Cause: with one reader a zone, its freeze delays a version by the time until it is replaced, about 1.5 s of the 2 s that a version may take.

Change: a peer that has not answered a ping for 0.55 s instead of 0.9 s is not relied on, the time after which a link with requests is given up.

Result: worked out, not measured: about 1.2 s.

--- a/ibisrack/links/silence.py
+++ b/ibisrack/links/silence.py
@@ -12,7 +12,7 @@
 PING_TIMEOUT_S = 0.55  # Time without any answer to a ping until the link is opened again.
 ABORT_AFTER_SILENCE_S = PING_AFTER_SILENCE_S + PING_TIMEOUT_S
 # A peer that has not answered a ping for this long is not relied on for changes of the registry.
-MAX_DELIVERY_SILENCE_S = 0.9
+MAX_DELIVERY_SILENCE_S = 0.55
 
 
 class SilenceAction(Enum):
