--- a/ibisrack/sidecar/many_peers_test.py
+++ b/ibisrack/sidecar/many_peers_test.py
@@ -121,4 +121,32 @@
     assert len({id(link.load) for link in links}) == 1
 
 
+@attrs.define(eq=False)
+class IdleLink:
+    """An outgoing link that was not used lately."""
+
+    closed: bool = False
+
+    def is_idle(self, now_s: float) -> bool:
+        return True
+
+    def close_idle(self) -> None:
+        self.closed = True
+
+
+async def test_only_idle_links_that_nothing_needs_are_closed():
+    """Guards against links that pile up after refusals, and against closing those in use."""
+    node = node_with_routes()
+    for number in range(1, 100):
+        apply_instance(node, number, host=f"10.0.0.{number}", zone="ab"[number % 2])
+    selector = node.dispatcher.selector
+    subset = selector.subsets.of("desk", node.directory.of_service("desk"), "a")
+    node.registry_peers.candidates = ("10.0.0.98",)
+    node.outgoing_links.update({f"10.0.0.{n}": IdleLink() for n in range(2, 100)})
+    node._close_idle_links(1.0)
+    kept = {host for host, link in node.outgoing_links.items() if not link.closed}
+    needed = {each.host for each in subset} | {"10.0.0.98"}
+    assert kept == needed - {"10.0.0.1"}
+
+
 load_tests = function_tests(__name__)
