Round the age of a reported crash up

Cause: the age was rounded to the nearest millisecond. An answer that followed the crash within half of one counted as before it.

Change: the age is rounded up. The test holds the clock, with 0.2 ms between crash, answer and greeting; its assertions are unchanged.

--- a/ibisrack/suspects/exchange_test.py
+++ b/ibisrack/suspects/exchange_test.py
@@ -3,11 +3,10 @@
 from collections.abc import Iterable
 from itertools import combinations
 from random import Random
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 import attrs
 
-from ibisrack.clocks import read_monotonic_s
 from ibisrack.links.bounds import check_bounds
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.membership.gossip import transmit_limit
@@ -124,19 +123,27 @@
 
 def test_a_peer_that_was_cut_off_brings_no_block_back():
     """Guards against refusing a request again that an instance has answered since its crashes."""
+    with patch("ibisrack.suspects.exchange.read_monotonic_s") as clock:
+        check_block_is_not_brought_back(clock)
+
+
+def check_block_is_not_brought_back(clock: Mock) -> None:
+    """Checks it for an answer that follows the last crash within the resolution of a report."""
+    clock.return_value = 100.0
     nodes, _ = connect(4, ring(4))
     nodes[0].report_crash(instance("i-1"), (SUBMIT,), ())
     nodes[1].report_crash(instance("i-2"), (SUBMIT,), (SUBMIT,))
     assert all(isinstance(node.verdict(SUBMIT), Blocked) for node in nodes)
+    clock.return_value += 0.0002
     linked = [node.links for node in nodes]
     nodes[0].links = lambda: ()
     for node in (nodes[1], nodes[3]):
         kept = [link for link in node.links() if link.peer is not nodes[0]]
         node.links = lambda kept=kept: kept
     nodes[2].record_completed(SUBMIT)
-    now_s = read_monotonic_s()
+    clock.return_value += 0.0002
     for node in nodes:
-        node.table.expire(now_s + COMPLETION_NEWS_S)
+        node.table.expire(clock.return_value + COMPLETION_NEWS_S)
     assert isinstance(nodes[0].verdict(SUBMIT), Blocked)
     for node, links in zip(nodes, linked, strict=True):
         node.links = links
--- a/ibisrack/suspects/table.py
+++ b/ibisrack/suspects/table.py
@@ -9,6 +9,8 @@
 paths, and runs that other crashes ended, are soon cleared.
 """
 
+from math import ceil
+
 import attrs
 
 from ibisrack.suspects.messages import CrashReport, RunCompleted
@@ -201,7 +203,8 @@
                 started_at_ms,
                 tuple(f for f in crash.suspects if f in self._suspects),
                 tuple(f for f in crash.repeated if f in self._suspects),
-                round((now_s - crash.at_s) * 1000),
+                # Rounded up: an answer a moment after the crash must not count as before it.
+                ceil((now_s - crash.at_s) * 1000),
             )
             for (instance_id, started_at_ms), crashes in self._crashes.items()
             for crash in crashes
