--- a/ibisrack/registry/sources.py
+++ b/ibisrack/registry/sources.py
@@ -1,7 +1,7 @@
 """Decides whether a node reads the registry itself or follows peers of its zone that do.
 
-A large configuration takes most of a second on a small host's link.  A few hosts of each zone read
-it from the registry and send the others the difference to the version that these have.  A node to
+A large configuration takes most of a second on a small host's link.  One host of each zone reads
+it from the registry and sends the others the difference to the version that these have.  A node to
 which nobody delivers reads the registry itself.
 """
 
