Review: a planned stop closes connections without an answer while answers are on their way

Cause: a stopping sidecar accepts every request for 2.5 s; what is still open at the planned end, also an answer on its way over a slow link, gets no answer at all: the handlers are cancelled and the connections closed. The script stops a machine four times and sends one download 1 s after each SIGTERM; its instance is done 1.2 s after the SIGTERM, its 2 MiB take 4.8 s on a link of 3.5 Mbit/s.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -24,12 +24,15 @@
 from ibisrack.standins.store import StandInStore, serve_store
 from review.common.instances import HEARTBEAT_S, Instance
 from review.common.record import Record
+from review.common.slow_links import slow_links
 
 ROOT = Path(__file__).resolve().parents[2]
 STORE_HOST = "127.0.3.1"
 PROBE_INTERVAL_S = 1.0
 MISSES_UNTIL_OUT = 2
 MEMORY_POLL_S = 0.005
+GRACE_S = 6.0
+FAST_LINK_MBPS = 1000.0
 RESTART_DELAY_S = 0.5
 READY_TIMEOUT_S = 20.0
 MEBIBYTE = 1024 * 1024
@@ -41,7 +44,7 @@
     "ack": "4000ms",
     "catch_up": "4s",
     "drain": "2000ms",
-    "grace": "6s",
+    "grace": f"{GRACE_S:g}s",
     "loss_slack": "200ms",
     "config_apply": "2000ms",
     "rollback_slack": "250ms",
@@ -76,6 +79,9 @@
       ports: Its ports.
       memory_mb: Memory of the machine.
       instance: The instance beside the sidecar.
+      link_mbps: Bandwidth of its link.
+      accepts_links_on: IP number on which its process accepts links, behind a proxy on ``host``;
+        empty without a proxy.
       process: The sidecar, None before its first start.
       is_in: Whether clients on the machine send new work.
       ends: Number of times at which the process ended although nobody stopped it.
@@ -90,6 +96,8 @@
     ports: Ports
     memory_mb: int
     instance: Instance
+    link_mbps: float = FAST_LINK_MBPS
+    accepts_links_on: str = ""
     process: asyncio.subprocess.Process | None = None
     is_in: bool = False
     ends: int = 0
@@ -104,7 +112,7 @@
             "cores": 1,
             "memory_mb": self.memory_mb,
             "max_fds": 4100,
-            "link_mbps": 1000.0,
+            "link_mbps": self.link_mbps,
             "disk_mb": 0,
         }
         values = {
@@ -115,7 +123,7 @@
             "app_addr": f"{self.host}:{ports.app}",
             "limits": limits,
             "listen": {
-                "inbound": f"{self.host}:{ports.inbound}",
+                "inbound": f"{self.accepts_links_on or self.host}:{ports.inbound}",
                 "outbound": f"{self.host}:{ports.outbound}",
                 "ready": f"{self.host}:{ports.ready}",
             },
@@ -181,6 +189,21 @@
             while not all(machine.is_in for machine in self.machines):
                 await asyncio.sleep(0.05)
 
+    async def stop(self, machine: Machine) -> float:
+        """Sends SIGTERM, and SIGKILL after the grace; returns the time of SIGTERM.
+
+        The platform starts the process again when it has ended.
+        """
+        at_s, process = self.record.now_s(), machine.process
+        self.record.write("sigterm", machine=machine.name)
+        process.send_signal(signal.SIGTERM)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(GRACE_S):
+                await process.wait()
+        if process.returncode is None:
+            process.kill()
+        return at_s
+
     def report(self, machine: Machine) -> None:
         """Writes the entry of a machine's instance."""
         self.store.put(f"servers/{machine.instance.instance_id}", machine.instance.entry())
@@ -290,6 +313,7 @@
     memory_mb: int = 300,
     slots: int = 6,
     work_s: float = 0.05,
+    link_mbps: float = FAST_LINK_MBPS,
 ) -> AsyncIterator[Fleet]:
     """Runs a fleet with one machine for each service name given.
 
@@ -302,6 +326,7 @@
       memory_mb: Memory of each machine.
       slots: Slots of each instance.
       work_s: Time that a request takes at an instance.
+      link_mbps: Bandwidth of each machine; proxies hold links to it if it is below the usual one.
     """
     hosts = [f"127.0.0.{10 + number}" for number in range(len(services))]
     ports = Ports(*free_ports(hosts, 5))
@@ -314,7 +339,14 @@
         machines.append(
             Machine(f"sidecar-{number}", service, zone, hosts[number], ports, memory_mb, instance)
         )
-    async with serve_store(STORE_HOST) as (store, store_port):
+    is_slow = link_mbps < FAST_LINK_MBPS
+    for number, machine in enumerate(machines):
+        machine.link_mbps = link_mbps
+        machine.accepts_links_on = f"127.0.1.{10 + number}" if is_slow else ""
+    async with (
+        serve_store(STORE_HOST) as (store, store_port),
+        slow_links(machines if is_slow else []),
+    ):
         store.put("op/config", configuration)
         async with ClientSession(connector=TCPConnector(limit=0)) as session:
             # A client of the pages decides itself what it sends again.
--- a/review/common/instances.py
+++ b/review/common/instances.py
@@ -37,6 +37,7 @@
       born_ms: Start in Unix milliseconds.
       sequence: Number of its reports.
       runs: Number of runs by request id.
+      finished_at_s: Time on the record at which it finished each run, by request id.
     """
 
     instance_id: str
@@ -51,6 +52,7 @@
     born_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
     sequence: int = 0
     runs: dict[str, int] = attrs.field(factory=dict)
+    finished_at_s: dict[str, float] = attrs.field(factory=dict)
     _free: asyncio.Semaphore | None = None
     _waiting: int = 0
     _runner: web.ServerRunner | None = None
@@ -123,6 +125,8 @@
             body_bytes=size,
         )
         await asyncio.sleep(self.work_s)
+        self.finished_at_s[request_id] = self.record.now_s()
+        self.record.write("finished", request=request_id, instance=self.instance_id)
         headers = {"Request-Id": request_id, "Response-Signature": f"{self.instance_id}.{digest}"}
         body = f"{request_id} {size} {digest}".encode().ljust(self.answer_bytes)
         return web.Response(body=body, headers=headers)
