Show a refused configuration in a metric, and name its resource

Cause: when every node refused a version, each wrote one warning without the route that it could not read, and no metric told that the latest version of the store was refused: ibis_configuration_version was the same everywhere. To tell a refused version from one that was never delivered took the logs.

Change: ibis_configuration_refused is 1 from the refusal until the next configuration that is read; the log line is an error, names the resource and the version that stays in force.

--- a/ibisrack/platform/decoding_test.py
+++ b/ibisrack/platform/decoding_test.py
@@ -314,6 +314,21 @@
         raise AssertionError(content)
 
 
+def test_refusal_of_a_configuration_names_the_resource():
+    """Guards against an error that does not lead to the resource that keeps a version out."""
+    odd = route_resource(timeout="soon", prefix="/odd/")
+    for resource, label in ((odd, "routes r-idempotent-/odd/"), (route_resource(), "limits")):
+        content = configuration_entry(12, route_resource(prefix="/good/"), resource)
+        if resource is not odd:
+            content = with_value(content, ("resources", 3, "spec", "idle_timeout"), "soon")
+        try:
+            decode_configuration(Entry("op/config", content, 4))
+        except MessageError as error:
+            assert label in str(error) and "'soon'" in str(error), error
+        else:
+            raise AssertionError(label)
+
+
 def test_unknown_fields_of_the_settings_file_are_ignored():
     """Guards against a startup failure caused by a field of a later release."""
     settings = load(SETTINGS)
--- a/ibisrack/platform/entries.py
+++ b/ibisrack/platform/entries.py
@@ -38,6 +38,7 @@
 MAX_COUNT = 2**31 - 1  # Larger limits overflow the 32-bit sizes of HTTP libraries.
 MAX_BODY_BYTES = 64 * 1024 * 1024  # A link carries no larger bodies.
 MAX_ERROR_CHARS = 200  # Error messages quote the entry, which may be large.
+MAX_LABEL_CHARS = 80  # Leaves room for the error behind the type and the name of a resource.
 
 _BROADCAST = IPv4Address("255.255.255.255")
 _INSTANCE_ID = re.compile(r"[!-~]{1,128}")
@@ -182,10 +183,24 @@
 
 
 def _decode_resource(encoded: bytes) -> Route | ServiceOptions | Limits | None:
-    """Decodes a resource; returns None for one of an unknown type."""
+    """Decodes a resource; returns None for one of an unknown type.
+
+    Raises:
+      MessageError: The resource is malformed; the message names it.
+    """
     resource = _json_object(msgspec.json.decode(encoded))
-    kind, spec = resource["resource_type"], _json_object(resource["spec"])
+    kind = resource["resource_type"]
     name = _json_object(resource["metadata"]).get("name", "")
+    try:
+        return _decode_spec(kind, name, _json_object(resource["spec"]))
+    except Exception as error:  # As for whole entries.
+        label = f"{kind} {name}"[:MAX_LABEL_CHARS]
+        raise MessageError(f"{label}: {type(error).__name__} {error}") from error
+
+
+def _decode_spec(
+    kind: Any, name: Any, spec: dict[str, Any]
+) -> Route | ServiceOptions | Limits | None:
     if kind == "routes":
         return _decode_route(_non_empty_string(name), spec)
     if kind == "services":
@@ -202,10 +217,10 @@
     else:
         parts = (RoutePart(_non_empty_string(spec["service"]), 1),)
     if sum(part.weight for part in parts) <= 0:
-        raise ValueError(f"route {name}: no service has a positive weight")
+        raise ValueError("no service has a positive weight")
     prefix = _non_empty_string(spec["prefix"])
     if not (prefix.startswith("/") and prefix.endswith("/")):
-        raise ValueError(f"route {name}: the prefix must start and end with a slash")
+        raise ValueError("the prefix must start and end with a slash")
     timeout_s = parse_duration_s(spec["timeout"])
     return Route(
         name=name,
--- a/ibisrack/sidecar/content.py
+++ b/ibisrack/sidecar/content.py
@@ -42,12 +42,14 @@
       directory: Known instances.
       configurations: Holder of the configuration in force.
       views: Runtime state of the instances.
+      latest_refused: Whether the configuration that the registry lists was refused.
     """
 
     decoder: EntryDecoder
     directory: InstanceDirectory
     configurations: ConfigurationHolder
     views: InstanceViews
+    latest_refused: bool = False
 
     def apply(self, entries: tuple[Entry, ...]) -> None:
         """Applies changed entries."""
@@ -78,8 +80,11 @@
         try:
             configuration = self.decoder.decode_configuration(entry)
         except MessageError as error:
-            _LOGGER.warning("configuration refused", extra=_describe(entry, error))
+            self.latest_refused = True
+            extra = _describe(entry, error) | {"in_force": self.configurations.version}
+            _LOGGER.error("configuration refused", extra=extra)
             return
+        self.latest_refused = False
         offer_result = self.configurations.offer(configuration)
         extra = {"version": configuration.version, "revision": str(entry.revision)}
         if offer_result is OfferResult.IN_FORCE:
@@ -118,7 +123,7 @@
             _LOGGER.info("instance listed", extra=extra)
 
 
-def _describe(entry: Entry, error: MessageError) -> dict[str, str]:
+def _describe(entry: Entry, error: MessageError) -> dict[str, object]:
     """Returns the fields of a log line about an entry that can't be decoded."""
     return {
         "key": entry.key[:MAX_LOGGED_KEY_CHARS],
--- a/ibisrack/sidecar/content_test.py
+++ b/ibisrack/sidecar/content_test.py
@@ -40,6 +40,7 @@
     configuration_entry,
     instance,
     instance_entry,
+    route_resource,
 )
 
 GUARD_S = 5.0
@@ -154,6 +155,17 @@
             assert reader.version == 0
 
 
+def test_refused_configuration_is_shown_until_the_next_one_is_read():
+    """Guards against a fleet that stays on an older version, which no metric shows."""
+    content = reader_of(None).content
+    malformed = configuration_entry(13, route_resource(timeout="soon"))
+    shown = []
+    for revision, listed in enumerate((CONFIGURATION, malformed, configuration_entry(14)), 1):
+        content.apply((Entry("op/config", listed, Revision(1, revision)),))
+        shown.append((content.latest_refused, content.configurations.version))
+    assert shown == [(False, 12), (True, 12), (False, 14)]
+
+
 async def test_instance_can_be_chosen_beside_one_with_too_many_slots():
     """Guards against an entry whose slots fail every request of the service."""
     odd = instance_entry(instance("i-2", slots=10**400))
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -79,6 +79,8 @@
         ({"state": "draining"}, sum(not i.ready for i in known_instances)),
     )
     yield Metric("ibis_configuration_version", "Version in force.", False, unlabelled(version))
+    refused = unlabelled(float(node.content.latest_refused))
+    yield Metric("ibis_configuration_refused", "Whether the latest was refused.", False, refused)
     reported = unlabelled(node.latest_reported_version)
     yield Metric(
         "ibis_peer_configuration_version", "Latest version that peers report.", False, reported
