Read times of any number of digits

Cause: the parser of durations accepted twelve digits and nine decimals. A longer number made a resource malformed, and a configuration with a malformed resource is refused as a whole. The same parser reads cold_remaining of an instance, whose whole report was ignored, its draining with it (an instance that was known as ready stayed so while the registry was down), and the settings, where a longer number kept the process from starting. Ruled out: a version that is not delivered, or not put in force once decoded; the nodes log "configuration refused" with the text of the time.

Change: a duration is any number of up to 300 characters with its unit. What the old bounds protected is bounded where it is used: Route and Limits hold at most 1e9 s, which messages between nodes carry exactly; Retry-After is at most 30 s. Signs, exponents, infinities and other scripts are refused as before.

--- a/ibisrack/decimals.py
+++ b/ibisrack/decimals.py
@@ -1,4 +1,26 @@
-"""Parsing of whole numbers in text that other processes or operators wrote."""
+"""Parsing of numbers in text that other processes or operators wrote."""
+
+import re
+
+MAX_NUMBER_CHARS = 300  # Any such number is finite as a float.
+
+_NUMBER = re.compile(r"[0-9]+(?:\.[0-9]+)?")
+
+
+def parse_number(text: str) -> float | None:
+    """Parses a number of ASCII digits without a sign, with or without a fraction.
+
+    Programs print as many digits as their numbers have, and leading zeros; all are accepted.
+
+    Args:
+      text: The digits, at most MAX_NUMBER_CHARS characters.
+
+    Returns:
+      The number that is nearest, or None when the text is malformed or too long.
+    """
+    if len(text) > MAX_NUMBER_CHARS or not _NUMBER.fullmatch(text):
+        return None
+    return float(text)
 
 
 def parse_decimal(text: str, max_value: int) -> int | None:
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -31,6 +31,7 @@
 
 MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
 MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 30.0  # A route's target may be far longer than a service stays busy.
 # Time for a node to obtain its first configuration, or a later one that its peers have.
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3
 # Callers come back to the node on their own host.  An earlier retry would find it still stopping.
@@ -276,7 +277,7 @@
         """Returns the time after which a refused caller may retry."""
         if self.stop is not None and read_monotonic_s() > self.stop.accepts_until_s:
             return STOPPING_RETRY_AFTER_S
-        return max(MIN_RETRY_AFTER_S, attempts.route.target_s / 4)
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, attempts.route.target_s / 4))
 
 
 async def _resolve(lost: PeerLostError, attempts: Attempts) -> Result:
--- a/ibisrack/platform/durations.py
+++ b/ibisrack/platform/durations.py
@@ -1,17 +1,21 @@
 """Parses durations in the platform's format: a number followed by ``ms`` or ``s``."""
 
-import re
+from ibisrack.decimals import parse_number
 
-_DURATION = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,9})?)(ms|s)\Z")
+_UNITS_PER_S = (("ms", 1000), ("s", 1))  # The longer unit first: both end with an s.
 
 
 def parse_duration_s(text: object) -> float:
     """Returns a duration in seconds.
 
+    Any number is a duration; whoever uses it bounds it to what a process can do.
+
     Raises:
       ValueError: The text is not a duration.
     """
-    match = _DURATION.match(text) if isinstance(text, str) else None
-    if match is None:
-        raise ValueError(f"'{str(text)[:40]}' is not a duration such as 1500ms or 2.5s")
-    return float(match[1]) / (1000 if match[2] == "ms" else 1)
+    if isinstance(text, str):
+        unit, units_per_s = next((u for u in _UNITS_PER_S if text.endswith(u[0])), ("", 1))
+        number = parse_number(text.removesuffix(unit)) if unit else None
+        if number is not None:
+            return number / units_per_s
+    raise ValueError(f"'{str(text)[:40]}' is not a duration such as 1500ms or 2.5s")
--- a/ibisrack/routing/model.py
+++ b/ibisrack/routing/model.py
@@ -1,9 +1,15 @@
 """Data model of a configuration: routes, services and limits on requests of callers."""
 
 from enum import StrEnum
+from functools import partial
 
 import attrs
 
+# Longer times count as this one: in milliseconds it is exact, and timers can wait for it.
+MAX_TIME_S = 1e9
+
+_bounded_time_s = partial(min, MAX_TIME_S)
+
 
 class Repeats(StrEnum):
     """Whether a request may run more than once."""
@@ -45,8 +51,8 @@
     host: str
     prefix: str
     repeats: Repeats
-    timeout_s: float
-    target_s: float
+    timeout_s: float = attrs.field(converter=_bounded_time_s)
+    target_s: float = attrs.field(converter=_bounded_time_s)
     priority: int
     max_attempts: int
     parts: tuple[RoutePart, ...]
@@ -95,8 +101,8 @@
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 67_108_864
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
+    header_timeout_s: float = attrs.field(default=3.0, converter=_bounded_time_s)
+    idle_timeout_s: float = attrs.field(default=15.0, converter=_bounded_time_s)
 
 
 @attrs.frozen
--- a/ibisrack/sidecar/content_test.py
+++ b/ibisrack/sidecar/content_test.py
@@ -166,6 +166,21 @@
     assert shown == [(False, 12), (True, 12), (False, 14)]
 
 
+def test_draining_report_with_a_long_number_holds_while_the_registry_is_down():
+    """Guards against requests to an instance that has reported that it drains."""
+    content = reader_of(None).content
+    ready, draining = (
+        instance_entry(instance("i-1", state=state, sequence=sequence))
+        for sequence, state in enumerate(("ready", "draining"))
+    )
+    body = json.loads(draining)
+    body["status"]["cold_remaining"] = "0.3333333333333333s"
+    content.apply((Entry("servers/i-1", ready, Revision(1, 1)),))
+    content.directory.mark_registry_down()
+    content.apply((Entry("servers/i-1", json.dumps(body).encode(), Revision(1, 2)),))
+    assert not any(listed.ready for listed in content.directory.of_service("desk"))
+
+
 async def test_instance_can_be_chosen_beside_one_with_too_many_slots():
     """Guards against an entry whose slots fail every request of the service."""
     odd = instance_entry(instance("i-2", slots=10**400))
