Read whole numbers of any size in a configuration

Callers would see what they saw with long times: a version with a limit above 2^31 - 1 (a max_body_bytes of 4 GiB, or a number that means no limit) is refused as a whole, and requests go on to the services of the version before. docs/platform.md already said that a body limit above 64 MiB counts as 64 MiB.

Cause: the bounds that protect the process stood where the numbers are read.

Change: a count is any whole number from 0 on; the bounds stand in the model of the configuration. A header limit counts as at most 16 MiB and a body limit as 64 MiB, so that a request fits a message between nodes; a priority as at most 2^31 - 1, because its name is in each message. Weights, attempts and connections need no bound; bounded weights would lose their proportion.

--- a/ibisrack/platform/entries.py
+++ b/ibisrack/platform/entries.py
@@ -35,8 +35,6 @@
 # Starts and sequences are compared and sent to peers in 64 bits.  Larger integers are not exact in
 # all JSON implementations.
 MAX_JSON_INTEGER = 2**53 - 1
-MAX_COUNT = 2**31 - 1  # Larger limits overflow the 32-bit sizes of HTTP libraries.
-MAX_BODY_BYTES = 64 * 1024 * 1024  # A link carries no larger bodies.
 MAX_ERROR_CHARS = 200  # Error messages quote the entry, which may be large.
 MAX_LABEL_CHARS = 80  # Leaves room for the error behind the type and the name of a resource.
 
@@ -211,7 +209,7 @@
 def _decode_route(name: str, spec: dict[str, Any]) -> Route:
     if "traffic_split" in spec:
         parts = tuple(
-            RoutePart(_non_empty_string(part["service"]), _integer(part["weight"], MAX_COUNT))
+            RoutePart(_non_empty_string(part["service"]), _count(part["weight"]))
             for part in spec["traffic_split"]
         )
     else:
@@ -231,22 +229,22 @@
         target_s=(
             parse_duration_s(spec["target_latency"]) if "target_latency" in spec else timeout_s
         ),
-        priority=_integer(spec.get("priority", 0), MAX_COUNT),
-        max_attempts=max(1, _integer(spec.get("max_attempts", 1), MAX_COUNT)),
+        priority=_count(spec.get("priority", 0)),
+        max_attempts=max(1, _count(spec.get("max_attempts", 1))),
         parts=tuple(part for part in parts if part.weight > 0),
     )
 
 
 def _decode_service(name: str, spec: dict[str, Any]) -> ServiceOptions:
     return ServiceOptions(
-        name, _non_empty_string(spec["health_path"]), _integer(spec["max_connections"], MAX_COUNT)
+        name, _non_empty_string(spec["health_path"]), _count(spec["max_connections"])
     )
 
 
 def _decode_limits(spec: dict[str, Any]) -> Limits:
     return Limits(
-        max_header_bytes=_integer(spec["max_header_bytes"], MAX_COUNT),
-        max_body_bytes=min(MAX_BODY_BYTES, _integer(spec["max_body_bytes"], MAX_COUNT)),
+        max_header_bytes=_count(spec["max_header_bytes"]),
+        max_body_bytes=_count(spec["max_body_bytes"]),
         header_timeout_s=parse_duration_s(spec["header_timeout"]),
         idle_timeout_s=parse_duration_s(spec["idle_timeout"]),
     )
@@ -288,6 +286,13 @@
 
 
 def _integer(value: Any, max_value: int) -> int:
-    if type(value) is not int or not 0 <= value <= max_value:
+    if _count(value) > max_value:
         raise TypeError(f"expected an integer from 0 to {max_value}")
     return value
+
+
+def _count(value: Any) -> int:
+    """Returns a whole number of any size; whoever uses it bounds it to what a process can do."""
+    if type(value) is not int or value < 0:
+        raise TypeError("expected an integer of at least 0")
+    return value
--- a/ibisrack/routing/model.py
+++ b/ibisrack/routing/model.py
@@ -7,6 +7,10 @@
 
 # Longer times count as this one: in milliseconds it is exact, and timers can wait for it.
 MAX_TIME_S = 1e9
+MAX_PRIORITY = 2**31 - 1  # Less urgent priorities count as this one; its name is in each message.
+# A message between nodes holds a request of the largest size.
+MAX_HEADER_BYTES = 16 * 1024 * 1024
+MAX_BODY_BYTES = 64 * 1024 * 1024
 
 _bounded_time_s = partial(min, MAX_TIME_S)
 
@@ -53,7 +57,7 @@
     repeats: Repeats
     timeout_s: float = attrs.field(converter=_bounded_time_s)
     target_s: float = attrs.field(converter=_bounded_time_s)
-    priority: int
+    priority: int = attrs.field(converter=partial(min, MAX_PRIORITY))
     max_attempts: int
     parts: tuple[RoutePart, ...]
 
@@ -99,8 +103,8 @@
       idle_timeout_s: Maximum time that a connection may stay idle.
     """
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 67_108_864
+    max_header_bytes: int = attrs.field(default=16_384, converter=partial(min, MAX_HEADER_BYTES))
+    max_body_bytes: int = attrs.field(default=67_108_864, converter=partial(min, MAX_BODY_BYTES))
     header_timeout_s: float = attrs.field(default=3.0, converter=_bounded_time_s)
     idle_timeout_s: float = attrs.field(default=15.0, converter=_bounded_time_s)
 
--- a/ibisrack/sidecar/long_numbers_test.py
+++ b/ibisrack/sidecar/long_numbers_test.py
@@ -1,6 +1,8 @@
 """Tests of sidecars with configurations and requests whose numbers have many digits."""
 
-from aiohttp import web
+import json
+
+from aiohttp import ClientSession, web
 
 from ibisrack.dispatch.dispatcher import MAX_RETRY_AFTER_S
 from ibisrack.platform.headers import NOT_EXECUTED, REQUEST_ID
@@ -31,6 +33,19 @@
             assert answer.status == 200
 
 
+async def test_requests_are_served_under_limits_beyond_32_bits():
+    """Guards against limits of a configuration that fail each new connection."""
+    async with run_sidecars(1) as fleet:
+        body = json.loads(configuration_entry(2, route_resource(max_attempts=10**400)))
+        body["resources"][-1]["spec"] |= {"max_header_bytes": 2**64, "max_body_bytes": 10**400}
+        fleet.store.put("op/config", json.dumps(body).encode())
+        await wait_until(lambda: fleet.nodes[0].configurations.version == 2)
+        async with ClientSession() as new_connections:
+            fleet.session = new_connections
+            answer, _ = await fleet.send_request(0, method="POST", data=b"x" * 500_000)
+        assert answer.status == 200
+
+
 async def test_requests_are_served_under_times_without_end():
     """Guards against times that break the links of requests, or reach callers as Retry-After."""
 
