Read a limit on requests of any number of digits

Callers could see an instance in need that is sent as much as before: a Server-Limit of more than 30 decimals counted as no limit, and ended a limit that held (LIMIT).

Change: any number of up to 300 characters, the bound of other numbers in text.

Result: the case was added to test_limit_and_leaving_are_read_from_answers_of_ the_instance_alone, which then failed on the code before and passes.

--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -14,6 +14,7 @@
 from ibisrack.calls.pace import MAX_RATE_PER_S
 from ibisrack.calls.relay import forwardable_headers
 from ibisrack.clocks import read_monotonic_s
+from ibisrack.decimals import MAX_NUMBER_CHARS
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.hosting.notices import Notice
 from ibisrack.links.messages import Submit
@@ -38,7 +39,7 @@
 DEADLINE_GRACE_S = 0.25
 MAX_STALE_ANSWERS = 4  # Answers to earlier requests that are skipped before the request fails.
 
-_LIMIT = re.compile(r"([0-9]{1,30}(\.[0-9]{0,30})?|\.[0-9]{1,30})([eE][+-]?[0-9]{1,3})?")
+_LIMIT = re.compile(r"([0-9]+(\.[0-9]*)?|\.[0-9]+)([eE][+-]?[0-9]{1,3})?")
 _CONNECTION_ERRORS = (ClientError, HttpProcessingError, OSError)
 _METHODS_WITHOUT_BODY = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 
@@ -161,7 +162,7 @@
 
 def _parse_limit(text: str | None) -> float | None:
     """Returns a limit in requests per second, None without a valid one."""
-    if text is None or not _LIMIT.fullmatch(text):
+    if text is None or len(text) > MAX_NUMBER_CHARS or not _LIMIT.fullmatch(text):
         return None
     limit_per_s = float(text)
     return limit_per_s if limit_per_s <= MAX_RATE_PER_S else None
--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -4,6 +4,7 @@
 import tracemalloc
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
+from decimal import Decimal
 
 import attrs
 
@@ -308,7 +309,7 @@
 
 
 async def test_limit_and_leaving_are_read_from_answers_of_the_instance_alone():
-    """Guards against a limit of another instance, or one made of bytes that are no number."""
+    """Guards against a limit of another instance, no limit for a long number, or one for none."""
     end = "Content-Length: 0"
     (notice,) = await _notices_of(answer_head(REQUEST_ID, "Server-Limit: 51.7", end))
     assert (notice.instance_id, notice.limit_per_s, notice.leaving) == ("i-1", 51.7, False)
@@ -316,6 +317,9 @@
     assert (notice.limit_per_s, notice.leaving) == (None, True)
     (notice,) = await _notices_of(answer_head(REQUEST_ID, "Server-Limit: .5", end))
     assert notice.limit_per_s == 0.5
+    for digits in (f"{Decimal(0.1)}", "0" * 40 + ".1", "0.1" + "0" * 40):
+        (notice,) = await _notices_of(answer_head(REQUEST_ID, f"Server-Limit: {digits}", end))
+        assert notice.limit_per_s == 0.1, digits
     high = ("1000001", "1e19", "1e300", "1e309", "9" * 400)
     for malformed in ("", "x", "nan", "inf", "-1", "1_0", "٣", *high):
         (notice,) = await _notices_of(answer_head(REQUEST_ID, f"Server-Limit: {malformed}", end))
