Read a deadline of any number of digits

Callers would see a final 400 for a proper request whose Deadline-Ms has more than ten digits, as a client sends that does not want to give up, or leading zeros (DENIED).

Change: any whole number of up to 300 digits; it counts as at most 1e9 s, which messages between nodes carry exactly, as for the times of a configuration.

Result: test_deadline_of_many_digits_is_read failed on the code before and passes; the tests of odd numbers in a head are unchanged and pass.

--- a/ibisrack/decimals.py
+++ b/ibisrack/decimals.py
@@ -4,6 +4,7 @@
 
 MAX_NUMBER_CHARS = 300  # Any such number is finite as a float.
 
+_MAX_COUNT = 10**MAX_NUMBER_CHARS - 1
 _NUMBER = re.compile(r"[0-9]+(?:\.[0-9]+)?")
 
 
@@ -23,6 +24,18 @@
     return float(text)
 
 
+def parse_count(text: str) -> int | None:
+    """Parses a whole number of ASCII digits without a sign, of any size.
+
+    Args:
+      text: The digits, at most MAX_NUMBER_CHARS characters.
+
+    Returns:
+      The number, or None when the text is malformed or too long.
+    """
+    return parse_decimal(text, _MAX_COUNT) if len(text) <= MAX_NUMBER_CHARS else None
+
+
 def parse_decimal(text: str, max_value: int) -> int | None:
     """Parses a number of ASCII digits without a sign.
 
--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -13,14 +13,16 @@
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.relay import forwardable_headers
 from ibisrack.clocks import read_monotonic_s
+from ibisrack.decimals import parse_count
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
 from ibisrack.errors import RequestError
 from ibisrack.platform.headers import DEADLINE_MS, REQUEST_ID, RETRY_AFTER, SET_BY_NODES, as_latin1
-from ibisrack.routing.model import Limits
+from ibisrack.routing.model import MAX_TIME_S, Limits
 
 READY_PATH = "/-/readyz"
 DEFAULT_DEADLINE_MS = 3_600_000  # Without the header, only the route's timeout applies.
+MAX_DEADLINE_MS = int(MAX_TIME_S * 1000)
 MAX_HEADER_FIELDS = 256
 
 ServeRequest = Callable[[Request], Awaitable[Reply]]
@@ -222,9 +224,10 @@
 def _parse_deadline_ms(text: str | None) -> int:
     if text is None:
         return DEFAULT_DEADLINE_MS
-    if not text.isascii() or not text.isdigit() or len(text) > 10:
+    deadline_ms = parse_count(text)
+    if deadline_ms is None:
         raise RequestError(f"{DEADLINE_MS} must be a whole number")
-    return int(text)
+    return min(deadline_ms, MAX_DEADLINE_MS)
 
 
 async def _read_body(http_request: web.BaseRequest, limit_bytes: int) -> bytes:
--- a/ibisrack/sidecar/long_numbers_test.py
+++ b/ibisrack/sidecar/long_numbers_test.py
@@ -33,6 +33,19 @@
             assert answer.status == 200
 
 
+async def test_deadline_of_many_digits_is_read():
+    """Guards against a final 400 for a proper request whose caller waits without end."""
+    async with run_sidecars(2) as fleet:
+        for number, deadline_ms in enumerate((10**10, 2**63 - 1, 10**200)):
+            answer, _ = await fleet.send_request(
+                0, request_id=f"q-{number}", deadline_ms=deadline_ms
+            )
+            assert answer.status == 200, deadline_ms
+        fields = {"Deadline-Ms": "000000000001500"}
+        answer, _ = await fleet.send_request(0, request_id="zeros", headers=fields)
+        assert answer.status == 200
+
+
 async def test_requests_are_served_under_limits_beyond_32_bits():
     """Guards against limits of a configuration that fail each new connection."""
     async with run_sidecars(1) as fleet:
