Hold request bodies and the store's answers as bytes, not as lists of parts

Change: both are read by one function, ibisrack/bodies.py, into one buffer; the loops that did so in the HTTP server and in the store's client are gone.

--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestPayloadError
 
+from ibisrack.bodies import read_bounded
 from ibisrack.calls.http_connection import HttpConnection
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.relay import forwardable_headers
@@ -16,7 +17,7 @@
 from ibisrack.decimals import parse_count
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
-from ibisrack.errors import RequestError
+from ibisrack.errors import MessageError, RequestError
 from ibisrack.platform.headers import DEADLINE_MS, REQUEST_ID, RETRY_AFTER, SET_BY_NODES, as_latin1
 from ibisrack.routing.model import MAX_TIME_S, Limits
 
@@ -237,14 +238,9 @@
         raise RequestError(f"the body is larger than {limit_bytes} bytes", 413)
     if http_request.headers.get("Expect", "").lower() == "100-continue":
         http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-    parts: list[bytes] = []
-    size = 0
     try:
-        while part := await http_request.content.readany():
-            parts.append(part)
-            size += len(part)
-            if size > limit_bytes:
-                raise RequestError(f"the body is larger than {limit_bytes} bytes", 413)
+        return await read_bounded(http_request.content, limit_bytes)
+    except MessageError as error:
+        raise RequestError(str(error), 413) from error
     except RequestPayloadError as error:
         raise RequestError("the body is malformed") from error
-    return b"".join(parts)
--- a/ibisrack/platform/store_client.py
+++ b/ibisrack/platform/store_client.py
@@ -10,7 +10,14 @@
 import msgspec
 from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
 
-from ibisrack.errors import BacklogError, HistoryGoneError, PlatformError, PlatformTimeoutError
+from ibisrack.bodies import read_bounded
+from ibisrack.errors import (
+    BacklogError,
+    HistoryGoneError,
+    MessageError,
+    PlatformError,
+    PlatformTimeoutError,
+)
 from ibisrack.links.frames import enable_dead_peer_detection
 from ibisrack.registry.messages import (
     MAX_CONTENT_BYTES,
@@ -147,19 +154,13 @@
 
 async def _read_body(response: ClientResponse, path: str, max_bytes: int) -> bytes:
     """Reads a body; closes the connection if the body is larger than ``max_bytes``."""
-    size = response.content_length or 0
-    parts: list[bytes] = []
-    if size <= max_bytes:
-        size = 0
-        async for part in response.content.iter_any():
-            parts.append(part)
-            size += len(part)
-            if size > max_bytes:
-                break
-    if size > max_bytes:
+    try:
+        if (response.content_length or 0) > max_bytes:
+            raise MessageError(f"the body is larger than {max_bytes} bytes")
+        return await read_bounded(response.content, max_bytes)
+    except MessageError as error:
         response.close()
-        raise BacklogError(f"{path}: an answer of over {max_bytes} bytes")
-    return b"".join(parts)
+        raise BacklogError(f"{path}: {error}") from error
 
 
 def _decode_body(body: bytes, path: str) -> dict[str, Any]:
