--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -45,7 +45,11 @@
       version: Number of the version.
       filler_routes: Number of routes that no caller uses; each takes about 260 bytes.
     """
-    options = {"timeout": f"{ROUTE_TIMEOUT_S:g}s"}
+    # With all digits of a float, as programs print a quotient.
+    options = {
+        "timeout": f"{ROUTE_TIMEOUT_S:.16f}s",
+        "target_latency": f"{1000 / 3!r}ms",
+    }
     routes = (
         route_resource(prefix="/notices/", **options),
         route_resource("non_idempotent", prefix="/lodge/", **options),
--- a/ibisrack/bodies.py
+++ b/ibisrack/bodies.py
@@ -1,8 +1,9 @@
 """Reads bodies of HTTP messages up to a limit on their size."""
 
-from aiohttp import StreamReader
+from aiohttp import StreamReader, web
+from aiohttp.web_protocol import RequestPayloadError
 
-from ibisrack.errors import MessageError
+from ibisrack.errors import MessageError, RequestError
 
 
 async def read_bounded(content: StreamReader, max_bytes: int) -> bytes:
@@ -18,3 +19,23 @@
         if len(body) > max_bytes:
             raise MessageError(f"the body is larger than {max_bytes} bytes")
     return bytes(body)
+
+
+async def read_request_body(request: web.BaseRequest, max_bytes: int) -> bytes:
+    """Reads the body of a request.
+
+    Raises:
+      RequestError: The body is larger than ``max_bytes``, or malformed.
+    """
+    if not request.can_read_body:
+        return b""
+    if (request.content_length or 0) > max_bytes:
+        raise RequestError(f"the body is larger than {max_bytes} bytes", 413)
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    try:
+        return await read_bounded(request.content, max_bytes)
+    except MessageError as error:
+        raise RequestError(str(error), 413) from error
+    except RequestPayloadError as error:
+        raise RequestError("the body is not valid HTTP") from error
--- a/ibisrack/calls/server.py
+++ b/ibisrack/calls/server.py
@@ -2,10 +2,9 @@
 
 import attrs
 from aiohttp import web
-from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
-from aiohttp.web_protocol import RequestPayloadError
 from multidict import CIMultiDict
 
+from ibisrack.bodies import read_request_body
 from ibisrack.calls.headers import (
     CALL_ID,
     KEY_PERIOD,
@@ -55,7 +54,7 @@
         context = _UNREADABLE_CONTEXT
         try:
             context = read_context(request.headers)
-            body = await _read_body(request)
+            body = await read_request_body(request, MAX_BODY_BYTES)
         except RequestError as error:
             reason = Reason.TOO_LARGE if error.status == 413 else Reason.BAD_REQUEST
             self._record_finished(context, None, Outcome.NOT_RUN, reason, "", start)
@@ -219,18 +218,3 @@
         answer.rest.close()
     await response.write_eof()
     return response
-
-
-async def _read_body(request: web.BaseRequest) -> bytes:
-    if not request.can_read_body:
-        return b""
-    if (request.content_length or 0) > MAX_BODY_BYTES:
-        raise RequestError(f"the body is larger than {MAX_BODY_BYTES} bytes", 413)
-    if request.headers.get("Expect", "").lower() == "100-continue":
-        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-    try:
-        return await request.read()
-    except HTTPRequestEntityTooLarge as error:
-        raise RequestError(f"the body is larger than {MAX_BODY_BYTES} bytes", 413) from error
-    except RequestPayloadError as error:
-        raise RequestError("the body is not valid HTTP") from error
--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -7,9 +7,8 @@
 from typing import Any
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestPayloadError
 
-from ibisrack.bodies import read_bounded
+from ibisrack.bodies import read_request_body
 from ibisrack.calls.http_connection import HttpConnection
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.relay import forwardable_headers
@@ -17,7 +16,7 @@
 from ibisrack.decimals import parse_count
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
-from ibisrack.errors import MessageError, RequestError
+from ibisrack.errors import RequestError
 from ibisrack.platform.headers import DEADLINE_MS, REQUEST_ID, RETRY_AFTER, SET_BY_NODES, as_latin1
 from ibisrack.routing.model import MAX_TIME_S, Limits
 
@@ -159,7 +158,7 @@
         limits = self.limits()
         if _head_bytes(http_request) > limits.max_header_bytes:
             raise RequestError(f"the head is larger than {limits.max_header_bytes} bytes", 431)
-        body = await _read_body(http_request, limits.max_body_bytes)
+        body = await read_request_body(http_request, limits.max_body_bytes)
         forwarded_headers = tuple(
             as_latin1(forwardable_headers(headers), without=SET_BY_NODES).items()
         )
@@ -229,18 +228,3 @@
     if deadline_ms is None:
         raise RequestError(f"{DEADLINE_MS} must be a whole number")
     return min(deadline_ms, MAX_DEADLINE_MS)
-
-
-async def _read_body(http_request: web.BaseRequest, limit_bytes: int) -> bytes:
-    if not http_request.can_read_body:
-        return b""
-    if (http_request.content_length or 0) > limit_bytes:
-        raise RequestError(f"the body is larger than {limit_bytes} bytes", 413)
-    if http_request.headers.get("Expect", "").lower() == "100-continue":
-        http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-    try:
-        return await read_bounded(http_request.content, limit_bytes)
-    except MessageError as error:
-        raise RequestError(str(error), 413) from error
-    except RequestPayloadError as error:
-        raise RequestError("the body is malformed") from error
--- a/ibisrack/platform/numbers_test.py
+++ b/ibisrack/platform/numbers_test.py
@@ -1,6 +1,5 @@
 """Tests of numbers in entries and settings, in any length that a program prints them."""
 
-import json
 import math
 from decimal import Decimal
 
@@ -14,6 +13,7 @@
 from ibisrack.platform.entries import decode_configuration, decode_instance
 from ibisrack.registry.messages import Entry
 from ibisrack.routing.model import MAX_TIME_S
+from ibisrack.testing.entries import with_value
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.fuzz import fuzz
 from ibisrack.testing.sidecars import configuration_entry, instance, instance_entry, route_resource
@@ -49,6 +49,18 @@
         assert_no_duration(text)
 
 
+def test_durations_are_converted_by_unit():
+    """Guards against durations read in the wrong unit or without one."""
+    assert parse_duration_s("1500ms") == 1.5
+    assert parse_duration_s("2.5s") == 2.5
+    for malformed in ("1500", "2m", "-1s", 3, None, "1e3s", "s"):
+        try:
+            parse_duration_s(malformed)
+        except ValueError:
+            continue
+        raise AssertionError(malformed)
+
+
 def assert_no_duration(text: object) -> None:
     try:
         parse_duration_s(text)
@@ -57,16 +69,6 @@
     raise AssertionError(text)
 
 
-def decode_with(content: bytes, path: tuple[str | int, ...], value: object, decode, key: str):
-    """Decodes an entry in which the value at a path is replaced."""
-    body = json.loads(content)
-    parent = body
-    for name in path[:-1]:
-        parent = parent[name]
-    parent[path[-1]] = value
-    return decode(Entry(key, json.dumps(body).encode(), 1))
-
-
 def test_each_time_of_a_configuration_may_have_many_digits():
     """Guards against a version that is refused as a whole for the digits of one time."""
     valid = configuration_entry(12, route_resource())
@@ -78,19 +80,17 @@
             ((2, "spec", "header_timeout"), lambda c: c.limits.header_timeout_s),
             ((2, "spec", "idle_timeout"), lambda c: c.limits.idle_timeout_s),
         ):
-            decoded = decode_with(
-                valid, ("resources", *path), text, decode_configuration, "op/config"
-            )
+            content = with_value(valid, ("resources", *path), text)
+            decoded = decode_configuration(Entry("op/config", content, 1))
             assert math.isclose(field_of(decoded), bounded_s), (text, path)
 
 
 def test_cold_time_of_an_instance_may_have_many_digits():
     """Guards against a report that is ignored, and that the instance drains with it."""
-    content = instance_entry(instance(state="draining"))
+    valid = instance_entry(instance(state="draining"))
     for text, expected_s in LONG_TIMES_S.items():
-        decoded = decode_with(
-            content, ("status", "cold_remaining"), text, decode_instance, "servers/i-1"
-        )
+        content = with_value(valid, ("status", "cold_remaining"), text)
+        decoded = decode_instance(Entry("servers/i-1", content, 1))
         assert math.isclose(decoded.cold_left_s, expected_s)
         assert not decoded.ready
 
--- /dev/null
+++ b/ibisrack/platform/settings_file_test.py
@@ -0,0 +1,143 @@
+"""Tests of reading the platform's settings file."""
+
+import json
+import re
+import tempfile
+from pathlib import Path
+
+import yaml
+
+from ibisrack.errors import SettingsError
+from ibisrack.platform.settings_file import load_platform_settings
+from ibisrack.testing.functions import function_tests
+
+SETTINGS = """
+self:
+  node: "sidecar-1"
+  ip: "10.1.0.38"
+  zone: "north"
+  app_addr: "10.1.0.38:8145"
+  service: "desk"
+network:
+  listen: {inbound: "10.1.0.38:8146", outbound: "10.1.0.38:8147", ready: "10.1.0.38:8141"}
+platform:
+  platform: {address: "10.200.1.7:8142", form: "read"}
+terms:
+  bounds: {grace: "6s", retry_budget_ratio: 0.3, budget_slack: 58, budget_window: "10s", odd: {}}
+"""
+
+
+def load(text: str):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.yaml"
+        path.write_text(text)
+        return load_platform_settings(str(path))
+
+
+def test_settings_may_be_json():
+    """Guards against a template that gives other settings than the platform's own file."""
+    as_yaml = load(SETTINGS)
+    as_json = load(json.dumps(yaml.safe_load(SETTINGS)))
+    assert as_json == as_yaml
+
+
+def test_template_of_the_settings_gives_what_the_file_of_the_platform_does():
+    """Guards against a setting that is lost because the template does not name it."""
+    tables = yaml.safe_load(SETTINGS)
+    fields = {name: value for table in tables.values() for name, value in table.items()}
+    template = (Path("deploy") / "settings.json.tmpl").read_text()
+    filled = re.sub(r"{{(\w+)\|json}}", lambda m: json.dumps(fields.get(m[1])), template)
+    assert load(filled) == load(SETTINGS)
+
+
+def test_unknown_fields_of_the_settings_file_are_ignored():
+    """Guards against a startup failure caused by a field of a later release."""
+    settings = load(SETTINGS)
+    assert settings.calls.port == 8147
+    assert settings.links.port == 8146
+    assert settings.registry.host == "10.200.1.7"
+    assert (settings.stop_s, settings.retry_ratio, settings.retry_slack) == (6.0, 0.3, 58.0)
+
+
+def test_memory_limit_of_the_machine_is_read():
+    """Guards against a machine whose limit on answers does not follow from its memory."""
+    limits = "self:\n  limits: {cores: 1, memory_mb: 300}"
+    assert load(SETTINGS.replace("self:", limits)).memory_mb == 300
+    for absent in (SETTINGS, SETTINGS.replace("self:", limits.replace("300", "0"))):
+        assert load(absent).memory_mb == 128
+
+
+def test_all_faults_of_the_settings_file_are_reported_together():
+    """Guards against reporting only the first fault at each start."""
+    text = SETTINGS.replace('zone: "north"', "zone: 7").replace('grace: "6s"', "grace: 6")
+    try:
+        load(text.replace("10.1.0.38:8147", "10.1.0.38"))
+    except SettingsError as error:
+        message = str(error)
+        assert all(word in message for word in ("zone", "grace", "outbound")), message
+    else:
+        raise AssertionError("the faults were not found")
+
+
+def test_a_malformed_port_is_a_fault():
+    """Guards against a startup that ends with a ValueError and names no field."""
+    for port in ("²", "٣", "9" * 5000, "65536", ""):
+        try:
+            load(SETTINGS.replace("10.1.0.38:8147", f"10.1.0.38:{port}"))
+        except SettingsError as error:
+            messages = {fault.path: fault.message for fault in error.faults}
+            assert messages["network.listen.outbound"] == "expected IP:PORT", messages
+        else:
+            raise AssertionError(port)
+
+
+def test_file_that_can_not_be_loaded_is_a_fault():
+    """Guards against a start or a reload that ends with an exception and names no file."""
+    for text in (
+        "odd: " + "[" * 5000 + "]" * 5000,
+        "odd: " + "9" * 5000,
+        "odd: 2024-99-99",
+        "odd: {a: !!python/object:os.system x}",
+        "self: [",
+        "\0",
+        "? [a]\n: b",
+    ):
+        try:
+            load(SETTINGS + text)
+        except SettingsError as error:
+            assert all(fault.file.endswith("settings.yaml") for fault in error.faults)
+        else:
+            raise AssertionError(text[:100])
+
+
+def test_odd_numbers_of_the_settings_file_are_faults():
+    """Guards against a number that ends a running sidecar later."""
+    huge, limits = "9" * 400, "self:\n  limits: {link_mbps: 9}"
+    for text in (
+        *(SETTINGS.replace("0.3", odd) for odd in (".nan", ".inf", "-1", huge, '"0.3"', "1e309")),
+        *(SETTINGS.replace("58", odd) for odd in (".nan", "-.inf", huge, "true x")),
+        *(SETTINGS.replace('"6s"', odd) for odd in ('"NaNs"', '"1e309s"', '"9999999999s"', ".inf")),
+        *(SETTINGS.replace("self:", limits.replace("9", odd)) for odd in (".inf", huge)),
+        *(SETTINGS.replace("10.1.0.38:8147", odd) for odd in ("10.1.0.38:0", "a:80", "\\0:80")),
+    ):
+        try:
+            load(text)
+        except SettingsError:
+            continue
+        raise AssertionError(text)
+
+
+def test_odd_port_for_metrics_is_a_fault():
+    """Guards against a start that ends with a ValueError and names no variable."""
+    for port in ("9" * 5000, "65536", "0", "-1", "²", " 80"):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.yaml"
+            path.write_text(SETTINGS)
+            try:
+                load_platform_settings(str(path), port)
+            except SettingsError:
+                continue
+        raise AssertionError(port)
+
+
+load_tests = function_tests(__name__)
