Read any revision that messages between nodes hold; name the bound of rules

Cause: ibis-node took a revision of more than 18 digits, leading zeros included, for none: the read failed, and the value never came in force.

--- a/ibisrack/platform/config_client.py
+++ b/ibisrack/platform/config_client.py
@@ -8,6 +8,7 @@
 import msgspec
 from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
 
+from ibisrack.decimals import parse_decimal
 from ibisrack.errors import PlatformError, PlatformTimeoutError
 from ibisrack.platform.messages import HostList, ListedHost, PlatformValue
 from ibisrack.rules.ruleset import MAX_CONTENT_BYTES
@@ -16,6 +17,7 @@
 # Names of the values that nodes read.
 RULES_NAME = "rules"
 HOSTS_NAME = "hosts"
+MAX_REVISION = 2**63 - 1  # Nodes send revisions in 64 bits.
 MAX_GENERATION = 2**53 - 1  # Nodes send generations in 64 bits; larger ones are not exact in JSON.
 
 
@@ -76,7 +78,7 @@
                 raise PlatformError(f"{name}: status {response.status}")
             content = await _read_content(response, name)
             return PlatformValue(
-                name, _parse_revision(response.headers.get("X-Revision", "")), content
+                name, parse_revision(response.headers.get("X-Revision", "")), content
             )
     except TimeoutError as error:
         raise PlatformTimeoutError(f"{name}: no answer within {timeout.total:.1f} s") from error
@@ -93,10 +95,16 @@
     return content
 
 
-def _parse_revision(text: str) -> int:
-    if not text.isascii() or not text.isdigit() or len(text) > 18:
+def parse_revision(text: str) -> int:
+    """Returns the revision that an answer states.
+
+    Raises:
+      PlatformError: The text is no number, or a number above MAX_REVISION.
+    """
+    revision = parse_decimal(text, MAX_REVISION)
+    if revision is None:
         raise PlatformError(f"X-Revision is not a revision: '{text[:40]}'")
-    return int(text)
+    return revision
 
 
 def parse_hosts(content: bytes, revision: int) -> HostList:
--- a/ibisrack/platform/config_client_test.py
+++ b/ibisrack/platform/config_client_test.py
@@ -1,7 +1,7 @@
 """Tests of decoding the values of the platform's configuration service."""
 
 from ibisrack.errors import PlatformError
-from ibisrack.platform.config_client import parse_hosts
+from ibisrack.platform.config_client import parse_hosts, parse_revision
 from ibisrack.platform.messages import ListedHost
 from ibisrack.testing.functions import function_tests
 
@@ -31,4 +31,16 @@
     assert hosts.hosts == (ListedHost("a", 2**53 - 1),)
 
 
+def test_revisions_are_numbers_that_peers_can_be_sent():
+    """Guards against a version that is never read for the digits of its revision."""
+    for text, revision in (("7", 7), ("0" * 30 + "7", 7), (str(2**63 - 1), 2**63 - 1)):
+        assert parse_revision(text) == revision
+    for text in ("", "-1", "+1", "1.0", "1e3", "٣", " 7", str(2**63), "9" * 400):
+        try:
+            parse_revision(text)
+        except PlatformError:
+            continue
+        raise AssertionError(text)
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/rules/grammar.py
+++ b/ibisrack/rules/grammar.py
@@ -77,7 +77,9 @@
     if field.type is int:
         value = parse_decimal(text, MAX_INTEGER)
         if value is None:
-            raise ValueError(f"{field.name} must be a whole number, is '{text}'")
+            raise ValueError(
+                f"{field.name} must be a whole number up to {MAX_INTEGER}, is '{text}'"
+            )
         return value
     if field.type is bool:
         if text not in ("yes", "no"):
