Decode uploads, cold rates, evacuations and unknown kinds of routes

Cause: a configuration with a route of kind `upload` was refused as a whole, so that a fleet with such a route had no configuration at all; the rate that a cold instance tolerates, the bounds of the settings for it and the keys of evacuated zones were not read.

Change: `upload` runs at most once, and so does any kind that this release does not know, with a warning and the gauge ibis_configuration_unknown_kinds. Services state cold_s and cold_rate_per_s, settings cold_rate_factor, cold_rate_slack and evacuation_s; entries tell the zone of an evacuation.

--- a/ibisrack/platform/configurations.py
+++ b/ibisrack/platform/configurations.py
@@ -9,7 +9,7 @@
 
 from ibisrack.errors import MessageError
 from ibisrack.platform.durations import parse_duration_s
-from ibisrack.platform.json_fields import count, json_object, non_empty_string
+from ibisrack.platform.json_fields import count, json_object, non_empty_string, rate
 from ibisrack.routing.model import (
     Configuration,
     Limits,
@@ -26,6 +26,7 @@
     "idempotent": Repeats.ALLOWED,
     "download": Repeats.ALLOWED,
     "non_idempotent": Repeats.FORBIDDEN,
+    "upload": Repeats.FORBIDDEN,
 }
 
 
@@ -146,11 +147,15 @@
     if not (prefix.startswith("/") and prefix.endswith("/")):
         raise ValueError("the prefix must start and end with a slash")
     timeout_s = parse_duration_s(spec["timeout"])
+    kind = non_empty_string(spec["kind"])
     return Route(
         name=name,
         host=non_empty_string(spec["host"]),
         prefix=prefix,
-        repeats=_REPEATS_BY_KIND[spec["kind"]],
+        # At most once is safe for a kind of a later release; a refused version would leave nodes
+        # that start without any.
+        repeats=_REPEATS_BY_KIND.get(kind, Repeats.FORBIDDEN),
+        unknown_kind="" if kind in _REPEATS_BY_KIND else kind[:MAX_LABEL_CHARS],
         timeout_s=timeout_s,
         target_s=(
             parse_duration_s(spec["target_latency"]) if "target_latency" in spec else timeout_s
@@ -163,7 +168,11 @@
 
 def _decode_service(name: str, spec: dict[str, Any]) -> ServiceOptions:
     return ServiceOptions(
-        name, non_empty_string(spec["health_path"]), count(spec["max_connections"])
+        name,
+        non_empty_string(spec["health_path"]),
+        count(spec["max_connections"]),
+        cold_s=parse_duration_s(spec["cold"]) if "cold" in spec else 0.0,
+        cold_rate_per_s=rate(spec.get("cold_per_s", 0.0)),
     )
 
 
--- a/ibisrack/platform/entries.py
+++ b/ibisrack/platform/entries.py
@@ -23,6 +23,7 @@
 
 CONFIGURATION_KEY = "op/config"
 INSTANCE_PREFIX = "servers/"
+EVACUATION_PREFIX = "op/evacuate/"
 # A running request has a connection of its own, and a host has no more ports towards an instance.
 MAX_SLOTS = 65_535
 # Starts and sequences are compared and sent to peers in 64 bits.  Larger integers are not exact in
@@ -41,6 +42,11 @@
     return key[len(INSTANCE_PREFIX) :] if key.startswith(INSTANCE_PREFIX) else ""
 
 
+def evacuated_zone(key: str) -> str:
+    """Returns the zone that an entry's key evacuates, or an empty string for other keys."""
+    return key[len(EVACUATION_PREFIX) :] if key.startswith(EVACUATION_PREFIX) else ""
+
+
 def decode_instance(entry: Entry) -> Instance:
     """Decodes the entry of an instance.
 
--- a/ibisrack/platform/entries_test.py
+++ b/ibisrack/platform/entries_test.py
@@ -3,7 +3,7 @@
 import json
 
 from ibisrack.errors import MessageError
-from ibisrack.platform.entries import decode_instance, instance_id
+from ibisrack.platform.entries import decode_instance, evacuated_zone, instance_id
 from ibisrack.registry.messages import Entry
 from ibisrack.testing.entries import assert_refused, with_value
 from ibisrack.testing.functions import function_tests
@@ -17,6 +17,15 @@
     expected = instance(started_at_ms=5, sequence=3)
     assert decode_instance(Entry("servers/i-1", instance_entry(expected), 1)) == expected
     assert instance_id("op/config") == ""
+    cold = instance(cold_left_s=1.5)
+    assert decode_instance(Entry("servers/i-1", instance_entry(cold), 1)).cold_left_s == 1.5
+
+
+def test_zone_of_an_evacuation_is_read_from_its_key():
+    """Guards against an evacuation that is taken for another entry."""
+    assert evacuated_zone("op/evacuate/north") == "north"
+    for other in ("op/config", "op/evacuate", "op/evacuate/", "servers/op/evacuate/north"):
+        assert evacuated_zone(other) == ""
 
 
 def test_a_malformed_instance_entry_is_rejected():
--- a/ibisrack/platform/headers.py
+++ b/ibisrack/platform/headers.py
@@ -17,6 +17,8 @@
 LIMIT = "Server-Limit"
 # In a response: the instance is about to end.
 LEAVING = "Server-Leaving"
+# In an answer to a health check: how much longer the instance is cold.
+COLD_MS = "Cold-Ms"
 RETRY_AFTER = "Retry-After"
 
 # Nodes set these on each request to an instance and drop the values that the caller sent.
--- a/ibisrack/platform/json_fields.py
+++ b/ibisrack/platform/json_fields.py
@@ -1,5 +1,6 @@
 """Checks of the values in JSON that other programs wrote."""
 
+import math
 from typing import Any
 
 
@@ -32,3 +33,10 @@
     if type(value) is not int or value < 0:
         raise TypeError("expected an integer of at least 0")
     return value
+
+
+def rate(value: Any) -> float:
+    """Returns a finite number of at least 0; raises TypeError for any other value."""
+    if type(value) not in (int, float) or not 0 <= value < math.inf:
+        raise TypeError("expected a number of at least 0")
+    return float(value)
--- a/ibisrack/platform/settings_file.py
+++ b/ibisrack/platform/settings_file.py
@@ -56,6 +56,9 @@
         "retry_ratio": reader.get("terms.bounds.retry_budget_ratio"),
         "retry_slack": reader.get("terms.bounds.budget_slack"),
         "retry_window_s": reader.duration_s("terms.bounds.budget_window"),
+        "cold_rate_factor": reader.get("terms.bounds.cold_over"),
+        "cold_rate_slack": reader.get("terms.bounds.cold_slack"),
+        "evacuation_s": reader.duration_s("terms.bounds.evac"),
     }
     faults = reader.faults
     try:
--- a/ibisrack/platform/settings_file_test.py
+++ b/ibisrack/platform/settings_file_test.py
@@ -67,6 +67,22 @@
         assert load(absent).memory_mb == 128
 
 
+def test_bounds_of_cold_instances_and_evacuations_are_read():
+    """Guards against a cold instance that gets more than its deployment allows."""
+    settings = load(SETTINGS)
+    assert (settings.cold_rate_factor, settings.cold_rate_slack) == (1.0, 0.0)
+    bounds = 'bounds: {cold_over: 1.5, cold_slack: 8, evac: "4000ms", '
+    settings = load(SETTINGS.replace("bounds: {", bounds))
+    assert (settings.cold_rate_factor, settings.cold_rate_slack) == (1.5, 8)
+    assert settings.evacuation_s == 4.0
+    for odd in ("cold_over: -1", 'cold_slack: "8"', "evac: 4"):
+        try:
+            load(SETTINGS.replace("bounds: {", f"bounds: {{{odd}, "))
+        except SettingsError:
+            continue
+        raise AssertionError(odd)
+
+
 def test_all_faults_of_the_settings_file_are_reported_together():
     """Guards against reporting only the first fault at each start."""
     text = SETTINGS.replace('zone: "north"', "zone: 7").replace('grace: "6s"', "grace: 6")
--- a/ibisrack/platform/wire_names_test.py
+++ b/ibisrack/platform/wire_names_test.py
@@ -13,6 +13,7 @@
     *("cold_remaining", "traffic_split", "target_latency", "resource_type", "non_idempotent"),
     *("app_addr", "has_more", "current_rev", "readyz", "budget_slack", "IBISRACK_NODE_FILE"),
     *("Server-Limit", "Server-Leaving", "Store-Era"),
+    *("Cold-Ms", "cold_per_s", "cold_over", "cold_slack", "op/evacuate"),
 )
 
 
--- a/ibisrack/routing/model.py
+++ b/ibisrack/routing/model.py
@@ -49,6 +49,8 @@
       priority: Priority of its requests; 0 is the most urgent.
       max_attempts: Maximum number of attempts of one request that may reach an instance.
       parts: Services that share the requests; at least one.
+      unknown_kind: Kind that the operator states and this release does not know, empty for a known
+        one.
     """
 
     name: str
@@ -60,6 +62,7 @@
     priority: int = attrs.field(converter=partial(min, MAX_PRIORITY))
     max_attempts: int
     parts: tuple[RoutePart, ...]
+    unknown_kind: str = ""
 
     @property
     def idempotent(self) -> bool:
@@ -85,11 +88,15 @@
       name: Name of the service.
       health_path: Path of the health check.
       max_connections: Maximum number of connections to an instance, from all callers together.
+      cold_s: Time for which an instance is cold after it starts, 0 if it is not.
+      cold_rate_per_s: Requests per second that a cold instance tolerates, 0 for any number.
     """
 
     name: str
     health_path: str
     max_connections: int
+    cold_s: float = attrs.field(default=0.0, converter=_bounded_time_s)
+    cold_rate_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -124,3 +131,8 @@
     routes: tuple[Route, ...]
     services: dict[str, ServiceOptions]
     limits: Limits = Limits()
+
+    @property
+    def unknown_kinds(self) -> tuple[str, ...]:
+        """Kinds of routes that this release does not know, each once."""
+        return tuple(sorted({r.unknown_kind for r in self.routes if r.unknown_kind}))
--- a/ibisrack/settings/sidecar.py
+++ b/ibisrack/settings/sidecar.py
@@ -34,6 +34,10 @@
         requests.
       retry_slack: Such arrivals allowed beyond that share in each window, over all nodes.
       retry_window_s: Length of the window of the retry budget in seconds.
+      cold_rate_factor: Requests that a cold instance may get in a second, as a multiple of the rate
+        that its service states.
+      cold_rate_slack: Such requests allowed beyond that.
+      evacuation_s: Seconds within which an evacuated zone gets no more requests.
     """
 
     node_id: str = attrs.field(validator=one_word)
@@ -51,3 +55,6 @@
     retry_ratio: float = attrs.field(default=0.2, validator=in_range(0, 10))
     retry_slack: float = attrs.field(default=20.0, validator=in_range(0, 1e6))
     retry_window_s: float = attrs.field(default=10.0, validator=in_range(0.1, 3600))
+    cold_rate_factor: float = attrs.field(default=1.0, validator=in_range(0, 1000))
+    cold_rate_slack: float = attrs.field(default=0.0, validator=in_range(0, 1e6))
+    evacuation_s: float = attrs.field(default=5.0, validator=in_range(0.1, 3600))
--- a/ibisrack/sidecar/content.py
+++ b/ibisrack/sidecar/content.py
@@ -89,6 +89,9 @@
         extra = {"version": configuration.version, "revision": str(entry.revision)}
         if offer_result is OfferResult.IN_FORCE:
             _LOGGER.info("configuration in force", extra=extra)
+            if configuration.unknown_kinds:
+                extra = extra | {"kinds": configuration.unknown_kinds}
+                _LOGGER.warning("unknown kinds of routes, served at most once", extra=extra)
         else:
             _LOGGER.info("configuration not newer", extra=extra)
 
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -81,6 +81,11 @@
     yield Metric("ibis_configuration_version", "Version in force.", False, unlabelled(version))
     refused = unlabelled(float(node.content.latest_refused))
     yield Metric("ibis_configuration_refused", "Whether the latest was refused.", False, refused)
+    current = node.configurations.current
+    unknown_kinds = unlabelled(len(current.unknown_kinds) if current else 0)
+    yield Metric(
+        "ibis_configuration_unknown_kinds", "Kinds served at most once.", False, unknown_kinds
+    )
     reported = unlabelled(node.latest_reported_version)
     yield Metric(
         "ibis_peer_configuration_version", "Latest version that peers report.", False, reported
--- a/ibisrack/testing/sidecars.py
+++ b/ibisrack/testing/sidecars.py
@@ -56,7 +56,11 @@
             "zone": listed.zone,
             "slots": listed.slots,
         },
-        "status": {"state": str(listed.state), "seq": listed.sequence, "cold_remaining": "0ms"},
+        "status": {
+            "state": str(listed.state),
+            "seq": listed.sequence,
+            "cold_remaining": f"{listed.cold_left_s}s",
+        },
     }
     return json.dumps(body).encode()
 
@@ -78,7 +82,7 @@
 
 
 def configuration_entry(
-    version: int, *routes: dict, services: tuple[str, ...] = ("desk",)
+    version: int, *routes: dict, services: tuple[str, ...] = ("desk",), **service_options: object
 ) -> bytes:
     """Returns the registry entry of a configuration, as JSON.
 
@@ -86,8 +90,10 @@
       version: Version of the configuration.
       routes: Route resources.
       services: Names of the services.
+      service_options: Further options of each service, by the platform's names.
     """
     options = {"health_path": "/healthz", "max_connections": 50, "protocol": "h1", "tls": False}
+    options |= service_options
     limits = {
         "max_header_bytes": 16384,
         "max_body_bytes": 1048576,
