Treat answers with a status outside 100 to 599 as no answer

Cause: the parser of the HTTP library accepts any three digits. 000 and 099 are below 200 and were skipped like interim answers, so that the caller got 504 at its deadline; 600 and 999 reached the caller as they were.

Change: both nodes and sidecars end such an attempt at once as of unknown outcome (wrong-answer) and close the connection; a repeatable request goes elsewhere. Peers' messages with such a status are out of bounds.

Result: the new tests of both upstream clients fail without the change and pass with it.

--- a/ibisrack/calls/transport.py
+++ b/ibisrack/calls/transport.py
@@ -13,7 +13,7 @@
 from ibisrack.calls.messages import Answer, Call
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError, UnknownOutcomeError
-from ibisrack.upstreams.connection import Connection, has_verifiable_end
+from ibisrack.upstreams.connection import Connection, has_http_status, has_verifiable_end
 from ibisrack.upstreams.connections import ConnectionPool
 
 MAX_BUFFERED_ANSWER_BYTES = 256 * 1024  # Larger answers are streamed.
@@ -82,8 +82,10 @@
     pool: ConnectionPool, connection: Connection, call: Call, deadline_at_s: float
 ) -> Answer:
     message, content = await connection.read()
-    while message.code < 200:
+    while has_http_status(message) and message.code < 200:
         message, content = await connection.read()
+    if not has_http_status(message):
+        raise UnknownOutcomeError(Reason.WRONG_ANSWER)
     if message.headers.get(CALL_ID, call.call_id) != call.call_id:
         raise UnknownOutcomeError(Reason.WRONG_ANSWER)
     if not has_verifiable_end(message, call.method):
--- a/ibisrack/calls/transport_test.py
+++ b/ibisrack/calls/transport_test.py
@@ -79,6 +79,13 @@
     assert await _failure_reason_of(bad_length) == Reason.CONNECTION_LOST
 
 
+async def test_status_that_http_does_not_have_is_no_answer():
+    """Guards against an odd status at the caller, and one that is taken for an interim answer."""
+    for status in (b"000", b"099", b"600", b"999"):
+        answer = _answer(b"x").replace(b"200", status)
+        assert await _failure_reason_of(answer) == Reason.WRONG_ANSWER
+
+
 async def test_answer_of_another_call_is_an_error_and_closes_the_connection():
     """Guards against a connection on which answers no longer match their calls."""
     assert await _failure_reason_of(_answer(b"x", "call-0")) == Reason.WRONG_ANSWER
--- a/ibisrack/links/bounds.py
+++ b/ibisrack/links/bounds.py
@@ -31,7 +31,7 @@
 MAX_ERA = 10**9 - 1  # The store states its era in at most nine digits.
 MAX_LINK_MBPS = 1e6  # As in the settings.
 MAX_EPOCH_CHARS = 64  # An epoch is a random id of 32 digits.
-MIN_STATUS, MAX_STATUS = 200, 999  # Interim answers are not passed on; a status has three digits.
+MIN_STATUS, MAX_STATUS = 200, 599  # Interim answers are not passed on.
 
 
 @singledispatch
--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -30,7 +30,12 @@
     as_latin1,
 )
 from ibisrack.upstreams.answer_memory import AnswerMemory
-from ibisrack.upstreams.connection import Connection, declared_bytes, has_verifiable_end
+from ibisrack.upstreams.connection import (
+    Connection,
+    declared_bytes,
+    has_http_status,
+    has_verifiable_end,
+)
 from ibisrack.upstreams.connections import ConnectionPool, is_reusable
 
 MISDIRECTED = 421  # HTTP status: another instance now listens at the address.
@@ -124,6 +129,8 @@
         stale_answers = 0
         while True:
             message, content = await connection.read()
+            if not has_http_status(message):
+                raise UnknownOutcomeError(Reason.WRONG_ANSWER)
             if message.code < 200:
                 continue
             if declared_bytes(message) > self.memory.max_answer_bytes:
--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -298,6 +298,28 @@
             assert isinstance(result, UnknownOutcomeError), (answer[:size], result)
 
 
+ODD_STATUS_LINES = (
+    *(b"HTTP/1.1 000 Trouble", b"HTTP/1.1 000", b"HTTP/1.1 099 Odd"),
+    *(b"HTTP/1.1 600 Odd", b"HTTP/1.1 999 Odd"),
+)
+
+
+async def test_status_that_http_does_not_have_is_no_answer():
+    """Guards against an odd status at the caller, and against waiting for another answer."""
+    for line in ODD_STATUS_LINES:
+        for notes in (b"", b"Not-Executed: 1\r\n"):
+            answer = whole_answer(REQUEST_ID).replace(
+                b"HTTP/1.1 200 OK\r\n", line + b"\r\n" + notes
+            )
+            assert answer.startswith(line)
+            async with _instance(answer, INTERIM, dripping=True) as (server, upstream):
+                result = await _send(upstream)
+                assert isinstance(result, UnknownOutcomeError), (line, result)
+                assert result.reason == Reason.WRONG_ANSWER, (line, result.reason)
+                assert (await _send(upstream, "/healthy")).status == 200
+                assert server.scripted.connections == 2
+
+
 async def _notices_of(answer: bytes) -> list[Notice]:
     """Returns what the upstream reads about an instance that sends an answer."""
     notices: list[Notice] = []
--- a/ibisrack/upstreams/connection.py
+++ b/ibisrack/upstreams/connection.py
@@ -22,6 +22,7 @@
 MAX_FRAMING_BYTES = 64 * 1024
 MAX_SEGMENT_BYTES = 16 * 1024  # Of a packet that may hold framing; the limits are checked after it.
 READ_BUFFER_BYTES = 64 * 1024  # The library stops reading at twice this size for a connection.
+MIN_HTTP_STATUS, MAX_HTTP_STATUS = 100, 599
 _SEPARATOR = b"\r\n\r\n"  # Ends a head, and the last chunk of a body with its trailers.
 
 
@@ -150,6 +151,15 @@
     return int(message.headers.get("Content-Length", 0))
 
 
+def has_http_status(message: RawResponseMessage) -> bool:
+    """Returns whether the status of an answer is one of the five classes that HTTP has.
+
+    The library parses any three digits.  A server in trouble may send 000, which is below the
+    interim statuses and would be skipped like one of them.
+    """
+    return MIN_HTTP_STATUS <= message.code <= MAX_HTTP_STATUS
+
+
 def has_verifiable_end(message: RawResponseMessage, method: str) -> bool:
     """Returns whether a truncated answer can be told from a complete one.
 
