Add ibisctl check-config: a review of a configuration before it is published

Cause: operators learned of an error in a configuration only when nodes refused it, of one error at a time, and of routes that no request matches not at all.

Change: the command lists all errors, routes and services that no request can match, limits that contradict each other, and the differences from the version in force, which it reads from a file or the store. Exit status and JSON output are those of the other commands. The stand-in store answers reads of one key.

--- a/ibisrack/ctl/commands.py
+++ b/ibisrack/ctl/commands.py
@@ -74,6 +74,21 @@
     new_file: str
 
 
+@attrs.frozen
+class CheckConfig(Command):
+    """Reviews a configuration of the users' platform before it is published.
+
+    Shows errors for which it would be refused, routes and services that no request can match,
+    limits that contradict each other, and what differs from the version in force.  IN_FORCE is a
+    file, the address IP:PORT of the platform's store, or ``-`` to compare with nothing.  Exits with
+    1 when there are errors or findings; differences alone are none.
+    """
+
+    NAME: ClassVar[str] = "check-config"
+    file: str
+    in_force: str
+
+
 @attrs.frozen
 class Explain(Command):
     """Shows which rule applies to a request, who asked for it and why.
@@ -162,5 +177,6 @@
 
 
 COMMANDS: dict[str, type[Command]] = {
-    cls.NAME: cls for cls in (Check, Diff, Explain, Fleet, Timeline, Follow, Drain, Version)
+    cls.NAME: cls
+    for cls in (Check, CheckConfig, Diff, Explain, Fleet, Timeline, Follow, Drain, Version)
 }
--- a/ibisrack/ctl/commands_test.py
+++ b/ibisrack/ctl/commands_test.py
@@ -9,13 +9,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ibisrack.ctl.commands import COMMANDS, Command
+from ibisrack.ctl.commands import COMMANDS, CheckConfig, Command, Options
 from ibisrack.ctl.main import run_command_line
 from ibisrack.ctl.options import define_flags
 from ibisrack.ctl.parse import UsageError, parse_command_line
+from ibisrack.ctl.run import run_command
+from ibisrack.standins.store import serve_store
 from ibisrack.testing.fixtures import PILBARA_RULES
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.fuzz import fuzz
+from ibisrack.testing.sidecars import STANDARD_ROUTES, configuration_entry, route_resource
 
 
 def _usage_error(*words: str) -> str:
@@ -55,6 +58,33 @@
     assert "--timeout_s" in _usage_error("version", "--timeout_s=0")
 
 
+def test_configuration_is_checked_before_it_is_published():
+    """Guards against a check whose exit status or output a script can't use."""
+    good = configuration_entry(12, *STANDARD_ROUTES)
+    older = configuration_entry(11, STANDARD_ROUTES[0])
+    bad = configuration_entry(13, route_resource(timeout="soon"))
+    with _files(good, older, bad) as (good_file, older_file, bad_file):
+        assert _run("check-config", good_file, "-")[0] == 0
+        code, out, _ = _run("check-config", "--json", good_file, older_file)
+        changes = [d for d in json.loads(out)["differences"] if d["action"] == "added"]
+        assert code == 0 and len(changes) == len(STANDARD_ROUTES) - 1
+        code, out, _ = _run("check-config", older_file, good_file)
+        assert code == 1 and "version 11 is not above version 12" in out
+        code, out, _ = _run("check-config", "--json", bad_file, good_file)
+        assert code == 1 and "'soon'" in json.loads(out)["errors"][0]
+        assert _run("check-config", good_file, bad_file)[0] == 3
+        assert _run("check-config", good_file, "127.0.0.1:1")[0] == 3
+
+
+async def test_configuration_in_force_is_read_from_the_store():
+    """Guards against differences from another version than the one in force."""
+    async with serve_store("127.0.0.1") as (store, port):
+        store.put("op/config", configuration_entry(12, *STANDARD_ROUTES))
+        with _files(configuration_entry(13, *STANDARD_ROUTES)) as (file,):
+            result = await run_command(CheckConfig(file, f"127.0.0.1:{port}"), Options())
+    assert result.exit_code == 0 and result.data["differences"] == [], result
+
+
 def _line(at: str, node: str, message: str, request_id: str) -> str:
     stamp = f"2026-12-04T10:00:{at}+00:00"
     fields = {"timestamp": stamp, "node": node, "message": message, "request_id": request_id}
--- a/ibisrack/ctl/main.py
+++ b/ibisrack/ctl/main.py
@@ -4,6 +4,7 @@
 import sys
 
 # Importing these modules registers their commands.
+import ibisrack.ctl.configurations
 import ibisrack.ctl.files
 import ibisrack.ctl.fleet
 import ibisrack.ctl.follow
--- a/ibisrack/platform/configurations.py
+++ b/ibisrack/platform/configurations.py
@@ -1,6 +1,7 @@
 """Decodes the operator's configuration; a malformed one is refused as a whole."""
 
 import re
+from collections.abc import Iterator
 from functools import singledispatch
 from typing import Any
 
@@ -22,6 +23,7 @@
 MAX_LABEL_CHARS = 80  # Leaves room for the error behind the type and the name of a resource.
 
 _VERSION = re.compile(r"[0-9a-fA-F]{8}")
+_VERSION_ERROR = "the version does not have eight hexadecimal digits"
 _REPEATS_BY_KIND = {
     "idempotent": Repeats.ALLOWED,
     "download": Repeats.ALLOWED,
@@ -45,14 +47,36 @@
             decoded[encoded] = resource
             _add_resource(resource, resources)
     if not _VERSION.fullmatch(document.version):
-        raise ValueError("the version does not have eight hexadecimal digits")
-    _check_references(resources.routes, resources.services)
+        raise ValueError(_VERSION_ERROR)
+    for error in _reference_errors(resources.routes, resources.services):
+        raise ValueError(error)
     LAST_CONFIGURATION.decoded = decoded
     return Configuration(
         int(document.version, 16), tuple(resources.routes), resources.services, resources.limits
     )
 
 
+def find_errors(content: bytes) -> tuple[str, ...]:
+    """Returns why a configuration would be refused, one error for each faulty resource."""
+    try:
+        document = msgspec.json.decode(content, type=_ConfigurationDocument)
+    except Exception as error:  # As for whole entries.
+        return (f"{type(error).__name__} {error}",)
+    errors, resources = [], _Resources()
+    for encoded in document.resources:
+        try:
+            resource = _decode_resource(bytes(encoded))
+        except Exception as error:  # As for whole entries.
+            errors.append(str(error) if isinstance(error, MessageError) else repr(error))
+            continue
+        if resource is not None:
+            _add_resource(resource, resources)
+    if not _VERSION.fullmatch(document.version):
+        errors.append(_VERSION_ERROR)
+    errors += _reference_errors(resources.routes, resources.services)
+    return tuple(errors)
+
+
 @attrs.frozen
 class _ConfigurationDocument:
     """A configuration whose resources are not decoded yet."""
@@ -185,8 +209,8 @@
     )
 
 
-def _check_references(routes: list[Route], services: dict[str, ServiceOptions]) -> None:
+def _reference_errors(routes: list[Route], services: dict[str, ServiceOptions]) -> Iterator[str]:
     for route in routes:
         for part in route.parts:
             if part.service not in services:
-                raise ValueError(f"route {route.name}: service {part.service} is not declared")
+                yield f"route {route.name}: service {part.service} is not declared"
--- a/ibisrack/platform/configurations_test.py
+++ b/ibisrack/platform/configurations_test.py
@@ -2,7 +2,7 @@
 
 from ibisrack.errors import MessageError
 from ibisrack.links.codec import MAX_FRAME_BYTES
-from ibisrack.platform.configurations import LAST_CONFIGURATION, MAX_LABEL_CHARS
+from ibisrack.platform.configurations import LAST_CONFIGURATION, MAX_LABEL_CHARS, find_errors
 from ibisrack.platform.entries import decode_configuration
 from ibisrack.registry.messages import Entry
 from ibisrack.routing.model import (
@@ -190,6 +190,21 @@
         raise AssertionError(content)
 
 
+def test_all_errors_of_a_configuration_are_found():
+    """Guards against an operator who learns of one error at each attempt to publish."""
+    routes = (
+        route_resource(timeout="soon"),
+        route_resource(prefix="b"),
+        route_resource(service="x"),
+    )
+    errors = find_errors(configuration_entry(12, *routes).replace(b"0000000c", b"twelve"))
+    for word in ("'soon'", "slash", "eight hexadecimal", "service x is not declared"):
+        assert sum(word in error for error in errors) == 1, (word, errors)
+    assert len(errors) == 4
+    assert find_errors(configuration_entry(12, route_resource())) == ()
+    assert len(find_errors(b"{")) == 1
+
+
 def test_refusal_of_a_configuration_names_the_resource():
     """Guards against an error that does not lead to the resource that keeps a version out."""
     odd = route_resource(timeout="soon", prefix="/odd/")
--- a/ibisrack/platform/store_client.py
+++ b/ibisrack/platform/store_client.py
@@ -45,6 +45,7 @@
 
 _LOGGER = logging.getLogger("ibisrack.registry")
 
+_KEY_PATH = "/-/kv-key"
 _RANGE_PATH = "/-/kv-range"
 _WATCH_PATH = "/-/kv-watch"
 
@@ -92,6 +93,15 @@
                 return Listing(revision, tuple(entries))
             after = items[-1].key
 
+    async def read(self, key: str) -> Entry:
+        """Reads one entry.
+
+        Raises:
+          PlatformError: There is no such entry, or no usable answer.
+        """
+        era, item = await self._get(_KEY_PATH, {"key": key}, 0.0, MAX_PAGE_BYTES)
+        return _decode_entry(item, era)
+
     async def changes(self, after: Revision, wait_s: float, max_bytes: int) -> Changes:
         """Waits for events; see Registry.changes."""
         query = {
--- a/ibisrack/standins/store.py
+++ b/ibisrack/standins/store.py
@@ -108,6 +108,7 @@
     def application(self) -> web.Application:
         """Returns the HTTP application."""
         application = web.Application()
+        application.router.add_get("/-/kv-key", self._key)
         application.router.add_get("/-/kv-range", self._range)
         application.router.add_get("/-/kv-watch", self._watch)
         return application
@@ -123,6 +124,14 @@
             await asyncio.Event().wait()
         return web.Response(status=self.error_status) if self.error_status else None
 
+    async def _key(self, request: web.Request) -> web.Response:
+        if failure := await self._injected_failure():
+            return failure
+        key = request.query["key"]
+        if key not in self._items:
+            return web.Response(status=404, headers=self._headers())
+        return self._respond(_item(key, *self._items[key]))
+
     async def _range(self, request: web.Request) -> web.StreamResponse:
         if failure := await self._injected_failure():
             return failure
