Run pipelined idempotent requests before their turn

Requests behind the first one of a connection waited until it was answered, and their time counted from their turn. A request that runs at most once starts in its turn and alone. The end of the connection, or an answer that closes it, cancels what runs behind. A planned stop closes a connection with the answer to the last request that was passed on.

--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -1,104 +1,43 @@
 """HTTP servers for callers on this host and for the platform's readiness check."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from functools import singledispatch
-from http import HTTPStatus
 from typing import Any
 
-from aiohttp import web
+from aiohttp import StreamReader, web
+from aiohttp.http import RawRequestMessage
 
 from ibisrack.bodies import read_request_body
-from ibisrack.calls.http_connection import HttpConnection
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.relay import forwardable_headers
-from ibisrack.clocks import read_monotonic_s
 from ibisrack.decimals import parse_count
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
 from ibisrack.errors import RequestError
+from ibisrack.pipelining.recorder import PipeliningRecorder
+from ibisrack.pipelining.state import Stage
+from ibisrack.platform.caller_connection import CallerConnection, CallerRequest
 from ibisrack.platform.headers import DEADLINE_MS, REQUEST_ID, RETRY_AFTER, SET_BY_NODES, as_latin1
 from ibisrack.routing.model import MAX_TIME_S, Limits
 
 READY_PATH = "/-/readyz"
 DEFAULT_DEADLINE_MS = 3_600_000  # Without the header, only the route's timeout applies.
 MAX_DEADLINE_MS = int(MAX_TIME_S * 1000)
-MAX_HEADER_FIELDS = 256
 
 ServeRequest = Callable[[Request], Awaitable[Reply]]
 
 
-class CallerConnection(HttpConnection):
-    """A connection from a caller, with limits on the size and duration of a request head.
-
-    Attributes:
-      limits: The limits in force when the connection was opened.
-    """
-
-    __slots__ = ("_head_bytes", "_head_timer", "limits")
-
-    def __init__(self, manager: web.Server, limits: Limits, **options: Any) -> None:
-        super().__init__(
-            manager,
-            access_log=None,
-            auto_decompress=False,
-            keepalive_timeout=limits.idle_timeout_s,
-            max_line_size=limits.max_header_bytes,
-            max_field_size=limits.max_header_bytes,
-            max_headers=MAX_HEADER_FIELDS,
-            **options,
-        )
-        self.limits = limits
-        self._head_bytes = 0
-        self._head_timer: asyncio.TimerHandle | None = None
-
-    @property
-    def is_serving(self) -> bool:
-        """Whether a request has arrived whose response is not complete."""
-        return self._request_in_progress or bool(self._messages)
-
-    def data_received(self, data: bytes) -> None:
-        """Parses data; closes the connection if a head is too large or not complete in time."""
-        super().data_received(data)
-        if self._waiter is None or self._waiter.done():  # A complete head, or part of a body.
-            self._reset_head()
-            return
-        self._head_bytes += len(data)
-        if self._head_bytes > self.limits.max_header_bytes:
-            self._reject_head(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        elif self._head_timer is None:
-            self._head_timer = self._loop.call_later(
-                self.limits.header_timeout_s, self._reject_head, HTTPStatus.REQUEST_TIMEOUT
-            )
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancels the timeout of the request head."""
-        self._reset_head()
-        super().connection_lost(exc)
-
-    def _reset_head(self) -> None:
-        self._head_bytes = 0
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-
-    def _reject_head(self, status: HTTPStatus) -> None:
-        self._reset_head()
-        if self.transport is not None:
-            head = f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Length: 0\r\n"
-            self.transport.write(f"{head}Connection: close\r\n\r\n".encode())
-        self.force_close()
-
-
 class CallerServer(web.Server):
-    """Serves callers, with one task per connection.
+    """Serves callers, with one task per connection and one per pipelined request.
 
     Attributes:
-      limits: Returns the limits of the configuration in force.
       serve: Routes a request and returns its reply.
+      limits: Returns the limits of the configuration in force.
       caller_service: Returns the name of the service on this host.
       is_leaving: Returns whether the node is shutting down; each connection is then closed after
-        its next response.
+        the responses to the requests that have been passed on.
+      may_repeat: Returns whether the requests for a host and a path may run more than once.
+      pipelining: Counts and logs requests that run before their turn.
     """
 
     def __init__(
@@ -107,12 +46,16 @@
         limits: Callable[[], Limits],
         caller_service: Callable[[], str],
         is_leaving: Callable[[], bool],
+        may_repeat: Callable[[str, str], bool],
+        pipelining: PipeliningRecorder,
     ) -> None:
         super().__init__(self._handle, handler_cancellation=True)
         self.serve = serve
         self.limits = limits
         self.caller_service = caller_service
         self.is_leaving = is_leaving
+        self.may_repeat = may_repeat
+        self.pipelining = pipelining
 
     @property
     def serving_connections(self) -> int:
@@ -126,47 +69,85 @@
         """Creates the protocol object of a new connection."""
         return CallerConnection(self, self.limits(), loop=self._loop)
 
+    def _make_request(
+        self, message: Any, payload: StreamReader, protocol: CallerConnection, *args: Any
+    ) -> web.BaseRequest:
+        protocol.begin_turn()
+        return super()._make_request(message, payload, protocol, *args)
+
     async def _handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
-        received_at_s = read_monotonic_s()
+        connection = http_request.protocol
+        response = await connection.early_response()
+        if response is None:
+            response = await self.respond(http_request, connection.pipeline.oldest)
+        if self.is_leaving() and not connection.pipeline.next_has_started:
+            response.force_close()
+        return response
+
+    def may_launch(self, request: CallerRequest) -> bool:
+        """Returns whether a request, all before which have started, may start before its turn.
+
+        A body for which the caller waits to be asked is read in its turn, and a request that is not
+        valid is answered in its turn.
+        """
+        headers = request.message.headers
+        if self.is_leaving() or "Expect" in headers:
+            return False
+        try:
+            _check_head(request.message, self.limits())
+        except RequestError:
+            return False
+        path = request.message.path.partition("?")[0]
+        return self.may_repeat(headers.get("Host", ""), path)
+
+    async def respond(
+        self, http_request: web.BaseRequest, queued: CallerRequest
+    ) -> web.Response | None:
+        """Runs a request; returns None if it must wait for its turn."""
         try:
-            request = await self._read_request(http_request, received_at_s)
+            request = await self._read_request(http_request, queued.received_at_s)
         except RequestError as error:
             response = web.Response(status=error.status, text=f"{error}\n")
             response.force_close()
             return response
+        if not self._start(http_request.protocol, queued, request):
+            return None
         response = to_response(await self.serve(request))
         response.headers.setdefault(REQUEST_ID, request.request_id)
-        if self.is_leaving():
-            response.force_close()
         return response
 
+    def _start(self, connection: CallerConnection, queued: CallerRequest, request: Request) -> bool:
+        """Returns whether a request starts now, and launches the one behind it if it does.
+
+        The configuration may have changed since the request was launched.
+        """
+        may_repeat = self.may_repeat(request.host, request.path)
+        is_early = queued is not connection.pipeline.oldest
+        if is_early and not may_repeat:
+            queued.stage = Stage.WAITING
+            return False
+        self.pipelining.early_starts += is_early
+        queued.start(may_repeat)
+        connection.launch_next()
+        return True
+
     async def _read_request(self, http_request: web.BaseRequest, received_at_s: float) -> Request:
         """Reads a request with its whole body.
 
         Raises:
           RequestError: The request is malformed.
         """
-        headers = http_request.headers
-        target = http_request._message.path  # As sent: the public accessors normalise it.
-        request_id = headers.get(REQUEST_ID, "")
-        if not request_id or not target.isascii() or not target.startswith("/"):
-            raise RequestError(f"a request needs {REQUEST_ID} and a path")
-        host = headers.get("Host", "")
-        # Other bytes are no text that links and requests to instances hold.
-        if not (request_id.isascii() and host.isascii()):
-            raise RequestError(f"{REQUEST_ID} and Host must be ASCII")
-        limits = self.limits()
-        if _head_bytes(http_request) > limits.max_header_bytes:
-            raise RequestError(f"the head is larger than {limits.max_header_bytes} bytes", 431)
+        headers, limits = http_request.headers, self.limits()
+        _check_head(http_request._message, limits)
         body = await read_request_body(http_request, limits.max_body_bytes)
         forwarded_headers = tuple(
             as_latin1(forwardable_headers(headers), without=SET_BY_NODES).items()
         )
         return Request(
-            request_id=request_id,
+            request_id=headers[REQUEST_ID],
             method=http_request.method,
-            host=host,
-            target=target,
+            host=headers.get("Host", ""),
+            target=http_request._message.path,  # As sent: the public accessors normalise it.
             headers=forwarded_headers,
             body=body,
             caller_service=self.caller_service(),
@@ -215,10 +196,26 @@
     return web.Response(status=504 if reply.late else 502, text=f"unknown: {reply.reason}\n")
 
 
-def _head_bytes(http_request: web.BaseRequest) -> int:
+def _check_head(message: RawRequestMessage, limits: Limits) -> None:
+    """Checks the head of a request.
+
+    Raises:
+      RequestError: The head is too large, or lacks what is needed to pass the request on.
+    """
+    headers, target = message.headers, message.path
+    request_id, host = headers.get(REQUEST_ID, ""), headers.get("Host", "")
+    if not request_id or not target.isascii() or not target.startswith("/"):
+        raise RequestError(f"a request needs {REQUEST_ID} and a path")
+    # Other bytes are no text that links and requests to instances hold.
+    if not (request_id.isascii() and host.isascii()):
+        raise RequestError(f"{REQUEST_ID} and Host must be ASCII")
+    if _head_bytes(message) > limits.max_header_bytes:
+        raise RequestError(f"the head is larger than {limits.max_header_bytes} bytes", 431)
+
+
+def _head_bytes(message: RawRequestMessage) -> int:
     """Returns the size of the target and the headers in bytes, without separators."""
-    fields = http_request._message.raw_headers
-    return len(http_request._message.path) + sum(len(name) + len(value) for name, value in fields)
+    return len(message.path) + sum(len(name) + len(value) for name, value in message.raw_headers)
 
 
 def _parse_deadline_ms(text: str | None) -> int:
--- a/ibisrack/routing/holder.py
+++ b/ibisrack/routing/holder.py
@@ -46,6 +46,16 @@
         """Returns whether a peer that reports a version has a later configuration in force."""
         return self.reported_version < reported_version
 
+    def may_repeat(self, host: str, path: str) -> bool:
+        """Returns whether a request may run more than once; one without a route may not.
+
+        Args:
+          host: Value of the Host header.
+          path: Path of the request without its query, unchanged.
+        """
+        route = self.table.find(host, path)
+        return route is not None and route.idempotent
+
     def offer(self, configuration: Configuration) -> OfferResult:
         """Puts a configuration in force if it is newer than the current one."""
         if configuration.version == self.version:
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -21,6 +21,7 @@
 def all_metrics(node: SidecarNode) -> Iterator[Metric]:
     """Returns all metrics except the histogram."""
     yield from call_metrics(node.tally)
+    yield from _pipelining_metrics(node)
     yield from load_metrics(node.instance_runner.gate)
     yield from _limit_metrics(node)
     yield from _crash_metrics(node)
@@ -32,6 +33,22 @@
     yield from _processor_metrics(node)
 
 
+def _pipelining_metrics(node: SidecarNode) -> Iterator[Metric]:
+    recorder = node.pipelining
+    yield Metric(
+        "ibis_pipelined_early_starts_total",
+        "Requests that started before their turn.",
+        True,
+        unlabelled(recorder.early_starts),
+    )
+    yield Metric(
+        "ibis_pipelined_cancelled_total",
+        "Those cancelled because their connection closed.",
+        True,
+        unlabelled(recorder.cancelled),
+    )
+
+
 def _limit_metrics(node: SidecarNode) -> Iterator[Metric]:
     limit_per_s = node.instance_runner.notices.limit_per_s
     # An instance without a limit has no sample.
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -22,6 +22,7 @@
 from ibisrack.links.pacer import LinkPacer
 from ibisrack.metrics.tally import Tally
 from ibisrack.node.tasks import keep_running
+from ibisrack.pipelining.recorder import PipeliningRecorder
 from ibisrack.registry.follower import RegistryFollower
 from ibisrack.registry.messages import Entry
 from ibisrack.registry.view import RegistryView
@@ -63,6 +64,7 @@
       loop_delay: How late the event loop runs the periodic work.
       suspects: Requests that are suspected of crashing instances.
       pacer: Spaces large answers on the host's link.
+      pipelining: Counts and logs pipelined requests that ran before their turn.
       registry_peers: Peers from which the registry's changes come, and what goes to others.
     """
 
@@ -86,6 +88,7 @@
     pacer: LinkPacer = attrs.field(
         default=attrs.Factory(lambda self: LinkPacer(self.settings.link_mbps), takes_self=True)
     )
+    pipelining: PipeliningRecorder = attrs.field(factory=PipeliningRecorder)
     registry_peers: RegistryPeers = attrs.field(
         default=attrs.Factory(lambda self: self._create_registry_peers(), takes_self=True)
     )
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -248,6 +248,8 @@
         ),
         caller_service=lambda: node.settings.service,
         is_leaving=lambda: node.stopping,
+        may_repeat=node.configurations.may_repeat,
+        pipelining=node.pipelining,
     )
     runners: list[web.ServerRunner] = []
     for server, address in (
