--- a/ibisrack/pipelining/recorder.py
+++ b/ibisrack/pipelining/recorder.py
@@ -22,8 +22,14 @@
     cancelled: int = 0
 
     def record_turn(self, request_id: str, request: PipelinedRequest, now_s: float) -> None:
-        """Logs how long an answer that was ready has waited for its turn."""
-        if request.answered_at_s is None:
+        """Logs how long the answer to a request has waited for its turn, if it was ready before.
+
+        Args:
+          request_id: Id of the request.
+          request: A request that was launched before its turn.
+          now_s: Time at which its turn began.
+        """
+        if request.answered_at_s is None or request.answered_at_s > now_s:
             return
         extra = {
             "request_id": request_id,
--- a/ibisrack/pipelining/state.py
+++ b/ibisrack/pipelining/state.py
@@ -93,14 +93,12 @@
         self.oldest = self.queue.popleft()
         return self.oldest
 
-    def end_turn(self) -> None:
-        """Removes the oldest request, which has been answered."""
-        self.oldest = None
-
     def record_answer(self, request: PipelinedRequest, answer_bytes: int, now_s: float) -> None:
         """Records that the answer to a request is ready."""
         request.stage = Stage.ANSWERED
         request.answer_bytes, request.answered_at_s = answer_bytes, now_s
+        if answer_bytes <= MIN_EXPECTED_ANSWER_BYTES == self.expected_answer_bytes:
+            return
         decayed_bytes = self.expected_answer_bytes * EXPECTATION_DECAY
         self.expected_answer_bytes = max(MIN_EXPECTED_ANSWER_BYTES, answer_bytes, decayed_bytes)
 
--- a/ibisrack/platform/caller_connection_test.py
+++ b/ibisrack/platform/caller_connection_test.py
@@ -1,6 +1,8 @@
 """Tests of pipelined requests: what runs early, what waits, and what a closing connection ends."""
 
 import asyncio
+import random
+import socket
 from contextlib import asynccontextmanager
 
 import attrs
@@ -8,13 +10,15 @@
 
 from ibisrack.bin.loop import new_event_loop
 from ibisrack.clocks import read_monotonic_s
-from ibisrack.pipelining.state import MAX_QUEUED_REQUESTS
+from ibisrack.pipelining.state import MAX_QUEUED_REQUESTS, MAX_UNSENT_ANSWER_BYTES
 from ibisrack.platform.headers import REQUEST_ID
+from ibisrack.sidecar.stopping import drain
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import capture_log, run_sidecars, wait_until
 
 SLOTS = 100
+STOP_TEST_SKIPPED_S = 2.2  # Start of the stop, in which every request is accepted.
 GUARD_S = 5.0
 SETTLE_S = 0.15  # A request that wrongly runs has reached the instance by then.
 LARGE_ANSWER_BYTES = 300_000
@@ -339,17 +343,43 @@
         assert await client.read_bodies(3) == [b"a", b"b" + body, b"c"]
 
 
-async def test_answers_that_wait_are_bounded_in_bytes():
-    """Guards against memory for the answers to a caller that reads slowly or not at all."""
+async def test_answers_that_wait_for_their_turn_are_bounded_in_bytes():
+    """Guards against memory for many large answers that wait behind a slow one."""
     async with pipelining() as (_, held, client):
-        names = [f"q-{n}" for n in range(2 * MAX_QUEUED_REQUESTS)]
+        names = [f"q-{n}" for n in range(MAX_QUEUED_REQUESTS)]
         held.bodies = dict.fromkeys(names, bytes(LARGE_ANSWER_BYTES))
-        client.writer.write(get("q-0"))
+        held.release(*names[:-1])
+        client.writer.write(get(names[0]))
+        await client.read_bodies(1)  # The size of the answers is known from now on.
+        client.writer.write(get("slow") + b"".join(map(get, names)))
+        most = MAX_UNSENT_ANSWER_BYTES // LARGE_ANSWER_BYTES
+        await wait_until(lambda: len(held.started) >= 1 + most)
+        await asyncio.sleep(SETTLE_S)
+        assert len(held.started) == 1 + most
+        held.release("slow", *names)
+        assert len(await client.read_bodies(1 + len(names))) == 1 + len(names)
+
+
+async def test_a_caller_that_does_not_read_starts_few_requests():
+    """Guards against memory for the answers to a caller that reads slowly or not at all."""
+    async with pipelining() as (node, held, _):
+        names = [f"q-{n}" for n in range(MAX_QUEUED_REQUESTS)]
+        held.bodies = dict.fromkeys(names, bytes(MAX_UNSENT_ANSWER_BYTES))
         held.release(*names)
-        await client.read_bodies(1)  # The size of its answers is known from now on.
-        client.writer.write(b"".join(map(get, names)))
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        calls = node.settings.calls
+        connection.connect((calls.host, calls.port))
+        reader, writer = await asyncio.open_connection(sock=connection, limit=1024)
+        writer.write(get("q-0"))
+        await wait_until(lambda: held.started == ["q-0"])
+        await wait_until(lambda: not node.dispatcher.running)
+        writer.write(b"".join(map(get, names[1:])))
         await asyncio.sleep(SETTLE_S)
-        assert len(await client.read_bodies(len(names))) == len(names)
+        started = len(held.started)
+        assert started < len(names) / 2, started  # The system's buffers hold several.
+        assert await Client(reader, writer).read_bodies(len(names)) == list(held.bodies.values())
+        writer.close()
 
 
 async def test_the_time_of_a_request_counts_from_its_arrival():
@@ -365,4 +395,106 @@
         assert held.started == ["a", "c"]
 
 
+async def run_pipeline(fleet_, rng, kinds: dict[str, bytes], answers: dict[str, bytes]) -> None:
+    """Sends requests on one connection in parts, and adds the answers in their order."""
+    calls = fleet_.nodes[0].settings.calls
+    reader, writer = await asyncio.open_connection(calls.host, calls.port)
+    stream = b"".join(kinds.values())
+    while stream:
+        size = rng.choice((1, 20, 150, 1000))
+        writer.write(stream[:size])
+        stream = stream[size:]
+        await asyncio.sleep(rng.choice((0, 0, 0.002)))
+    client = Client(reader, writer)
+    for name in kinds:
+        status, _, answers[name] = await client.read_answer()
+        assert status == 200
+    writer.close()
+
+
+async def test_random_pipelines_keep_the_order_and_the_rule_of_one():
+    """Guards against an order of events in which a request overtakes or gets a wrong answer."""
+    rng = random.Random(7)
+    running: set[str] = set()
+
+    async def run(instance, request):
+        name = request.headers[REQUEST_ID]
+        connection, number, kind = name.split("-")
+        others = {other for other in running if other.startswith(f"{connection}-")}
+        assert not (others if kind == "p" else {o for o in others if o.endswith("p")}), name
+        running.add(name)
+        await asyncio.sleep(rng.choice((0, 0, 0.003, 0.01)))
+        running.discard(name)
+        body = name.encode() + await request.read()
+        return web.Response(body=body, headers=instance.headers(request))
+
+    async with run_sidecars(2) as fleet_:
+        for number, instance in enumerate(fleet_.instances):
+            instance.custom_handler = run
+            fleet_.register_instance(number, slots=SLOTS, sequence=1)
+        await wait_until(lambda: all(i.slots == SLOTS for i in fleet_.nodes[0].directory.all()))
+        pipelines, answers = [], {}
+        for connection in range(8):
+            kinds = {}
+            for number in range(40):
+                kind = rng.choice("ggggp")
+                name = f"{connection}-{number}-{kind}"
+                kinds[name] = post(name, b"body") if kind == "p" else get(name)
+            pipelines.append(kinds)
+        await asyncio.gather(*(run_pipeline(fleet_, rng, kinds, answers) for kinds in pipelines))
+        assert fleet_.nodes[0].pipelining.early_starts > 0
+    for kinds in pipelines:
+        for name in kinds:
+            body = b"body" if name.endswith("p") else b""
+            assert answers[name] == name.encode() + body
+
+
+async def pipeline_until_stopped(node, name: str, unanswered: set[str], counts: list[int]) -> None:
+    """Sends pipelines on new connections until the node doesn't listen.
+
+    Adds the ids of the requests that got no answer to unanswered, and to counts how many got one.
+    """
+    calls = node.settings.calls
+    for number in range(1000):
+        try:
+            reader, writer = await asyncio.open_connection(calls.host, calls.port)
+        except OSError:
+            return
+        ids = [f"{name}-{number}-{position}" for position in range(6)]
+        writer.write(b"".join(get(i) if p % 3 else post(i) for p, i in enumerate(ids)))
+        client, answered = Client(reader, writer), 0
+        try:
+            for _ in ids:
+                await client.read_answer()
+                answered += 1
+        except (asyncio.IncompleteReadError, OSError):
+            unanswered.update(ids[answered:])
+        counts.append(answered)
+        writer.close()
+
+
+async def test_a_whole_stop_answers_every_pipelined_request_that_ran():
+    """Guards against requests that a stop passes on and does not answer."""
+    unanswered, counts, executed = set(), [], set()
+
+    async def run(instance, request):
+        executed.add(request.headers[REQUEST_ID])
+        await asyncio.sleep(0.03)
+        return web.Response(headers=instance.headers(request))
+
+    async with run_sidecars(2) as fleet_:
+        for instance in fleet_.instances:
+            instance.custom_handler = run
+        node = fleet_.nodes[0]
+        callers = [
+            asyncio.create_task(pipeline_until_stopped(node, f"c{n}", unanswered, counts))
+            for n in range(4)
+        ]
+        await wait_until(lambda: len(counts) >= 4)
+        await drain(node, read_monotonic_s() - STOP_TEST_SKIPPED_S)
+        await fleet_.stop_sidecar(0)
+        await asyncio.gather(*callers)
+    assert unanswered and not executed & unanswered
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -10,14 +10,16 @@
 from ibisrack.bodies import read_request_body
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.relay import forwardable_headers
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.decimals import parse_count
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
 from ibisrack.errors import RequestError
 from ibisrack.pipelining.recorder import PipeliningRecorder
 from ibisrack.pipelining.state import Stage
-from ibisrack.platform.caller_connection import CallerConnection, CallerRequest
+from ibisrack.platform.caller_connection import CallerConnection
 from ibisrack.platform.headers import DEADLINE_MS, REQUEST_ID, RETRY_AFTER, SET_BY_NODES, as_latin1
+from ibisrack.platform.reading_connection import CallerRequest
 from ibisrack.routing.model import MAX_TIME_S, Limits
 
 READY_PATH = "/-/readyz"
@@ -72,14 +74,16 @@
     def _make_request(
         self, message: Any, payload: StreamReader, protocol: CallerConnection, *args: Any
     ) -> web.BaseRequest:
-        protocol.begin_turn()
+        protocol.begin_turn(message, payload)
         return super()._make_request(message, payload, protocol, *args)
 
     async def _handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
-        connection = http_request.protocol
-        response = await connection.early_response()
+        connection, response = http_request.protocol, None
+        queued = connection.pipeline.oldest
+        if queued.task is not None:
+            response = await connection.early_response(queued)
         if response is None:
-            response = await self.respond(http_request, connection.pipeline.oldest)
+            response = await self.respond(http_request, queued)
         if self.is_leaving() and not connection.pipeline.next_has_started:
             response.force_close()
         return response
@@ -110,27 +114,23 @@
             response = web.Response(status=error.status, text=f"{error}\n")
             response.force_close()
             return response
-        if not self._start(http_request.protocol, queued, request):
-            return None
+        connection = http_request.protocol
+        # The configuration may have changed since the request was launched.
+        may_repeat = self.may_repeat(request.host, request.path)
+        if queued is not connection.pipeline.oldest:
+            if not may_repeat:
+                queued.stage = Stage.WAITING
+                return None
+            self.pipelining.early_starts += 1
+        queued.start(may_repeat)
+        if connection.pipeline.queue:
+            connection.launch_next()
         response = to_response(await self.serve(request))
         response.headers.setdefault(REQUEST_ID, request.request_id)
+        answer_bytes = len(response.body or b"")
+        connection.pipeline.record_answer(queued, answer_bytes, read_monotonic_s())
         return response
 
-    def _start(self, connection: CallerConnection, queued: CallerRequest, request: Request) -> bool:
-        """Returns whether a request starts now, and launches the one behind it if it does.
-
-        The configuration may have changed since the request was launched.
-        """
-        may_repeat = self.may_repeat(request.host, request.path)
-        is_early = queued is not connection.pipeline.oldest
-        if is_early and not may_repeat:
-            queued.stage = Stage.WAITING
-            return False
-        self.pipelining.early_starts += is_early
-        queued.start(may_repeat)
-        connection.launch_next()
-        return True
-
     async def _read_request(self, http_request: web.BaseRequest, received_at_s: float) -> Request:
         """Reads a request with its whole body.
 
