Count requests for the retry budget when they start

The budget's window expects times in their order. The time of a request is that of its read now, and a pipelined one may start long after it; its count fell into an old bucket behind newer ones.

--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -122,7 +122,8 @@
         due_at_s = attempts.deadline_at_s
         if self.stop is not None and self.stop.would_cut_off(request.received_at_s, due_at_s):
             return Refusal(Reason.DRAINING, self.retry_after_s(attempts))
-        self.budget.record_request(attempts.service, request.received_at_s, self.retry_share())
+        # A pipelined request may have been received long before its turn.
+        self.budget.record_request(attempts.service, read_monotonic_s(), self.retry_share())
         try:
             async with asyncio.timeout(due_at_s - read_monotonic_s()):
                 result = await self._run_attempts(request, attempts)
--- a/ibisrack/dispatch/dispatcher_test.py
+++ b/ibisrack/dispatch/dispatcher_test.py
@@ -158,4 +158,15 @@
     assert len(destination.submits) == 1
 
 
+async def test_a_request_that_waited_for_its_turn_counts_for_the_budget_when_it_starts():
+    """Guards against a window of the budget whose buckets are not in the order of time."""
+    sender, _ = dispatcher(result=NotRunError(Reason.DEADLINE))
+    now_s = read_monotonic_s()
+    sender.budget.configure(ratio=1.0, slack=0.0, window_s=10.0, now_s=now_s)
+    for _ in range(2):
+        waited = attrs.evolve(request(), received_at_s=now_s - 5.0)
+        await sender._reply(waited, attempts(sender))
+    assert sender.budget.spend("desk", now_s + 8.0)
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/platform/http_server_test.py
+++ b/ibisrack/platform/http_server_test.py
@@ -45,6 +45,14 @@
         assert fleet_.instances[0].executed_ids == []
 
 
+async def test_a_head_that_begins_with_few_bytes_times_out():
+    """Guards against a first read that is taken for a whole request."""
+    async with run_sidecars(1) as fleet_:
+        await apply_limits(fleet_, header_timeout="100ms")
+        for size in (1, 3, 4, 5):
+            assert (await send_raw(fleet_, HEAD[:size])).startswith(b"HTTP/1.1 408 "), size
+
+
 async def test_the_head_timeout_does_not_apply_to_the_body():
     """Guards against a head timeout that aborts a request while its body is received."""
     async with run_sidecars(1) as fleet_:
--- a/ibisrack/platform/reading_connection.py
+++ b/ibisrack/platform/reading_connection.py
@@ -168,6 +168,8 @@
 
     def _drops_data(self) -> bool:
         """Whether what arrives now is not read: the connection closes with an earlier answer."""
+        if self.pipeline.is_closing and self._latest is not self.pipeline.oldest:
+            return True
         return self._body is None and (self._is_last_read or self.pipeline.is_closing)
 
     def _parse(self, data: bytes) -> None:
@@ -175,7 +177,7 @@
         if self._force_close or self._close:
             return
         position = 0
-        while position < len(data):
+        while position < len(data) and not self._force_close:
             if self._drops_data():
                 data, self._has_dropped_data = b"", True
                 break
@@ -284,7 +286,10 @@
 
 def _is_one_request(data: bytes) -> bool:
     """Returns whether data that begins with a head holds nothing behind its request."""
-    body_start = data.find(HEAD_END) + len(HEAD_END)
+    head_end = data.find(HEAD_END)
+    if head_end < 0:
+        return False
+    body_start = head_end + len(HEAD_END)
     if body_start == len(data):
         return True
     length = CONTENT_LENGTH.search(data, 0, body_start)
