Send nothing to the instances of evacuated zones

Cause: the keys op/evacuate/ZONE of the registry were decoded but had no effect.

Change: InstanceDirectory holds the evacuated zones (instances/evacuations.py) and lists the instances of a service that are in use; selection of instances, homes of suspects, retries and subsets go by these. The node beside an evacuated instance refuses what waits and what arrives with the reason `evacuated`; what runs is answered. A request that waited for a link or for a connection to its instance is checked once more before it is sent. A change of the evacuated zones is reported to peers at once, so that those that the registry's changes do not reach ask for them.

The fixture run_sidecars takes the zones of the sidecars; test_lifecycle_messages_are_logged now also evacuates a zone, since its lines were added to those that are never dropped.

--- a/ibisrack/bin/ibis_sidecar.py
+++ b/ibisrack/bin/ibis_sidecar.py
@@ -31,6 +31,8 @@
         "registry answers",
         "registry history gone",
         "registry restored",
+        "zone evacuated",
+        "zone evacuation ended",
         "link open",
     )
 )
--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -21,6 +21,7 @@
     NO_INSTANCE = "no-instance"
     NOT_SERVING = "not-serving"
     DRAINING = "draining"
+    EVACUATED = "evacuated"
     QUEUE_FULL = "queue-full"
     TOO_BUSY = "too-busy"
     DEADLINE = "deadline"
--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -42,6 +42,7 @@
 AVOID_AFTER_REFUSAL_S = {
     Reason.UPSTREAM_UNREACHABLE: 0.7,
     Reason.DRAINING: 0.5,
+    Reason.EVACUATED: 0.5,
     Reason.NO_INSTANCE: 0.5,
     Reason.SHED: 0.1,
 }
--- a/ibisrack/dispatch/decisions_test.py
+++ b/ibisrack/dispatch/decisions_test.py
@@ -268,7 +268,9 @@
     assert not allows_attempt(Suspected(2), True)
     assert not allows_attempt(Blocked(2, 40.0), False)
     assert reason_without_attempt(Blocked(2, 40.0)) == Reason.CRASHES_INSTANCES
+    assert reason_without_attempt(Blocked(2, 40.0), True) == Reason.CRASHES_INSTANCES
     assert reason_without_attempt(CLEAR) == Reason.NO_INSTANCE
+    assert reason_without_attempt(CLEAR, True) == Reason.EVACUATED
 
 
 def test_a_suspect_that_its_home_instance_turns_away_is_not_retried():
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -164,7 +164,9 @@
     async def _attempt_all(self, request: Request, attempts: Attempts) -> Result:
         """Tries instances until no retry is allowed; returns the result of all closed attempts."""
         tried: set[str] = set()
-        result: Result = NotRunError(reason_without_attempt(self.suspects.verdict(request)))
+        is_evacuated = self.selector.is_evacuated(attempts.service)
+        verdict = self.suspects.verdict(request)
+        result: Result = NotRunError(reason_without_attempt(verdict, is_evacuated))
         while len(tried) < MAX_INSTANCES_TRIED:
             verdict = self.suspects.verdict(request)
             if not allows_attempt(verdict, bool(attempts.possible_runs)):
--- a/ibisrack/dispatch/selection.py
+++ b/ibisrack/dispatch/selection.py
@@ -1,4 +1,7 @@
-"""Selects the instance for an attempt: of the node's subset first, then of the whole service."""
+"""Selects the instance for an attempt: of the node's subset first, then of the whole service.
+
+Instances of evacuated zones are never selected, and subsets are selected without them.
+"""
 
 from collections.abc import Callable, Set
 from random import Random
@@ -50,7 +53,7 @@
           tried: Ids of the instances that were tried.
           now_s: Current time.
         """
-        listed = self.directory.of_service(service)
+        listed = self.directory.in_use(service)
         candidates: list[Instance] = []
         if len(tried) < MAX_TRIED_IN_SUBSET:
             subset = self.subsets.of(service, listed, self.zone)
@@ -64,9 +67,15 @@
         self, service: str, fingerprint: bytes, tried: Set[str], now_s: float
     ) -> Instance | None:
         """Returns the instance for a suspect, the same one at all nodes with the same view."""
-        candidates = self._available(self.directory.of_service(service), tried, now_s)
+        candidates = self._available(self.directory.in_use(service), tried, now_s)
         return choose_home(candidates, self.views, fingerprint, now_s)
 
+    def is_evacuated(self, service: str) -> bool:
+        """Returns whether evacuations leave a service without an instance that accepts requests."""
+        if any(instance.ready for instance in self.directory.in_use(service)):
+            return False
+        return any(instance.ready for instance in self.directory.of_service(service))
+
     def _available(
         self, instances: tuple[Instance, ...], tried: Set[str], now_s: float
     ) -> list[Instance]:
--- a/ibisrack/dispatch/subset.py
+++ b/ibisrack/dispatch/subset.py
@@ -28,7 +28,7 @@
     """Instances of one service that a node usually sends requests to.
 
     Attributes:
-      listed: All instances of the service from which they were selected.
+      listed: The instances from which they were selected.
       zone: Availability zone of the node at that time.
       instances: The instances.
     """
@@ -55,7 +55,8 @@
 
         Args:
           service: The service.
-          listed: All instances of the service; the same object as long as nothing has changed.
+          listed: All instances of the service that may get requests; the same object as long as
+            nothing has changed.
           zone: Availability zone of this node.
         """
         subset = self._subsets.get(service)
--- a/ibisrack/dispatch/verdicts.py
+++ b/ibisrack/dispatch/verdicts.py
@@ -35,11 +35,16 @@
 
 
 @singledispatch
-def reason_without_attempt(verdict: object) -> Reason:
-    """Returns why a request with this verdict is refused if it is sent to no instance."""
-    return Reason.NO_INSTANCE
+def reason_without_attempt(verdict: object, is_evacuated: bool = False) -> Reason:
+    """Returns why a request with this verdict is refused if it is sent to no instance.
+
+    Args:
+      verdict: Verdict on the request.
+      is_evacuated: Whether its service has instances only in evacuated zones.
+    """
+    return Reason.EVACUATED if is_evacuated else Reason.NO_INSTANCE
 
 
 @reason_without_attempt.register
-def _(verdict: Blocked) -> Reason:
+def _(verdict: Blocked, is_evacuated: bool = False) -> Reason:
     return Reason.CRASHES_INSTANCES
--- a/ibisrack/hosting/acceptance.py
+++ b/ibisrack/hosting/acceptance.py
@@ -40,7 +40,7 @@
         instance = self.instance
         if self._is_closed(now_s) or instance is None or not instance.ready:
             return False
-        if self.ended_starts.includes(instance, now_s):
+        if self.ended_starts.includes(instance, now_s) or self.directory.is_evacuated(instance):
             return False
         return not self.suspects.is_down(instance)
 
@@ -70,11 +70,22 @@
             raise NotRunError(Reason.NO_INSTANCE)
         if not instance.ready:
             raise NotRunError(Reason.DRAINING)
+        self.check_zone_in_use(submit)
         if self.suspects.is_down(instance):
             raise NotRunError(Reason.UPSTREAM_UNREACHABLE)
         if instance.service != submit.service:
             raise NotRunError(Reason.NO_INSTANCE)
 
+    def check_zone_in_use(self, submit: Submit) -> None:
+        """Checks that the zone of a request's instance is not evacuated.
+
+        Raises:
+          NotRunError: The zone is evacuated.
+        """
+        instance = self.directory.get(submit.instance_id)
+        if instance is not None and self.directory.is_evacuated(instance):
+            raise NotRunError(Reason.EVACUATED)
+
     def _is_closed(self, now_s: float) -> bool:
         """Returns whether the planned stop accepts no more submissions at all."""
         return self.stop is not None and now_s > self.stop.accepts_until_s
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -73,6 +73,9 @@
       suspects: Requests that are suspected of crashing instances.
       quarantine: Turns of the suspects on the instance.
       acceptance: Conditions on which submissions are accepted.
+      evacuated: Whether the zone of the instance was evacuated when it was last listed.
+      evacuation_ended_at_s: Monotonic time at which the last evacuation of its zone ended, None if
+        none has ended since the start of this process.
     """
 
     address: tuple[str, int]
@@ -97,6 +100,8 @@
             lambda self: Acceptance(self.address, self.directory, self.suspects), takes_self=True
         )
     )
+    evacuated: bool = False
+    evacuation_ended_at_s: float | None = None
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
@@ -315,10 +320,29 @@
         self.run_table.drop_expired(now_s)
         self.gate.expire()
 
-    def refuse_waiting(self) -> None:
+    def refuse_waiting(self, reason: Reason = Reason.DRAINING) -> None:
         """Refuses all queued requests because the instance accepts no more requests."""
-        self.gate.refuse_waiting(Reason.DRAINING)
-        self.quarantine.refuse_waiting(Reason.DRAINING)
+        self.gate.refuse_waiting(reason)
+        self.quarantine.refuse_waiting(reason)
+
+    def update_evacuation(self, now_s: float) -> None:
+        """Applies whether the zone of the listed instance is evacuated.
+
+        While the instance is not listed, its zone counts as before.
+        """
+        instance = self.instance
+        if instance is None:
+            return
+        was_evacuated = self.evacuated
+        self.evacuated = self.directory.is_evacuated(instance)
+        if self.evacuated:
+            self.refuse_waiting(Reason.EVACUATED)
+        elif was_evacuated:
+            self.evacuation_ended(now_s)
+
+    def evacuation_ended(self, now_s: float) -> None:
+        """Records that the instance may get requests again after an evacuation of its zone."""
+        self.evacuation_ended_at_s = now_s
 
     def refuse(self, request_id: str, reason: Reason) -> None:
         """Refuses a request if it waits."""
--- a/ibisrack/hosting/runner_test.py
+++ b/ibisrack/hosting/runner_test.py
@@ -298,4 +298,60 @@
         assert runner.suspects.verdict(submit) == Suspected(1)
 
 
+def evacuate(runner: InstanceRunner) -> None:
+    """Evacuates the zone of the instance."""
+    runner.directory.begin_evacuation(runner.instance.zone)
+    runner.update_evacuation(1.0)
+
+
+async def test_an_evacuation_refuses_what_waits_and_what_arrives_but_not_what_runs():
+    """Guards against requests that wait for an evacuated instance, and runs that are broken off."""
+    async with run_instance() as (runner, upstream):
+        suspect(runner)
+        running = runner.start(FIRST)
+        await wait_until(lambda: running.quarantined)
+        in_quarantine = runner.start(SECOND)
+        in_queue = runner.start(attrs.evolve(FIRST, request_id="other", target="/other"))
+        await wait_until(lambda: runner.gate.load().queued == 1)
+        evacuate(runner)
+        late = runner.start(attrs.evolve(FIRST, request_id="late", target="/other"))
+        for run in (in_quarantine, in_queue, late):
+            assert (await runner.result(run)).reason == Reason.EVACUATED
+        assert not runner.accepts_requests
+        upstream.released.set()
+        assert isinstance(await runner.result(running), Answer)
+        assert upstream.sent_ids == ["first"]
+
+
+async def test_a_request_that_gets_its_slot_in_the_moment_of_an_evacuation_is_not_sent():
+    """Guards against a request that waited in the queue until after the evacuation."""
+    async with run_instance() as (runner, upstream):
+        first, second = runner.start(FIRST), runner.start(SECOND)
+        await wait_until(lambda: runner.gate.load().queued == 1)
+        upstream.released.set()
+        first.task.add_done_callback(lambda task: evacuate(runner))
+        runner.directory.begin_evacuation("a")
+        assert (await runner.result(second)).reason == Reason.EVACUATED
+        assert upstream.sent_ids == ["first"]
+
+
+async def test_the_end_of_an_evacuation_is_recorded_and_the_instance_is_used_again():
+    """Guards against an instance that stays unused, or that gets its full load at once."""
+    async with run_instance() as (runner, upstream):
+        upstream.released.set()
+        runner.update_evacuation(0.5)
+        assert runner.evacuation_ended_at_s is None
+        evacuate(runner)
+        listed = runner.instance
+        runner.directory.remove(listed.instance_id, 10.0)
+        runner.directory.end_evacuation(listed.zone)
+        runner.update_evacuation(11.0)
+        assert runner.evacuation_ended_at_s is None
+        runner.directory.put(listed)
+        runner.update_evacuation(12.0)
+        runner.update_evacuation(13.0)
+        assert runner.evacuation_ended_at_s == 12.0
+        assert isinstance(await runner.result(runner.start(FIRST)), Answer)
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/instances/directory.py
+++ b/ibisrack/instances/directory.py
@@ -7,10 +7,13 @@
 back no instance that is gone, and the entries that the copy lacks count as lapsed.
 
 An instance that drains is about to end.  No later report of the same start makes it ready again.
+
+Instances of an evacuated zone stay listed, but no requests may be sent to them.
 """
 
 import attrs
 
+from ibisrack.instances.evacuations import Evacuations
 from ibisrack.instances.model import Instance, InstanceState
 
 MAX_REMEMBERED = 1000  # Instances whose end is remembered after they are gone.
@@ -34,11 +37,18 @@
     _drained_starts_ms: dict[str, int] = attrs.field(factory=dict)
     # Start and sequence of the last report of each removed instance, by its id.
     _removed: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    _evacuations: Evacuations = attrs.field(factory=Evacuations)
     # Computed on demand after each change.
     _by_service: dict[str, tuple[Instance, ...]] | None = None
+    _in_use_by_service: dict[str, tuple[Instance, ...]] = attrs.field(factory=dict)
     _hosts_by_zone: dict[str, frozenset[str]] | None = None
     _by_address: dict[tuple[str, int], Instance] | None = None
 
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Zones to whose instances nothing may be sent."""
+        return self._evacuations.zones
+
     def put(self, instance: Instance) -> bool:
         """Adds or updates an instance unless its entry is older; returns whether it changed."""
         known = self._instances.get(instance.instance_id)
@@ -79,7 +89,7 @@
         """Handles the removal of an entry; returns whether the instance was removed."""
         if instance_id not in self._instances:
             return False
-        if self.registry_down or now_s - self.registry_recovered_at_s < RECOVERY_GRACE_S:
+        if self._is_recovering(now_s):
             self._lapsed.setdefault(instance_id, now_s)
             return False
         self._drop(instance_id)
@@ -108,13 +118,49 @@
 
     def expire(self, now_s: float) -> list[str]:
         """Removes lapsed instances that were not listed again in time; returns their ids."""
-        if self.registry_down or now_s - self.registry_recovered_at_s < RECOVERY_GRACE_S:
+        if self._is_recovering(now_s):
             return []
         gone = list(self._lapsed)
         for instance_id in gone:
             self._drop(instance_id)
         return gone
 
+    def is_evacuated(self, instance: Instance) -> bool:
+        """Returns whether the zone of an instance is evacuated."""
+        return instance.zone in self._evacuations.zones
+
+    def begin_evacuation(self, zone: str) -> bool:
+        """Handles the key of an evacuated zone; returns whether the zone was in use before."""
+        is_new = self._evacuations.begin(zone)
+        if is_new:
+            self._discard_groups()
+        return is_new
+
+    def end_evacuation(self, zone: str) -> bool:
+        """Handles the removal of a zone's key; returns whether the evacuation ended."""
+        is_ended = self._evacuations.end(zone)
+        if is_ended:
+            self._discard_groups()
+        return is_ended
+
+    def lapse_evacuation(self, zone: str) -> bool:
+        """Handles a zone's key that a restored registry lacks.
+
+        Returns:
+          Whether the evacuation ended: it does not before its key could be written again.
+        """
+        self._evacuations.lapse(zone)
+        return False
+
+    def end_lapsed_evacuations(self, now_s: float) -> frozenset[str]:
+        """Ends the evacuations whose keys were not written again in time; returns their zones."""
+        if self._is_recovering(now_s):
+            return frozenset()
+        ended = self._evacuations.end_lapsed()
+        if ended:
+            self._discard_groups()
+        return ended
+
     def get(self, instance_id: str) -> Instance | None:
         """Returns the instance with an id, None if it is not known."""
         return self._instances.get(instance_id)
@@ -132,6 +178,20 @@
             self._by_service = {name: tuple(group) for name, group in grouped.items()}
         return self._by_service.get(service, ())
 
+    def in_use(self, service: str) -> tuple[Instance, ...]:
+        """Returns the instances of a service outside evacuated zones, including draining ones.
+
+        The same object is returned as long as neither instances nor evacuations change.
+        """
+        listed = self.of_service(service)
+        if not self._evacuations.zones:
+            return listed
+        in_use = self._in_use_by_service.get(service)
+        if in_use is None:
+            in_use = tuple(each for each in listed if not self.is_evacuated(each))
+            self._in_use_by_service[service] = in_use
+        return in_use
+
     def hosts_in_zone(self, zone: str) -> frozenset[str]:
         """Returns the hosts of a zone; the same object as long as no instance changes."""
         if self._hosts_by_zone is None:
@@ -154,8 +214,13 @@
         return self._by_address.get((host, port))
 
     def _discard_groups(self) -> None:
-        """Discards what was computed from the instances, after a change of one."""
+        """Discards what was computed from the instances, after a change of one or of a zone."""
         self._by_service = self._by_address = self._hosts_by_zone = None
+        self._in_use_by_service = {}
+
+    def _is_recovering(self, now_s: float) -> bool:
+        """Returns whether the registry may still lack what was lost in an outage or a restore."""
+        return self.registry_down or now_s - self.registry_recovered_at_s < RECOVERY_GRACE_S
 
     def _remember_drained(self, instance_id: str, started_at_ms: int) -> None:
         self._drained_starts_ms[instance_id] = started_at_ms
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -67,6 +67,8 @@
       on_entries: Called with this link and changes of the registry from the peer.
       on_leaving: Called with id and start of the peer's instance when it is about to end.
       suspects: Requests that are suspected of crashing instances.
+      check_waited: Called with a request that has waited for the link; raises NotRunError if it
+        must not be sent any more.
       load: Last load that the peer reported, None before the first.
       known_limit: Last limit that the peer reported of its instance, None before the first.
       silence: When the peer was last heard and pinged.
@@ -85,6 +87,7 @@
     on_entries: Callable[["OutgoingLink", Entries], None]
     on_leaving: Callable[[str, int], None]
     suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
+    check_waited: Callable[[Submit], None] = attrs.field(default=lambda submit: None)
     load: Load | None = None
     known_limit: KnownLimit | None = None
     silence: PeerSilence = attrs.field(factory=PeerSilence)
@@ -127,6 +130,7 @@
         self.used_at_s = read_monotonic_s()
         if not self.is_open:
             await self._wait_until_open(submit.remaining_ms / 1000)
+            self.check_waited(submit)
         pending = PendingRequest(
             submit,
             asyncio.get_running_loop().create_future(),
--- a/ibisrack/links/outgoing_test.py
+++ b/ibisrack/links/outgoing_test.py
@@ -101,6 +101,30 @@
         assert took_s < CONNECT_TIMEOUT_S / 2
 
 
+async def test_request_whose_zone_is_evacuated_while_its_link_opens_is_not_sent():
+    """Guards against a request that waited for the link until after the evacuation."""
+    received = []
+
+    async def accept(reader, writer):
+        write_message(writer, Hello(HOST, "a", 1000.0))
+        with suppress(*LINK_ERRORS, asyncio.CancelledError):
+            while True:
+                received.append(await read_message(reader))
+        writer.close()
+
+    def refuse(submit):
+        raise NotRunError(Reason.EVACUATED)
+
+    async with link_to(accept) as link:
+        link.check_waited = refuse
+        assert (await measure_refusal(link))[0] == Reason.EVACUATED
+        assert not link.pending
+        write_message(link._writer, SUBMIT)  # Whatever was sent before arrives before this.
+        while SUBMIT not in received:
+            await asyncio.sleep(0.01)
+        assert received.count(SUBMIT) == 1
+
+
 async def failure_of(call: asyncio.Task) -> str:
     """Returns the reason of a request of unknown outcome, which ends at once."""
     try:
--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -57,11 +57,14 @@
       pool: Connections to the instance.
       memory: Memory for the answers that are being read.
       on_notice: Called with what each answer says of the instance.
+      check_waited: Called with a request that has waited for a connection; raises NotRunError if it
+        must not be sent any more.
     """
 
     pool: ConnectionPool
     memory: AnswerMemory
     on_notice: Callable[[Notice], None] = attrs.field(default=lambda notice: None)
+    check_waited: Callable[[Submit], None] = attrs.field(default=lambda submit: None)
 
     async def send(self, submit: Submit, remaining_s: float) -> Answer:
         """Sends a request; see ibisrack.hosting.runner.Upstream."""
@@ -74,6 +77,7 @@
         # Compared with None because a connection without unread answers is falsy.
         if connection is None:
             connection = await self._acquire(ends_at_s)
+            self._check_waited(submit, connection)
         if not is_reusable(connection):  # It ended, or bytes arrived, after it was assigned.
             self.pool.discard(connection)
             raise NotRunError(Reason.UPSTREAM_UNREACHABLE)
@@ -105,6 +109,13 @@
         except TimeoutError as error:
             raise NotRunError(Reason.DEADLINE) from error
 
+    def _check_waited(self, submit: Submit, connection: Connection) -> None:
+        try:
+            self.check_waited(submit)
+        except NotRunError:
+            self.pool.release(connection)
+            raise
+
     async def _read_answer(self, connection: Connection, submit: Submit) -> Answer:
         requested_at_s = read_monotonic_s()
         message, body = await self._read_matching_answer(connection, submit)
--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -248,6 +248,22 @@
 )
 
 
+async def test_request_whose_zone_is_evacuated_while_it_waits_for_a_connection_is_not_sent():
+    """Guards against a request that waited for a connection until after the evacuation."""
+
+    def refuse(submit):
+        raise NotRunError(Reason.EVACUATED)
+
+    async with _instance(b"", INTERIM) as (server, upstream):
+        upstream.check_waited = refuse
+        with suppress(NotRunError):
+            await upstream.send(_submit("/healthy"), REMAINING_S)
+            raise AssertionError("the request was sent")
+        assert server.written_bytes == 0
+        assert (upstream.pool.sizing.busy, upstream.pool.sizing.idle) == (0, 1)
+        assert (await _send(upstream, "/healthy")).status == 200
+
+
 async def test_answer_without_an_id_on_a_used_connection_tells_nothing():
     """Guards against an earlier refusal, sent once more, that passes for one of a running request.
 
--- a/ibisrack/sidecar/content.py
+++ b/ibisrack/sidecar/content.py
@@ -26,6 +26,9 @@
     def instance_id(self, key: str) -> str:
         """Returns the instance id in a key, empty if it is not the key of an instance."""
 
+    def evacuated_zone(self, key: str) -> str:
+        """Returns the zone that a key evacuates, empty if it is the key of something else."""
+
     def decode_instance(self, entry: Entry) -> Instance:
         """Returns the instance in an entry; raises MessageError if it is not valid."""
 
@@ -53,7 +56,7 @@
 
     def apply(self, entries: tuple[Entry, ...]) -> None:
         """Applies changed entries."""
-        self._apply_entries(entries, self.directory.put)
+        self._apply_entries(entries, self.directory.put, self.directory.end_evacuation)
 
     def apply_restored(self, entries: tuple[Entry, ...]) -> None:
         """Applies the entries of a registry that was restored from an earlier copy of itself.
@@ -61,10 +64,14 @@
         What the copy lacks, or lists as it was before, is written again a moment later.
         """
         self.directory.mark_restored(read_monotonic_s())
-        self._apply_entries(entries, self.directory.put_restored)
+        put_instance, unlist_zone = self.directory.put_restored, self.directory.lapse_evacuation
+        self._apply_entries(entries, put_instance, unlist_zone)
 
     def _apply_entries(
-        self, entries: tuple[Entry, ...], put_instance: Callable[[Instance], bool]
+        self,
+        entries: tuple[Entry, ...],
+        put_instance: Callable[[Instance], bool],
+        unlist_zone: Callable[[str], bool],
     ) -> None:
         now_s = read_monotonic_s()
         for entry in entries:
@@ -72,6 +79,8 @@
                 self._apply_configuration(entry)
             elif instance_id := self.decoder.instance_id(entry.key):
                 self._apply_instance(instance_id, entry, put_instance, now_s)
+            elif zone := self.decoder.evacuated_zone(entry.key):
+                self._apply_evacuation(zone, entry, unlist_zone)
 
     def _apply_configuration(self, entry: Entry) -> None:
         if entry.content is None:
@@ -95,6 +104,19 @@
         else:
             _LOGGER.info("configuration not newer", extra=extra)
 
+    def _apply_evacuation(
+        self, zone: str, entry: Entry, unlist_zone: Callable[[str], bool]
+    ) -> None:
+        """Applies the key of an evacuated zone, whatever its content."""
+        extra = {"zone": zone[:MAX_LOGGED_KEY_CHARS], "revision": str(entry.revision)}
+        if entry.content is not None:
+            if self.directory.begin_evacuation(zone):
+                _LOGGER.info("zone evacuated", extra=extra)
+        elif unlist_zone(zone):
+            _LOGGER.info("zone evacuation ended", extra=extra | {"why": "removed"})
+        else:
+            _LOGGER.info("zone evacuation not listed", extra=extra)
+
     def _apply_instance(
         self,
         instance_id: str,
--- a/ibisrack/sidecar/content_test.py
+++ b/ibisrack/sidecar/content_test.py
@@ -12,7 +12,7 @@
 
 from ibisrack.dispatch.choice import InstanceViews, choose_instance
 from ibisrack.errors import MessageError
-from ibisrack.instances.directory import InstanceDirectory
+from ibisrack.instances.directory import RECOVERY_GRACE_S, InstanceDirectory
 from ibisrack.links.bounds import check_bounds
 from ibisrack.links.codec import encode
 from ibisrack.links.messages import Load, Submit
@@ -193,6 +193,62 @@
         assert chosen.instance_id in ("i-1", "i-9")
 
 
+ZONE_NAMES = ("north", " ", "a/b", "\0", "op/evacuate/", "\u00e9\U0001f4a5", "z" * 5000)
+
+
+async def test_keys_of_evacuated_zones_count_whatever_their_names_and_contents():
+    """Guards against an evacuation that an odd entry hides, and a follower that one ends."""
+    contents = (b"", b"{}", NESTED, b"\xff\x00")
+    keys = {f"op/evacuate/{zone}": contents[n % 4] for n, zone in enumerate(ZONE_NAMES)}
+    listed = beside(keys | {"op/evacuate/": b"", "op/evacuate": b"", "op/evacuated/a": b""})
+    for reader in (await read(listed), read_from_peer(listed)):
+        directory = reader.content.directory
+        assert directory.evacuated_zones == set(ZONE_NAMES)
+        assert reader.version == 12
+        assert reader.instance_ids == {"i-1", "i-9"}
+        assert len(directory.in_use("desk")) == 2
+
+
+def test_an_evacuation_and_a_version_that_moves_routes_hold_together():
+    """Guards against one of two changes of the registry that is lost beside the other."""
+    content = reader_of(None).content
+    instances = (instance("i-1"), instance("i-2", service="docs", zone="b", host="10.0.0.2"))
+    content.apply(
+        tuple(
+            Entry(f"servers/{each.instance_id}", instance_entry(each), Revision(1, n))
+            for n, each in enumerate(instances, 1)
+        )
+    )
+    moved = configuration_entry(13, route_resource(service="docs"), services=("desk", "docs"))
+    changes = (
+        Entry("op/config", CONFIGURATION, Revision(1, 3)),
+        Entry("op/evacuate/b", b"", Revision(1, 4)),
+        Entry("op/config", moved, Revision(1, 5)),
+        Entry("op/evacuate/b", None, Revision(1, 6)),
+    )
+    states = []
+    for change in changes:
+        content.apply((change,))
+        in_use = tuple(len(content.directory.in_use(name)) for name in ("desk", "docs"))
+        states.append((content.configurations.version, in_use))
+    assert states == [(12, (1, 1)), (12, (1, 0)), (13, (1, 0)), (13, (1, 1))]
+
+
+def test_a_restored_registry_ends_no_evacuation_at_once_and_brings_back_earlier_ones():
+    """Guards against requests to an evacuated zone whose key the copy lacks, and the reverse."""
+    reader = reader_of(None)
+    view, directory = reader.follower.view, reader.content.directory
+    for revision, keys in (((1, 5), ("north", "south")), ((2, 3), ("south", "west"))):
+        entries = tuple(Entry(f"op/evacuate/{key}", b"", Revision(*revision)) for key in keys)
+        reader.follower._replace_view(Listing(Revision(*revision), entries))
+    assert directory.evacuated_zones == {"north", "south", "west"}
+    recovered_at_s = directory.registry_recovered_at_s
+    assert directory.end_lapsed_evacuations(recovered_at_s + RECOVERY_GRACE_S) == {"north"}
+    removed = Entry("op/evacuate/west", None, Revision(2, 4))
+    reader.content.apply(view.apply(Changes(Revision(2, 4), (removed,))))
+    assert directory.evacuated_zones == {"south"}
+
+
 def paths_of(value: object) -> list[tuple[str | int, ...]]:
     """Returns the paths of all values in a JSON value, its own path first."""
     items: Iterable[tuple[str | int, object]] = ()
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -117,9 +117,18 @@
         "ibis_registry_deltas_refused_total", "Unusable changes of peers.", True, refused_deltas
     )
     yield Metric("ibis_instances", "Instances that are believed there.", False, instances)
+    yield from _evacuation_metrics(node)
     yield Metric("ibis_ready", "Whether callers may come.", False, unlabelled(float(node.ready)))
 
 
+def _evacuation_metrics(node: SidecarNode) -> Iterator[Metric]:
+    directory = node.directory
+    zones = unlabelled(len(directory.evacuated_zones))
+    yield Metric("ibis_evacuated_zones", "Zones that get no requests.", False, zones)
+    instances = unlabelled(sum(map(directory.is_evacuated, directory.all())))
+    yield Metric("ibis_evacuated_instances", "Instances in these zones.", False, instances)
+
+
 def _link_metrics(node: SidecarNode) -> Iterator[Metric]:
     open_links = sum(link.is_open for link in node.outgoing_links.values())
     losses = sum(link.losses for link in node.outgoing_links.values())
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -24,7 +24,7 @@
 from ibisrack.node.tasks import keep_running
 from ibisrack.pipelining.recorder import PipeliningRecorder
 from ibisrack.registry.follower import RegistryFollower
-from ibisrack.registry.messages import Entry
+from ibisrack.registry.messages import MAX_LOGGED_KEY_CHARS, Entry
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.reported_versions import ReportedVersions
@@ -93,7 +93,8 @@
         default=attrs.Factory(lambda self: self._create_registry_peers(), takes_self=True)
     )
     _load_reported_at_s: float = 0.0
-    _reported_version: int = 0
+    # Version of the configuration and evacuated zones at the last report for their sake.
+    _reported_content: tuple[int, frozenset[str]] = (0, frozenset())
     _reported_versions: ReportedVersions = attrs.field(factory=ReportedVersions)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
@@ -243,6 +244,7 @@
                 self._apply_peer_entries,
                 self._mark_peer_leaving,
                 self.suspects,
+                self.instance_runner.acceptance.check_zone_in_use,
             )
             self.outgoing_links[host] = link
             self.spawn(keep_running("link", link.maintain))
@@ -269,10 +271,25 @@
         self._update_own_instance()
         for link in self.incoming_links:
             link.send_followed_entries()
-        if self.configurations.version != self._reported_version:
-            self._reported_version = self.configurations.version
+        # Peers that the registry's changes do not reach learn of a later revision from the load.
+        reported = (self.configurations.version, self.directory.evacuated_zones)
+        if reported != self._reported_content:
+            self._reported_content = reported
             self.report_load()
 
+    def _end_lapsed_evacuations(self, now_s: float) -> None:
+        ended = self.directory.end_lapsed_evacuations(now_s)
+        for zone in ended:
+            extra = {
+                "zone": zone[:MAX_LOGGED_KEY_CHARS],
+                "revision": str(self.view.revision),
+                "why": "lapsed",
+                "recovered_ms": round((now_s - self.directory.registry_recovered_at_s) * 1000),
+            }
+            _LOGGER.info("zone evacuation ended", extra=extra)
+        if ended:
+            self._handle_new_content()
+
     def set_registry_state(self, answering: bool) -> None:
         """Records whether the registry answers."""
         if answering:
@@ -291,6 +308,7 @@
                 link.check_silence(now_s)
             for instance_id in self.directory.expire(now_s):
                 _LOGGER.info("instance gone", extra={"instance": instance_id, "why": "lapsed"})
+            self._end_lapsed_evacuations(now_s)
             if now_s - self._load_reported_at_s >= LOAD_REPORT_INTERVAL_S:
                 self._load_reported_at_s = now_s
                 self.report_load()
@@ -322,4 +340,5 @@
             self.resize_pool(instance.slots)
             if not instance.ready:
                 self.instance_runner.refuse_waiting()
+        self.instance_runner.update_evacuation(read_monotonic_s())
         self.dispatcher.budget.nodes = len({i.host for i in self.directory.all()})
--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -182,6 +182,10 @@
             await wait_until(lambda: not fleet_.nodes[0].directory.get("i-0").ready)
             await fleet_.send_request(0)
             fleet_.nodes[0].reload(fleet_.nodes[0].settings)
+            fleet_.store.put("op/evacuate/b", b"")
+            await wait_until(lambda: bool(matching_records(log, "zone evacuated", zone="b")))
+            fleet_.store.delete("op/evacuate/b")
+            await wait_until(lambda: bool(matching_records(log, "zone evacuation ended", zone="b")))
             fleet_.store.error_status = 503
             # No node may have a call open, which would still get the next change.
             await wait_until(lambda: bool(matching_records(log, "registry does not answer")))
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -83,6 +83,7 @@
         suspects=suspects,
     )
     upstream.on_notice = instance_runner.observe_notice
+    upstream.check_waited = instance_runner.acceptance.check_zone_in_use
     content = RegistryContent(entries, directory, configurations, views)
     node = SidecarNode(
         settings,
--- a/ibisrack/testing/sidecars.py
+++ b/ibisrack/testing/sidecars.py
@@ -206,10 +206,11 @@
           number: Index of the sidecar and of its instance.
           changes: Fields that differ from the defaults.
         """
-        address = self.nodes[number].settings.instance
+        settings = self.nodes[number].settings
+        address = settings.instance
         listed = instance(
             self.instances[number].instance_id,
-            **{"host": address.host, "port": address.port, **changes},
+            **{"host": address.host, "port": address.port, "zone": settings.zone, **changes},
         )
         self.store.put(f"servers/{listed.instance_id}", instance_entry(listed))
 
@@ -268,13 +269,14 @@
 
 @asynccontextmanager
 async def run_sidecars(
-    count: int, routes: tuple[dict, ...] = STANDARD_ROUTES
+    count: int, routes: tuple[dict, ...] = STANDARD_ROUTES, zones: str = "a"
 ) -> AsyncIterator[SidecarFleet]:
     """Runs sidecars on 127.0.0.1, 127.0.0.2 and so on, with the same ports on each.
 
     Args:
       count: Number of sidecars.
       routes: Route resources of the configuration.
+      zones: Names of the zones, one letter each, to which the sidecars belong in turn.
     """
     app, calls, links, ready, metrics = free_ports(5)
     async with AsyncExitStack() as stack:
@@ -288,7 +290,7 @@
             settings = SidecarSettings(
                 node_id=f"node-{number}",
                 service="desk",
-                zone="a",
+                zone=zones[number % len(zones)],
                 instance=Address(host, app),
                 calls=Address(host, calls),
                 links=Address(host, links),
