Test a sender that prefers the evacuated zone

Cause: the sender of the test was in another zone and would not have used the evacuated one anyway; with an is_evacuated that is always false the test still passed.

Change: the sender is in the zone, and its own instance drains.

--- a/ibisrack/sidecar/evacuation_test.py
+++ b/ibisrack/sidecar/evacuation_test.py
@@ -6,6 +6,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.instances.directory import RECOVERY_GRACE_S
+from ibisrack.instances.model import InstanceState
 from ibisrack.platform import entries
 from ibisrack.sidecar.content import RegistryContent
 from ibisrack.testing.functions import function_tests
@@ -104,8 +105,10 @@
 
 async def test_senders_that_do_not_know_of_the_evacuation_are_refused_and_go_elsewhere():
     """Guards against a request that runs in the zone because its sender has heard of nothing."""
-    async with run_sidecars(3, zones="aba") as fleet:
-        sender = fleet.nodes[0]
+    async with run_sidecars(3, zones="abb") as fleet:
+        sender = fleet.nodes[1]  # It prefers the other instance of its zone.
+        fleet.register_instance(1, state=InstanceState.DRAINING, sequence=1)
+        await wait_for_all(fleet, lambda node: not node.directory.get("i-1").ready)
         sender.dispatcher.selector.load_of = lambda instance: None
         sender.content.decoder = Mock(
             wraps=entries,
@@ -113,14 +116,14 @@
             evacuated_zone=lambda key: "",
         )
         fleet.store.put(KEY, b"")
-        await wait_until(lambda: all(knows("b")(node) for node in fleet.nodes[1:]))
+        await wait_until(lambda: all(knows("b")(node) for node in fleet.nodes[::2]))
         statuses = [
-            (await fleet.send_request(0, request_id=f"during-{n}"))[0].status
+            (await fleet.send_request(1, request_id=f"during-{n}"))[0].status
             for n in range(REQUESTS)
         ]
         assert knows()(sender)
         assert statuses == [200] * REQUESTS
-        assert not executed(fleet, 1, "during")
+        assert len(executed(fleet, 0, "during")) == REQUESTS
 
 
 async def test_a_service_whose_only_zone_is_evacuated_is_refused_with_a_retry_after():
