Evacuate zones in the fault soak

Cause: no fault of the soak evacuated a zone, so that nothing checked the promise in a fleet of real processes with versions, restarts and faults of the store.

Change: the addition `evacuations` evacuates one or two zones and takes them back; the check evacuated_zone_got_work finds runs in the zone from 5 s after its key was accepted.

--- a/bench/soak/additions.py
+++ b/bench/soak/additions.py
@@ -6,6 +6,7 @@
 
 from bench.soak.faults import (
     ChangeConfiguration,
+    EvacuateZone,
     GrowConfiguration,
     KillProcess,
     LeaveOddEntry,
@@ -30,6 +31,7 @@
     LARGE_CONFIGURATION = auto()
     ODD_ENTRIES = auto()
     DEADLY_REQUESTS = auto()
+    EVACUATIONS = auto()
 
 
 def make_extended_plan(
@@ -99,8 +101,23 @@
     return plan
 
 
+def _evacuations(rng: Random, nodes: range, duration_s: float) -> list[TimedFault]:
+    """Evacuates one or two zones while versions come and a node starts anew."""
+    plan = []
+    for zone in rng.sample(ZONES, rng.randint(1, 2)):
+        at_s, evacuated_s = rng.uniform(1.0, duration_s / 2), rng.uniform(8.0, 14.0)
+        restart_at_s = at_s + rng.uniform(0.0, evacuated_s)
+        plan += (
+            TimedFault(at_s, EvacuateZone(zone, evacuated_s)),
+            TimedFault(at_s + rng.uniform(-0.2, 0.2), ChangeConfiguration(2, 0.3)),
+            TimedFault(restart_at_s, StopProcess(rng.choice(nodes), 1, 0.0, 0.2)),
+        )
+    return plan
+
+
 _MAKERS = {
     Addition.LARGE_CONFIGURATION: _large_configuration,
     Addition.ODD_ENTRIES: _odd_entries,
     Addition.DEADLY_REQUESTS: _deadly_requests,
+    Addition.EVACUATIONS: _evacuations,
 }
--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -3,6 +3,7 @@
 # The first are from the users' pages.
 STABLE_WINDOW_S = 3.0  # A sidecar counts as undisturbed this long after a fault.
 DRAIN_S = 2.0
+EVACUATE_S = 5.0
 CONFIG_APPLY_S = 2.0
 ROLLBACK_SLACK_S = 0.25
 RECOVER_S = 15.0
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -11,6 +11,7 @@
     DEADLY_RETRIES,
     DRAIN_MARGIN_S,
     DRAIN_S,
+    EVACUATE_S,
     LATE_STOP_REQUEST_S,
     LIMIT_MARGIN_S,
     LOSS_SLACK_S,
@@ -156,6 +157,24 @@
                 yield run.request_id
 
 
+def evacuated_zone_got_work(history: History) -> Iterator[str]:
+    """Yields requests that started in a zone after the time to evacuate it.
+
+    Only faults that touched the sidecar which sent the request excuse it.
+    """
+    for evacuation in history.evacuations:
+        from_s = evacuation.acknowledged_at_s + EVACUATE_S
+        for run in history.runs:
+            in_zone = run.node in evacuation.nodes
+            if not in_zone or not from_s < run.started_at_s < evacuation.ended_at_s:
+                continue
+            request = history.requests.get(run.request_id)
+            nodes = frozenset((request.node if request else run.node,))
+            since_s = evacuation.acknowledged_at_s - STABLE_WINDOW_S
+            if not history.is_disturbed(ANY_FAULT, nodes, since_s, run.started_at_s):
+                yield run.request_id
+
+
 def deadly_request_passed_on(history: History) -> Iterator[str]:
     """Yields requests that still reach instances after they have crashed three of them."""
     crashed_at_s: dict[RequestContent, list[float]] = {}
@@ -242,6 +261,7 @@
     unsent_request_ran,
     cut_without_fault,
     draining_instance_got_work,
+    evacuated_zone_got_work,
     limit_exceeded,
     version_went_back,
     version_late,
--- a/bench/soak/checks_test.py
+++ b/bench/soak/checks_test.py
@@ -3,12 +3,13 @@
 import attrs
 
 from bench.sidecars import GRACE_S
-from bench.soak.bounds import CONFIG_APPLY_S, DRAIN_S, RECOVER_S, STABLE_WINDOW_S
+from bench.soak.bounds import CONFIG_APPLY_S, DRAIN_S, EVACUATE_S, RECOVER_S, STABLE_WINDOW_S
 from bench.soak.checks import find_violations
 from bench.soak.history import (
     Crash,
     Disturbance,
     Drain,
+    Evacuation,
     Failure,
     History,
     Kind,
@@ -144,6 +145,26 @@
         assert broken(history_of(OUTCOME, run, drains=[drain])) == expected
 
 
+def test_work_in_an_evacuated_zone_is_found():
+    """Guards against requests to an evacuated zone; a fault at the caller's sidecar excuses one."""
+    evacuation = Evacuation("north", frozenset((2,)), 10.0 - EVACUATE_S, 10.5)
+    for started_at_s, node, found in ((10.1, 2, True), (9.9, 2, False), (10.1, 3, False)):
+        run = attrs.evolve(RUN, started_at_s=started_at_s, node=node)
+        expected = [("evacuated_zone_got_work", "q")] if found else []
+        assert broken(history_of(OUTCOME, run, evacuations=[evacuation])) == expected
+    for node, excused in ((1, True), (2, False)):
+        for kind in (Kind.UNPLANNED, Kind.STORE):
+            history = history_of(
+                OUTCOME,
+                RUN,
+                evacuations=[evacuation],
+                disturbances=[disturbance(kind, node, 4.0, 6.0)],
+            )
+            assert (broken(history) == []) is excused
+    ended = attrs.evolve(evacuation, ended_at_s=10.0)
+    assert broken(history_of(OUTCOME, RUN, evacuations=[ended])) == []
+
+
 def test_return_to_an_older_version_is_found():
     """Guards against a sidecar that loses a route again; a new process starts from nothing."""
     applied = VersionProbe(1, 1, 3, 5.0, 5.1, 200)
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -165,6 +165,14 @@
     down_s: float
 
 
+@attrs.frozen
+class EvacuateZone:
+    """Evacuates a zone for some time."""
+
+    zone: str
+    duration_s: float
+
+
 Fault = (
     DelayPaths
     | BlockPaths
@@ -183,6 +191,7 @@
     | RestoreStore
     | LeaveOddEntry
     | SendDeadlyRequest
+    | EvacuateZone
 )
 
 
@@ -237,5 +246,6 @@
 @affected_ends.register(RestoreStore)
 @affected_ends.register(LeaveOddEntry)
 @affected_ends.register(SendDeadlyRequest)
+@affected_ends.register(EvacuateZone)
 def _(fault) -> None:
     return None
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -15,6 +15,7 @@
 from bench.soak.history import VERSION_PATH, History, UnexpectedExit
 from bench.soak.instances import SLOTS, SoakInstance
 from ibisrack.instances.model import InstanceState
+from ibisrack.platform.entries import EVACUATION_PREFIX
 from ibisrack.standins.instance import RequestContent, StandInInstance, serve_instance
 from ibisrack.standins.store import StandInStore, serve_store
 from ibisrack.testing.sidecars import (
@@ -126,6 +127,7 @@
       version: Latest version of the configuration.
       filler_routes: Number of routes of the configuration that no caller uses.
       deadly: Requests that crash the instances that run them.
+      evacuated: Zones that are evacuated.
       ending: Whether callers are to stop.
     """
 
@@ -138,6 +140,7 @@
     version: int = 0
     filler_routes: int = 0
     deadly: set[RequestContent] = attrs.field(factory=set)
+    evacuated: set[str] = attrs.field(factory=set)
     ending: bool = False
 
     def publish(self) -> None:
@@ -151,6 +154,16 @@
         self.store.delete(f"servers/{earlier_id}")
         self.register(member)
 
+    def evacuate(self, zone: str) -> None:
+        """Writes the key of an evacuated zone."""
+        self.evacuated.add(zone)
+        self.store.put(EVACUATION_PREFIX + zone, b"")
+
+    def take_back(self, zone: str) -> None:
+        """Removes the key of an evacuated zone."""
+        self.evacuated.discard(zone)
+        self.store.delete(EVACUATION_PREFIX + zone)
+
     def rewrite(self) -> None:
         """Writes again what the store may have lost, and removes what has left since."""
         current = {f"servers/{m.instance.stand_in.instance_id}" for m in self.members.values()}
@@ -159,6 +172,11 @@
                 self.store.delete(key)
         for member in self.members.values():
             self.register(member, member.state)
+        for key in self.store.keys(EVACUATION_PREFIX):
+            if key.removeprefix(EVACUATION_PREFIX) not in self.evacuated:
+                self.store.delete(key)
+        for zone in self.evacuated:
+            self.store.put(EVACUATION_PREFIX + zone, b"")
         self._put_configuration()
 
     def _put_configuration(self) -> None:
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -172,6 +172,23 @@
     ended_at_s: float
 
 
+@attrs.frozen
+class Evacuation:
+    """Evacuation of a zone.
+
+    Attributes:
+      zone: Name of the zone.
+      nodes: Numbers of the sidecars in the zone.
+      acknowledged_at_s: When the store accepted its key.
+      ended_at_s: When the key was about to be removed.
+    """
+
+    zone: str
+    nodes: frozenset[int]
+    acknowledged_at_s: float
+    ended_at_s: float
+
+
 @attrs.frozen
 class Limit:
     """Limit that an instance named in its answers.
@@ -240,6 +257,7 @@
       crashes: Crashes of instances in their order.
       disturbances: Faults and planned work that have ended.
       drains: Planned removals of instances.
+      evacuations: Evacuations that have ended.
       limits: Limits that instances named, and which have ended.
       versions: Time at which the store accepted each version of the configuration.
       probes: Version probes in the order of their answers.
@@ -253,6 +271,7 @@
     crashes: list[Crash] = attrs.field(factory=list)
     disturbances: list[Disturbance] = attrs.field(factory=list)
     drains: list[Drain] = attrs.field(factory=list)
+    evacuations: list[Evacuation] = attrs.field(factory=list)
     limits: list[Limit] = attrs.field(factory=list)
     versions: dict[int, float] = attrs.field(factory=dict)
     probes: list[VersionProbe] = attrs.field(factory=list)
--- a/bench/soak/injection.py
+++ b/bench/soak/injection.py
@@ -13,6 +13,7 @@
     BlockPaths,
     ChangeConfiguration,
     DelayPaths,
+    EvacuateZone,
     FailStore,
     Fault,
     ForgetHistory,
@@ -32,7 +33,7 @@
     kind_of,
 )
 from bench.soak.fleet import Member, SoakFleet
-from bench.soak.history import Drain, Limit
+from bench.soak.history import Drain, Evacuation, Limit
 from bench.soak.instances import Work
 from bench.soak.plan import TimedFault
 from ibisrack.instances.model import InstanceState
@@ -254,6 +255,18 @@
         await asyncio.sleep(IDLE_POLL_S)
 
 
+@inject.register
+async def _(fault: EvacuateZone, fleet: SoakFleet) -> None:
+    placements = {n: m.sidecar.placement for n, m in fleet.members.items()}
+    nodes = frozenset(n for n, placement in placements.items() if placement.zone == fault.zone)
+    fleet.evacuate(fault.zone)
+    acknowledged_at_s = time.monotonic()
+    await asyncio.sleep(fault.duration_s)
+    ended_at_s = time.monotonic()
+    fleet.take_back(fault.zone)
+    fleet.history.evacuations.append(Evacuation(fault.zone, nodes, acknowledged_at_s, ended_at_s))
+
+
 async def _restart(fleet: SoakFleet, member: Member, after_s: float) -> None:
     await asyncio.sleep(after_s)
     await member.start()
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -155,6 +155,7 @@
         history.crashes,
         history.disturbances,
         history.drains,
+        history.evacuations,
         history.limits,
         history.probes,
         history.recoveries,
