Count the starts of the last second at the node beside an instance

Cause: a cold instance tolerates a number of requests in any second and crashes above it. The pace of Server-Limit is a token bucket over admissions; a call may wait for a connection after that, so the arrivals of a second can exceed what was admitted in it.

Change: StartWindow counts a start from its admission until 1.1 s after it is sent, and a call without an answer by then until 1.1 s after its end. It bounds the starts only while it is in force and counts them always, so that a bound that comes into force includes the second before. A call that would wait too long for it is refused at once. Nothing puts it in force yet.

--- a/ibisrack/calls/admission.py
+++ b/ibisrack/calls/admission.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import math
 
 import attrs
 
@@ -20,6 +21,7 @@
     update_rank_limits,
     wait_deadline_s,
 )
+from ibisrack.calls.start_window import Start, StartWindow
 from ibisrack.rules.model import RankRule
 
 
@@ -56,11 +58,13 @@
       queue: Queue of its rank.
       started_s: Monotonic time of its start.
       charged_s: Estimated slot time that its rank was charged at the start.
+      start: Its start as the window of starts counts it.
     """
 
     queue: RankQueue
     started_s: float
     charged_s: float
+    start: Start
 
 
 @attrs.define
@@ -72,6 +76,7 @@
       policy: Selects the rank whose call starts next; see ``select_rank``.
       discipline: Selects the call within a rank; see ``pop_next``.
       pace: Limit on the starts a second, which the upstream states.
+      start_window: Bound on the starts in any second while the upstream is cold.
       orphans: Ids of calls whose sender can't be reached; they are refused when their turn comes.
     """
 
@@ -79,6 +84,7 @@
     policy: object = PriorityWithShares()
     discipline: object = OldestFirst()
     pace: Pace = attrs.field(factory=Pace)
+    start_window: StartWindow = attrs.field(factory=StartWindow)
     orphans: set[str] = attrs.field(factory=set)
     _slot_limit: int | None = None
     _queues: dict[str, RankQueue] = attrs.field(factory=dict)
@@ -143,10 +149,11 @@
         return self._fill_free_slots(now_s)
 
     def paced_delay_s(self, now_s: float) -> float | None:
-        """Returns the time until a waiting call may start, None if it waits for a slot."""
+        """Returns the time until a waiting call may start, None if it waits for other calls."""
         if not self._has_free_slot or not self._ready_queues():
             return None
-        return self.pace.delay_s(now_s)
+        delay_s = max(self.pace.delay_s(now_s), self.start_window.delay_s(now_s))
+        return delay_s if delay_s < math.inf else None
 
     @property
     def usable_slots(self) -> int:
@@ -195,8 +202,21 @@
         if run is None:
             return []
         run.queue.finish(now_s - run.started_s, run.charged_s, now_s)
+        self.start_window.finish(run.start, now_s)
         return self._fill_free_slots(now_s)
 
+    def record_sent(self, ticket: Ticket, now_s: float) -> None:
+        """Records that a running call is sent to the upstream now."""
+        run = self._running.get(ticket.number)
+        if run is not None:
+            self.start_window.record_sent(run.start, now_s)
+
+    def give_back_start(self, ticket: Ticket) -> None:
+        """Records that the upstream does not count a running call."""
+        run = self._running.get(ticket.number)
+        if run is not None:
+            self.start_window.give_back(run.start)
+
     def cancel(self, ticket: Ticket, now_s: float) -> None:
         """Removes a waiting call."""
         queue = self._queues.get(ticket.rank)
@@ -237,6 +257,7 @@
             percent = queue.rule.share_percent if queue.is_configured else 0
             queue.account.rate = percent / 100 * self.usable_slots
             queue.slots = self.usable_slots
+            queue.start_window = self.start_window
             queue.paced_interval_s = 1 / self.pace.rate_per_s if self.pace.rate_per_s else 0.0
 
     @property
@@ -244,7 +265,11 @@
         return len(self._running) < self.usable_slots
 
     def _may_start(self, now_s: float) -> bool:
-        return self._has_free_slot and self.pace.allows_start(now_s)
+        return (
+            self._has_free_slot
+            and self.pace.allows_start(now_s)
+            and self.start_window.allows_start(now_s)
+        )
 
     def _ready_queues(self) -> list[RankQueue]:
         """Returns the ranks of which a waiting call could run, most urgent first."""
@@ -263,7 +288,8 @@
     def _start(self, queue: RankQueue, ticket: Ticket, now_s: float) -> Admitted:
         charged_s = queue.start(now_s)
         self.pace.record_start(now_s)
-        self._running[ticket.number] = _RunningCall(queue, now_s, charged_s)
+        start = self.start_window.record_start()
+        self._running[ticket.number] = _RunningCall(queue, now_s, charged_s, start)
         return Admitted(ticket)
 
     def _fill_free_slots(self, now_s: float) -> list[Decision]:
--- a/ibisrack/calls/gate.py
+++ b/ibisrack/calls/gate.py
@@ -50,11 +50,19 @@
 
     def limit_rate(self, stated_per_s: float | None) -> None:
         """Paces the starts while the upstream states a limit on them; None ends it."""
-        if self._paced_start is not None:
-            self._paced_start.cancel()
-            self._paced_start = None
+        self._cancel_paced_start()
         self.apply(self.scheduler.limit_rate(stated_per_s, read_monotonic_s()))
 
+    def start_allowed(self) -> None:
+        """Starts the waiting calls that the limits allow, after a change of these limits."""
+        self._cancel_paced_start()
+        self._start_paced()
+
+    def record_sent(self, ticket: Ticket) -> None:
+        """Records that the call of a ticket is sent to the upstream now."""
+        self.scheduler.record_sent(ticket, read_monotonic_s())
+        self._schedule_paced_start()
+
     @asynccontextmanager
     async def slot(self, call: Call) -> AsyncIterator[None]:
         """Holds a slot for a call.
@@ -73,9 +81,11 @@
         deadline_at_s: float,
         target_at_s: float = math.inf,
         initial_target_s: float = math.inf,
-    ) -> AsyncIterator[None]:
+    ) -> AsyncIterator[Ticket]:
         """Holds a slot for a call given by its properties; see ``Ticket`` for the arguments.
 
+        Yields the ticket of the call.
+
         Raises:
           NotRunError: The call was refused.
         """
@@ -91,7 +101,7 @@
         )
         await self._acquire(ticket, now_s)
         try:
-            yield
+            yield ticket
         finally:
             self.apply(self.scheduler.finish(ticket, read_monotonic_s()))
 
@@ -124,6 +134,11 @@
         if delay_s is not None:
             self._paced_start = asyncio.get_running_loop().call_later(delay_s, self._start_paced)
 
+    def _cancel_paced_start(self) -> None:
+        if self._paced_start is not None:
+            self._paced_start.cancel()
+            self._paced_start = None
+
     def _start_paced(self) -> None:
         self._paced_start = None
         self.apply(self.scheduler.start_waiting(read_monotonic_s()))
--- a/ibisrack/calls/ranks.py
+++ b/ibisrack/calls/ranks.py
@@ -13,6 +13,7 @@
 from ibisrack.calls.estimates import ServiceEstimate
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.shares import ShareAccount
+from ibisrack.calls.start_window import StartWindow
 from ibisrack.rules.model import RankRule
 
 START_INTERVAL_WEIGHT = 0.1  # Weight of the newest interval in the mean between two starts.
@@ -61,6 +62,7 @@
         rule's ``max_slots``, 0 for no limit.
       paced_interval_s: Shortest mean time between two starts, of all ranks together, that a limit
         on starts allows, 0 without one.
+      start_window: Bound on the starts of all ranks together in any second.
       demand: Exponentially weighted mean number of running and waiting calls.
       account: Credit towards the guaranteed share.
       estimate: Estimated service times.
@@ -73,6 +75,7 @@
     slots: int = 1
     policy_limit: int = 0
     paced_interval_s: float = 0.0
+    start_window: StartWindow = attrs.field(factory=StartWindow)
     demand: float = 0.0
     account: ShareAccount = attrs.field(factory=ShareAccount)
     estimate: ServiceEstimate = attrs.field(factory=ServiceEstimate)
@@ -137,14 +140,15 @@
         self.estimate.add(service_s)
         self.account.charge(service_s - charged_s, self.estimate.mean_s)
 
-    def expected_wait_s(self, ahead: int | None = None) -> float:
+    def expected_wait_s(self, now_s: float, ahead: int | None = None) -> float:
         """Returns the expected wait of a call that joins the queue now.
 
         The wait follows from the measured interval between starts.  The interval is bounded below
         by the rate that all slots of the rank and the pace of starts allow, and above by the rate
-        of its guaranteed share of the slots.
+        of its guaranteed share of the slots.  It is at least the wait for the window of starts.
 
         Args:
+          now_s: Current monotonic time.
           ahead: Number of waiting calls that are served before it; all of them by default.
         """
         mean_s = self.estimate.mean_s
@@ -154,7 +158,8 @@
         if self.account.rate > 0:
             interval_s = min(interval_s, mean_s / self.account.rate)
         interval_s = max(interval_s, self.paced_interval_s)
-        return ((len(self.waiting) if ahead is None else ahead) + 1) * interval_s
+        ahead = len(self.waiting) if ahead is None else ahead
+        return max((ahead + 1) * interval_s, self.start_window.expected_wait_s(ahead, now_s))
 
     def reserve_s(self, ticket: Ticket) -> float:
         """Returns the time that must remain before the deadline for a call to start.
@@ -186,7 +191,7 @@
 
 @refusal_reason.register
 def _(discipline: OldestFirst, queue: RankQueue, ticket: Ticket, now_s: float) -> Reason | None:
-    needed_s = queue.expected_wait_s() + queue.reserve_s(ticket)
+    needed_s = queue.expected_wait_s(now_s) + queue.reserve_s(ticket)
     is_late = queue.waiting and needed_s > ticket.deadline_at_s - now_s
     return Reason.TOO_BUSY if is_late else None
 
--- a/ibisrack/calls/targets.py
+++ b/ibisrack/calls/targets.py
@@ -105,7 +105,7 @@
         in_time(other, mean_s, now_s) and _weighted_target_s(other) <= _weighted_target_s(ticket)
         for other in queue.waiting.values()
     )
-    is_in_time = in_time(ticket, mean_s, now_s + queue.expected_wait_s(ahead))
+    is_in_time = in_time(ticket, mean_s, now_s + queue.expected_wait_s(now_s, ahead))
     return None if is_in_time else Reason.TOO_BUSY
 
 
--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -66,7 +66,12 @@
     on_notice: Callable[[Notice], None] = attrs.field(default=lambda notice: None)
     check_waited: Callable[[Submit], None] = attrs.field(default=lambda submit: None)
 
-    async def send(self, submit: Submit, remaining_s: float) -> Answer:
+    async def send(
+        self,
+        submit: Submit,
+        remaining_s: float,
+        on_sent: Callable[[], None] = lambda: None,
+    ) -> Answer:
         """Sends a request; see ibisrack.hosting.runner.Upstream."""
         remaining_ms = int(remaining_s * 1000)
         if remaining_ms <= 0:
@@ -87,6 +92,7 @@
                 read_until_eof=True,
                 auto_decompress=False,
             )
+            on_sent()
             connection.transport.write(head + submit.body)
             async with asyncio.timeout_at(ends_at_s):
                 answer = await self._read_answer(connection, submit)
