End the assumed slowness of an instance when its entry says that it is warm

Cause: a sender assumed the cold time of the first entry to its end, also after a later entry of the same instance said that it is not cold.

Change: each entry that is applied sets the time.

--- a/ibisrack/sidecar/content.py
+++ b/ibisrack/sidecar/content.py
@@ -136,9 +136,7 @@
             self.directory.remove(instance_id, now_s)
             return
         if put_instance(instance):
-            if instance.cold_left_s:
-                view = self.views.of(instance_id)
-                view.cold_until_s = now_s + instance.cold_left_s
+            self.views.of(instance_id).cold_until_s = now_s + instance.cold_left_s
             extra = {
                 "instance": instance_id,
                 "service": instance.service,
