Hold an instance that is or may be cold to what it tolerates

Cause: nothing kept the requests of all nodes together below the rate that a cold instance tolerates, and nothing read its health answers.

Change: the node beside an instance goes by the instance's entry and health answers. After an event after which it may be cold (start of the node, another start of the instance, refused, broken or closed connections, 421, the end of an evacuation, the end of the stated time) it counts as cold until an answer that was requested, or an entry that was written, after that.

--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -1,12 +1,14 @@
 """Counts and logs finished submissions at the node of their instance."""
 
 import logging
+import math
 
 import attrs
 
 from ibisrack.calls.messages import LoadReport
 from ibisrack.calls.outcomes import Outcome
 from ibisrack.calls.retry import Result, outcome_and_reason
+from ibisrack.hosting.coldness import Coldness
 from ibisrack.hosting.crashes import Crash
 from ibisrack.hosting.runs import Run
 from ibisrack.metrics.tally import OWNER, Tally
@@ -123,6 +125,29 @@
         """Logs that another process answers at the address of the listed instance."""
         _LOGGER.info("instance replaced", extra={"instance": instance_id})
 
+    def record_cold(
+        self, instance_id: str, coldness: Coldness, is_cold: bool, bound: int, now_s: float
+    ) -> None:
+        """Logs that the instance becomes cold or warm for this node.
+
+        Args:
+          instance_id: The instance.
+          coldness: What is known of it.
+          is_cold: Whether it is or may be cold.
+          bound: Requests that it tolerates in a second while it is cold.
+          now_s: Current time.
+        """
+        extra = {
+            "instance": instance_id,
+            "bound": bound,
+            "doubt": str(coldness.doubt) if coldness.in_doubt else None,
+            "doubt_age_ms": _age_ms(coldness.doubt_at_s, now_s),
+            "source": str(coldness.source),
+            "source_age_ms": _age_ms(coldness.heard_at_s, now_s),
+            "cold_left_ms": max(0, _age_ms(now_s, coldness.cold_until_s) or 0),
+        }
+        _LOGGER.info("instance cold" if is_cold else "instance warm", extra=extra)
+
     def record_orphan_cancelled(self, run: Run, now_s: float) -> None:
         """Logs that a run is cancelled because no peer resumed it in time."""
         extra = {
@@ -150,3 +175,9 @@
             ],
         }
         _LOGGER.warning("instance crashed", extra=extra)
+
+
+def _age_ms(since_s: float, now_s: float) -> int | None:
+    """Returns a time since an instant in milliseconds, None if either is not known."""
+    age_s = now_s - since_s
+    return round(age_s * 1000) if math.isfinite(age_s) else None
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -16,10 +16,13 @@
 from ibisrack.calls.gate import Gate
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
+from ibisrack.calls.ranks import Ticket
 from ibisrack.calls.retry import Result
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.hosting.acceptance import Acceptance
+from ibisrack.hosting.cold_starts import ColdStarts
+from ibisrack.hosting.coldness import Doubt
 from ibisrack.hosting.crashes import Crash, CrashDetector
 from ibisrack.hosting.notices import InstanceNotices, Notice
 from ibisrack.hosting.rank_rules import rank_rules
@@ -41,12 +44,13 @@
 class Upstream(Protocol):
     """Sends requests to the instance."""
 
-    async def send(self, submit: Submit, remaining_s: float) -> Answer:
+    async def send(self, submit: Submit, remaining_s: float, on_sent: Callable[[], None]) -> Answer:
         """Sends a request and returns the instance's answer.
 
         Args:
           submit: The request.
           remaining_s: Time left until the answer is due.
+          on_sent: Called when the request is about to be sent on a connection.
 
         Raises:
           NotRunError: The instance did not run the request.
@@ -74,8 +78,7 @@
       quarantine: Turns of the suspects on the instance.
       acceptance: Conditions on which submissions are accepted.
       evacuated: Whether the zone of the instance was evacuated when it was last listed.
-      evacuation_ended_at_s: Monotonic time at which the last evacuation of its zone ended, None if
-        none has ended since the start of this process.
+      cold_starts: Holds the requests to what the instance tolerates while it is cold.
     """
 
     address: tuple[str, int]
@@ -101,7 +104,9 @@
         )
     )
     evacuated: bool = False
-    evacuation_ended_at_s: float | None = None
+    cold_starts: ColdStarts = attrs.field(
+        default=attrs.Factory(lambda self: ColdStarts(self.gate, self.recorder), takes_self=True)
+    )
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
@@ -132,6 +137,7 @@
                 instance.instance_id, instance.started_at_ms, read_monotonic_s()
             )
             self._apply_limit(instance.instance_id, before_per_s)
+            self.cold_starts.observe_entry(instance)
         slots = instance.slots if instance else self.gate.scheduler.slots
         ranks = rank_rules(service, sorted(priorities))
         now_s = read_monotonic_s()
@@ -160,6 +166,14 @@
             self.gate.limit_rate(limit_per_s)
             self.recorder.record_limit(instance_id, before_per_s, limit_per_s)
 
+    def connections_closed(self) -> None:
+        """Counts the instance as cold after it closed all connections, until it says otherwise."""
+        self.cold_starts.record_event(Doubt.CONNECTIONS_CLOSED, read_monotonic_s())
+
+    def evacuation_ended(self, now_s: float) -> None:
+        """Counts the instance as cold after the evacuation of its zone, until it says otherwise."""
+        self.cold_starts.record_event(Doubt.EVACUATION_ENDED, now_s)
+
     async def run(self, submit: Submit) -> Answer:
         """Runs a request on the instance and returns its answer.
 
@@ -205,7 +219,7 @@
                     deadline_at_s,
                     target_at_s,
                     submit.initial_target_ms / 1000,
-                ),
+                ) as ticket,
             ):
                 self.acceptance.check_accepted(submit, read_monotonic_s())
                 if run.orphaned_at_s is not None:
@@ -214,7 +228,7 @@
                 in_turn = needs_turn(self.suspects.verdict(submit))
                 if has_turn or not in_turn:
                     run.quarantined = has_turn
-                    return await self._run_in_slot(run)
+                    return await self._run_in_slot(run, ticket)
 
     def _turn(
         self, in_turn: bool, submit: Submit, deadline_at_s: float
@@ -224,12 +238,12 @@
             return self.quarantine.hold_turn(submit.request_id, submit.fingerprint, deadline_at_s)
         return nullcontext(False)
 
-    async def _run_in_slot(self, run: Run) -> Answer:
+    async def _run_in_slot(self, run: Run, ticket: Ticket) -> Answer:
         now_s = read_monotonic_s()
         run.mark_started(now_s)
         self.running_retries += run.submit.is_retry
         try:
-            answer = await self._send(run, run.deadline_at_s - now_s)
+            answer = await self._send(run, ticket, run.deadline_at_s - now_s)
         finally:
             self.running_retries -= run.submit.is_retry
         self.suspects.record_completed(run.submit)
@@ -238,7 +252,7 @@
         run.answer_bytes = len(answer.body)
         return attrs.evolve(answer, ran_s=ran_s)
 
-    async def _send(self, run: Run, remaining_s: float) -> Answer:
+    async def _send(self, run: Run, ticket: Ticket, remaining_s: float) -> Answer:
         """Sends a request to the instance and returns its answer.
 
         Raises:
@@ -248,17 +262,29 @@
         addressed = self.directory.get(run.submit.instance_id)
         with self.crash_detector.track(run):
             try:
-                return await self.upstream.send(run.submit, remaining_s)
+                on_sent = partial(self.gate.record_sent, ticket)
+                return await self.upstream.send(run.submit, remaining_s, on_sent)
             except NotRunError as error:
+                self._record_not_run(error, ticket)
                 if error.reason == Reason.MISDIRECTED and addressed is not None:
                     self._handle_end(addressed)
                 raise
             except UnknownOutcomeError as error:
                 is_lost = error.reason == Reason.CONNECTION_LOST
+                if is_lost:
+                    self.cold_starts.record_event(Doubt.CONNECTION_LOST, read_monotonic_s())
                 if not is_lost or not await self.crash_detector.has_crashed(self.instance):
                     raise
                 raise UnknownOutcomeError(Reason.INSTANCE_CRASHED) from error
 
+    def _record_not_run(self, error: NotRunError, ticket: Ticket) -> None:
+        """Records what a request that did not run says of the process at the address."""
+        if error.reason == Reason.MISDIRECTED:
+            self.gate.scheduler.give_back_start(ticket)
+            self.cold_starts.record_event(Doubt.REPLACED, read_monotonic_s())
+        elif error.reason == Reason.UPSTREAM_UNREACHABLE:
+            self.cold_starts.record_event(Doubt.REFUSED, read_monotonic_s())
+
     def _handle_end(self, instance: Instance) -> None:
         """Stops using an instance in whose place another process answers."""
         if self.acceptance.ended_starts.record(instance, read_monotonic_s()):
@@ -319,6 +345,7 @@
             self._end_orphan(run, now_s)
         self.run_table.drop_expired(now_s)
         self.gate.expire()
+        self.cold_starts.advance(now_s)
 
     def refuse_waiting(self, reason: Reason = Reason.DRAINING) -> None:
         """Refuses all queued requests because the instance accepts no more requests."""
@@ -340,10 +367,6 @@
         elif was_evacuated:
             self.evacuation_ended(now_s)
 
-    def evacuation_ended(self, now_s: float) -> None:
-        """Records that the instance may get requests again after an evacuation of its zone."""
-        self.evacuation_ended_at_s = now_s
-
     def refuse(self, request_id: str, reason: Reason) -> None:
         """Refuses a request if it waits."""
         self.gate.refuse(request_id, reason)
--- a/ibisrack/hosting/runner_test.py
+++ b/ibisrack/hosting/runner_test.py
@@ -47,7 +47,7 @@
     released: asyncio.Event = attrs.field(factory=asyncio.Event)
     replaced: bool = False
 
-    async def send(self, submit: Submit, remaining_s: float) -> Answer:
+    async def send(self, submit: Submit, remaining_s: float, on_sent) -> Answer:
         """Holds a request until the release, then answers it."""
         self.sent_ids.append(submit.request_id)
         if self.replaced:
--- a/ibisrack/links/handlers_test.py
+++ b/ibisrack/links/handlers_test.py
@@ -51,7 +51,7 @@
 class QuickInstance:
     """An instance that answers each request at once."""
 
-    async def send(self, submit: Submit, remaining_s: float) -> Answer:
+    async def send(self, submit: Submit, remaining_s: float, on_sent) -> Answer:
         return Answer(200, {}, b"")
 
 
--- a/ibisrack/links/pacer_test.py
+++ b/ibisrack/links/pacer_test.py
@@ -31,7 +31,7 @@
 class LargeAnswers:
     """An instance with large answers."""
 
-    async def send(self, submit: Submit, remaining_s: float) -> Answer:
+    async def send(self, submit: Submit, remaining_s: float, on_sent) -> Answer:
         """Answers a request."""
         return Answer(200, CIMultiDict(), LARGE_BODY)
 
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -13,6 +13,7 @@
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.dispatch.destination import Destination
 from ibisrack.dispatch.dispatcher import Dispatcher
+from ibisrack.hosting.coldness import cold_bound
 from ibisrack.hosting.runner import InstanceRunner
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
@@ -335,6 +336,7 @@
         if self.configurations.current is not None:
             service = instance.service if instance else self.settings.service
             priorities = self.configurations.priorities.get(service, frozenset())
+            self._configure_cold_starts(service)
             self.instance_runner.configure(service, priorities)
         if instance is not None:
             self.resize_pool(instance.slots)
@@ -342,3 +344,13 @@
                 self.instance_runner.refuse_waiting()
         self.instance_runner.update_evacuation(read_monotonic_s())
         self.dispatcher.budget.nodes = len({i.host for i in self.directory.all()})
+
+    def _configure_cold_starts(self, service: str) -> None:
+        """Applies what a cold instance of the service tolerates."""
+        options = self.configurations.current.services.get(service)
+        if options is None:
+            return
+        bound = cold_bound(
+            options.cold_rate_per_s, self.settings.cold_rate_factor, self.settings.cold_rate_slack
+        )
+        self.instance_runner.cold_starts.configure(bound, options.health_path)
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -13,8 +13,9 @@
 
 from ibisrack.calls.admission import Scheduler
 from ibisrack.calls.gate import Gate
+from ibisrack.calls.start_window import StartWindow
 from ibisrack.calls.targets import EarliestTarget, InTimeFirst
-from ibisrack.clocks import read_clocks
+from ibisrack.clocks import read_clocks, read_monotonic_s
 from ibisrack.dispatch.budget import ServiceRetryBudgets
 from ibisrack.dispatch.choice import InstanceViews
 from ibisrack.dispatch.dispatcher import Dispatcher
@@ -28,6 +29,7 @@
 from ibisrack.metrics.tally import Tally
 from ibisrack.node.tasks import keep_running
 from ibisrack.platform import entries
+from ibisrack.platform.health_client import HealthClient
 from ibisrack.platform.http_server import CallerServer, ReadyServer
 from ibisrack.platform.store_client import StoreClient, open_session
 from ibisrack.platform.upstream import HttpUpstream
@@ -76,7 +78,14 @@
     upstream = HttpUpstream(pool, create_answer_memory(settings.memory_mb))
     instance_runner = InstanceRunner(
         (settings.instance.host, settings.instance.port),
-        Gate(Scheduler(1, InTimeFirst(MAX_RESERVED_SHARE), EarliestTarget())),
+        Gate(
+            Scheduler(
+                1,
+                InTimeFirst(MAX_RESERVED_SHARE),
+                EarliestTarget(),
+                start_window=StartWindow(read_monotonic_s()),
+            )
+        ),
         upstream,
         directory,
         SubmissionRecorder(tally),
@@ -84,6 +93,7 @@
     )
     upstream.on_notice = instance_runner.observe_notice
     upstream.check_waited = instance_runner.acceptance.check_zone_in_use
+    pool.on_all_closed = instance_runner.connections_closed
     content = RegistryContent(entries, directory, configurations, views)
     node = SidecarNode(
         settings,
@@ -165,6 +175,8 @@
             on_state=node.set_registry_state,
         )
         node.follower = follower
+        health_client = HealthClient(session, settings.instance)
+        node.instance_runner.cold_starts.check_health = health_client.check
         links, callers, runners = await _listen(node)
         _LOGGER.info("started", extra={"node": settings.node_id, "service": settings.service})
         node.spawn(keep_running("registry", follower.follow))
--- a/ibisrack/standins/instance.py
+++ b/ibisrack/standins/instance.py
@@ -12,6 +12,7 @@
 
 from ibisrack.platform.headers import (
     CALLER_SERVICE,
+    COLD_MS,
     EXPECTED_INSTANCE,
     INSTANCE_ID,
     LEAVING,
@@ -22,6 +23,8 @@
 )
 from ibisrack.standins.resets import reset
 
+HEALTH_PATH = "/healthz"
+
 Handler = Callable[["StandInInstance", web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -96,6 +99,9 @@
       custom_handler: Replaces ``run`` if set.
       executed_ids: Ids of the requests that ran.
       last_request: The request received last, for tests; None before the first.
+      cold_ms: How much longer it is cold, as its health answers say.
+      health_checks: Number of health checks that it answered.
+      arrivals_s: Monotonic times at which requests that are addressed to it arrived.
     """
 
     instance_id: str
@@ -110,16 +116,23 @@
     custom_handler: Handler | None = None
     executed_ids: list[str] = attrs.field(factory=list)
     last_request: web.BaseRequest | None = None
+    cold_ms: float = 0.0
+    health_checks: int = 0
+    arrivals_s: list[float] = attrs.field(factory=list)
     _restart: asyncio.Task | None = None
     _starts: itertools.count = attrs.field(factory=lambda: itertools.count(1))
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serves a request, or returns 421 if it is addressed to another instance."""
+        if request.path == HEALTH_PATH:
+            self.health_checks += 1
+            return web.Response(headers={COLD_MS: f"{self.cold_ms:g}"})
         self.last_request = request
         if self.is_down:
             return web.Response()  # Nobody reads it: a crash has reset the connection.
         if request.headers.get(EXPECTED_INSTANCE, self.instance_id) != self.instance_id:
             return self.refusal(request, 421)
+        self.arrivals_s.append(time.monotonic())
         if self.custom_handler is not None:
             return await self.custom_handler(self, request)
         return await self.run(request)
--- a/ibisrack/upstreams/connections.py
+++ b/ibisrack/upstreams/connections.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 
@@ -31,11 +32,14 @@
       host: IP number of the server.
       port: TCP port of the server.
       sizing: Decides how many connections to open.
+      on_all_closed: Called when the server has closed all connections, so that the next one may
+        lead to another process.
     """
 
     host: str
     port: int
     sizing: PoolSizing
+    on_all_closed: Callable[[], None] = attrs.field(default=lambda: None)
     _idle: list[Connection] = attrs.field(factory=list)
     _waiters: deque[asyncio.Future] = attrs.field(factory=deque)
     _opening: set[asyncio.Task] = attrs.field(factory=set)
@@ -50,6 +54,8 @@
                 self.sizing.busy += 1
                 return connection
             connection.abort()
+            if not self._idle and not self.sizing.busy:
+                self.on_all_closed()
         return None
 
     async def acquire(self) -> Connection:
