Notice an instance that restarted while no connection to it was open

Cause: an instance that restarts under its id while it is idle was taken for the earlier process until its entry changed, because only the connection of a running request shows the end.

Change: a pool reports when a request finds no open connection, once there was one; the instance then counts as cold until it says otherwise.

--- a/ibisrack/sidecar/cold_instances_test.py
+++ b/ibisrack/sidecar/cold_instances_test.py
@@ -155,4 +155,18 @@
         await wait_until(lambda: not window_of(node).in_force)
 
 
+async def test_an_instance_that_restarted_unnoticed_is_held_to_the_bound():
+    """Guards against full load on another process under the same id, whose entry is late."""
+    async with run_cold_sidecars(1) as fleet:
+        cold, node = fleet.instances[0], fleet.nodes[0]
+        await fleet.send_request(0)
+        await fleet.crash_instance(0)
+        cold.cold_ms = 60_000.0
+        cold.arrivals_s.clear()
+        await fleet.start_instance(0, node.settings.instance)
+        _, stall_s = await offer(fleet, 30, "cold")
+        assert 0 < most_in_a_second(cold.arrivals_s, stall_s) <= MOST_IN_A_SECOND
+        assert cold.health_checks <= 3
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/upstreams/connections.py
+++ b/ibisrack/upstreams/connections.py
@@ -32,8 +32,8 @@
       host: IP number of the server.
       port: TCP port of the server.
       sizing: Decides how many connections to open.
-      on_all_closed: Called when the server has closed all connections, so that the next one may
-        lead to another process.
+      on_all_closed: Called when no connection is open any more, so that the next one may lead to
+        another process than before.
     """
 
     host: str
@@ -43,6 +43,7 @@
     _idle: list[Connection] = attrs.field(factory=list)
     _waiters: deque[asyncio.Future] = attrs.field(factory=deque)
     _opening: set[asyncio.Task] = attrs.field(factory=set)
+    _has_opened: bool = False
     _closed: bool = False
 
     def take_idle(self) -> Connection | None:
@@ -54,8 +55,6 @@
                 self.sizing.busy += 1
                 return connection
             connection.abort()
-            if not self._idle and not self.sizing.busy:
-                self.on_all_closed()
         return None
 
     async def acquire(self) -> Connection:
@@ -67,6 +66,8 @@
         connection = self.take_idle()
         if connection is not None:
             return connection
+        if self._has_opened and not self.sizing.total:
+            self.on_all_closed()
         future = asyncio.get_running_loop().create_future()
         self._waiters.append(future)
         self._open_needed()
@@ -152,6 +153,7 @@
             self.sizing.opening -= 1
             raise
         self.sizing.opening -= 1
+        self._has_opened = True
         self._assign(connection)
         self._open_needed()
 
