Pace instances that have just started or recovered, and report the pace to senders

Cause: senders sent to a cold instance as to any other and were refused there first; an instance without a cold rate got all its slots at once after a start or recovery.

Change: Load carries the rest of the cold time, the starts that the bound allows at once and its rate, and the choice adds the wait for them.

--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -91,7 +91,7 @@
             service_s *= COLD_START_FACTOR
         slots = max(1, slots)
         slot_wait_s = service_s * max(0.0, busy + 1 - slots) / slots
-        wait_s = max(slot_wait_s, self._limit_wait_s(now_s))
+        wait_s = max(slot_wait_s, self._limit_wait_s(now_s), self._cold_wait_s(now_s))
         return service_s * (1 + OCCUPANCY_WEIGHT * busy / slots) + wait_s
 
     def _limit_wait_s(self, now_s: float) -> float:
@@ -99,9 +99,19 @@
         load = self.load
         if load is None or load.limit_per_s is None:
             return 0.0
-        rate_per_s = max(MIN_RATE_PER_S, load.limit_per_s)
-        allowed = load.free_starts + (now_s - self.reported_at_s) * rate_per_s
-        return max(0.0, load.queued + self.sent_since_report + 1 - allowed) / rate_per_s
+        return self._paced_wait_s(load.free_starts, load.limit_per_s, now_s)
+
+    def _cold_wait_s(self, now_s: float) -> float:
+        """Returns how long the bound on a cold instance delays a request sent now."""
+        load = self.load
+        if load is None or load.paced_per_s is None:
+            return 0.0
+        return self._paced_wait_s(load.cold_free_starts, load.paced_per_s, now_s)
+
+    def _paced_wait_s(self, free_starts: int, rate_per_s: float, now_s: float) -> float:
+        rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
+        allowed = free_starts + (now_s - self.reported_at_s) * rate_per_s
+        return max(0.0, self.load.queued + self.sent_since_report + 1 - allowed) / rate_per_s
 
 
 @attrs.define
--- a/ibisrack/hosting/coldness.py
+++ b/ibisrack/hosting/coldness.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ibisrack.instances.model import Instance
+from ibisrack.routing.model import MAX_TIME_S
 
 # An entry takes up to this long from the instance to a node.  One that arrives earlier after an
 # event may have been written before it.
@@ -134,7 +135,7 @@
 
     def _state(self, source: Source, cold_s: float, now_s: float) -> None:
         self.source, self.heard_at_s, self.in_doubt = source, now_s, False
-        self.cold_until_s = now_s + cold_s if cold_s > 0 else -math.inf
+        self.cold_until_s = now_s + min(cold_s, MAX_TIME_S) if cold_s > 0 else -math.inf
 
 
 @attrs.define
--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -11,6 +11,7 @@
 from ibisrack.hosting.coldness import Coldness
 from ibisrack.hosting.crashes import Crash
 from ibisrack.hosting.runs import Run
+from ibisrack.hosting.slow_start import SlowStart
 from ibisrack.metrics.tally import OWNER, Tally
 
 # Relative change from which a limit is logged again; an instance may name another one each time.
@@ -148,6 +149,26 @@
         }
         _LOGGER.info("instance cold" if is_cold else "instance warm", extra=extra)
 
+    def record_slow_start(
+        self, instance_id: str, limit: int | None, slow_start: SlowStart, now_s: float
+    ) -> None:
+        """Logs that the limit after a start or recovery of the instance begins or ends.
+
+        Args:
+          instance_id: The instance.
+          limit: Requests that it may run at once, None at the end.
+          slow_start: The limit.
+          now_s: Current time.
+        """
+        extra = {
+            "instance": instance_id,
+            "limit": limit,
+            "slots": slow_start.slots,
+            "usual_ms": round(slow_start.usual_s * 1000),
+            "left_ms": _age_ms(now_s, slow_start.ends_at_s),
+        }
+        _LOGGER.info("slow start begun" if limit else "slow start ended", extra=extra)
+
     def record_orphan_cancelled(self, run: Run, now_s: float) -> None:
         """Logs that a run is cancelled because no peer resumed it in time."""
         extra = {
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -137,7 +137,7 @@
                 instance.instance_id, instance.started_at_ms, read_monotonic_s()
             )
             self._apply_limit(instance.instance_id, before_per_s)
-            self.cold_starts.observe_entry(instance)
+            self.cold_starts.observe_entry(instance, read_monotonic_s())
         slots = instance.slots if instance else self.gate.scheduler.slots
         ranks = rank_rules(service, sorted(priorities))
         now_s = read_monotonic_s()
@@ -168,11 +168,14 @@
 
     def connections_closed(self) -> None:
         """Counts the instance as cold after it closed all connections, until it says otherwise."""
-        self.cold_starts.record_event(Doubt.CONNECTIONS_CLOSED, read_monotonic_s())
+        self._record_doubt(Doubt.CONNECTIONS_CLOSED, read_monotonic_s())
 
     def evacuation_ended(self, now_s: float) -> None:
         """Counts the instance as cold after the evacuation of its zone, until it says otherwise."""
-        self.cold_starts.record_event(Doubt.EVACUATION_ENDED, now_s)
+        self._record_doubt(Doubt.EVACUATION_ENDED, now_s)
+
+    def _record_doubt(self, doubt: Doubt, now_s: float) -> None:
+        self.cold_starts.record_event(doubt, self.service_s, now_s)
 
     async def run(self, submit: Submit) -> Answer:
         """Runs a request on the instance and returns its answer.
@@ -194,6 +197,8 @@
         try:
             answer = await self._run(run, trace.arrived_at_s)
         except (NotRunError, UnknownOutcomeError) as error:
+            if run.started_at_s is None:
+                self.cold_starts.record_not_started()
             self._record(trace, error)
             raise
         except asyncio.CancelledError:
@@ -248,6 +253,7 @@
             self.running_retries -= run.submit.is_retry
         self.suspects.record_completed(run.submit)
         ran_s = read_monotonic_s() - now_s
+        self.cold_starts.record_answer(ran_s, now_s + ran_s)
         self._update_service_time(ran_s)
         run.answer_bytes = len(answer.body)
         return attrs.evolve(answer, ran_s=ran_s)
@@ -272,7 +278,7 @@
             except UnknownOutcomeError as error:
                 is_lost = error.reason == Reason.CONNECTION_LOST
                 if is_lost:
-                    self.cold_starts.record_event(Doubt.CONNECTION_LOST, read_monotonic_s())
+                    self._record_doubt(Doubt.CONNECTION_LOST, read_monotonic_s())
                 if not is_lost or not await self.crash_detector.has_crashed(self.instance):
                     raise
                 raise UnknownOutcomeError(Reason.INSTANCE_CRASHED) from error
@@ -281,9 +287,11 @@
         """Records what a request that did not run says of the process at the address."""
         if error.reason == Reason.MISDIRECTED:
             self.gate.scheduler.give_back_start(ticket)
-            self.cold_starts.record_event(Doubt.REPLACED, read_monotonic_s())
+            self._record_doubt(Doubt.REPLACED, read_monotonic_s())
         elif error.reason == Reason.UPSTREAM_UNREACHABLE:
-            self.cold_starts.record_event(Doubt.REFUSED, read_monotonic_s())
+            self._record_doubt(Doubt.REFUSED, read_monotonic_s())
+        elif error.reason == Reason.SHED:
+            self.cold_starts.record_refusal(read_monotonic_s())
 
     def _handle_end(self, instance: Instance) -> None:
         """Stops using an instance in whose place another process answers."""
--- a/ibisrack/links/bounds.py
+++ b/ibisrack/links/bounds.py
@@ -76,6 +76,9 @@
         _check("start", message.leaving_start_ms, 0, MAX_INTEGER)
     _check_revision(message.revision)
     _check("version", message.configuration_version, 0, MAX_REPORTED_VERSION)
+    _check("cold time", message.cold_left_ms, 0, MAX_INTEGER)
+    _check("cold starts", message.cold_free_starts, 0, MAX_COUNT)
+    _check_limit(message.paced_per_s)
 
 
 @check_bounds.register
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -177,6 +177,9 @@
       leaving_start_ms: Start of the instance in Unix milliseconds if it has said that it is about
         to end, None otherwise.
       configuration_version: Version of the configuration that the sender has in force, 0 for none.
+      cold_left_ms: How much longer the instance is or may be cold, 0 if it is not.
+      cold_free_starts: Requests that its bound while it is cold allows at once.
+      paced_per_s: Requests a second that this bound allows, None if there is none now.
     """
 
     busy: int
@@ -192,6 +195,9 @@
     free_starts: int = 0
     leaving_start_ms: int | None = None
     configuration_version: int = 0
+    cold_left_ms: int = 0
+    cold_free_starts: int = 0
+    paced_per_s: float | None = None
 
 
 @attrs.frozen
--- a/ibisrack/platform/health_client.py
+++ b/ibisrack/platform/health_client.py
@@ -1,6 +1,5 @@
 """Asks the instance beside a node how much longer it is cold."""
 
-import math
 import re
 from collections.abc import Mapping
 
@@ -10,7 +9,6 @@
 from ibisrack.decimals import MAX_NUMBER_CHARS
 from ibisrack.hosting.coldness import HealthAnswer
 from ibisrack.platform.headers import COLD_MS
-from ibisrack.routing.model import MAX_TIME_S
 from ibisrack.settings.sidecar import Address
 
 HEALTH_TIMEOUT_S = 1.0
@@ -59,5 +57,4 @@
     text = headers.get(COLD_MS, "0")
     if len(text) > MAX_NUMBER_CHARS or not _NUMBER.fullmatch(text):
         return None
-    cold_s = float(text) / 1000
-    return min(cold_s, MAX_TIME_S) if math.isfinite(cold_s) else None
+    return float(text) / 1000
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -24,6 +24,7 @@
     yield from _pipelining_metrics(node)
     yield from load_metrics(node.instance_runner.gate)
     yield from _limit_metrics(node)
+    yield from _cold_metrics(node)
     yield from _crash_metrics(node)
     yield from _suspect_metrics(node)
     yield from _budget_metrics(node)
@@ -56,6 +57,22 @@
     yield Metric("ibis_instance_limit_per_second", "Limit that the instance names.", False, samples)
 
 
+def _cold_metrics(node: SidecarNode) -> Iterator[Metric]:
+    cold_starts, now_s = node.instance_runner.cold_starts, read_monotonic_s()
+    free_starts, limit = cold_starts.window.free_starts(now_s), cold_starts.slow_start.running_limit
+    # Without a bound or a limit there is no sample.
+    free = () if cold_starts.paced_per_s is None else unlabelled(free_starts)
+    yield Metric("ibis_cold_free_starts", "Starts that the bound allows now.", False, free)
+    running = () if limit is None else unlabelled(limit)
+    yield Metric("ibis_slow_start_limit", "Requests at once after a start.", False, running)
+    events = tuple(({"event": event}, count) for event, count in cold_starts.events.items())
+    yield Metric("ibis_cold_events_total", "Events after which it may be cold.", True, events)
+    checks = unlabelled(cold_starts.checks)
+    yield Metric("ibis_health_checks_total", "Health checks of the instance.", True, checks)
+    refused = unlabelled(cold_starts.refused)
+    yield Metric("ibis_cold_refusals_total", "Refused while it may be cold.", True, refused)
+
+
 def _crash_metrics(node: SidecarNode) -> Iterator[Metric]:
     crashes = unlabelled(node.instance_runner.crash_detector.crashes)
     yield Metric("ibis_instance_crashes_total", "Crashes of the instance.", True, crashes)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import logging
+import math
 import time
 import uuid
 from collections.abc import Callable, Coroutine
 from random import Random
+from statistics import median
 from typing import Any
 
 import attrs
@@ -121,6 +123,7 @@
         """Returns the current load of the instance beside this node."""
         now_s = read_monotonic_s()
         load, pace = self.instance_runner.gate.load(), self.instance_runner.gate.scheduler.pace
+        cold = self.instance_runner.cold_starts
         return Load(
             load.busy,
             load.queued,
@@ -135,6 +138,9 @@
             0 if pace.stated_per_s is None else int(pace.available(now_s)),
             self.instance_runner.notices.leaving_start_ms,
             self.configurations.reported_version,
+            math.ceil(cold.cold_left_s(now_s) * 10) * 100,
+            0 if cold.paced_per_s is None else int(cold.window.free_starts(now_s)),
+            cold.paced_per_s,
         )
 
     def peer_links(self) -> tuple[PeerLink, ...]:
@@ -353,4 +359,14 @@
         bound = cold_bound(
             options.cold_rate_per_s, self.settings.cold_rate_factor, self.settings.cold_rate_slack
         )
-        self.instance_runner.cold_starts.configure(bound, options.health_path)
+        self.instance_runner.cold_starts.configure(bound, options.health_path, read_monotonic_s())
+
+    def peer_service_s(self) -> float:
+        """Returns the median service time that the peers of the own instance report, 0 for none."""
+        instance = self.instance_runner.instance
+        if instance is None:
+            return 0.0
+        peers = self.directory.of_service(instance.service)
+        links = (self.outgoing_links.get(peer.host) for peer in peers)
+        reported_ms = [link.load.service_ms for link in links if link and link.load]
+        return median(reported_ms) / 1000 if reported_ms else 0.0
