--- a/ibisrack/hosting/runner_test.py
+++ b/ibisrack/hosting/runner_test.py
@@ -13,6 +13,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError, UnknownOutcomeError
+from ibisrack.hosting.coldness import Doubt
 from ibisrack.hosting.crashes import Crash
 from ibisrack.hosting.recorder import SubmissionRecorder
 from ibisrack.hosting.runner import InstanceRunner
@@ -340,17 +341,18 @@
     async with run_instance() as (runner, upstream):
         upstream.released.set()
         runner.update_evacuation(0.5)
-        assert runner.evacuation_ended_at_s is None
+        assert runner.cold_starts.coldness.doubt is not Doubt.EVACUATION_ENDED
         evacuate(runner)
         listed = runner.instance
         runner.directory.remove(listed.instance_id, 10.0)
         runner.directory.end_evacuation(listed.zone)
         runner.update_evacuation(11.0)
-        assert runner.evacuation_ended_at_s is None
+        assert runner.cold_starts.coldness.doubt is not Doubt.EVACUATION_ENDED
         runner.directory.put(listed)
         runner.update_evacuation(12.0)
         runner.update_evacuation(13.0)
-        assert runner.evacuation_ended_at_s == 12.0
+        coldness = runner.cold_starts.coldness
+        assert (coldness.doubt, coldness.doubt_at_s) == (Doubt.EVACUATION_ENDED, 12.0)
         assert isinstance(await runner.result(runner.start(FIRST)), Answer)
 
 
--- a/ibisrack/sidecar/evacuation_test.py
+++ b/ibisrack/sidecar/evacuation_test.py
@@ -5,6 +5,7 @@
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_monotonic_s
+from ibisrack.hosting.coldness import Doubt
 from ibisrack.instances.directory import RECOVERY_GRACE_S
 from ibisrack.instances.model import InstanceState
 from ibisrack.platform import entries
@@ -58,6 +59,12 @@
     return [each for each in fleet.instances[number].executed_ids if each.startswith(name)]
 
 
+def has_evacuation_ended(fleet: SidecarFleet, number: int) -> bool:
+    """Returns whether an instance may be cold because the evacuation of its zone ended."""
+    coldness = fleet.nodes[number].instance_runner.cold_starts.coldness
+    return coldness.doubt is Doubt.EVACUATION_ENDED
+
+
 async def test_an_evacuated_zone_gets_no_requests_until_its_key_is_removed():
     """Guards against requests to an evacuated zone, and against a zone that stays out of use."""
     async with run_sidecars(3, zones="aba") as fleet:
@@ -66,13 +73,13 @@
         await evacuate(fleet)
         assert await statuses_of_requests(fleet, "during") == {200}
         assert not executed(fleet, 1, "during")
-        assert fleet.nodes[1].instance_runner.evacuation_ended_at_s is None
+        assert not has_evacuation_ended(fleet, 1)
         fleet.store.delete(KEY)
         await wait_for_all(fleet, knows())
         assert await statuses_of_requests(fleet, "after") == {200}
         assert executed(fleet, 1, "after")
-        assert fleet.nodes[1].instance_runner.evacuation_ended_at_s is not None
-        assert fleet.nodes[0].instance_runner.evacuation_ended_at_s is None
+        assert has_evacuation_ended(fleet, 1)
+        assert not has_evacuation_ended(fleet, 0)
 
 
 async def test_a_request_that_waits_in_the_zone_runs_elsewhere_and_one_that_runs_is_answered():
