Report the backlog and the bandwidth of the host's link

A node knew only the time at which its link is free of large answers, and told no peer. Senders chose by slots alone and filled links that had no room.

The pacer now counts what is written (short messages too), what waits to be written, and the expected answers to accepted requests of peers, which the sender states with the submission. Load reports it in steps of 10 ms, and nothing below 20 ms, so that a fast link adds no reports.

--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -238,6 +238,7 @@
             headers=request.headers,
             body=request.body,
             sent_at_ms=read_uptime_ms(),
+            expected_answer_bytes=round(views.answer_bytes.get(route.name, 0)),
         )
         open_attempt = OpenAttempt(destination, submit, route.name, attempts.deadline_at_s)
         if self._is_too_late(open_attempt, now_s):
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -23,6 +23,7 @@
 from ibisrack.hosting.acceptance import Acceptance
 from ibisrack.hosting.cold_starts import ColdStarts
 from ibisrack.hosting.coldness import Doubt
+from ibisrack.hosting.answer_room import AnswerRoom
 from ibisrack.hosting.crashes import Crash, CrashDetector
 from ibisrack.hosting.notices import InstanceNotices, Notice
 from ibisrack.hosting.rank_rules import rank_rules
@@ -79,6 +80,7 @@
       acceptance: Conditions on which submissions are accepted.
       evacuated: Whether the zone of the instance was evacuated when it was last listed.
       cold_starts: Holds the requests to what the instance tolerates while it is cold.
+      answer_room: Room for the answers to peers on the host's link.
     """
 
     address: tuple[str, int]
@@ -107,6 +109,7 @@
     cold_starts: ColdStarts = attrs.field(
         default=attrs.Factory(lambda self: ColdStarts(self.gate, self.recorder), takes_self=True)
     )
+    answer_room: AnswerRoom = attrs.field(factory=AnswerRoom)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
@@ -195,7 +198,8 @@
             read_monotonic_s(),
         )
         try:
-            answer = await self._run(run, trace.arrived_at_s)
+            with self.answer_room.hold(run):
+                answer = await self._run(run, trace.arrived_at_s)
         except (NotRunError, UnknownOutcomeError) as error:
             if run.started_at_s is None:
                 self.cold_starts.record_not_started()
--- a/ibisrack/hosting/runs.py
+++ b/ibisrack/hosting/runs.py
@@ -46,6 +46,7 @@
       deadline_at_s: Monotonic time at which its sender stops waiting.
       answer_bytes: Size of the body of the instance's answer, 0 without one.
       refusal: Reason if it ended as not run, otherwise None.
+      from_peer: Whether a peer submitted it, so that its answer takes time on the host's link.
     """
 
     submit: Submit
@@ -60,6 +61,7 @@
     deadline_at_s: float = 0.0
     answer_bytes: int = 0
     refusal: str | None = None
+    from_peer: bool = False
     _fingerprint: bytes | None = None
 
     @property
@@ -130,7 +132,7 @@
         if submit.key in self.runs or submit.key in self.dropped:
             # The first arrival may have run, and its answer may belong to another request.
             return UnknownOutcomeError(Reason.ALREADY_RECEIVED)
-        run = self.runs[submit.key] = Run(submit)
+        run = self.runs[submit.key] = Run(submit, from_peer=True)
         return run
 
     def find_or_refuse(
--- a/ibisrack/links/bounds.py
+++ b/ibisrack/links/bounds.py
@@ -57,6 +57,7 @@
     _check("remaining time", message.remaining_target_ms, -MAX_INTEGER, MAX_INTEGER)
     _check("target", message.initial_target_ms, 0, MAX_INTEGER)
     _check("time of sending", message.sent_at_ms, 0, MAX_INTEGER)
+    _check("expected size", message.expected_answer_bytes, 0, MAX_COUNT)
 
 
 @check_bounds.register
@@ -79,6 +80,8 @@
     _check("cold time", message.cold_left_ms, 0, MAX_INTEGER)
     _check("cold starts", message.cold_free_starts, 0, MAX_COUNT)
     _check_limit(message.paced_per_s)
+    _check("backlog", message.link_backlog_ms, 0, MAX_INTEGER)
+    _check("bandwidth", message.link_mbps, 0, MAX_LINK_MBPS)
 
 
 @check_bounds.register
--- a/ibisrack/links/bounds_test.py
+++ b/ibisrack/links/bounds_test.py
@@ -54,10 +54,10 @@
 
 async def test_odd_numbers_of_a_load_report_are_refused():
     """Guards against a load report that fails or attracts each request of a service."""
-    for name in ("busy", "queued", "slots"):
+    for name in ("busy", "queued", "slots", "link_backlog_ms"):
         for number in (*ODD_INTEGERS, -1):
             await assert_refused(attrs.evolve(LOAD, **{name: number}))
-    for name in ("service_ms", "limit_per_s"):
+    for name in ("service_ms", "limit_per_s", "link_mbps"):
         for number in ODD_FLOATS:
             await assert_refused(attrs.evolve(LOAD, **{name: number}))
     for number in (-1, 2**63):
@@ -78,6 +78,8 @@
     for name in ("remaining_ms", "remaining_target_ms", "initial_target_ms", "sent_at_ms"):
         for number in ODD_INTEGERS:
             await assert_refused(attrs.evolve(SUBMIT, **{name: number}))
+    for number in (*ODD_INTEGERS, -1):
+        await assert_refused(attrs.evolve(SUBMIT, expected_answer_bytes=number))
     for status in (*ODD_INTEGERS, -200, 0, 99, 100, 199, 1000):
         await assert_refused(Answered(1, status, (), b""))
     for number in (*ODD_INTEGERS, -1):
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -10,7 +10,7 @@
 
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Reason
-from ibisrack.clocks import read_uptime_ms
+from ibisrack.clocks import read_monotonic_s, read_uptime_ms
 from ibisrack.errors import MessageError, NotRunError, UnknownOutcomeError
 from ibisrack.hosting.runner import InstanceRunner
 from ibisrack.hosting.runs import Run
@@ -38,7 +38,7 @@
     Unfollow,
     Withdraw,
 )
-from ibisrack.links.pacer import LinkPacer
+from ibisrack.links.pacer import LinkPacer, message_bytes
 from ibisrack.links.transit import TransitEstimate
 from ibisrack.registry.messages import Revision
 from ibisrack.suspects.exchange import SuspectExchange
@@ -60,7 +60,7 @@
       writer: Writer of the connection.
       peer: IP number of the peer's host.
       suspects: Requests that are suspected of crashing instances.
-      pacer: Spaces large answers on the host's link.
+      pacer: Spaces large bodies on the host's link.
       runs: Requests of this link, by their number, until their answer is written.
       followed_revision: Revision up to which the peer was sent the registry's changes, None while
         it does not follow them here.
@@ -140,8 +140,13 @@
             self.followed_revision = entries.revision
             write_message(self.writer, entries)
 
-    def write_with_load(self, message: Any) -> None:
-        """Writes a message, followed by the load if it has changed."""
+    def write_with_load(self, message: Answered | Refused | OutcomeUnknown) -> None:
+        """Writes the result of a request, and the load if it has changed, at once."""
+        self.pacer.record_written(message_bytes(message), read_monotonic_s())
+        self.write_part(message)
+
+    def write_part(self, message: Answered | BodyPart | Refused | OutcomeUnknown) -> None:
+        """Writes a message whose bytes are counted, followed by the load if it has changed."""
         if self.writer.is_closing():
             return
         load = self.current_load()
@@ -313,28 +318,27 @@
 @_send_result.register
 async def _(result: Answer, link: IncomingLink, number: int, run: Run) -> None:
     body, part_bytes = result.body, link.pacer.part_bytes
-    link_time = link.pacer.reserve(len(body))
     if len(body) <= part_bytes:
         link.write_with_load(_answer_head(result, number, body, more=False))
         return
-    written_bytes = 0
+    stream = link.pacer.open_stream(len(body))
     try:
-        while written_bytes < len(body):
-            await link_time.wait_for_part(written_bytes)
+        while stream.unwritten_bytes:
+            offset = len(body) - stream.unwritten_bytes
+            part = body[offset : offset + part_bytes]
             await link.writer.drain()
+            await stream.wait_for_part(len(part))
             if run.delivery_link is not link:
                 return  # The peer has cancelled the request, or has resumed it over another link.
-            part = body[written_bytes : written_bytes + part_bytes]
-            more = written_bytes + len(part) < len(body)
-            if written_bytes == 0:
-                link.write_with_load(_answer_head(result, number, part, more))
+            more = stream.unwritten_bytes > 0
+            if offset == 0:
+                link.write_part(_answer_head(result, number, part, more))
             else:
-                link.write_with_load(BodyPart(number, part, more))
-            written_bytes += len(part)
+                link.write_part(BodyPart(number, part, more))
     except OSError:
         return  # The peer requests the result again over its next link.
     finally:
-        link_time.release_from(written_bytes)
+        stream.close()
 
 
 def _answer_head(result: Answer, number: int, first_part: bytes, more: bool) -> Answered:
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -54,6 +54,7 @@
       body: Complete body.
       sent_at_ms: Uptime of the sender's host from which the remaining times count, 0 if it
         is not stated.
+      expected_answer_bytes: Expected size of the answer's body, 0 if it is not known.
     """
 
     number: int
@@ -74,6 +75,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     sent_at_ms: int = 0
+    expected_answer_bytes: int = 0
 
     @cached_property
     def fingerprint(self) -> bytes:
@@ -180,6 +182,9 @@
       cold_left_ms: How much longer the instance is or may be cold, 0 if it is not.
       cold_free_starts: Requests that its bound while it is cold allows at once.
       paced_per_s: Requests a second that this bound allows, None if there is none now.
+      link_backlog_ms: Time that the sender's network link takes for what it has still to send,
+        including the expected answers to the requests that it has accepted.
+      link_mbps: Bandwidth of that link in Mbit/s, 0 if it is not stated.
     """
 
     busy: int
@@ -198,6 +203,8 @@
     cold_left_ms: int = 0
     cold_free_starts: int = 0
     paced_per_s: float | None = None
+    link_backlog_ms: int = 0
+    link_mbps: float = 0.0
 
 
 @attrs.frozen
--- a/ibisrack/links/pacer_test.py
+++ b/ibisrack/links/pacer_test.py
@@ -1,4 +1,4 @@
-"""Tests of the spacing of large answers on the host's link."""
+"""Tests of the spacing of large bodies on the host's link."""
 
 import asyncio
 from unittest.mock import AsyncMock, Mock
@@ -17,7 +17,12 @@
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.links.incoming import IncomingLink, handle
 from ibisrack.links.messages import Answered, BodyPart, Cancel, Refused, Submit
-from ibisrack.links.pacer import MAX_PART_BYTES, MIN_PART_BYTES, LinkPacer
+from ibisrack.links.pacer import (
+    MAX_PART_BYTES,
+    MIN_PART_BYTES,
+    LinkPacer,
+    reported_backlog_ms,
+)
 from ibisrack.metrics.tally import Tally
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import instance, wait_until
@@ -97,15 +102,84 @@
 async def test_an_answer_that_is_not_sent_to_its_end_does_not_delay_the_next():
     """Guards against a link that counts as busy with what peers have cancelled."""
     pacer = LinkPacer(SLOW_LINK_MBPS)
-    pacer.reserve(50 * len(LARGE_BODY)).release_from(len(LARGE_BODY))
+    abandoned = pacer.open_stream(50 * len(LARGE_BODY))
+    await abandoned.wait_for_part(pacer.part_bytes)
+    waiting = asyncio.create_task(abandoned.wait_for_part(pacer.part_bytes))
+    await asyncio.sleep(0)
+    waiting.cancel()
+    await asyncio.wait((waiting,))
+    abandoned.close()
+    assert pacer.backlog_s(read_monotonic_s()) < 2 * pacer.part_bytes / pacer.rate_bytes_per_s
     async with asyncio.timeout(2 * LARGE_BODY_S):
-        await pacer.reserve(len(LARGE_BODY)).wait_for_part(0)
+        await pacer.open_stream(len(LARGE_BODY)).wait_for_part(pacer.part_bytes)
 
 
 async def test_answers_on_a_free_link_do_not_wait():
     """Guards against latency that pacing adds where the link has room."""
-    async with asyncio.timeout(0.01):
-        await LinkPacer(1000.0).reserve(len(LARGE_BODY)).wait_for_part(len(LARGE_BODY) - 1)
+    pacer = LinkPacer(1000.0)
+    stream = pacer.open_stream(len(LARGE_BODY))
+    turns = 0
+    while stream.unwritten_bytes:
+        turn = asyncio.ensure_future(
+            stream.wait_for_part(min(pacer.part_bytes, stream.unwritten_bytes))
+        )
+        for _ in range(3):  # Turns of the event loop, of which none waits for a clock.
+            await asyncio.sleep(0)
+        assert turn.done()
+        turns += 1
+    assert turns == -(-len(LARGE_BODY) // pacer.part_bytes)
+
+
+async def test_a_short_body_passes_a_long_one_that_began_before_it():
+    """Guards against a page that waits for the whole length of a download."""
+    pacer, order = LinkPacer(SLOW_LINK_MBPS), []
+
+    async def send(name: str, size_bytes: int) -> None:
+        stream = pacer.open_stream(size_bytes)
+        while stream.unwritten_bytes:
+            await stream.wait_for_part(min(pacer.part_bytes, stream.unwritten_bytes))
+        order.append(name)
+        stream.close()
+
+    async with asyncio.TaskGroup() as group:
+        for name, size_bytes in (("long", 300_000), ("short", 20_000)):
+            group.create_task(send(name, size_bytes))
+    assert order == ["short", "long"]
+
+
+async def test_a_body_whose_peer_does_not_take_it_leaves_the_link_to_others():
+    """Guards against one stalled peer that stops the large bodies of all others."""
+    pacer = LinkPacer(SLOW_LINK_MBPS)
+    stalled, other = pacer.open_stream(100_000), pacer.open_stream(200_000)
+    await stalled.wait_for_part(pacer.part_bytes)  # It does not ask for another part.
+    async with asyncio.timeout(2 * LARGE_BODY_S):
+        while other.unwritten_bytes:
+            await other.wait_for_part(min(pacer.part_bytes, other.unwritten_bytes))
+
+
+def test_the_backlog_counts_what_is_written_waiting_and_expected():
+    """Guards against a link that seems idle while accepted requests will fill it."""
+    pacer = LinkPacer(SLOW_LINK_MBPS)
+    rate = pacer.rate_bytes_per_s
+    assert pacer.backlog_s(1.0) == 0.0
+    pacer.record_written(90_000, 1.0)
+    pacer.expect(180_000)
+    stream = pacer.open_stream(270_000)
+    assert round(pacer.backlog_s(1.0) * rate) == 540_000
+    assert round(pacer.backlog_s(1.0 + 90_000 / rate) * rate) == 450_000
+    assert round(pacer.backlog_s(9.0) * rate) == 450_000
+    stream.close()
+    pacer.expect(-180_000)
+    assert pacer.backlog_s(9.0) == 0.0
+
+
+def test_a_fast_link_reports_no_backlog():
+    """Guards against a load report with each answer, because of a few microseconds of backlog."""
+    pacer = LinkPacer(1000.0)
+    pacer.record_written(10 * MAX_PART_BYTES, 1.0)
+    assert reported_backlog_ms(pacer.backlog_s(1.0)) == 0
+    assert reported_backlog_ms(0.0199) == 0
+    assert reported_backlog_ms(0.137) == 130
 
 
 def test_parts_are_as_large_as_the_link_sends_in_a_few_milliseconds():
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -151,6 +151,8 @@
     losses = sum(link.losses for link in node.outgoing_links.values())
     yield Metric("ibis_links_open", "Links to other nodes.", False, unlabelled(open_links))
     yield Metric("ibis_links_lost_total", "Links that broke.", True, unlabelled(losses))
+    backlog = unlabelled(node.pacer.backlog_s(read_monotonic_s()))
+    yield Metric("ibis_link_backlog_seconds", "Time for what is to be sent.", False, backlog)
 
 
 def _processor_metrics(node: SidecarNode) -> Iterator[Metric]:
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -22,7 +22,7 @@
 from ibisrack.links.incoming import IncomingLink
 from ibisrack.links.messages import Entries, Hello, Load
 from ibisrack.links.outgoing import OutgoingLink
-from ibisrack.links.pacer import LinkPacer
+from ibisrack.links.pacer import LinkPacer, reported_backlog_ms
 from ibisrack.metrics.tally import Tally
 from ibisrack.node.tasks import keep_running
 from ibisrack.pipelining.recorder import PipeliningRecorder
@@ -66,8 +66,8 @@
       follower: Reads the registry; set once, after the other parts.
       loop_delay: How late the event loop runs the periodic work.
       suspects: Requests that are suspected of crashing instances.
-      pacer: Spaces large answers on the host's link.
       pipelining: Counts and logs pipelined requests that ran before their turn.
+      pacer: Spaces large bodies on the host's link.
       registry_peers: Peers from which the registry's changes come, and what goes to others.
     """
 
@@ -141,6 +141,8 @@
             math.ceil(cold.cold_left_s(now_s) * 10) * 100,
             0 if cold.paced_per_s is None else int(cold.window.free_starts(now_s)),
             cold.paced_per_s,
+            reported_backlog_ms(self.pacer.backlog_s(now_s)),
+            self.settings.link_mbps,
         )
 
     def peer_links(self) -> tuple[PeerLink, ...]:
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -109,6 +109,7 @@
     instance_runner.on_leaving = node.leave_own_instance
     instance_runner.cold_starts.peer_service_s = node.peer_service_s
     instance_runner.cold_starts.on_change = node.report_load
+    instance_runner.answer_room.pacer = node.pacer
     suspects.on_verdict = instance_runner.quarantine.apply_verdict
     suspects.links, suspects.rng = node.peer_links, rng
     node.resize_pool = lambda slots: pool.resize(slots + SPARE_CONNECTIONS, 0)
