Take the links of the hosts into account in the choice of an instance

Downloads came from the caller's zone even if its links could not deliver them in time: the cost of another zone, up to 1.5 targets, exceeded any wait for a slot, and the wait for the link was not known.

The expected response time of an instance on another host now includes the backlog that its node reports, what this node has requested since, and the transfer of the answer. An answer that is expected after the target or the deadline costs more than the traffic between zones. Large request bodies add the time on the own link to all instances but the one on the own host.

--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -18,6 +18,7 @@
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.pace import MIN_RATE_PER_S
+from ibisrack.dispatch.transfer import NO_TRANSFER, Transfer
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Load
 
@@ -33,7 +34,8 @@
 ANSWER_SIZE_WEIGHT = 0.1
 
 # Cost of another zone, relative to the route's target time.  Traffic between zones is paid by the
-# byte, so a large answer comes from the local zone even if it is late as a result.
+# byte, so a large answer comes from the local zone even if it takes longer, but not if the links of
+# that zone would deliver it late (dispatch/transfer.py).
 MIN_ZONE_COST_RATIO = 0.08
 MAX_ZONE_COST_RATIO = 1.5
 MAX_ZONE_COST_BYTES = 120_000  # Answers of this size or more incur the maximum cost.
@@ -56,6 +58,7 @@
       load: Last load report from the instance's node.
       in_flight: Unanswered requests from this node.
       sent_since_report: Requests that this node sent after the last report.
+      sent_bytes_since_report: Expected size of the answers to these requests.
       reported_at_s: Monotonic time of the last report.
       avoid_until_s: Monotonic time until which other instances are preferred.
       cold_until_s: Monotonic time until which it is expected to be slow after its start.
@@ -67,11 +70,18 @@
     reported_at_s: float = 0.0
     avoid_until_s: float = 0.0
     cold_until_s: float = 0.0
+    sent_bytes_since_report: float = 0.0
+
+    def record_sent(self, answer_bytes: float) -> None:
+        """Counts a request that this node sends now, whose answer has an expected size."""
+        self.sent_since_report += 1
+        self.sent_bytes_since_report += answer_bytes
 
     def update_load(self, load: Load, now_s: float) -> None:
         """Replaces the load by a newer report."""
         if load is not self.load:
             self.load, self.sent_since_report, self.reported_at_s = load, 0, now_s
+            self.sent_bytes_since_report = 0.0
 
     def expected_response_s(self, slots: int, mean_service_s: float, now_s: float) -> float:
         """Returns the expected response time of a request sent now.
@@ -94,6 +104,11 @@
         wait_s = max(slot_wait_s, self._limit_wait_s(now_s), self._cold_wait_s(now_s))
         return service_s * (1 + OCCUPANCY_WEIGHT * busy / slots) + wait_s
 
+    def arrival_s(self, transfer: Transfer, response_s: float, now_s: float) -> float:
+        """Returns when an answer that has an expected response time arrives over the link."""
+        age_s = now_s - self.reported_at_s
+        return transfer.arrival_s(self.load, self.sent_bytes_since_report, age_s, response_s)
+
     def _limit_wait_s(self, now_s: float) -> float:
         """Returns how long the limit that the instance names delays a request sent now."""
         load = self.load
@@ -169,6 +184,7 @@
     cross_zone_cost_s: float,
     rng: Random,
     now_s: float,
+    transfer: Transfer = NO_TRANSFER,
 ) -> Instance | None:
     """Returns the instance with the lowest expected cost among a few random ones.
 
@@ -179,6 +195,7 @@
       cross_zone_cost_s: Cost added to instances in other zones.
       rng: Source of jitter.
       now_s: Current time.
+      transfer: The bodies that go over the links of the hosts.
 
     Returns:
       The selected instance, or None without candidates.  An instance that is to be avoided is
@@ -195,12 +212,17 @@
     mean_service_s = (
         sum(reported_ms) / len(reported_ms) / 1000 if reported_ms else DEFAULT_SERVICE_TIME_S
     )
+    is_large = any(transfer.is_large_for(views.of(c.instance_id).load) for c in compared)
     best, best_cost = None, 0.0
     for instance in compared:
         view = views.of(instance.instance_id)
         cost_s = view.expected_response_s(
             instance.slots, mean_service_s or DEFAULT_SERVICE_TIME_S, now_s
         )
+        if instance.host != views.own_host:
+            cost_s = view.arrival_s(transfer, cost_s, now_s)
+        if is_large:
+            cost_s += transfer.lateness_cost_s(cost_s)
         if instance.zone != zone:
             cost_s += cross_zone_cost_s
         cost_s *= 1 + COST_JITTER * rng.random()
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -18,10 +18,12 @@
 from ibisrack.dispatch.request import Request
 from ibisrack.dispatch.selection import InstanceSelector
 from ibisrack.dispatch.service_times import LongestServiceTimes
+from ibisrack.dispatch.transfer import Transfer
 from ibisrack.dispatch.verdicts import allows_attempt, reason_without_attempt
 from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Submit
+from ibisrack.links.pacer import LinkPacer
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.model import Route
 from ibisrack.routing.splits import Splitter
@@ -57,6 +59,7 @@
       open_attempts: Attempts of the requests being served.
       stop: Planned stop of this process, None while there is none.
       suspects: Requests that are suspected of crashing instances.
+      pacer: Pacer of the host's link, which requests to other hosts use.
     """
 
     configurations: ConfigurationHolder
@@ -73,6 +76,7 @@
     open_attempts: set[OpenAttempt] = attrs.field(factory=set)
     stop: PlannedStop | None = None
     suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
+    pacer: LinkPacer = attrs.field(factory=LinkPacer)
 
     async def serve(self, request: Request) -> Reply:
         """Serves a request and returns the reply for its caller."""
@@ -201,7 +205,18 @@
         now_s, service = read_monotonic_s(), attempts.service
         if isinstance(verdict, Suspected):
             return self.selector.select_home(service, request.fingerprint, tried, now_s)
-        return self.selector.select(service, attempts.route, tried, now_s)
+        transfer = self._transfer(request, attempts, now_s)
+        return self.selector.select(service, attempts.route, tried, now_s, transfer)
+
+    def _transfer(self, request: Request, attempts: Attempts, now_s: float) -> Transfer:
+        """Returns what the bodies of a request and its answer mean for the links of the hosts."""
+        return Transfer(
+            self.selector.views.answer_bytes.get(attempts.route.name, 0.0),
+            attempts.route.target_s,
+            attempts.target_at_s - now_s,
+            attempts.deadline_at_s - now_s,
+            self.pacer.sending_s(len(request.body), now_s),
+        )
 
     async def _attempt(
         self,
@@ -246,7 +261,7 @@
         attempts.sent.append(open_attempt)
         self.open_attempts.add(open_attempt)
         view.in_flight += 1
-        view.sent_since_report += 1
+        view.record_sent(submit.expected_answer_bytes)
         try:
             answer = await destination.run(submit, may_leave)
         except PeerLostError as error:
--- a/ibisrack/dispatch/selection.py
+++ b/ibisrack/dispatch/selection.py
@@ -10,6 +10,7 @@
 
 from ibisrack.dispatch.choice import InstanceViews, choose_home, choose_instance
 from ibisrack.dispatch.subset import InstanceSubsets
+from ibisrack.dispatch.transfer import Transfer
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Load
@@ -44,7 +45,9 @@
         default=attrs.Factory(lambda self: InstanceSubsets(self.views.own_host), takes_self=True)
     )
 
-    def select(self, service: str, route: Route, tried: Set[str], now_s: float) -> Instance | None:
+    def select(
+        self, service: str, route: Route, tried: Set[str], now_s: float, transfer: Transfer
+    ) -> Instance | None:
         """Returns the instance for the next attempt of a request, None if there is none.
 
         Args:
@@ -52,6 +55,7 @@
           route: Route of the request.
           tried: Ids of the instances that were tried.
           now_s: Current time.
+          transfer: The bodies that go over the links of the hosts.
         """
         listed = self.directory.in_use(service)
         candidates: list[Instance] = []
@@ -61,7 +65,7 @@
         if not candidates:
             candidates = self._available(listed, tried, now_s)
         cost_s = self.views.zone_cost_ratio(route.name) * route.target_s
-        return choose_instance(candidates, self.views, self.zone, cost_s, self.rng, now_s)
+        return choose_instance(candidates, self.views, self.zone, cost_s, self.rng, now_s, transfer)
 
     def select_home(
         self, service: str, fingerprint: bytes, tried: Set[str], now_s: float
--- a/ibisrack/links/pacer.py
+++ b/ibisrack/links/pacer.py
@@ -67,6 +67,12 @@
         unsent_bytes = self._unwritten_bytes + self._expected_bytes
         return max(0.0, self._sent_until_s - now_s) + unsent_bytes / self.rate_bytes_per_s
 
+    def sending_s(self, size_bytes: int, now_s: float) -> float:
+        """Returns how long a body takes that is sent from now on, 0 if it is not paced."""
+        if size_bytes <= self.part_bytes:
+            return 0.0
+        return self.backlog_s(now_s) + size_bytes / self.rate_bytes_per_s
+
     def record_written(self, size_bytes: int, now_s: float) -> None:
         """Counts bytes that are written to a peer now."""
         starts_at_s = max(now_s, self._sent_until_s)
--- a/ibisrack/links/pacer_test.py
+++ b/ibisrack/links/pacer_test.py
@@ -168,6 +168,8 @@
     assert round(pacer.backlog_s(1.0) * rate) == 540_000
     assert round(pacer.backlog_s(1.0 + 90_000 / rate) * rate) == 450_000
     assert round(pacer.backlog_s(9.0) * rate) == 450_000
+    assert round(pacer.sending_s(100_000, 9.0) * rate) == 550_000
+    assert pacer.sending_s(pacer.part_bytes, 9.0) == 0.0
     stream.close()
     pacer.expect(-180_000)
     assert pacer.backlog_s(9.0) == 0.0
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -128,6 +128,7 @@
         RequestRecorder(tally, view),
         node.lacks_later_configuration,
         suspects=suspects,
+        pacer=node.pacer,
     )
     return node
 
