Refuse requests whose bodies full links can't send in time

A request ran although its answer could not leave over the host's link before the deadline: the run was lost, and the answer delayed the next ones.

The node beside the instance now refuses it before the run if the link's backlog, or the wait for a slot and the run if they take longer, and the transfer of the expected answer exceed the time left. The sender tries other instances and then refuses its caller with a Retry-After of the shortest backlog. A request body that the sender's own link can't send in time is refused at once. On an idle link everything is tried.

--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -48,3 +48,5 @@
     CANCELLED = "cancelled"
     MISDIRECTED = "misdirected"
     WITHDRAWN = "withdrawn"
+    LINK_FULL = "link-full"
+    UPLINK_FULL = "uplink-full"
--- a/ibisrack/dispatch/attempts.py
+++ b/ibisrack/dispatch/attempts.py
@@ -18,6 +18,7 @@
 from ibisrack.calls.retry import Result, may_have_executed, reported_result
 from ibisrack.dispatch.budget import ServiceRetryBudgets
 from ibisrack.dispatch.destination import OpenAttempt
+from ibisrack.dispatch.transfer import LinkWait
 from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.routing.model import Route
 
@@ -32,6 +33,7 @@
     Reason.WITHDRAWN,
     Reason.CRASHES_INSTANCES,
     Reason.QUARANTINE_FULL,
+    Reason.UPLINK_FULL,
 )
 
 
@@ -52,6 +54,7 @@
       sent: The attempts, as the dispatcher keeps them for a planned stop.
       attempt_log: Instance and result of each attempt, for the log.
       attempted_ms: Milliseconds from the arrival of the request to each attempt, for the log.
+      link_wait: Backlog of the link for which the request is refused, None for another reason.
     """
 
     route: Route
@@ -66,6 +69,7 @@
     sent: list[OpenAttempt] = attrs.field(factory=list)
     attempt_log: list[str] = attrs.field(factory=list)
     attempted_ms: list[int] = attrs.field(factory=list)
+    link_wait: LinkWait | None = None
 
     def should_retry(self, result: Result, now_s: float) -> bool:
         """Records the result of an attempt and returns whether to make another one."""
--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -18,7 +18,7 @@
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.pace import MIN_RATE_PER_S
-from ibisrack.dispatch.transfer import NO_TRANSFER, Transfer
+from ibisrack.dispatch.transfer import NO_TRANSFER, LinkWait, Transfer, answer_transfer_s
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Load
 
@@ -106,8 +106,14 @@
 
     def arrival_s(self, transfer: Transfer, response_s: float, now_s: float) -> float:
         """Returns when an answer that has an expected response time arrives over the link."""
+        return transfer.arrival_s(self.load, self.link_wait(now_s).backlog_s, response_s)
+
+    def link_wait(self, now_s: float) -> LinkWait:
+        """Returns the backlog of the link now, with the answers requested since the report."""
         age_s = now_s - self.reported_at_s
-        return transfer.arrival_s(self.load, self.sent_bytes_since_report, age_s, response_s)
+        reported_s = self.load.link_backlog_ms / 1000 if self.load else 0.0
+        sent_s = answer_transfer_s(self.load, self.sent_bytes_since_report)
+        return LinkWait(max(0.0, reported_s - age_s) + sent_s, age_s)
 
     def _limit_wait_s(self, now_s: float) -> float:
         """Returns how long the limit that the instance names delays a request sent now."""
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -18,7 +18,7 @@
 from ibisrack.dispatch.request import Request
 from ibisrack.dispatch.selection import InstanceSelector
 from ibisrack.dispatch.service_times import LongestServiceTimes
-from ibisrack.dispatch.transfer import Transfer
+from ibisrack.dispatch.transfer import LinkWait, Transfer
 from ibisrack.dispatch.verdicts import allows_attempt, reason_without_attempt
 from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.instances.model import Instance
@@ -234,6 +234,11 @@
         remaining_ms = int((attempts.deadline_at_s - now_s) * 1000)
         if remaining_ms <= 0:
             return NotRunError(Reason.DEADLINE)
+        is_remote = instance.host != views.own_host
+        if is_remote and not self.pacer.sends_in_time(
+            len(request.body), remaining_ms / 1000, now_s
+        ):
+            return NotRunError(Reason.UPLINK_FULL)
         submit = Submit(
             number=destination.next_number(),
             request_id=request.request_id,
@@ -296,7 +301,22 @@
         """Returns the time after which a refused caller may retry."""
         if self.stop is not None and read_monotonic_s() > self.stop.accepts_until_s:
             return STOPPING_RETRY_AFTER_S
-        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, attempts.route.target_s / 4))
+        wait_s = attempts.route.target_s / 4
+        if attempts.link_wait is not None:
+            wait_s = attempts.link_wait.backlog_s
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+
+    def link_wait(self, reason: str, service: str) -> LinkWait | None:
+        """Returns the backlog of the link for which a request is refused, None if there is none.
+
+        The answer may come over any link of the service, so that the shortest backlog counts.
+        """
+        now_s = read_monotonic_s()
+        if reason == Reason.UPLINK_FULL:
+            return LinkWait(self.pacer.backlog_s(now_s))
+        if reason == Reason.LINK_FULL:
+            return self.selector.shortest_link_wait(service, now_s)
+        return None
 
 
 async def _resolve(lost: PeerLostError, attempts: Attempts) -> Result:
@@ -323,6 +343,7 @@
 def _(result: NotRunError, dispatcher: Dispatcher, attempts: Attempts) -> Reply:
     if result.reason == Reason.CRASHES_INSTANCES:
         return Refusal(str(result.reason), FIRST_BLOCK_S)
+    attempts.link_wait = dispatcher.link_wait(result.reason, attempts.service)
     return Refusal(str(result.reason), dispatcher.retry_after_s(attempts))
 
 
--- a/ibisrack/dispatch/dispatcher_test.py
+++ b/ibisrack/dispatch/dispatcher_test.py
@@ -10,12 +10,14 @@
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import ServiceRetryBudgets
-from ibisrack.dispatch.dispatcher import MAX_INSTANCES_TRIED, Dispatcher
+from ibisrack.dispatch.dispatcher import MAX_INSTANCES_TRIED, Dispatcher, to_reply
+from ibisrack.dispatch.replies import Refusal
 from ibisrack.dispatch.request import Request
 from ibisrack.dispatch.selection import MAX_TRIED_IN_SUBSET, InstanceSelector
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.links.messages import Load, Submit
+from ibisrack.links.pacer import LinkPacer
 from ibisrack.registry.messages import NO_REVISION
 from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.messages import CrashReport, RunCompleted
@@ -169,4 +171,42 @@
     assert sender.budget.spend("desk", now_s + 8.0)
 
 
+def refusal(sender: Dispatcher, result: NotRunError) -> Refusal:
+    """Returns the reply for a caller whose request ended with a result."""
+    return to_reply(result, sender, attempts(sender))
+
+
+async def test_full_links_are_tried_elsewhere_and_the_caller_waits_for_the_first_free_one():
+    """Guards against a caller that comes back while all links are still full."""
+    sender, destination = dispatcher(result=NotRunError(Reason.LINK_FULL))
+    for number in range(COUNT):
+        load = Load(0, 0, 2, 1.0, True, NO_REVISION, True, True, link_mbps=16.0)
+        full = attrs.evolve(load, link_backlog_ms=3000 - 300 * number)
+        sender.selector.views.of(f"i-{number}").update_load(full, read_monotonic_s())
+    result = await sender._attempt_all(request(), attempts(sender))
+    assert len(destination.submits) == COUNT
+    reply = refusal(sender, result)
+    assert reply.reason == Reason.LINK_FULL
+    assert 1.0 < reply.retry_after_s <= 1.5
+
+
+async def test_a_body_that_the_own_link_cannot_send_in_time_is_refused_at_once():
+    """Guards against uploads that are sent although they arrive after their deadline."""
+    sender, destination = dispatcher(result=NotRunError(Reason.TOO_BUSY))
+    sender.pacer = LinkPacer(8.0)
+    upload = attrs.evolve(request(), body=bytes(6_000_000))
+    # On an idle link, even such a body is tried.
+    await sender._attempt_all(upload, attempts(sender))
+    assert len(destination.submits) == COUNT
+    sender.pacer.expect(900_000)
+    result = await sender._attempt_all(upload, attempts(sender))
+    assert len(destination.submits) == COUNT
+    assert refusal(sender, result) == Refusal(Reason.UPLINK_FULL, 1.0)
+    await sender._attempt_all(request(), attempts(sender))
+    assert len(destination.submits) == 2 * COUNT
+    sender.selector.views.own_host = "10.0.0.2"  # The instance there needs no link.
+    await sender._attempt_all(upload, attempts(sender))
+    assert destination.submits[2 * COUNT].instance_id == "i-1"
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/dispatch/recorder.py
+++ b/ibisrack/dispatch/recorder.py
@@ -1,6 +1,7 @@
 """Counts and logs finished requests of callers, with the state that decided their outcome."""
 
 import logging
+from collections import Counter
 from functools import singledispatch
 from typing import Any
 
@@ -11,6 +12,7 @@
 from ibisrack.dispatch.attempts import FIRST_SERVER_ERROR_STATUS, Attempts
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
+from ibisrack.dispatch.transfer import LinkWait
 from ibisrack.metrics.tally import INGRESS, Tally
 from ibisrack.registry.view import RegistryView
 
@@ -24,10 +26,12 @@
     Attributes:
       tally: Counters of requests for metrics.
       view: Content of the registry, whose revision and age are logged.
+      link_refusals: Requests of callers refused for a full link, by reason.
     """
 
     tally: Tally
     view: RegistryView
+    link_refusals: Counter[str] = attrs.field(factory=Counter)
 
     def record(
         self, request: Request, attempts: Attempts, version: int, reply: Reply, now_s: float
@@ -37,6 +41,8 @@
         outcome = outcome_of(reply)
         rank = route.rank
         self.tally.count_call(INGRESS, attempts.service, rank, str(outcome), total_s * 1000)
+        if attempts.link_wait is not None:
+            self.link_refusals[_details(reply)["reason"]] += 1
         served = outcome is Outcome.DONE
         level = logging.DEBUG if served else logging.INFO
         if not _LOGGER.isEnabledFor(level):
@@ -53,6 +59,7 @@
             "tried": attempts.attempt_log,
             "tried_ms": attempts.attempted_ms,
             "outcome": str(outcome),
+            **_link_fields(attempts.link_wait),
             **_details(reply),
         }
         _LOGGER.log(level, "request served" if served else "request not served", extra=extra)
@@ -80,6 +87,16 @@
         }
 
 
+def _link_fields(wait: LinkWait | None) -> dict[str, Any]:
+    """Returns the backlog of the link for which a request was refused, and its age."""
+    if wait is None:
+        return {}
+    return {
+        "link_backlog_ms": round(wait.backlog_s * 1000),
+        "link_backlog_age_ms": round(wait.age_s * 1000),
+    }
+
+
 @singledispatch
 def outcome_of(reply: object) -> Outcome:
     """Returns what a reply implies about the execution of its request."""
--- a/ibisrack/dispatch/selection.py
+++ b/ibisrack/dispatch/selection.py
@@ -10,7 +10,7 @@
 
 from ibisrack.dispatch.choice import InstanceViews, choose_home, choose_instance
 from ibisrack.dispatch.subset import InstanceSubsets
-from ibisrack.dispatch.transfer import Transfer
+from ibisrack.dispatch.transfer import LinkWait, Transfer
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Load
@@ -67,6 +67,13 @@
         cost_s = self.views.zone_cost_ratio(route.name) * route.target_s
         return choose_instance(candidates, self.views, self.zone, cost_s, self.rng, now_s, transfer)
 
+    def shortest_link_wait(self, service: str, now_s: float) -> LinkWait | None:
+        """Returns the shortest backlog among the links of a service's instances, if any reports."""
+        listed = self.directory.of_service(service)
+        views = (self.views.of(instance.instance_id) for instance in listed if instance.ready)
+        waits = (view.link_wait(now_s) for view in views if view.load is not None)
+        return min(waits, key=lambda wait: wait.backlog_s, default=None)
+
     def select_home(
         self, service: str, fingerprint: bytes, tried: Set[str], now_s: float
     ) -> Instance | None:
--- a/ibisrack/dispatch/transfer.py
+++ b/ibisrack/dispatch/transfer.py
@@ -44,22 +44,17 @@
         """Returns whether the answer takes the link of an instance's host for a noticeable time."""
         return answer_transfer_s(load, self.answer_bytes) >= PART_S
 
-    def arrival_s(
-        self, load: Load | None, sent_bytes: float, age_s: float, response_s: float
-    ) -> float:
+    def arrival_s(self, load: Load | None, backlog_s: float, response_s: float) -> float:
         """Returns when the answer of an instance on another host is expected to arrive.
 
         Args:
           load: Last report of the instance, None before the first.
-          sent_bytes: Expected size of the answers that were requested after the report.
-          age_s: Age of the report.
+          backlog_s: Time that its host's link takes for what it has still to send.
           response_s: Expected time until the instance has answered.
         """
         transfer_s = answer_transfer_s(load, self.answer_bytes)
         if not transfer_s:
             return self.uplink_s + response_s
-        backlog_s = max(0.0, load.link_backlog_ms / 1000 - age_s)
-        backlog_s += answer_transfer_s(load, sent_bytes)
         # The link sends what is before this answer while the instance runs the request.
         return self.uplink_s + max(response_s, backlog_s) + transfer_s
 
@@ -73,6 +68,19 @@
 NO_TRANSFER = Transfer()
 
 
+@attrs.frozen
+class LinkWait:
+    """How long a link takes for what it has still to send.
+
+    Attributes:
+      backlog_s: The time.
+      age_s: Age of the report, 0 for the own link.
+    """
+
+    backlog_s: float
+    age_s: float = 0.0
+
+
 def answer_transfer_s(load: Load | None, size_bytes: float) -> float:
     """Returns how long the link of an instance's host sends a size, 0 if it is not known."""
     if load is None or not load.link_mbps:
--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -30,6 +30,7 @@
       running: Number of running submissions of each rank then.
       limit_per_s: Requests a second that the instance then took, None for no limit.
       arrived_at_s: Monotonic time of arrival.
+      link_backlog_s: Time that the host's link then needed for what it had to send.
     """
 
     run: Run
@@ -37,6 +38,7 @@
     running: dict[str, int]
     limit_per_s: float | None
     arrived_at_s: float
+    link_backlog_s: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -81,6 +83,8 @@
             "running": trace.running,
             "limit_per_s": trace.limit_per_s,
             "service_ms": round(service_s * 1000),
+            "answer_bytes": submit.expected_answer_bytes,
+            "link_backlog_ms": round(trace.link_backlog_s * 1000),
             "waited_ms": round((started_at_s - trace.arrived_at_s) * 1000),
             "ran_ms": round((now_s - started_at_s) * 1000),
             "outcome": str(outcome),
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -21,9 +21,9 @@
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.hosting.acceptance import Acceptance
+from ibisrack.hosting.answer_room import AnswerRoom, expected_response_s
 from ibisrack.hosting.cold_starts import ColdStarts
 from ibisrack.hosting.coldness import Doubt
-from ibisrack.hosting.answer_room import AnswerRoom
 from ibisrack.hosting.crashes import Crash, CrashDetector
 from ibisrack.hosting.notices import InstanceNotices, Notice
 from ibisrack.hosting.rank_rules import rank_rules
@@ -196,9 +196,11 @@
             self.gate.scheduler.running_by_rank(),
             self.notices.limit_per_s,
             read_monotonic_s(),
+            self.answer_room.pacer.backlog_s(read_monotonic_s()),
         )
         try:
-            with self.answer_room.hold(run):
+            response_s = expected_response_s(trace.load, self.service_s)
+            with self.answer_room.hold(run, response_s, trace.arrived_at_s):
                 answer = await self._run(run, trace.arrived_at_s)
         except (NotRunError, UnknownOutcomeError) as error:
             if run.started_at_s is None:
--- a/ibisrack/links/pacer.py
+++ b/ibisrack/links/pacer.py
@@ -71,7 +71,16 @@
         """Returns how long a body takes that is sent from now on, 0 if it is not paced."""
         if size_bytes <= self.part_bytes:
             return 0.0
-        return self.backlog_s(now_s) + size_bytes / self.rate_bytes_per_s
+        return self.backlog_s(now_s) + self.transfer_s(size_bytes)
+
+    def sends_in_time(self, size_bytes: int, left_s: float, now_s: float) -> bool:
+        """Returns whether a body can be sent in a time; on an idle link, any body is tried."""
+        is_idle = self.backlog_s(now_s) <= LEAD_S
+        return is_idle or self.sending_s(size_bytes, now_s) <= left_s
+
+    def transfer_s(self, size_bytes: float) -> float:
+        """Returns how long the link takes for a size."""
+        return size_bytes / self.rate_bytes_per_s
 
     def record_written(self, size_bytes: int, now_s: float) -> None:
         """Counts bytes that are written to a peer now."""
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -5,6 +5,7 @@
 
 from aioprometheus import Registry, render
 
+from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.metrics.exposition import (
     Metric,
@@ -17,6 +18,8 @@
 from ibisrack.sidecar.node import SidecarNode
 from ibisrack.suspects.table import Blocked
 
+LINK_REASONS = (Reason.LINK_FULL, Reason.UPLINK_FULL)
+
 
 def all_metrics(node: SidecarNode) -> Iterator[Metric]:
     """Returns all metrics except the histogram."""
@@ -153,6 +156,11 @@
     yield Metric("ibis_links_lost_total", "Links that broke.", True, unlabelled(losses))
     backlog = unlabelled(node.pacer.backlog_s(read_monotonic_s()))
     yield Metric("ibis_link_backlog_seconds", "Time for what is to be sent.", False, backlog)
+    refused = unlabelled(node.instance_runner.answer_room.refused)
+    yield Metric("ibis_link_refused_submissions_total", "Without link time.", True, refused)
+    by_reason = node.dispatcher.recorder.link_refusals
+    samples = tuple(({"reason": str(reason)}, by_reason[reason]) for reason in LINK_REASONS)
+    yield Metric("ibis_link_refused_requests_total", "Refused to callers.", True, samples)
 
 
 def _processor_metrics(node: SidecarNode) -> Iterator[Metric]:
