Send large requests in parts, paced with the answers on the link

A request body was written at once: everything after it on the connection, and on the link of its host, waited for its whole length.

Bodies above the size of a part now go as Submit and BodyPart messages under the same pacer as the answers, shorter bodies first for a bounded time. The peer starts a submission when its body is whole, bounds what it holds by number and bytes for each link, and shortens the remaining times by the time that the parts took. If the link breaks before the last part was written, or the request is withdrawn, it has certainly not run and ends as that at once.

--- a/ibisrack/links/handlers_test.py
+++ b/ibisrack/links/handlers_test.py
@@ -71,7 +71,7 @@
         if isinstance(message, Load | KnownLimit):
             yield attrs.evolve(message, instance_id="i-1")
         if isinstance(message, Submit):
-            listed = {"instance_id": "i-1", "service": "desk", "rank": "priority-0"}
+            listed = {"instance_id": "i-1", "service": "desk", "rank": "priority-0", "more": False}
             yield attrs.evolve(bounded, request_id=f"q-{next(numbers)}", **listed)
 
 
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -20,6 +20,7 @@
     read_message,
     write_message,
 )
+from ibisrack.links.incomplete import IncompleteSubmissions
 from ibisrack.links.messages import (
     Answered,
     BodyPart,
@@ -65,6 +66,7 @@
       followed_revision: Revision up to which the peer was sent the registry's changes, None while
         it does not follow them here.
       transit: Time that the peer's messages were on their way.
+      incomplete: Submissions whose bodies have not arrived whole.
     """
 
     instance_runner: InstanceRunner
@@ -77,6 +79,7 @@
     runs: dict[int, Run] = attrs.field(factory=dict)
     followed_revision: Revision | None = None
     transit: TransitEstimate = attrs.field(factory=TransitEstimate)
+    incomplete: IncompleteSubmissions = attrs.field(factory=IncompleteSubmissions)
     _last_sent_load: Load | None = None
 
     async def serve(self, reader: asyncio.StreamReader) -> None:
@@ -214,7 +217,24 @@
 @handle.register
 def _(message: Submit, link: IncomingLink) -> None:
     submit = _shortened(message, link.min_delay_ms(message))
-    link.attach(submit.number, link.instance_runner.start(submit))
+    if not submit.more:
+        link.attach(submit.number, link.instance_runner.start(submit))
+        return
+    try:
+        link.incomplete.begin(submit, read_monotonic_s())
+    except NotRunError as error:
+        link.write_with_load(Refused(message.number, str(error.reason)))
+
+
+@handle.register
+def _(message: BodyPart, link: IncomingLink) -> None:
+    try:
+        submit = link.incomplete.add(message, read_monotonic_s())
+    except NotRunError as error:
+        link.write_with_load(Refused(message.number, str(error.reason)))
+        return
+    if submit is not None:
+        link.attach(submit.number, link.instance_runner.start(submit))
 
 
 @handle.register
@@ -235,6 +255,7 @@
 
 @handle.register
 def _(message: Cancel, link: IncomingLink) -> None:
+    link.incomplete.drop(message.number)
     run = link.runs.pop(message.number, None)
     if run is not None:
         run.delivery_link = None
@@ -243,6 +264,8 @@
 
 @handle.register
 def _(message: Withdraw, link: IncomingLink) -> None:
+    if link.incomplete.drop(message.number):
+        link.write_with_load(Refused(message.number, str(Reason.WITHDRAWN)))
     run = link.runs.get(message.number)
     if run is not None:
         link.instance_runner.refuse(run.submit.request_id, Reason.WITHDRAWN)
--- /dev/null
+++ b/ibisrack/links/incomplete.py
@@ -0,0 +1,106 @@
+"""Submissions of a peer whose bodies have not arrived whole.
+
+They have not run and don't run before the last part is there.  If the link ends before that, they
+are gone, and a peer that resumes one over its next link is told that it never arrived.
+"""
+
+import attrs
+
+from ibisrack.calls.outcomes import Reason
+from ibisrack.errors import NotRunError
+from ibisrack.links.messages import BodyPart, Submit
+
+# Bounds of what a link holds.  A peer has a few uploads at a time on one link; a body of the
+# largest size that a configuration allows fits alone.
+MAX_INCOMPLETE = 64
+MAX_INCOMPLETE_BYTES = 64 * 1024 * 1024
+
+
+@attrs.define
+class _Incomplete:
+    """A submission and the parts of its body.
+
+    Attributes:
+      head: The submission with the first part.
+      parts: Parts received so far.
+      size_bytes: Size of the parts.
+      begun_at_s: Monotonic time at which the first part arrived.
+    """
+
+    head: Submit
+    parts: list[bytes]
+    size_bytes: int
+    begun_at_s: float
+
+    def complete(self, now_s: float) -> Submit:
+        """Returns the whole submission, whose remaining times count from now."""
+        elapsed_ms = int((now_s - self.begun_at_s) * 1000)
+        return attrs.evolve(
+            self.head,
+            body=b"".join(self.parts),
+            more=False,
+            remaining_ms=self.head.remaining_ms - elapsed_ms,
+            remaining_target_ms=self.head.remaining_target_ms - elapsed_ms,
+        )
+
+
+@attrs.define(eq=False)
+class IncompleteSubmissions:
+    """The incomplete submissions of one link, by their number.
+
+    Attributes:
+      held_bytes: Size of all parts that are held.
+    """
+
+    held_bytes: int = 0
+    _submissions: dict[int, _Incomplete] = attrs.field(factory=dict)
+
+    def __len__(self) -> int:
+        """Returns the number of incomplete submissions."""
+        return len(self._submissions)
+
+    def begin(self, head: Submit, now_s: float) -> None:
+        """Holds a submission with the first part of its body.
+
+        Raises:
+          NotRunError: The link holds too much.
+        """
+        self.drop(head.number)
+        if len(self) >= MAX_INCOMPLETE:
+            raise NotRunError(Reason.TOO_BUSY)
+        self._submissions[head.number] = _Incomplete(head, [], 0, now_s)
+        self._hold(head.number, head.body)
+
+    def add(self, part: BodyPart, now_s: float) -> Submit | None:
+        """Adds a part; returns the submission if it is complete.
+
+        A part of a submission that has been refused or cancelled is ignored.
+
+        Raises:
+          NotRunError: The link holds too much.
+        """
+        if part.number not in self._submissions:
+            return None
+        self._hold(part.number, part.body)
+        if part.more:
+            return None
+        submission = self._submissions[part.number]
+        self.drop(part.number)
+        return submission.complete(now_s)
+
+    def drop(self, number: int) -> bool:
+        """Drops a submission; returns whether it was held."""
+        submission = self._submissions.pop(number, None)
+        if submission is None:
+            return False
+        self.held_bytes -= submission.size_bytes
+        return True
+
+    def _hold(self, number: int, body: bytes) -> None:
+        submission = self._submissions[number]
+        if self.held_bytes + len(body) > MAX_INCOMPLETE_BYTES:
+            self.drop(number)
+            raise NotRunError(Reason.TOO_BUSY)
+        submission.parts.append(body)
+        submission.size_bytes += len(body)
+        self.held_bytes += len(body)
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -51,10 +51,11 @@
       host: Host that the caller addressed.
       target: Path and query, exactly as received.
       headers: Other headers to forward.
-      body: Complete body.
+      body: Complete body, or its first part.
       sent_at_ms: Uptime of the sender's host from which the remaining times count, 0 if it
         is not stated.
       expected_answer_bytes: Expected size of the answer's body, 0 if it is not known.
+      more: Whether the body is only its first part, and BodyPart messages follow.
     """
 
     number: int
@@ -76,6 +77,7 @@
     body: bytes
     sent_at_ms: int = 0
     expected_answer_bytes: int = 0
+    more: bool = False
 
     @cached_property
     def fingerprint(self) -> bytes:
@@ -137,7 +139,7 @@
 
 @attrs.frozen
 class BodyPart:
-    """Next part of an answer's body."""
+    """Next part of the body of an answer, or of a submission."""
 
     number: int
     body: bytes
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -25,6 +25,7 @@
     write_message,
 )
 from ibisrack.links.messages import (
+    BodyPart,
     Cancel,
     Entries,
     Follow,
@@ -39,6 +40,7 @@
     Withdraw,
 )
 from ibisrack.links.outgoing_messages import handle
+from ibisrack.links.pacer import LinkPacer, message_bytes
 from ibisrack.links.pending import AbandonedRequests, PendingRequest, set_result
 from ibisrack.links.reconnection import CONNECT_RETRY_PAUSE_S, reconnect_pause_s
 from ibisrack.links.silence import PeerSilence, SilenceAction
@@ -79,6 +81,7 @@
       following: Whether the peer was asked for the changes of the registry on this connection.
       used_at_s: Monotonic time of the last request.
       pending: Unanswered requests by their number.
+      pacer: Spaces large bodies on the host's link.
     """
 
     own_hello: Hello
@@ -98,6 +101,7 @@
     following: bool = False
     used_at_s: float = 0.0
     pending: dict[int, PendingRequest] = attrs.field(factory=dict)
+    pacer: LinkPacer = attrs.field(factory=LinkPacer)
     _writer: asyncio.StreamWriter | None = None
     _numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
     _open_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -139,8 +143,39 @@
             read_monotonic_s() + submit.remaining_ms / 1000,
         )
         self.pending[submit.number] = pending
-        write_message(self._writer, submit)
-        return await self.result(pending)
+        if len(submit.body) <= self.pacer.part_bytes:
+            self.pacer.record_written(message_bytes(submit), read_monotonic_s())
+            write_message(self._writer, submit)
+            return await self.result(pending)
+        pending.is_sent = False
+        sending = asyncio.create_task(self._send_parts(pending, self._writer))
+        try:
+            return await self.result(pending)
+        finally:
+            sending.cancel()
+
+    async def _send_parts(self, pending: PendingRequest, writer: asyncio.StreamWriter) -> None:
+        """Sends a submission with a large body in parts, while the connection is open."""
+        submit, part_bytes = pending.submit, self.pacer.part_bytes
+        stream = self.pacer.open_stream(len(submit.body))
+        try:
+            while stream.unwritten_bytes:
+                offset = len(submit.body) - stream.unwritten_bytes
+                part = submit.body[offset : offset + part_bytes]
+                await writer.drain()
+                await stream.wait_for_part(len(part))
+                if writer is not self._writer or pending.future.done():
+                    return
+                more = stream.unwritten_bytes > 0
+                if offset == 0:
+                    write_message(writer, attrs.evolve(submit, body=part, more=more))
+                else:
+                    write_message(writer, BodyPart(submit.number, part, more))
+                pending.is_sent = not more
+        except OSError:
+            return  # The request ends with the connection.
+        finally:
+            stream.close()
 
     async def result(self, pending: PendingRequest) -> Answer:
         """Waits for the result of a pending request, which is abandoned if the wait is cancelled.
@@ -216,6 +251,11 @@
         pending = self.pending.get(submit.number)
         if pending is None:
             return
+        if not pending.is_sent:
+            # Its last part is not sent any more, and the peer drops the others.
+            write_message(self._writer, Cancel(submit.number))
+            self.complete(pending, NotRunError(Reason.WITHDRAWN))
+            return
         if self.is_open and not pending.withdrawn:
             write_message(self._writer, Withdraw(submit.number))
         pending.withdrawn = True
@@ -363,11 +403,18 @@
         for pending in tuple(self.pending.values()):
             self.complete(pending, UnknownOutcomeError(reason))
 
+    def _refuse_unsent(self) -> None:
+        """Ends the requests that the peer can't have run, because it lacks part of the body."""
+        for pending in tuple(self.pending.values()):
+            if not pending.is_sent:
+                self.complete(pending, NotRunError(Reason.LINK_LOST))
+
     async def _handle_closed(self) -> None:
         writer, self._writer, self.peer_epoch, self.load = self._writer, None, "", None
         self.following = False
         if writer is not None:
             writer.transport.abort()
+        self._refuse_unsent()
         if self._closed_as_idle:  # Requests that came since wait for the next connection.
             self._closed_as_idle = False
             return
--- a/ibisrack/links/pacer.py
+++ b/ibisrack/links/pacer.py
@@ -5,10 +5,10 @@
 their target.  Large bodies are therefore sent in parts, each when the link has nearly sent what was
 written before it.  Short messages are written at any time.
 
-The parts of the body with the earliest due time go first.  A body is due when it would have left an
-idle link, so that a short one passes a long one that began before it, and nothing passes a body
-that has waited for as long as it takes itself.  Bodies of the same size leave in order of arrival:
-with equal shares of the link, each would be as late as the last one.
+The parts of the body with the earliest due time go first.  A body is due after twice the time that
+an idle link takes for it, so that a short one passes a long one that began before it, and nothing
+that comes later passes a body that is due.  Bodies of the same size leave in order of arrival: with
+equal shares of the link, each would be as late as the last one.
 """
 
 import asyncio
@@ -30,6 +30,11 @@
 PART_S = 0.005  # Time that a part takes on the link, if its size is within the limits.
 MIN_PART_BYTES = 16 * 1024
 MAX_PART_BYTES = 64 * 1024
+# Time until a body is due, relative to its time on an idle link.  On a link of 16 Mbit/s that is used
+# to 80%, 99.7% of answers of 92 KB in the mean arrive within 1.1 s, in order of arrival 99.6%, with
+# equal shares 96.7%; of the answers below 30 KB, 99% arrive within 0.81, 1.0 and 0.32 s.  With a
+# factor of 8, a third of the answers above 300 KB come later than 1.1 s.
+DUE_FACTOR = 2.0
 BACKLOG_STEP_MS = 10
 MIN_BACKLOG_STEPS = 2  # A part is written so much before its time, also on a link that is idle.
 MESSAGE_BYTES = 300  # Counted for a message in addition to its body: the head, and a load report.
@@ -94,7 +99,7 @@
     def open_stream(self, size_bytes: int) -> "BodyStream":
         """Returns the stream of a body that is sent in parts; it must be closed."""
         self._unwritten_bytes += size_bytes
-        due_at_s = read_monotonic_s() + size_bytes / self.rate_bytes_per_s
+        due_at_s = read_monotonic_s() + DUE_FACTOR * self.transfer_s(size_bytes)
         return BodyStream(self, size_bytes, due_at_s, next(self._numbers))
 
     async def wait_for_part(self, stream: "BodyStream", size_bytes: int) -> None:
@@ -136,7 +141,7 @@
     Attributes:
       pacer: Pacer of the link.
       unwritten_bytes: Bytes that are not written yet.
-      due_at_s: Monotonic time at which it would have left an idle link.
+      due_at_s: Monotonic time before which shorter bodies that come later pass it.
       number: Place among bodies that are due at the same time.
     """
 
--- a/ibisrack/links/pending.py
+++ b/ibisrack/links/pending.py
@@ -28,6 +28,7 @@
       withdrawn: Whether the peer is to refuse it if it has not started.
       body_parts: Parts received so far of an answer's body.
       answer_head: First message of that answer, None before its arrival.
+      is_sent: Whether the whole submission was written; if not, the peer can't have run it.
     """
 
     submit: Submit
@@ -39,6 +40,7 @@
     withdrawn: bool = False
     body_parts: list[bytes] = attrs.field(factory=list)
     answer_head: Answered | None = None
+    is_sent: bool = True
 
 
 @attrs.frozen
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -113,9 +113,9 @@
 
     @property
     def is_serving_peers(self) -> bool:
-        """Whether any peer waits for a result, or for the rest of one."""
+        """Whether any peer waits for a result or the rest of one, or is sending a request."""
         return any(
-            link.runs or link.writer.transport.get_write_buffer_size() > 0
+            link.runs or link.incomplete or link.writer.transport.get_write_buffer_size() > 0
             for link in self.incoming_links
         )
 
@@ -254,6 +254,7 @@
                 self._mark_peer_leaving,
                 self.suspects,
                 self.instance_runner.acceptance.check_zone_in_use,
+                pacer=self.pacer,
             )
             self.outgoing_links[host] = link
             self.spawn(keep_running("link", link.maintain))
