Leave what only the slots delay to their scheduler

The check of the host's link also refused, as link-full, requests that a busy instance could not answer in time although the link had room for their answers.

--- a/ibisrack/hosting/answer_room.py
+++ b/ibisrack/hosting/answer_room.py
@@ -83,4 +83,6 @@
     """
     if backlog_s <= LEAD_S:
         return True
+    if response_s > left_s:  # The slots are the bound, and their scheduler decides.
+        response_s = 0.0
     return max(response_s, backlog_s) + transfer_s <= left_s
--- a/ibisrack/hosting/answer_room_test.py
+++ b/ibisrack/hosting/answer_room_test.py
@@ -60,6 +60,9 @@
     """Guards against refusals of what arrives in time."""
     assert leaves_in_time(1.0, 0.7, 0.8, 0.1)
     assert not leaves_in_time(1.0, 0.95, 0.1, 0.1)
+    # What only the slots delay is left to their scheduler.
+    assert leaves_in_time(1.0, 1.5, 0.1, 0.1)
+    assert not leaves_in_time(1.0, 1.5, 0.95, 0.1)
     assert expected_response_s(LoadReport(4, 0, 5), 0.1) == 0.1
     assert round(expected_response_s(LoadReport(5, 4, 5), 0.1), 3) == 0.2
     assert expected_response_s(LoadReport(5, 4, 5), 0.0) == 0.0
