Test the end of a withdrawn upload and the cost of lateness

Two faults put in on trial were not noticed: a last part that is written after its request ended as withdrawn, and a choice without the cost of an answer after the target. Both are now.

--- a/ibisrack/dispatch/link_choice_test.py
+++ b/ibisrack/dispatch/link_choice_test.py
@@ -259,6 +259,9 @@
     assert chosen(links(a1=1200, b1=0), DOWNLOAD, REMOTE) == "b1"
     assert chosen(links(a1=3000, b1=1000), DOWNLOAD, REMOTE) == "b1"  # Late is better than never.
     assert chosen(links(a1=3000, b1=3000), DOWNLOAD, REMOTE) == "a1"
+    # After the target, an answer has lost most of its value, however far the deadline is.
+    patient = attrs.evolve(DOWNLOAD, deadline_left_s=15.0)
+    assert chosen(links(a1=1200, b1=0), patient, REMOTE) == "b1"
 
 
 def test_a_backlog_counts_with_its_age_and_with_what_was_sent_since():
--- a/ibisrack/links/large_requests_test.py
+++ b/ibisrack/links/large_requests_test.py
@@ -1,6 +1,7 @@
 """Tests of large requests, which are sent to peers in parts."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import asynccontextmanager, suppress
 
 import attrs
@@ -34,6 +35,20 @@
 SLOW_LINK_MBPS = 1.0  # The upload takes 3 s.
 
 
+@attrs.define(eq=False)
+class ObservedPacer(LinkPacer):
+    """A pacer that tells, when it grants a part, how many bytes it has granted so far."""
+
+    on_granted: Callable[[int], None] = lambda granted_bytes: None
+    granted_bytes: int = 0
+
+    def record_written(self, size_bytes: int, now_s: float) -> None:
+        """Counts granted bytes."""
+        super().record_written(size_bytes, now_s)
+        self.granted_bytes += size_bytes
+        self.on_granted(self.granted_bytes)
+
+
 @asynccontextmanager
 async def uploading(link_mbps: float = SLOW_LINK_MBPS):
     """Yields a link, the call that uploads, and what the peer has received.
@@ -127,6 +142,26 @@
         assert not isinstance(received[-2], BodyPart)
 
 
+async def test_a_request_withdrawn_as_its_last_part_is_granted_is_not_sent_to_its_end():
+    """Guards against a last part that is written after the request has ended as not run."""
+    async with uploading() as (link, call, received, _):
+        withdrawn = attrs.evolve(UPLOAD, number=50, request_id="withdrawn")
+
+        def withdraw_at_end(granted_bytes: int) -> None:
+            if granted_bytes >= len(withdrawn.body):
+                # Just before the task that sends the part goes on.
+                asyncio.get_running_loop().call_soon(link.withdraw, withdrawn, False)
+
+        call.cancel()
+        link.pacer = ObservedPacer(1000.0, on_granted=withdraw_at_end)
+        assert await refusal_of(asyncio.create_task(link.run(withdrawn, lambda: False))) == (
+            Reason.WITHDRAWN
+        )
+        await run_short(link)
+        assert Cancel(withdrawn.number) in received
+        assert not is_whole(received)
+
+
 async def test_a_submission_runs_when_its_body_is_whole():
     """Guards against a run with part of a body, or without the rest."""
     async with run_instance() as (runner, upstream):
