Doubt that the instance is warm only when no connection to it is left

Cause: each connection that an instance dropped counted as an event after which it may be cold, so a busy instance that drops single connections was held to the bound of a cold one and asked each time.

Change: a confirmed crash counts, and a request that finds no open connection; with another one open the process is the same.

--- a/ibisrack/hosting/cold_starts.py
+++ b/ibisrack/hosting/cold_starts.py
@@ -23,7 +23,7 @@
 CHECK_BELOW_FREE = 0.5
 # Events after which the instance has just started or recovered.  A connection that it drops while
 # it lives, or closes because it was idle, is none.
-RECOVERIES = frozenset((Doubt.INSTANCE_STARTED, Doubt.REFUSED, Doubt.EVACUATION_ENDED))
+RECOVERIES = frozenset((Doubt.CRASHED, Doubt.REFUSED, Doubt.EVACUATION_ENDED))
 NO_SLOT_LIMIT = 2**31 - 1
 
 
--- a/ibisrack/hosting/coldness.py
+++ b/ibisrack/hosting/coldness.py
@@ -32,7 +32,7 @@
     INSTANCE_STARTED = "instance-started"
     REPLACED = "replaced"
     REFUSED = "connections-refused"
-    CONNECTION_LOST = "connection-lost"
+    CRASHED = "crashed"
     CONNECTIONS_CLOSED = "connections-closed"
     EVACUATION_ENDED = "evacuation-ended"
     COLD_TIME_OVER = "cold-time-over"
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -283,10 +283,9 @@
                 raise
             except UnknownOutcomeError as error:
                 is_lost = error.reason == Reason.CONNECTION_LOST
-                if is_lost:
-                    self._record_doubt(Doubt.CONNECTION_LOST, read_monotonic_s())
                 if not is_lost or not await self.crash_detector.has_crashed(self.instance):
                     raise
+                self._record_doubt(Doubt.CRASHED, read_monotonic_s())
                 raise UnknownOutcomeError(Reason.INSTANCE_CRASHED) from error
 
     def _record_not_run(self, error: NotRunError, ticket: Ticket) -> None:
