Date the doubt of a node that starts, and count only health checks that reach the instance

Cause: the start of the node had no time, so that the second entry of the instance ended the doubt at once; checks that found no listener took places in the window; the line 'instance cold' was missing at the start of a node.

Change: the doubt begins with the process.

--- a/ibisrack/calls/start_window.py
+++ b/ibisrack/calls/start_window.py
@@ -88,9 +88,12 @@
             self._unsent -= 1
             self._append(start, now_s)
 
-    def record_check(self, now_s: float) -> None:
-        """Counts a health check that is sent now."""
-        self._append(Start(False, is_running=False), now_s)
+    def record_check(self, now_s: float) -> Start:
+        """Counts a health check that is sent now, if it displaces no other start."""
+        start = Start(self.limit is not None, is_running=False)
+        if self.allows_check(now_s):
+            self._append(start, now_s)
+        return start
 
     def finish(self, start: Start, now_s: float) -> None:
         """Records the end of a call; one that was not sent counts no longer."""
--- a/ibisrack/hosting/cold_starts.py
+++ b/ibisrack/hosting/cold_starts.py
@@ -63,6 +63,9 @@
     peer_service_s: Callable[[], float] = attrs.field(default=lambda: 0.0)
     on_change: Callable[[], None] = attrs.field(default=lambda: None)
     _instance_id: str = ""
+    # The bound, whether it is in force, and what is reserved, as applied last.
+    _applied: tuple[int | None, bool, int] | None = None
+    _is_bounded: bool = False
     _slot_limit: int | None = None
     _check: asyncio.Task | None = None
 
@@ -76,7 +79,6 @@
         self.health_path = health_path
         if bound != self.window.bound:
             self.window.set_bound(bound)
-            self.gate.start_allowed()
             self.advance(now_s)
 
     def observe_entry(self, instance: Instance, now_s: float) -> None:
@@ -155,11 +157,11 @@
         return is_held_back and window.allows_check(now_s)
 
     async def _check_once(self, now_s: float) -> None:
-        self.checks += 1
-        self.window.record_check(now_s)
+        start = self.window.record_check(now_s)
         answer = await self.check_health(self.health_path)
+        self.checks += answer.reached
         if not answer.reached:
-            self.checks -= 1
+            self.window.give_back(start)
             self.budget.give_back()
         elif answer.cold_s is not None:
             self.coldness.observe_health(answer.cold_s, now_s, read_monotonic_s())
@@ -169,18 +171,17 @@
         """Puts the bound in force or ends it, and starts what it allows then."""
         window, is_cold = self.window, self.coldness.is_cold(now_s)
         reserved = RESERVED_FOR_CHECK if self.coldness.in_doubt else 0
-        if (window.in_force, window.reserved) == (is_cold, reserved):
+        applied = (window.bound, is_cold, reserved)
+        if applied == self._applied:
             return
-        changed = window.in_force != is_cold
-        window.in_force, window.reserved = is_cold, reserved
-        if window.bound is None:
-            return
-        if changed:
+        self._applied, window.in_force, window.reserved = applied, is_cold, reserved
+        self.gate.start_allowed()
+        is_bounded = is_cold and window.bound is not None
+        if is_bounded != self._is_bounded:
+            self._is_bounded = is_bounded
             self.recorder.record_cold(
-                self._instance_id, self.coldness, is_cold, window.bound, now_s
+                self._instance_id, self.coldness, is_bounded, window.bound, now_s
             )
-        self.gate.start_allowed()
-        if changed:
             self.on_change()
 
     def _begin_slow_start(self, slots: int, usual_s: float, now_s: float) -> None:
--- a/ibisrack/hosting/cold_starts_test.py
+++ b/ibisrack/hosting/cold_starts_test.py
@@ -68,6 +68,7 @@
     with capture_log() as log:
         await warm_node(FakeHealth())
     lines = {record.getMessage(): record for record in log}
+    assert lines["instance cold"].doubt == "node-started"
     assert lines["instance warm"].source == "health"
     assert 0 <= lines["instance warm"].source_age_ms < 1000
 
@@ -111,6 +112,7 @@
         cold_starts.advance(now_s + tick / 10)
         await asyncio.sleep(0)
     health.answer = HealthAnswer(True, 0.0)
+    assert cold_starts.window.free_starts(now_s + 4) == BOUND - 1
     cold_starts.advance(now_s + 5)
     await wait_until(lambda: not cold_starts.window.in_force)
     assert cold_starts.checks == 1
--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -131,7 +131,7 @@
         _LOGGER.info("instance replaced", extra={"instance": instance_id})
 
     def record_cold(
-        self, instance_id: str, coldness: Coldness, is_cold: bool, bound: int, now_s: float
+        self, instance_id: str, coldness: Coldness, is_cold: bool, bound: int | None, now_s: float
     ) -> None:
         """Logs that the instance becomes cold or warm for this node.
 
@@ -139,7 +139,7 @@
           instance_id: The instance.
           coldness: What is known of it.
           is_cold: Whether it is or may be cold.
-          bound: Requests that it tolerates in a second while it is cold.
+          bound: Requests that it tolerates in a second while it is cold, None for any number.
           now_s: Current time.
         """
         extra = {
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -107,6 +107,7 @@
         suspects=suspects,
     )
     instance_runner.on_leaving = node.leave_own_instance
+    instance_runner.cold_starts.coldness.doubt_at_s = read_monotonic_s()
     instance_runner.cold_starts.peer_service_s = node.peer_service_s
     instance_runner.cold_starts.on_change = node.report_load
     instance_runner.answer_room.pacer = node.pacer
--- a/ibisrack/standins/instance.py
+++ b/ibisrack/standins/instance.py
@@ -101,7 +101,7 @@
       last_request: The request received last, for tests; None before the first.
       cold_ms: How much longer it is cold, as its health answers say.
       health_checks: Number of health checks that it answered.
-      arrivals_s: Monotonic times at which requests that are addressed to it arrived.
+      arrivals: Ids of the requests that are addressed to it, with the monotonic times of arrival.
     """
 
     instance_id: str
@@ -118,7 +118,7 @@
     last_request: web.BaseRequest | None = None
     cold_ms: float = 0.0
     health_checks: int = 0
-    arrivals_s: list[float] = attrs.field(factory=list)
+    arrivals: list[tuple[str, float]] = attrs.field(factory=list)
     _restart: asyncio.Task | None = None
     _starts: itertools.count = attrs.field(factory=lambda: itertools.count(1))
 
@@ -132,7 +132,7 @@
             return web.Response()  # Nobody reads it: a crash has reset the connection.
         if request.headers.get(EXPECTED_INSTANCE, self.instance_id) != self.instance_id:
             return self.refusal(request, 421)
-        self.arrivals_s.append(time.monotonic())
+        self.arrivals.append((request.headers[REQUEST_ID], time.monotonic()))
         if self.custom_handler is not None:
             return await self.custom_handler(self, request)
         return await self.run(request)
