--- a/ibisrack/pipelining/state.py
+++ b/ibisrack/pipelining/state.py
@@ -97,8 +97,6 @@
         """Records that the answer to a request is ready."""
         request.stage = Stage.ANSWERED
         request.answer_bytes, request.answered_at_s = answer_bytes, now_s
-        if answer_bytes <= MIN_EXPECTED_ANSWER_BYTES == self.expected_answer_bytes:
-            return
         decayed_bytes = self.expected_answer_bytes * EXPECTATION_DECAY
         self.expected_answer_bytes = max(MIN_EXPECTED_ANSWER_BYTES, answer_bytes, decayed_bytes)
 
--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -16,7 +16,7 @@
 from ibisrack.dispatch.request import Request
 from ibisrack.errors import RequestError
 from ibisrack.pipelining.recorder import PipeliningRecorder
-from ibisrack.pipelining.state import Stage
+from ibisrack.pipelining.state import MIN_EXPECTED_ANSWER_BYTES, Stage
 from ibisrack.platform.caller_connection import CallerConnection
 from ibisrack.platform.headers import DEADLINE_MS, REQUEST_ID, RETRY_AFTER, SET_BY_NODES, as_latin1
 from ibisrack.platform.reading_connection import CallerRequest
@@ -128,7 +128,8 @@
         response = to_response(await self.serve(request))
         response.headers.setdefault(REQUEST_ID, request.request_id)
         answer_bytes = len(response.body or b"")
-        connection.pipeline.record_answer(queued, answer_bytes, read_monotonic_s())
+        if queued.task is not None or answer_bytes > MIN_EXPECTED_ANSWER_BYTES:
+            connection.pipeline.record_answer(queued, answer_bytes, read_monotonic_s())
         return response
 
     async def _read_request(self, http_request: web.BaseRequest, received_at_s: float) -> Request:
