--- a/ibisrack/dispatch/selection.py
+++ b/ibisrack/dispatch/selection.py
@@ -10,7 +10,7 @@
 
 from ibisrack.dispatch.choice import InstanceViews, choose_home, choose_instance
 from ibisrack.dispatch.subset import InstanceSubsets
-from ibisrack.dispatch.transfer import LinkWait, Transfer
+from ibisrack.dispatch.transfer import NO_TRANSFER, LinkWait, Transfer
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Load
@@ -46,7 +46,12 @@
     )
 
     def select(
-        self, service: str, route: Route, tried: Set[str], now_s: float, transfer: Transfer
+        self,
+        service: str,
+        route: Route,
+        tried: Set[str],
+        now_s: float,
+        transfer: Transfer = NO_TRANSFER,
     ) -> Instance | None:
         """Returns the instance for the next attempt of a request, None if there is none.
 
