Make the tests of pipelining independent of the route's timeout

Two faults put in on purpose were not found: held requests ended by the timeout of their route, and the end of the connection hid a missing cancellation at an answer that closes.

--- a/ibisrack/platform/caller_connection_test.py
+++ b/ibisrack/platform/caller_connection_test.py
@@ -15,13 +15,18 @@
 from ibisrack.sidecar.stopping import drain
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.testing.functions import function_tests
-from ibisrack.testing.sidecars import capture_log, run_sidecars, wait_until
+from ibisrack.testing.sidecars import capture_log, route_resource, run_sidecars, wait_until
 
 SLOTS = 100
 STOP_TEST_SKIPPED_S = 2.2  # Start of the stop, in which every request is accepted.
 GUARD_S = 5.0
 SETTLE_S = 0.15  # A request that wrongly runs has reached the instance by then.
 LARGE_ANSWER_BYTES = 300_000
+# No held request ends by itself while a test waits.
+PATIENT_ROUTES = (
+    route_resource(timeout="60s"),
+    route_resource("non_idempotent", prefix="/lodge/", timeout="60s"),
+)
 
 
 @attrs.define(eq=False)
@@ -116,7 +121,7 @@
 async def pipelining():
     """Yields a fleet of one node, the handler of its instance, and a connection to the node."""
     held = HeldInstance()
-    async with run_sidecars(1) as fleet_:
+    async with run_sidecars(1, PATIENT_ROUTES) as fleet_:
         fleet_.instances[0].custom_handler = lambda instance, request: held.run(instance, request)
         fleet_.register_instance(0, slots=SLOTS, sequence=1)
         await wait_until(lambda: fleet_.nodes[0].directory.get("i-0").slots == SLOTS)
@@ -246,6 +251,7 @@
         node.dispatcher.service_times = None  # The next answer ends in an internal error.
         held.release("a")
         assert (await client.read_answer())[0] == 500
+        assert node.pipelining.cancelled == 1
         await wait_until(lambda: held.cancelled == ["b"])
         assert await client.reads_end()
 
