--- a/ibisrack/calls/outcomes.py
+++ b/ibisrack/calls/outcomes.py
@@ -50,3 +50,4 @@
     WITHDRAWN = "withdrawn"
     LINK_FULL = "link-full"
     UPLINK_FULL = "uplink-full"
+    MEMORY_FULL = "memory-full"
