--- a/ibisrack/bin/ibis_sidecar.py
+++ b/ibisrack/bin/ibis_sidecar.py
@@ -7,6 +7,7 @@
 from functools import partial
 from pathlib import Path
 
+from ibisrack.bin.allocator import return_freed_memory
 from ibisrack.bin.common import load_or_exit, log_as_json
 from ibisrack.bin.log_limits import LineRateFilter, NonBlockingPipe
 from ibisrack.bin.loop import run_on_uvloop
@@ -40,6 +41,7 @@
 
 def run() -> None:
     """Entry point of the ibis-sidecar command."""
+    return_freed_memory()
     # The settings are read at the start anyway, so a SIGHUP before the handler is set says nothing.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = os.environ.get(SETTINGS_PATH_VARIABLE, DEFAULT_SETTINGS_PATH)
--- a/ibisrack/bodies.py
+++ b/ibisrack/bodies.py
@@ -1,5 +1,7 @@
 """Reads bodies of HTTP messages up to a limit on their size."""
 
+from io import BytesIO
+
 from aiohttp import StreamReader, web
 from aiohttp.web_protocol import RequestPayloadError
 
@@ -12,13 +14,14 @@
     Raises:
       MessageError: The body is larger than ``max_bytes``; the rest of it is not read.
     """
-    # As a list of parts, a body that trickles in would take many times the memory of its bytes.
-    body = bytearray()
+    # As a list of parts, a body that trickles in would take many times the memory of its bytes, and
+    # a bytearray would be copied at the end.
+    body = BytesIO()
     while part := await content.readany():
-        body += part
-        if len(body) > max_bytes:
+        if body.tell() + len(part) > max_bytes:
             raise MessageError(f"the body is larger than {max_bytes} bytes")
-    return bytes(body)
+        body.write(part)
+    return body.getvalue()
 
 
 async def read_request_body(request: web.BaseRequest, max_bytes: int) -> bytes:
--- a/ibisrack/calls/messages.py
+++ b/ibisrack/calls/messages.py
@@ -7,6 +7,7 @@
 
 from ibisrack.calls.outcomes import Outcome
 from ibisrack.decimals import parse_decimal
+from ibisrack.memory.account import Holding
 
 if TYPE_CHECKING:  # A sidecar has no rules file.
     from ibisrack.rules.model import RouteRule
@@ -59,6 +60,7 @@
       ran_s: Time that the instance took, 0 if it is not known.
       rest: Remaining body of an answer that is too large to buffer.  Iterating it raises
         UnknownOutcomeError if the answer ends early; whoever holds the answer closes it.
+      holding: Holding of the body in the account of memory, None if it is not counted.
     """
 
     status: int
@@ -67,6 +69,7 @@
     outcome: Outcome = Outcome.DONE
     ran_s: float = 0.0
     rest: AsyncIterator[bytes] | None = None
+    holding: Holding | None = attrs.field(default=None, eq=False, repr=False)
 
 
 @attrs.frozen
--- a/ibisrack/dispatch/request.py
+++ b/ibisrack/dispatch/request.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ibisrack.memory.account import Holding
 from ibisrack.suspects.fingerprint import fingerprint_of
 
 
@@ -21,6 +22,7 @@
       caller_service: Service on whose host the request originated.
       received_at_s: Monotonic time of arrival.
       deadline_at_s: Monotonic time at which the caller stops waiting.
+      holding: Holding of the body in the account of memory, None without a body.
     """
 
     request_id: str
@@ -32,6 +34,7 @@
     caller_service: str
     received_at_s: float
     deadline_at_s: float
+    holding: Holding | None = attrs.field(default=None, eq=False, repr=False)
 
     @cached_property
     def fingerprint(self) -> bytes:
--- a/ibisrack/errors.py
+++ b/ibisrack/errors.py
@@ -82,11 +82,13 @@
 
     Attributes:
       status: HTTP status code of the response.
+      retry_after_s: Time after which the caller may come back, None if that is of no use.
     """
 
-    def __init__(self, message: str, status: int = 400) -> None:
+    def __init__(self, message: str, status: int = 400, retry_after_s: float | None = None) -> None:
         super().__init__(message)
         self.status = status
+        self.retry_after_s = retry_after_s
 
 
 class NotRunError(IbisError):
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -32,6 +32,8 @@
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Submit
+from ibisrack.memory.account import Holding, Kind
+from ibisrack.memory.in_flight import BodiesInFlight, create_bodies_in_flight
 from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.quarantine import Quarantine, needs_turn
 
@@ -81,6 +83,7 @@
       evacuated: Whether the zone of the instance was evacuated when it was last listed.
       cold_starts: Holds the requests to what the instance tolerates while it is cold.
       answer_room: Room for the answers to peers on the host's link.
+      bodies_in_flight: Bounds the request bodies that the instance has at the same time.
     """
 
     address: tuple[str, int]
@@ -110,6 +113,7 @@
         default=attrs.Factory(lambda self: ColdStarts(self.gate, self.recorder), takes_self=True)
     )
     answer_room: AnswerRoom = attrs.field(factory=AnswerRoom)
+    bodies_in_flight: BodiesInFlight = attrs.field(factory=lambda: create_bodies_in_flight(128))
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
@@ -219,6 +223,12 @@
         deadline_at_s = run.deadline_at_s - REPLY_MARGIN_S
         self.acceptance.check_ends_in_time(arrived_at_s, run.deadline_at_s)
         self.acceptance.check_accepted(submit, read_monotonic_s())
+        async with self.bodies_in_flight.hold(len(submit.body), deadline_at_s):
+            return await self._run_in_turn(run, arrived_at_s, deadline_at_s)
+
+    async def _run_in_turn(self, run: Run, arrived_at_s: float, deadline_at_s: float) -> Answer:
+        """Runs a request when it has a slot, and the turn of a suspect if it needs one."""
+        submit = run.submit
         target_at_s = arrived_at_s + submit.remaining_target_ms / 1000
         while True:
             in_turn = needs_turn(self.suspects.verdict(submit))
@@ -314,9 +324,27 @@
         self.gate.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
         self.quarantine.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
 
-    def start(self, submit: Submit) -> Run:
-        """Starts the submission of a peer; one that must not run again ends at once."""
-        return _start_added(self.run_table.add(submit), submit, self)
+    def start(self, submit: Submit, holding: Holding | None = None) -> Run:
+        """Starts the submission of a peer; one that must not run again ends at once.
+
+        Args:
+          submit: The submission.
+          holding: Holding of its body, None without one.
+        """
+        run = _start_added(self.run_table.add(submit), submit, self)
+        run.holding = holding
+        return run
+
+    def mark_delivered(self, run: Run) -> None:
+        """Records that a result was sent to its peer; it is kept only while there is room."""
+        holding = run.task.result().holding
+        if holding is not None:
+            drop = partial(self._drop_result, run.submit.key)
+            holding.change(Kind.RESULT, drop, read_monotonic_s())
+
+    def _drop_result(self, key: SubmissionKey) -> bool:
+        self.run_table.drop_result(key, read_monotonic_s())
+        return True
 
     def resume(self, key: SubmissionKey) -> Run | NotRunError | UnknownOutcomeError:
         """Returns the run that a peer resumes over a new link, or its result if it is not here."""
@@ -409,6 +437,8 @@
         if run.submit.body:
             # Not needed from here on, and as large as the limits allow.
             run.submit = attrs.evolve(run.submit, headers=(), body=b"")
+        if run.holding is not None:
+            run.holding.release()
         self.gate.scheduler.orphans.discard(run.submit.request_id)
 
     def _record(self, trace: SubmissionTrace, result: Result) -> None:
--- a/ibisrack/hosting/runs.py
+++ b/ibisrack/hosting/runs.py
@@ -1,7 +1,8 @@
 """Runs of the requests that peers submitted to this node.
 
 A result is kept until the deadline of its request, so that a peer whose link broke can still fetch
-it; a peer resumes a request until then.  A large one is dropped sooner.  After that the table still
+it; a peer resumes a request until then.  A large one is dropped sooner, and any when the room is
+needed.  After that the table still
 knows that there was a run, and answers with an unknown outcome.  If a peer resumes a submission
 that never arrived, the submission is refused from then on, because it may still be in transit on
 the broken connection.
@@ -15,6 +16,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.links.messages import Submit
+from ibisrack.memory.account import Holding
 
 # How long a result is kept at least; after a mere reset, peers reconnect within a fraction of it.
 RESULT_TTL_S = 2.0
@@ -47,6 +49,8 @@
       answer_bytes: Size of the body of the instance's answer, 0 without one.
       refusal: Reason if it ended as not run, otherwise None.
       from_peer: Whether a peer submitted it, so that its answer takes time on the host's link.
+      holding: Holding of the submission's body in the account of memory until it has ended, None
+        without one.
     """
 
     submit: Submit
@@ -62,6 +66,7 @@
     answer_bytes: int = 0
     refusal: str | None = None
     from_peer: bool = False
+    holding: Holding | None = None
     _fingerprint: bytes | None = None
 
     @property
@@ -163,10 +168,16 @@
             and now_s - run.orphaned_at_s >= ORPHAN_TIMEOUT_S
         ]
 
+    def drop_result(self, key: SubmissionKey, now_s: float) -> None:
+        """Drops the result of a run that has ended."""
+        run = self.runs.pop(key, None)
+        if run is not None:
+            self.dropped[key] = DroppedRun(run.refusal, now_s + REFUSAL_TTL_S)
+
     def drop_expired(self, now_s: float) -> None:
         """Drops results, refusals and the memory of dropped results after their time."""
         for key in [key for key, run in self.runs.items() if run.is_expired(now_s)]:
-            self.dropped[key] = DroppedRun(self.runs.pop(key).refusal, now_s + REFUSAL_TTL_S)
+            self.drop_result(key, now_s)
         for key in [key for key, until_s in self.refused_until_s.items() if until_s <= now_s]:
             del self.refused_until_s[key]
         self._forget_dropped(now_s)
--- a/ibisrack/links/codec.py
+++ b/ibisrack/links/codec.py
@@ -82,16 +82,21 @@
     return msgspec.msgpack.Decoder(tuple[tuple(hints[name] for name in _field_names(cls))])
 
 
-def encode(message: Any) -> bytes:
+def encode(message: Any) -> bytearray:
     """Returns the frame of a message."""
     cls = type(message)
     fields = [getattr(message, name) for name in _field_names(cls)]
-    payload = _ENCODER.encode(fields) if fields else b"\x90"
-    size = len(payload) + 1
-    return size.to_bytes(LENGTH_PREFIX_BYTES, "big") + bytes((_TYPE_CODES[cls],)) + payload
+    # Encoded in place: a large body is copied once.
+    frame = bytearray(FRAME_HEAD_BYTES)
+    _ENCODER.encode_into(fields, frame, FRAME_HEAD_BYTES)
+    frame[:LENGTH_PREFIX_BYTES] = (len(frame) - LENGTH_PREFIX_BYTES).to_bytes(
+        LENGTH_PREFIX_BYTES, "big"
+    )
+    frame[LENGTH_PREFIX_BYTES] = _TYPE_CODES[cls]
+    return frame
 
 
-def decode(payload: bytes) -> Any:
+def decode(payload: bytes | bytearray) -> Any:
     """Decodes a message.
 
     Args:
--- a/ibisrack/links/frames.py
+++ b/ibisrack/links/frames.py
@@ -62,7 +62,7 @@
 
 async def _read_rest(
     reader: asyncio.StreamReader, start: bytes, size: int, on_data: Callable[[], None]
-) -> bytes:
+) -> bytearray:
     """Reads a payload whose start has arrived; raises asyncio.IncompleteReadError at its end."""
     payload = bytearray(start)
     while len(payload) < size:
@@ -71,11 +71,12 @@
             raise asyncio.IncompleteReadError(bytes(payload), size)
         on_data()
         payload += part
-    return bytes(payload)
+    return payload
 
 
 def write_message(writer: asyncio.StreamWriter, *messages: Any) -> None:
     """Writes messages in one call; they are dropped if the connection is closed."""
     # uvloop raises RuntimeError for a write to a closed transport.
     if not writer.is_closing():
-        writer.write(b"".join(map(encode, messages)))
+        frames = [encode(message) for message in messages]
+        writer.write(frames[0] if len(frames) == 1 else b"".join(frames))
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -41,6 +41,7 @@
 )
 from ibisrack.links.pacer import LinkPacer, message_bytes
 from ibisrack.links.transit import TransitEstimate
+from ibisrack.memory.account import Kind, MemoryAccount, create_account
 from ibisrack.registry.messages import Revision
 from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.messages import CrashReport, Message, RunCompleted
@@ -67,6 +68,7 @@
         it does not follow them here.
       transit: Time that the peer's messages were on their way.
       incomplete: Submissions whose bodies have not arrived whole.
+      account: Account of the bytes held for others.
     """
 
     instance_runner: InstanceRunner
@@ -80,6 +82,7 @@
     followed_revision: Revision | None = None
     transit: TransitEstimate = attrs.field(factory=TransitEstimate)
     incomplete: IncompleteSubmissions = attrs.field(factory=IncompleteSubmissions)
+    account: MemoryAccount = attrs.field(factory=lambda: create_account(128))
     _last_sent_load: Load | None = None
 
     async def serve(self, reader: asyncio.StreamReader) -> None:
@@ -90,6 +93,7 @@
         except LINK_ERRORS as error:
             _LOGGER.info("peer left", extra={"peer": self.peer, "why": type(error).__name__})
         finally:
+            self.incomplete.clear()
             for run in self.runs.values():
                 # The peer may have resumed it over a newer link before this one ended here.
                 if run.delivery_link is self:
@@ -216,12 +220,17 @@
 
 @handle.register
 def _(message: Submit, link: IncomingLink) -> None:
-    submit = _shortened(message, link.min_delay_ms(message))
+    submit, holding = _shortened(message, link.min_delay_ms(message)), None
+    if submit.body:
+        holding = link.account.open(Kind.SUBMISSION, len(submit.body), read_monotonic_s())
+        if holding is None:
+            link.write_with_load(Refused(submit.number, str(Reason.MEMORY_FULL)))
+            return
     if not submit.more:
-        link.attach(submit.number, link.instance_runner.start(submit))
+        link.attach(submit.number, link.instance_runner.start(submit, holding))
         return
     try:
-        link.incomplete.begin(submit, read_monotonic_s())
+        link.incomplete.begin(submit, holding, read_monotonic_s())
     except NotRunError as error:
         link.write_with_load(Refused(message.number, str(error.reason)))
 
@@ -229,12 +238,13 @@
 @handle.register
 def _(message: BodyPart, link: IncomingLink) -> None:
     try:
-        submit = link.incomplete.add(message, read_monotonic_s())
+        complete = link.incomplete.add(message, read_monotonic_s())
     except NotRunError as error:
         link.write_with_load(Refused(message.number, str(error.reason)))
         return
-    if submit is not None:
-        link.attach(submit.number, link.instance_runner.start(submit))
+    if complete is not None:
+        run = link.instance_runner.start(complete.submit, complete.holding)
+        link.attach(message.number, run)
 
 
 @handle.register
@@ -343,6 +353,7 @@
     body, part_bytes = result.body, link.pacer.part_bytes
     if len(body) <= part_bytes:
         link.write_with_load(_answer_head(result, number, body, more=False))
+        link.instance_runner.mark_delivered(run)
         return
     stream = link.pacer.open_stream(len(body))
     try:
@@ -358,6 +369,7 @@
                 link.write_part(_answer_head(result, number, part, more))
             else:
                 link.write_part(BodyPart(number, part, more))
+        link.instance_runner.mark_delivered(run)
     except OSError:
         return  # The peer requests the result again over its next link.
     finally:
--- a/ibisrack/links/incomplete.py
+++ b/ibisrack/links/incomplete.py
@@ -9,6 +9,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError
 from ibisrack.links.messages import BodyPart, Submit
+from ibisrack.memory.account import Holding
 
 # Bounds of what a link holds.  A peer has a few uploads at a time on one link; a body of the
 # largest size that a configuration allows fits alone.
@@ -25,23 +26,39 @@
       parts: Parts received so far.
       size_bytes: Size of the parts.
       begun_at_s: Monotonic time at which the first part arrived.
+      holding: Holding of the parts in the account of memory, None without one.
     """
 
     head: Submit
     parts: list[bytes]
     size_bytes: int
     begun_at_s: float
+    holding: Holding | None
 
-    def complete(self, now_s: float) -> Submit:
+    def complete(self, now_s: float) -> "CompleteSubmission":
         """Returns the whole submission, whose remaining times count from now."""
         elapsed_ms = int((now_s - self.begun_at_s) * 1000)
-        return attrs.evolve(
+        submit = attrs.evolve(
             self.head,
             body=b"".join(self.parts),
             more=False,
             remaining_ms=self.head.remaining_ms - elapsed_ms,
             remaining_target_ms=self.head.remaining_target_ms - elapsed_ms,
         )
+        return CompleteSubmission(submit, self.holding)
+
+
+@attrs.frozen
+class CompleteSubmission:
+    """A submission whose body has arrived whole.
+
+    Attributes:
+      submit: The submission.
+      holding: Holding of its body in the account of memory, None without one.
+    """
+
+    submit: Submit
+    holding: Holding | None
 
 
 @attrs.define(eq=False)
@@ -59,19 +76,24 @@
         """Returns the number of incomplete submissions."""
         return len(self._submissions)
 
-    def begin(self, head: Submit, now_s: float) -> None:
+    def begin(self, head: Submit, holding: Holding | None, now_s: float) -> None:
         """Holds a submission with the first part of its body.
 
+        Args:
+          head: The submission.
+          holding: Holding of its first part in the account of memory, None without one.
+          now_s: Current monotonic time.
+
         Raises:
           NotRunError: The link holds too much.
         """
         self.drop(head.number)
         if len(self) >= MAX_INCOMPLETE:
             raise NotRunError(Reason.TOO_BUSY)
-        self._submissions[head.number] = _Incomplete(head, [], 0, now_s)
-        self._hold(head.number, head.body)
+        self._submissions[head.number] = _Incomplete(head, [], 0, now_s, holding)
+        self._hold(head.number, head.body, now_s)
 
-    def add(self, part: BodyPart, now_s: float) -> Submit | None:
+    def add(self, part: BodyPart, now_s: float) -> CompleteSubmission | None:
         """Adds a part; returns the submission if it is complete.
 
         A part of a submission that has been refused or cancelled is ignored.
@@ -81,11 +103,11 @@
         """
         if part.number not in self._submissions:
             return None
-        self._hold(part.number, part.body)
+        self._hold(part.number, part.body, now_s)
         if part.more:
             return None
-        submission = self._submissions[part.number]
-        self.drop(part.number)
+        submission = self._submissions.pop(part.number)
+        self.held_bytes -= submission.size_bytes
         return submission.complete(now_s)
 
     def drop(self, number: int) -> bool:
@@ -94,13 +116,25 @@
         if submission is None:
             return False
         self.held_bytes -= submission.size_bytes
+        if submission.holding is not None:
+            submission.holding.release()
         return True
 
-    def _hold(self, number: int, body: bytes) -> None:
+    def clear(self) -> None:
+        """Drops all submissions, because the link has ended."""
+        for number in tuple(self._submissions):
+            self.drop(number)
+
+    def _hold(self, number: int, body: bytes, now_s: float) -> None:
+        """Holds a part; drops its submission and raises NotRunError if there is no room."""
         submission = self._submissions[number]
         if self.held_bytes + len(body) > MAX_INCOMPLETE_BYTES:
             self.drop(number)
             raise NotRunError(Reason.TOO_BUSY)
+        holding, size_bytes = submission.holding, submission.size_bytes + len(body)
+        if holding is not None and not holding.resize(size_bytes, now_s):
+            self.drop(number)
+            raise NotRunError(Reason.MEMORY_FULL)
         submission.parts.append(body)
         submission.size_bytes += len(body)
         self.held_bytes += len(body)
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -44,6 +44,7 @@
 from ibisrack.links.pending import AbandonedRequests, PendingRequest, set_result
 from ibisrack.links.reconnection import CONNECT_RETRY_PAUSE_S, reconnect_pause_s
 from ibisrack.links.silence import PeerSilence, SilenceAction
+from ibisrack.memory.account import MemoryAccount, create_account
 from ibisrack.registry.messages import Revision
 from ibisrack.registry.sources import Candidate
 from ibisrack.suspects.exchange import SuspectExchange
@@ -82,6 +83,7 @@
       used_at_s: Monotonic time of the last request.
       pending: Unanswered requests by their number.
       pacer: Spaces large bodies on the host's link.
+      account: Account of the bytes held for others.
     """
 
     own_hello: Hello
@@ -102,6 +104,7 @@
     used_at_s: float = 0.0
     pending: dict[int, PendingRequest] = attrs.field(factory=dict)
     pacer: LinkPacer = attrs.field(factory=LinkPacer)
+    account: MemoryAccount = attrs.field(factory=lambda: create_account(128))
     _writer: asyncio.StreamWriter | None = None
     _numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
     _open_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -188,11 +191,20 @@
             self.abandon(pending)
             raise
 
-    def abandon(self, pending: PendingRequest) -> None:
-        """Cancels a request for whose result nobody waits, also over the next link."""
+    def abandon(self, pending: PendingRequest, result: Result | None = None) -> None:
+        """Cancels a request at the peer, also over the next link.
+
+        Args:
+          pending: The request.
+          result: Passed to its waiter, None if nobody waits.
+        """
         if self.pending.pop(pending.submit.number, None) is None:
             return
-        pending.future.cancel()
+        pending.drop_parts()
+        if result is None:
+            pending.future.cancel()
+        elif not pending.future.done():
+            set_result(result, pending.future)
         self._abandoned.add(pending, read_monotonic_s())
         if self._writer is None:
             self.request_open()
@@ -202,9 +214,14 @@
     def complete(self, pending: PendingRequest, result: Result) -> None:
         """Passes the result of a pending request to its waiter."""
         self.pending.pop(pending.submit.number, None)
-        if pending.future.done():
-            return
-        set_result(result, pending.future)
+        pending.drop_parts()
+        if not pending.future.done():
+            set_result(result, pending.future)
+
+    def give_up_answer(self, pending: PendingRequest) -> bool:
+        """Ends a request whose answer does not fit into the memory; returns True."""
+        self.abandon(pending, UnknownOutcomeError(Reason.TOO_LARGE))
+        return True
 
     def request_entries(self, revision: Revision) -> None:
         """Requests the registry's changes if the peer has seen a later revision."""
@@ -377,8 +394,7 @@
             self._state_changed.notify_all()
 
     def _resume(self, pending: PendingRequest) -> None:
-        pending.body_parts.clear()
-        pending.answer_head = None
+        pending.drop_parts()
         if pending.peer_epoch != self.peer_epoch:
             # The process that received the request has ended, so its outcome can't be known.
             self.complete(pending, UnknownOutcomeError(Reason.PEER_RESTARTED))
--- a/ibisrack/links/outgoing_messages.py
+++ b/ibisrack/links/outgoing_messages.py
@@ -1,11 +1,12 @@
 """Handles the messages of a peer on an outgoing link: its load, and the results of requests."""
 
-from functools import singledispatch
+from functools import partial, singledispatch
 from typing import Any
 
 from multidict import CIMultiDict
 
 from ibisrack.calls.messages import Answer
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import MessageError, NotRunError, UnknownOutcomeError
 from ibisrack.links.messages import (
     Answered,
@@ -16,6 +17,8 @@
     OutcomeUnknown,
     Refused,
 )
+from ibisrack.links.pending import PendingRequest
+from ibisrack.memory.account import Holding, Kind
 from ibisrack.suspects.messages import CrashReport, RunCompleted
 
 
@@ -45,8 +48,12 @@
     if pending is None:
         return
     if message.more:
+        give_up = partial(link.give_up_answer, pending)
         pending.answer_head = message
-        pending.body_parts = [message.body]
+        pending.holding = link.account.open(
+            Kind.READING, 0, read_monotonic_s(), give_up, grows=True
+        )
+        _append_part(message.body, pending, link)
         return
     link.complete(pending, _build_answer(message, message.body))
 
@@ -56,9 +63,9 @@
     pending = link.pending.get(message.number)
     if pending is None or pending.answer_head is None:
         return
-    pending.body_parts.append(message.body)
-    if not message.more:
-        link.complete(pending, _build_answer(pending.answer_head, b"".join(pending.body_parts)))
+    if _append_part(message.body, pending, link) and not message.more:
+        head, body = pending.answer_head, pending.body.getvalue()
+        link.complete(pending, _build_answer(head, body, pending.take_holding()))
 
 
 @handle.register
@@ -83,5 +90,17 @@
     link.suspects.receive(message, link)
 
 
-def _build_answer(head: Answered, body: bytes) -> Answer:
-    return Answer(head.status, CIMultiDict(head.headers), body, ran_s=head.ran_ms / 1000)
+def _append_part(part: bytes, pending: PendingRequest, link: Any) -> bool:
+    """Appends a part of an answer's body; gives the request up if there is no room for it."""
+    now_s = read_monotonic_s()
+    if not pending.holding.resize(pending.body.tell() + len(part), now_s):
+        link.give_up_answer(pending)
+        return False
+    pending.body.write(part)
+    pending.holding.count_moved(len(part), now_s)
+    return True
+
+
+def _build_answer(head: Answered, body: bytes, holding: Holding | None = None) -> Answer:
+    headers, ran_s = CIMultiDict(head.headers), head.ran_ms / 1000
+    return Answer(head.status, headers, body, ran_s=ran_s, holding=holding)
--- a/ibisrack/links/pending.py
+++ b/ibisrack/links/pending.py
@@ -3,11 +3,14 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from functools import singledispatch
+from io import BytesIO
 
 import attrs
 
 from ibisrack.calls.messages import Answer
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.links.messages import Answered, Cancel, Resume, Submit
+from ibisrack.memory.account import Holding, Kind
 
 # A request that is abandoned at its deadline may still run: an instance can be late to stop.  A
 # link whose peer is alive is usually back within this time.
@@ -26,7 +29,8 @@
       deadline_at_s: Monotonic time after which the peer does not run it.
       left: Whether its sender tries another instance.
       withdrawn: Whether the peer is to refuse it if it has not started.
-      body_parts: Parts received so far of an answer's body.
+      body: What has arrived of an answer's body.
+      holding: Holding of that body in the account of memory, None before it arrives.
       answer_head: First message of that answer, None before its arrival.
       is_sent: Whether the whole submission was written; if not, the peer can't have run it.
     """
@@ -38,10 +42,24 @@
     deadline_at_s: float
     left: bool = False
     withdrawn: bool = False
-    body_parts: list[bytes] = attrs.field(factory=list)
+    body: BytesIO = attrs.field(factory=BytesIO)
+    holding: Holding | None = None
     answer_head: Answered | None = None
     is_sent: bool = True
 
+    def take_holding(self) -> Holding:
+        """Returns the holding of the complete body, which is from now on its receiver's."""
+        holding, self.holding = self.holding, None
+        holding.change(Kind.ANSWER, None, read_monotonic_s())
+        return holding
+
+    def drop_parts(self) -> None:
+        """Drops what has arrived of an answer."""
+        self.answer_head, self.body = None, BytesIO()
+        if self.holding is not None:
+            self.holding.release()
+            self.holding = None
+
 
 @attrs.frozen
 class AbandonedRequest:
--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -7,7 +7,6 @@
 from aiohttp import StreamReader, web
 from aiohttp.http import RawRequestMessage
 
-from ibisrack.bodies import read_request_body
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.relay import forwardable_headers
 from ibisrack.clocks import read_monotonic_s
@@ -15,11 +14,14 @@
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
 from ibisrack.errors import RequestError
+from ibisrack.memory.connections import ConnectionLimit
 from ibisrack.pipelining.recorder import PipeliningRecorder
 from ibisrack.pipelining.state import MIN_EXPECTED_ANSWER_BYTES, Stage
 from ibisrack.platform.caller_connection import CallerConnection
 from ibisrack.platform.headers import DEADLINE_MS, REQUEST_ID, RETRY_AFTER, SET_BY_NODES, as_latin1
 from ibisrack.platform.reading_connection import CallerRequest
+from ibisrack.platform.request_bodies import read_held_body
+from ibisrack.platform.responses import HeldResponse
 from ibisrack.routing.model import MAX_TIME_S, Limits
 
 READY_PATH = "/-/readyz"
@@ -40,11 +42,13 @@
         the responses to the requests that have been passed on.
       may_repeat: Returns whether the requests for a host and a path may run more than once.
       pipelining: Counts and logs requests that run before their turn.
+      connection_limit: Admits connections; its account also counts the bodies of requests.
     """
 
     def __init__(
         self,
         serve: ServeRequest,
+        connection_limit: ConnectionLimit,
         limits: Callable[[], Limits],
         caller_service: Callable[[], str],
         is_leaving: Callable[[], bool],
@@ -53,6 +57,7 @@
     ) -> None:
         super().__init__(self._handle, handler_cancellation=True)
         self.serve = serve
+        self.connection_limit = connection_limit
         self.limits = limits
         self.caller_service = caller_service
         self.is_leaving = is_leaving
@@ -109,23 +114,27 @@
     ) -> web.Response | None:
         """Runs a request; returns None if it must wait for its turn."""
         try:
-            request = await self._read_request(http_request, queued.received_at_s)
+            request = queued.request or await self._read_request(http_request, queued.received_at_s)
         except RequestError as error:
-            response = web.Response(status=error.status, text=f"{error}\n")
-            response.force_close()
-            return response
+            if queued is http_request.protocol.pipeline.oldest:
+                http_request.protocol.refuse_rest(http_request.content, http_request.content_length)
+            return _error_response(error)
         connection = http_request.protocol
         # The configuration may have changed since the request was launched.
         may_repeat = self.may_repeat(request.host, request.path)
         if queued is not connection.pipeline.oldest:
             if not may_repeat:
-                queued.stage = Stage.WAITING
+                queued.stage, queued.request = Stage.WAITING, request
                 return None
             self.pipelining.early_starts += 1
         queued.start(may_repeat)
         if connection.pipeline.queue:
             connection.launch_next()
-        response = to_response(await self.serve(request))
+        try:
+            response = to_response(await self.serve(request))
+        finally:
+            if request.holding is not None:
+                request.holding.release()
         response.headers.setdefault(REQUEST_ID, request.request_id)
         answer_bytes = len(response.body or b"")
         if queued.task is not None or answer_bytes > MIN_EXPECTED_ANSWER_BYTES:
@@ -140,7 +149,9 @@
         """
         headers, limits = http_request.headers, self.limits()
         _check_head(http_request._message, limits)
-        body = await read_request_body(http_request, limits.max_body_bytes)
+        body, holding = await read_held_body(
+            http_request, limits.max_body_bytes, self.connection_limit.account
+        )
         forwarded_headers = tuple(
             as_latin1(forwardable_headers(headers), without=SET_BY_NODES).items()
         )
@@ -154,6 +165,7 @@
             caller_service=self.caller_service(),
             received_at_s=received_at_s,
             deadline_at_s=received_at_s + _parse_deadline_ms(headers.get(DEADLINE_MS)) / 1000,
+            holding=holding,
         )
 
 
@@ -178,7 +190,7 @@
 
 @to_response.register
 def _(reply: Answer) -> web.Response:
-    return web.Response(status=reply.status, headers=reply.headers, body=reply.body)
+    return HeldResponse(reply)
 
 
 @to_response.register
@@ -197,6 +209,15 @@
     return web.Response(status=504 if reply.late else 502, text=f"unknown: {reply.reason}\n")
 
 
+def _error_response(error: RequestError) -> web.Response:
+    """Returns the response to a request that was refused before it was read completely."""
+    response = web.Response(status=error.status, text=f"{error}\n")
+    if error.retry_after_s is not None:
+        response.headers[RETRY_AFTER] = f"{error.retry_after_s:.3f}"
+    response.force_close()
+    return response
+
+
 def _check_head(message: RawRequestMessage, limits: Limits) -> None:
     """Checks the head of a request.
 
--- a/ibisrack/platform/reading_connection.py
+++ b/ibisrack/platform/reading_connection.py
@@ -14,6 +14,7 @@
 
 from ibisrack.calls.http_connection import HttpConnection
 from ibisrack.clocks import read_monotonic_s
+from ibisrack.dispatch.request import Request
 from ibisrack.pipelining.state import Pipeline, PipelinedRequest
 from ibisrack.platform.sockets import has_peer_closed
 from ibisrack.routing.model import Limits
@@ -33,11 +34,13 @@
       message: Its head, or the error of the parser.
       payload: Its body.
       task: Runs it before its turn, None unless it has been launched.
+      request: The request, if it was read and then had to wait for its turn.
     """
 
     message: Any = attrs.field(kw_only=True)
     payload: StreamReader = attrs.field(kw_only=True)
     task: asyncio.Task[web.Response | None] | None = None
+    request: Request | None = None
 
     @property
     def is_error(self) -> bool:
--- /dev/null
+++ b/ibisrack/platform/request_bodies.py
@@ -0,0 +1,134 @@
+"""Reads the bodies of callers' requests into memory that is accounted for."""
+
+import asyncio
+from contextlib import suppress
+from io import BytesIO
+
+import attrs
+from aiohttp import StreamReader, web
+from aiohttp.web_protocol import RequestPayloadError
+
+from ibisrack.clocks import read_monotonic_s
+from ibisrack.errors import RequestError
+from ibisrack.memory.account import Holding, Kind, MemoryAccount
+
+# While a body arrives, the system, the parser and the library hold up to this much beside it: see
+# CallerConnection.  Bodies in small chunks take the most, as each chunk is an object.
+READ_AHEAD_BYTES = 64 * 1024
+CHUNKED_READ_AHEAD_BYTES = 96 * 1024
+# Room that a body of unknown length is given at first, and then at a time.
+FIRST_BYTES = 16 * 1024
+GROWTH_BYTES = 128 * 1024
+# A client that takes longer for PROGRESS_BYTES sends less than 280 bytes a second.
+BODY_PROGRESS_TIMEOUT_S = 60.0
+# When the account is full.  Requests are answered within seconds, and stalled bodies make room.
+FULL_RETRY_AFTER_S = 1.0
+
+
+@attrs.define(eq=False)
+class BodyReading:
+    """A request body that is being read.
+
+    Attributes:
+      holding: Its holding in the account.
+      timeout: Ends the reading.
+      max_bytes: Limit on its size.
+    """
+
+    holding: Holding
+    timeout: asyncio.Timeout
+    max_bytes: int
+    _body: BytesIO = attrs.field(factory=BytesIO)
+
+    def give_up(self) -> bool:
+        """Ends the reading in favour of other holdings."""
+        self._body = BytesIO()
+        with suppress(RuntimeError):  # It ends already, because it has taken too long.
+            self.timeout.reschedule(asyncio.get_running_loop().time())
+        return True
+
+    async def read(self, content: StreamReader) -> bytes:
+        """Reads the whole body; see ``read_held_body``."""
+        try:
+            async with self.timeout:
+                self._prolong()
+                while part := await content.readany():
+                    self._append(part)
+        except TimeoutError as error:
+            if self.holding.has_given_up:
+                raise _no_room() from error
+            raise RequestError("the body does not arrive", 408) from error
+        if self.holding.has_given_up:
+            raise _no_room()
+        return self._body.getvalue()
+
+    def _append(self, part: bytes) -> None:
+        size_bytes, now_s = self._body.tell() + len(part), read_monotonic_s()
+        if size_bytes > self.max_bytes:
+            raise _too_large(self.max_bytes)
+        if self.holding.grows and size_bytes + CHUNKED_READ_AHEAD_BYTES > self.holding.size_bytes:
+            larger_bytes = min(size_bytes + GROWTH_BYTES, self.max_bytes)
+            if not self.holding.resize(larger_bytes + CHUNKED_READ_AHEAD_BYTES, now_s):
+                raise _no_room()
+        self._body.write(part)
+        progress_at_s = self.holding.progress_at_s
+        self.holding.count_moved(len(part), now_s)
+        if self.holding.progress_at_s != progress_at_s:
+            self._prolong()
+
+    def _prolong(self) -> None:
+        self.timeout.reschedule(asyncio.get_running_loop().time() + BODY_PROGRESS_TIMEOUT_S)
+
+
+async def read_held_body(
+    request: web.BaseRequest, max_bytes: int, account: MemoryAccount
+) -> tuple[bytes, Holding | None]:
+    """Reads the body of a request; returns it and its holding, None without a body.
+
+    Nothing is read of a body that is announced as too large, or for which there is no room.
+
+    Raises:
+      RequestError: The body is too large, malformed or does not arrive, or there is no room.
+    """
+    if not request.can_read_body:
+        return b"", None
+    length = request.content_length
+    if (length or 0) > max_bytes:
+        raise _too_large(max_bytes)
+    reading = _open_reading(length, max_bytes, account)
+    try:
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body = await reading.read(request.content)
+    except RequestPayloadError as error:
+        reading.holding.release()
+        raise RequestError("the body is not valid HTTP") from error
+    except BaseException:
+        reading.holding.release()
+        raise
+    now_s = read_monotonic_s()
+    reading.holding.change(Kind.REQUEST, None, now_s)
+    reading.holding.resize(len(body), now_s)
+    return body, reading.holding
+
+
+def _open_reading(length: int | None, max_bytes: int, account: MemoryAccount) -> BodyReading:
+    """Opens the holding of a body; raises RequestError if there is no room."""
+    if length is None:
+        size_bytes = FIRST_BYTES + CHUNKED_READ_AHEAD_BYTES
+    else:
+        size_bytes = length + min(length, READ_AHEAD_BYTES)
+    holding = account.open(Kind.REQUEST, size_bytes, read_monotonic_s(), grows=length is None)
+    if holding is None:
+        raise _no_room()
+    reading = BodyReading(holding, asyncio.timeout(None), max_bytes)
+    account.change(holding, Kind.REQUEST, reading.give_up)
+    return reading
+
+
+def _too_large(max_bytes: int) -> RequestError:
+    return RequestError(f"the body is larger than {max_bytes} bytes", 413)
+
+
+def _no_room() -> RequestError:
+    return RequestError("not run: no memory for the body", 503, FULL_RETRY_AFTER_S)
--- a/ibisrack/platform/settings_file.py
+++ b/ibisrack/platform/settings_file.py
@@ -52,6 +52,7 @@
         "metrics": reader.local_address(metrics_port),
         "link_mbps": reader.limit("self.limits.link_mbps"),
         "memory_mb": reader.limit("self.limits.memory_mb"),
+        "max_descriptors": reader.limit("self.limits.max_fds"),
         "stop_s": reader.duration_s("terms.bounds.grace"),
         "retry_ratio": reader.get("terms.bounds.retry_budget_ratio"),
         "retry_slack": reader.get("terms.bounds.budget_slack"),
--- a/ibisrack/platform/upstream.py
+++ b/ibisrack/platform/upstream.py
@@ -18,6 +18,7 @@
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.hosting.notices import Notice
 from ibisrack.links.messages import Submit
+from ibisrack.memory.account import Holding
 from ibisrack.platform.headers import (
     CALLER_SERVICE,
     DEADLINE_MS,
@@ -42,6 +43,7 @@
 # The node that sent the request gives it up at its deadline.  This node ends a request later, and
 # so only if that node could not cancel it; the instance is then not counted as failing.
 DEADLINE_GRACE_S = 0.25
+MAX_COPIED_BODY_BYTES = 64 * 1024
 MAX_STALE_ANSWERS = 4  # Answers to earlier requests that are skipped before the request fails.
 
 _LIMIT = re.compile(r"([0-9]+(\.[0-9]*)?|\.[0-9]+)([eE][+-]?[0-9]{1,3})?")
@@ -93,7 +95,7 @@
                 auto_decompress=False,
             )
             on_sent()
-            connection.transport.write(head + submit.body)
+            _write_request(connection.transport, head, submit.body)
             async with asyncio.timeout_at(ends_at_s):
                 answer = await self._read_answer(connection, submit)
         except TimeoutError as error:
@@ -124,7 +126,7 @@
 
     async def _read_answer(self, connection: Connection, submit: Submit) -> Answer:
         requested_at_s = read_monotonic_s()
-        message, body = await self._read_matching_answer(connection, submit)
+        message, body, holding = await self._read_matching_answer(connection, submit)
         headers = message.headers
         is_from_instance = SIGNATURE in headers or NOT_EXECUTED in headers
         if is_from_instance and message.code != MISDIRECTED:
@@ -137,11 +139,12 @@
             raise NotRunError(Reason.MISDIRECTED)
         if "Content-Encoding" in headers or SIGNATURE not in headers:
             raise UnknownOutcomeError(Reason.WRONG_ANSWER)
-        return Answer(message.code, as_latin1(forwardable_headers(headers)), body)
+        headers = as_latin1(forwardable_headers(headers))
+        return Answer(message.code, headers, body, holding=holding)
 
     async def _read_matching_answer(
         self, connection: Connection, submit: Submit
-    ) -> tuple[RawResponseMessage, bytes]:
+    ) -> tuple[RawResponseMessage, bytes, Holding]:
         """Reads the answer to a request and skips late answers to earlier ones."""
         stale_answers = 0
         while True:
@@ -152,18 +155,27 @@
                 continue
             if declared_bytes(message) > self.memory.max_answer_bytes:
                 raise UnknownOutcomeError(Reason.TOO_LARGE)
-            body = await self.memory.read_body(connection, content)
+            body, holding = await self.memory.read_body(connection, content)
             if connection.failed and not has_verifiable_end(message, submit.method):
                 # Such an answer is complete only after a clean close.
                 raise UnknownOutcomeError(Reason.CONNECTION_LOST)
             if _answers_request(message, submit, connection):
-                return message, body
+                return message, body, holding
             stale_answers += 1
             connection.force_close()
             if stale_answers > MAX_STALE_ANSWERS:
                 raise UnknownOutcomeError(Reason.WRONG_ANSWER)
 
 
+def _write_request(transport: asyncio.Transport, head: bytes, body: bytes) -> None:
+    """Writes a request, in one packet if it is short, and without a copy of a large body."""
+    if len(body) <= MAX_COPIED_BODY_BYTES:
+        transport.write(head + body)
+    else:
+        transport.write(head)
+        transport.write(body)
+
+
 def _answers_request(message: RawResponseMessage, submit: Submit, connection: Connection) -> bool:
     """Returns whether an answer belongs to a request; False for one to another request.
 
--- a/ibisrack/platform/upstream_test.py
+++ b/ibisrack/platform/upstream_test.py
@@ -13,6 +13,7 @@
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.hosting.notices import Notice
 from ibisrack.links.messages import Submit
+from ibisrack.memory.account import create_account
 from ibisrack.platform.upstream import HttpUpstream
 from ibisrack.testing.connections import RecordingTransport, create_waiting_connection
 from ibisrack.testing.data_path import create_loopback_pool, scripted_server
@@ -26,7 +27,7 @@
 )
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import wait_until
-from ibisrack.upstreams.answer_memory import create_answer_memory
+from ibisrack.upstreams.answer_memory import AnswerMemory
 from ibisrack.upstreams.connection import Connection
 from ibisrack.upstreams.connections import ConnectionPool
 from ibisrack.upstreams.sizing import PoolSizing
@@ -73,7 +74,7 @@
 ) -> AsyncIterator[tuple[EndlessServer, HttpUpstream]]:
     async with endless_server(EndlessBytes(start, repeated, dripping)) as server:
         upstream = HttpUpstream(
-            create_loopback_pool(server.port, limit=2 * SLOTS), create_answer_memory(128)
+            create_loopback_pool(server.port, limit=2 * SLOTS), AnswerMemory(create_account(128))
         )
         yield server, upstream
         upstream.pool.close()
@@ -200,7 +201,7 @@
 
 
 async def _result_before_reset(answer: bytes) -> Answer | UnknownOutcomeError:
-    upstream = HttpUpstream(create_loopback_pool(1), create_answer_memory(128))
+    upstream = HttpUpstream(create_loopback_pool(1), AnswerMemory(create_account(128)))
     connection = create_waiting_connection()
     connection.connection_made(_ResettingTransport(connection, answer))
     connection.mark_idle()
@@ -223,7 +224,7 @@
     """Guards against an internal error that leaves the sender of a request without an answer."""
     pool = _PoolOfLostConnections("127.0.0.1", 1, PoolSizing(1))
     try:
-        await HttpUpstream(pool, create_answer_memory(128)).send(_submit(), REMAINING_S)
+        await HttpUpstream(pool, AnswerMemory(create_account(128))).send(_submit(), REMAINING_S)
     except NotRunError as error:
         assert error.reason == Reason.UPSTREAM_UNREACHABLE
     else:
@@ -298,7 +299,9 @@
         writer.write(start)
 
     async with scripted_server(script) as scripted:
-        upstream = HttpUpstream(create_loopback_pool(scripted.port), create_answer_memory(128))
+        upstream = HttpUpstream(
+            create_loopback_pool(scripted.port), AnswerMemory(create_account(128))
+        )
         try:
             return await _send(upstream)
         finally:
--- a/ibisrack/settings/sidecar.py
+++ b/ibisrack/settings/sidecar.py
@@ -29,6 +29,7 @@
       metrics: Address to serve metrics on, or None to serve none.
       link_mbps: Bandwidth of the host's network link in Mbit/s.
       memory_mb: Memory of the host in MB; a process that exceeds it is killed.
+      max_descriptors: File descriptors that the process may have open.
       stop_s: Seconds from the request to stop until the platform kills the process.
       retry_ratio: Allowed arrivals at instances beyond the first of each request, as a share of all
         requests.
@@ -51,6 +52,7 @@
     metrics: Address | None = None
     link_mbps: float = attrs.field(default=1000.0, validator=in_range(0.001, 1e6))
     memory_mb: float = attrs.field(default=128.0, validator=in_range(1, 1e7))
+    max_descriptors: int = attrs.field(default=4096, validator=in_range(64, 1e7))
     stop_s: float = attrs.field(default=6.0, validator=in_range(0.5, 3600))
     retry_ratio: float = attrs.field(default=0.2, validator=in_range(0, 10))
     retry_slack: float = attrs.field(default=20.0, validator=in_range(0, 1e6))
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -23,6 +23,7 @@
 from ibisrack.links.messages import Entries, Hello, Load
 from ibisrack.links.outgoing import OutgoingLink
 from ibisrack.links.pacer import LinkPacer, reported_backlog_ms
+from ibisrack.memory.connections import ConnectionLimit, create_connection_limit
 from ibisrack.metrics.tally import Tally
 from ibisrack.node.tasks import keep_running
 from ibisrack.pipelining.recorder import PipeliningRecorder
@@ -68,6 +69,7 @@
       suspects: Requests that are suspected of crashing instances.
       pipelining: Counts and logs pipelined requests that ran before their turn.
       pacer: Spaces large bodies on the host's link.
+      connection_limit: Admits callers' connections; its account counts the bytes held for others.
       registry_peers: Peers from which the registry's changes come, and what goes to others.
     """
 
@@ -92,6 +94,14 @@
         default=attrs.Factory(lambda self: LinkPacer(self.settings.link_mbps), takes_self=True)
     )
     pipelining: PipeliningRecorder = attrs.field(factory=PipeliningRecorder)
+    connection_limit: ConnectionLimit = attrs.field(
+        default=attrs.Factory(
+            lambda self: create_connection_limit(
+                self.settings.memory_mb, self.settings.max_descriptors
+            ),
+            takes_self=True,
+        )
+    )
     registry_peers: RegistryPeers = attrs.field(
         default=attrs.Factory(lambda self: self._create_registry_peers(), takes_self=True)
     )
@@ -255,6 +265,7 @@
                 self.suspects,
                 self.instance_runner.acceptance.check_zone_in_use,
                 pacer=self.pacer,
+                account=self.connection_limit.account,
             )
             self.outgoing_links[host] = link
             self.spawn(keep_running("link", link.maintain))
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -26,6 +26,8 @@
 from ibisrack.hosting.runner import InstanceRunner
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.links.incoming import IncomingLink, serve_link
+from ibisrack.memory.connections import create_connection_limit
+from ibisrack.memory.in_flight import create_bodies_in_flight
 from ibisrack.metrics.tally import Tally
 from ibisrack.node.tasks import keep_running
 from ibisrack.platform import entries
@@ -53,7 +55,7 @@
 )
 from ibisrack.stopping.listeners import close_listeners
 from ibisrack.suspects.exchange import SuspectExchange
-from ibisrack.upstreams.answer_memory import create_answer_memory
+from ibisrack.upstreams.answer_memory import AnswerMemory
 from ibisrack.upstreams.connections import ConnectionPool
 from ibisrack.upstreams.sizing import PoolSizing
 
@@ -75,7 +77,8 @@
         settings.instance.host, settings.instance.port, PoolSizing(INITIAL_MAX_CONNECTIONS)
     )
     tally, view, suspects = Tally(), RegistryView(), SuspectExchange()
-    upstream = HttpUpstream(pool, create_answer_memory(settings.memory_mb))
+    connection_limit = create_connection_limit(settings.memory_mb, settings.max_descriptors)
+    upstream = HttpUpstream(pool, AnswerMemory(connection_limit.account))
     instance_runner = InstanceRunner(
         (settings.instance.host, settings.instance.port),
         Gate(
@@ -90,6 +93,7 @@
         directory,
         SubmissionRecorder(tally),
         suspects=suspects,
+        bodies_in_flight=create_bodies_in_flight(settings.memory_mb),
     )
     upstream.on_notice = instance_runner.observe_notice
     upstream.check_waited = instance_runner.acceptance.check_zone_in_use
@@ -105,6 +109,7 @@
         instance_runner,
         tally,
         suspects=suspects,
+        connection_limit=connection_limit,
     )
     instance_runner.on_leaving = node.leave_own_instance
     instance_runner.cold_starts.coldness.doubt_at_s = read_monotonic_s()
@@ -251,6 +256,7 @@
             peer,
             node.suspects,
             node.pacer,
+            account=node.connection_limit.account,
         )
 
     links = await asyncio.start_server(
@@ -261,6 +267,7 @@
     )
     callers = CallerServer(
         node.dispatcher.serve,
+        node.connection_limit,
         limits=lambda: (
             node.configurations.current.limits if node.configurations.current else Limits()
         ),
--- a/ibisrack/upstreams/answer_memory_test.py
+++ b/ibisrack/upstreams/answer_memory_test.py
@@ -5,6 +5,7 @@
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import UnknownOutcomeError
+from ibisrack.memory.account import MemoryAccount
 from ibisrack.testing.connections import create_waiting_connection
 from ibisrack.testing.functions import function_tests
 from ibisrack.upstreams.answer_memory import AnswerMemory
@@ -41,28 +42,29 @@
     async def _read(self, memory: AnswerMemory) -> bytes | str:
         _, content = await self.connection.read()
         try:
-            return await memory.read_body(self.connection, content)
+            body, _ = await memory.read_body(self.connection, content)
+            return body
         except UnknownOutcomeError as error:
             return error.reason
 
 
 async def test_largest_answer_is_given_up_and_the_others_go_on():
     """Guards against one endless answer that makes the others fail, or all wait for each other."""
-    memory = AnswerMemory(LIMIT_BYTES)
+    memory = AnswerMemory(MemoryAccount(LIMIT_BYTES))
     large, small = _Reading(memory, _length(10 * LIMIT_BYTES)), _Reading(memory, _length(300))
     await large.receive(900)
     await small.receive(200)
     assert await large.result() == Reason.TOO_LARGE
     assert large.connection.transport.closed
-    assert memory.held_bytes == 200
+    assert memory.account.held_bytes == 200
     await small.receive(100)
     assert await small.result() == b"x" * 300
-    assert memory.held_bytes == 0
+    assert memory.account.held_bytes == 0
 
 
 async def test_answer_that_is_the_largest_itself_is_refused():
     """Guards against answers of which each is small enough, and that exceed the limit together."""
-    memory = AnswerMemory(LIMIT_BYTES)
+    memory = AnswerMemory(MemoryAccount(LIMIT_BYTES))
     first, second = _Reading(memory, _length(600)), _Reading(memory, _length(600))
     await first.receive(450)
     await second.receive(500)
@@ -74,7 +76,7 @@
 
 async def test_answer_given_up_at_its_end_is_not_taken_for_an_empty_one():
     """Guards against a success with an empty body when the end arrives as it is given up."""
-    memory = AnswerMemory(LIMIT_BYTES)
+    memory = AnswerMemory(MemoryAccount(LIMIT_BYTES))
     large, small = _Reading(memory, "Transfer-Encoding: chunked"), _Reading(memory, _length(200))
     await large.receive(900, framing="384\r\n{}\r\n")
     # Both are read in one turn of the loop: the small answer first.
@@ -86,19 +88,19 @@
 
 async def test_memory_is_free_again_after_a_broken_or_cancelled_answer():
     """Guards against a limit that shrinks with each failure."""
-    memory = AnswerMemory(LIMIT_BYTES)
+    memory = AnswerMemory(MemoryAccount(LIMIT_BYTES))
     broken, cancelled = _Reading(memory, _length(500)), _Reading(memory, _length(500))
     await broken.receive(400)
     await cancelled.receive(400)
     broken.connection.connection_lost(ConnectionResetError())
     cancelled.task.cancel()
     await asyncio.gather(broken.task, cancelled.task, return_exceptions=True)
-    assert memory.held_bytes == 0
+    assert memory.account.held_bytes == 0
 
 
 async def test_answer_in_small_parts_takes_the_memory_that_is_counted():
     """Guards against a trickling body that takes many times the memory of its bytes."""
-    memory = AnswerMemory(LIMIT_BYTES * 1000)
+    memory = AnswerMemory(MemoryAccount(LIMIT_BYTES * 1000))
     trickling = _Reading(memory, _length(10 * SMALL_PARTS))
     tracemalloc.start()
     before_bytes, _ = tracemalloc.get_traced_memory()
@@ -107,8 +109,8 @@
     after_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     trickling.task.cancel()
-    assert memory.held_bytes == 2 * SMALL_PARTS
-    assert after_bytes - before_bytes < 3 * memory.held_bytes
+    assert memory.account.held_bytes == 2 * SMALL_PARTS
+    assert after_bytes - before_bytes < 3 * memory.account.held_bytes
 
 
 load_tests = function_tests(__name__)
--- a/ibisrack/upstreams/connection.py
+++ b/ibisrack/upstreams/connection.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 from http import HTTPStatus
 from typing import Any
 
@@ -23,6 +24,9 @@
 MAX_SEGMENT_BYTES = 16 * 1024  # Of a packet that may hold framing; the limits are checked after it.
 READ_BUFFER_BYTES = 64 * 1024  # The library stops reading at twice this size for a connection.
 MIN_HTTP_STATUS, MAX_HTTP_STATUS = 100, 599
+# Bytes that the system holds unread count towards the memory of the machine, and may be megabytes
+# for each connection.  The system doubles the value and holds about as much as is stated here.
+RECEIVE_BUFFER_BYTES = 128 * 1024
 _SEPARATOR = b"\r\n\r\n"  # Ends a head, and the last chunk of a body with its trailers.
 
 
@@ -54,6 +58,13 @@
         self._earlier_body_bytes = 0  # Length of the bodies before it, since the request was sent.
         self._idle = False
 
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Bounds what the system holds; called by the event loop."""
+        connection = transport.get_extra_info("socket")
+        if connection is not None:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        super().connection_made(transport)
+
     def set_response_params(self, **options: Any) -> None:
         """Prepares for the answers to a request; called before the request is written."""
         self.requests += 1
