Count bodies that arrive in parts in one place; show and log the account

Cause: three readers of bodies each kept buffer and holding, and operators could not see what is held. A process in a large fleet rests above the assumed 48 MB. Change: HeldBody holds bytes and their holding. Metrics of the account, the connections and the bodies at the instance; the log line 'body refused'. The limit follows the resident memory that was measured while little was held.

--- a/ibisrack/links/outgoing_messages.py
+++ b/ibisrack/links/outgoing_messages.py
@@ -19,6 +19,7 @@
 )
 from ibisrack.links.pending import PendingRequest
 from ibisrack.memory.account import Holding, Kind
+from ibisrack.memory.held_body import HeldBody
 from ibisrack.suspects.messages import CrashReport, RunCompleted
 
 
@@ -50,8 +51,8 @@
     if message.more:
         give_up = partial(link.give_up_answer, pending)
         pending.answer_head = message
-        pending.holding = link.account.open(
-            Kind.READING, 0, read_monotonic_s(), give_up, grows=True
+        pending.body = HeldBody(
+            link.account.open(Kind.READING, 0, read_monotonic_s(), give_up, grows=True)
         )
         _append_part(message.body, pending, link)
         return
@@ -64,8 +65,7 @@
     if pending is None or pending.answer_head is None:
         return
     if _append_part(message.body, pending, link) and not message.more:
-        head, body = pending.answer_head, pending.body.getvalue()
-        link.complete(pending, _build_answer(head, body, pending.take_holding()))
+        link.complete(pending, _build_answer(pending.answer_head, *pending.take_body()))
 
 
 @handle.register
@@ -92,13 +92,10 @@
 
 def _append_part(part: bytes, pending: PendingRequest, link: Any) -> bool:
     """Appends a part of an answer's body; gives the request up if there is no room for it."""
-    now_s = read_monotonic_s()
-    if not pending.holding.resize(pending.body.tell() + len(part), now_s):
-        link.give_up_answer(pending)
-        return False
-    pending.body.write(part)
-    pending.holding.count_moved(len(part), now_s)
-    return True
+    if pending.body.append(part, read_monotonic_s()):
+        return True
+    link.give_up_answer(pending)
+    return False
 
 
 def _build_answer(head: Answered, body: bytes, holding: Holding | None = None) -> Answer:
--- a/ibisrack/links/pending.py
+++ b/ibisrack/links/pending.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from functools import singledispatch
-from io import BytesIO
 
 import attrs
 
@@ -11,6 +10,7 @@
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.links.messages import Answered, Cancel, Resume, Submit
 from ibisrack.memory.account import Holding, Kind
+from ibisrack.memory.held_body import HeldBody
 
 # A request that is abandoned at its deadline may still run: an instance can be late to stop.  A
 # link whose peer is alive is usually back within this time.
@@ -29,8 +29,7 @@
       deadline_at_s: Monotonic time after which the peer does not run it.
       left: Whether its sender tries another instance.
       withdrawn: Whether the peer is to refuse it if it has not started.
-      body: What has arrived of an answer's body.
-      holding: Holding of that body in the account of memory, None before it arrives.
+      body: What has arrived of an answer's body, None before that.
       answer_head: First message of that answer, None before its arrival.
       is_sent: Whether the whole submission was written; if not, the peer can't have run it.
     """
@@ -42,23 +41,22 @@
     deadline_at_s: float
     left: bool = False
     withdrawn: bool = False
-    body: BytesIO = attrs.field(factory=BytesIO)
-    holding: Holding | None = None
+    body: HeldBody | None = None
     answer_head: Answered | None = None
     is_sent: bool = True
 
-    def take_holding(self) -> Holding:
-        """Returns the holding of the complete body, which is from now on its receiver's."""
-        holding, self.holding = self.holding, None
-        holding.change(Kind.ANSWER, None, read_monotonic_s())
-        return holding
+    def take_body(self) -> tuple[bytes, Holding]:
+        """Returns a complete body and its holding, which is from now on its receiver's."""
+        body, self.body = self.body, None
+        body.holding.change(Kind.ANSWER, None, read_monotonic_s())
+        return body.content(), body.holding
 
     def drop_parts(self) -> None:
         """Drops what has arrived of an answer."""
-        self.answer_head, self.body = None, BytesIO()
-        if self.holding is not None:
-            self.holding.release()
-            self.holding = None
+        self.answer_head = None
+        if self.body is not None:
+            self.body.drop()
+            self.body = None
 
 
 @attrs.frozen
--- a/ibisrack/memory/account.py
+++ b/ibisrack/memory/account.py
@@ -14,8 +14,10 @@
 import attrs
 
 MEGABYTE = 1_000_000  # The settings state the memory of a machine in MB.
-# A process that serves requests rests at 45 to 48 MB.
+# What a process needs that holds nothing for others: 45 to 48 MB in a small fleet.  It is more with
+# many peers and a long configuration, and then measured.
 RESTING_BYTES = 48 * MEGABYTE
+QUIET_SHARE = 0.1  # With less than this part of the account in use, the need can be measured.
 # The rest of the remaining memory is for what is not counted: the allocator's unused pages, heads,
 # tasks, buffers of links, and bytes on their way between two counted places.
 COUNTED_SHARE = 0.9
@@ -107,6 +109,7 @@
     Attributes:
       limit_bytes: Limit of all holdings together.
       reading_limit_bytes: Limit of the responses that are being read.
+      resting_bytes: What the process needs for itself, as far as it is known.
       held_bytes: Size of all holdings together.
       held_by_kind: The same by kind.
       refused: Number of holdings that were refused or could not grow, by kind.
@@ -117,6 +120,7 @@
     reading_limit_bytes: int = attrs.field(
         default=attrs.Factory(lambda self: self.limit_bytes, takes_self=True)
     )
+    resting_bytes: int = RESTING_BYTES
     held_bytes: int = 0
     held_by_kind: Counter[Kind] = attrs.field(factory=Counter)
     refused: Counter[Kind] = attrs.field(factory=Counter)
@@ -134,6 +138,22 @@
         """Size of the largest holding that fits when there are no others."""
         return self.limit_bytes - self.reserved_bytes
 
+    def observe_resident(self, resident_bytes: int, memory_mb: float) -> None:
+        """Adapts the limit to what the process needs for itself.
+
+        What is held may be reserved and not have arrived, so the need can seem too small.  It is
+        therefore only raised while much is held.
+
+        Args:
+          resident_bytes: Resident memory of the process.
+          memory_mb: Memory of the machine in MB.
+        """
+        needed_bytes = max(RESTING_BYTES, resident_bytes - self.held_bytes)
+        is_quiet = self.held_bytes <= self.limit_bytes * QUIET_SHARE
+        if is_quiet or needed_bytes > self.resting_bytes:
+            self.resting_bytes = needed_bytes
+            self.limit_bytes = _limit_bytes(memory_mb, needed_bytes)
+
     def open(
         self,
         kind: Kind,
@@ -262,7 +282,11 @@
 
 def create_account(memory_mb: float) -> MemoryAccount:
     """Returns the account of a process on a machine of the given size."""
-    free_bytes = memory_mb * MEGABYTE - RESTING_BYTES
-    limit_bytes = max(MIN_LIMIT_BYTES, int(free_bytes * COUNTED_SHARE))
+    limit_bytes = _limit_bytes(memory_mb, RESTING_BYTES)
     reading_bytes = int(memory_mb * MEGABYTE * READING_SHARE)
     return MemoryAccount(limit_bytes, min(limit_bytes, reading_bytes))
+
+
+def _limit_bytes(memory_mb: float, resting_bytes: int) -> int:
+    free_bytes = memory_mb * MEGABYTE - resting_bytes
+    return max(MIN_LIMIT_BYTES, int(free_bytes * COUNTED_SHARE))
--- a/ibisrack/memory/account_test.py
+++ b/ibisrack/memory/account_test.py
@@ -84,6 +84,22 @@
     assert held(account, 2 * MEGABYTE, Kind.READING, grows=True) is not None
 
 
+def test_limit_follows_what_the_process_needs_for_itself():
+    """Guards against a large fleet or configuration whose memory is counted on twice."""
+    account = create_account(200)
+    before_bytes = account.limit_bytes
+    account.observe_resident(60 * MEGABYTE, 200)
+    assert account.limit_bytes < before_bytes - 10 * MEGABYTE
+    reserved = held(account, 100 * MEGABYTE)
+    account.observe_resident(70 * MEGABYTE, 200)  # Not much of the body has arrived.
+    assert account.resting_bytes == 60 * MEGABYTE
+    account.observe_resident(180 * MEGABYTE, 200)
+    assert account.resting_bytes == 80 * MEGABYTE
+    reserved.release()
+    account.observe_resident(46 * MEGABYTE, 200)
+    assert account.limit_bytes == before_bytes
+
+
 def test_dropped_holding_is_released():
     """Guards against an account that fills with each request that fails half-way."""
     account = MemoryAccount(LIMIT_BYTES)
--- a/ibisrack/memory/connections.py
+++ b/ibisrack/memory/connections.py
@@ -13,6 +13,7 @@
 # For links with peers in both directions, connections to the instance, and the process itself.
 OTHER_DESCRIPTORS = 512
 OTHER_DESCRIPTORS_SHARE = 0.5  # On a machine with few descriptors.
+MIN_CONNECTIONS = 16  # On a machine whose limits leave no room for them.
 # Part of the connections that is given up at once, so that the search for them stays cheap.
 GIVEN_UP_SHARE = 1 / 16
 
@@ -20,16 +21,16 @@
 _STALLED = frozenset((Kind.REQUEST, Kind.ANSWER))
 
 
-def max_connections(limit_bytes: int, max_descriptors: int) -> int:
+def max_connections(limit_bytes: int, max_descriptors: float) -> int:
     """Returns how many connections callers may have open.
 
     Args:
       limit_bytes: Limit of the account of memory.
       max_descriptors: File descriptors of the process.
     """
-    others = min(OTHER_DESCRIPTORS, int(max_descriptors * OTHER_DESCRIPTORS_SHARE))
-    by_memory = int(limit_bytes * CONNECTION_SHARE) // CONNECTION_BYTES
-    return max(1, min(by_memory, max_descriptors - others))
+    others = min(OTHER_DESCRIPTORS, max_descriptors * OTHER_DESCRIPTORS_SHARE)
+    by_memory = limit_bytes * CONNECTION_SHARE / CONNECTION_BYTES
+    return max(MIN_CONNECTIONS, int(min(by_memory, max_descriptors - others)))
 
 
 @attrs.define(eq=False)
@@ -79,7 +80,7 @@
                 return
 
 
-def create_connection_limit(memory_mb: float, max_descriptors: int) -> ConnectionLimit:
+def create_connection_limit(memory_mb: float, max_descriptors: float) -> ConnectionLimit:
     """Returns the limit of a process, with a new account, on a machine of the given size."""
     account = create_account(memory_mb)
     return ConnectionLimit(account, max_connections(account.limit_bytes, max_descriptors))
--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -1,5 +1,6 @@
 """HTTP servers for callers on this host and for the platform's readiness check."""
 
+import logging
 from collections.abc import Awaitable, Callable
 from functools import singledispatch
 from typing import Any
@@ -28,6 +29,8 @@
 DEFAULT_DEADLINE_MS = 3_600_000  # Without the header, only the route's timeout applies.
 MAX_DEADLINE_MS = int(MAX_TIME_S * 1000)
 
+_LOGGER = logging.getLogger("ibisrack.sidecar")
+
 ServeRequest = Callable[[Request], Awaitable[Reply]]
 
 
@@ -118,6 +121,8 @@
         except RequestError as error:
             if queued is http_request.protocol.pipeline.oldest:
                 http_request.protocol.refuse_rest(http_request.content, http_request.content_length)
+            if error.retry_after_s is not None:
+                self._log_refused(http_request)
             return _error_response(error)
         connection = http_request.protocol
         # The configuration may have changed since the request was launched.
@@ -141,6 +146,16 @@
             connection.pipeline.record_answer(queued, answer_bytes, read_monotonic_s())
         return response
 
+    def _log_refused(self, http_request: web.BaseRequest) -> None:
+        account = self.connection_limit.account
+        extra = {
+            "request_id": http_request.headers.get(REQUEST_ID, ""),
+            "bytes": http_request.content_length,
+            "held": {str(kind): size for kind, size in account.held_by_kind.items()},
+            "limit": account.limit_bytes,
+        }
+        _LOGGER.info("body refused", extra=extra)
+
     async def _read_request(self, http_request: web.BaseRequest, received_at_s: float) -> Request:
         """Reads a request with its whole body.
 
--- a/ibisrack/platform/request_bodies.py
+++ b/ibisrack/platform/request_bodies.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from contextlib import suppress
-from io import BytesIO
 
 import attrs
 from aiohttp import StreamReader, web
@@ -11,6 +10,7 @@
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import RequestError
 from ibisrack.memory.account import Holding, Kind, MemoryAccount
+from ibisrack.memory.held_body import HeldBody
 
 # While a body arrives, the system, the parser and the library hold up to this much beside it: see
 # CallerConnection.  Bodies in small chunks take the most, as each chunk is an object.
@@ -30,19 +30,18 @@
     """A request body that is being read.
 
     Attributes:
-      holding: Its holding in the account.
-      timeout: Ends the reading.
+      body: What has arrived.
       max_bytes: Limit on its size.
+      timeout: Ends the reading.
     """
 
-    holding: Holding
-    timeout: asyncio.Timeout
+    body: HeldBody
     max_bytes: int
-    _body: BytesIO = attrs.field(factory=BytesIO)
+    timeout: asyncio.Timeout = attrs.field(factory=lambda: asyncio.timeout(None))
 
     def give_up(self) -> bool:
         """Ends the reading in favour of other holdings."""
-        self._body = BytesIO()
+        self.body.drop()
         with suppress(RuntimeError):  # It ends already, because it has taken too long.
             self.timeout.reschedule(asyncio.get_running_loop().time())
         return True
@@ -55,25 +54,20 @@
                 while part := await content.readany():
                     self._append(part)
         except TimeoutError as error:
-            if self.holding.has_given_up:
+            if self.body.holding.has_given_up:
                 raise _no_room() from error
             raise RequestError("the body does not arrive", 408) from error
-        if self.holding.has_given_up:
+        if self.body.holding.has_given_up:
             raise _no_room()
-        return self._body.getvalue()
+        return self.body.content()
 
     def _append(self, part: bytes) -> None:
-        size_bytes, now_s = self._body.tell() + len(part), read_monotonic_s()
-        if size_bytes > self.max_bytes:
+        if self.body.size_bytes + len(part) > self.max_bytes:
             raise _too_large(self.max_bytes)
-        if self.holding.grows and size_bytes + CHUNKED_READ_AHEAD_BYTES > self.holding.size_bytes:
-            larger_bytes = min(size_bytes + GROWTH_BYTES, self.max_bytes)
-            if not self.holding.resize(larger_bytes + CHUNKED_READ_AHEAD_BYTES, now_s):
-                raise _no_room()
-        self._body.write(part)
-        progress_at_s = self.holding.progress_at_s
-        self.holding.count_moved(len(part), now_s)
-        if self.holding.progress_at_s != progress_at_s:
+        progress_at_s = self.body.holding.progress_at_s
+        if not self.body.append(part, read_monotonic_s()):
+            raise _no_room()
+        if self.body.holding.progress_at_s != progress_at_s:
             self._prolong()
 
     def _prolong(self) -> None:
@@ -101,15 +95,15 @@
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         body = await reading.read(request.content)
     except RequestPayloadError as error:
-        reading.holding.release()
+        reading.body.drop()
         raise RequestError("the body is not valid HTTP") from error
     except BaseException:
-        reading.holding.release()
+        reading.body.drop()
         raise
-    now_s = read_monotonic_s()
-    reading.holding.change(Kind.REQUEST, None, now_s)
-    reading.holding.resize(len(body), now_s)
-    return body, reading.holding
+    now_s, holding = read_monotonic_s(), reading.body.holding
+    holding.change(Kind.REQUEST, None, now_s)
+    holding.resize(len(body), now_s)
+    return body, holding
 
 
 def _open_reading(length: int | None, max_bytes: int, account: MemoryAccount) -> BodyReading:
@@ -121,7 +115,8 @@
     holding = account.open(Kind.REQUEST, size_bytes, read_monotonic_s(), grows=length is None)
     if holding is None:
         raise _no_room()
-    reading = BodyReading(holding, asyncio.timeout(None), max_bytes)
+    body = HeldBody(holding, CHUNKED_READ_AHEAD_BYTES, GROWTH_BYTES, max_bytes)
+    reading = BodyReading(body, max_bytes)
     account.change(holding, Kind.REQUEST, reading.give_up)
     return reading
 
--- a/ibisrack/platform/settings_file_test.py
+++ b/ibisrack/platform/settings_file_test.py
@@ -67,6 +67,13 @@
         assert load(absent).memory_mb == 128
 
 
+def test_limit_on_descriptors_is_read():
+    """Guards against more connections than the machine has descriptors."""
+    limits = "self:\n  limits: {max_fds: 4100}"
+    assert load(SETTINGS.replace("self:", limits)).max_descriptors == 4100
+    assert load(SETTINGS).max_descriptors == 4096
+
+
 def test_bounds_of_cold_instances_and_evacuations_are_read():
     """Guards against a cold instance that gets more than its deployment allows."""
     settings = load(SETTINGS)
--- a/ibisrack/settings/sidecar.py
+++ b/ibisrack/settings/sidecar.py
@@ -52,7 +52,7 @@
     metrics: Address | None = None
     link_mbps: float = attrs.field(default=1000.0, validator=in_range(0.001, 1e6))
     memory_mb: float = attrs.field(default=128.0, validator=in_range(1, 1e7))
-    max_descriptors: int = attrs.field(default=4096, validator=in_range(64, 1e7))
+    max_descriptors: float = attrs.field(default=4096.0, validator=in_range(1e-6, 1e12))
     stop_s: float = attrs.field(default=6.0, validator=in_range(0.5, 3600))
     retry_ratio: float = attrs.field(default=0.2, validator=in_range(0, 10))
     retry_slack: float = attrs.field(default=20.0, validator=in_range(0, 1e6))
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -7,6 +7,7 @@
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_monotonic_s
+from ibisrack.memory.account import Kind
 from ibisrack.metrics.exposition import (
     Metric,
     call_metrics,
@@ -33,6 +34,7 @@
     yield from _budget_metrics(node)
     yield from _registry_metrics(node)
     yield from _link_metrics(node)
+    yield from _memory_metrics(node)
     yield from platform_read_metrics(node.tally)
     yield from _processor_metrics(node)
 
@@ -163,6 +165,36 @@
     yield Metric("ibis_link_refused_requests_total", "Refused to callers.", True, samples)
 
 
+def _memory_metrics(node: SidecarNode) -> Iterator[Metric]:
+    limit, account = node.connection_limit, node.connection_limit.account
+    bodies = node.instance_runner.bodies_in_flight
+    limits = unlabelled(account.limit_bytes)
+    yield Metric("ibis_memory_limit_bytes", "Limit of what is held.", False, limits)
+    for name, help_text, is_counter, counts in (
+        ("ibis_memory_held_bytes", "Held for others.", False, account.held_by_kind),
+        ("ibis_memory_refused_total", "Refused without room.", True, account.refused),
+        ("ibis_memory_given_up_total", "Given up for others.", True, account.given_up),
+    ):
+        samples = tuple(({"kind": str(kind)}, counts[kind]) for kind in Kind)
+        yield Metric(name, help_text, is_counter, samples)
+    yield Metric("ibis_caller_connections", "Open now.", False, unlabelled(limit.open_connections))
+    yield Metric(
+        "ibis_caller_connections_limit", "Most open.", False, unlabelled(limit.max_connections)
+    )
+    yield Metric(
+        "ibis_caller_connections_refused_total", "Closed at once.", True, unlabelled(limit.refused)
+    )
+    yield Metric(
+        "ibis_instance_body_bytes", "Large bodies sent.", False, unlabelled(bodies.sent_bytes)
+    )
+    yield Metric(
+        "ibis_instance_bodies_waiting", "Large bodies waiting.", False, unlabelled(bodies.waiting)
+    )
+    yield Metric(
+        "ibis_instance_bodies_refused_total", "Without a turn.", True, unlabelled(bodies.refused)
+    )
+
+
 def _processor_metrics(node: SidecarNode) -> Iterator[Metric]:
     delay_s, processor_s = node.loop_delay.longest_s, time.process_time()
     yield Metric(
--- a/ibisrack/upstreams/answer_memory.py
+++ b/ibisrack/upstreams/answer_memory.py
@@ -6,7 +6,6 @@
 """
 
 from functools import partial
-from io import BytesIO
 
 import attrs
 from aiohttp import ClientError, StreamReader
@@ -15,6 +14,7 @@
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import UnknownOutcomeError
 from ibisrack.memory.account import Holding, Kind, MemoryAccount
+from ibisrack.memory.held_body import HeldBody
 from ibisrack.upstreams.connection import Connection
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024  # Of one answer on a machine of any size.
@@ -46,29 +46,24 @@
         """
         give_up = partial(_fail, connection)
         holding = self.account.open(Kind.READING, 0, read_monotonic_s(), give_up, grows=True)
-        # As a list of parts, a body that trickles in would take many times the memory that is
-        # counted for it, and a bytearray would be copied at the end.
-        body = BytesIO()
+        body = HeldBody(holding)
         try:
             while part := await content.readany():
-                self._append(body, part, holding)
+                self._append(body, part)
             if holding.has_given_up:
                 raise UnknownOutcomeError(Reason.TOO_LARGE)
         except BaseException as error:
-            holding.release()
+            body.drop()
             if isinstance(error, ClientError) and holding.has_given_up:
                 raise UnknownOutcomeError(Reason.TOO_LARGE) from error
             raise
         holding.change(Kind.ANSWER, None, read_monotonic_s())
-        return body.getvalue(), holding
+        return body.content(), holding
 
-    def _append(self, body: BytesIO, part: bytes, holding: Holding) -> None:
-        size_bytes, now_s = body.tell() + len(part), read_monotonic_s()
-        is_too_large = size_bytes > self.max_answer_bytes
-        if is_too_large or not holding.resize(size_bytes, now_s):
+    def _append(self, body: HeldBody, part: bytes) -> None:
+        is_too_large = body.size_bytes + len(part) > self.max_answer_bytes
+        if is_too_large or not body.append(part, read_monotonic_s()):
             raise UnknownOutcomeError(Reason.TOO_LARGE)
-        body.write(part)
-        holding.count_moved(len(part), now_s)
 
 
 def _fail(connection: Connection) -> bool:
