Hold an incomplete submission's body once

Cause: a body that arrives from a peer in parts was held as a list and joined at its end, so that it existed twice for a moment: 128 MiB for the largest one.

Change: the parts are written to a buffer whose content is had without a copy.

--- a/ibisrack/links/incomplete.py
+++ b/ibisrack/links/incomplete.py
@@ -4,6 +4,8 @@
 are gone, and a peer that resumes one over its next link is told that it never arrived.
 """
 
+from io import BytesIO
+
 import attrs
 
 from ibisrack.calls.outcomes import Reason
@@ -23,24 +25,28 @@
 
     Attributes:
       head: The submission with the first part.
-      parts: Parts received so far.
-      size_bytes: Size of the parts.
+      body: What has arrived of its body.
       begun_at_s: Monotonic time at which the first part arrived.
       holding: Holding of the parts in the account of memory, None without one.
     """
 
     head: Submit
-    parts: list[bytes]
-    size_bytes: int
     begun_at_s: float
     holding: Holding | None
+    # Its content is had without a copy.
+    body: BytesIO = attrs.field(factory=BytesIO)
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of what has arrived."""
+        return self.body.tell()
 
     def complete(self, now_s: float) -> "CompleteSubmission":
         """Returns the whole submission, whose remaining times count from now."""
         elapsed_ms = int((now_s - self.begun_at_s) * 1000)
         submit = attrs.evolve(
             self.head,
-            body=b"".join(self.parts),
+            body=self.body.getvalue(),
             more=False,
             remaining_ms=self.head.remaining_ms - elapsed_ms,
             remaining_target_ms=self.head.remaining_target_ms - elapsed_ms,
@@ -90,7 +96,7 @@
         self.drop(head.number)
         if len(self) >= MAX_INCOMPLETE:
             raise NotRunError(Reason.TOO_BUSY)
-        self._submissions[head.number] = _Incomplete(head, [], 0, now_s, holding)
+        self._submissions[head.number] = _Incomplete(head, now_s, holding)
         self._hold(head.number, head.body, now_s)
 
     def add(self, part: BodyPart, now_s: float) -> CompleteSubmission | None:
@@ -135,6 +141,5 @@
         if holding is not None and not holding.resize(size_bytes, now_s):
             self.drop(number)
             raise NotRunError(Reason.MEMORY_FULL)
-        submission.parts.append(body)
-        submission.size_bytes += len(body)
+        submission.body.write(body)
         self.held_bytes += len(body)
