Measure resident memory only where it is that of one sidecar; import test names from their module

Cause: several sidecars run in one process in tests, and each took the memory of all for its own; a test imported names that moved to the module of connections.

Change: the measurement is a task of the program, not of the serving context.

--- a/ibisrack/platform/request_bodies_test.py
+++ b/ibisrack/platform/request_bodies_test.py
@@ -8,7 +8,7 @@
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.memory.account import SMALL_BYTES, STALLED_S, Kind, MemoryAccount
 from ibisrack.platform import request_bodies
-from ibisrack.platform.http_server import LINGER_BYTES, RefusedRest
+from ibisrack.platform.caller_connection import LINGER_BYTES, RefusedRest
 from ibisrack.platform.http_server_test import send_raw
 from ibisrack.testing.connections import create_waiting_connection
 from ibisrack.testing.functions import function_tests
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -24,7 +24,6 @@
 from ibisrack.links.outgoing import OutgoingLink
 from ibisrack.links.pacer import LinkPacer, reported_backlog_ms
 from ibisrack.memory.connections import ConnectionLimit, create_connection_limit
-from ibisrack.memory.resident import read_resident_bytes
 from ibisrack.metrics.tally import Tally
 from ibisrack.node.tasks import keep_running
 from ibisrack.pipelining.recorder import PipeliningRecorder
@@ -337,9 +336,6 @@
                 self.suspects.table.expire(now_s)
                 self._record_reported_versions()
                 self._close_idle_links(now_s)
-                self.connection_limit.account.observe_resident(
-                    read_resident_bytes(), self.settings.memory_mb
-                )
             self.registry_peers.choose_sources(self.follower, now_s)
             self.registry_peers.request_missing_entries(now_s)
             for link in self.incoming_links:
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -28,6 +28,7 @@
 from ibisrack.links.incoming import IncomingLink, serve_link
 from ibisrack.memory.connections import create_connection_limit
 from ibisrack.memory.in_flight import create_bodies_in_flight
+from ibisrack.memory.resident import read_resident_bytes
 from ibisrack.metrics.tally import Tally
 from ibisrack.node.tasks import keep_running
 from ibisrack.platform import entries
@@ -63,6 +64,7 @@
 INITIAL_MAX_CONNECTIONS = 4  # Size of the pool until the registry lists the instance's slots.
 SPARE_CONNECTIONS = 2  # Pool size above the slots, for connections that are being replaced.
 MAX_RESERVED_SHARE = 0.65  # Largest fraction of the slots reserved from the least urgent rank.
+MEMORY_POLL_S = 1.0
 SETTINGS_POLL_S = 1.0  # The settings file may change without a SIGHUP.
 
 _LOGGER = logging.getLogger("ibisrack.sidecar")
@@ -161,6 +163,8 @@
                     "settings", partial(_watch_settings, node, path, load_settings, hangup)
                 )
             )
+            # Not in ``serving``: only here is the memory of the process that of one sidecar.
+            node.spawn(keep_running("memory", partial(_watch_memory, node)))
             stop_signals.on_repeat = partial(record_repeated_stop, node)
             await drain(node, await stop_signals.wait())
     finally:
@@ -233,6 +237,14 @@
             _LOGGER.error("settings refused", extra={"faults": [str(f) for f in error.faults]})
 
 
+async def _watch_memory(node: SidecarNode) -> None:
+    """Adapts the limit on what is held for others to the memory that the process needs itself."""
+    while True:
+        await asyncio.sleep(MEMORY_POLL_S)
+        account, memory_mb = node.connection_limit.account, node.settings.memory_mb
+        account.observe_resident(read_resident_bytes(), memory_mb)
+
+
 def _fingerprint(path: Path) -> tuple[int, int] | None:
     """Returns the change time and size of a file, None if it can't be read."""
     try:
