Report the waiting requests of an instance by priority

A sender saw only the number of all waiting requests. For a call of a running request, which goes before new requests, that number says little. Load has the numbers for the eight most urgent priorities now; it is empty where an instance has requests of one priority only.

--- a/ibisrack/calls/admission.py
+++ b/ibisrack/calls/admission.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import itertools
 import math
 
 import attrs
@@ -170,6 +171,17 @@
         """Number of waiting calls."""
         return sum(len(queue.waiting) for queue in self._queues.values())
 
+    def queued_by_priority(self, max_count: int) -> tuple[tuple[int, int], ...]:
+        """Returns the priorities of waiting calls and their numbers, the most urgent first.
+
+        Args:
+          max_count: Maximum number of priorities returned.
+        """
+        if len(self._queues) < 2:
+            return ()
+        pairs = ((q.rule.order, len(q.waiting)) for q in self._queues.values() if q.waiting)
+        return tuple(itertools.islice(pairs, max_count))
+
     def running_by_rank(self) -> dict[str, int]:
         """Returns the number of running calls of each rank that has any."""
         return {name: queue.running for name, queue in self._queues.items() if queue.running}
--- a/ibisrack/calls/admission_test.py
+++ b/ibisrack/calls/admission_test.py
@@ -231,6 +231,20 @@
     assert len(driver.running) == 2
 
 
+def test_waiting_calls_are_counted_by_priority():
+    """Guards against senders that take calls of a lower priority for ahead of an urgent one."""
+    driver = new_driver(1)
+    assert driver.scheduler.queued_by_priority(8) == ()
+    for rank in ("bulk", "bulk", "urgent", "bulk"):
+        driver.submit(rank, 5.0)
+    assert driver.scheduler.queued_by_priority(8) == ((1, 1), (3, 2))
+    assert driver.scheduler.queued_by_priority(1) == ((1, 1),)
+    one_rank = new_driver(1, RANKS[:1])
+    for _ in range(3):
+        one_rank.submit("urgent", 5.0)
+    assert one_rank.scheduler.queued_by_priority(8) == ()
+
+
 def test_an_idle_rank_accumulates_no_credit():
     """Guards against a burst that delays urgent calls after an hour without calls."""
     account = ShareAccount(rate=1.0)
--- a/ibisrack/links/bounds.py
+++ b/ibisrack/links/bounds.py
@@ -11,6 +11,7 @@
 from ibisrack.calls.pace import MAX_RATE_PER_S
 from ibisrack.errors import MessageError
 from ibisrack.links.messages import (
+    MAX_REPORTED_PRIORITIES,
     Answered,
     Entries,
     Follow,
@@ -82,6 +83,10 @@
     _check_limit(message.paced_per_s)
     _check("backlog", message.link_backlog_ms, 0, MAX_INTEGER)
     _check("bandwidth", message.link_mbps, 0, MAX_LINK_MBPS)
+    _check("number of priorities", len(message.queued_by_priority), 0, MAX_REPORTED_PRIORITIES)
+    for priority, queued in message.queued_by_priority:
+        _check("priority", priority, -MAX_INTEGER, MAX_INTEGER)
+        _check("load", queued, 0, MAX_COUNT)
 
 
 @check_bounds.register
--- a/ibisrack/links/bounds_test.py
+++ b/ibisrack/links/bounds_test.py
@@ -62,6 +62,8 @@
             await assert_refused(attrs.evolve(LOAD, **{name: number}))
     for number in (-1, 2**63):
         await assert_refused(attrs.evolve(LOAD, configuration_version=number))
+    for pairs in (((0, -1),), ((0, 2**63),), ((2**63, 1),), ((0, 1),) * 9):
+        await assert_refused(attrs.evolve(LOAD, queued_by_priority=pairs))
     for number in ODD_INTEGERS:
         odd = (attrs.evolve(LOAD, free_starts=number), attrs.evolve(LOAD, leaving_start_ms=number))
         await assert_refused(*odd)
@@ -116,6 +118,7 @@
     """Guards against bounds that end links between nodes that work as they should."""
     for message in (
         LOAD,
+        attrs.evolve(LOAD, queued_by_priority=((0, 1),) * 8),
         Load(0, 0, 65_535, 0.0, False, NO_REVISION, False, False, "i", 1e6, 100_000, MAX_TIME_MS),
         attrs.evolve(LOAD, cold_left_ms=MAX_TIME_MS, cold_free_starts=10_000, paced_per_s=0.0),
         HELLO,
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -11,6 +11,10 @@
 from ibisrack.registry.messages import Revision
 from ibisrack.suspects.fingerprint import fingerprint_of
 
+# Priorities whose waiting requests a load report counts, the most urgent ones; few services have
+# more, and a sender takes all requests for ahead of one that is less urgent than these.
+MAX_REPORTED_PRIORITIES = 8
+
 
 @attrs.frozen
 class Hello:
@@ -187,6 +191,8 @@
       link_backlog_ms: Time that the sender's network link takes for what it has still to send,
         including the expected answers to the requests that it has accepted.
       link_mbps: Bandwidth of that link in Mbit/s, 0 if it is not stated.
+      queued_by_priority: Priorities of the waiting requests and their numbers, the most urgent
+        first; empty if none wait or if all requests for the instance have the same priority.
     """
 
     busy: int
@@ -207,6 +213,7 @@
     paced_per_s: float | None = None
     link_backlog_ms: int = 0
     link_mbps: float = 0.0
+    queued_by_priority: tuple[tuple[int, int], ...] = ()
 
 
 @attrs.frozen
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -20,7 +20,7 @@
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
 from ibisrack.links.incoming import IncomingLink
-from ibisrack.links.messages import Entries, Hello, Load
+from ibisrack.links.messages import MAX_REPORTED_PRIORITIES, Entries, Hello, Load
 from ibisrack.links.outgoing import OutgoingLink
 from ibisrack.links.pacer import LinkPacer, reported_backlog_ms
 from ibisrack.memory.connections import ConnectionLimit, create_connection_limit
@@ -153,6 +153,7 @@
             cold.paced_per_s,
             reported_backlog_ms(self.pacer.backlog_s(now_s)),
             self.settings.link_mbps,
+            self.instance_runner.gate.scheduler.queued_by_priority(MAX_REPORTED_PRIORITIES),
         )
 
     def peer_links(self) -> tuple[PeerLink, ...]:
