Refuse a request early when no instance is likely to admit it

A request that a full instance refused was sent to up to five more, each of which decoded, refused and logged it. After a refusal for want of room, another instance of the subset is tried only if it is likely to admit the request, and then a single one of unknown capacity.

--- a/ibisrack/dispatch/attempts.py
+++ b/ibisrack/dispatch/attempts.py
@@ -17,6 +17,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.retry import Result, may_have_executed, reported_result
 from ibisrack.dispatch.budget import ServiceRetryBudgets
+from ibisrack.dispatch.capacity import RoomSearch
 from ibisrack.dispatch.destination import OpenAttempt
 from ibisrack.dispatch.transfer import LinkWait
 from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
@@ -54,6 +55,7 @@
       sent: The attempts, as the dispatcher keeps them for a planned stop.
       attempt_log: Instance and result of each attempt, for the log.
       attempted_ms: Milliseconds from the arrival of the request to each attempt, for the log.
+      search: What its refusals for want of room have shown.
       link_wait: Backlog of the link for which the request is refused, None for another reason.
     """
 
@@ -69,6 +71,7 @@
     sent: list[OpenAttempt] = attrs.field(factory=list)
     attempt_log: list[str] = attrs.field(factory=list)
     attempted_ms: list[int] = attrs.field(factory=list)
+    search: RoomSearch = attrs.field(factory=RoomSearch)
     link_wait: LinkWait | None = None
 
     def should_retry(self, result: Result, now_s: float) -> bool:
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -11,18 +11,19 @@
 from ibisrack.clocks import read_monotonic_s, read_uptime_ms
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import ServiceRetryBudgets
+from ibisrack.dispatch.capacity import WANT_OF_ROOM, Need
 from ibisrack.dispatch.destination import Destination, OpenAttempt
 from ibisrack.dispatch.first_attempts import FirstAttemptEstimator
 from ibisrack.dispatch.recorder import RequestRecorder
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
-from ibisrack.dispatch.selection import InstanceSelector
+from ibisrack.dispatch.selection import MAX_INSTANCES_TRIED, InstanceSelector
 from ibisrack.dispatch.service_times import LongestServiceTimes
 from ibisrack.dispatch.transfer import LinkWait, Transfer
 from ibisrack.dispatch.verdicts import allows_attempt, reason_without_attempt
 from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.instances.model import Instance
-from ibisrack.links.messages import Submit
+from ibisrack.links.messages import Load, Submit
 from ibisrack.links.pacer import LinkPacer
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.model import Route
@@ -31,7 +32,6 @@
 from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.table import FIRST_BLOCK_S, Clear, Suspected, Verdict
 
-MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 30.0  # A route's target may be far longer than a service stays busy.
 # Time for a node to obtain its first configuration, or a later one that its peers have.
@@ -205,17 +205,23 @@
         now_s, service = read_monotonic_s(), attempts.service
         if isinstance(verdict, Suspected):
             return self.selector.select_home(service, request.fingerprint, tried, now_s)
-        transfer = self._transfer(request, attempts, now_s)
+        transfer = self._transfer(attempts, now_s, request)
+        if attempts.search.refusals:
+            return self.selector.select_with_room(
+                service, attempts.route, tried, now_s, transfer, attempts.search
+            )
         return self.selector.select(service, attempts.route, tried, now_s, transfer)
 
-    def _transfer(self, request: Request, attempts: Attempts, now_s: float) -> Transfer:
+    def _transfer(
+        self, attempts: Attempts, now_s: float, request: Request | None = None
+    ) -> Transfer:
         """Returns what the bodies of a request and its answer mean for the links of the hosts."""
         return Transfer(
             self.selector.views.answer_bytes.get(attempts.route.name, 0.0),
             attempts.route.target_s,
             attempts.target_at_s - now_s,
             attempts.deadline_at_s - now_s,
-            self.pacer.sending_s(len(request.body), now_s),
+            self.pacer.sending_s(len(request.body), now_s) if request else 0.0,
         )
 
     async def _attempt(
@@ -274,7 +280,7 @@
             attempts.lost_attempts.append(error)
             return error
         except NotRunError as error:
-            views.record_refusal(name, error.reason, read_monotonic_s())
+            self._record_refusal(attempts, name, error.reason, destination.load)
             return error
         except UnknownOutcomeError as error:
             views.record_failure(name, read_monotonic_s())
@@ -285,6 +291,20 @@
         self.service_times.record(route.name, answer.ran_s, read_monotonic_s())
         return answer
 
+    def _record_refusal(
+        self, attempts: Attempts, name: str, reason: str, load: Load | None
+    ) -> None:
+        """Updates the view and the capacity of an instance whose node refused a request."""
+        now_s = read_monotonic_s()
+        self.selector.views.record_refusal(name, reason, now_s)
+        if reason in WANT_OF_ROOM:
+            attempts.search.refusals += 1
+            self.selector.capacity.record_refusal(name, self._need(attempts, now_s), load, now_s)
+
+    def _need(self, attempts: Attempts, now_s: float) -> Need:
+        """Returns what a request needs of an instance, apart from the link of this host."""
+        return Need(attempts.route.priority, self._transfer(attempts, now_s))
+
     def _is_too_late(self, attempt: OpenAttempt, now_s: float) -> bool:
         """Returns whether the planned stop might cut off an attempt that starts now."""
         if self.stop is None:
@@ -306,6 +326,12 @@
             wait_s = attempts.link_wait.backlog_s
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
+    def estimate_capacity(self, attempts: Attempts) -> None:
+        """Estimates the capacity for a request that is refused for want of room."""
+        now_s = read_monotonic_s()
+        need = self._need(attempts, now_s)
+        attempts.search.estimate = self.selector.estimate(attempts.service, need, now_s)
+
     def link_wait(self, reason: str, service: str) -> LinkWait | None:
         """Returns the backlog of the link for which a request is refused, None if there is none.
 
@@ -343,6 +369,8 @@
 def _(result: NotRunError, dispatcher: Dispatcher, attempts: Attempts) -> Reply:
     if result.reason == Reason.CRASHES_INSTANCES:
         return Refusal(str(result.reason), FIRST_BLOCK_S)
+    if result.reason in WANT_OF_ROOM:
+        dispatcher.estimate_capacity(attempts)
     attempts.link_wait = dispatcher.link_wait(result.reason, attempts.service)
     return Refusal(str(result.reason), dispatcher.retry_after_s(attempts))
 
--- a/ibisrack/dispatch/dispatcher_test.py
+++ b/ibisrack/dispatch/dispatcher_test.py
@@ -10,10 +10,14 @@
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import ServiceRetryBudgets
-from ibisrack.dispatch.dispatcher import MAX_INSTANCES_TRIED, Dispatcher, to_reply
+from ibisrack.dispatch.dispatcher import Dispatcher, to_reply
 from ibisrack.dispatch.replies import Refusal
 from ibisrack.dispatch.request import Request
-from ibisrack.dispatch.selection import MAX_TRIED_IN_SUBSET, InstanceSelector
+from ibisrack.dispatch.selection import (
+    MAX_INSTANCES_TRIED,
+    MAX_TRIED_IN_SUBSET,
+    InstanceSelector,
+)
 from ibisrack.errors import NotRunError, UnknownOutcomeError
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.links.messages import Load, Submit
@@ -190,6 +194,27 @@
     assert 1.0 < reply.retry_after_s <= 1.5
 
 
+async def test_a_request_that_full_instances_refuse_is_refused_early():
+    """Guards against attempts at full instances, which cost more processor time than a run."""
+    sender, destination = dispatcher(result=NotRunError(Reason.TOO_BUSY))
+    destination.load = Load(2, 8, 2, 400.0, True, NO_REVISION, True, True)
+    made = attempts(sender)
+    result = await sender._attempt_all(request(), made)
+    assert len(destination.submits) == 1
+    assert made.search.spared_attempts == COUNT - 1
+    reply = to_reply(result, sender, made)
+    assert reply.reason == Reason.TOO_BUSY
+    assert made.search.estimate.wait_s > 1.0
+
+
+async def test_refusals_for_other_reasons_are_taken_to_other_full_instances():
+    """Guards against fewer attempts when instances drain or can't be reached."""
+    sender, destination = dispatcher(result=NotRunError(Reason.UPSTREAM_UNREACHABLE))
+    destination.load = Load(2, 8, 2, 400.0, True, NO_REVISION, True, True)
+    await sender._attempt_all(request(), attempts(sender))
+    assert len(destination.submits) == COUNT
+
+
 async def test_a_body_that_the_own_link_cannot_send_in_time_is_refused_at_once():
     """Guards against uploads that are sent although they arrive after their deadline."""
     sender, destination = dispatcher(result=NotRunError(Reason.TOO_BUSY))
--- a/ibisrack/dispatch/recorder.py
+++ b/ibisrack/dispatch/recorder.py
@@ -10,6 +10,7 @@
 from ibisrack.calls.messages import Answer
 from ibisrack.calls.outcomes import Outcome
 from ibisrack.dispatch.attempts import FIRST_SERVER_ERROR_STATUS, Attempts
+from ibisrack.dispatch.capacity import RoomSearch
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
 from ibisrack.dispatch.transfer import LinkWait
@@ -27,11 +28,15 @@
       tally: Counters of requests for metrics.
       view: Content of the registry, whose revision and age are logged.
       link_refusals: Requests of callers refused for a full link, by reason.
+      early_refusals: Requests refused although more instances could have been tried.
+      spared_attempts: Attempts that these requests did not make.
     """
 
     tally: Tally
     view: RegistryView
     link_refusals: Counter[str] = attrs.field(factory=Counter)
+    early_refusals: int = 0
+    spared_attempts: int = 0
 
     def record(
         self, request: Request, attempts: Attempts, version: int, reply: Reply, now_s: float
@@ -43,6 +48,9 @@
         self.tally.count_call(INGRESS, attempts.service, rank, str(outcome), total_s * 1000)
         if attempts.link_wait is not None:
             self.link_refusals[_details(reply)["reason"]] += 1
+        if outcome is Outcome.NOT_RUN and attempts.search.spared_attempts > 0:
+            self.early_refusals += 1
+            self.spared_attempts += attempts.search.spared_attempts
         served = outcome is Outcome.DONE
         level = logging.DEBUG if served else logging.INFO
         if not _LOGGER.isEnabledFor(level):
@@ -60,6 +68,7 @@
             "tried_ms": attempts.attempted_ms,
             "outcome": str(outcome),
             **_link_fields(attempts.link_wait),
+            **_capacity_fields(attempts.search),
             **_details(reply),
         }
         _LOGGER.log(level, "request served" if served else "request not served", extra=extra)
@@ -97,6 +106,19 @@
     }
 
 
+def _capacity_fields(search: RoomSearch) -> dict[str, Any]:
+    """Returns the estimate by which a request was refused, and its age."""
+    estimate = search.estimate
+    if estimate is None:
+        return {}
+    return {
+        "spared_attempts": search.spared_attempts,
+        "capacity_wait_ms": round(estimate.wait_s * 1000),
+        "capacity_certainty": round(estimate.certainty, 2),
+        "capacity_age_ms": round(estimate.age_s * 1000),
+    }
+
+
 @singledispatch
 def outcome_of(reply: object) -> Outcome:
     """Returns what a reply implies about the execution of its request."""
--- a/ibisrack/dispatch/selection.py
+++ b/ibisrack/dispatch/selection.py
@@ -8,6 +8,13 @@
 
 import attrs
 
+from ibisrack.dispatch.capacity import (
+    CapacityEstimate,
+    CapacityEstimator,
+    Need,
+    Prospect,
+    RoomSearch,
+)
 from ibisrack.dispatch.choice import InstanceViews, choose_home, choose_instance
 from ibisrack.dispatch.subset import InstanceSubsets
 from ibisrack.dispatch.transfer import NO_TRANSFER, LinkWait, Transfer
@@ -19,6 +26,10 @@
 
 # Instances of the subset that are tried first.  If all of them refuse, others may still be free.
 MAX_TRIED_IN_SUBSET = 5
+MAX_INSTANCES_TRIED = 6  # Instances tried for one request before it is refused.
+# Random instances of a service among which one of unknown capacity is chosen.  The subset is at
+# most thirteen of them, and all instances of a large service would take a long time to look at.
+UNKNOWN_SAMPLE = 16
 
 
 @attrs.define(eq=False)
@@ -33,6 +44,7 @@
       views: Runtime state of the instances.
       suspects: Requests that are suspected of crashing instances.
       subsets: The instances that requests are usually sent to.
+      capacity: Estimates the capacity of the instances.
     """
 
     zone: str
@@ -44,6 +56,9 @@
     subsets: InstanceSubsets = attrs.field(
         default=attrs.Factory(lambda self: InstanceSubsets(self.views.own_host), takes_self=True)
     )
+    capacity: CapacityEstimator = attrs.field(
+        default=attrs.Factory(lambda self: CapacityEstimator(self.views), takes_self=True)
+    )
 
     def select(
         self,
@@ -69,8 +84,46 @@
             candidates = self._available(subset, tried, now_s)
         if not candidates:
             candidates = self._available(listed, tried, now_s)
-        cost_s = self.views.zone_cost_ratio(route.name) * route.target_s
-        return choose_instance(candidates, self.views, self.zone, cost_s, self.rng, now_s, transfer)
+        return self._choose(candidates, route, now_s, transfer)
+
+    def select_with_room(
+        self,
+        service: str,
+        route: Route,
+        tried: Set[str],
+        now_s: float,
+        transfer: Transfer,
+        search: RoomSearch,
+    ) -> Instance | None:
+        """Returns the instance for an attempt after a refusal for want of room, None to refuse.
+
+        Instances of the subset that are likely to admit the request are tried as long as there are
+        any, then a single one of unknown capacity, usually outside the subset.  The other arguments
+        are those of ``select``.
+
+        Args:
+          search: What the attempts so far have shown.
+        """
+        need, listed = Need(route.priority, transfer), self.directory.in_use(service)
+        candidates: list[Instance] = []
+        if len(tried) < MAX_TRIED_IN_SUBSET:
+            subset = self._available(self.subsets.of(service, listed, self.zone), tried, now_s)
+            candidates = [each for each in subset if self._may_have_room(each, need, now_s)]
+        if not candidates and search.unknown_id not in tried:
+            candidates = self._of_unknown_capacity(listed, tried, need, now_s)
+            selected = self._choose(candidates, route, now_s, transfer)
+            search.unknown_id = selected.instance_id if selected else None
+        else:
+            selected = self._choose(candidates, route, now_s, transfer)
+        if selected is None:
+            search.spared_attempts = min(MAX_INSTANCES_TRIED, len(listed)) - len(tried)
+        return selected
+
+    def estimate(self, service: str, need: Need, now_s: float) -> CapacityEstimate | None:
+        """Returns the capacity of the subset of a service, None if no instance has reported."""
+        listed = self.directory.in_use(service)
+        subset = self.subsets.of(service, listed, self.zone)
+        return self.capacity.estimate(self._available(subset, frozenset(), now_s), need, now_s)
 
     def shortest_link_wait(self, service: str, now_s: float) -> LinkWait | None:
         """Returns the shortest backlog among the links of a service's instances, if any reports."""
@@ -96,6 +149,34 @@
             return False
         return any(instance.ready for instance in self.directory.of_service(service))
 
+    def _choose(
+        self, candidates: list[Instance], route: Route, now_s: float, transfer: Transfer
+    ) -> Instance | None:
+        cost_s = self.views.zone_cost_ratio(route.name) * route.target_s
+        return choose_instance(candidates, self.views, self.zone, cost_s, self.rng, now_s, transfer)
+
+    def _may_have_room(self, instance: Instance, need: Need, now_s: float) -> bool:
+        """Returns whether an instance of the subset is not known to be full.
+
+        Nodes hear of all instances of their subsets, so one without a report has just been listed.
+        """
+        if self.views.of(instance.instance_id).load is None:
+            return True
+        return self.capacity.prospect(instance, need, now_s) is Prospect.LIKELY
+
+    def _of_unknown_capacity(
+        self, listed: tuple[Instance, ...], tried: Set[str], need: Need, now_s: float
+    ) -> list[Instance]:
+        """Returns random instances of a service that are not known to be full."""
+        if len(listed) > UNKNOWN_SAMPLE:
+            listed = tuple(self.rng.sample(listed, UNKNOWN_SAMPLE))
+        available = self._available(listed, tried, now_s)
+        return [
+            each
+            for each in available
+            if self.capacity.prospect(each, need, now_s) is not Prospect.UNLIKELY
+        ]
+
     def _available(
         self, instances: tuple[Instance, ...], tried: Set[str], now_s: float
     ) -> list[Instance]:
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -32,6 +32,7 @@
     yield from _crash_metrics(node)
     yield from _suspect_metrics(node)
     yield from _budget_metrics(node)
+    yield from _capacity_metrics(node)
     yield from _registry_metrics(node)
     yield from _link_metrics(node)
     yield from _memory_metrics(node)
@@ -109,6 +110,14 @@
     yield Metric("ibis_repeats_in_window", "Repeats that count now.", False, samples)
 
 
+def _capacity_metrics(node: SidecarNode) -> Iterator[Metric]:
+    recorder = node.dispatcher.recorder
+    refused = unlabelled(recorder.early_refusals)
+    yield Metric("ibis_early_refusals_total", "Refused before all attempts.", True, refused)
+    spared = unlabelled(recorder.spared_attempts)
+    yield Metric("ibis_spared_attempts_total", "Attempts not made.", True, spared)
+
+
 def _registry_metrics(node: SidecarNode) -> Iterator[Metric]:
     version, revision = node.configurations.version, node.view.revision
     age_s = read_monotonic_s() - node.view.confirmed_at_s
