Make no attempt that is certain to miss the deadline

A caller that came back during an overload was sent to a full instance even if all instances had just reported queues beyond its deadline. For a service whose instances are all in the subset, such a request is refused at once. The check runs only for half a second after a refusal for want of room.

--- a/ibisrack/dispatch/capacity.py
+++ b/ibisrack/dispatch/capacity.py
@@ -11,6 +11,7 @@
   the weight is the mean of the other instances.
 """
 
+import math
 from collections.abc import Iterable
 from enum import Enum
 
@@ -18,7 +19,7 @@
 
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.pace import MIN_RATE_PER_S
-from ibisrack.calls.targets import UNREACHABLE_MEAN_FACTOR
+from ibisrack.calls.targets import POSSIBLE_MEAN_FACTOR, UNREACHABLE_MEAN_FACTOR
 from ibisrack.dispatch.choice import InstanceView, InstanceViews
 from ibisrack.dispatch.transfer import Transfer
 from ibisrack.instances.model import Instance
@@ -31,6 +32,9 @@
 # of docs/design/hard-load.md ends several requests in the half second in which a report has it.
 MIN_CERTAINTY = 0.5
 REFUSAL_LIFETIME_S = 0.5
+# Certainty above which a request is refused without any attempt.  Within the fifth of a second in
+# which a report has it, a wait changes little against those for which this is decided.
+MIN_CERTAINTY_WITHOUT_ATTEMPT = 0.8
 MAX_TRACKED_INSTANCES = 4096  # The table of refusals is cleared when it reaches this size.
 
 
@@ -119,9 +123,11 @@
 
     Attributes:
       views: Views of the instances.
+      refused_until_s: Monotonic time until which the last refusal for want of room counts.
     """
 
     views: InstanceViews
+    refused_until_s: float = -math.inf
     # The last refusals by instance and priority.
     _refusals: dict[str, dict[int, _Refusal]] = attrs.field(factory=dict)
 
@@ -136,12 +142,17 @@
         """
         if load is None:
             return
+        self.refused_until_s = now_s + REFUSAL_LIFETIME_S
         if len(self._refusals) >= MAX_TRACKED_INSTANCES:
             self._refusals.clear()
         left_s = need.left_s(load.service_ms / 1000)
         refusal = _Refusal(now_s, left_s, load.busy + load.queued)
         self._refusals.setdefault(instance_id, {})[need.priority] = refusal
 
+    def has_refusals(self, now_s: float) -> bool:
+        """Returns whether any instance has refused a request for want of room lately."""
+        return now_s < self.refused_until_s
+
     def prospect(self, instance: Instance, need: Need, now_s: float) -> Prospect:
         """Returns whether an instance would admit a request that is sent to it now."""
         view = self.views.of(instance.instance_id)
@@ -158,6 +169,16 @@
         is_certain = _certainty(view, now_s) >= MIN_CERTAINTY
         return Prospect.UNLIKELY if is_certain else Prospect.UNKNOWN
 
+    def misses_deadline(self, instance: Instance, need: Need, now_s: float) -> bool:
+        """Returns whether an instance is certain not to answer a request before its deadline."""
+        view = self.views.of(instance.instance_id)
+        if view.load is None or _certainty(view, now_s) < MIN_CERTAINTY_WITHOUT_ATTEMPT:
+            return False
+        wait_s = self._wait_s(instance, view, need, now_s) - (now_s - view.reported_at_s)
+        # Hardly any run is shorter than this part of the mean.
+        run_s = view.load.service_ms / 1000 * POSSIBLE_MEAN_FACTOR
+        return wait_s > 0 and wait_s + run_s > need.transfer.deadline_left_s
+
     def estimate(
         self, instances: Iterable[Instance], need: Need, now_s: float
     ) -> CapacityEstimate | None:
--- a/ibisrack/dispatch/capacity_test.py
+++ b/ibisrack/dispatch/capacity_test.py
@@ -90,6 +90,17 @@
     assert prospect(estimating, need()) is Prospect.LIKELY
 
 
+def test_only_a_fresh_report_shows_that_a_deadline_is_missed():
+    """Guards against a refusal without an attempt by a guess."""
+    late = Need(1, Transfer(5000.0, TARGET_S, -0.1, 0.7))
+    estimating, listed = estimator(load(*FULL)), instance("i-0")
+    assert estimating.misses_deadline(listed, late, NOW_S)
+    assert not estimating.misses_deadline(listed, need(), NOW_S)
+    assert not estimating.misses_deadline(listed, late, NOW_S + 0.25)
+    assert not estimator().misses_deadline(listed, late, NOW_S)
+    assert not estimator(load(*FREE)).misses_deadline(listed, late, NOW_S)
+
+
 def test_limits_on_starts_and_full_links_delay_a_request():
     """Guards against an instance with free slots that may not start requests or send answers."""
     limited = load(0, 0, limit_per_s=2.0, free_starts=-3)
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -170,6 +170,8 @@
         tried: set[str] = set()
         is_evacuated = self.selector.is_evacuated(attempts.service)
         verdict = self.suspects.verdict(request)
+        if self._misses_deadline(attempts):
+            return NotRunError(Reason.TOO_BUSY)
         result: Result = NotRunError(reason_without_attempt(verdict, is_evacuated))
         while len(tried) < MAX_INSTANCES_TRIED:
             verdict = self.suspects.verdict(request)
@@ -301,6 +303,14 @@
             attempts.search.refusals += 1
             self.selector.capacity.record_refusal(name, self._need(attempts, now_s), load, now_s)
 
+    def _misses_deadline(self, attempts: Attempts) -> bool:
+        """Returns whether no instance can answer a request that has not been tried in time."""
+        now_s, selector = read_monotonic_s(), self.selector
+        # Without overload there is no refusal, and nothing more is computed.
+        return selector.capacity.has_refusals(now_s) and selector.misses_deadline(
+            attempts.service, self._need(attempts, now_s), now_s, attempts.search
+        )
+
     def _need(self, attempts: Attempts, now_s: float) -> Need:
         """Returns what a request needs of an instance, apart from the link of this host."""
         return Need(attempts.route.priority, self._transfer(attempts, now_s))
--- a/ibisrack/dispatch/dispatcher_test.py
+++ b/ibisrack/dispatch/dispatcher_test.py
@@ -11,6 +11,7 @@
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import ServiceRetryBudgets
 from ibisrack.dispatch.dispatcher import Dispatcher, to_reply
+from ibisrack.dispatch.recorder import RequestRecorder
 from ibisrack.dispatch.replies import Refusal
 from ibisrack.dispatch.request import Request
 from ibisrack.dispatch.selection import (
@@ -22,11 +23,13 @@
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.links.messages import Load, Submit
 from ibisrack.links.pacer import LinkPacer
+from ibisrack.metrics.tally import Tally
 from ibisrack.registry.messages import NO_REVISION
+from ibisrack.registry.view import RegistryView
 from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.messages import CrashReport, RunCompleted
 from ibisrack.testing.functions import function_tests
-from ibisrack.testing.sidecars import instance, route
+from ibisrack.testing.sidecars import capture_log, instance, route
 
 COUNT = 6
 CRASHED = UnknownOutcomeError(Reason.INSTANCE_CRASHED)
@@ -204,7 +207,14 @@
     assert made.search.spared_attempts == COUNT - 1
     reply = to_reply(result, sender, made)
     assert reply.reason == Reason.TOO_BUSY
-    assert made.search.estimate.wait_s > 1.0
+    recorder = RequestRecorder(Tally(), RegistryView())
+    with capture_log() as log:
+        recorder.record(request(), made, 1, reply, read_monotonic_s())
+    (line,) = log
+    assert line.spared_attempts == recorder.spared_attempts == COUNT - 1
+    assert line.capacity_wait_ms > 1000
+    assert line.capacity_age_ms >= 0
+    assert recorder.early_refusals == 1
 
 
 async def test_refusals_for_other_reasons_are_taken_to_other_full_instances():
--- a/ibisrack/dispatch/early_refusal_test.py
+++ b/ibisrack/dispatch/early_refusal_test.py
@@ -4,10 +4,11 @@
 
 import attrs
 
-from ibisrack.dispatch.capacity import RoomSearch
-from ibisrack.dispatch.capacity_test import FREE, FULL, NOW_S, SLOTS, load, need
+from ibisrack.dispatch.capacity import REFUSAL_LIFETIME_S, Need, RoomSearch
+from ibisrack.dispatch.capacity_test import FREE, FULL, NOW_S, SLOTS, TARGET_S, load, need
 from ibisrack.dispatch.selection import MAX_INSTANCES_TRIED, InstanceSelector
 from ibisrack.dispatch.subset import SUBSET_SIZE, InstanceSubsets
+from ibisrack.dispatch.transfer import Transfer
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import instance, route
@@ -94,4 +95,17 @@
         assert search.spared_attempts == 0
 
 
+def test_no_attempt_is_made_when_all_instances_would_answer_late():
+    """Guards against attempts without a chance, and a refusal while instances may be free."""
+    late = Need(1, Transfer(5000.0, TARGET_S, -0.1, 0.7))
+    for held, is_missed in (([FULL] * 8, True), ([FULL] * 56, False), ([FULL] * 7 + [FREE], False)):
+        loads = {f"i-{number}": each for number, each in enumerate(held)}
+        _, search, selector = Service(loads).attempts(1)
+        assert selector.misses_deadline("desk", late, NOW_S, search) is is_missed
+        assert search.spared_attempts == MAX_INSTANCES_TRIED or not is_missed
+        assert selector.capacity.has_refusals(NOW_S) or not is_missed
+        # The next request after that is sent, so that the end of the overload is noticed.
+        assert not selector.capacity.has_refusals(NOW_S + REFUSAL_LIFETIME_S)
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/dispatch/selection.py
+++ b/ibisrack/dispatch/selection.py
@@ -119,6 +119,28 @@
             search.spared_attempts = min(MAX_INSTANCES_TRIED, len(listed)) - len(tried)
         return selected
 
+    def misses_deadline(self, service: str, need: Need, now_s: float, search: RoomSearch) -> bool:
+        """Returns whether no instance of a service can answer a request before its deadline.
+
+        It is never certain for a service with instances outside the subset.
+
+        Args:
+          service: Service that was selected for the request.
+          need: What the request needs.
+          now_s: Current time.
+          search: Gets the number of attempts that are not made.
+        """
+        listed = self.directory.in_use(service)
+        if len(self.subsets.of(service, listed, self.zone)) < len(listed):
+            return False
+        available = self._available(listed, frozenset(), now_s)
+        if not available or not all(
+            self.capacity.misses_deadline(each, need, now_s) for each in available
+        ):
+            return False
+        search.spared_attempts = min(MAX_INSTANCES_TRIED, len(available))
+        return True
+
     def estimate(self, service: str, need: Need, now_s: float) -> CapacityEstimate | None:
         """Returns the capacity of the subset of a service, None if no instance has reported."""
         listed = self.directory.in_use(service)
