Refuse callers at once that come back before their Retry-After

A caller that repeats a refused request at once met the same full instances again, and could be served before callers that wait as told. It is recognised by method, host, target and the first attempt that its deadline shows, and gets the rest of its wait while the estimate says that it would wait.

--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -11,8 +11,9 @@
 from ibisrack.clocks import read_monotonic_s, read_uptime_ms
 from ibisrack.dispatch.attempts import Attempts
 from ibisrack.dispatch.budget import ServiceRetryBudgets
-from ibisrack.dispatch.capacity import WANT_OF_ROOM, Need
+from ibisrack.dispatch.capacity import WANT_OF_ROOM, CapacityEstimate, Need
 from ibisrack.dispatch.destination import Destination, OpenAttempt
+from ibisrack.dispatch.early_returns import EarlyReturns
 from ibisrack.dispatch.first_attempts import FirstAttemptEstimator
 from ibisrack.dispatch.recorder import RequestRecorder
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
@@ -55,6 +56,7 @@
       splitter: Selects among the services of a route.
       service_times: Longest recent service time of each route.
       first_attempts: Estimates when the caller of a retried request first sent it.
+      early_returns: Recognises callers that come back sooner than they were told.
       running: Number of requests being served.
       open_attempts: Attempts of the requests being served.
       stop: Planned stop of this process, None while there is none.
@@ -72,6 +74,7 @@
     splitter: Splitter = attrs.field(factory=Splitter)
     service_times: LongestServiceTimes = attrs.field(factory=LongestServiceTimes)
     first_attempts: FirstAttemptEstimator = attrs.field(factory=FirstAttemptEstimator)
+    early_returns: EarlyReturns = attrs.field(factory=EarlyReturns)
     running: int = 0
     open_attempts: set[OpenAttempt] = attrs.field(factory=set)
     stop: PlannedStop | None = None
@@ -129,6 +132,10 @@
         due_at_s = attempts.deadline_at_s
         if self.stop is not None and self.stop.would_cut_off(request.received_at_s, due_at_s):
             return Refusal(Reason.DRAINING, self.retry_after_s(attempts))
+        rest_s = self.early_returns.rest_s(request, attempts.first_attempt_at_s)
+        if rest_s and self._expects_wait(attempts):
+            self.recorder.early_returns += 1
+            return Refusal(Reason.TOO_BUSY, max(MIN_RETRY_AFTER_S, rest_s))
         # A pipelined request may have been received long before its turn.
         self.budget.record_request(attempts.service, read_monotonic_s(), self.retry_share())
         try:
@@ -136,7 +143,12 @@
                 result = await self._run_attempts(request, attempts)
         except TimeoutError:
             result = UnknownOutcomeError(Reason.DEADLINE)
-        return to_reply(result, self, attempts)
+        reply = to_reply(result, self, attempts)
+        if isinstance(reply, Refusal) and reply.reason in WANT_OF_ROOM:
+            self.early_returns.record(
+                request, attempts.first_attempt_at_s, reply.retry_after_s, read_monotonic_s()
+            )
+        return reply
 
     def _route(self, request: Request) -> Route | Reply:
         """Returns the route of a request, or the reply for its caller if there is none."""
@@ -306,6 +318,14 @@
             attempts.search.refusals += 1
             self.selector.capacity.record_refusal(name, self._need(attempts, now_s), load, now_s)
 
+    def _expects_wait(self, attempts: Attempts) -> bool:
+        """Returns whether a request is expected to wait at each instance of the subset."""
+        estimate = self._estimate(attempts)
+        if estimate is None or not estimate.wait_s:
+            return False
+        attempts.search.estimate = estimate
+        return True
+
     def _misses_deadline(self, attempts: Attempts) -> bool:
         """Returns whether no instance can answer a request that has not been tried in time."""
         now_s, selector = read_monotonic_s(), self.selector
@@ -345,9 +365,11 @@
 
     def estimate_capacity(self, attempts: Attempts) -> None:
         """Estimates the capacity for a request that is refused for want of room."""
+        attempts.search.estimate = self._estimate(attempts)
+
+    def _estimate(self, attempts: Attempts) -> CapacityEstimate | None:
         now_s = read_monotonic_s()
-        need = self._need(attempts, now_s)
-        attempts.search.estimate = self.selector.estimate(attempts.service, need, now_s)
+        return self.selector.estimate(attempts.service, self._need(attempts, now_s), now_s)
 
     def link_wait(self, reason: str, service: str) -> LinkWait | None:
         """Returns the backlog of the link for which a request is refused, None if there is none.
--- a/ibisrack/dispatch/recorder.py
+++ b/ibisrack/dispatch/recorder.py
@@ -30,6 +30,7 @@
       link_refusals: Requests of callers refused for a full link, by reason.
       early_refusals: Requests refused although more instances could have been tried.
       spared_attempts: Attempts that these requests did not make.
+      early_returns: Requests refused because their callers came back too early.
     """
 
     tally: Tally
@@ -37,6 +38,7 @@
     link_refusals: Counter[str] = attrs.field(factory=Counter)
     early_refusals: int = 0
     spared_attempts: int = 0
+    early_returns: int = 0
 
     def record(
         self, request: Request, attempts: Attempts, version: int, reply: Reply, now_s: float
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -116,6 +116,8 @@
     yield Metric("ibis_early_refusals_total", "Refused before all attempts.", True, refused)
     spared = unlabelled(recorder.spared_attempts)
     yield Metric("ibis_spared_attempts_total", "Attempts not made.", True, spared)
+    returns = unlabelled(recorder.early_returns)
+    yield Metric("ibis_early_returns_refused_total", "Came back too early.", True, returns)
 
 
 def _registry_metrics(node: SidecarNode) -> Iterator[Metric]:
