Serve calls of running requests before new requests of their priority

A refused call wastes the run that made it. New requests count the calls that will overtake them in their wait, so that they are refused at once.

--- a/ibisrack/calls/admission.py
+++ b/ibisrack/calls/admission.py
@@ -213,7 +213,7 @@
         run = self._running.pop(ticket.number, None)
         if run is None:
             return []
-        run.queue.finish(now_s - run.started_s, run.charged_s, now_s)
+        run.queue.finish(ticket, now_s - run.started_s, run.charged_s, now_s)
         self.start_window.finish(run.start, now_s)
         return self._fill_free_slots(now_s)
 
@@ -298,7 +298,7 @@
         return self._start(queue, ticket, now_s)
 
     def _start(self, queue: RankQueue, ticket: Ticket, now_s: float) -> Admitted:
-        charged_s = queue.start(now_s)
+        charged_s = queue.start(ticket, now_s)
         self.pace.record_start(now_s)
         start = self.start_window.record_start()
         self._running[ticket.number] = _RunningCall(queue, now_s, charged_s, start)
--- a/ibisrack/calls/gate.py
+++ b/ibisrack/calls/gate.py
@@ -81,6 +81,7 @@
         deadline_at_s: float,
         target_at_s: float = math.inf,
         initial_target_s: float = math.inf,
+        is_nested: bool = False,
     ) -> AsyncIterator[Ticket]:
         """Holds a slot for a call given by its properties; see ``Ticket`` for the arguments.
 
@@ -98,6 +99,7 @@
             deadline_at_s,
             target_at_s,
             initial_target_s,
+            is_nested,
         )
         await self._acquire(ticket, now_s)
         try:
--- a/ibisrack/calls/ranks.py
+++ b/ibisrack/calls/ranks.py
@@ -10,13 +10,14 @@
 
 import attrs
 
-from ibisrack.calls.estimates import ServiceEstimate
+from ibisrack.calls.estimates import MEAN_WEIGHT, ServiceEstimate
 from ibisrack.calls.outcomes import Reason
 from ibisrack.calls.shares import ShareAccount
 from ibisrack.calls.start_window import StartWindow
 from ibisrack.rules.model import RankRule
 
 START_INTERVAL_WEIGHT = 0.1  # Weight of the newest interval in the mean between two starts.
+NESTED_SHARE_WEIGHT = 0.02  # Weight of the newest start in the share of nested calls.
 DEMAND_TIME_CONSTANT_S = 5.0  # Of the exponentially weighted mean of the demand.
 
 
@@ -32,6 +33,7 @@
       deadline_at_s: Monotonic time of the caller's deadline.
       target_at_s: Monotonic time after which the answer has lost most of its value.
       initial_target_s: Time from the caller's first attempt to ``target_at_s``.
+      is_nested: Whether a running request makes the call, so that a refusal wastes its run.
     """
 
     call_id: str
@@ -41,6 +43,7 @@
     deadline_at_s: float
     target_at_s: float = math.inf
     initial_target_s: float = math.inf
+    is_nested: bool = False
 
 
 @attrs.frozen
@@ -66,6 +69,8 @@
       demand: Exponentially weighted mean number of running and waiting calls.
       account: Credit towards the guaranteed share.
       estimate: Estimated service times.
+      nested_mean_s: Mean service time of the calls of running requests, 0 before the first one.
+      nested_share: Recent share of the calls of running requests among those that started.
     """
 
     rule: RankRule
@@ -79,6 +84,8 @@
     demand: float = 0.0
     account: ShareAccount = attrs.field(factory=ShareAccount)
     estimate: ServiceEstimate = attrs.field(factory=ServiceEstimate)
+    nested_mean_s: float = 0.0
+    nested_share: float = 0.0
     _start_interval_s: float = 0.0
     _last_start_at_s: float = 0.0
     _demand_at_s: float = -math.inf
@@ -125,21 +132,33 @@
         ) * START_INTERVAL_WEIGHT
         self._last_start_at_s = now_s
 
-    def start(self, now_s: float) -> float:
+    def start(self, ticket: Ticket, now_s: float) -> float:
         """Counts a call as running and returns the slot time that was charged for it."""
         self.advance(now_s)
+        self.nested_share += (ticket.is_nested - self.nested_share) * NESTED_SHARE_WEIGHT
         self.running += 1
         charged_s = self.estimate.mean_s
         self.account.charge(charged_s, charged_s)
         return charged_s
 
-    def finish(self, service_s: float, charged_s: float, now_s: float) -> None:
+    def finish(self, ticket: Ticket, service_s: float, charged_s: float, now_s: float) -> None:
         """Counts a call as finished and corrects the charge to its real service time."""
+        if ticket.is_nested:
+            weight = MEAN_WEIGHT if self.nested_mean_s else 1.0
+            self.nested_mean_s += (service_s - self.nested_mean_s) * weight
         self.advance(now_s)
         self.running -= 1
         self.estimate.add(service_s)
         self.account.charge(service_s - charged_s, self.estimate.mean_s)
 
+    def mean_s(self, ticket: Ticket) -> float:
+        """Returns the mean service time that is expected of a call, 0 before the first call.
+
+        With the mean of the rank, a short call of a running request would seem late beside long new
+        requests as soon as it has to wait.
+        """
+        return (ticket.is_nested and self.nested_mean_s) or self.estimate.mean_s
+
     def expected_wait_s(self, now_s: float, ahead: int | None = None) -> float:
         """Returns the expected wait of a call that joins the queue now.
 
--- a/ibisrack/calls/targets.py
+++ b/ibisrack/calls/targets.py
@@ -38,6 +38,8 @@
 POSSIBLE_MEAN_FACTOR = 0.4
 # Margin of the slots reserved for a demand, in standard deviations of a Poisson distribution.
 RESERVE_DEVIATIONS = 2.0
+# Largest share of the starts that is expected to go to nested calls that arrive later.
+MAX_NESTED_SHARE = 0.9
 # A target below this multiple of the mean service time cannot be met; the deadline of the call is
 # used in its place.
 UNREACHABLE_MEAN_FACTOR = 0.7
@@ -76,7 +78,7 @@
 
     Args:
       ticket: The call.
-      mean_s: Mean service time of its rank.
+      mean_s: Mean service time that is expected of it.
       now_s: Current monotonic time.
     """
     is_reachable = mean_s * UNREACHABLE_MEAN_FACTOR <= ticket.initial_target_s
@@ -100,13 +102,16 @@
 
 @refusal_reason.register
 def _(discipline: EarliestTarget, queue: RankQueue, ticket: Ticket, now_s: float) -> Reason | None:
-    mean_s = queue.estimate.mean_s
     ahead = sum(
-        in_time(other, mean_s, now_s) and _weighted_target_s(other) <= _weighted_target_s(ticket)
+        in_time(other, queue.mean_s(other), now_s)
+        and _order_in_time(other) <= _order_in_time(ticket)
         for other in queue.waiting.values()
     )
-    is_in_time = in_time(ticket, mean_s, now_s + queue.expected_wait_s(now_s, ahead))
-    return None if is_in_time else Reason.TOO_BUSY
+    wait_s = queue.expected_wait_s(now_s, ahead)
+    if not ticket.is_nested:
+        # Nested calls that arrive later go first.
+        wait_s /= 1 - min(MAX_NESTED_SHARE, queue.nested_share)
+    return None if in_time(ticket, queue.mean_s(ticket), now_s + wait_s) else Reason.TOO_BUSY
 
 
 @wait_deadline_s.register
@@ -138,19 +143,30 @@
 
 
 def _best_timeliness(queue: RankQueue, now_s: float) -> Timeliness:
-    mean_s = queue.estimate.mean_s
-    return min(expected_timeliness(ticket, mean_s, now_s) for ticket in queue.waiting.values())
+    return min(
+        expected_timeliness(ticket, queue.mean_s(ticket), now_s)
+        for ticket in queue.waiting.values()
+    )
 
 
-def _sort_key(ticket: Ticket, queue: RankQueue, now_s: float) -> tuple[Timeliness, float]:
+def _sort_key(ticket: Ticket, queue: RankQueue, now_s: float) -> tuple[Timeliness, bool, float]:
     """Returns the sort key of a call in its queue, the lowest first."""
-    timeliness = expected_timeliness(ticket, queue.estimate.mean_s, now_s)
+    timeliness = expected_timeliness(ticket, queue.mean_s(ticket), now_s)
+    if timeliness is Timeliness.IN_TIME:
+        return timeliness, *_order_in_time(ticket)
     if timeliness is Timeliness.POSSIBLE:
         # The call with the most time left is the most likely to be in time.
-        return timeliness, -ticket.target_at_s
-    return timeliness, (
-        _weighted_target_s(ticket) if timeliness is Timeliness.IN_TIME else ticket.arrived_at_s
-    )
+        return timeliness, not ticket.is_nested, -ticket.target_at_s
+    return timeliness, not ticket.is_nested, ticket.arrived_at_s
+
+
+def _order_in_time(ticket: Ticket) -> tuple[bool, float]:
+    """Returns the sort key of a call among those that will be in time.
+
+    Calls of running requests go first.  A new request with a long target waits long in an overload,
+    so that it would be before each call with a short target, and those would be refused.
+    """
+    return not ticket.is_nested, _weighted_target_s(ticket)
 
 
 def _weighted_target_s(ticket: Ticket) -> float:
--- a/ibisrack/dispatch/attempts.py
+++ b/ibisrack/dispatch/attempts.py
@@ -57,6 +57,7 @@
       attempted_ms: Milliseconds from the arrival of the request to each attempt, for the log.
       first_attempt_at_s: Estimated monotonic time at which the caller first sent the request.
       has_returned: Whether the caller has probably sent it before.
+      is_nested: Whether a running request makes the request.
       search: What its refusals for want of room have shown.
       link_wait: Backlog of the link for which the request is refused, None for another reason.
     """
@@ -75,6 +76,7 @@
     attempted_ms: list[int] = attrs.field(factory=list)
     first_attempt_at_s: float = 0.0
     has_returned: bool = False
+    is_nested: bool = False
     search: RoomSearch = attrs.field(factory=RoomSearch)
     link_wait: LinkWait | None = None
 
--- a/ibisrack/dispatch/capacity.py
+++ b/ibisrack/dispatch/capacity.py
@@ -53,10 +53,17 @@
     Attributes:
       priority: Priority of its route; 0 is the most urgent.
       transfer: Its times, and what its bodies mean for the links.
+      is_nested: Whether a running request makes it; it goes before others of its priority.
     """
 
     priority: int
     transfer: Transfer
+    is_nested: bool = False
+
+    @property
+    def urgency(self) -> tuple[int, bool]:
+        """Order among requests, the most urgent first."""
+        return self.priority, not self.is_nested
 
     def left_s(self, service_s: float) -> float:
         """Returns the time by which it must be answered, as admission counts it.
@@ -128,8 +135,8 @@
 
     views: InstanceViews
     refused_until_s: float = -math.inf
-    # The last refusals by instance and priority.
-    _refusals: dict[str, dict[int, _Refusal]] = attrs.field(factory=dict)
+    # The last refusals by instance and urgency.
+    _refusals: dict[str, dict[tuple[int, bool], _Refusal]] = attrs.field(factory=dict)
 
     def record_refusal(self, instance_id: str, need: Need, load: Load | None, now_s: float) -> None:
         """Records a refusal for want of room.
@@ -147,7 +154,7 @@
             self._refusals.clear()
         left_s = need.left_s(load.service_ms / 1000)
         refusal = _Refusal(now_s, left_s, load.busy + load.queued)
-        self._refusals.setdefault(instance_id, {})[need.priority] = refusal
+        self._refusals.setdefault(instance_id, {})[need.urgency] = refusal
 
     def has_refusals(self, now_s: float) -> bool:
         """Returns whether any instance has refused a request for want of room lately."""
@@ -209,17 +216,17 @@
             return False
         held = load.busy + load.queued
         return any(
-            priority <= need.priority
+            urgency <= need.urgency
             and left_s <= refusal.left_s
             and held >= refusal.held
             and now_s - refusal.at_s < REFUSAL_LIFETIME_S
-            for priority, refusal in refusals.items()
+            for urgency, refusal in refusals.items()
         )
 
     def _wait_s(self, instance: Instance, view: InstanceView, need: Need, now_s: float) -> float:
         """Returns how long a request that is sent now waits at an instance that has reported."""
         load, age_s = view.load, now_s - view.reported_at_s
-        ahead = _queued_ahead(load, need.priority) + view.sent_since_report
+        ahead = _queued_ahead(load, need) + view.sent_since_report
         slots = max(1, load.slots)
         wait_s = load.service_ms / 1000 * max(0, load.busy + ahead + 1 - slots) / slots
         if load.limit_per_s is not None:
@@ -238,12 +245,18 @@
     return max(0.0, 1 - (now_s - view.reported_at_s) / REPORT_LIFETIME_S)
 
 
-def _queued_ahead(load: Load, priority: int) -> int:
-    """Returns the waiting requests of an instance that are not less urgent than a priority."""
+def _queued_ahead(load: Load, need: Need) -> int:
+    """Returns the waiting requests of an instance that go before a request.
+
+    Reports don't tell the nested requests of a priority from the others, which are nearly all that
+    wait in an overload.
+    """
     reported = load.queued_by_priority
-    if not reported or priority >= reported[-1][0]:
+    if need.is_nested:
+        return sum(queued for priority, queued in reported if priority < need.priority)
+    if not reported or need.priority >= reported[-1][0]:
         return load.queued
-    return sum(queued for other, queued in reported if other <= priority)
+    return sum(queued for priority, queued in reported if priority <= need.priority)
 
 
 def _paced_wait_s(ahead: int, free_starts: int, rate_per_s: float, age_s: float) -> float:
--- a/ibisrack/dispatch/capacity_test.py
+++ b/ibisrack/dispatch/capacity_test.py
@@ -4,6 +4,8 @@
 requests have a target of 741 ms and a deadline of 1.67 s.
 """
 
+import attrs
+
 from ibisrack.dispatch.capacity import (
     REFUSAL_LIFETIME_S,
     REPORT_LIFETIME_S,
@@ -72,6 +74,17 @@
     assert prospect(estimating, need(3)) is Prospect.UNLIKELY
 
 
+def test_new_requests_that_wait_do_not_delay_calls_of_their_priority():
+    """Guards against refusing the calls of running requests for new requests of their priority."""
+    call = attrs.evolve(need(), is_nested=True)
+    estimating = estimator(load(*FULL))
+    assert prospect(estimating, call) is Prospect.LIKELY
+    estimating.record_refusal("i-0", need(), load(*FULL), NOW_S)
+    assert prospect(estimating, call) is Prospect.LIKELY
+    estimating.record_refusal("i-0", call, load(*FULL), NOW_S)
+    assert prospect(estimating, call) is Prospect.UNLIKELY
+
+
 def test_a_refusal_counts_until_a_report_of_fewer_requests():
     """Guards against the same refusal again, and against an instance that stays given up."""
     waiting = load(SLOTS, 4)
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -124,6 +124,7 @@
         target_at_s = first_attempt_at_s + route.target_s
         attempts = Attempts(route, service, due_at_s, target_at_s, self.budget)
         attempts.first_attempt_at_s = first_attempt_at_s
+        attempts.is_nested = request.is_nested
         attempts.has_returned = first_attempt_at_s < request.received_at_s
         return attempts
 
@@ -225,7 +226,12 @@
         transfer = self._transfer(attempts, now_s, request)
         if attempts.search.refusals:
             return self.selector.select_with_room(
-                service, attempts.route, tried, now_s, transfer, attempts.search
+                service,
+                attempts.route,
+                tried,
+                now_s,
+                Need(attempts.route.priority, transfer, attempts.is_nested),
+                attempts.search,
             )
         return self.selector.select(service, attempts.route, tried, now_s, transfer)
 
@@ -282,6 +288,7 @@
             body=request.body,
             sent_at_ms=read_uptime_ms(),
             expected_answer_bytes=round(views.answer_bytes.get(route.name, 0)),
+            is_nested=request.is_nested,
         )
         open_attempt = OpenAttempt(destination, submit, route.name, attempts.deadline_at_s)
         if self._is_too_late(open_attempt, now_s):
@@ -336,7 +343,8 @@
 
     def _need(self, attempts: Attempts, now_s: float) -> Need:
         """Returns what a request needs of an instance, apart from the link of this host."""
-        return Need(attempts.route.priority, self._transfer(attempts, now_s))
+        transfer = self._transfer(attempts, now_s)
+        return Need(attempts.route.priority, transfer, attempts.is_nested)
 
     def _is_too_late(self, attempt: OpenAttempt, now_s: float) -> bool:
         """Returns whether the planned stop might cut off an attempt that starts now."""
--- a/ibisrack/dispatch/early_refusal_test.py
+++ b/ibisrack/dispatch/early_refusal_test.py
@@ -52,7 +52,7 @@
                 break
             selector.capacity.record_refusal(name, needed, reports[name], self.now_s)
             selected = selector.select_with_room(
-                "desk", route(priority=1), set(tried), self.now_s, needed.transfer, search
+                "desk", route(priority=1), set(tried), self.now_s, needed, search
             )
         return tried, search, selector
 
--- a/ibisrack/dispatch/request.py
+++ b/ibisrack/dispatch/request.py
@@ -23,6 +23,7 @@
       received_at_s: Monotonic time of arrival.
       deadline_at_s: Monotonic time at which the caller stops waiting.
       holding: Holding of the body in the account of memory, None without a body.
+      is_nested: Whether a request that runs on this host's instance makes it.
     """
 
     request_id: str
@@ -35,6 +36,7 @@
     received_at_s: float
     deadline_at_s: float
     holding: Holding | None = attrs.field(default=None, eq=False, repr=False)
+    is_nested: bool = False
 
     @cached_property
     def fingerprint(self) -> bytes:
--- a/ibisrack/dispatch/selection.py
+++ b/ibisrack/dispatch/selection.py
@@ -92,7 +92,7 @@
         route: Route,
         tried: Set[str],
         now_s: float,
-        transfer: Transfer,
+        need: Need,
         search: RoomSearch,
     ) -> Instance | None:
         """Returns the instance for an attempt after a refusal for want of room, None to refuse.
@@ -102,9 +102,10 @@
         are those of ``select``.
 
         Args:
+          need: What the request needs.
           search: What the attempts so far have shown.
         """
-        need, listed = Need(route.priority, transfer), self.directory.in_use(service)
+        listed, transfer = self.directory.in_use(service), need.transfer
         candidates: list[Instance] = []
         if len(tried) < MAX_TRIED_IN_SUBSET:
             subset = self._available(self.subsets.of(service, listed, self.zone), tried, now_s)
--- a/ibisrack/hosting/recorder.py
+++ b/ibisrack/hosting/recorder.py
@@ -83,6 +83,7 @@
             "running": trace.running,
             "limit_per_s": trace.limit_per_s,
             "service_ms": round(service_s * 1000),
+            "nested": submit.is_nested,
             "answer_bytes": submit.expected_answer_bytes,
             "link_backlog_ms": round(trace.link_backlog_s * 1000),
             "waited_ms": round((started_at_s - trace.arrived_at_s) * 1000),
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -240,6 +240,7 @@
                     deadline_at_s,
                     target_at_s,
                     submit.initial_target_ms / 1000,
+                    submit.is_nested,
                 ) as ticket,
             ):
                 self.acceptance.check_accepted(submit, read_monotonic_s())
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -60,6 +60,7 @@
         is not stated.
       expected_answer_bytes: Expected size of the answer's body, 0 if it is not known.
       more: Whether the body is only its first part, and BodyPart messages follow.
+      is_nested: Whether a request that runs on the sender's instance makes this one.
     """
 
     number: int
@@ -82,6 +83,7 @@
     sent_at_ms: int = 0
     expected_answer_bytes: int = 0
     more: bool = False
+    is_nested: bool = False
 
     @cached_property
     def fingerprint(self) -> bytes:
--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -41,6 +41,7 @@
       serve: Routes a request and returns its reply.
       limits: Returns the limits of the configuration in force.
       caller_service: Returns the name of the service on this host.
+      is_instance: Returns whether the host from which a connection comes is the instance.
       is_leaving: Returns whether the node is shutting down; each connection is then closed after
         the responses to the requests that have been passed on.
       may_repeat: Returns whether the requests for a host and a path may run more than once.
@@ -54,6 +55,7 @@
         connection_limit: ConnectionLimit,
         limits: Callable[[], Limits],
         caller_service: Callable[[], str],
+        is_instance: Callable[[str | None], bool],
         is_leaving: Callable[[], bool],
         may_repeat: Callable[[str, str], bool],
         pipelining: PipeliningRecorder,
@@ -63,6 +65,7 @@
         self.connection_limit = connection_limit
         self.limits = limits
         self.caller_service = caller_service
+        self.is_instance = is_instance
         self.is_leaving = is_leaving
         self.may_repeat = may_repeat
         self.pipelining = pipelining
@@ -181,6 +184,7 @@
             received_at_s=received_at_s,
             deadline_at_s=received_at_s + _parse_deadline_ms(headers.get(DEADLINE_MS)) / 1000,
             holding=holding,
+            is_nested=self.is_instance(http_request.remote),
         )
 
 
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -284,6 +284,7 @@
             node.configurations.current.limits if node.configurations.current else Limits()
         ),
         caller_service=lambda: node.settings.service,
+        is_instance=lambda host: host == node.settings.instance.host,
         is_leaving=lambda: node.stopping,
         may_repeat=node.configurations.may_repeat,
         pipelining=node.pipelining,
