Start the splits of each node at a random place in their sequence

Smooth weighted round robin starts with the heaviest part.

Each node now leaves out a random part of the sequence at its start, so that the sum over the nodes keeps the weights from the first requests on.

--- a/ibisrack/dispatch/dispatcher_test.py
+++ b/ibisrack/dispatch/dispatcher_test.py
@@ -1,5 +1,6 @@
 """Tests of the instances to which the dispatcher sends suspects."""
 
+from collections import Counter
 from random import Random
 from unittest.mock import Mock
 
@@ -26,6 +27,8 @@
 from ibisrack.metrics.tally import Tally
 from ibisrack.registry.messages import NO_REVISION
 from ibisrack.registry.view import RegistryView
+from ibisrack.routing.model import RoutePart
+from ibisrack.routing.splits import Splitter
 from ibisrack.suspects.exchange import SuspectExchange
 from ibisrack.suspects.messages import CrashReport, RunCompleted
 from ibisrack.testing.functions import function_tests
@@ -246,4 +249,31 @@
     assert destination.submits[2 * COUNT].instance_id == "i-1"
 
 
+async def test_refusals_by_a_part_of_a_split_do_not_shift_the_weights():
+    """Guards against requests that move to another part while one is short of capacity."""
+    parts = (RoutePart("desk", 7), RoutePart("docs", 3))
+    tried, rng = Counter(), Random(3)
+    for node in range(30):
+        sender, destination = dispatcher(node, UnknownOutcomeError(Reason.DEADLINE))
+        sender.splitter = Splitter(rng.random())
+        for number in range(COUNT):
+            listed = instance(f"d-{number}", host=f"10.0.1.{number}", service="docs")
+            sender.selector.directory.put(listed)
+        destination.before_result = refuse_docs
+        for _ in range(10):
+            destination.submits.clear()
+            request_attempts = sender._start_attempts(request(), route(parts=parts))
+            await sender._attempt_all(request(), request_attempts)
+            (service,) = {submit.service for submit in destination.submits}
+            assert len(destination.submits) == (1 if service == "desk" else COUNT)
+            tried[service] += 1
+    assert abs(tried["docs"] / tried.total() - 0.3) < 0.1, tried
+
+
+def refuse_docs(submit: Submit) -> None:
+    """Refuses the submissions to one service, as its instances do that have no room."""
+    if submit.service == "docs":
+        raise NotRunError(Reason.TOO_BUSY)
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -40,6 +40,7 @@
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.model import Limits
+from ibisrack.routing.splits import Splitter
 from ibisrack.settings.sidecar import Address, SidecarSettings
 from ibisrack.sidecar.content import RegistryContent
 from ibisrack.sidecar.metrics_server import MetricsServer
@@ -135,6 +136,7 @@
         instance_runner.retry_share,
         RequestRecorder(tally, view),
         node.lacks_later_configuration,
+        Splitter(rng.random()),
         suspects=suspects,
         pacer=node.pacer,
     )
