Keep single long runs and old reports from misleading the choice of an instance

Senders compare service times that are about a second old. The mean over ten runs followed single runs of seven times the usual time and slow spells of 600 ms, which were over when senders avoided the instance.

Senders weigh the difference from the mean of the compared instances by 0.7. An instance that has reported no service time counts like its peers; its zero halved their mean before.

--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -26,6 +26,9 @@
 COLD_START_FACTOR = 2.0  # Slowdown that is assumed for a recently started instance.
 # Part of a service time added for an instance whose slots are all busy, before requests queue.
 OCCUPANCY_WEIGHT = 0.3
+# Weight of a reported service time against the mean of the compared instances, in log units.  A
+# report is often a second old, and slow spells are shorter: the difference has partly passed.
+REPORT_WEIGHT = 0.7
 COST_JITTER = 0.05  # Random part of a cost, so that nodes with the same view choose differently.
 # Instances compared in the own zone, and in the other zones together.  With two, no instance gets
 # more than about twice its share, however old the reports are; with one, the load does not matter.
@@ -50,6 +53,11 @@
 }
 
 
+def current_service_s(reported_s: float, peers_s: float) -> float:
+    """Returns the service time to expect of an instance, given its report and that of its peers."""
+    return peers_s * (reported_s / peers_s) ** REPORT_WEIGHT
+
+
 @attrs.define
 class InstanceView:
     """Runtime state of an instance as this node sees it; the registry does not hold it.
@@ -88,7 +96,7 @@
 
         Args:
           slots: Slots of the instance that the registry lists.
-          mean_service_s: Service time that is assumed if the instance has reported none.
+          mean_service_s: Mean of the service times that the compared instances report.
           now_s: Current time.
         """
         service_s, busy = mean_service_s, self.in_flight
@@ -96,7 +104,7 @@
             slots = self.load.slots or slots
             busy = self.load.busy + self.load.queued + self.sent_since_report
             if self.load.service_ms:
-                service_s = self.load.service_ms / 1000
+                service_s = current_service_s(self.load.service_ms / 1000, mean_service_s)
         if now_s < self.cold_until_s:
             service_s *= COLD_START_FACTOR
         slots = max(1, slots)
@@ -214,7 +222,8 @@
     available = preferred or avoided
     compared = _draw_instances([c for c in available if c.host != views.own_host], zone, rng)
     compared += [c for c in available if c.host == views.own_host]
-    reported_ms = [v.load.service_ms for c in compared if (v := views.of(c.instance_id)).load]
+    loads = [load for c in compared if (load := views.of(c.instance_id).load) is not None]
+    reported_ms = [load.service_ms for load in loads if load.service_ms]
     mean_service_s = (
         sum(reported_ms) / len(reported_ms) / 1000 if reported_ms else DEFAULT_SERVICE_TIME_S
     )
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -27,6 +27,7 @@
 from ibisrack.hosting.crashes import Crash, CrashDetector
 from ibisrack.hosting.notices import InstanceNotices, Notice
 from ibisrack.hosting.rank_rules import rank_rules
+from ibisrack.hosting.recent_service_time import RecentServiceTime
 from ibisrack.hosting.recorder import SubmissionRecorder, SubmissionTrace
 from ibisrack.hosting.runs import Run, RunTable, SubmissionKey
 from ibisrack.instances.directory import InstanceDirectory
@@ -41,8 +42,6 @@
 # otherwise a request that only waited would be reported as of unknown outcome.
 REPLY_MARGIN_S = 0.02
 
-SERVICE_TIME_WEIGHT = 0.1  # Weight of the newest request in the moving average of service times.
-
 
 class Upstream(Protocol):
     """Sends requests to the instance."""
@@ -72,7 +71,7 @@
       directory: Known instances.
       recorder: Counts and logs finished submissions.
       run_table: Submissions of peers that are running or finished recently.
-      service_s: Moving average of the service time of requests.
+      service_time: Mean service time of recent requests.
       running_retries: Number of running requests that had reached an instance before.
       notices: What the instance says of itself in its answers.
       on_leaving: Called when the instance has said that it is about to end, or has ended.
@@ -92,7 +91,7 @@
     directory: InstanceDirectory
     recorder: SubmissionRecorder
     run_table: RunTable = attrs.field(factory=RunTable)
-    service_s: float = 0.0
+    service_time: RecentServiceTime = attrs.field(factory=RecentServiceTime)
     running_retries: int = 0
     notices: InstanceNotices = attrs.field(factory=InstanceNotices)
     on_leaving: Callable[[], None] = attrs.field(default=lambda: None)
@@ -116,6 +115,11 @@
     bodies_in_flight: BodiesInFlight = attrs.field(factory=lambda: create_bodies_in_flight(128))
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
+    @property
+    def service_s(self) -> float:
+        """Mean service time of recent requests, 0 before the first."""
+        return self.service_time.mean_s
+
     @property
     def instance(self) -> Instance | None:
         """The instance as the registry currently lists it, None if it does not."""
@@ -271,7 +275,7 @@
         self.suspects.record_completed(run.submit)
         ran_s = read_monotonic_s() - now_s
         self.cold_starts.record_answer(ran_s, now_s + ran_s)
-        self._update_service_time(ran_s)
+        self.service_time.record(ran_s)
         run.answer_bytes = len(answer.body)
         return attrs.evolve(answer, ran_s=ran_s)
 
@@ -445,10 +449,6 @@
     def _record(self, trace: SubmissionTrace, result: Result) -> None:
         self.recorder.record(trace, result, self.service_s, read_monotonic_s())
 
-    def _update_service_time(self, service_s: float) -> None:
-        weight = SERVICE_TIME_WEIGHT if self.service_s else 1.0
-        self.service_s += (service_s - self.service_s) * weight
-
 
 @singledispatch
 def _start_added(added: object, submit: Submit, runner: InstanceRunner) -> Run:
