Send a second attempt while the first one takes exceptionally long, where it pays off

A request that may be repeated gets a second attempt at a free instance if its route's recent runs have a tail beyond the target and three medians, after the 95th or 90th percentile of these runs, while a usual run still fits before the target. Each is charged to the retry budget. Routes without such a tail are served as before; so are requests under load, of large bodies, under suspicion or during a planned stop. The first answer below 500 counts, the other attempt is cancelled.

Not measured in a fleet.

--- a/ibisrack/dispatch/attempts.py
+++ b/ibisrack/dispatch/attempts.py
@@ -19,6 +19,7 @@
 from ibisrack.dispatch.budget import ServiceRetryBudgets
 from ibisrack.dispatch.capacity import RoomSearch
 from ibisrack.dispatch.destination import OpenAttempt
+from ibisrack.dispatch.hedging import HedgeTrace
 from ibisrack.dispatch.transfer import LinkWait
 from ibisrack.errors import NotRunError, PeerLostError, UnknownOutcomeError
 from ibisrack.routing.model import Route
@@ -60,6 +61,7 @@
       is_nested: Whether a running request makes the request.
       search: What its refusals for want of room have shown.
       link_wait: Backlog of the link for which the request is refused, None for another reason.
+      hedge: The second attempt while the first one ran, for the log; None without one.
     """
 
     route: Route
@@ -79,16 +81,27 @@
     is_nested: bool = False
     search: RoomSearch = attrs.field(factory=RoomSearch)
     link_wait: LinkWait | None = None
+    hedge: HedgeTrace | None = None
 
     def should_retry(self, result: Result, now_s: float) -> bool:
         """Records the result of an attempt and returns whether to make another one."""
+        self.record_result(result)
+        if self.deadline_at_s - now_s < MIN_ATTEMPT_S or not allows_retry(result, self.route):
+            return False
+        return self._charge_retry(self.arrivals, now_s)
+
+    def record_result(self, result: Result) -> None:
+        """Records the result of an attempt."""
         if reached_instance(result):
             self.arrivals += 1
         if may_have_executed(result):
             self.possible_runs.append(result)
-        if self.deadline_at_s - now_s < MIN_ATTEMPT_S or not allows_retry(result, self.route):
-            return False
-        return self._charge_retry(self.arrivals, now_s)
+
+    def may_hedge(self, now_s: float) -> bool:
+        """Returns whether to make a second attempt while the last one runs, and charges it."""
+        if self.arrivals + 1 <= self.charged_arrivals:
+            return False  # That retry was charged when the peer of the last attempt was lost.
+        return self.may_leave(now_s)
 
     def may_leave(self, now_s: float) -> bool:
         """Returns whether to try another instance while the peer of the last attempt is lost.
--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -1,6 +1,7 @@
 """Serves requests of local callers: finds the route, selects instances, sends and retries."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from functools import partial, singledispatch
 
@@ -15,6 +16,14 @@
 from ibisrack.dispatch.destination import Destination, OpenAttempt
 from ibisrack.dispatch.early_returns import EarlyReturns
 from ibisrack.dispatch.first_attempts import FirstAttemptEstimator
+from ibisrack.dispatch.hedging import (
+    HedgeOutcome,
+    HedgeTrace,
+    Hedging,
+    allows_hedge,
+    has_room,
+)
+from ibisrack.dispatch.racing import first_success, is_success
 from ibisrack.dispatch.recorder import RequestRecorder
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
@@ -62,6 +71,7 @@
       stop: Planned stop of this process, None while there is none.
       suspects: Requests that are suspected of crashing instances.
       pacer: Pacer of the host's link, which requests to other hosts use.
+      hedging: Decides on second attempts while the first one runs.
     """
 
     configurations: ConfigurationHolder
@@ -80,6 +90,7 @@
     stop: PlannedStop | None = None
     suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
     pacer: LinkPacer = attrs.field(factory=LinkPacer)
+    hedging: Hedging = attrs.field(factory=Hedging)
 
     async def serve(self, request: Request) -> Reply:
         """Serves a request and returns the reply for its caller."""
@@ -197,16 +208,93 @@
             if instance is None:
                 break
             tried.add(instance.instance_id)
-            attempts.attempt_log.append(f"{instance.instance_id} no-answer")
-            waited_s = read_monotonic_s() - request.received_at_s
-            attempts.attempted_ms.append(round(waited_s * 1000))
-            may_leave = partial(self._may_leave, request, attempts, tried)
-            result = await self._attempt(request, attempts, instance, len(tried), may_leave)
-            attempts.attempt_log[-1] = f"{instance.instance_id} {outcome_and_reason(result)[1]}"
+            result = await self._attempt_hedged(request, attempts, instance, tried)
             if not attempts.should_retry(result, read_monotonic_s()):
                 break
         return attempts.final_result(result)
 
+    async def _attempt_hedged(
+        self, request: Request, attempts: Attempts, instance: Instance, tried: set[str]
+    ) -> Result:
+        """Makes an attempt, and a second one elsewhere if the first takes exceptionally long."""
+        attempt = self._attempt_logged(request, attempts, instance, tried)
+        delay_s = self._hedge_delay_s(request, attempts)
+        if delay_s is None:
+            return await attempt
+        first, second = asyncio.create_task(attempt), None
+        try:
+            await asyncio.wait((first,), timeout=delay_s)
+            other = None if first.done() else self._choose_hedge(request, attempts, tried)
+            if other is None:
+                return await first
+            tried.add(other.instance_id)
+            second = asyncio.create_task(self._attempt_logged(request, attempts, other, tried))
+            result = await first_success(first, second, attempts.record_result)
+            self._record_hedge(attempts, result, first, second)
+            return result
+        finally:
+            first.cancel()
+            if second is not None:
+                second.cancel()
+
+    def _hedge_delay_s(self, request: Request, attempts: Attempts) -> float | None:
+        """Returns after which time a second attempt pays off, None if it does not."""
+        route = attempts.route
+        size = len(request.body) + self.selector.views.answer_bytes.get(route.name, 0.0)
+        return self.hedging.delay_s(route, attempts.target_at_s - read_monotonic_s(), size)
+
+    def _choose_hedge(
+        self, request: Request, attempts: Attempts, tried: set[str]
+    ) -> Instance | None:
+        """Returns the instance for a second attempt and charges it, None if there is to be none."""
+        verdict, now_s = self.suspects.verdict(request), read_monotonic_s()
+        if len(tried) >= MAX_INSTANCES_TRIED or not allows_hedge(verdict, self.stop is not None):
+            return None
+        instance = self._choose(request, verdict, attempts, tried)
+        if instance is None:
+            return None
+        view = self.selector.views.of(instance.instance_id)
+        if not has_room(view, instance.slots, now_s) or not attempts.may_hedge(now_s):
+            return None
+        self.hedging.sent += 1
+        age_s = now_s - view.reported_at_s
+        attempts.hedge = HedgeTrace(instance.instance_id, age_s, now_s - request.received_at_s)
+        return instance
+
+    def _record_hedge(
+        self,
+        attempts: Attempts,
+        result: Result,
+        first: asyncio.Task[Result],
+        second: asyncio.Task[Result],
+    ) -> None:
+        """Records which attempt of a hedged request counted; the other one may have run too."""
+        if not first.done():
+            self.hedging.record_run(attempts.route, math.inf)
+        if second.done() and not is_success(second.result()):
+            attempts.hedge.outcome = HedgeOutcome.FAILED
+        elif second.done() and second.result() is result:
+            self.hedging.won += 1
+            attempts.hedge.outcome = HedgeOutcome.WON
+        else:
+            self.hedging.cancelled += 1
+            attempts.hedge.outcome = HedgeOutcome.CANCELLED
+        if not (first.done() and second.done()):
+            attempts.arrivals += 1
+
+    async def _attempt_logged(
+        self, request: Request, attempts: Attempts, instance: Instance, tried: set[str]
+    ) -> Result:
+        """Makes one attempt and logs its result with those of the others."""
+        log, index, name = attempts.attempt_log, len(attempts.attempt_log), instance.instance_id
+        log.append(f"{name} no-answer")
+        waited_s = read_monotonic_s() - request.received_at_s
+        attempts.attempted_ms.append(round(waited_s * 1000))
+        may_leave = partial(self._may_leave, request, attempts, tried)
+        result = await self._attempt(request, attempts, instance, len(tried), may_leave)
+        log[index] = f"{name} {outcome_and_reason(result)[1]}"
+        return result
+
     def _may_leave(self, request: Request, attempts: Attempts, tried: set[str]) -> bool:
         """Returns whether to try another instance while the node of the last one is lost."""
         verdict = self.suspects.verdict(request)
@@ -272,7 +360,7 @@
             number=destination.next_number(),
             request_id=request.request_id,
             attempt=number,
-            is_retry=attempts.arrivals > 0,
+            is_retry=attempts.arrivals > 0 or attempts.hedge is not None,
             instance_id=name,
             service=attempts.service,
             rank=route.rank,
@@ -313,6 +401,8 @@
             view.in_flight -= 1
         views.record_answer_size(route.name, len(answer.body))
         self.service_times.record(route.name, answer.ran_s, read_monotonic_s())
+        if is_success(answer):
+            self.hedging.record_run(route, answer.ran_s)
         return answer
 
     def _record_refusal(
--- a/ibisrack/dispatch/recorder.py
+++ b/ibisrack/dispatch/recorder.py
@@ -11,6 +11,7 @@
 from ibisrack.calls.outcomes import Outcome
 from ibisrack.dispatch.attempts import FIRST_SERVER_ERROR_STATUS, Attempts
 from ibisrack.dispatch.capacity import RoomSearch
+from ibisrack.dispatch.hedging import HedgeTrace
 from ibisrack.dispatch.replies import Failure, NoRoute, Refusal, Reply
 from ibisrack.dispatch.request import Request
 from ibisrack.dispatch.transfer import LinkWait
@@ -71,6 +72,7 @@
             "outcome": str(outcome),
             **_link_fields(attempts.link_wait),
             **_capacity_fields(attempts.search),
+            **_hedge_fields(attempts.hedge),
             **_details(reply),
         }
         _LOGGER.log(level, "request served" if served else "request not served", extra=extra)
@@ -121,6 +123,18 @@
     }
 
 
+def _hedge_fields(hedge: HedgeTrace | None) -> dict[str, Any]:
+    """Returns the second attempt while the first one ran, and the age of the load it went by."""
+    if hedge is None:
+        return {}
+    return {
+        "hedge": hedge.instance_id,
+        "hedge_outcome": str(hedge.outcome),
+        "hedged_ms": round(hedge.after_s * 1000),
+        "hedge_load_age_ms": round(hedge.load_age_s * 1000),
+    }
+
+
 @singledispatch
 def outcome_of(reply: object) -> Outcome:
     """Returns what a reply implies about the execution of its request."""
--- a/ibisrack/dispatch/uneven_choice_test.py
+++ b/ibisrack/dispatch/uneven_choice_test.py
@@ -352,7 +352,7 @@
 
 
 def test_a_cold_instance_counts_as_slow_until_it_is_warm():
-    """Guards against requests that wait at a cold instance, and against one left idle after that."""
+    """Guards against requests that wait at a cold instance, and one left idle when it is warm."""
     instance_views = views(cold=(0, 0, 100.0), warm=(3, 0, 120.0))
     instance_views.of("cold").cold_until_s = 6.0
     assert chosen(instance_views) == "warm"
--- a/ibisrack/sidecar/metrics.py
+++ b/ibisrack/sidecar/metrics.py
@@ -33,6 +33,7 @@
     yield from _suspect_metrics(node)
     yield from _budget_metrics(node)
     yield from _capacity_metrics(node)
+    yield from _hedging_metrics(node)
     yield from _registry_metrics(node)
     yield from _link_metrics(node)
     yield from _memory_metrics(node)
@@ -120,6 +121,15 @@
     yield Metric("ibis_early_returns_refused_total", "Came back too early.", True, returns)
 
 
+def _hedging_metrics(node: SidecarNode) -> Iterator[Metric]:
+    hedging = node.dispatcher.hedging
+    sent, won = unlabelled(hedging.sent), unlabelled(hedging.won)
+    cancelled = unlabelled(hedging.cancelled)
+    yield Metric("ibis_hedges_total", "Second attempts while the first ran.", True, sent)
+    yield Metric("ibis_hedges_won_total", "Those whose answer counted.", True, won)
+    yield Metric("ibis_hedges_cancelled_total", "Those cancelled.", True, cancelled)
+
+
 def _registry_metrics(node: SidecarNode) -> Iterator[Metric]:
     version, revision = node.configurations.version, node.view.revision
     age_s = read_monotonic_s() - node.view.confirmed_at_s
--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -14,6 +14,7 @@
 from ibisrack.bin.ibis_sidecar import LIFECYCLE_MESSAGES
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.dispatch.dispatcher import STOPPING_RETRY_AFTER_S
+from ibisrack.dispatch.hedging import MIN_RUNS
 from ibisrack.errors import NotRunError
 from ibisrack.instances.model import InstanceState
 from ibisrack.links.codec_test import SUBMIT
@@ -237,6 +238,31 @@
         assert not missing, f"{message}: {missing}"
 
 
+async def test_a_hedged_request_is_logged_and_counted():
+    """Guards against second attempts that can't be told from retries, or that are never sent."""
+    with capture_log() as log:
+        async with run_sidecars(2) as fleet_:
+            for served in fleet_.instances:
+                served.work_s = 0.1
+            hedging = fleet_.nodes[0].dispatcher.hedging
+            hedged_route = fleet_.nodes[0].configurations.current.routes[0]
+            for number in range(MIN_RUNS):
+                hedging.record_run(hedged_route, 60.0 if number % 25 == 0 else 0.001)
+            # The first requests open the links, over which the instances report their loads.
+            for number in range(30):
+                answer, _ = await fleet_.send_request(0, request_id=f"q-{number}")
+                assert answer.status == 200
+                if hedging.sent:
+                    break
+            assert hedging.sent == 1
+            assert hedging.won + hedging.cancelled == 1
+    (served,) = matching_records(log, "request served", request_id=f"q-{number}")
+    assert served.hedge in ("i-0", "i-1")
+    assert served.hedge_outcome in ("won", "cancelled")
+    assert served.hedged_ms >= 1
+    assert served.hedge_load_age_ms >= 0
+
+
 async def test_metrics_are_served_and_documented():
     """Guards against metrics missing on the metrics page, and documented ones that don't exist."""
     async with run_sidecars(1) as fleet_:
