Take no first attempt for a return because of rounding

The timeout of a request is a difference of times. When the clock passes a power of two, first attempts could have timeouts that are shorter by less than a nanosecond, and their callers got the wait of those that have come back. A return differs by a millisecond at least now; deadlines are whole ones.

--- a/ibisrack/dispatch/dispatcher.py
+++ b/ibisrack/dispatch/dispatcher.py
@@ -15,7 +15,7 @@
 from ibisrack.dispatch.capacity import WANT_OF_ROOM, CapacityEstimate, Need
 from ibisrack.dispatch.destination import Destination, OpenAttempt
 from ibisrack.dispatch.early_returns import EarlyReturns
-from ibisrack.dispatch.first_attempts import FirstAttemptEstimator
+from ibisrack.dispatch.first_attempts import FirstAttemptEstimator, is_return
 from ibisrack.dispatch.hedging import (
     HedgeOutcome,
     HedgeTrace,
@@ -136,7 +136,7 @@
         attempts = Attempts(route, service, due_at_s, target_at_s, self.budget)
         attempts.first_attempt_at_s = first_attempt_at_s
         attempts.is_nested = request.is_nested
-        attempts.has_returned = first_attempt_at_s < request.received_at_s
+        attempts.has_returned = is_return(first_attempt_at_s, request)
         return attempts
 
     async def _reply(self, request: Request, attempts: Attempts) -> Reply:
--- a/ibisrack/dispatch/early_returns.py
+++ b/ibisrack/dispatch/early_returns.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ibisrack.dispatch.first_attempts import is_return
 from ibisrack.dispatch.request import Request
 
 MAX_REFUSALS = 4096  # The table is cleared when it reaches this size.
@@ -61,7 +62,7 @@
     def rest_s(self, request: Request, first_attempt_at_s: float) -> float:
         """Returns how long a caller that came back too early has still to wait, otherwise 0."""
         # A first attempt has the longest timeout of its route.
-        if not self._refusals or first_attempt_at_s >= request.received_at_s:
+        if not self._refusals or not is_return(first_attempt_at_s, request):
             return 0.0
         refusal = self._refusals.get(_key(request))
         if refusal is None or request.received_at_s <= refusal.at_s:
--- a/ibisrack/dispatch/early_returns_test.py
+++ b/ibisrack/dispatch/early_returns_test.py
@@ -6,6 +6,7 @@
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.dispatch.dispatcher_test import attempts, dispatcher
 from ibisrack.dispatch.early_returns import EarlyReturns
+from ibisrack.dispatch.first_attempts import FirstAttemptEstimator, is_return
 from ibisrack.dispatch.recorder import RequestRecorder
 from ibisrack.dispatch.request import Request
 from ibisrack.errors import NotRunError
@@ -14,6 +15,7 @@
 from ibisrack.registry.messages import NO_REVISION
 from ibisrack.registry.view import RegistryView
 from ibisrack.testing.functions import function_tests
+from ibisrack.testing.sidecars import route
 
 TIMEOUT_S, WAIT_S = 1.4, 0.3
 DEADLINE_S = 10.0 + TIMEOUT_S
@@ -51,6 +53,16 @@
     assert rest_s(request(10.005), 10.0) == 0.0  # Sent with the refused one.
 
 
+def test_rounding_makes_no_first_attempt_a_return():
+    """Guards against new callers that get the short wait of those that have come back."""
+    estimator = FirstAttemptEstimator()
+    for number in range(100):
+        at_s = 2047.3 + number * 0.0137
+        first, returned = request(at_s, at_s + TIMEOUT_S), request(at_s, at_s + TIMEOUT_S - 0.01)
+        assert not is_return(estimator.first_attempt_at_s(route(), first), first)
+        assert is_return(estimator.first_attempt_at_s(route(), returned), returned)
+
+
 async def test_a_caller_that_is_early_is_served_while_a_slot_is_free():
     """Guards against a refusal while there is capacity, and an attempt while there is none."""
     sender, destination = dispatcher(result=NotRunError(Reason.TOO_BUSY))
--- a/ibisrack/dispatch/first_attempts.py
+++ b/ibisrack/dispatch/first_attempts.py
@@ -11,6 +11,8 @@
 from ibisrack.routing.model import Route
 
 LONGEST_TIMEOUT_TTL_S = 20.0  # How long the longest timeout of a route is remembered.
+# A first attempt whose timeout differs from the longest one by the rounding of times is no return.
+MIN_RETURN_S = 0.001
 MAX_TRACKED_ROUTES = 4096  # The table is cleared when it reaches this size.
 
 
@@ -31,3 +33,8 @@
             longest_s = timeout_s
             self._longest[route.name] = (timeout_s, request.received_at_s + LONGEST_TIMEOUT_TTL_S)
         return request.received_at_s - (longest_s - timeout_s)
+
+
+def is_return(first_attempt_at_s: float, request: Request) -> bool:
+    """Returns whether a request with an estimated first attempt has probably been sent before."""
+    return request.received_at_s - first_attempt_at_s >= MIN_RETURN_S
