--- a/ibisrack/dispatch/capacity.py
+++ b/ibisrack/dispatch/capacity.py
@@ -18,9 +18,8 @@
 import attrs
 
 from ibisrack.calls.outcomes import Reason
-from ibisrack.calls.pace import MIN_RATE_PER_S
 from ibisrack.calls.targets import POSSIBLE_MEAN_FACTOR, UNREACHABLE_MEAN_FACTOR
-from ibisrack.dispatch.choice import InstanceView, InstanceViews
+from ibisrack.dispatch.choice import InstanceView, InstanceViews, slot_wait_s
 from ibisrack.dispatch.transfer import Transfer
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Load
@@ -225,16 +224,10 @@
 
     def _wait_s(self, instance: Instance, view: InstanceView, need: Need, now_s: float) -> float:
         """Returns how long a request that is sent now waits at an instance that has reported."""
-        load, age_s = view.load, now_s - view.reported_at_s
+        load = view.load
         ahead = _queued_ahead(load, need) + view.sent_since_report
-        slots = max(1, load.slots)
-        wait_s = load.service_ms / 1000 * max(0, load.busy + ahead + 1 - slots) / slots
-        if load.limit_per_s is not None:
-            paced_s = _paced_wait_s(ahead, load.free_starts, load.limit_per_s, age_s)
-            wait_s = max(wait_s, paced_s)
-        if load.paced_per_s is not None:
-            paced_s = _paced_wait_s(ahead, load.cold_free_starts, load.paced_per_s, age_s)
-            wait_s = max(wait_s, paced_s)
+        slots_s = slot_wait_s(load.service_ms / 1000, load.busy + ahead, max(1, load.slots))
+        wait_s = max(slots_s, view.paced_wait_s(ahead, now_s))
         if instance.host != self.views.own_host and need.transfer.is_large_for(load):
             wait_s = max(wait_s, view.link_wait(now_s).backlog_s)
         return wait_s
@@ -257,9 +250,3 @@
     if not reported or need.priority >= reported[-1][0]:
         return load.queued
     return sum(queued for priority, queued in reported if priority <= need.priority)
-
-
-def _paced_wait_s(ahead: int, free_starts: int, rate_per_s: float, age_s: float) -> float:
-    """Returns how long a limit on starts delays a request behind others."""
-    rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
-    return max(0.0, ahead + 1 - free_starts - age_s * rate_per_s) / rate_per_s
--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -53,6 +53,24 @@
 }
 
 
+def slot_wait_s(service_s: float, ahead: int, slots: int) -> float:
+    """Returns how long a request waits for a slot behind running and waiting requests.
+
+    Args:
+      service_s: Mean service time of the instance.
+      ahead: Requests that run or start before it.
+      slots: Slots of the instance, at least 1.
+    """
+    return service_s * max(0, ahead + 1 - slots) / slots
+
+
+def _start_wait_s(ahead: int, free_starts: int, rate_per_s: float, age_s: float) -> float:
+    """Returns how long a limit on starts delays a request, by a report of an age."""
+    rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
+    allowed = free_starts + age_s * rate_per_s
+    return max(0.0, ahead + 1 - allowed) / rate_per_s
+
+
 def current_service_s(reported_s: float, peers_s: float) -> float:
     """Returns the service time to expect of an instance, given its report and that of its peers."""
     return peers_s * (reported_s / peers_s) ** REPORT_WEIGHT
@@ -108,8 +126,10 @@
         if now_s < self.cold_until_s:
             service_s *= COLD_START_FACTOR
         slots = max(1, slots)
-        slot_wait_s = service_s * max(0.0, busy + 1 - slots) / slots
-        wait_s = max(slot_wait_s, self._limit_wait_s(now_s), self._cold_wait_s(now_s))
+        wait_s = slot_wait_s(service_s, busy, slots)
+        if self.load is not None:
+            ahead = self.load.queued + self.sent_since_report
+            wait_s = max(wait_s, self.paced_wait_s(ahead, now_s))
         return service_s * (1 + OCCUPANCY_WEIGHT * busy / slots) + wait_s
 
     def arrival_s(self, transfer: Transfer, response_s: float, now_s: float) -> float:
@@ -123,24 +143,22 @@
         sent_s = answer_transfer_s(self.load, self.sent_bytes_since_report)
         return LinkWait(max(0.0, reported_s - age_s) + sent_s, age_s)
 
-    def _limit_wait_s(self, now_s: float) -> float:
-        """Returns how long the limit that the instance names delays a request sent now."""
-        load = self.load
-        if load is None or load.limit_per_s is None:
-            return 0.0
-        return self._paced_wait_s(load.free_starts, load.limit_per_s, now_s)
-
-    def _cold_wait_s(self, now_s: float) -> float:
-        """Returns how long the bound on a cold instance delays a request sent now."""
-        load = self.load
-        if load is None or load.paced_per_s is None:
-            return 0.0
-        return self._paced_wait_s(load.cold_free_starts, load.paced_per_s, now_s)
-
-    def _paced_wait_s(self, free_starts: int, rate_per_s: float, now_s: float) -> float:
-        rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
-        allowed = free_starts + (now_s - self.reported_at_s) * rate_per_s
-        return max(0.0, self.load.queued + self.sent_since_report + 1 - allowed) / rate_per_s
+    def paced_wait_s(self, ahead: int, now_s: float) -> float:
+        """Returns how long the limits on starts delay a request at an instance that has reported.
+
+        These are the limit that the instance names and the bound while it is cold.
+
+        Args:
+          ahead: Requests that start before it.
+          now_s: Current time.
+        """
+        load, age_s, wait_s = self.load, now_s - self.reported_at_s, 0.0
+        if load.limit_per_s is not None:
+            wait_s = _start_wait_s(ahead, load.free_starts, load.limit_per_s, age_s)
+        if load.paced_per_s is not None:
+            cold_s = _start_wait_s(ahead, load.cold_free_starts, load.paced_per_s, age_s)
+            wait_s = max(wait_s, cold_s)
+        return wait_s
 
 
 @attrs.define
