--- a/ibisrack/hosting/cold_starts.py
+++ b/ibisrack/hosting/cold_starts.py
@@ -1,4 +1,4 @@
-"""Holds the requests for the instance beside this node to what it takes after a start or recovery.
+"""Limits the requests for the instance beside this node after its start or recovery.
 
 A cold instance tolerates a stated number of requests in any second.  Beyond that, an instance that
 has just started or recovered runs fewer requests at once until it answers like its peers.
@@ -25,6 +25,7 @@
 # it lives, or closes because it was idle, is none.
 RECOVERIES = frozenset((Doubt.CRASHED, Doubt.REFUSED, Doubt.EVACUATION_ENDED))
 NO_SLOT_LIMIT = 2**31 - 1
+MIN_COLD_LEFT_S = 0.001  # Peers are told the time rounded up, and 0 means that it is not cold.
 
 
 async def _no_health_check(path: str) -> HealthAnswer:
@@ -33,7 +34,7 @@
 
 @attrs.define(eq=False)
 class ColdStarts:
-    """Bound on the requests that the instance gets in a second while it is or may be cold.
+    """Limits on the requests for the instance while it may be cold or has just recovered.
 
     Attributes:
       gate: Admits requests to the instance.
@@ -141,7 +142,7 @@
         if self.window.limit is None:
             return 0.0
         # In doubt the next check may end it.
-        return max(0.001, self.coldness.cold_until_s - now_s)
+        return max(MIN_COLD_LEFT_S, self.coldness.cold_until_s - now_s)
 
     def _is_check_due(self, now_s: float) -> bool:
         """Returns whether a health check would tell something that matters now."""
@@ -189,7 +190,7 @@
         self._apply_slow_start(now_s)
 
     def _apply_slow_start(self, now_s: float) -> None:
-        """Limits the slots by the pace after a start or recovery."""
+        """Applies the limit after a start or recovery to the slots."""
         limit = self.slow_start.running_limit
         if limit == self._slot_limit:
             return
--- a/ibisrack/hosting/coldness.py
+++ b/ibisrack/hosting/coldness.py
@@ -22,6 +22,7 @@
 CHECK_INTERVAL_S = 0.2  # Between two attempts, also of those that reach no instance.
 # A higher bound holds nothing back and would only cost memory.
 MAX_BOUND = 10_000
+# A bound or a token that falls short of a whole number by less does so by rounding.
 _ROUNDING = 1e-9
 
 
@@ -90,7 +91,7 @@
     source: Source = Source.NONE
     heard_at_s: float = -math.inf
     cold_until_s: float = -math.inf
-    _listed: Instance | None = None
+    _last_entry: Instance | None = None
 
     def is_cold(self, now_s: float) -> bool:
         """Returns whether the instance is cold or may be cold."""
@@ -102,7 +103,7 @@
 
     def observe_entry(self, instance: Instance, now_s: float) -> bool:
         """Applies the entry of the instance; returns whether it is of another start than before."""
-        known, self._listed = self._listed, instance
+        known, self._last_entry = self._last_entry, instance
         is_known_start = known is not None and _start_of(known) == _start_of(instance)
         if is_known_start and known.sequence == instance.sequence:
             return False
@@ -110,15 +111,15 @@
         if is_other_start:
             self.record_event(Doubt.INSTANCE_STARTED, now_s)
         if instance.cold_left_s > 0:
-            self._state(Source.ENTRY, instance.cold_left_s, now_s)
+            self._record_statement(Source.ENTRY, instance.cold_left_s, now_s)
         elif is_known_start and self._is_newer_entry(now_s):
-            self._state(Source.ENTRY, 0.0, now_s)
+            self._record_statement(Source.ENTRY, 0.0, now_s)
         return is_other_start
 
     def observe_health(self, cold_s: float, requested_at_s: float, now_s: float) -> None:
         """Applies a health answer unless it was requested before the last event."""
         if requested_at_s >= self.doubt_at_s:
-            self._state(Source.HEALTH, cold_s, now_s)
+            self._record_statement(Source.HEALTH, cold_s, now_s)
 
     def advance(self, now_s: float) -> None:
         """Begins to doubt when the stated time is over, in which it may have become cold again."""
@@ -127,13 +128,13 @@
             self.record_event(Doubt.COLD_TIME_OVER, now_s)
 
     def _is_newer_entry(self, now_s: float) -> bool:
-        """Returns whether an entry that arrives now was written after the last event or answer."""
+        """Returns whether an entry that arrives now was written after the last event or check."""
         known_at_s = self.doubt_at_s if self.in_doubt else -math.inf
         if self.source is Source.HEALTH:
             known_at_s = max(known_at_s, self.heard_at_s)
         return now_s >= known_at_s + ENTRY_TRANSIT_S
 
-    def _state(self, source: Source, cold_s: float, now_s: float) -> None:
+    def _record_statement(self, source: Source, cold_s: float, now_s: float) -> None:
         self.source, self.heard_at_s, self.in_doubt = source, now_s, False
         self.cold_until_s = now_s + min(cold_s, MAX_TIME_S) if cold_s > 0 else -math.inf
 
--- a/ibisrack/hosting/slow_start.py
+++ b/ibisrack/hosting/slow_start.py
@@ -20,7 +20,7 @@
 REFUSED_FACTOR = 0.7
 MAX_SLOW_START_S = 6.0  # From the first answer.
 MAX_UNANSWERED_S = 30.0  # From the start or recovery; an instance that is down gets nothing first.
-MEAN_WEIGHT = 0.3  # Weight of the newest answer in the mean service time since the start.
+ANSWER_WEIGHT = 0.3  # Weight of the newest answer in the mean service time since the start.
 
 
 @attrs.define
@@ -63,7 +63,7 @@
             return
         if not self._mean_s:
             self.ends_at_s = now_s + MAX_SLOW_START_S
-        self._mean_s += (ran_s - self._mean_s) * (MEAN_WEIGHT if self._mean_s else 1.0)
+        self._mean_s += (ran_s - self._mean_s) * (ANSWER_WEIGHT if self._mean_s else 1.0)
         usual_s = max(self.usual_s, peer_s)
         if not usual_s or self._mean_s <= usual_s * GOOD_RATIO:
             self.limit += 1
