--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -112,7 +112,7 @@
         default=attrs.Factory(lambda self: ColdStarts(self.gate, self.recorder), takes_self=True)
     )
     answer_room: AnswerRoom = attrs.field(factory=AnswerRoom)
-    bodies_in_flight: BodiesInFlight = attrs.field(factory=lambda: create_bodies_in_flight(128))
+    bodies_in_flight: BodiesInFlight = attrs.field(factory=create_bodies_in_flight)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -82,7 +82,7 @@
     followed_revision: Revision | None = None
     transit: TransitEstimate = attrs.field(factory=TransitEstimate)
     incomplete: IncompleteSubmissions = attrs.field(factory=IncompleteSubmissions)
-    account: MemoryAccount = attrs.field(factory=lambda: create_account(128))
+    account: MemoryAccount = attrs.field(factory=create_account)
     _last_sent_load: Load | None = None
 
     async def serve(self, reader: asyncio.StreamReader) -> None:
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -104,7 +104,7 @@
     used_at_s: float = 0.0
     pending: dict[int, PendingRequest] = attrs.field(factory=dict)
     pacer: LinkPacer = attrs.field(factory=LinkPacer)
-    account: MemoryAccount = attrs.field(factory=lambda: create_account(128))
+    account: MemoryAccount = attrs.field(factory=create_account)
     _writer: asyncio.StreamWriter | None = None
     _numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
     _open_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
--- a/ibisrack/memory/account.py
+++ b/ibisrack/memory/account.py
@@ -14,6 +14,7 @@
 import attrs
 
 MEGABYTE = 1_000_000  # The settings state the memory of a machine in MB.
+DEFAULT_MEMORY_MB = 128.0  # Of a machine whose memory is not stated.
 # What a process needs that holds nothing for others: 45 to 48 MB in a small fleet.  It is more with
 # many peers and a long configuration, and then measured.
 RESTING_BYTES = 48 * MEGABYTE
@@ -125,7 +126,7 @@
     held_by_kind: Counter[Kind] = attrs.field(factory=Counter)
     refused: Counter[Kind] = attrs.field(factory=Counter)
     given_up: Counter[Kind] = attrs.field(factory=Counter)
-    # Without references: a holding ends when its owner drops it.
+    # Weak references, so that a holding ends when its owner drops it.
     _disposable: WeakSet[Holding] = attrs.field(factory=WeakSet)
 
     @property
@@ -280,7 +281,7 @@
         return is_alike and holding is not asking and holding.size_bytes > size_bytes
 
 
-def create_account(memory_mb: float) -> MemoryAccount:
+def create_account(memory_mb: float = DEFAULT_MEMORY_MB) -> MemoryAccount:
     """Returns the account of a process on a machine of the given size."""
     limit_bytes = _limit_bytes(memory_mb, RESTING_BYTES)
     reading_bytes = int(memory_mb * MEGABYTE * READING_SHARE)
--- a/ibisrack/memory/held_body.py
+++ b/ibisrack/memory/held_body.py
@@ -41,14 +41,6 @@
         self.holding.count_moved(len(part), now_s)
         return True
 
-    def _has_room(self, size_bytes: int, now_s: float) -> bool:
-        if size_bytes + self.extra_bytes <= self.holding.size_bytes:
-            return True
-        larger_bytes = size_bytes + self.growth_bytes
-        if self.max_bytes is not None:
-            larger_bytes = max(size_bytes, min(larger_bytes, self.max_bytes))
-        return self.holding.resize(larger_bytes + self.extra_bytes, now_s)
-
     def content(self) -> bytes:
         """Returns the bytes, without a copy."""
         return self._body.getvalue()
@@ -57,3 +49,11 @@
         """Drops the bytes and releases the holding."""
         self._body = BytesIO()
         self.holding.release()
+
+    def _has_room(self, size_bytes: int, now_s: float) -> bool:
+        if size_bytes + self.extra_bytes <= self.holding.size_bytes:
+            return True
+        larger_bytes = size_bytes + self.growth_bytes
+        if self.max_bytes is not None:
+            larger_bytes = max(size_bytes, min(larger_bytes, self.max_bytes))
+        return self.holding.resize(larger_bytes + self.extra_bytes, now_s)
--- a/ibisrack/memory/in_flight.py
+++ b/ibisrack/memory/in_flight.py
@@ -14,7 +14,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError
-from ibisrack.memory.account import MEGABYTE
+from ibisrack.memory.account import DEFAULT_MEMORY_MB, MEGABYTE
 
 IN_FLIGHT_SHARE = 0.25  # Of the machine's memory.
 # Smaller bodies are bounded by the slots of the instance and never wait behind large ones.
@@ -97,6 +97,6 @@
                 turn.set_result(None)
 
 
-def create_bodies_in_flight(memory_mb: float) -> BodiesInFlight:
+def create_bodies_in_flight(memory_mb: float = DEFAULT_MEMORY_MB) -> BodiesInFlight:
     """Returns the bound for an instance on a machine of the given size."""
     return BodiesInFlight(int(memory_mb * MEGABYTE * IN_FLIGHT_SHARE))
--- a/ibisrack/settings/sidecar.py
+++ b/ibisrack/settings/sidecar.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from ibisrack.memory.account import DEFAULT_MEMORY_MB
 from ibisrack.settings.checks import in_range, ip_address, one_word, port_number
 
 
@@ -51,7 +52,7 @@
     registry: Address
     metrics: Address | None = None
     link_mbps: float = attrs.field(default=1000.0, validator=in_range(0.001, 1e6))
-    memory_mb: float = attrs.field(default=128.0, validator=in_range(1, 1e7))
+    memory_mb: float = attrs.field(default=DEFAULT_MEMORY_MB, validator=in_range(1, 1e7))
     max_descriptors: float = attrs.field(default=4096.0, validator=in_range(1e-6, 1e12))
     stop_s: float = attrs.field(default=6.0, validator=in_range(0.5, 3600))
     retry_ratio: float = attrs.field(default=0.2, validator=in_range(0, 10))
