--- a/ibisrack/hosting/runs.py
+++ b/ibisrack/hosting/runs.py
@@ -2,10 +2,9 @@
 
 A result is kept until the deadline of its request, so that a peer whose link broke can still fetch
 it; a peer resumes a request until then.  A large one is dropped sooner, and any when the room is
-needed.  After that the table still
-knows that there was a run, and answers with an unknown outcome.  If a peer resumes a submission
-that never arrived, the submission is refused from then on, because it may still be in transit on
-the broken connection.
+needed.  After that the table still knows that there was a run, and answers with an unknown outcome.
+If a peer resumes a submission that never arrived, the submission is refused from then on, because
+it may still be in transit on the broken connection.
 """
 
 import asyncio
--- a/ibisrack/platform/http_server.py
+++ b/ibisrack/platform/http_server.py
@@ -119,15 +119,15 @@
         self, http_request: web.BaseRequest, queued: CallerRequest
     ) -> web.Response | None:
         """Runs a request; returns None if it must wait for its turn."""
+        connection = http_request.protocol
         try:
             request = queued.request or await self._read_request(http_request, queued.received_at_s)
         except RequestError as error:
-            if queued is http_request.protocol.pipeline.oldest:
-                http_request.protocol.refuse_rest(http_request.content, http_request.content_length)
+            if queued is connection.pipeline.oldest:
+                connection.refuse_rest(http_request.content, http_request.content_length)
             if error.retry_after_s is not None:
                 self._log_refused(http_request)
             return _error_response(error)
-        connection = http_request.protocol
         # The configuration may have changed since the request was launched.
         may_repeat = self.may_repeat(request.host, request.path)
         if queued is not connection.pipeline.oldest:
--- a/ibisrack/platform/reading_connection.py
+++ b/ibisrack/platform/reading_connection.py
@@ -70,10 +70,10 @@
         "_head_bytes",
         "_head_timer",
         "_is_last_read",
+        "_last_bytes",
         "_latest",
         "_peer_timer",
         "_read_at_s",
-        "_seam",
         "_unread",
         "limits",
         "pipeline",
@@ -101,7 +101,7 @@
         self._is_last_read = False  # Whether the connection closes with its response.
         self._unread = b""  # Read from the socket and not given to the parser yet.
         self._read_at_s = 0.0  # Monotonic time at which it was read.
-        self._seam = b""  # Last bytes given to the parser, if a head may end behind them.
+        self._last_bytes = b""  # Last bytes given to the parser, if a head may end behind them.
 
     def data_received(self, data: bytes) -> None:
         """Parses data; closes the connection if a head is too large or not complete in time."""
@@ -170,7 +170,7 @@
         """Does nothing: reading goes on when a turn begins or ends."""
 
     def _drops_data(self) -> bool:
-        """Whether what arrives now is not read: the connection closes with an earlier answer."""
+        """Whether what arrives now is not read: the connection closes with an earlier response."""
         if self.pipeline.is_closing and self._latest is not self.pipeline.oldest:
             return True
         return self._body is None and (self._is_last_read or self.pipeline.is_closing)
@@ -206,17 +206,17 @@
         """
         if self._body is not None and (missing_bytes := self._latest.missing_body_bytes) > 0:
             return min(len(data), start + missing_bytes)
-        if self._seam:
-            seam_end = (self._seam + data[start : start + 3]).find(HEAD_END)
-            if seam_end >= 0:
-                return start + seam_end + len(HEAD_END) - len(self._seam)
+        if self._last_bytes:
+            last_head_end = (self._last_bytes + data[start : start + 3]).find(HEAD_END)
+            if last_head_end >= 0:
+                return start + last_head_end + len(HEAD_END) - len(self._last_bytes)
         head_end = data.find(HEAD_END, start)
         return len(data) if head_end < 0 else head_end + len(HEAD_END)
 
     def _feed(self, part: bytes) -> None:
         is_body = self._body is not None
         super().data_received(part)
-        self._seam = b"" if part.endswith(HEAD_END) else (self._seam + part)[-3:]
+        self._last_bytes = b"" if part.endswith(HEAD_END) else (self._last_bytes + part)[-3:]
         if not self._note_progress(len(part)) and not is_body:
             self._check_head(len(part))
 
--- a/ibisrack/platform/request_bodies.py
+++ b/ibisrack/platform/request_bodies.py
@@ -16,7 +16,7 @@
 # CallerConnection.  Bodies in small chunks take the most, as each chunk is an object.
 READ_AHEAD_BYTES = 64 * 1024
 CHUNKED_READ_AHEAD_BYTES = 96 * 1024
-# Room that a body of unknown length is given at first, and then at a time.
+# Room for a body of unknown length: at first, and each time that it needs more.
 FIRST_BYTES = 16 * 1024
 GROWTH_BYTES = 128 * 1024
 # A client that takes longer for PROGRESS_BYTES sends less than 280 bytes a second.
