--- a/ibisrack/links/incoming.py
+++ b/ibisrack/links/incoming.py
@@ -40,7 +40,7 @@
     Withdraw,
 )
 from ibisrack.links.pacer import LinkPacer, message_bytes
-from ibisrack.links.transit import TransitEstimate
+from ibisrack.links.transit import TransitEstimate, shorten_times
 from ibisrack.memory.account import Kind, MemoryAccount, create_account
 from ibisrack.registry.messages import Revision
 from ibisrack.suspects.exchange import SuspectExchange
@@ -224,7 +224,7 @@
 
 @handle.register
 def _(message: Submit, link: IncomingLink) -> None:
-    submit, holding = _shortened(message, link.min_delay_ms(message)), None
+    submit, holding = shorten_times(message, link.min_delay_ms(message)), None
     if submit.body:
         holding = link.account.open(Kind.SUBMISSION, len(submit.body), read_monotonic_s())
         if holding is None:
@@ -308,17 +308,6 @@
     link.followed_revision = None
 
 
-def _shortened(submit: Submit, delay_ms: int) -> Submit:
-    """Returns a submission whose remaining times do not include its time on the way."""
-    if not delay_ms:
-        return submit
-    return attrs.evolve(
-        submit,
-        remaining_ms=submit.remaining_ms - delay_ms,
-        remaining_target_ms=submit.remaining_target_ms - delay_ms,
-    )
-
-
 @singledispatch
 def _deliver_resumed(found: object, link: IncomingLink, number: int) -> None:
     """Delivers a run that the peer resumed, now or when it ends, or the result that remains."""
--- a/ibisrack/links/incomplete.py
+++ b/ibisrack/links/incomplete.py
@@ -11,6 +11,7 @@
 from ibisrack.calls.outcomes import Reason
 from ibisrack.errors import NotRunError
 from ibisrack.links.messages import BodyPart, Submit
+from ibisrack.links.transit import shorten_times
 from ibisrack.memory.account import Holding
 
 # Bounds of what a link holds.  A peer has a few uploads at a time on one link; a body of the
@@ -44,13 +45,8 @@
     def complete(self, now_s: float) -> "CompleteSubmission":
         """Returns the whole submission, whose remaining times count from now."""
         elapsed_ms = int((now_s - self.begun_at_s) * 1000)
-        submit = attrs.evolve(
-            self.head,
-            body=self.body.getvalue(),
-            more=False,
-            remaining_ms=self.head.remaining_ms - elapsed_ms,
-            remaining_target_ms=self.head.remaining_target_ms - elapsed_ms,
-        )
+        head = shorten_times(self.head, elapsed_ms)
+        submit = attrs.evolve(head, body=self.body.getvalue(), more=False)
         return CompleteSubmission(submit, self.holding)
 
 
--- a/ibisrack/links/transit.py
+++ b/ibisrack/links/transit.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from ibisrack.links.messages import Submit
+
 # The smallest difference is taken over one to two windows.  Two clocks that drift apart by 500
 # parts in a million, the most that time synchronisation applies, differ by 30 ms after 60 s.
 WINDOW_S = 30.0
@@ -45,3 +47,14 @@
         self._previous_min_s = self._current_min_s if age_s < 2 * WINDOW_S else math.inf
         self._current_min_s = math.inf
         self._window_start_s = now_s
+
+
+def shorten_times(submit: Submit, delay_ms: int) -> Submit:
+    """Returns a submission whose remaining times do not include its time on the way so far."""
+    if not delay_ms:
+        return submit
+    return attrs.evolve(
+        submit,
+        remaining_ms=submit.remaining_ms - delay_ms,
+        remaining_target_ms=submit.remaining_target_ms - delay_ms,
+    )
