--- a/ibisrack/dispatch/capacity.py
+++ b/ibisrack/dispatch/capacity.py
@@ -31,8 +31,8 @@
 # of docs/design/hard-load.md ends several requests in the half second in which a report has it.
 MIN_CERTAINTY = 0.5
 REFUSAL_LIFETIME_S = 0.5
-# Certainty above which a request is refused without any attempt.  Within the fifth of a second in
-# which a report has it, a wait changes little against those for which this is decided.
+# Certainty above which a request is refused without any attempt.  A report has it for a fifth of a
+# second, in which a wait that exceeds the time to the deadline changes little.
 MIN_CERTAINTY_WITHOUT_ATTEMPT = 0.8
 MAX_TRACKED_INSTANCES = 4096  # The table of refusals is cleared when it reaches this size.
 
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -326,8 +326,7 @@
             crash.runs,
             (run for run in crash.runs if run.quarantined),
         )
-        self.gate.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
-        self.quarantine.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
+        self.refuse_waiting(Reason.UPSTREAM_UNREACHABLE)
 
     def start(self, submit: Submit, holding: Holding | None = None) -> Run:
         """Starts the submission of a peer; one that must not run again ends at once.
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -12,7 +12,7 @@
 from ibisrack.suspects.fingerprint import fingerprint_of
 
 # Priorities whose waiting requests a load report counts, the most urgent ones; few services have
-# more, and a sender takes all requests for ahead of one that is less urgent than these.
+# more.  For a less urgent request, a sender takes all waiting ones as ahead.
 MAX_REPORTED_PRIORITIES = 8
 
 
