Leave peers without a run out of the usual service time

Cause: a peer that has run nothing reports a service time of 0, which counted in the median by which an instance ends its slow start; the instance then seemed slow until the slow start ended by itself.

Result: the new test fails without the change and passes with it.

--- a/ibisrack/sidecar/cold_instances_test.py
+++ b/ibisrack/sidecar/cold_instances_test.py
@@ -242,4 +242,15 @@
         assert (events, warm.health_checks) == ({}, checks), (events, warm.health_checks)
 
 
+async def test_peers_without_a_run_say_nothing_of_the_usual_service_time():
+    """Guards against an instance that counts as slow because its peers have run nothing yet."""
+    async with run_sidecars(3) as fleet:
+        node, *others = fleet.nodes
+        assert node.peer_service_s() == 0.0
+        for other, service_ms in zip(others, (0.0, 100.0), strict=True):
+            link = node.destination_of(other.instance_runner.instance)
+            link.load = attrs.evolve(other.load(), service_ms=service_ms)
+        assert node.peer_service_s() == 0.1
+
+
 load_tests = function_tests(__name__)
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -383,5 +383,6 @@
             return 0.0
         peers = self.directory.of_service(instance.service)
         links = (self.outgoing_links.get(peer.host) for peer in peers)
-        reported_ms = [link.load.service_ms for link in links if link and link.load]
+        loads = [link.load for link in links if link and link.load]
+        reported_ms = [load.service_ms for load in loads if load.service_ms]
         return median(reported_ms) / 1000 if reported_ms else 0.0
