Refuse requests whose bodies wait for their turn at the instance

Cause: a withdrawal, an evacuation, a crash or a drain refused what waits for a slot or in quarantine, but not a request whose large body waits until the instance has answered others; it could start later.

Change: the bound on bodies refuses by request id and all together, like the gate.

Result: the new test of the runner fails without the change and passes with it.

--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -227,7 +227,7 @@
         deadline_at_s = run.deadline_at_s - REPLY_MARGIN_S
         self.acceptance.check_ends_in_time(arrived_at_s, run.deadline_at_s)
         self.acceptance.check_accepted(submit, read_monotonic_s())
-        async with self.bodies_in_flight.hold(len(submit.body), deadline_at_s):
+        async with self.bodies_in_flight.hold(submit.request_id, len(submit.body), deadline_at_s):
             return await self._run_in_turn(run, arrived_at_s, deadline_at_s)
 
     async def _run_in_turn(self, run: Run, arrived_at_s: float, deadline_at_s: float) -> Answer:
@@ -394,6 +394,7 @@
 
     def refuse_waiting(self, reason: Reason = Reason.DRAINING) -> None:
         """Refuses all queued requests because the instance accepts no more requests."""
+        self.bodies_in_flight.refuse_waiting(reason)
         self.gate.refuse_waiting(reason)
         self.quarantine.refuse_waiting(reason)
 
@@ -414,6 +415,7 @@
 
     def refuse(self, request_id: str, reason: Reason) -> None:
         """Refuses a request if it waits."""
+        self.bodies_in_flight.refuse(request_id, reason)
         self.gate.refuse(request_id, reason)
         self.quarantine.refuse(request_id, reason)
 
--- a/ibisrack/hosting/runner_test.py
+++ b/ibisrack/hosting/runner_test.py
@@ -23,6 +23,7 @@
 from ibisrack.links.codec_test import SUBMIT
 from ibisrack.links.incoming import IncomingLink, handle
 from ibisrack.links.messages import OutcomeUnknown, Resume, Submit
+from ibisrack.memory.in_flight import SMALL_BODY_BYTES
 from ibisrack.metrics.tally import Tally
 from ibisrack.suspects.fingerprint import fingerprint_of
 from ibisrack.suspects.messages import CrashReport, RunCompleted
@@ -324,6 +325,21 @@
         assert upstream.sent_ids == ["first"]
 
 
+async def test_a_request_whose_body_waits_is_refused_when_it_is_withdrawn():
+    """Guards against an upload that runs after its sender has withdrawn it."""
+    async with run_instance() as (runner, upstream):
+        runner.bodies_in_flight.limit_bytes = 1
+        body = bytes(SMALL_BODY_BYTES + 1)
+        first = runner.start(attrs.evolve(FIRST, body=body))
+        second = runner.start(attrs.evolve(SECOND, body=body))
+        await wait_until(lambda: runner.bodies_in_flight.waiting == 1)
+        runner.refuse(SECOND.request_id, Reason.WITHDRAWN)
+        await wait_until(lambda: second.task.done())
+        assert (await runner.result(second)).reason == Reason.WITHDRAWN
+        upstream.released.set()
+        assert isinstance(await runner.result(first), Answer)
+
+
 async def test_a_request_that_gets_its_slot_in_the_moment_of_an_evacuation_is_not_sent():
     """Guards against a request that waited in the queue until after the evacuation."""
     async with run_instance() as (runner, upstream):
--- a/ibisrack/memory/in_flight.py
+++ b/ibisrack/memory/in_flight.py
@@ -21,6 +21,21 @@
 SMALL_BODY_BYTES = 64 * 1024
 
 
+@attrs.frozen(eq=False)
+class _WaitingBody:
+    """A body that waits for its turn.
+
+    Attributes:
+      request_id: Id of its request.
+      size_bytes: Size of the body.
+      turn: Done when the body may be sent, or with the reason why it is not.
+    """
+
+    request_id: str
+    size_bytes: int
+    turn: asyncio.Future
+
+
 @attrs.define(eq=False)
 class BodiesInFlight:
     """The large request bodies that an instance was sent and has not answered.
@@ -34,7 +49,7 @@
     limit_bytes: int
     sent_bytes: int = 0
     refused: int = 0
-    _waiting: deque[tuple[int, asyncio.Future]] = attrs.field(factory=deque)
+    _waiting: deque[_WaitingBody] = attrs.field(factory=deque)
 
     @property
     def waiting(self) -> int:
@@ -42,41 +57,57 @@
         return len(self._waiting)
 
     @asynccontextmanager
-    async def hold(self, size_bytes: int, until_s: float) -> AsyncIterator[None]:
+    async def hold(self, request_id: str, size_bytes: int, until_s: float) -> AsyncIterator[None]:
         """Holds room for a body, in the order of arrival.
 
         Args:
+          request_id: Id of the request.
           size_bytes: Size of the body.
           until_s: Monotonic time until which the request may wait.
 
         Raises:
-          NotRunError: There was no room in time.
+          NotRunError: There was no room in time, or the request was refused meanwhile.
         """
         if size_bytes <= SMALL_BODY_BYTES:
             yield
             return
-        await self._take(size_bytes, until_s)
+        await self._take(request_id, size_bytes, until_s)
         try:
             yield
         finally:
             self._give_back(size_bytes)
 
-    async def _take(self, size_bytes: int, until_s: float) -> None:
+    def refuse(self, request_id: str, reason: Reason) -> None:
+        """Refuses a request if its body waits."""
+        self._refuse([body for body in self._waiting if body.request_id == request_id], reason)
+
+    def refuse_waiting(self, reason: Reason) -> None:
+        """Refuses all requests whose bodies wait."""
+        self._refuse(list(self._waiting), reason)
+
+    def _refuse(self, bodies: list[_WaitingBody], reason: Reason) -> None:
+        for body in bodies:
+            self._waiting.remove(body)
+            if not body.turn.done():
+                body.turn.set_exception(NotRunError(reason))
+        self._start_waiting()
+
+    async def _take(self, request_id: str, size_bytes: int, until_s: float) -> None:
         if not self._waiting and self._has_room(size_bytes):
             self.sent_bytes += size_bytes
             return
         turn = asyncio.get_running_loop().create_future()
-        entry = (size_bytes, turn)
-        self._waiting.append(entry)
+        body = _WaitingBody(request_id, size_bytes, turn)
+        self._waiting.append(body)
         try:
             async with asyncio.timeout(until_s - read_monotonic_s()):
                 await turn
         except BaseException as error:
-            if entry in self._waiting:
-                self._waiting.remove(entry)
+            if body in self._waiting:
+                self._waiting.remove(body)
                 self._start_waiting()
-            elif not turn.cancelled():  # Its turn came in the same round of the event loop.
-                self._give_back(size_bytes)
+            elif not turn.cancelled() and turn.exception() is None:
+                self._give_back(size_bytes)  # Its turn came in the same round of the event loop.
             if isinstance(error, TimeoutError):
                 self.refused += 1
                 raise NotRunError(Reason.MEMORY_FULL) from error
@@ -90,11 +121,11 @@
         self._start_waiting()
 
     def _start_waiting(self) -> None:
-        while self._waiting and self._has_room(self._waiting[0][0]):
-            size_bytes, turn = self._waiting.popleft()
-            if not turn.done():
-                self.sent_bytes += size_bytes
-                turn.set_result(None)
+        while self._waiting and self._has_room(self._waiting[0].size_bytes):
+            body = self._waiting.popleft()
+            if not body.turn.done():
+                self.sent_bytes += body.size_bytes
+                body.turn.set_result(None)
 
 
 def create_bodies_in_flight(memory_mb: float = DEFAULT_MEMORY_MB) -> BodiesInFlight:
--- a/ibisrack/memory/in_flight_test.py
+++ b/ibisrack/memory/in_flight_test.py
@@ -17,12 +17,14 @@
     return BodiesInFlight(limit_bytes)
 
 
-async def start(bound: BodiesInFlight, size_bytes: int, end: asyncio.Event, wait_s=GUARD_S):
+async def start(
+    bound: BodiesInFlight, size_bytes: int, end: asyncio.Event, wait_s=GUARD_S, request_id="q"
+):
     """Starts a request with a body that is at the instance until an event."""
 
     async def run() -> str:
         try:
-            async with bound.hold(size_bytes, read_monotonic_s() + wait_s):
+            async with bound.hold(request_id, size_bytes, read_monotonic_s() + wait_s):
                 await end.wait()
                 return "ran"
         except NotRunError as error:
@@ -46,6 +48,20 @@
     assert bound.sent_bytes == 0 and bound.waiting == 0
 
 
+async def test_bodies_that_wait_are_refused_one_by_one_and_all_together():
+    """Guards against a withdrawn request that runs later or holds its body for nothing."""
+    bound, end = bodies(LARGE_BYTES), asyncio.Event()
+    tasks = [await start(bound, LARGE_BYTES, end, request_id=f"q-{n}") for n in range(4)]
+    bound.refuse("q-0", Reason.WITHDRAWN)  # It is at the instance already.
+    bound.refuse("q-2", Reason.WITHDRAWN)
+    assert await tasks[2] == Reason.WITHDRAWN and bound.waiting == 2
+    bound.refuse_waiting(Reason.EVACUATED)
+    assert await asyncio.gather(tasks[1], tasks[3]) == [Reason.EVACUATED] * 2
+    assert bound.waiting == 0 and bound.sent_bytes == LARGE_BYTES
+    end.set()
+    assert await tasks[0] == "ran" and bound.sent_bytes == 0
+
+
 async def test_body_larger_than_the_limit_runs_alone():
     """Guards against a single large body that never gets its turn."""
     bound, end = bodies(LARGE_BYTES), asyncio.Event()
