Ask the subset where a whole service was walked; leave evacuated zones out of the wait for a link

Cause: found when the change was read once more. The wait that a caller is told for a full link went over all instances of a service, those of evacuated zones included, which get no requests. The usual service time of peers was computed from all instances of the service for each answer of a slow start, a cost that grows with the fleet; a node has links with its subset only. The choice looked up views that it had at hand, and kept a default for a mean that can't be 0 any more; a submission read the clock twice.

Change: both ask the selector's subset. Two tests of crowds share what they send; sizes, numbers and checks are the same.

--- a/ibisrack/dispatch/choice.py
+++ b/ibisrack/dispatch/choice.py
@@ -245,13 +245,11 @@
     mean_service_s = (
         sum(reported_ms) / len(reported_ms) / 1000 if reported_ms else DEFAULT_SERVICE_TIME_S
     )
-    is_large = any(transfer.is_large_for(views.of(c.instance_id).load) for c in compared)
+    is_large = any(transfer.is_large_for(load) for load in loads)
     best, best_cost = None, 0.0
     for instance in compared:
         view = views.of(instance.instance_id)
-        cost_s = view.expected_response_s(
-            instance.slots, mean_service_s or DEFAULT_SERVICE_TIME_S, now_s
-        )
+        cost_s = view.expected_response_s(instance.slots, mean_service_s, now_s)
         if instance.host != views.own_host:
             cost_s = view.arrival_s(transfer, cost_s, now_s)
         if is_large:
--- a/ibisrack/dispatch/selection.py
+++ b/ibisrack/dispatch/selection.py
@@ -144,16 +144,13 @@
 
     def estimate(self, service: str, need: Need, now_s: float) -> CapacityEstimate | None:
         """Returns the capacity of the subset of a service, None if no instance has reported."""
-        listed = self.directory.in_use(service)
-        subset = self.subsets.of(service, listed, self.zone)
-        return self.capacity.estimate(self._available(subset, frozenset(), now_s), need, now_s)
+        return self.capacity.estimate(self._available_subset(service, now_s), need, now_s)
 
     def shortest_link_wait(self, service: str, now_s: float) -> LinkWait | None:
-        """Returns the shortest backlog among the links of a service's instances, if any reports."""
-        available = self._available(self.directory.of_service(service), frozenset(), now_s)
+        """Returns the shortest backlog of the links to the subset of a service, if any reports."""
         views = [
             self.views.of(instance.instance_id)
-            for instance in available
+            for instance in self._available_subset(service, now_s)
             if instance.host != self.views.own_host
         ]
         waits = (view.link_wait(now_s) for view in views if view.load is not None)
@@ -200,6 +197,13 @@
             if self.capacity.prospect(each, need, now_s) is not Prospect.UNLIKELY
         ]
 
+    def subset(self, service: str) -> tuple[Instance, ...]:
+        """Returns the instances of a service that requests are usually sent to."""
+        return self.subsets.of(service, self.directory.in_use(service), self.zone)
+
+    def _available_subset(self, service: str, now_s: float) -> list[Instance]:
+        return self._available(self.subset(service), frozenset(), now_s)
+
     def _available(
         self, instances: tuple[Instance, ...], tried: Set[str], now_s: float
     ) -> list[Instance]:
--- a/ibisrack/dispatch/selection_test.py
+++ b/ibisrack/dispatch/selection_test.py
@@ -10,6 +10,8 @@
 from ibisrack.dispatch.subset import SUBSET_SIZE, InstanceSubsets
 from ibisrack.errors import NotRunError
 from ibisrack.instances.directory import InstanceDirectory
+from ibisrack.links.messages import Load
+from ibisrack.registry.messages import NO_REVISION
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import instance, route
 
@@ -72,6 +74,18 @@
         assert selecting.subsets.hosts() == before
 
 
+def test_wait_for_a_full_link_leaves_out_evacuated_zones():
+    """Guards against callers that come back for the links of instances that get no requests."""
+    selecting = selector()
+    for each in selecting.directory.of_service("desk"):
+        backlog_ms = 500 if each.zone == "b" else 2000
+        load = Load(0, 0, 2, 1.0, True, NO_REVISION, True, True, link_backlog_ms=backlog_ms)
+        selecting.views.of(each.instance_id).update_load(load, 1.0)
+    assert selecting.shortest_link_wait("desk", 1.0).backlog_s == 0.5
+    selecting.directory.begin_evacuation("b")
+    assert selecting.shortest_link_wait("desk", 1.0).backlog_s == 2.0
+
+
 def test_a_service_is_evacuated_if_its_only_instances_are():
     """Guards against a wrong reason in the refusal of a service that has no instances."""
     selecting = selector()
--- a/ibisrack/hosting/runner.py
+++ b/ibisrack/hosting/runner.py
@@ -198,13 +198,14 @@
         return await self._run_recorded(Run(submit))
 
     async def _run_recorded(self, run: Run) -> Answer:
+        now_s = read_monotonic_s()
         trace = SubmissionTrace(
             run,
             self.gate.load(),
             self.gate.scheduler.running_by_rank(),
             self.notices.limit_per_s,
-            read_monotonic_s(),
-            self.answer_room.pacer.backlog_s(read_monotonic_s()),
+            now_s,
+            self.answer_room.pacer.backlog_s(now_s),
         )
         try:
             response_s = expected_response_s(trace.load, self.service_s)
--- a/ibisrack/sidecar/hostile_clients_test.py
+++ b/ibisrack/sidecar/hostile_clients_test.py
@@ -68,6 +68,18 @@
     fleet.check()
 
 
+async def check_after_stalled_chunks(chunk_bytes: int) -> None:
+    """Sends bodies in chunks, most without the last one, and checks what the process holds."""
+    async with one_process() as (fleet, crowd):
+        stalled = ChunkedBody(BODY_BYTES, BODY_BYTES - chunk_bytes, chunk_bytes)
+        whole = ChunkedBody(BODY_BYTES, BODY_BYTES, chunk_bytes)
+        await check_after(
+            fleet,
+            crowd,
+            [stalled if number % 10 < STALLED_OF_TEN else whole for number in range(CLIENTS)],
+        )
+
+
 async def test_many_whole_bodies():
     """Guards against bodies of legal size that fill the memory while they wait for an instance."""
     async with one_process(work_s=0.1) as (fleet, crowd):
@@ -94,26 +106,12 @@
 
 async def test_bodies_in_large_chunks_that_stop_short_of_their_end():
     """Guards against bodies of unknown length that never end."""
-    async with one_process() as (fleet, crowd):
-        stalled = ChunkedBody(BODY_BYTES, BODY_BYTES - LARGE_CHUNK_BYTES, LARGE_CHUNK_BYTES)
-        whole = ChunkedBody(BODY_BYTES, BODY_BYTES, LARGE_CHUNK_BYTES)
-        await check_after(
-            fleet,
-            crowd,
-            [stalled if number % 10 < STALLED_OF_TEN else whole for number in range(CLIENTS)],
-        )
+    await check_after_stalled_chunks(LARGE_CHUNK_BYTES)
 
 
 async def test_bodies_in_small_chunks_that_stop_short_of_their_end():
     """Guards against chunks that each take far more memory than their bytes."""
-    async with one_process() as (fleet, crowd):
-        stalled = ChunkedBody(BODY_BYTES, BODY_BYTES - SMALL_CHUNK_BYTES, SMALL_CHUNK_BYTES)
-        whole = ChunkedBody(BODY_BYTES, BODY_BYTES, SMALL_CHUNK_BYTES)
-        await check_after(
-            fleet,
-            crowd,
-            [stalled if number % 10 < STALLED_OF_TEN else whole for number in range(CLIENTS)],
-        )
+    await check_after_stalled_chunks(SMALL_CHUNK_BYTES)
 
 
 async def test_oversized_bodies_with_a_length():
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -381,8 +381,8 @@
         instance = self.instance_runner.instance
         if instance is None:
             return 0.0
-        peers = self.directory.of_service(instance.service)
-        links = (self.outgoing_links.get(peer.host) for peer in peers)
-        loads = [link.load for link in links if link and link.load]
-        reported_ms = [load.service_ms for load in loads if load.service_ms]
+        # Asked for each answer of a slow start, so that it must not grow with the service.
+        subset = self.dispatcher.selector.subset(instance.service)
+        loads = [self.load_of(peer) for peer in subset if peer.host != instance.host]
+        reported_ms = [load.service_ms for load in loads if load and load.service_ms]
         return median(reported_ms) / 1000 if reported_ms else 0.0
