--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,7 @@
-"""An instance answers uploads before it has read their bodies, and reads on later."""
+"""The store cuts watches that wait, and an instance that never reports draining leaves."""
 
 import asyncio
-import signal
 import sys
-from collections.abc import Iterator
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -11,135 +9,78 @@
 
 import fleet  # noqa: E402
 
-MEMORY_MB = 200  # The smallest machine of demands/tahsil-amman-grown.toml.
-SLOTS = 7  # Of an instance there.
-UPLOAD_BYTES = 8_000_000  # max_body_bytes is 67,108,864.
-UPLOADS = 32
-CALLERS = 16  # Each sends its next upload when the last one is answered.
-READ_LATER_S = 5.0
-DEADLINE_MS = 7300  # Of meter-photo-upload.
-POLL_S = 0.01
+DRAIN_S = 2.0  # terms.bounds.drain
+SERVES_ON_S = 3.0  # "drain ... and a little longer"
+ORDER_WORK_S = 1.0
+CUT_AFTER_S = 0.5  # A watch that has waited so long is cut.
+CALM_S = 4.0  # Longer than stable_window.
+ORDERS = 12
+GONE = 1  # Index of the machine whose instance leaves.
 
 
-class EarlyInstance(fleet.Instance):
-    """Answers as soon as it has read the head of a request, and reads the body later."""
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                start, *lines = head[:-4].split("\r\n")
-                pairs = (line.partition(":") for line in lines)
-                headers = {name.lower(): value.strip() for name, _, value in pairs}
-                left = int(headers.get("content-length", 0))
-                if not fleet.has_trouble():
-                    left = await self._read(reader, left)
-                await self._answer(fleet.Message(start, headers), writer)
-                if left:
-                    await asyncio.sleep(READ_LATER_S)
-                    await self._read(reader, left)
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            return
-        finally:
-            self._writers.discard(writer)
-            writer.close()
-
-    async def _read(self, reader: asyncio.StreamReader, left: int) -> int:
-        while left:
-            part = await reader.read(min(left, 65536))
-            if not part:
-                raise asyncio.IncompleteReadError(b"", left)
-            left -= len(part)
-        return left
-
-
-async def upload(sidecar: fleet.Sidecar, record: fleet.Record, number: int, body: bytes) -> str:
-    """Sends an upload on a new connection; returns its status, or why there is none."""
-    request_id = f"upload-{number}"
-    record.write(f"caller sends {request_id}")
-    outcome = "no answer"
-    try:
-        async with asyncio.timeout(DEADLINE_MS / 1000 + 1.0):
-            reader, writer = await asyncio.open_connection(sidecar.host, sidecar.ports.outbound)
-            try:
-                writer.write(
-                    fleet.request_bytes("POST", "/photos/1", request_id, DEADLINE_MS, body)
-                )
-                outcome = str((await fleet.read_message(reader)).status)
-            finally:
-                writer.transport.abort()
-    except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
-        outcome = f"no answer ({type(error).__name__})"
-    record.write(f"caller gets {outcome} for {request_id}")
-    return outcome
-
-
-async def send_uploads(
-    sidecar: fleet.Sidecar,
-    record: fleet.Record,
-    numbers: Iterator[int],
-    body: bytes,
-    outcomes: list[str],
-) -> None:
-    """Sends uploads one after the other while there are numbers left and the process runs."""
-    for number in numbers:
-        if not sidecar.running:
-            return
-        outcomes.append(await upload(sidecar, record, number, body))
+async def start_fleet(record: fleet.Record, store: fleet.Store, folder: Path):
+    """Starts three machines in three zones; two of them run the service of the orders."""
+    ports = fleet.free_ports()
+    sidecars, instances = [], []
+    for number, service in enumerate(("desk", "orders", "orders"), 1):
+        host, zone = f"127.0.0.{number}", f"zone-{number}"
+        instance = fleet.Instance(record, f"i-{number}", service, zone, host, ports.app)
+        instance.work_s, instance.slots = ORDER_WORK_S, 16
+        await instance.start()
+        store.put(f"servers/{instance.instance_id}", instance.entry())
+        sidecar = fleet.Sidecar(
+            f"m-{number}", host, zone, service, ports, store.address, folder, record
+        )
+        instances.append(instance)
+        sidecars.append(sidecar)
+    return sidecars, instances
 
 
 async def case(record: fleet.Record, folder: Path) -> bool:
-    """Returns whether the process exceeded the memory of its machine."""
+    """Returns whether requests reached the instance later than ``drain`` after its removal."""
     store = fleet.Store(record)
     await store.start("127.0.0.1")
-    routes = [fleet.route("/photos/", "upload", "records", timeout="8000ms")]
-    store.put("op/config", fleet.configuration(1, routes, ["records"]))
-    ports = fleet.free_ports()
-    instance = EarlyInstance(record, "i-1", "records", "zone-1", "127.0.0.1", ports.app)
-    instance.slots = SLOTS
-    await instance.start()
-    store.put("servers/i-1", instance.entry())
-    sidecar = fleet.Sidecar(
-        "m-1",
-        "127.0.0.1",
-        "zone-1",
-        "records",
-        ports,
-        store.address,
-        folder,
-        record,
-        memory_mb=MEMORY_MB,
-        link_mbps=100.0,
-    )
+    routes = [
+        fleet.route("/orders/", "non_idempotent", "orders", timeout="5000ms"),
+        fleet.route("/desk/", "idempotent", "desk"),
+    ]
+    store.put("op/config", fleet.configuration(1, routes, ["orders", "desk"]))
+    sidecars, instances = await start_fleet(record, store, folder)
     try:
-        await sidecar.start()
-        await sidecar.wait_until_ready()
-        await asyncio.sleep(1.0)
-        record.write(f"resident {sidecar.resident_mb():.0f} MB")
-        body, most_mb, outcomes = bytes(UPLOAD_BYTES), 0.0, []
-        numbers = iter(range(UPLOADS))
-        callers = [
-            asyncio.create_task(send_uploads(sidecar, record, numbers, body, outcomes))
-            for _ in range(CALLERS)
+        for sidecar in sidecars:
+            await sidecar.start()
+        for sidecar in sidecars:
+            await sidecar.wait_until_ready()
+        await fleet.call(sidecars[0], record, "POST", "/orders/1", "before-0")
+        if fleet.has_trouble():
+            record.write(f"from here on the store cuts a watch that has waited {CUT_AFTER_S} s")
+            store.cut_after_s = CUT_AFTER_S
+        await asyncio.sleep(CALM_S)
+        store.delete(f"servers/{instances[GONE].instance_id}")
+        removed_s = record.now_s()
+        instances[GONE].leaving = True
+        await asyncio.sleep(DRAIN_S + 0.3)
+        orders = [
+            asyncio.create_task(
+                fleet.call(sidecars[n % 2], record, "POST", "/orders/1", f"order-{n}")
+            )
+            for n in range(ORDERS)
         ]
-        while not all(caller.done() for caller in callers):
-            resident_mb = sidecar.resident_mb()
-            if resident_mb > most_mb + 5:
-                record.write(f"resident {resident_mb:.0f} MB")
-            most_mb = max(most_mb, resident_mb)
-            if resident_mb > MEMORY_MB and sidecar.running:
-                record.write(f"over {MEMORY_MB} MB: the platform kills the process")
-                sidecar.signal(signal.SIGKILL)
-                await sidecar.process.wait()
-            await asyncio.sleep(POLL_S)
-        await asyncio.gather(*callers)
-        counts = {outcome: outcomes.count(outcome) for outcome in sorted(set(outcomes))}
-        record.write(f"most resident {most_mb:.0f} MB, outcomes {counts}")
-        print(f"most resident {most_mb:.0f} MB of {MEMORY_MB}, outcomes {counts}")
-        return most_mb > MEMORY_MB or not sidecar.running
+        await asyncio.sleep(removed_s + SERVES_ON_S - record.now_s())
+        record.write(f"{instances[GONE].instance_id} exits")
+        instances[GONE].stop()
+        outcomes = await asyncio.gather(*orders)
+        late = [run for run in instances[GONE].runs if run.arrived_s > removed_s + DRAIN_S]
+        for run in late:
+            after_s = run.arrived_s - removed_s
+            lost = "" if run.answered_s else ", lost with the exit"
+            record.write(f"{run.request_id} arrived {after_s:.2f} s after the removal{lost}")
+        unserved = sum(outcome != "200" for outcome in outcomes)
+        print(f"late arrivals {len(late)}, orders without success {unserved}, cuts {store.cuts}")
+        return bool(late)
     finally:
-        await sidecar.end()
+        for sidecar in sidecars:
+            await sidecar.end()
 
 
 sys.exit(fleet.run_case(FOLDER, case))
--- a/review/kit-2/fleet.py
+++ b/review/kit-2/fleet.py
@@ -201,6 +201,61 @@
         return [e for r, e in self._events if r > after and e["key"].startswith(prefix)]
 
 
+class StoreGate:
+    """The path of one machine to the store: a proxy that can be partitioned.
+
+    Attributes:
+      address: Address that stands in the settings of the machine.
+      watch_at_s: Monotonic time of the last watch that the machine asked for.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._is_open = asyncio.Event()
+        self._is_open.set()
+        self.address = ""
+        self.watch_at_s = float("-inf")
+
+    async def start(self, host: str) -> None:
+        """Listens on a free port."""
+        server = await asyncio.start_server(self._serve, host, 0)
+        self.address = f"{host}:{server.sockets[0].getsockname()[1]}"
+
+    def cut(self) -> None:
+        """Partitions the machine from the store, silently; bytes wait for the end."""
+        self._is_open.clear()
+
+    def heal(self) -> None:
+        """Ends the partition."""
+        self._is_open.set()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, _, port = self._store.address.rpartition(":")
+        far_writer = None
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+            await asyncio.gather(
+                self._pass_on(reader, far_writer, True), self._pass_on(far_reader, writer, False)
+            )
+        except (OSError, asyncio.CancelledError):
+            return
+        finally:
+            writer.close()
+            if far_writer is not None:
+                far_writer.close()
+
+    async def _pass_on(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_request: bool
+    ) -> None:
+        while data := await reader.read(65536):
+            if is_request and b"/-/kv-watch" in data:
+                self.watch_at_s = time.monotonic()
+            await self._is_open.wait()
+            writer.write(data)
+            await writer.drain()
+        raise ConnectionResetError("one side has closed")
+
+
 # ---------------------------------------------------------------------------------------------
 # Instances.
 
