--- a/review/kit-2/fleet.py
+++ b/review/kit-2/fleet.py
@@ -23,7 +23,7 @@
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 READY_TIMEOUT_S = 20.0
-ANSWER_LIMIT = 4 * 1024 * 1024
+MAX_MACHINES = 9  # Their addresses are 127.0.0.1 and the next ones.
 
 
 class NotRunnable(Exception):
@@ -410,16 +410,31 @@
 
 
 def free_ports() -> Ports:
-    """Returns ports that are free at the moment on all loopback addresses."""
-    held = [socket.socket() for _ in range(5)]
-    for one in held:
-        one.bind(("0.0.0.0", 0))
-    numbers = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
+    """Returns ports that are free at the moment on the loopback addresses of the machines."""
+    numbers: list[int] = []
+    held: list[socket.socket] = []
+    try:
+        while len(numbers) < 5:
+            first = _bind(held, "127.0.0.1", 0)
+            if all(_bind(held, f"127.0.0.{host}", first) for host in range(2, MAX_MACHINES + 1)):
+                numbers.append(first)
+    finally:
+        for one in held:
+            one.close()
     return Ports(*numbers)
 
 
+def _bind(held: list[socket.socket], host: str, port: int) -> int:
+    """Binds a socket; returns its port, 0 if the port is in use."""
+    one = socket.socket()
+    held.append(one)
+    try:
+        one.bind((host, port))
+    except OSError:
+        return 0
+    return one.getsockname()[1]
+
+
 @dataclass
 class Sidecar:
     """A sidecar process on a machine with its own loopback address."""
