--- a/review/kit-2/fleet.py
+++ b/review/kit-2/fleet.py
@@ -209,8 +209,11 @@
       watch_at_s: Monotonic time of the last watch that the machine asked for.
     """
 
-    def __init__(self, store: Store) -> None:
+    def __init__(self, store: Store, link_mbps: float = 0.0) -> None:
+        """Creates the path; ``link_mbps`` bounds what arrives at the machine, 0 for no bound."""
         self._store = store
+        self._bytes_per_s = link_mbps * 1e6 / 8
+        self._link_free_at_s = 0.0
         self._is_open = asyncio.Event()
         self._is_open.set()
         self.address = ""
@@ -247,10 +250,15 @@
     async def _pass_on(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_request: bool
     ) -> None:
-        while data := await reader.read(65536):
+        while data := await reader.read(8192):
             if is_request and b"/-/kv-watch" in data:
                 self.watch_at_s = time.monotonic()
             await self._is_open.wait()
+            if not is_request and self._bytes_per_s:
+                now_s = time.monotonic()
+                self._link_free_at_s = max(now_s, self._link_free_at_s)
+                self._link_free_at_s += len(data) / self._bytes_per_s
+                await asyncio.sleep(self._link_free_at_s - now_s)
             writer.write(data)
             await writer.drain()
         raise ConnectionResetError("one side has closed")
