--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,6 +18,7 @@
 MACHINES = 9
 ZONES = ("zone-a", "zone-b", "zone-c")
 ORDERS = 12
+ORDERS_BEFORE = 4  # At each machine, one after the other.
 
 
 async def find_reader(gates: list[fleet.StoreGate]) -> int:
@@ -57,6 +58,12 @@
             sidecars.append(sidecar)
         for sidecar in sidecars:
             await sidecar.wait_until_ready()
+        for number in range(ORDERS_BEFORE):
+            calls = (
+                fleet.call(sidecar, record, "POST", "/orders/1", f"before-{index}-{number}")
+                for index, sidecar in enumerate(sidecars)
+            )
+            await asyncio.gather(*calls)
         await asyncio.sleep(CALM_S)
         reader = await find_reader(gates)
         others = [index for index in range(0, MACHINES, len(ZONES)) if index != reader]
