Derive the times of registry calls from the bounds; replace a late reader at once

Cause: a call for changes waits 1.0 s, and its answer was waited for 1.5 s more, so that a reader noticed a silent cut up to 2.5 s after it; the next host took over after up to four ticks. The bounds of the deployment (drain and config_apply, 2.0 s) weren't even in the settings.

Ruled out: the followers' own limit on the reader's last answer (3.0 s) comes later.

Change: registry/timing.py derives the wait, the time for a late answer and the takeover from the shortest of the three bounds. A call that is late or cut is repeated at once, and the next host in order reads meanwhile; the same if an answer takes longer than a quarter of the bound to arrive. Peers act on a change of role when they hear of it. The HTTP library no longer repeats a broken call by itself, which doubled its time. In calm times no call is added.

Why this works: the waits that follow each other now add up to the bound at most, whatever the phase of the call at the cut (timing_test).

--- a/ibisrack/errors.py
+++ b/ibisrack/errors.py
@@ -61,7 +61,11 @@
     """A service of the platform failed or gave an invalid answer."""
 
 
-class PlatformTimeoutError(PlatformError):
+class PlatformConnectionError(PlatformError):
+    """The connection to a service of the platform could not be opened, or broke."""
+
+
+class PlatformTimeoutError(PlatformConnectionError):
     """A service of the platform did not answer in time."""
 
 
--- a/ibisrack/links/messages.py
+++ b/ibisrack/links/messages.py
@@ -217,6 +217,11 @@
     link_mbps: float = 0.0
     queued_by_priority: tuple[tuple[int, int], ...] = ()
 
+    @property
+    def reading(self) -> tuple[bool, bool]:
+        """Whether the sender reads the registry, and whether it can."""
+        return self.reads_registry, self.may_read_registry
+
 
 @attrs.frozen
 class KnownLimit:
--- a/ibisrack/links/outgoing_messages.py
+++ b/ibisrack/links/outgoing_messages.py
@@ -36,7 +36,9 @@
 
 @handle.register
 def _(message: Load, link: Any) -> None:
-    link.load = message
+    previous, link.load = link.load, message
+    if previous is None or previous.reading != message.reading:
+        link.on_availability()
     if message.instance_id:
         link.known_limit = KnownLimit(message.instance_id, message.limit_per_s)
     if message.leaving_start_ms is not None:
--- a/ibisrack/platform/settings_file_test.py
+++ b/ibisrack/platform/settings_file_test.py
@@ -74,6 +74,18 @@
     assert load(SETTINGS).max_descriptors == 4096
 
 
+def test_bounds_on_changes_of_the_registry_are_read():
+    """Guards against calls to the registry that are too long for the deployment's bounds."""
+    assert load(SETTINGS).registry_apply_s == 2.0
+    for bounds, apply_s in (
+        ('config_apply: "3000ms", drain: "2500ms"', 2.5),
+        ('config_apply: "1.5s", drain: "2500ms"', 1.5),
+        ('config_apply: "9s", drain: "9s", evac: "4s"', 4.0),
+    ):
+        settings = load(SETTINGS.replace("bounds: {", f"bounds: {{{bounds}, "))
+        assert settings.registry_apply_s == apply_s
+
+
 def test_bounds_of_cold_instances_and_evacuations_are_read():
     """Guards against a cold instance that gets more than its deployment allows."""
     settings = load(SETTINGS)
--- a/ibisrack/platform/store_client.py
+++ b/ibisrack/platform/store_client.py
@@ -5,16 +5,25 @@
 import logging
 import math
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
-from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
+from aiohttp import (
+    ClientError,
+    ClientHandlerType,
+    ClientRequest,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+)
 
 from ibisrack.bodies import read_bounded
 from ibisrack.errors import (
     BacklogError,
     HistoryGoneError,
     MessageError,
+    PlatformConnectionError,
     PlatformError,
     PlatformTimeoutError,
 )
@@ -28,10 +37,9 @@
     Listing,
     Revision,
 )
+from ibisrack.registry.timing import RESPONSE_TIMEOUT_S
 from ibisrack.upstreams.connector import BoundedConnector
 
-# Maximum time without a byte of the answer, in addition to the requested wait of a watch.
-RESPONSE_TIMEOUT_S = 1.5
 # Maximum time for a whole answer; a large page takes seconds on the slowest links.
 TRANSFER_TIMEOUT_S = 8.0
 MAX_VALUE_BYTES = 4 * math.ceil(MAX_CONTENT_BYTES / 3)  # Of the largest content, as base64.
@@ -62,6 +70,23 @@
     return ClientSession(connector=BoundedConnector(socket_factory=create_socket))
 
 
+async def _report_broken_connection(
+    request: ClientRequest, handler: ClientHandlerType
+) -> ClientResponse:
+    """Sends a request; reports a connection that breaks at once.
+
+    The library would repeat the request, so that a watch that was cut would take twice its time.
+    """
+    try:
+        return await handler(request)
+    except TimeoutError:
+        raise
+    except (ClientError, OSError) as error:
+        raise PlatformConnectionError(
+            f"{request.url.path}: {type(error).__name__} {error}"
+        ) from error
+
+
 class StoreClient:
     """Reads the store.
 
@@ -102,21 +127,34 @@
         era, item = await self._get(_KEY_PATH, {"key": key}, 0.0, MAX_PAGE_BYTES)
         return _decode_entry(item, era)
 
-    async def changes(self, after: Revision, wait_s: float, max_bytes: int) -> Changes:
+    async def changes(
+        self,
+        after: Revision,
+        wait_s: float,
+        max_bytes: int,
+        response_s: float,
+        on_begin: Callable[[], None] = lambda: None,
+    ) -> Changes:
         """Waits for events; see Registry.changes."""
         query = {
             "prefix": "",
             "after": str(after.number),
             "wait_ms": str(max(1, int(wait_s * 1000))),
         }
-        era, response = await self._get(_WATCH_PATH, query, wait_s, max_bytes)
+        era, response = await self._get(_WATCH_PATH, query, wait_s, max_bytes, response_s, on_begin)
         if era != after.era:
             raise HistoryGoneError(f"{_WATCH_PATH}: the store was restored, era {era}")
         events = tuple(_decode_entry(item, era) for item in _list_field(response, "events"))
         return Changes(Revision(era, _revision_field(response, "current_rev")), events)
 
     async def _get(
-        self, path: str, query: dict[str, str], wait_s: float, max_bytes: int
+        self,
+        path: str,
+        query: dict[str, str],
+        wait_s: float,
+        max_bytes: int,
+        response_s: float = RESPONSE_TIMEOUT_S,
+        on_begin: Callable[[], None] = lambda: None,
     ) -> tuple[int, dict[str, Any]]:
         """Sends a call; returns the era of the store and its decoded answer.
 
@@ -125,20 +163,29 @@
           query: Its parameters.
           wait_s: Time that the store may wait before it answers.
           max_bytes: Maximum size of the answer.
+          response_s: Maximum time without a byte of the answer, in addition to ``wait_s``.
+          on_begin: Called when the answer begins to arrive.
 
         Raises:
           BacklogError: The answer is larger.
           HistoryGoneError: The store no longer has the requested changes.
+          PlatformConnectionError: The connection broke, or the answer is late.
           PlatformError: There is no usable answer.
         """
         timeout = ClientTimeout(
             total=wait_s + TRANSFER_TIMEOUT_S,
-            sock_connect=RESPONSE_TIMEOUT_S,
-            sock_read=wait_s + RESPONSE_TIMEOUT_S,
+            sock_connect=response_s,
+            sock_read=wait_s + response_s,
         )
         try:
-            url = self._base + path
-            async with self._session.get(url, params=query, timeout=timeout) as response:
+            call = self._session.get(
+                self._base + path,
+                params=query,
+                timeout=timeout,
+                middlewares=(_report_broken_connection,),
+            )
+            async with call as response:
+                on_begin()
                 if response.status == HTTP_GONE:
                     raise HistoryGoneError(
                         f"{path}: the changes since the revision are no longer available"
@@ -150,7 +197,7 @@
         except TimeoutError as error:
             raise PlatformTimeoutError(f"{path}: no answer in time") from error
         except (ClientError, OSError) as error:
-            raise PlatformError(f"{path}: {type(error).__name__} {error}") from error
+            raise PlatformConnectionError(f"{path}: {type(error).__name__} {error}") from error
         return era, _decode_body(body, path)
 
 
--- a/ibisrack/platform/store_client_test.py
+++ b/ibisrack/platform/store_client_test.py
@@ -6,6 +6,7 @@
 from ibisrack.errors import BacklogError, HistoryGoneError, PlatformError, PlatformTimeoutError
 from ibisrack.platform.store_client import StoreClient, open_session
 from ibisrack.registry.messages import MAX_CONTENT_BYTES, NO_REVISION, Revision
+from ibisrack.registry.timing import RESPONSE_TIMEOUT_S
 from ibisrack.standins.store import serve_store
 from ibisrack.testing.data_path import HOST, ScriptedServer, scripted_server
 from ibisrack.testing.endless import EndlessBytes, endless_server
@@ -53,7 +54,7 @@
         try:
             async with asyncio.timeout(GUARD_S):
                 await StoreClient(session, HOST, server.port).changes(
-                    NO_REVISION, 0.5, MAX_WRITTEN_BYTES
+                    NO_REVISION, 0.5, MAX_WRITTEN_BYTES, RESPONSE_TIMEOUT_S
                 )
         except BacklogError:
             await wait_until(lambda: server.closed_connections == 1)
@@ -95,7 +96,7 @@
     """Guards against a slow link that transfers versions that are replaced before they arrive."""
     async with client_of_a_storm() as (client, store):
         try:
-            await client.changes(Revision(store.era, 1), 1.0, VERSION_BYTES * 2)
+            await client.changes(Revision(store.era, 1), 1.0, VERSION_BYTES * 2, RESPONSE_TIMEOUT_S)
         except BacklogError:
             return
         raise AssertionError("the changes were read")
@@ -134,7 +135,7 @@
         store.put("c", b"1")
         assert known.number < store.revision
         try:
-            await client.changes(known, 0.1, VERSION_BYTES)
+            await client.changes(known, 0.1, VERSION_BYTES, RESPONSE_TIMEOUT_S)
         except HistoryGoneError:
             listing = await client.list_all()
             assert listing.revision == Revision(store.era, store.revision) > known
@@ -159,7 +160,8 @@
 async def _check_refused(body: bytes) -> None:
     """Checks that a listing and a watch that the store answers with this body fail."""
     async with client_of_answer(body) as client:
-        for call in (client.list_all(), client.changes(NO_REVISION, 0.1, MAX_WRITTEN_BYTES)):
+        watch = client.changes(NO_REVISION, 0.1, MAX_WRITTEN_BYTES, RESPONSE_TIMEOUT_S)
+        for call in (client.list_all(), watch):
             try:
                 await call
             except PlatformError:
--- a/ibisrack/registry/follower.py
+++ b/ibisrack/registry/follower.py
@@ -12,7 +12,12 @@
 import attrs
 
 from ibisrack.clocks import read_monotonic_s
-from ibisrack.errors import BacklogError, HistoryGoneError, PlatformError
+from ibisrack.errors import (
+    BacklogError,
+    HistoryGoneError,
+    PlatformConnectionError,
+    PlatformError,
+)
 from ibisrack.metrics.tally import Tally
 from ibisrack.registry.deltas import unpack_changes
 from ibisrack.registry.messages import (
@@ -23,17 +28,16 @@
     Listing,
     Registry,
 )
+from ibisrack.registry.timing import RESPONSE_TIMEOUT_S, RegistryTiming
 from ibisrack.registry.view import RegistryView
 
-# Maximum wait of a call for changes.  Long waits save calls, which are billed.  However, peers rely
-# on this node, and only the end of the wait shows that a registry no longer responds, or that it
-# dropped its history and left the call without changes.
-LONG_POLL_S = 1.0
 # A registry that has not answered for this long is not relied on: a long poll and the transfer of a
 # large entry over a congested link fit in.
 MAX_ANSWER_AGE_S = 3.0
 RECOVERY_POLL_S = 0.001  # Wait of calls after a failure, so that a recovery is detected at once.
-CHANGE_BATCH_DELAY_S = 0.25  # Delay after changes, so that a burst of them takes fewer calls.
+# A registry counts as answering until so many calls in a row have failed: it may cut a call that
+# waits, and an answer may be late once.
+MAX_FAILURES = 2
 BASE_RETRY_DELAY_S = 0.15
 MAX_RETRY_DELAY_S = 1.0
 # An answer with changes that is larger than this multiple of the whole content holds several
@@ -52,40 +56,50 @@
     Attributes:
       registry: Client of the registry.
       view: View that is kept up to date.
+      timing: Times of the calls.
       rng: Source of jitter.
       tally: Counters of reads and failures.
       on_entries: Called with changed entries.
       on_restore: Called instead with all entries after the registry was restored from a copy.
       on_state: Called with whether the registry answers, when this changes.
+      on_availability: Called when peers should learn whether this node reads the registry.
       answering: Whether the registry currently answers this node or the peers that it follows.
       read_required: Whether this node reads the registry; cleared while peers deliver the content.
       needs_listing: Whether the next read is a full listing.
       failures: Number of consecutive failed reads.
       lost_histories: Number of times that the history was gone since changes were last read.
       answered_at_s: Monotonic time of the last answer to this node since it has to read.
+      answer_delay_s: Time by which the last answer without changes exceeded the wait of its call.
+      transfer_began_at_s: Monotonic time since which the registry has sent what this node lacks,
+        None while it sends nothing.
     """
 
     registry: Registry
     view: RegistryView
+    timing: RegistryTiming
     rng: Random
     tally: Tally
     on_entries: Callable[[tuple[Entry, ...]], None]
     on_restore: Callable[[tuple[Entry, ...]], None]
     on_state: Callable[[bool], None]
+    on_availability: Callable[[], None] = attrs.field(default=lambda: None)
     answering: bool = False
     read_required: asyncio.Event = attrs.field(factory=asyncio.Event)
     needs_listing: bool = True
     failures: int = 0
     lost_histories: int = 0
     answered_at_s: float = -math.inf
+    answer_delay_s: float = 0.0
+    transfer_began_at_s: float | None = None
+    _batch_delay_s: float = 0.0  # Delay before the next call.
 
     async def follow(self) -> None:
         """Follows the registry until it is cancelled."""
         while True:
             await self.read_required.wait()
             try:
+                await asyncio.sleep(self._batch_delay_s)
                 await self._read()
-                self.failures = 0
             except HistoryGoneError:
                 _LOGGER.info("registry history gone", extra={"revision": str(self.view.revision)})
                 self.needs_listing = True
@@ -98,16 +112,21 @@
                 self.needs_listing = True
             except PlatformError as error:
                 self._record_failure(str(error))
-                await asyncio.sleep(self._retry_delay_s(self.failures))
+                # A registry that cuts a call or is late once is asked again at once; one that
+                # refuses is not.
+                if self.failures > 1 or not isinstance(error, PlatformConnectionError):
+                    await asyncio.sleep(self._retry_delay_s(self.failures))
 
     def is_reading(self, now_s: float) -> bool:
         """Returns whether this node reads the registry itself and the registry answers."""
         return self.answering and now_s - self.answered_at_s < MAX_ANSWER_AGE_S
 
-    @property
-    def may_read(self) -> bool:
-        """Whether the registry answers this node, as far as it knows."""
-        return self.answering or not self.read_required.is_set()
+    def may_read(self, now_s: float) -> bool:
+        """Returns whether the registry answers this node in time, as far as it knows."""
+        began_at_s = self.transfer_began_at_s
+        is_slow = began_at_s is not None and now_s - began_at_s >= self.timing.transfer_s
+        is_answered = self.answering and not self.failures and not is_slow
+        return is_answered or not self.read_required.is_set()
 
     def apply_peer_delta(self, delta: Delta) -> None:
         """Applies the changes of the registry that a peer sent.
@@ -121,7 +140,7 @@
         """Records whether peers that read the registry deliver its content to this node."""
         if delivered:
             self.read_required.clear()
-            self.answered_at_s = -math.inf
+            self.answered_at_s, self.failures = -math.inf, 0
             self._record_answer()
         else:
             self.read_required.set()
@@ -139,35 +158,71 @@
 
     async def _read(self) -> None:
         self.tally.platform_reads += 1
-        if self.needs_listing:
-            listing = await self.registry.list_all()
-            self.needs_listing = False
-            self._record_own_answer()
-            changed = self._replace_view(listing)
-        else:
-            # The first answer tells peers at once that this node reads.
-            is_first = self.answered_at_s == -math.inf
-            wait_s = LONG_POLL_S if self.answering and not is_first else RECOVERY_POLL_S
-            changes: Changes = await self.registry.changes(
-                self.view.revision, wait_s, self._max_changes_bytes()
-            )
-            self.lost_histories = 0
-            self._record_own_answer()
-            entries = self.view.apply(changes)
-            changed = bool(entries)
-            if changed:
-                self.on_entries(entries)
+        delay_s, self._batch_delay_s = self._batch_delay_s, 0.0
+        try:
+            if self.needs_listing:
+                self._record_begin()
+                changed = self._apply_listing(await self.registry.list_all())
+            else:
+                changed = self._apply_changes(await self._read_changes(delay_s))
+        finally:
+            self.transfer_began_at_s = None
         if changed:
-            await asyncio.sleep(CHANGE_BATCH_DELAY_S)
+            self._batch_delay_s = self.timing.batch_delay_s
+
+    def _apply_listing(self, listing: Listing) -> bool:
+        """Applies a listing of the registry; returns whether anything changed."""
+        self.needs_listing = False
+        self._record_own_answer()
+        return self._replace_view(listing)
+
+    def _apply_changes(self, changes: Changes) -> bool:
+        """Applies changes that the registry sent; returns whether anything changed."""
+        self.lost_histories = 0
+        self._record_own_answer()
+        entries = self.view.apply(changes)
+        if entries:
+            self.on_entries(entries)
+        return bool(entries)
+
+    async def _read_changes(self, delay_s: float) -> Changes:
+        """Waits for changes; measures how late an answer without any is.
+
+        Args:
+          delay_s: Time for which the call was delayed, by which it ends sooner.
+        """
+        # The first answer tells peers at once that this node reads.
+        may_wait = self.answering and not self.failures and self.answered_at_s != -math.inf
+        wait_s = self.timing.watch_s - delay_s if may_wait else RECOVERY_POLL_S
+        # After a failure, the registry may be slow: it gets more time, and peers rely on others.
+        is_late_once = self.failures > 0
+        response_s = (
+            RESPONSE_TIMEOUT_S if is_late_once else self.timing.response_s(self.answer_delay_s)
+        )
+        asked_at_s = read_monotonic_s()
+        changes = await self.registry.changes(
+            self.view.revision, wait_s, self._max_changes_bytes(), response_s, self._record_begin
+        )
+        if not changes.entries:
+            self.answer_delay_s = read_monotonic_s() - asked_at_s - wait_s
+        return changes
+
+    def _record_begin(self) -> None:
+        self.transfer_began_at_s = read_monotonic_s()
 
     def _max_changes_bytes(self) -> int:
         content_bytes = self.view.content_bytes * BASE64_FACTOR
         return max(MIN_CHANGES_LIMIT_BYTES, round(content_bytes * MAX_CHANGES_FACTOR))
 
     def _record_own_answer(self) -> None:
+        now_s = read_monotonic_s()
+        was_available = self.may_read(now_s) and self.answered_at_s != -math.inf
+        self.failures, self.transfer_began_at_s = 0, None
         if self.read_required.is_set():
-            self.answered_at_s = read_monotonic_s()
+            self.answered_at_s = now_s
         self._record_answer()
+        if not was_available:
+            self.on_availability()
 
     def _record_answer(self) -> None:
         self.view.confirmed_at_s = read_monotonic_s()
@@ -181,11 +236,15 @@
         if not self.read_required.is_set():
             return  # Peers deliver the content, and tell when they can't.
         self.failures += 1
-        if self.answering or self.failures == 1:
+        extra = {"revision": str(self.view.revision), "error": error}
+        if self.failures < MAX_FAILURES:
+            _LOGGER.info("call to the registry failed", extra=extra)
+            self.on_availability()
+        elif self.answering or self.failures == MAX_FAILURES:
             self.answering = False
-            extra = {"revision": str(self.view.revision), "error": error}
             _LOGGER.warning("registry does not answer", extra=extra)
             self.on_state(False)
+            self.on_availability()
 
     def _retry_delay_s(self, attempts: int) -> float:
         longest_s = min(MAX_RETRY_DELAY_S, BASE_RETRY_DELAY_S * 2 ** min(attempts, 8))
--- a/ibisrack/registry/messages.py
+++ b/ibisrack/registry/messages.py
@@ -1,5 +1,6 @@
 """Content of the registry as nodes exchange it, and the interface through which a node reads it."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -116,13 +117,22 @@
           PlatformError: The registry gave no usable answer.
         """
 
-    async def changes(self, after: Revision, wait_s: float, max_bytes: int) -> Changes:
+    async def changes(
+        self,
+        after: Revision,
+        wait_s: float,
+        max_bytes: int,
+        response_s: float,
+        on_begin: Callable[[], None],
+    ) -> Changes:
         """Waits for changes after a revision.
 
         Args:
           after: The revision.
           wait_s: Maximum time to wait for the first change.
           max_bytes: Maximum size of the answer.
+          response_s: Maximum time without a byte of the answer, in addition to ``wait_s``.
+          on_begin: Called when the answer begins to arrive.
 
         Raises:
           BacklogError: The answer is larger; it was not read.
--- a/ibisrack/registry/registry_test.py
+++ b/ibisrack/registry/registry_test.py
@@ -4,13 +4,22 @@
 from random import Random
 
 from ibisrack.clocks import read_monotonic_s
-from ibisrack.errors import BacklogError, HistoryGoneError, PlatformError
+from ibisrack.errors import (
+    BacklogError,
+    HistoryGoneError,
+    PlatformConnectionError,
+    PlatformError,
+    PlatformTimeoutError,
+)
 from ibisrack.metrics.tally import Tally
-from ibisrack.registry.follower import BASE_RETRY_DELAY_S, LONG_POLL_S, RegistryFollower
+from ibisrack.registry.follower import BASE_RETRY_DELAY_S, MAX_FAILURES, RegistryFollower
 from ibisrack.registry.messages import Changes, Entry, Listing, Revision
+from ibisrack.registry.timing import RegistryTiming
 from ibisrack.registry.view import RegistryView
 from ibisrack.testing.functions import function_tests
 
+TIMING = RegistryTiming(2.0)
+
 
 def at(number: int, era: int = 1) -> Revision:
     """Returns a revision, by default of the first era."""
@@ -64,7 +73,9 @@
     async def list_all(self) -> Listing:
         return await self._next("list")
 
-    async def changes(self, after: Revision, wait_s: float, max_bytes: int) -> Changes:
+    async def changes(
+        self, after: Revision, wait_s: float, max_bytes: int, response_s: float, on_begin
+    ) -> Changes:
         return await self._next((after, wait_s))
 
     async def _next(self, call: object):
@@ -77,17 +88,22 @@
         return answer
 
 
-async def follow(*answers: object) -> tuple[ScriptedRegistry, list[bool]]:
-    registry, states = ScriptedRegistry(*answers), []
-    follower = RegistryFollower(
+def follower_of(registry: ScriptedRegistry, on_state=lambda _: None) -> RegistryFollower:
+    return RegistryFollower(
         registry,
         RegistryView(),
+        TIMING,
         Random(1),
         Tally(),
         on_entries=lambda _: None,
         on_restore=lambda _: None,
-        on_state=states.append,
+        on_state=on_state,
     )
+
+
+async def follow(*answers: object) -> tuple[ScriptedRegistry, list[bool]]:
+    registry, states = ScriptedRegistry(*answers), []
+    follower = follower_of(registry, states.append)
     follower.set_delivered_by_peers(False)
     task = asyncio.create_task(follower.follow())
     while registry.answers or len(registry.calls) <= len(answers):
@@ -99,21 +115,19 @@
 async def test_a_lost_history_leads_to_a_full_listing():
     """Guards against a follower that requests a lost history again and again."""
     registry, _ = await follow(Listing(at(5), ()), HistoryGoneError("gone"), Listing(at(9), ()))
-    assert registry.calls == ["list", (at(5), LONG_POLL_S), "list", (at(9), LONG_POLL_S)]
+    assert registry.calls == ["list", (at(5), TIMING.watch_s), "list", (at(9), TIMING.watch_s)]
 
 
 async def test_a_backlog_of_versions_leads_to_a_full_listing():
     """Guards against a slow link that transfers every version of a storm, later and later."""
     registry, _ = await follow(Listing(at(5), ()), BacklogError("large"), Listing(at(9), ()))
-    assert registry.calls == ["list", (at(5), LONG_POLL_S), "list", (at(9), LONG_POLL_S)]
+    assert registry.calls == ["list", (at(5), TIMING.watch_s), "list", (at(9), TIMING.watch_s)]
 
 
 async def test_no_calls_are_made_while_peers_deliver():
     """Guards against every node of a large fleet reading every version from the registry."""
     registry = ScriptedRegistry(Listing(at(5), ()), Changes(at(5), ()))
-    follower = RegistryFollower(
-        registry, RegistryView(), Random(1), Tally(), lambda _: None, lambda _: None, lambda _: None
-    )
+    follower = follower_of(registry)
     follower.set_delivered_by_peers(True)
     task = asyncio.create_task(follower.follow())
     await asyncio.sleep(0.02)
@@ -137,11 +151,35 @@
 
 async def test_a_recovery_of_the_registry_is_detected_by_a_short_call():
     """Guards against detecting the end of an outage only after a full wait for changes."""
-    registry, states = await follow(Listing(at(5), ()), PlatformError("503"), Changes(at(5), ()))
-    assert registry.calls[2][1] < 0.1
+    failures = [PlatformError("503")] * MAX_FAILURES
+    registry, states = await follow(Listing(at(5), ()), *failures, Changes(at(5), ()))
+    assert all(call[1] < 0.1 for call in registry.calls[2 : 2 + MAX_FAILURES])
     assert states == [True, False, True]
 
 
+async def test_a_call_that_is_cut_once_is_repeated_at_once():
+    """Guards against an outage that is seen where the registry only cut a call that waited."""
+    cut, started_at_s = PlatformConnectionError("cut"), read_monotonic_s()
+    registry, states = await follow(Listing(at(5), ()), cut, Changes(at(5), ()))
+    assert registry.calls[2][1] < 0.1
+    assert states == [True]
+    assert read_monotonic_s() - started_at_s < 0.5 * BASE_RETRY_DELAY_S * 2
+
+
+async def test_a_failed_call_makes_another_host_read():
+    """Guards against peers that rely on a reader whose calls the registry doesn't answer."""
+    registry = ScriptedRegistry(Listing(at(5), ()), PlatformTimeoutError("late"))
+    follower, seen = follower_of(registry), []
+    follower.on_availability = lambda: seen.append(follower.may_read(read_monotonic_s()))
+    follower.set_delivered_by_peers(False)
+    task = asyncio.create_task(follower.follow())
+    while len(registry.calls) < 3:
+        await asyncio.sleep(0.01)
+    assert seen == [True, False]
+    assert follower.is_reading(read_monotonic_s())
+    task.cancel()
+
+
 async def test_a_history_that_stays_lost_is_asked_for_less_and_less_often():
     """Guards against a loop of listings and watches at full speed, which the platform charges."""
     lost = [Listing(at(5), ()), HistoryGoneError("gone")] * 3
--- a/ibisrack/registry/sources.py
+++ b/ibisrack/registry/sources.py
@@ -16,8 +16,6 @@
 # begins as soon as the link with the reader is lost or silent.
 READERS = 1
 FOLLOWED_PEERS = 2  # While readers change, several deliver; the first of them to do so counts.
-# Time in which the next candidates begin to read after the readers of a zone are lost.
-TAKEOVER_S = 1.0
 # Hosts of a zone among which the readers are; bounds the links that a node opens to find them.
 MAX_CANDIDATES = 8
 
@@ -31,7 +29,8 @@
       link_mbps: Bandwidth of the host in Mbit/s, 0 if it is not known.
       available: Whether its node was heard a short time ago, does not stop, and either follows
         peers or reads the registry with success.
-      delivering: Whether its node reads the registry and was heard a short time ago.
+      delivering: Whether its node reads the registry and was heard a short time ago.  One that is
+        not available may not have been answered since then.
     """
 
     host: str
@@ -67,7 +66,9 @@
     followed: tuple[str, ...] = ()
 
 
-def choose_sources(own: Candidate, peers: Iterable[Candidate], undelivered_s: float) -> Sources:
+def choose_sources(
+    own: Candidate, peers: Iterable[Candidate], undelivered_s: float, takeover_s: float
+) -> Sources:
     """Returns the sources of a node.
 
     The available hosts that come first read, so that the loss of a reader makes one other host read
@@ -76,12 +77,15 @@
     Args:
       own: This node's host.
       peers: The other candidates of the zone.
-      undelivered_s: Time for which no peer has delivered.
+      undelivered_s: Time for which no available peer has delivered.
+      takeover_s: Such a time after which the node reads whatever the others do.
     """
     peers = sorted(peers, key=attrgetter("rank"))
-    delivering = tuple(peer.host for peer in peers if peer.delivering)[:FOLLOWED_PEERS]
+    # Those that may be cut off from the registry come last.
+    by_trust = sorted(peers, key=lambda peer: not peer.available)
+    delivering = tuple(peer.host for peer in by_trust if peer.delivering)[:FOLLOWED_PEERS]
     ahead = sum(peer.available and peer.rank < own.rank for peer in peers)
-    if ahead < READERS or undelivered_s >= TAKEOVER_S:
+    if ahead < READERS or undelivered_s >= takeover_s:
         return Sources(True, () if own.available else delivering)
     return Sources(False, delivering)
 
--- a/ibisrack/registry/sources_test.py
+++ b/ibisrack/registry/sources_test.py
@@ -5,15 +5,16 @@
 from ibisrack.registry.sources import (
     MAX_CANDIDATES,
     READERS,
-    TAKEOVER_S,
     Candidate,
     Sources,
     candidate_hosts,
     choose_sources,
 )
+from ibisrack.registry.timing import RegistryTiming
 from ibisrack.testing.functions import function_tests
 
 HOSTS = [f"10.0.0.{n}" for n in range(12)]
+TAKEOVER_S = RegistryTiming(2.0).takeover_s
 
 
 def zone(delivering: set[str], lost: set[str] = frozenset(), fast: set[str] = frozenset()):
@@ -24,7 +25,7 @@
 def sources(host: str, candidates: list[Candidate], undelivered_s: float = 0.0) -> Sources:
     """Returns the sources of a host, which sees itself as available."""
     own = attrs.evolve(next(c for c in candidates if c.host == host), available=True)
-    return choose_sources(own, [c for c in candidates if c.host != host], undelivered_s)
+    return choose_sources(own, [c for c in candidates if c.host != host], undelivered_s, TAKEOVER_S)
 
 
 def readers(candidates: list[Candidate], undelivered_s: float = 0.0) -> set[str]:
@@ -90,7 +91,17 @@
     (second,) = readers(zone(set(), lost={first}))
     peers = [c for c in zone({second}) if c.host != first]
     own = Candidate(first, 3.5, available=False, delivering=False)
-    assert choose_sources(own, peers, 0.0) == Sources(True, (second,))
+    assert choose_sources(own, peers, 0.0, TAKEOVER_S) == Sources(True, (second,))
+
+
+def test_peers_that_may_be_cut_off_are_followed_last():
+    """Guards against followers of two readers that the registry doesn't reach any more."""
+    (first,) = readers(zone(set()))
+    (second,) = readers(zone(set(), lost={first}))
+    (third,) = readers(zone(set(), lost={first, second}))
+    candidates = zone({first, second, third}, lost={first, second})
+    others = [h for h in HOSTS if h not in (first, second, third)]
+    assert all(sources(host, candidates).followed == (third, first) for host in others)
 
 
 def test_all_nodes_choose_the_same_candidates():
--- a/ibisrack/settings/sidecar.py
+++ b/ibisrack/settings/sidecar.py
@@ -40,6 +40,8 @@
         that its service states.
       cold_rate_slack: Such requests allowed beyond that.
       evacuation_s: Seconds within which an evacuated zone gets no more requests.
+      configuration_s: Seconds within which a new configuration is in force.
+      drain_s: Seconds within which an instance that drains or is gone gets no more requests.
     """
 
     node_id: str = attrs.field(validator=one_word)
@@ -61,3 +63,10 @@
     cold_rate_factor: float = attrs.field(default=1.0, validator=in_range(0, 1000))
     cold_rate_slack: float = attrs.field(default=0.0, validator=in_range(0, 1e6))
     evacuation_s: float = attrs.field(default=5.0, validator=in_range(0.1, 3600))
+    configuration_s: float = attrs.field(default=2.0, validator=in_range(0.1, 3600))
+    drain_s: float = attrs.field(default=2.0, validator=in_range(0.1, 3600))
+
+    @property
+    def registry_apply_s(self) -> float:
+        """Seconds within which every change of the registry must have effect."""
+        return min(self.configuration_s, self.drain_s, self.evacuation_s)
--- a/ibisrack/sidecar/content_test.py
+++ b/ibisrack/sidecar/content_test.py
@@ -29,6 +29,7 @@
     PackedEntry,
     Revision,
 )
+from ibisrack.registry.timing import RegistryTiming
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.splits import Splitter
@@ -60,7 +61,9 @@
     async def list_all(self) -> Listing:
         return self.listing
 
-    async def changes(self, after: Revision, wait_s: float, max_bytes: int) -> Changes:
+    async def changes(
+        self, after: Revision, wait_s: float, max_bytes: int, response_s: float, on_begin
+    ) -> Changes:
         self.is_applied.set()
         return await asyncio.Event().wait()
 
@@ -88,6 +91,7 @@
     follower = RegistryFollower(
         registry,
         RegistryView(),
+        RegistryTiming(2.0),
         Random(1),
         Tally(),
         on_entries=content.apply,
--- a/ibisrack/sidecar/many_peers_test.py
+++ b/ibisrack/sidecar/many_peers_test.py
@@ -49,7 +49,14 @@
 def node_with_routes(*routes: Route) -> SidecarNode:
     node = assemble(SETTINGS)
     node.follower = RegistryFollower(
-        None, node.view, node.rng, node.tally, node.apply_entries, node.apply_entries, bool
+        None,
+        node.view,
+        node.registry_peers.timing,
+        node.rng,
+        node.tally,
+        node.apply_entries,
+        node.apply_entries,
+        bool,
     )
     node.configurations.offer(Configuration(1, CountingRoutes(routes), {}))
     return node
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -29,6 +29,7 @@
 from ibisrack.pipelining.recorder import PipeliningRecorder
 from ibisrack.registry.follower import RegistryFollower
 from ibisrack.registry.messages import MAX_LOGGED_KEY_CHARS, Entry
+from ibisrack.registry.timing import RegistryTiming
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.reported_versions import ReportedVersions
@@ -142,7 +143,7 @@
             self.instance_runner.accepts_requests,
             self.view.revision,
             self.follower.is_reading(now_s),
-            self.follower.may_read and not self.stopping,
+            self.follower.may_read(now_s) and not self.stopping,
             self.instance_runner.notices.instance_id,
             pace.stated_per_s,
             0 if pace.stated_per_s is None else int(pace.available(now_s)),
@@ -203,6 +204,8 @@
             _LOGGER.warning("changed addresses need a restart")
         _LOGGER.info("settings reloaded", extra={"changed": kept != self.settings})
         self.settings = self.registry_peers.settings = kept
+        timing = RegistryTiming(kept.registry_apply_s)
+        self.registry_peers.timing = self.follower.timing = timing
         self.dispatcher.selector.zone = kept.zone
         self.pacer.link_mbps = kept.link_mbps
         self.dispatcher.budget.configure(
@@ -239,9 +242,14 @@
         link = self.outgoing_links.get(instance.host)
         return None if link is None else link.load
 
+    def choose_registry_sources(self) -> None:
+        """Chooses where the registry's changes come from, now that a node reads or stopped to."""
+        self.registry_peers.choose_sources(self.follower, read_monotonic_s())
+
     def _create_registry_peers(self) -> RegistryPeers:
         return RegistryPeers(
             self.settings,
+            RegistryTiming(self.settings.registry_apply_s),
             self.view,
             self.directory,
             self.outgoing_links,
@@ -265,6 +273,7 @@
                 self._mark_peer_leaving,
                 self.suspects,
                 self.instance_runner.acceptance.check_zone_in_use,
+                on_availability=self.choose_registry_sources,
                 pacer=self.pacer,
                 account=self.connection_limit.account,
             )
--- a/ibisrack/sidecar/registry_peers.py
+++ b/ibisrack/sidecar/registry_peers.py
@@ -20,6 +20,7 @@
 from ibisrack.registry.messages import NO_REVISION, Delta, PackedEntry, Revision
 from ibisrack.registry.peer_deltas import PeerDeltas
 from ibisrack.registry.sources import Candidate, Sources, candidate_hosts, choose_sources
+from ibisrack.registry.timing import RegistryTiming
 from ibisrack.registry.view import RegistryView
 from ibisrack.settings.sidecar import SidecarSettings
 
@@ -40,6 +41,7 @@
 
     Attributes:
       settings: Settings in force.
+      timing: Times of the calls to the registry.
       view: The registry's content as this node knows it.
       directory: Known instances.
       outgoing_links: Links to peers by their IP number.
@@ -53,6 +55,7 @@
     """
 
     settings: SidecarSettings
+    timing: RegistryTiming
     view: RegistryView
     directory: InstanceDirectory
     outgoing_links: dict[str, OutgoingLink]
@@ -68,7 +71,8 @@
     _entries_requested_at_s: float = 0.0
     _candidates_opened_at_s: float = 0.0
     _delivered_at_s: float = 0.0
-    _reported_as_reader: bool = False
+    # Whether this node reads and may read the registry, as it last reported.
+    _reported_reading: tuple[bool, bool] = (False, True)
     _packed_changes: dict[tuple[Revision, Revision], Entries] = attrs.field(factory=dict)
 
     def entries_after(self, revision: Revision) -> Entries | None:
@@ -129,7 +133,7 @@
         own = Candidate(
             self.settings.instance.host,
             self.settings.link_mbps,
-            follower.may_read,
+            follower.may_read(now_s),
             follower.is_reading(now_s),
         )
         for host in self.deltas.refuse_unfit(self.view.revision, now_s):
@@ -140,9 +144,10 @@
             for link in links:
                 link.request_open()
         peers = [self._candidate(link, now_s) for link in links]
-        if any(peer.delivering for peer in peers):
+        if any(peer.delivering and peer.available for peer in peers):
             self._delivered_at_s = now_s
-        sources = choose_sources(own, peers, now_s - self._delivered_at_s)
+        undelivered_s = now_s - self._delivered_at_s
+        sources = choose_sources(own, peers, undelivered_s, self.timing.takeover_s)
         for host in sources.followed:
             self.outgoing_links[host].follow(self.view.revision)
         for link in self.outgoing_links.values():
@@ -153,8 +158,9 @@
             extra = {"reads": sources.reads, "peers": list(sources.followed)}
             _LOGGER.info("registry sources changed", extra=extra)
             self.sources = sources
-        if follower.is_reading(now_s) != self._reported_as_reader:
-            self._reported_as_reader = not self._reported_as_reader
+        reading = (follower.is_reading(now_s), follower.may_read(now_s))
+        if reading != self._reported_reading:
+            self._reported_reading = reading
             self.report_load()
 
     def request_missing_entries(self, now_s: float) -> None:
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -184,11 +184,13 @@
         follower = RegistryFollower(
             store,
             node.view,
+            node.registry_peers.timing,
             node.rng,
             node.tally,
             on_entries=node.apply_entries,
             on_restore=node.apply_restored_entries,
             on_state=node.set_registry_state,
+            on_availability=node.choose_registry_sources,
         )
         node.follower = follower
         health_client = HealthClient(session, settings.instance)
--- a/ibisrack/testing/tcp_proxy.py
+++ b/ibisrack/testing/tcp_proxy.py
@@ -189,6 +189,11 @@
         """Forwards again."""
         self._block(-1)
 
+    def delay_pieces(self, delay_s: float) -> None:
+        """Delays each piece of up to CHUNK_BYTES, one after the other."""
+        for ends in (self._ends, self._ends[::-1]):
+            self._network.path(*ends).delay_s = delay_s
+
     def _block(self, change: int) -> None:
         for ends in (self._ends, self._ends[::-1]):
             self._network.path(*ends).block(change)
