Tell an outage of the registry from a failed call before a removal is doubted

What callers saw: the store cut watches that had waited for 0.5 s.

Cause: any failed call marked the registry as down, and its repetition 0.2 s later counted as the end of an outage. For 2.5 s after that, longer than drain, a removal is taken for a lapse, and each further cut began this time anew. The heartbeat, from which lapses follow, wasn't read.

Change: registry/contact.py knows when the registry last answered this node or a peer that reports so. Only after 1.75 heartbeats without an answer to any of them may entries have lapsed, and only then the grace begins. A failed call decides no more than who reads; two in a row, with no peer answered either, pause the end of a grace. A node whose own path is cut takes what its peers removed as removed. Evacuations follow the same rule.

Why this works: an entry is removed after three heartbeats of silence, and an instance that reached the registry until a failure began was heard one heartbeat before it at most. A shorter failure can't lapse an entry, whatever failed.

--- a/ibisrack/instances/directory.py
+++ b/ibisrack/instances/directory.py
@@ -1,7 +1,8 @@
 """The instances of the fleet, from entries that the registry or peers provide.
 
 An instance that is no longer listed is removed, with one exception: entries may lapse during an
-outage of the registry.  These instances are kept until RECOVERY_GRACE_S after the outage.
+outage of the registry that is longer than some heartbeats.  These instances are kept until
+RECOVERY_GRACE_S after the outage.
 
 A registry that is restored from an earlier copy lists instances as they were.  Such an entry brings
 back no instance that is gone, and the entries that the copy lacks count as lapsed.
@@ -25,13 +26,15 @@
     """All known instances.
 
     Attributes:
-      registry_recovered_at_s: Monotonic time at which the last outage of the registry ended.
+      registry_recovered_at_s: Monotonic time of the end of the last outage of the registry in which
+        entries may have lapsed, or of its last restore.
       registry_down: Whether the registry currently does not answer.
     """
 
     registry_recovered_at_s: float = float("-inf")
     registry_down: bool = False
     _instances: dict[str, Instance] = attrs.field(factory=dict)
+    _is_grace_interrupted: bool = False
     _lapsed: dict[str, float] = attrs.field(factory=dict)  # Time of the lapse by instance id.
     # Start of each instance that drained, by its id.
     _drained_starts_ms: dict[str, int] = attrs.field(factory=dict)
@@ -102,19 +105,24 @@
             return False
         return self.put(instance)
 
-    def mark_restored(self, now_s: float) -> None:
-        """Marks the registry as just restored: what it lacks may be listed again soon."""
+    def mark_recovered(self, now_s: float) -> None:
+        """Marks the registry as just back after an outage, or from a copy.
+
+        What it lacks may be listed again soon.
+        """
         self.registry_recovered_at_s = now_s
 
-    def mark_registry_down(self) -> None:
+    def mark_registry_down(self, now_s: float) -> None:
         """Marks the registry as not answering."""
-        self.registry_down = True
+        if not self.registry_down:
+            self._is_grace_interrupted = self._is_recovering(now_s)
+            self.registry_down = True
 
     def mark_registry_up(self, now_s: float) -> None:
-        """Marks the registry as answering."""
-        if self.registry_down:
-            self.registry_down = False
+        """Marks the registry as answering; a grace that was interrupted begins anew."""
+        if self.registry_down and self._is_grace_interrupted:
             self.registry_recovered_at_s = now_s
+        self.registry_down = False
 
     def expire(self, now_s: float) -> list[str]:
         """Removes lapsed instances that were not listed again in time; returns their ids."""
--- a/ibisrack/instances/directory_test.py
+++ b/ibisrack/instances/directory_test.py
@@ -18,22 +18,47 @@
     """Guards against dropping all instances because of an outage of the registry."""
     directory = InstanceDirectory()
     directory.put(instance())
-    directory.mark_registry_down()
+    directory.mark_registry_down(1.0)
     assert not directory.remove("i-1", 10.0)
     directory.mark_registry_up(12.0)
+    directory.mark_recovered(12.0)
     assert directory.expire(12.0 + RECOVERY_GRACE_S - 0.1) == []
     assert len(directory.of_service("desk")) == 1
     assert directory.expire(12.0 + RECOVERY_GRACE_S) == ["i-1"]
     assert directory.of_service("desk") == ()
 
 
+def test_an_entry_that_is_removed_after_a_failed_call_is_gone():
+    """Guards against requests to a removed instance because calls to the registry failed."""
+    directory = InstanceDirectory()
+    directory.put(instance())
+    directory.mark_registry_down(9.0)
+    directory.mark_registry_up(9.5)
+    assert directory.remove("i-1", 10.0)
+    assert directory.of_service("desk") == ()
+
+
+def test_failed_calls_in_the_grace_period_begin_it_anew():
+    """Guards against dropping instances that could not report since the end of an outage."""
+    directory = InstanceDirectory()
+    directory.put(instance())
+    directory.mark_recovered(10.0)
+    directory.remove("i-1", 10.1)
+    directory.mark_registry_down(11.0)
+    assert directory.expire(20.0) == []
+    directory.mark_registry_up(20.0)
+    assert directory.expire(20.0 + RECOVERY_GRACE_S - 0.1) == []
+    assert directory.expire(20.0 + RECOVERY_GRACE_S) == ["i-1"]
+
+
 def test_an_entry_that_is_listed_again_in_time_is_kept():
     """Guards against dropping a running instance whose entry is listed again."""
     directory = InstanceDirectory()
     directory.put(instance())
-    directory.mark_registry_down()
+    directory.mark_registry_down(1.0)
     directory.remove("i-1", 10.0)
     directory.mark_registry_up(12.0)
+    directory.mark_recovered(12.0)
     directory.put(instance(sequence=3))
     assert directory.expire(20.0) == []
     assert len(directory.of_service("desk")) == 1
@@ -98,10 +123,10 @@
     """Guards against dropping an instance whose lapse was lost together with its last reports."""
     directory = InstanceDirectory()
     directory.put(instance("i-1", started_at_ms=5, sequence=7))
-    directory.mark_registry_down()
+    directory.mark_registry_down(1.0)
     directory.remove("i-1", 1.0)
     directory.mark_registry_up(2.0)
-    directory.mark_restored(2.0)
+    directory.mark_recovered(2.0)
     directory.put_restored(instance("i-1", started_at_ms=5, sequence=4))
     assert directory.expire(2.0 + RECOVERY_GRACE_S) == []
     assert directory.get("i-1").sequence == 7
--- a/ibisrack/instances/evacuations_test.py
+++ b/ibisrack/instances/evacuations_test.py
@@ -60,7 +60,7 @@
     """Guards against an evacuation that an outage of the registry ends."""
     directory = directory_of_zones()
     directory.begin_evacuation("b")
-    directory.mark_registry_down()
+    directory.mark_registry_down(13.0)
     assert directory.end_lapsed_evacuations(9999.0) == set()
     directory.mark_registry_up(10_000.0)
     assert directory.end_lapsed_evacuations(20_000.0) == set()
@@ -69,10 +69,10 @@
 
 def test_a_key_that_is_removed_after_an_outage_or_a_restore_ends_the_evacuation_at_once():
     """Guards against a zone that stays unused after its key was removed."""
-    for mark in (InstanceDirectory.mark_restored, InstanceDirectory.mark_registry_up):
+    for mark in (InstanceDirectory.mark_recovered, InstanceDirectory.mark_registry_up):
         directory = directory_of_zones()
         directory.begin_evacuation("b")
-        directory.mark_registry_down()
+        directory.mark_registry_down(13.0)
         mark(directory, 10.0)
         assert directory.end_evacuation("b")
         assert used_ids(directory) == "abc"
@@ -82,7 +82,7 @@
     """Guards against requests to an evacuated zone because the registry lost its key."""
     directory = directory_of_zones()
     directory.begin_evacuation("b")
-    directory.mark_restored(10.0)
+    directory.mark_recovered(10.0)
     assert not directory.lapse_evacuation("b")
     assert directory.end_lapsed_evacuations(10.0 + RECOVERY_GRACE_S - 0.1) == set()
     assert used_ids(directory) == "ac"
@@ -94,11 +94,11 @@
     """Guards against an end of the evacuation while nobody could write its key again."""
     directory = directory_of_zones()
     directory.begin_evacuation("b")
-    directory.mark_restored(10.0)
+    directory.mark_recovered(10.0)
     directory.lapse_evacuation("b")
-    directory.mark_restored(12.0)
+    directory.mark_recovered(12.0)
     assert directory.end_lapsed_evacuations(13.0) == set()
-    directory.mark_registry_down()
+    directory.mark_registry_down(13.0)
     assert directory.end_lapsed_evacuations(100.0) == set()
     directory.mark_registry_up(100.0)
     assert directory.end_lapsed_evacuations(101.0) == set()
@@ -109,7 +109,7 @@
     """Guards against an evacuation that ends although its key is listed."""
     directory = directory_of_zones()
     directory.begin_evacuation("b")
-    directory.mark_restored(10.0)
+    directory.mark_recovered(10.0)
     directory.lapse_evacuation("b")
     assert not directory.begin_evacuation("b")
     assert directory.end_lapsed_evacuations(20.0) == set()
@@ -119,7 +119,7 @@
 def test_a_lapsed_key_of_a_zone_that_is_not_evacuated_means_nothing():
     """Guards against the end of a later evacuation because of an earlier key."""
     directory = directory_of_zones()
-    directory.mark_restored(10.0)
+    directory.mark_recovered(10.0)
     directory.lapse_evacuation("b")
     directory.begin_evacuation("b")
     assert directory.end_lapsed_evacuations(20.0) == set()
--- a/ibisrack/platform/settings_file.py
+++ b/ibisrack/platform/settings_file.py
@@ -60,6 +60,7 @@
         "cold_rate_factor": reader.get("terms.bounds.cold_over"),
         "cold_rate_slack": reader.get("terms.bounds.cold_slack"),
         "evacuation_s": reader.duration_s("terms.bounds.evac"),
+        "heartbeat_s": reader.duration_s("platform.heartbeat"),
         "configuration_s": reader.duration_s("terms.bounds.config_apply"),
         "drain_s": reader.duration_s("terms.bounds.drain"),
     }
--- a/ibisrack/platform/settings_file_test.py
+++ b/ibisrack/platform/settings_file_test.py
@@ -21,6 +21,7 @@
 network:
   listen: {inbound: "10.1.0.38:8146", outbound: "10.1.0.38:8147", ready: "10.1.0.38:8141"}
 platform:
+  heartbeat: "1200ms"
   platform: {address: "10.200.1.7:8142", form: "read"}
 terms:
   bounds: {grace: "6s", retry_budget_ratio: 0.3, budget_slack: 58, budget_window: "10s", odd: {}}
@@ -77,6 +78,8 @@
 def test_bounds_on_changes_of_the_registry_are_read():
     """Guards against calls to the registry that are too long for the deployment's bounds."""
     assert load(SETTINGS).registry_apply_s == 2.0
+    assert load(SETTINGS).heartbeat_s == 1.2
+    assert load(SETTINGS.replace("heartbeat", "pulse")).heartbeat_s == 1.5
     for bounds, apply_s in (
         ('config_apply: "3000ms", drain: "2500ms"', 2.5),
         ('config_apply: "1.5s", drain: "2500ms"', 1.5),
--- a/ibisrack/platform/store_client.py
+++ b/ibisrack/platform/store_client.py
@@ -97,14 +97,16 @@
         self._session = session
         self._base = f"http://{host}:{port}"
 
-    async def list_all(self) -> Listing:
+    async def list_all(self, on_begin: Callable[[], None] = lambda: None) -> Listing:
         """Reads all pages; see Registry.list_all."""
         entries: list[Entry] = []
         revision, after = NO_REVISION, ""
         while True:
             query = {"prefix": "", "after": after} if after else {"prefix": ""}
             try:
-                era, page = await self._get(_RANGE_PATH, query, 0.0, MAX_PAGE_BYTES)
+                era, page = await self._get(
+                    _RANGE_PATH, query, 0.0, MAX_PAGE_BYTES, on_begin=on_begin
+                )
             except BacklogError as error:
                 raise PlatformError(str(error)) from error
             # Pages are not a snapshot, so changes are followed from the revision of the first.
@@ -185,7 +187,6 @@
                 middlewares=(_report_broken_connection,),
             )
             async with call as response:
-                on_begin()
                 if response.status == HTTP_GONE:
                     raise HistoryGoneError(
                         f"{path}: the changes since the revision are no longer available"
@@ -193,6 +194,7 @@
                 if response.status != 200:
                     raise PlatformError(f"{path}: status {response.status}")
                 era = _era_of(response)
+                on_begin()
                 body = await _read_body(response, path, max_bytes)
         except TimeoutError as error:
             raise PlatformTimeoutError(f"{path}: no answer in time") from error
--- a/ibisrack/registry/follower.py
+++ b/ibisrack/registry/follower.py
@@ -19,6 +19,7 @@
     PlatformError,
 )
 from ibisrack.metrics.tally import Tally
+from ibisrack.registry.contact import RegistryContact
 from ibisrack.registry.deltas import unpack_changes
 from ibisrack.registry.messages import (
     NO_REVISION,
@@ -62,8 +63,11 @@
       on_entries: Called with changed entries.
       on_restore: Called instead with all entries after the registry was restored from a copy.
       on_state: Called with whether the registry answers, when this changes.
+      on_outage_end: Called when the registry answers again after an outage in which entries may
+        have lapsed, before what it sends is applied.
       on_availability: Called when peers should learn whether this node reads the registry.
-      answering: Whether the registry currently answers this node or the peers that it follows.
+      answering: Whether the registry currently answers this node, as far as it knows.
+      answers_peers: Whether the registry currently answers peers.
       read_required: Whether this node reads the registry; cleared while peers deliver the content.
       needs_listing: Whether the next read is a full listing.
       failures: Number of consecutive failed reads.
@@ -82,8 +86,10 @@
     on_entries: Callable[[tuple[Entry, ...]], None]
     on_restore: Callable[[tuple[Entry, ...]], None]
     on_state: Callable[[bool], None]
+    on_outage_end: Callable[[], None]
     on_availability: Callable[[], None] = attrs.field(default=lambda: None)
     answering: bool = False
+    answers_peers: bool = False
     read_required: asyncio.Event = attrs.field(factory=asyncio.Event)
     needs_listing: bool = True
     failures: int = 0
@@ -91,6 +97,10 @@
     answered_at_s: float = -math.inf
     answer_delay_s: float = 0.0
     transfer_began_at_s: float | None = None
+    _contact: RegistryContact = attrs.field(
+        default=attrs.Factory(lambda self: RegistryContact(self.timing), takes_self=True)
+    )
+    _is_up: bool = False  # The state that was last reported.
     _batch_delay_s: float = 0.0  # Delay before the next call.
 
     async def follow(self) -> None:
@@ -134,16 +144,42 @@
         Raises:
           MessageError: The delta does not fit the content that this node has, or is malformed.
         """
+        self._check_outage(read_monotonic_s())
         self._replace_view(unpack_changes(self.view, delta))
 
-    def set_delivered_by_peers(self, delivered: bool) -> None:
-        """Records whether peers that read the registry deliver its content to this node."""
-        if delivered:
-            self.read_required.clear()
-            self.answered_at_s, self.failures = -math.inf, 0
-            self._record_answer()
-        else:
+    def configure(self, timing: RegistryTiming) -> None:
+        """Applies other times, from the next call on."""
+        self.timing = self._contact.timing = timing
+
+    def set_sources(self, reads: bool, answers_peers: bool) -> None:
+        """Records where this node gets the registry's content from.
+
+        Args:
+          reads: Whether it reads the registry itself.
+          answers_peers: Whether the registry answers peers, as far as these have reported.
+        """
+        self.answers_peers = answers_peers
+        if reads:
             self.read_required.set()
+        else:
+            self.read_required.clear()
+            self.answered_at_s, self.failures, self.answering = -math.inf, 0, True
+        if answers_peers:
+            now_s = read_monotonic_s()
+            self._check_outage(now_s)
+            self._contact.record_at_peer(now_s)
+            self.view.confirmed_at_s = now_s
+        self._report_state()
+
+    def _check_outage(self, now_s: float) -> None:
+        """Reports the end of an outage if there was one since the last answer."""
+        # A node that knows no entries has none that may have lapsed.
+        if self.view.revision == NO_REVISION or not self._contact.may_have_lapsed(now_s):
+            return
+        silent_ms = self._contact.silent_ms(now_s)
+        extra = {"revision": str(self.view.revision), "silent_ms": silent_ms}
+        _LOGGER.info("registry outage ended", extra=extra)
+        self.on_outage_end()
 
     def _replace_view(self, listing: Listing) -> bool:
         """Replaces the view by the whole content; returns whether anything changed."""
@@ -161,8 +197,8 @@
         delay_s, self._batch_delay_s = self._batch_delay_s, 0.0
         try:
             if self.needs_listing:
-                self._record_begin()
-                changed = self._apply_listing(await self.registry.list_all())
+                self.transfer_began_at_s = read_monotonic_s()
+                changed = self._apply_listing(await self.registry.list_all(self._record_begin))
             else:
                 changed = self._apply_changes(await self._read_changes(delay_s))
         finally:
@@ -208,7 +244,12 @@
         return changes
 
     def _record_begin(self) -> None:
-        self.transfer_began_at_s = read_monotonic_s()
+        """Records that an answer begins to arrive."""
+        now_s = read_monotonic_s()
+        if self.transfer_began_at_s is None:
+            self.transfer_began_at_s = now_s
+        self._check_outage(now_s)
+        self._contact.record(now_s)
 
     def _max_changes_bytes(self) -> int:
         content_bytes = self.view.content_bytes * BASE64_FACTOR
@@ -220,31 +261,38 @@
         self.failures, self.transfer_began_at_s = 0, None
         if self.read_required.is_set():
             self.answered_at_s = now_s
-        self._record_answer()
+        # It has been answering since the answer began, however long its transfer took.
+        self._contact.record(now_s)
+        self.view.confirmed_at_s = now_s
+        self.answering = True
+        self._report_state()
         if not was_available:
             self.on_availability()
 
-    def _record_answer(self) -> None:
-        self.view.confirmed_at_s = read_monotonic_s()
-        if not self.answering:
-            self.answering = True
-            _LOGGER.info("registry answers", extra={"revision": str(self.view.revision)})
-            self.on_state(True)
+    def _report_state(self) -> None:
+        is_up = self.answering or self.answers_peers
+        if is_up == self._is_up:
+            return
+        self._is_up = is_up
+        extra = {"revision": str(self.view.revision)}
+        if is_up:
+            _LOGGER.info("registry answers", extra=extra)
+        else:
+            _LOGGER.warning("registry does not answer", extra=extra)
+        self.on_state(is_up)
 
     def _record_failure(self, error: str) -> None:
         self.tally.platform_failures += 1
         if not self.read_required.is_set():
             return  # Peers deliver the content, and tell when they can't.
         self.failures += 1
-        extra = {"revision": str(self.view.revision), "error": error}
-        if self.failures < MAX_FAILURES:
-            _LOGGER.info("call to the registry failed", extra=extra)
-            self.on_availability()
-        elif self.answering or self.failures == MAX_FAILURES:
-            self.answering = False
-            _LOGGER.warning("registry does not answer", extra=extra)
-            self.on_state(False)
-            self.on_availability()
+        if self.failures > MAX_FAILURES:
+            return
+        extra = {"revision": str(self.view.revision), "error": error, "failures": self.failures}
+        _LOGGER.info("call to the registry failed", extra=extra)
+        self.answering = self.answering and self.failures < MAX_FAILURES
+        self.on_availability()
+        self._report_state()
 
     def _retry_delay_s(self, attempts: int) -> float:
         longest_s = min(MAX_RETRY_DELAY_S, BASE_RETRY_DELAY_S * 2 ** min(attempts, 8))
--- a/ibisrack/registry/messages.py
+++ b/ibisrack/registry/messages.py
@@ -110,9 +110,12 @@
 class Registry(Protocol):
     """Client of the registry."""
 
-    async def list_all(self) -> Listing:
+    async def list_all(self, on_begin: Callable[[], None]) -> Listing:
         """Returns the full content.
 
+        Args:
+          on_begin: Called when a part of it begins to arrive.
+
         Raises:
           PlatformError: The registry gave no usable answer.
         """
--- a/ibisrack/registry/registry_test.py
+++ b/ibisrack/registry/registry_test.py
@@ -14,11 +14,9 @@
 from ibisrack.metrics.tally import Tally
 from ibisrack.registry.follower import BASE_RETRY_DELAY_S, MAX_FAILURES, RegistryFollower
 from ibisrack.registry.messages import Changes, Entry, Listing, Revision
-from ibisrack.registry.timing import RegistryTiming
 from ibisrack.registry.view import RegistryView
 from ibisrack.testing.functions import function_tests
-
-TIMING = RegistryTiming(2.0)
+from ibisrack.testing.sidecars import TIMING
 
 
 def at(number: int, era: int = 1) -> Revision:
@@ -70,21 +68,22 @@
         self.answers = list(answers)
         self.calls: list[object] = []
 
-    async def list_all(self) -> Listing:
-        return await self._next("list")
+    async def list_all(self, on_begin) -> Listing:
+        return await self._next("list", on_begin)
 
     async def changes(
         self, after: Revision, wait_s: float, max_bytes: int, response_s: float, on_begin
     ) -> Changes:
-        return await self._next((after, wait_s))
+        return await self._next((after, wait_s), on_begin)
 
-    async def _next(self, call: object):
+    async def _next(self, call: object, on_begin):
         self.calls.append(call)
         if not self.answers:
             await asyncio.Event().wait()
         answer = self.answers.pop(0)
         if isinstance(answer, Exception):
             raise answer
+        on_begin()
         return answer
 
 
@@ -98,13 +97,14 @@
         on_entries=lambda _: None,
         on_restore=lambda _: None,
         on_state=on_state,
+        on_outage_end=lambda: None,
     )
 
 
 async def follow(*answers: object) -> tuple[ScriptedRegistry, list[bool]]:
     registry, states = ScriptedRegistry(*answers), []
     follower = follower_of(registry, states.append)
-    follower.set_delivered_by_peers(False)
+    follower.set_sources(reads=True, answers_peers=False)
     task = asyncio.create_task(follower.follow())
     while registry.answers or len(registry.calls) <= len(answers):
         await asyncio.sleep(0.01)
@@ -128,12 +128,12 @@
     """Guards against every node of a large fleet reading every version from the registry."""
     registry = ScriptedRegistry(Listing(at(5), ()), Changes(at(5), ()))
     follower = follower_of(registry)
-    follower.set_delivered_by_peers(True)
+    follower.set_sources(reads=False, answers_peers=True)
     task = asyncio.create_task(follower.follow())
     await asyncio.sleep(0.02)
     assert registry.calls == []
     assert not follower.is_reading(read_monotonic_s())
-    follower.set_delivered_by_peers(False)
+    follower.set_sources(reads=True, answers_peers=False)
     while not registry.calls:
         await asyncio.sleep(0.01)
     assert follower.is_reading(read_monotonic_s())
@@ -171,7 +171,7 @@
     registry = ScriptedRegistry(Listing(at(5), ()), PlatformTimeoutError("late"))
     follower, seen = follower_of(registry), []
     follower.on_availability = lambda: seen.append(follower.may_read(read_monotonic_s()))
-    follower.set_delivered_by_peers(False)
+    follower.set_sources(reads=True, answers_peers=False)
     task = asyncio.create_task(follower.follow())
     while len(registry.calls) < 3:
         await asyncio.sleep(0.01)
--- a/ibisrack/registry/sources_test.py
+++ b/ibisrack/registry/sources_test.py
@@ -10,11 +10,11 @@
     candidate_hosts,
     choose_sources,
 )
-from ibisrack.registry.timing import RegistryTiming
 from ibisrack.testing.functions import function_tests
+from ibisrack.testing.sidecars import TIMING
 
 HOSTS = [f"10.0.0.{n}" for n in range(12)]
-TAKEOVER_S = RegistryTiming(2.0).takeover_s
+TAKEOVER_S = TIMING.takeover_s
 
 
 def zone(delivering: set[str], lost: set[str] = frozenset(), fast: set[str] = frozenset()):
--- a/ibisrack/registry/timing.py
+++ b/ibisrack/registry/timing.py
@@ -26,6 +26,10 @@
 MAX_WATCH_S = 1.0
 HANDOVER_S = 0.4
 MAX_BATCH_DELAY_S = 0.25
+# An entry is removed after three heartbeats of silence, and an instance that reached the registry
+# until an outage began was heard one heartbeat before it at most, and a little more: heartbeats
+# come at about their interval.
+LAPSE_HEARTBEATS = 1.75
 MAX_TAKEOVER_S = 1.0
 MIN_TAKEOVER_S = 0.2
 
@@ -36,9 +40,11 @@
 
     Attributes:
       apply_s: Time within which a change of the registry must have effect on every node.
+      heartbeat_s: Interval at which instances report to the registry.
     """
 
     apply_s: float
+    heartbeat_s: float
 
     @cached_property
     def batch_delay_s(self) -> float:
@@ -60,6 +66,16 @@
         """Time after the wait of a call in which a responsive registry has answered."""
         return min(RESPONSE_TIMEOUT_S, self.apply_s / 8)
 
+    @property
+    def answer_age_s(self) -> float:
+        """Maximum age of the last answer to a node that reads and reports no late one."""
+        return self.watch_s + self.answer_slack_s
+
+    @cached_property
+    def lapse_s(self) -> float:
+        """Shortest time without an answer to any node in which entries may have lapsed."""
+        return max(LAPSE_HEARTBEATS * self.heartbeat_s, 2 * self.answer_age_s)
+
     @cached_property
     def takeover_s(self) -> float:
         """Time without a peer that delivers after which a node reads the registry itself."""
--- a/ibisrack/settings/sidecar.py
+++ b/ibisrack/settings/sidecar.py
@@ -41,6 +41,8 @@
       cold_rate_slack: Such requests allowed beyond that.
       evacuation_s: Seconds within which an evacuated zone gets no more requests.
       configuration_s: Seconds within which a new configuration is in force.
+      heartbeat_s: Seconds between two reports of an instance to the registry, from which an entry
+        is removed after three of them without a report.
       drain_s: Seconds within which an instance that drains or is gone gets no more requests.
     """
 
@@ -64,6 +66,7 @@
     cold_rate_slack: float = attrs.field(default=0.0, validator=in_range(0, 1e6))
     evacuation_s: float = attrs.field(default=5.0, validator=in_range(0.1, 3600))
     configuration_s: float = attrs.field(default=2.0, validator=in_range(0.1, 3600))
+    heartbeat_s: float = attrs.field(default=1.5, validator=in_range(0.01, 3600))
     drain_s: float = attrs.field(default=2.0, validator=in_range(0.1, 3600))
 
     @property
--- a/ibisrack/sidecar/content.py
+++ b/ibisrack/sidecar/content.py
@@ -63,7 +63,7 @@
 
         What the copy lacks, or lists as it was before, is written again a moment later.
         """
-        self.directory.mark_restored(read_monotonic_s())
+        self.directory.mark_recovered(read_monotonic_s())
         put_instance, unlist_zone = self.directory.put_restored, self.directory.lapse_evacuation
         self._apply_entries(entries, put_instance, unlist_zone)
 
--- a/ibisrack/sidecar/content_test.py
+++ b/ibisrack/sidecar/content_test.py
@@ -29,7 +29,6 @@
     PackedEntry,
     Revision,
 )
-from ibisrack.registry.timing import RegistryTiming
 from ibisrack.registry.view import RegistryView
 from ibisrack.routing.holder import ConfigurationHolder
 from ibisrack.routing.splits import Splitter
@@ -38,6 +37,7 @@
 from ibisrack.testing.fuzz import fuzz
 from ibisrack.testing.sidecars import (
     STANDARD_ROUTES,
+    TIMING,
     configuration_entry,
     instance,
     instance_entry,
@@ -58,7 +58,7 @@
         self.listing = listing
         self.is_applied = asyncio.Event()
 
-    async def list_all(self) -> Listing:
+    async def list_all(self, on_begin) -> Listing:
         return self.listing
 
     async def changes(
@@ -91,12 +91,13 @@
     follower = RegistryFollower(
         registry,
         RegistryView(),
-        RegistryTiming(2.0),
+        TIMING,
         Random(1),
         Tally(),
         on_entries=content.apply,
         on_restore=content.apply_restored,
         on_state=lambda answering: None,
+        on_outage_end=lambda: None,
     )
     return Reader(follower, content)
 
@@ -111,7 +112,7 @@
     """Returns a reader that has followed a registry with these entries; its task must not end."""
     registry = OneListing(listing_of(contents))
     reader = reader_of(registry)
-    reader.follower.set_delivered_by_peers(False)
+    reader.follower.set_sources(reads=True, answers_peers=False)
     task = asyncio.create_task(reader.follower.follow())
     applied = asyncio.create_task(registry.is_applied.wait())
     await asyncio.wait((task, applied), timeout=GUARD_S, return_when=asyncio.FIRST_COMPLETED)
@@ -180,7 +181,7 @@
     body = json.loads(draining)
     body["status"]["cold_remaining"] = "0.3333333333333333s"
     content.apply((Entry("servers/i-1", ready, Revision(1, 1)),))
-    content.directory.mark_registry_down()
+    content.directory.mark_registry_down(0.0)
     content.apply((Entry("servers/i-1", json.dumps(body).encode(), Revision(1, 2)),))
     assert not any(listed.ready for listed in content.directory.of_service("desk"))
 
--- a/ibisrack/sidecar/many_peers_test.py
+++ b/ibisrack/sidecar/many_peers_test.py
@@ -57,6 +57,7 @@
         node.apply_entries,
         node.apply_entries,
         bool,
+        node.end_registry_outage,
     )
     node.configurations.offer(Configuration(1, CountingRoutes(routes), {}))
     return node
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -204,8 +204,8 @@
             _LOGGER.warning("changed addresses need a restart")
         _LOGGER.info("settings reloaded", extra={"changed": kept != self.settings})
         self.settings = self.registry_peers.settings = kept
-        timing = RegistryTiming(kept.registry_apply_s)
-        self.registry_peers.timing = self.follower.timing = timing
+        self.registry_peers.timing = RegistryTiming(kept.registry_apply_s, kept.heartbeat_s)
+        self.follower.configure(self.registry_peers.timing)
         self.dispatcher.selector.zone = kept.zone
         self.pacer.link_mbps = kept.link_mbps
         self.dispatcher.budget.configure(
@@ -249,7 +249,7 @@
     def _create_registry_peers(self) -> RegistryPeers:
         return RegistryPeers(
             self.settings,
-            RegistryTiming(self.settings.registry_apply_s),
+            RegistryTiming(self.settings.registry_apply_s, self.settings.heartbeat_s),
             self.view,
             self.directory,
             self.outgoing_links,
@@ -326,7 +326,11 @@
         if answering:
             self.directory.mark_registry_up(read_monotonic_s())
         else:
-            self.directory.mark_registry_down()
+            self.directory.mark_registry_down(read_monotonic_s())
+
+    def end_registry_outage(self) -> None:
+        """Keeps the instances whose entries may have lapsed in an outage of the registry."""
+        self.directory.mark_recovered(read_monotonic_s())
 
     async def tick(self) -> None:
         """Runs the periodic work: clean-up, silence checks, expiry, load reports and catch-up."""
--- a/ibisrack/sidecar/registry_peers.py
+++ b/ibisrack/sidecar/registry_peers.py
@@ -144,7 +144,8 @@
             for link in links:
                 link.request_open()
         peers = [self._candidate(link, now_s) for link in links]
-        if any(peer.delivering and peer.available for peer in peers):
+        delivered = any(peer.delivering and peer.available for peer in peers)
+        if delivered:
             self._delivered_at_s = now_s
         undelivered_s = now_s - self._delivered_at_s
         sources = choose_sources(own, peers, undelivered_s, self.timing.takeover_s)
@@ -153,7 +154,7 @@
         for link in self.outgoing_links.values():
             if link.following and link.host not in sources.followed:
                 link.unfollow()
-        follower.set_delivered_by_peers(not sources.reads)
+        follower.set_sources(sources.reads, delivered or self._registry_answers_others(now_s))
         if sources != self.sources:
             extra = {"reads": sources.reads, "peers": list(sources.followed)}
             _LOGGER.info("registry sources changed", extra=extra)
@@ -163,6 +164,11 @@
             self._reported_reading = reading
             self.report_load()
 
+    def _registry_answers_others(self, now_s: float) -> bool:
+        """Returns whether the registry answers any peer, such as the readers of other zones."""
+        peers = (link.candidate(now_s) for link in self.outgoing_links.values())
+        return any(peer.delivering and peer.available for peer in peers)
+
     def request_missing_entries(self, now_s: float) -> None:
         """Requests entries from a peer with a later registry revision if this node lags."""
         revision = self.view.revision
--- a/ibisrack/sidecar/run.py
+++ b/ibisrack/sidecar/run.py
@@ -190,6 +190,7 @@
             on_entries=node.apply_entries,
             on_restore=node.apply_restored_entries,
             on_state=node.set_registry_state,
+            on_outage_end=node.end_registry_outage,
             on_availability=node.choose_registry_sources,
         )
         node.follower = follower
--- a/ibisrack/standins/store.py
+++ b/ibisrack/standins/store.py
@@ -54,6 +54,7 @@
       era: Number of restores from a copy.
       error_status: HTTP status of every response, 0 for normal operation.
       silent: Whether requests get no response.
+      cut_after_s: Time after which a watch that waits is cut, None for never.
       truncated_pages: Number of listing pages still to be cut off in the middle.
       calls: Number of requests so far.
       sent_bytes: Size of all listings and changes sent so far.
@@ -63,6 +64,7 @@
     era: int = 1
     error_status: int = 0
     silent: bool = False
+    cut_after_s: float | None = None
     truncated_pages: int = 0
     calls: int = 0
     sent_bytes: int = 0
@@ -154,12 +156,14 @@
             return web.Response(status=410, headers=self._headers())
         events = self._events_after(after, request.query["prefix"])
         if not events:
-            changed = self._changed
+            is_cut = self.cut_after_s is not None and self.cut_after_s < wait_s
             try:
-                async with asyncio.timeout(wait_s):
-                    await changed.wait()
+                async with asyncio.timeout(self.cut_after_s if is_cut else wait_s):
+                    await self._changed.wait()
             except TimeoutError:
-                pass
+                if is_cut:
+                    request.transport.abort()
+                    raise ConnectionResetError("the watch is cut") from None
             if self.era != era:
                 return web.Response(status=410, headers=self._headers())
             events = self._events_after(after, request.query["prefix"])
--- a/ibisrack/testing/sidecars.py
+++ b/ibisrack/testing/sidecars.py
@@ -12,6 +12,7 @@
 from aiohttp import ClientResponse, ClientSession
 
 from ibisrack.instances.model import Instance
+from ibisrack.registry.timing import RegistryTiming
 from ibisrack.routing.model import Repeats, Route, RoutePart
 from ibisrack.settings.sidecar import Address, SidecarSettings
 from ibisrack.sidecar.node import SidecarNode
@@ -19,6 +20,7 @@
 from ibisrack.standins.instance import StandInInstance, serve_instance
 from ibisrack.standins.store import StandInStore, serve_store
 
+TIMING = RegistryTiming(2.0, 1.5)  # Of the default settings.
 POLL_INTERVAL_S = 0.01
 CONDITION_TIMEOUT_S = 5.0
 FIXTURE_PORTS = range(10_000, 32_000)
