Registry: what a node knows from its own calls is a decision of its own

registry/own_calls.py holds the failures, the delay of answers and the transfer in progress, without I/O, and with tests that pass the time. Behaviour is unchanged: registry, sidecar, content, cut_reader and failed_calls tests passed.

--- a/ibisrack/registry/follower.py
+++ b/ibisrack/registry/follower.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import logging
-import math
 from collections.abc import Callable
 from random import Random
 
@@ -29,16 +28,10 @@
     Listing,
     Registry,
 )
-from ibisrack.registry.timing import RESPONSE_TIMEOUT_S, RegistryTiming
+from ibisrack.registry.own_calls import OwnCalls
+from ibisrack.registry.timing import RegistryTiming
 from ibisrack.registry.view import RegistryView
 
-# A registry that has not answered for this long is not relied on: a long poll and the transfer of a
-# large entry over a congested link fit in.
-MAX_ANSWER_AGE_S = 3.0
-RECOVERY_POLL_S = 0.001  # Wait of calls after a failure, so that a recovery is detected at once.
-# A registry counts as answering until so many calls in a row have failed: it may cut a call that
-# waits, and an answer may be late once.
-MAX_FAILURES = 2
 BASE_RETRY_DELAY_S = 0.15
 MAX_RETRY_DELAY_S = 1.0
 # An answer with changes that is larger than this multiple of the whole content holds several
@@ -66,16 +59,11 @@
       on_outage_end: Called when the registry answers again after an outage in which entries may
         have lapsed, before what it sends is applied.
       on_availability: Called when peers should learn whether this node reads the registry.
-      answering: Whether the registry currently answers this node, as far as it knows.
       answers_peers: Whether the registry currently answers peers.
       read_required: Whether this node reads the registry; cleared while peers deliver the content.
       needs_listing: Whether the next read is a full listing.
-      failures: Number of consecutive failed reads.
       lost_histories: Number of times that the history was gone since changes were last read.
-      answered_at_s: Monotonic time of the last answer to this node since it has to read.
-      answer_delay_s: Time by which the last answer without changes exceeded the wait of its call.
-      transfer_began_at_s: Monotonic time since which the registry has sent what this node lacks,
-        None while it sends nothing.
+      calls: How the registry answers the calls of this node.
     """
 
     registry: Registry
@@ -88,15 +76,13 @@
     on_state: Callable[[bool], None]
     on_outage_end: Callable[[], None]
     on_availability: Callable[[], None] = attrs.field(default=lambda: None)
-    answering: bool = False
     answers_peers: bool = False
     read_required: asyncio.Event = attrs.field(factory=asyncio.Event)
     needs_listing: bool = True
-    failures: int = 0
     lost_histories: int = 0
-    answered_at_s: float = -math.inf
-    answer_delay_s: float = 0.0
-    transfer_began_at_s: float | None = None
+    calls: OwnCalls = attrs.field(
+        default=attrs.Factory(lambda self: OwnCalls(self.timing), takes_self=True)
+    )
     _contact: RegistryContact = attrs.field(
         default=attrs.Factory(lambda self: RegistryContact(self.timing), takes_self=True)
     )
@@ -124,19 +110,16 @@
                 self._record_failure(str(error))
                 # A registry that cuts a call or is late once is asked again at once; one that
                 # refuses is not.
-                if self.failures > 1 or not isinstance(error, PlatformConnectionError):
-                    await asyncio.sleep(self._retry_delay_s(self.failures))
+                if self.calls.failures > 1 or not isinstance(error, PlatformConnectionError):
+                    await asyncio.sleep(self._retry_delay_s(self.calls.failures))
 
     def is_reading(self, now_s: float) -> bool:
         """Returns whether this node reads the registry itself and the registry answers."""
-        return self.answering and now_s - self.answered_at_s < MAX_ANSWER_AGE_S
+        return self.calls.is_answered(now_s)
 
     def may_read(self, now_s: float) -> bool:
         """Returns whether the registry answers this node in time, as far as it knows."""
-        began_at_s = self.transfer_began_at_s
-        is_slow = began_at_s is not None and now_s - began_at_s >= self.timing.transfer_s
-        is_answered = self.answering and not self.failures and not is_slow
-        return is_answered or not self.read_required.is_set()
+        return self.calls.is_timely(now_s) or not self.read_required.is_set()
 
     def apply_peer_delta(self, delta: Delta) -> None:
         """Applies the changes of the registry that a peer sent.
@@ -149,7 +132,7 @@
 
     def configure(self, timing: RegistryTiming) -> None:
         """Applies other times, from the next call on."""
-        self.timing = self._contact.timing = timing
+        self.timing = self.calls.timing = self._contact.timing = timing
 
     def set_sources(self, reads: bool, answers_peers: bool) -> None:
         """Records where this node gets the registry's content from.
@@ -163,7 +146,7 @@
             self.read_required.set()
         else:
             self.read_required.clear()
-            self.answered_at_s, self.failures, self.answering = -math.inf, 0, True
+            self.calls.reset()
         if answers_peers:
             now_s = read_monotonic_s()
             self._check_outage(now_s)
@@ -197,12 +180,12 @@
         delay_s, self._batch_delay_s = self._batch_delay_s, 0.0
         try:
             if self.needs_listing:
-                self.transfer_began_at_s = read_monotonic_s()
+                self.calls.begin_transfer(read_monotonic_s())
                 changed = self._apply_listing(await self.registry.list_all(self._record_begin))
             else:
                 changed = self._apply_changes(await self._read_changes(delay_s))
         finally:
-            self.transfer_began_at_s = None
+            self.calls.end_transfer()
         if changed:
             self._batch_delay_s = self.timing.batch_delay_s
 
@@ -227,27 +210,19 @@
         Args:
           delay_s: Time for which the call was delayed, by which it ends sooner.
         """
-        # The first answer tells peers at once that this node reads.
-        may_wait = self.answering and not self.failures and self.answered_at_s != -math.inf
-        wait_s = self.timing.watch_s - delay_s if may_wait else RECOVERY_POLL_S
-        # After a failure, the registry may be slow: it gets more time, and peers rely on others.
-        is_late_once = self.failures > 0
-        response_s = (
-            RESPONSE_TIMEOUT_S if is_late_once else self.timing.response_s(self.answer_delay_s)
-        )
+        wait_s, response_s = self.calls.wait_s(delay_s), self.calls.response_s()
         asked_at_s = read_monotonic_s()
         changes = await self.registry.changes(
             self.view.revision, wait_s, self._max_changes_bytes(), response_s, self._record_begin
         )
         if not changes.entries:
-            self.answer_delay_s = read_monotonic_s() - asked_at_s - wait_s
+            self.calls.answer_delay_s = read_monotonic_s() - asked_at_s - wait_s
         return changes
 
     def _record_begin(self) -> None:
         """Records that an answer begins to arrive."""
         now_s = read_monotonic_s()
-        if self.transfer_began_at_s is None:
-            self.transfer_began_at_s = now_s
+        self.calls.begin_transfer(now_s)
         self._check_outage(now_s)
         self._contact.record(now_s)
 
@@ -257,20 +232,16 @@
 
     def _record_own_answer(self) -> None:
         now_s = read_monotonic_s()
-        was_available = self.may_read(now_s) and self.answered_at_s != -math.inf
-        self.failures, self.transfer_began_at_s = 0, None
-        if self.read_required.is_set():
-            self.answered_at_s = now_s
+        is_news = self.calls.record_answer(now_s, self.read_required.is_set())
         # It has been answering since the answer began, however long its transfer took.
         self._contact.record(now_s)
         self.view.confirmed_at_s = now_s
-        self.answering = True
         self._report_state()
-        if not was_available:
+        if is_news:
             self.on_availability()
 
     def _report_state(self) -> None:
-        is_up = self.answering or self.answers_peers
+        is_up = self.calls.answering or self.answers_peers
         if is_up == self._is_up:
             return
         self._is_up = is_up
@@ -285,12 +256,11 @@
         self.tally.platform_failures += 1
         if not self.read_required.is_set():
             return  # Peers deliver the content, and tell when they can't.
-        self.failures += 1
-        if self.failures > MAX_FAILURES:
+        if not self.calls.record_failure():
             return
-        extra = {"revision": str(self.view.revision), "error": error, "failures": self.failures}
+        failures = self.calls.failures
+        extra = {"revision": str(self.view.revision), "error": error, "failures": failures}
         _LOGGER.info("call to the registry failed", extra=extra)
-        self.answering = self.answering and self.failures < MAX_FAILURES
         self.on_availability()
         self._report_state()
 
--- a/ibisrack/registry/registry_test.py
+++ b/ibisrack/registry/registry_test.py
@@ -12,8 +12,9 @@
     PlatformTimeoutError,
 )
 from ibisrack.metrics.tally import Tally
-from ibisrack.registry.follower import BASE_RETRY_DELAY_S, MAX_FAILURES, RegistryFollower
+from ibisrack.registry.follower import BASE_RETRY_DELAY_S, RegistryFollower
 from ibisrack.registry.messages import Changes, Entry, Listing, Revision
+from ibisrack.registry.own_calls import MAX_FAILURES
 from ibisrack.registry.view import RegistryView
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import TIMING
--- a/ibisrack/sidecar/failed_calls_test.py
+++ b/ibisrack/sidecar/failed_calls_test.py
@@ -55,7 +55,7 @@
         await wait_until(lambda: sum(n.registry_peers.sources.reads for n in fleet.nodes) == 1)
         (reader,) = (node for node in fleet.nodes if node.registry_peers.sources.reads)
         reader.follower.registry._base = "http://127.0.0.99:1"
-        await wait_until(lambda: reader.follower.failures > 3)
+        await wait_until(lambda: reader.follower.calls.failures > 3)
         await check_removal(fleet, next(n for n in ("i-3", "i-2") if n != own_id(fleet, reader)))
 
 
