--- a/ibisrack/sidecar/registry_peers.py
+++ b/ibisrack/sidecar/registry_peers.py
@@ -149,17 +149,27 @@
             self._delivered_at_s = now_s
         undelivered_s = now_s - self._delivered_at_s
         sources = choose_sources(own, peers, undelivered_s, self.timing.takeover_s)
-        for host in sources.followed:
-            self.outgoing_links[host].follow(self.view.revision)
-        for link in self.outgoing_links.values():
-            if link.following and link.host not in sources.followed:
-                link.unfollow()
-        follower.set_sources(sources.reads, delivered or self._registry_answers_others(now_s))
+        self._follow(sources.followed)
+        # While the registry answers this node itself, what it answers to others is not needed.
+        is_answered = own.available and own.delivering
+        answers_peers = delivered or (not is_answered and self._registry_answers_others(now_s))
+        follower.set_sources(sources.reads, answers_peers)
         if sources != self.sources:
             extra = {"reads": sources.reads, "peers": list(sources.followed)}
             _LOGGER.info("registry sources changed", extra=extra)
             self.sources = sources
-        reading = (follower.is_reading(now_s), follower.may_read(now_s))
+        self._report_reading((follower.is_reading(now_s), follower.may_read(now_s)))
+
+    def _follow(self, hosts: tuple[str, ...]) -> None:
+        """Requests the changes of the registry from these peers, and from no others."""
+        for host in hosts:
+            self.outgoing_links[host].follow(self.view.revision)
+        for link in self.outgoing_links.values():
+            if link.following and link.host not in hosts:
+                link.unfollow()
+
+    def _report_reading(self, reading: tuple[bool, bool]) -> None:
+        """Tells the peers whether this node reads the registry and may read it, after a change."""
         if reading != self._reported_reading:
             self._reported_reading = reading
             self.report_load()
