--- a/ibisrack/registry/follower.py
+++ b/ibisrack/registry/follower.py
@@ -92,9 +92,10 @@
     async def follow(self) -> None:
         """Follows the registry until it is cancelled."""
         while True:
+            # Peers may begin to deliver during the delay.
+            await asyncio.sleep(self._batch_delay_s)
             await self.read_required.wait()
             try:
-                await asyncio.sleep(self._batch_delay_s)
                 await self._read()
             except HistoryGoneError:
                 _LOGGER.info("registry history gone", extra={"revision": str(self.view.revision)})
--- a/ibisrack/registry/registry_test.py
+++ b/ibisrack/registry/registry_test.py
@@ -141,6 +141,20 @@
     task.cancel()
 
 
+async def test_no_call_is_made_when_peers_begin_to_deliver_after_a_listing():
+    """Guards against a second call of each node at the start of a fleet."""
+    registry = ScriptedRegistry(Listing(at(5), (entry("a", 5),)), Changes(at(5), ()))
+    follower = follower_of(registry)
+    follower.set_sources(reads=True, answers_peers=False)
+    task = asyncio.create_task(follower.follow())
+    while not follower.view.entries:
+        await asyncio.sleep(0.01)
+    follower.set_sources(reads=False, answers_peers=True)
+    await asyncio.sleep(2 * TIMING.batch_delay_s)
+    assert registry.calls == ["list"]
+    task.cancel()
+
+
 def test_a_late_write_of_a_removed_key_is_ignored():
     """Guards against an instance that comes back because an old change arrives out of order."""
     view = RegistryView()
