Registry sources: act on candidates only, and not while the node closes

A change of role of any peer made a node choose its sources again; only the candidates of its own zone can change the choice. A link that ends while the node closes no longer opens others.

The soak learns cut_reads: each host is cut off from the store in turn, and the store cuts watches, while instances are drained, or removed without a report.

--- a/bench/soak/additions.py
+++ b/bench/soak/additions.py
@@ -5,11 +5,14 @@
 from random import Random
 
 from bench.soak.faults import (
+    BlockPaths,
     ChangeConfiguration,
+    CutWatches,
     EvacuateZone,
     GrowConfiguration,
     KillProcess,
     LeaveOddEntry,
+    RemoveInstance,
     ReplaceInstance,
     SendDeadlyRequest,
     SendLongRequests,
@@ -20,6 +23,7 @@
 from bench.soak.history import Kind
 from bench.soak.plan import TimedFault, make_plan
 from ibisrack.standins.odd_entries import OddEntry
+from ibisrack.testing.tcp_proxy import STORE
 
 LARGE_ROUTES = 5000  # About 1.3 MB of configuration.
 SERIES_INTERVAL_S = 0.5  # Between the stops of a series.
@@ -32,6 +36,7 @@
     ODD_ENTRIES = auto()
     DEADLY_REQUESTS = auto()
     EVACUATIONS = auto()
+    CUT_READS = auto()
 
 
 def make_extended_plan(
@@ -115,9 +120,28 @@
     return plan
 
 
+def _cut_reads(rng: Random, nodes: range, duration_s: float) -> list[TimedFault]:
+    """Cuts each node from the store in turn, and watches now and then, while instances leave."""
+    plan, interval_s = [], duration_s / len(nodes)
+    for number, node in enumerate(rng.sample(nodes, len(nodes))):
+        at_s = 1.0 + number * interval_s
+        ends = ((node, STORE), (STORE, node))
+        plan.append(TimedFault(at_s, BlockPaths(ends, rng.uniform(2.0, 5.5))))
+        leaving = rng.choice((RemoveInstance, ReplaceInstance))(rng.choice(nodes), 0.5)
+        plan.append(TimedFault(at_s + rng.uniform(0.0, 0.5), leaving))
+        plan.append(TimedFault(at_s + rng.uniform(0.0, 0.5), ChangeConfiguration(1, 0.0)))
+    for _ in range(rng.randint(2, 3)):
+        at_s, cut_s = rng.uniform(1.0, duration_s - 3.0), rng.uniform(0.5, 6.0)
+        plan.append(TimedFault(at_s, CutWatches(rng.uniform(0.03, 0.97), cut_s)))
+        leaving = RemoveInstance(rng.choice(nodes), 0.5)
+        plan.append(TimedFault(at_s + rng.uniform(0.3, 1.0) * cut_s, leaving))
+    return plan
+
+
 _MAKERS = {
     Addition.LARGE_CONFIGURATION: _large_configuration,
     Addition.ODD_ENTRIES: _odd_entries,
     Addition.DEADLY_REQUESTS: _deadly_requests,
     Addition.EVACUATIONS: _evacuations,
+    Addition.CUT_READS: _cut_reads,
 }
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -69,6 +69,14 @@
     duration_s: float
 
 
+@attrs.frozen
+class CutWatches:
+    """Makes the store cut each watch that has waited for some time."""
+
+    after_s: float
+    duration_s: float
+
+
 @attrs.frozen
 class ForgetHistory:
     """Makes the store drop its history, so that watches have to start anew."""
@@ -116,6 +124,14 @@
     extra_life_s: float
 
 
+@attrs.frozen
+class RemoveInstance:
+    """Removes the entry of an instance that has not reported draining, and replaces it later."""
+
+    node: int
+    extra_life_s: float
+
+
 @attrs.frozen
 class LimitInstance:
     """Makes an instance name a limit in its answers."""
@@ -181,12 +197,14 @@
     | PauseProcess
     | KillProcess
     | FailStore
+    | CutWatches
     | ForgetHistory
     | ChangeConfiguration
     | GrowConfiguration
     | SendLongRequests
     | HangUp
     | ReplaceInstance
+    | RemoveInstance
     | LimitInstance
     | RestoreStore
     | LeaveOddEntry
@@ -239,6 +257,7 @@
 
 
 @affected_ends.register(FailStore)
+@affected_ends.register(CutWatches)
 @affected_ends.register(ForgetHistory)
 @affected_ends.register(ChangeConfiguration)
 @affected_ends.register(GrowConfiguration)
--- a/bench/soak/injection.py
+++ b/bench/soak/injection.py
@@ -12,6 +12,7 @@
 from bench.soak.faults import (
     BlockPaths,
     ChangeConfiguration,
+    CutWatches,
     DelayPaths,
     EvacuateZone,
     FailStore,
@@ -23,6 +24,7 @@
     LeaveOddEntry,
     LimitInstance,
     PauseProcess,
+    RemoveInstance,
     ReplaceInstance,
     ResetLink,
     RestoreStore,
@@ -134,6 +136,13 @@
     store.error_status, store.silent = 0, False
 
 
+@inject.register
+async def _(fault: CutWatches, fleet: SoakFleet) -> None:
+    fleet.store.cut_after_s = fault.after_s
+    await asyncio.sleep(fault.duration_s)
+    fleet.store.cut_after_s = None
+
+
 @inject.register
 async def _(fault: ForgetHistory, fleet: SoakFleet) -> None:
     fleet.store.drop_history()
@@ -178,13 +187,24 @@
 
 @inject.register
 async def _(fault: ReplaceInstance, fleet: SoakFleet) -> None:
-    member, history = fleet.members[fault.node], fleet.history
-    stand_in = member.instance.stand_in
-    old_id = stand_in.instance_id
+    member = fleet.members[fault.node]
     fleet.register(member, InstanceState.DRAINING)
+    await _replace_instance(fleet, member, fault.extra_life_s)
+
+
+@inject.register
+async def _(fault: RemoveInstance, fleet: SoakFleet) -> None:
+    member = fleet.members[fault.node]
+    fleet.store.delete(f"servers/{member.instance.stand_in.instance_id}")
+    await _replace_instance(fleet, member, fault.extra_life_s)
+
+
+async def _replace_instance(fleet: SoakFleet, member: Member, extra_life_s: float) -> None:
+    """Replaces an instance that leaves by another one, after its time to drain."""
+    history, stand_in = fleet.history, member.instance.stand_in
+    old_id, acknowledged_at_s = stand_in.instance_id, time.monotonic()
     stand_in.leaving = True
-    acknowledged_at_s = time.monotonic()
-    await asyncio.sleep(DRAIN_S + DRAIN_MARGIN_S + fault.extra_life_s)
+    await asyncio.sleep(DRAIN_S + DRAIN_MARGIN_S + extra_life_s)
     with suppress(TimeoutError):
         async with asyncio.timeout(IDLE_TIMEOUT_S):
             while member.instance.busy:
--- a/ibisrack/links/outgoing.py
+++ b/ibisrack/links/outgoing.py
@@ -72,8 +72,8 @@
       suspects: Requests that are suspected of crashing instances.
       check_waited: Called with a request that has waited for the link; raises NotRunError if it
         must not be sent any more.
-      on_availability: Called when the peer reports a change of whether it reads or may read the
-        registry, and when a connection with it ends.
+      on_availability: Called with the peer's host when it reports a change of whether it reads or
+        may read the registry, and when a connection with it ends.
       load: Last load that the peer reported, None before the first.
       known_limit: Last limit that the peer reported of its instance, None before the first.
       silence: When the peer was last heard and pinged.
@@ -95,7 +95,7 @@
     on_leaving: Callable[[str, int], None]
     suspects: SuspectExchange = attrs.field(factory=SuspectExchange)
     check_waited: Callable[[Submit], None] = attrs.field(default=lambda submit: None)
-    on_availability: Callable[[], None] = attrs.field(default=lambda: None)
+    on_availability: Callable[[str], None] = attrs.field(default=lambda host: None)
     load: Load | None = None
     known_limit: KnownLimit | None = None
     silence: PeerSilence = attrs.field(factory=PeerSilence)
@@ -433,7 +433,7 @@
         self.following = False
         if writer is not None:
             writer.transport.abort()
-            self.on_availability()
+            self.on_availability(self.host)
         self._refuse_unsent()
         if self._closed_as_idle:  # Requests that came since wait for the next connection.
             self._closed_as_idle = False
--- a/ibisrack/links/outgoing_messages.py
+++ b/ibisrack/links/outgoing_messages.py
@@ -38,7 +38,7 @@
 def _(message: Load, link: Any) -> None:
     previous, link.load = link.load, message
     if previous is None or previous.reading != message.reading:
-        link.on_availability()
+        link.on_availability(link.host)
     if message.instance_id:
         link.known_limit = KnownLimit(message.instance_id, message.limit_per_s)
     if message.leaving_start_ms is not None:
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -106,6 +106,7 @@
     registry_peers: RegistryPeers = attrs.field(
         default=attrs.Factory(lambda self: self._create_registry_peers(), takes_self=True)
     )
+    _closed: bool = False
     _load_reported_at_s: float = 0.0
     # Version of the configuration and evacuated zones at the last report for their sake.
     _reported_content: tuple[int, frozenset[str]] = (0, frozenset())
@@ -224,6 +225,7 @@
 
     def close(self) -> None:
         """Cancels the tasks of this node and aborts its incoming links."""
+        self._closed = True
         for task in self._tasks:
             task.cancel()
         for link in tuple(self.incoming_links):
@@ -244,7 +246,13 @@
 
     def choose_registry_sources(self) -> None:
         """Chooses where the registry's changes come from, now that a node reads or stopped to."""
-        self.registry_peers.choose_sources(self.follower, read_monotonic_s())
+        if not self._closed:
+            self.registry_peers.choose_sources(self.follower, read_monotonic_s())
+
+    def _handle_availability(self, host: str) -> None:
+        """Handles that a peer reads the registry, or stopped to."""
+        if host in self.registry_peers.candidates:
+            self.choose_registry_sources()
 
     def _create_registry_peers(self) -> RegistryPeers:
         return RegistryPeers(
@@ -273,7 +281,7 @@
                 self._mark_peer_leaving,
                 self.suspects,
                 self.instance_runner.acceptance.check_zone_in_use,
-                on_availability=self.choose_registry_sources,
+                on_availability=self._handle_availability,
                 pacer=self.pacer,
                 account=self.connection_limit.account,
             )
