--- a/bench/soak/regressions.py
+++ b/bench/soak/regressions.py
@@ -50,6 +50,10 @@
     "an instance whose slots have 400 digits makes dispatch fail with aiohttp's own 500; an entry"
     " nested 5,000 deep ends the task that applies it before it has applied those that follow"
 )
+CUT_READER = (
+    "the paths of seven hosts to the store are slow, that of the only reader of the zone among"
+    " them; the others keep to it until its last answer is 3 s old and have new versions too late"
+)
 
 REGRESSIONS = (
     Regression(1, 6, 25.0, RESULT_DROPPED),
@@ -70,4 +74,12 @@
     Regression(3, 6, 30.0, DEADLY_REQUEST, (Addition.DEADLY_REQUESTS,)),
     Regression(6, 6, 30.0, ODD_ENTRY, (Addition.ODD_ENTRIES,)),
     Regression(5, 9, 30.0, REFUSED_DELTA, (Addition.LARGE_CONFIGURATION,), zones=1),
+    Regression(
+        91011,
+        9,
+        30.0,
+        CUT_READER,
+        (Addition.LARGE_CONFIGURATION, Addition.ODD_ENTRIES, Addition.DEADLY_REQUESTS),
+        zones=1,
+    ),
 )
