--- a/ibisrack/sidecar/cut_reader_test.py
+++ b/ibisrack/sidecar/cut_reader_test.py
@@ -10,6 +10,7 @@
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import (
     STANDARD_ROUTES,
+    TIMING,
     SidecarFleet,
     configuration_entry,
     route_resource,
@@ -19,7 +20,6 @@
 from ibisrack.testing.tcp_proxy import TcpProxy, run_proxy
 
 SIDECARS = 5
-APPLY_S = 2.0  # The default bound on the time from a change to its effect on all nodes.
 STORE_HOST = "127.0.0.1"
 LARGE_ROUTES = 1500
 PIECE_DELAY_S = 0.3
@@ -84,7 +84,9 @@
     others = [node for node in fleet.nodes if node not in cut]
     await wait_until(lambda: all(map(condition, others)))
     took_s = read_monotonic_s() - changed_at_s
-    assert took_s < APPLY_S, f"the other nodes of the zone had the changes after {took_s:.2f} s"
+    assert (
+        took_s < TIMING.apply_s
+    ), f"the other nodes of the zone had the changes after {took_s:.2f} s"
 
 
 async def check_others_apply(fleet: SidecarFleet, cut: Sequence[SidecarNode]) -> None:
--- a/ibisrack/sidecar/failed_calls_test.py
+++ b/ibisrack/sidecar/failed_calls_test.py
@@ -6,7 +6,6 @@
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import TIMING, SidecarFleet, run_sidecars, wait_until
 
-APPLY_S = 2.0  # The default bound on the time from a change to its effect on all nodes.
 ZONES = "ab"  # A reader each.
 SIDECARS = 4
 
@@ -17,7 +16,7 @@
     removed_at_s = read_monotonic_s()
     await wait_until(lambda: all(n.directory.get(instance_id) is None for n in fleet.nodes))
     took_s = read_monotonic_s() - removed_at_s
-    assert took_s < APPLY_S, f"the instance was used for {took_s:.2f} s after its removal"
+    assert took_s < TIMING.apply_s, f"the instance was used for {took_s:.2f} s after its removal"
 
 
 async def test_a_removed_instance_is_not_used_while_watches_are_cut():
