Test of lost links: send until a request is served

Cause: a process that pauses for half a second or more while the link is opened refuses the request (503 upstream-unreachable after 0.5 s, or 504 after the deadline), logs "link lost" with was_open=False and has no reason to connect again. The test didn't look at the status and took that line for the loss it had caused.

The test now sends requests of their own ids until one is served, and waits for the loss of an open link.

--- a/ibisrack/sidecar/records_test.py
+++ b/ibisrack/sidecar/records_test.py
@@ -1,6 +1,7 @@
 """Tests of the log lines and metrics of a sidecar."""
 
 import asyncio
+import itertools
 import logging
 import re
 from contextlib import suppress
@@ -26,6 +27,8 @@
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.testing.functions import function_tests
 from ibisrack.testing.sidecars import (
+    CONDITION_TIMEOUT_S,
+    POLL_INTERVAL_S,
     STANDARD_ROUTES,
     capture_log,
     configuration_entry,
@@ -161,10 +164,14 @@
         async with run_sidecars(2) as fleet_:
             fleet_.register_instance(0, state=InstanceState.DRAINING, sequence=1)
             await wait_until(lambda: not fleet_.nodes[0].directory.get("i-0").ready)
-            await fleet_.send_request(0)
+            # A process that pauses while the link opens refuses the request and opens no link.
+            ids = (f"q-{number}" for number in itertools.count())
+            async with asyncio.timeout(CONDITION_TIMEOUT_S):
+                while (await fleet_.send_request(0, request_id=next(ids)))[0].status != 200:
+                    await asyncio.sleep(POLL_INTERVAL_S)
             for link in tuple(fleet_.nodes[1].incoming_links):
                 link.writer.transport.abort()
-            await wait_until(lambda: bool(matching_records(log, "link lost")))
+            await wait_until(lambda: bool(matching_records(log, "link lost", was_open=True)))
             fleet_.store.put("op/config", configuration_entry(9, *STANDARD_ROUTES))
             await wait_until(
                 lambda: len(matching_records(log, "configuration in force", version=9)) == 2
