Order the entries of an instance as the registry does, not by its host's clock

Cause: of two starts of an instance, InstanceDirectory took the one with the higher born for the newer one, whatever the store's revision. The second start, with its slots and its report to drain, was ignored for good.

Change: an entry counts in the order in which the view passes it on; born is compared for equality only. PastStarts remembers which starts drained, were removed or were replaced, so that a restored store brings none back, and a late notice of a former start no longer hides that the present one drains. Of two entries with one address the one that was written last counts.

--- a/ibisrack/instances/directory.py
+++ b/ibisrack/instances/directory.py
@@ -4,8 +4,12 @@
 outage of the registry that is longer than some heartbeats.  These instances are kept until
 RECOVERY_GRACE_S after the outage.
 
+Entries of an instance are applied in the order in which the registry lists them, whatever the time
+at which its process started.  Reports of one start that overtake each other are told apart by their
+number.
+
 A registry that is restored from an earlier copy lists instances as they were.  Such an entry brings
-back no instance that is gone, and the entries that the copy lacks count as lapsed.
+back no start of an instance that is gone, and the entries that the copy lacks count as lapsed.
 
 An instance that drains is about to end.  No later report of the same start makes it ready again.
 
@@ -16,8 +20,8 @@
 
 from ibisrack.instances.evacuations import Evacuations
 from ibisrack.instances.model import Instance, InstanceState
+from ibisrack.instances.starts import PastStarts
 
-MAX_REMEMBERED = 1000  # Instances whose end is remembered after they are gone.
 RECOVERY_GRACE_S = 2.5  # Running instances are listed again about 2 s after an outage.
 
 
@@ -36,10 +40,7 @@
     _instances: dict[str, Instance] = attrs.field(factory=dict)
     _is_grace_interrupted: bool = False
     _lapsed: dict[str, float] = attrs.field(factory=dict)  # Time of the lapse by instance id.
-    # Start of each instance that drained, by its id.
-    _drained_starts_ms: dict[str, int] = attrs.field(factory=dict)
-    # Start and sequence of the last report of each removed instance, by its id.
-    _removed: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    _past_starts: PastStarts = attrs.field(factory=PastStarts)
     _evacuations: Evacuations = attrs.field(factory=Evacuations)
     # Computed on demand after each change.
     _by_service: dict[str, tuple[Instance, ...]] | None = None
@@ -53,16 +54,27 @@
         return self._evacuations.zones
 
     def put(self, instance: Instance) -> bool:
-        """Adds or updates an instance unless its entry is older; returns whether it changed."""
+        """Adds or updates an instance from an entry that is newer than those before.
+
+        Returns:
+          Whether the instance changed; an earlier report of the same start changes nothing.
+        """
         known = self._instances.get(instance.instance_id)
-        if known is not None and _is_older(instance, known):
-            if instance.started_at_ms == known.started_at_ms:
-                self._lapsed.pop(instance.instance_id, None)
-            return False
+        if known is not None and known.start != instance.start:
+            self._past_starts.record_replaced(known.start)
+        return self._put(instance)
+
+    def _put(self, instance: Instance) -> bool:
+        known = self._instances.get(instance.instance_id)
+        if known is not None and known.start == instance.start:
+            self._lapsed.pop(instance.instance_id, None)
+            if instance.sequence < known.sequence:
+                return False
         if not instance.ready:
-            self._remember_drained(instance.instance_id, instance.started_at_ms)
-        elif self._drained_starts_ms.get(instance.instance_id) == instance.started_at_ms:
+            self._past_starts.record_drained(instance.start)
+        elif self._past_starts.has_drained(instance.start):
             instance = attrs.evolve(instance, state=InstanceState.DRAINING)
+        self._past_starts.record_listed(instance.start)
         self._lapsed.pop(instance.instance_id, None)
         self._instances[instance.instance_id] = instance
         self._discard_groups()
@@ -78,10 +90,8 @@
         Returns:
           Whether the instance was ready.
         """
+        self._past_starts.record_drained((instance_id, started_at_ms))
         known = self._instances.get(instance_id)
-        if known is not None and known.started_at_ms > started_at_ms:
-            return False
-        self._remember_drained(instance_id, started_at_ms)
         if known is None or known.started_at_ms != started_at_ms or not known.ready:
             return False
         self._instances[instance_id] = attrs.evolve(known, state=InstanceState.DRAINING)
@@ -99,11 +109,14 @@
         return True
 
     def put_restored(self, instance: Instance) -> bool:
-        """Adds or updates an instance from an entry of a restored registry, which may be old."""
-        removed = self._removed.get(instance.instance_id)
-        if removed is not None and (instance.started_at_ms, instance.sequence) <= removed:
+        """Adds or updates an instance from an entry of a restored registry, which may be old.
+
+        A start that was not known here may be older or newer than the known one.  It counts, as
+        the registry has no other, and the known one is not taken for ended.
+        """
+        if self._past_starts.includes(instance):
             return False
-        return self.put(instance)
+        return self._put(instance)
 
     def mark_recovered(self, now_s: float) -> None:
         """Marks the registry as just back after an outage, or from a copy.
@@ -212,12 +225,11 @@
     def at_address(self, host: str, port: int) -> Instance | None:
         """Returns the instance at an address, None if there is none.
 
-        If several instances share the address, ready ones take precedence, then the newest.
+        If several instances share the address, ready ones take precedence, then the one whose
+        entry was written last.
         """
         if self._by_address is None:
-            by_precedence = sorted(
-                self._instances.values(), key=lambda i: (i.ready, i.started_at_ms)
-            )
+            by_precedence = sorted(self._instances.values(), key=lambda i: (i.ready, i.revision))
             self._by_address = {(i.host, i.port): i for i in by_precedence}
         return self._by_address.get((host, port))
 
@@ -230,25 +242,9 @@
         """Returns whether the registry may still lack what was lost in an outage or a restore."""
         return self.registry_down or now_s - self.registry_recovered_at_s < RECOVERY_GRACE_S
 
-    def _remember_drained(self, instance_id: str, started_at_ms: int) -> None:
-        self._drained_starts_ms[instance_id] = started_at_ms
-        if len(self._drained_starts_ms) > MAX_REMEMBERED:
-            gone = next((i for i in self._drained_starts_ms if i not in self._instances), None)
-            self._drained_starts_ms.pop(gone, None)
-
     def _drop(self, instance_id: str) -> None:
         instance = self._instances.pop(instance_id, None)
         if instance is not None:
-            self._removed.pop(instance_id, None)
-            self._removed[instance_id] = (instance.started_at_ms, instance.sequence)
-            if len(self._removed) > MAX_REMEMBERED:
-                del self._removed[next(iter(self._removed))]
+            self._past_starts.record_removed(instance)
         self._lapsed.pop(instance_id, None)
         self._discard_groups()
-
-
-def _is_older(offered: Instance, known: Instance) -> bool:
-    """Returns whether an entry is from an earlier process or an earlier report of an instance."""
-    if offered.started_at_ms != known.started_at_ms:
-        return offered.started_at_ms < known.started_at_ms
-    return offered.sequence < known.sequence
--- a/ibisrack/platform/entries.py
+++ b/ibisrack/platform/entries.py
@@ -97,6 +97,7 @@
         cold_left_s=parse_duration_s(status["cold_remaining"]),
         started_at_ms=integer(body["born"], MAX_JSON_INTEGER) if "born" in body else 0,
         sequence=integer(status["seq"], MAX_JSON_INTEGER),
+        revision=entry.revision,
     )
 
 
