Read the heartbeat from the environment, as the review's cases fill in no such field

Unlike the file, the variable is read only at the start of a process.

Evidence: two tests failed before (TypeError; KeyError 'heartbeat', as the cases).

--- a/ibisrack/bin/ibis_sidecar.py
+++ b/ibisrack/bin/ibis_sidecar.py
@@ -13,6 +13,7 @@
 from ibisrack.bin.loop import run_on_uvloop
 from ibisrack.platform.settings_file import (
     DEFAULT_SETTINGS_PATH,
+    HEARTBEAT_VARIABLE,
     METRICS_PORT_VARIABLE,
     SETTINGS_PATH_VARIABLE,
     load_platform_settings,
@@ -45,7 +46,11 @@
     # The settings are read at the start anyway, so a SIGHUP before the handler is set says nothing.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = os.environ.get(SETTINGS_PATH_VARIABLE, DEFAULT_SETTINGS_PATH)
-    load = partial(load_platform_settings, metrics_port=os.environ.get(METRICS_PORT_VARIABLE, ""))
+    load = partial(
+        load_platform_settings,
+        metrics_port=os.environ.get(METRICS_PORT_VARIABLE, ""),
+        heartbeat=os.environ.get(HEARTBEAT_VARIABLE, ""),
+    )
     settings = load_or_exit(partial(load, path))
     line_filter = LineRateFilter(exempt_messages=LIFECYCLE_MESSAGES)
     stream = NonBlockingPipe.wrap(sys.stdout, line_filter)
--- a/ibisrack/platform/settings_file.py
+++ b/ibisrack/platform/settings_file.py
@@ -19,14 +19,19 @@
 DEFAULT_SETTINGS_PATH = "/etc/ibisrack/settings.yaml"
 # The settings file has no field for the metrics port; deploy/system.toml sets this variable.
 METRICS_PORT_VARIABLE = "IBISRACK_METRICS_PORT"
+# Set by deploy/system.toml: whoever fills in the template of the settings may know no heartbeat.
+HEARTBEAT_VARIABLE = "IBISRACK_HEARTBEAT"
 
 
-def load_platform_settings(path: str, metrics_port: str = "") -> SidecarSettings:
+def load_platform_settings(
+    path: str, metrics_port: str = "", heartbeat: str = ""
+) -> SidecarSettings:
     """Reads the settings file; unknown fields are ignored.
 
     Args:
       path: Path of the file.
       metrics_port: Port for metrics on the host's IP address; empty disables metrics.
+      heartbeat: Duration between two reports of an instance, for a file without one; may be empty.
 
     Raises:
       SettingsError: The file can't be read or is invalid; the error lists all faults.
@@ -60,7 +65,8 @@
         "cold_rate_factor": reader.get("terms.bounds.cold_over"),
         "cold_rate_slack": reader.get("terms.bounds.cold_slack"),
         "evacuation_s": reader.duration_s("terms.bounds.evac"),
-        "heartbeat_s": reader.duration_s("platform.heartbeat"),
+        "heartbeat_s": reader.duration_s("platform.heartbeat")
+        or reader.variable_duration_s(HEARTBEAT_VARIABLE, heartbeat),
         "configuration_s": reader.duration_s("terms.bounds.config_apply"),
         "drain_s": reader.duration_s("terms.bounds.drain"),
     }
@@ -130,11 +136,17 @@
         return value if type(value) in (int, float) and value > 0 else None
 
     def duration_s(self, path: str) -> float | None:
-        value = self.get(path)
+        return self._parse_duration_s(self.get(path), self._file, path)
+
+    def variable_duration_s(self, variable: str, text: str) -> float | None:
+        """Returns the duration in an environment variable, None if that is empty."""
+        return self._parse_duration_s(text or None, variable, "")
+
+    def _parse_duration_s(self, value: Any, source: str, path: str) -> float | None:
         if value is None:
             return None
         try:
             return parse_duration_s(value)
         except ValueError as error:
-            self.faults.append(Fault(self._file, 0, str(error), path))
+            self.faults.append(Fault(source, 0, str(error), path))
             return None
--- a/ibisrack/platform/settings_file_test.py
+++ b/ibisrack/platform/settings_file_test.py
@@ -3,13 +3,16 @@
 import json
 import re
 import tempfile
+import tomllib
 from pathlib import Path
+from unittest.mock import Mock
 
 import yaml
 
 from ibisrack.errors import SettingsError
 from ibisrack.platform.settings_file import load_platform_settings
 from ibisrack.testing.functions import function_tests
+from review.common import fleet
 
 SETTINGS = """
 self:
@@ -28,11 +31,11 @@
 """
 
 
-def load(text: str):
+def load(text: str, **variables: str):
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "settings.yaml"
         path.write_text(text)
-        return load_platform_settings(str(path))
+        return load_platform_settings(str(path), **variables)
 
 
 def test_settings_may_be_json():
@@ -48,7 +51,11 @@
     fields = {name: value for table in tables.values() for name, value in table.items()}
     template = (Path("deploy") / "settings.json.tmpl").read_text()
     filled = re.sub(r"{{(\w+)\|json}}", lambda m: json.dumps(fields.get(m[1])), template)
-    assert load(filled) == load(SETTINGS)
+    role = tomllib.loads((Path("deploy") / "system.toml").read_text())["roles"]["sidecar"]
+    heartbeat = re.sub(
+        r"{{(\w+)}}", lambda m: str(fields.get(m[1])), role["env"]["IBISRACK_HEARTBEAT"]
+    )
+    assert load(filled, heartbeat=heartbeat) == load(SETTINGS)
 
 
 def test_unknown_fields_of_the_settings_file_are_ignored():
@@ -89,6 +96,28 @@
         assert settings.registry_apply_s == apply_s
 
 
+def test_heartbeat_of_the_deployment_is_read_from_the_environment():
+    """Guards against entries that count as lapsed at another time than the deployment's."""
+    text = SETTINGS.replace("heartbeat", "pulse")
+    assert load(text, heartbeat="1200ms").heartbeat_s == 1.2
+    assert load(text, heartbeat="").heartbeat_s == 1.5
+    try:
+        load(text, heartbeat="soon")
+    except SettingsError as error:
+        assert "IBISRACK_HEARTBEAT" in str(error), error
+    else:
+        raise AssertionError("a heartbeat that is no duration was accepted")
+
+
+def test_the_template_of_the_settings_needs_no_field_that_the_cases_of_the_review_lack():
+    """Guards against cases of the review that can't run since a field was added."""
+    instance = Mock()
+    machine = fleet.Machine(
+        "m", "desk", "a", "127.0.0.1", fleet.Ports(1, 2, 3, 4, 5), 300, instance
+    )
+    assert load(machine.rendered_settings(6)).service == "desk"
+
+
 def test_bounds_of_cold_instances_and_evacuations_are_read():
     """Guards against a cold instance that gets more than its deployment allows."""
     settings = load(SETTINGS)
