Choose the own instance among the entries with its address by their service

Cause: a node took the ready entry that was written last with its instance's address for its own. The scheduler then had the ranks of a service without routes, none, and refused every request.

Change: Acceptance.instance decides by service named, instance answering, ready, own service, last written; the directory only groups by address.

--- a/ibisrack/hosting/acceptance.py
+++ b/ibisrack/hosting/acceptance.py
@@ -1,13 +1,17 @@
 """Decides whether the instance beside this node may be given a request."""
 
+from collections.abc import Collection
+
 import attrs
 
 from ibisrack.calls.outcomes import Reason
+from ibisrack.clocks import read_monotonic_s
 from ibisrack.errors import NotRunError
 from ibisrack.hosting.ended_starts import EndedStarts
 from ibisrack.instances.directory import InstanceDirectory
 from ibisrack.instances.model import Instance
 from ibisrack.links.messages import Submit
+from ibisrack.registry.messages import Revision
 from ibisrack.stopping.plan import PlannedStop
 from ibisrack.suspects.exchange import SuspectExchange
 
@@ -20,6 +24,8 @@
       address: IP number and port of the instance.
       directory: Known instances.
       suspects: Requests that are suspected of crashing instances, and the crashes.
+      own_service: Service of the instance by the settings of this node.
+      named_services: Services that routes of the configuration in force use.
       ended_starts: Listed starts of the instance that have ended.
       stop: Planned stop of this process, None while there is none.
     """
@@ -27,13 +33,19 @@
     address: tuple[str, int]
     directory: InstanceDirectory
     suspects: SuspectExchange
+    own_service: str = ""
+    named_services: Collection[str] = frozenset()
     ended_starts: EndedStarts = attrs.field(factory=EndedStarts)
     stop: PlannedStop | None = None
 
     @property
     def instance(self) -> Instance | None:
         """The instance as the registry currently lists it, None if it does not."""
-        return self.directory.at_address(*self.address)
+        listed = self.directory.at_address(*self.address)
+        if len(listed) < 2:
+            return listed[0] if listed else None
+        now_s = read_monotonic_s()
+        return max(listed, key=lambda each: self._precedence(each, now_s))
 
     def accepts_requests(self, now_s: float) -> bool:
         """Returns whether this node accepts submissions."""
@@ -86,6 +98,22 @@
         if instance is not None and self.directory.is_evacuated(instance):
             raise NotRunError(Reason.EVACUATED)
 
+    def _precedence(
+        self, listed: Instance, now_s: float
+    ) -> tuple[bool, bool, bool, bool, Revision]:
+        """Returns the precedence of an instance over others that are listed with its address.
+
+        Another program may list the address under any service, and an instance of another service
+        may get the address of one whose entry is still listed.
+        """
+        return (
+            listed.service in self.named_services,
+            not self.ended_starts.includes(listed, now_s),
+            listed.ready,
+            listed.service == self.own_service,
+            listed.revision,
+        )
+
     def _is_closed(self, now_s: float) -> bool:
         """Returns whether the planned stop accepts no more submissions at all."""
         return self.stop is not None and now_s > self.stop.accepts_until_s
--- a/ibisrack/instances/directory.py
+++ b/ibisrack/instances/directory.py
@@ -16,12 +16,17 @@
 Instances of an evacuated zone stay listed, but no requests may be sent to them.
 """
 
+from collections.abc import Callable, Iterable
+from typing import TypeVar
+
 import attrs
 
 from ibisrack.instances.evacuations import Evacuations
 from ibisrack.instances.model import Instance, InstanceState
 from ibisrack.instances.starts import PastStarts
 
+Key = TypeVar("Key")
+
 RECOVERY_GRACE_S = 2.5  # Running instances are listed again about 2 s after an outage.
 
 
@@ -46,7 +51,7 @@
     _by_service: dict[str, tuple[Instance, ...]] | None = None
     _in_use_by_service: dict[str, tuple[Instance, ...]] = attrs.field(factory=dict)
     _hosts_by_zone: dict[str, frozenset[str]] | None = None
-    _by_address: dict[tuple[str, int], Instance] | None = None
+    _by_address: dict[tuple[str, int], tuple[Instance, ...]] | None = None
 
     @property
     def evacuated_zones(self) -> frozenset[str]:
@@ -193,10 +198,7 @@
     def of_service(self, service: str) -> tuple[Instance, ...]:
         """Returns the instances of a service, including draining ones."""
         if self._by_service is None:
-            grouped: dict[str, list[Instance]] = {}
-            for instance in self._instances.values():
-                grouped.setdefault(instance.service, []).append(instance)
-            self._by_service = {name: tuple(group) for name, group in grouped.items()}
+            self._by_service = _group(self._instances.values(), lambda i: i.service)
         return self._by_service.get(service, ())
 
     def in_use(self, service: str) -> tuple[Instance, ...]:
@@ -222,16 +224,11 @@
             self._hosts_by_zone = {name: frozenset(hosts) for name, hosts in grouped.items()}
         return self._hosts_by_zone.get(zone, frozenset())
 
-    def at_address(self, host: str, port: int) -> Instance | None:
-        """Returns the instance at an address, None if there is none.
-
-        If several instances share the address, ready ones take precedence, then the one whose
-        entry was written last.
-        """
+    def at_address(self, host: str, port: int) -> tuple[Instance, ...]:
+        """Returns the instances that are listed with an address."""
         if self._by_address is None:
-            by_precedence = sorted(self._instances.values(), key=lambda i: (i.ready, i.revision))
-            self._by_address = {(i.host, i.port): i for i in by_precedence}
-        return self._by_address.get((host, port))
+            self._by_address = _group(self._instances.values(), lambda i: (i.host, i.port))
+        return self._by_address.get((host, port), ())
 
     def _discard_groups(self) -> None:
         """Discards what was computed from the instances, after a change of one or of a zone."""
@@ -248,3 +245,12 @@
             self._past_starts.record_removed(instance)
         self._lapsed.pop(instance_id, None)
         self._discard_groups()
+
+
+def _group(
+    instances: Iterable[Instance], key: Callable[[Instance], Key]
+) -> dict[Key, tuple[Instance, ...]]:
+    grouped: dict[Key, list[Instance]] = {}
+    for instance in instances:
+        grouped.setdefault(key(instance), []).append(instance)
+    return {each: tuple(group) for each, group in grouped.items()}
