One name and one place for an instance's id with its start

InstanceStart moved from suspects/ to the model of instances, which gives it as Instance.start; hosting/ had two functions of its own for the pair, and two places built it by hand.

--- a/ibisrack/hosting/coldness.py
+++ b/ibisrack/hosting/coldness.py
@@ -104,7 +104,7 @@
     def observe_entry(self, instance: Instance, now_s: float) -> bool:
         """Applies the entry of the instance; returns whether it is of another start than before."""
         known, self._last_entry = self._last_entry, instance
-        is_known_start = known is not None and _start_of(known) == _start_of(instance)
+        is_known_start = known is not None and known.start == instance.start
         if is_known_start and known.sequence == instance.sequence:
             return False
         is_other_start = known is not None and not is_known_start
@@ -163,7 +163,3 @@
     def _available(self, now_s: float) -> float:
         elapsed_s = now_s - self._counted_at_s
         return min(MAX_CHECKS, self._tokens + elapsed_s / CHECK_REFILL_S)
-
-
-def _start_of(instance: Instance) -> tuple[str, int]:
-    return instance.instance_id, instance.started_at_ms
--- a/ibisrack/hosting/crashes.py
+++ b/ibisrack/hosting/crashes.py
@@ -12,7 +12,7 @@
 
 from ibisrack.clocks import read_monotonic_s
 from ibisrack.hosting.runs import Run
-from ibisrack.instances.model import Instance
+from ibisrack.instances.model import Instance, InstanceStart
 from ibisrack.suspects.table import DOWN_S
 
 PROBE_TIMEOUT_S = 0.3
@@ -50,7 +50,7 @@
     _open_runs: set[Run] = attrs.field(factory=set)
     _check: asyncio.Task | None = None
     # Id and start of the instance that crashed last, and the monotonic time of this crash.
-    _last_crash: tuple[str, int] | None = None
+    _last_crash: InstanceStart | None = None
     _last_crash_at_s: float = 0.0
 
     @contextmanager
@@ -95,7 +95,7 @@
 
         It may have started again under its id while its old entry stands.
         """
-        started, now_s = (instance.instance_id, instance.started_at_ms), read_monotonic_s()
+        started, now_s = instance.start, read_monotonic_s()
         if started == self._last_crash and now_s <= self._last_crash_at_s + DOWN_S:
             return False
         self._last_crash, self._last_crash_at_s = started, now_s
--- a/ibisrack/hosting/ended_starts.py
+++ b/ibisrack/hosting/ended_starts.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ibisrack.instances.model import Instance
+from ibisrack.instances.model import Instance, InstanceStart
 
 # An entry is removed or replaced within this time after the end of its instance.
 ENDED_S = 6.0
@@ -17,7 +17,7 @@
 class EndedStarts:
     """Starts of instances that have ended although they are listed at this node's address."""
 
-    _until_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    _until_s: dict[InstanceStart, float] = attrs.field(factory=dict)
 
     def record(self, instance: Instance, now_s: float) -> bool:
         """Records that another process answers in place of an instance; returns whether it is new.
@@ -28,13 +28,9 @@
         """
         is_new = not self.includes(instance, now_s)
         self._until_s = {start: at_s for start, at_s in self._until_s.items() if now_s < at_s}
-        self._until_s[_start_of(instance)] = now_s + ENDED_S
+        self._until_s[instance.start] = now_s + ENDED_S
         return is_new
 
     def includes(self, instance: Instance, now_s: float) -> bool:
         """Returns whether the listed start of an instance has ended."""
-        return now_s < self._until_s.get(_start_of(instance), 0.0)
-
-
-def _start_of(instance: Instance) -> tuple[str, int]:
-    return instance.instance_id, instance.started_at_ms
+        return now_s < self._until_s.get(instance.start, 0.0)
--- a/ibisrack/instances/model.py
+++ b/ibisrack/instances/model.py
@@ -8,7 +8,7 @@
 
 # Id of an instance, and start of its process in Unix milliseconds: two starts are never the same,
 # but a later one may have the lower time.
-Start = tuple[str, int]
+InstanceStart = tuple[str, int]
 
 
 class InstanceState(StrEnum):
@@ -49,7 +49,7 @@
     revision: Revision = attrs.field(default=NO_REVISION, eq=False)
 
     @property
-    def start(self) -> Start:
+    def start(self) -> InstanceStart:
         """Its id with the start of its process."""
         return self.instance_id, self.started_at_ms
 
--- a/ibisrack/instances/starts.py
+++ b/ibisrack/instances/starts.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from ibisrack.instances.model import Instance, Start
+from ibisrack.instances.model import Instance, InstanceStart
 
 MAX_REMEMBERED = 1000  # Starts that are remembered of each kind.
 
@@ -17,16 +17,16 @@
 class PastStarts:
     """Starts of instances that drained, were removed or were replaced by another start."""
 
-    _drained: dict[Start, None] = attrs.field(factory=dict)
+    _drained: dict[InstanceStart, None] = attrs.field(factory=dict)
     # Sequence of the last report of each start that is not listed any more, None if the instance
     # has started again since.
-    _ended: dict[Start, int | None] = attrs.field(factory=dict)
+    _ended: dict[InstanceStart, int | None] = attrs.field(factory=dict)
 
-    def record_drained(self, start: Start) -> None:
+    def record_drained(self, start: InstanceStart) -> None:
         """Records that a start is about to end, whether it is listed yet or not."""
         _remember(self._drained, start, None)
 
-    def has_drained(self, start: Start) -> bool:
+    def has_drained(self, start: InstanceStart) -> bool:
         """Returns whether a start is about to end, or has ended after it drained."""
         return start in self._drained
 
@@ -34,11 +34,11 @@
         """Records that an instance is not listed any more."""
         _remember(self._ended, instance.start, instance.sequence)
 
-    def record_replaced(self, start: Start) -> None:
+    def record_replaced(self, start: InstanceStart) -> None:
         """Records that the instance has started again."""
         _remember(self._ended, start, None)
 
-    def record_listed(self, start: Start) -> None:
+    def record_listed(self, start: InstanceStart) -> None:
         """Records that a start is listed, at present or again."""
         self._ended.pop(start, None)
         if start in self._drained:
@@ -52,7 +52,9 @@
         return last_sequence is None or instance.sequence <= last_sequence
 
 
-def _remember(starts: dict[Start, int | None], start: Start, value: int | None) -> None:
+def _remember(
+    starts: dict[InstanceStart, int | None], start: InstanceStart, value: int | None
+) -> None:
     """Adds a start as the latest one; forgets the earliest of too many."""
     starts.pop(start, None)
     starts[start] = value
--- a/ibisrack/suspects/exchange.py
+++ b/ibisrack/suspects/exchange.py
@@ -58,7 +58,7 @@
         """Returns whether an instance has crashed and its entry is still listed."""
         if not self.table.has_crashes:
             return False
-        start = (instance.instance_id, instance.started_at_ms)
+        start = instance.start
         return self.table.is_down(start, read_monotonic_s())
 
     def report_crash(
--- a/ibisrack/suspects/table.py
+++ b/ibisrack/suspects/table.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from ibisrack.instances.model import InstanceStart
 from ibisrack.suspects.messages import CrashReport, RunCompleted
 
 BLOCKING_CRASHES = 2  # If the request ran in quarantine at one of them.
@@ -33,8 +34,6 @@
 MAX_COMPLETIONS = 1024
 MAX_SUSPECTS_PER_CRASH = 256
 
-InstanceStart = tuple[str, int]  # Id of an instance and start of its process.
-
 
 @attrs.frozen
 class Clear:
