Test that a frozen reader does not keep changes from its zone

Four real processes of one zone are stopped in turn with SIGSTOP while a configuration comes; the others must have it within the stated bound of 2.0 s.

No fault; the test guards it from now on.

--- a/ibisrack/testing/processes.py
+++ b/ibisrack/testing/processes.py
@@ -20,7 +20,7 @@
 
 from ibisrack.platform.settings_file import SETTINGS_PATH_VARIABLE
 from ibisrack.standins.instance import StandInInstance, serve_instance
-from ibisrack.standins.store import serve_store
+from ibisrack.standins.store import StandInStore, serve_store
 from ibisrack.testing.sidecars import free_ports, instance, instance_entry
 
 MEGABYTE = 1_000_000  # The settings state the memory of a machine in MB.
@@ -185,9 +185,15 @@
 
 @attrs.define(eq=False)
 class ProcessFleet:
-    """Sidecar processes under test."""
+    """Sidecar processes under test.
+
+    Attributes:
+      processes: The processes.
+      store: The stand-in for the registry's store.
+    """
 
     processes: list[ProcessUnderTest]
+    store: StandInStore
     _request_numbers: itertools.count = attrs.field(factory=itertools.count)
 
     def check(self) -> None:
@@ -282,7 +288,7 @@
             await process.start(store_port, folder)
         for process in processes:
             await _wait_until_ready(process)
-        yield ProcessFleet(processes)
+        yield ProcessFleet(processes, store)
 
 
 async def _wait_until_ready(process: ProcessUnderTest) -> None:
