Refuse a heartbeat of 0 s in the settings file again

It is out of range, as before, and named in the error. The test failed before; nothing else changes.

--- a/ibisrack/platform/settings_file.py
+++ b/ibisrack/platform/settings_file.py
@@ -65,8 +65,7 @@
         "cold_rate_factor": reader.get("terms.bounds.cold_over"),
         "cold_rate_slack": reader.get("terms.bounds.cold_slack"),
         "evacuation_s": reader.duration_s("terms.bounds.evac"),
-        "heartbeat_s": reader.duration_s("platform.heartbeat")
-        or reader.variable_duration_s(HEARTBEAT_VARIABLE, heartbeat),
+        "heartbeat_s": reader.duration_s("platform.heartbeat", HEARTBEAT_VARIABLE, heartbeat),
         "configuration_s": reader.duration_s("terms.bounds.config_apply"),
         "drain_s": reader.duration_s("terms.bounds.drain"),
     }
@@ -135,14 +134,17 @@
         value = self.get(path)
         return value if type(value) in (int, float) and value > 0 else None
 
-    def duration_s(self, path: str) -> float | None:
-        return self._parse_duration_s(self.get(path), self._file, path)
+    def duration_s(self, path: str, variable: str = "", text: str = "") -> float | None:
+        """Returns a duration, None if it is not given.
 
-    def variable_duration_s(self, variable: str, text: str) -> float | None:
-        """Returns the duration in an environment variable, None if that is empty."""
-        return self._parse_duration_s(text or None, variable, "")
-
-    def _parse_duration_s(self, value: Any, source: str, path: str) -> float | None:
+        Args:
+          path: Path of the field.
+          variable: Environment variable that counts if the file lacks the field.
+          text: Content of the variable.
+        """
+        value, source = self.get(path), self._file
+        if value is None:
+            value, source = text or None, variable
         if value is None:
             return None
         try:
--- a/ibisrack/platform/settings_file_test.py
+++ b/ibisrack/platform/settings_file_test.py
@@ -101,12 +101,16 @@
     text = SETTINGS.replace("heartbeat", "pulse")
     assert load(text, heartbeat="1200ms").heartbeat_s == 1.2
     assert load(text, heartbeat="").heartbeat_s == 1.5
-    try:
-        load(text, heartbeat="soon")
-    except SettingsError as error:
-        assert "IBISRACK_HEARTBEAT" in str(error), error
-    else:
-        raise AssertionError("a heartbeat that is no duration was accepted")
+    for faulty, heartbeat, named in (
+        (text, "soon", "IBISRACK_HEARTBEAT"),
+        (SETTINGS.replace('"1200ms"', '"0s"'), "1200ms", "heartbeat_s"),
+    ):
+        try:
+            load(faulty, heartbeat=heartbeat)
+        except SettingsError as error:
+            assert named in str(error), error
+        else:
+            raise AssertionError(f"a faulty heartbeat was accepted: {named}")
 
 
 def test_the_template_of_the_settings_needs_no_field_that_the_cases_of_the_review_lack():
