Tests of callers' connections: fixtures in testing/, planned stops in a module of their own

The held instance, the client and the requests are in testing/pipelining.py, the three tests of planned stops in caller_connection_stop_test.py.

--- a/ibisrack/platform/caller_connection_test.py
+++ b/ibisrack/platform/caller_connection_test.py
@@ -3,134 +3,25 @@
 import asyncio
 import random
 import socket
-from contextlib import asynccontextmanager
 
-import attrs
 from aiohttp import web
 
 from ibisrack.bin.loop import new_event_loop
-from ibisrack.clocks import read_monotonic_s
 from ibisrack.pipelining.state import MAX_QUEUED_REQUESTS, MAX_UNSENT_ANSWER_BYTES
 from ibisrack.platform.headers import REQUEST_ID
-from ibisrack.sidecar.stopping import drain
-from ibisrack.stopping.plan import PlannedStop
 from ibisrack.testing.functions import function_tests
-from ibisrack.testing.sidecars import capture_log, route_resource, run_sidecars, wait_until
-
-SLOTS = 100
-STOP_TEST_SKIPPED_S = 2.2  # Start of the stop, in which every request is accepted.
-GUARD_S = 5.0
-SETTLE_S = 0.15  # A request that wrongly runs has reached the instance by then.
-LARGE_ANSWER_BYTES = 300_000
-# No held request ends by itself while a test waits.
-PATIENT_ROUTES = (
-    route_resource(timeout="60s"),
-    route_resource("non_idempotent", prefix="/lodge/", timeout="60s"),
+from ibisrack.testing.pipelining import (
+    SETTLE_S,
+    SLOTS,
+    Client,
+    chunked,
+    get,
+    pipelining,
+    post,
 )
+from ibisrack.testing.sidecars import capture_log, run_sidecars, wait_until
 
-
-@attrs.define(eq=False)
-class HeldInstance:
-    """Handler of an instance that holds each request until it is released.
-
-    Attributes:
-      started: Ids of the requests that have started.
-      cancelled: Ids of those whose connection was closed while they were held.
-      bodies: Body of each answer by request id, if it is not the id.
-    """
-
-    started: list[str] = attrs.field(factory=list)
-    cancelled: list[str] = attrs.field(factory=list)
-    bodies: dict[str, bytes] = attrs.field(factory=dict)
-    _released: dict[str, asyncio.Event] = attrs.field(factory=dict)
-
-    def release(self, *names: str) -> None:
-        """Lets requests end, also ones that have not started yet."""
-        for name in names:
-            self._event(name).set()
-
-    async def run(self, instance, request) -> web.Response:
-        """Runs a request."""
-        name, body = request.headers[REQUEST_ID], await request.read()
-        self.started.append(name)
-        try:
-            await self._event(name).wait()
-        except asyncio.CancelledError:
-            self.cancelled.append(name)
-            raise
-        answer = self.bodies.get(name, name.encode() + body)
-        return web.Response(body=answer, headers=instance.headers(request))
-
-    def _event(self, name: str) -> asyncio.Event:
-        return self._released.setdefault(name, asyncio.Event())
-
-
-@attrs.define(eq=False)
-class Client:
-    """A caller with one connection."""
-
-    reader: asyncio.StreamReader
-    writer: asyncio.StreamWriter
-
-    async def read_answer(self, method: str = "GET") -> tuple[int, dict[str, str], bytes]:
-        """Reads the next answer."""
-        async with asyncio.timeout(GUARD_S):
-            head = (await self.reader.readuntil(b"\r\n\r\n")).decode()
-            status_line, *fields = head.strip().split("\r\n")
-            headers = dict(field.split(": ", 1) for field in fields)
-            length = 0 if method == "HEAD" else int(headers["Content-Length"])
-            return int(status_line.split()[1]), headers, await self.reader.readexactly(length)
-
-    async def read_bodies(self, count: int) -> list[bytes]:
-        """Reads answers that are expected to be good ones, and returns their bodies."""
-        answers = [await self.read_answer() for _ in range(count)]
-        assert {status for status, _, _ in answers} == {200}, answers
-        return [body for _, _, body in answers]
-
-    async def reads_end(self) -> bool:
-        """Returns whether the connection ends without another answer."""
-        async with asyncio.timeout(GUARD_S):
-            return await self.reader.read() == b""
-
-
-def get(name: str, *fields: str, method: str = "GET", path: str = "/notices/1") -> bytes:
-    """Returns a request without a body; it may be repeated unless another path is given."""
-    lines = [f"{method} {path} HTTP/1.1", "Host: desk.example", f"Request-Id: {name}", *fields]
-    return "\r\n".join([*lines, "", ""]).encode()
-
-
-def chunked(body: bytes) -> bytes:
-    """Returns a body in one chunk."""
-    return b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
-
-
-def post(name: str, body: bytes = b"") -> bytes:
-    """Returns a request that runs at most once."""
-    head = get(name, f"Content-Length: {len(body)}", method="POST", path="/lodge/1")
-    return head + body
-
-
-def begin_stop(node) -> None:
-    """Begins a planned stop, as its signal does."""
-    now_s = read_monotonic_s()
-    node.dispatcher.stop = PlannedStop(accepts_until_s=now_s + 5, ends_at_s=now_s + 10)
-    node.stopping = True
-
-
-@asynccontextmanager
-async def pipelining():
-    """Yields a fleet of one node, the handler of its instance, and a connection to the node."""
-    held = HeldInstance()
-    async with run_sidecars(1, PATIENT_ROUTES) as fleet_:
-        fleet_.instances[0].custom_handler = lambda instance, request: held.run(instance, request)
-        fleet_.register_instance(0, slots=SLOTS, sequence=1)
-        await wait_until(lambda: fleet_.nodes[0].directory.get("i-0").slots == SLOTS)
-        calls = fleet_.nodes[0].settings.calls
-        reader, writer = await asyncio.open_connection(calls.host, calls.port)
-        try:
-            yield fleet_.nodes[0], held, Client(reader, writer)
-        finally:
-            writer.close()
+LARGE_ANSWER_BYTES = 300_000
 
 
 async def test_requests_that_may_be_repeated_run_side_by_side_and_are_answered_in_order():
@@ -256,34 +147,6 @@
         assert await client.reads_end()
 
 
-async def test_a_planned_stop_answers_what_was_passed_on_and_nothing_more():
-    """Guards against requests that a stop loses, and against ones that it accepts too late."""
-    async with pipelining() as (node, held, client):
-        client.writer.write(get("a") + get("b") + post("c") + get("d"))
-        await wait_until(lambda: held.started == ["a", "b"])
-        begin_stop(node)
-        held.release("a", "b", "c", "d")
-        (_, first, _), (_, last, body) = [await client.read_answer() for _ in range(2)]
-        assert "Connection" not in first
-        assert (last["Connection"], body) == ("close", b"b")
-        assert await client.reads_end()
-        assert held.started == ["a", "b"]
-
-
-async def test_a_stop_closes_with_the_next_answer_if_nothing_else_was_passed_on():
-    """Guards against requests that are read during a stop and run early."""
-    async with pipelining() as (node, held, client):
-        client.writer.write(post("a"))
-        await wait_until(lambda: held.started == ["a"])
-        begin_stop(node)
-        client.writer.write(get("b") + get("c"))
-        await asyncio.sleep(SETTLE_S)
-        held.release("a", "b", "c")
-        assert (await client.read_answer())[1]["Connection"] == "close"
-        assert await client.reads_end()
-        assert held.started == ["a"]
-
-
 async def test_a_caller_that_ends_its_connection_in_the_middle_gets_no_more_answers():
     """Guards against requests behind "Connection: close" that run, or turn into an error."""
     async with pipelining() as (_, held, client):
@@ -455,52 +318,4 @@
             assert answers[name] == name.encode() + body
 
 
-async def pipeline_until_stopped(node, name: str, unanswered: set[str], counts: list[int]) -> None:
-    """Sends pipelines on new connections until the node doesn't listen.
-
-    Adds the ids of the requests that got no answer to unanswered, and to counts how many got one.
-    """
-    calls = node.settings.calls
-    for number in range(1000):
-        try:
-            reader, writer = await asyncio.open_connection(calls.host, calls.port)
-        except OSError:
-            return
-        ids = [f"{name}-{number}-{position}" for position in range(6)]
-        writer.write(b"".join(get(i) if p % 3 else post(i) for p, i in enumerate(ids)))
-        client, answered = Client(reader, writer), 0
-        try:
-            for _ in ids:
-                await client.read_answer()
-                answered += 1
-        except (asyncio.IncompleteReadError, OSError):
-            unanswered.update(ids[answered:])
-        counts.append(answered)
-        writer.close()
-
-
-async def test_a_whole_stop_answers_every_pipelined_request_that_ran():
-    """Guards against requests that a stop passes on and does not answer."""
-    unanswered, counts, executed = set(), [], set()
-
-    async def run(instance, request):
-        executed.add(request.headers[REQUEST_ID])
-        await asyncio.sleep(0.03)
-        return web.Response(headers=instance.headers(request))
-
-    async with run_sidecars(2) as fleet_:
-        for instance in fleet_.instances:
-            instance.custom_handler = run
-        node = fleet_.nodes[0]
-        callers = [
-            asyncio.create_task(pipeline_until_stopped(node, f"c{n}", unanswered, counts))
-            for n in range(4)
-        ]
-        await wait_until(lambda: len(counts) >= 4)
-        await drain(node, read_monotonic_s() - STOP_TEST_SKIPPED_S)
-        await fleet_.stop_sidecar(0)
-        await asyncio.gather(*callers)
-    assert unanswered and not executed & unanswered
-
-
 load_tests = function_tests(__name__)
