--- a/ibisrack/hosting/acceptance.py
+++ b/ibisrack/hosting/acceptance.py
@@ -24,7 +24,6 @@
       address: IP number and port of the instance.
       directory: Known instances.
       suspects: Requests that are suspected of crashing instances, and the crashes.
-      own_service: Service of the instance by the settings of this node.
       named_services: Services that routes of the configuration in force use.
       ended_starts: Listed starts of the instance that have ended.
       stop: Planned stop of this process, None while there is none.
@@ -33,7 +32,6 @@
     address: tuple[str, int]
     directory: InstanceDirectory
     suspects: SuspectExchange
-    own_service: str = ""
     named_services: Collection[str] = frozenset()
     ended_starts: EndedStarts = attrs.field(factory=EndedStarts)
     stop: PlannedStop | None = None
@@ -98,9 +96,7 @@
         if instance is not None and self.directory.is_evacuated(instance):
             raise NotRunError(Reason.EVACUATED)
 
-    def _precedence(
-        self, listed: Instance, now_s: float
-    ) -> tuple[bool, bool, bool, bool, Revision]:
+    def _precedence(self, listed: Instance, now_s: float) -> tuple[bool, bool, bool, Revision]:
         """Returns the precedence of an instance over others that are listed with its address.
 
         Another program may list the address under any service, and an instance of another service
@@ -110,7 +106,6 @@
             listed.service in self.named_services,
             not self.ended_starts.includes(listed, now_s),
             listed.ready,
-            listed.service == self.own_service,
             listed.revision,
         )
 
--- a/ibisrack/sidecar/node.py
+++ b/ibisrack/sidecar/node.py
@@ -374,9 +374,7 @@
 
     def _update_own_instance(self) -> None:
         """Applies the listed state of the instance beside this node and the routes that use it."""
-        acceptance = self.instance_runner.acceptance
-        acceptance.own_service = self.settings.service
-        acceptance.named_services = self.configurations.priorities.keys()
+        self.instance_runner.acceptance.named_services = self.configurations.priorities.keys()
         instance = self.instance_runner.instance
         if self.configurations.current is not None:
             service = instance.service if instance else self.settings.service
